Add strict TOML decoding, shared message types, event log, metrics and settings

Cause: the parts are built in parallel and need fixed types and signatures. Change: core/strictconf decodes without defaults and reports all faults with lines; types of core/replog, core/state and core/cellconfig; internal/eventlog, internal/metrics, internal/settings; signatures in docs/design.md section 3.2.

--- /dev/null
+++ b/core/cellconfig/file.go
@@ -0,0 +1,143 @@
+package cellconfig
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/strictconf"
+)
+
+// MaxFileBytes is the largest cell file that is accepted.
+const MaxFileBytes = 1 << 20
+
+// File is a parsed cell file (docs/design.md, section 6). Every setting is
+// required; only the reasons are optional.
+type File struct {
+	Generation cell.Generation `toml:"generation"`
+	Submitter  string          `toml:"submitter"`
+	Reason     string          `toml:"reason,optional"`
+	Cell       Cell            `toml:"cell"`
+	Regions    []Region        `toml:"region"`
+	Pools      []Pool          `toml:"pool"`
+	Policies   []Policy        `toml:"policy"`
+	Teams      []Team          `toml:"team"`
+	Services   []Service       `toml:"service"`
+}
+
+// Cell holds the settings of the cell as a whole.
+type Cell struct {
+	Name               string            `toml:"name"`
+	MaxClockDriftPPM   int64             `toml:"max_clock_drift_ppm"` // parts per million
+	WorkerLease        time.Duration     `toml:"worker_lease"`
+	WorkerSyncInterval time.Duration     `toml:"worker_sync_interval"`
+	WorkerStopMargin   time.Duration     `toml:"worker_stop_margin"`
+	StaleAfter         time.Duration     `toml:"stale_after"`
+	MaxEntries         int               `toml:"max_entries"` // entry processes that may share a backend server
+	RetiredWorkers     []cell.WorkerName `toml:"retired_workers"`
+	Reason             string            `toml:"reason,optional"`
+}
+
+// Region names a region and its failure domains.
+type Region struct {
+	Name           cell.Region          `toml:"name"`
+	FailureDomains []cell.FailureDomain `toml:"failure_domains"`
+	Reason         string               `toml:"reason,optional"`
+}
+
+// Pool is a set of workers. A worker larger than the pool's limits, or above
+// its number, is not admitted.
+type Pool struct {
+	Name                  cell.Pool        `toml:"name"`
+	Regions               []cell.Region    `toml:"regions"`
+	MaxWorkers            int              `toml:"max_workers"`
+	MaxWorkerCPUs         float64          `toml:"max_worker_cpus"` // cores
+	MaxWorkerMemory       strictconf.Bytes `toml:"max_worker_memory"`
+	MaxWorkerAccelerators int64            `toml:"max_worker_accelerators"`
+	Reason                string           `toml:"reason,optional"`
+}
+
+// MaxWorker returns the largest worker that the pool admits.
+func (p Pool) MaxWorker() cell.Resources {
+	return cell.Resources{
+		MilliCPU:     milliCPU(p.MaxWorkerCPUs),
+		MemoryBytes:  int64(p.MaxWorkerMemory),
+		Accelerators: p.MaxWorkerAccelerators,
+	}
+}
+
+// Spread is the unit over which the tasks of a service are spread.
+type Spread string
+
+// Units of spreading.
+const (
+	SpreadFailureDomain Spread = "failure-domain"
+	SpreadRack          Spread = "rack"
+	SpreadNone          Spread = "none"
+)
+
+// Policy says how a kind of work is placed and retried.
+type Policy struct {
+	Name           cell.PolicyName       `toml:"name"`
+	Kind           cell.PolicyKind       `toml:"kind"`
+	Pools          []cell.Pool           `toml:"pools"`
+	SpreadBy       Spread                `toml:"spread_by"`
+	Preemptible    bool                  `toml:"preemptible"`
+	OnDisconnect   cell.DisconnectAction `toml:"on_disconnect"`
+	MaxTasks       int                   `toml:"max_tasks"`    // per job
+	MaxAttempts    int                   `toml:"max_attempts"` // per task
+	BackoffInitial time.Duration         `toml:"backoff_initial"`
+	BackoffMax     time.Duration         `toml:"backoff_max"`
+	Reason         string                `toml:"reason,optional"`
+}
+
+// Team is an owner of jobs with a share and a quota.
+type Team struct {
+	Name              cell.Team         `toml:"name"`
+	Share             float64           `toml:"share"` // of the whole cell, 0 to 1
+	QuotaCPUs         float64           `toml:"quota_cpus"`
+	QuotaMemory       strictconf.Bytes  `toml:"quota_memory"`
+	QuotaAccelerators int64             `toml:"quota_accelerators"`
+	UrgentCPUs        float64           `toml:"urgent_cpus"` // cores of urgent work at once
+	MaxQueuedJobs     int               `toml:"max_queued_jobs"`
+	Policies          []cell.PolicyName `toml:"policies"`
+	Reason            string            `toml:"reason,optional"`
+}
+
+// Quota returns the team's quota as resources.
+func (t Team) Quota() cell.Resources {
+	return cell.Resources{
+		MilliCPU:     milliCPU(t.QuotaCPUs),
+		MemoryBytes:  int64(t.QuotaMemory),
+		Accelerators: t.QuotaAccelerators,
+	}
+}
+
+// UrgentMilliCPU returns the processor time that the team's urgent work may
+// hold at once, in thousandths of a core.
+func (t Team) UrgentMilliCPU() int64 { return milliCPU(t.UrgentCPUs) }
+
+// Service is a routed service.
+type Service struct {
+	Name               cell.Service     `toml:"name"`
+	PathPrefix         string           `toml:"path_prefix"` // starts and ends with a slash
+	Teams              []cell.Team      `toml:"teams"`
+	IdempotentMethods  []string         `toml:"idempotent_methods"`
+	AnnounceInterval   time.Duration    `toml:"announce_interval"`
+	AnnounceLease      time.Duration    `toml:"announce_lease"`
+	MaxQueue           int              `toml:"max_queue"` // requests waiting at one entry process
+	DefaultDeadline    time.Duration    `toml:"default_deadline"`
+	MaxDeadline        time.Duration    `toml:"max_deadline"`
+	DispatchWindow     time.Duration    `toml:"dispatch_window"`
+	MaxRequestBytes    strictconf.Bytes `toml:"max_request_bytes"`
+	ReplayMaxBytes     strictconf.Bytes `toml:"replay_max_bytes"`
+	AnswerRetention    time.Duration    `toml:"answer_retention"`
+	RetryBudget        float64          `toml:"retry_budget"` // retries as a share of requests
+	CrossRegionPenalty time.Duration    `toml:"cross_region_penalty"`
+	PanicThreshold     float64          `toml:"panic_threshold"` // share of usable backend servers
+	Reason             string           `toml:"reason,optional"`
+}
+
+// milliPerCore converts cores to thousandths of a core.
+const milliPerCore = 1000
+
+func milliCPU(cores float64) int64 { return int64(cores*milliPerCore + 0.5) }
--- /dev/null
+++ b/core/replog/doc.go
@@ -0,0 +1,17 @@
+// Package replog is a replicated log as a state machine without input or
+// output. The owner steps messages and the time in and takes a batch of
+// effects out:
+//
+//	core.Step(now, message)
+//	effects := core.Effects()
+//	// 1. send effects.Messages at once
+//	// 2. persist effects.HardState, effects.Snapshot and effects.Entries
+//	// 3. after the sync: core.Persisted(now, effects.Mark) and send
+//	//    effects.AfterSync
+//	// 4. apply effects.Committed in order
+//	// 5. call core.Tick(now) at effects.Deadline at the latest
+//
+// The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote,
+// check-quorum, leader lease, pipelined appends, learners, membership changes
+// one at a time, and leadership transfer.
+package replog
--- /dev/null
+++ b/core/state/query.go
@@ -0,0 +1,93 @@
+package state
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Query is a read of the state. Exactly one field is set.
+type Query struct {
+	Config  *ConfigQuery  `cbor:",omitempty"`
+	Job     *JobQuery     `cbor:",omitempty"`
+	Status  *StatusQuery  `cbor:",omitempty"`
+	Workers *WorkersQuery `cbor:",omitempty"`
+	Request *RequestQuery `cbor:",omitempty"`
+	Members *MembersQuery `cbor:",omitempty"`
+}
+
+// ConfigQuery asks for the file in force (Generation 0) or an earlier one.
+type ConfigQuery struct{ Generation cell.Generation }
+
+// JobQuery asks for a job.
+type JobQuery struct{ Job cell.JobID }
+
+// StatusQuery asks for a summary of the cell.
+type StatusQuery struct{}
+
+// WorkersQuery asks for the assignments of the named workers.
+type WorkersQuery struct{ Names []cell.WorkerName }
+
+// RequestQuery asks for a request record.
+type RequestQuery struct{ Key RequestKey }
+
+// MembersQuery asks for the entry processes.
+type MembersQuery struct{}
+
+// Answer answers a Query, in the field of the query's kind. The field is nil
+// where nothing was found.
+type Answer struct {
+	Config  *ConfigRecord  `cbor:",omitempty"`
+	Job     *JobView       `cbor:",omitempty"`
+	Status  *StatusView    `cbor:",omitempty"`
+	Workers []WorkerView   `cbor:",omitempty"`
+	Request *RequestResult `cbor:",omitempty"`
+	Members []Member       `cbor:",omitempty"`
+}
+
+// JobView is what a caller sees of a job.
+type JobView struct {
+	ID          cell.JobID
+	Spec        cell.JobSpec
+	State       cell.JobState
+	SubmittedAt time.Time
+	Tasks       []TaskView
+}
+
+// TaskView is what a caller sees of a task.
+type TaskView struct {
+	State    cell.TaskState
+	Attempts int
+	Worker   cell.WorkerName // empty where not placed
+	Detail   string          // of the last failure
+}
+
+// StatusView is a summary of the cell.
+type StatusView struct {
+	Generation  cell.Generation
+	Digest      string
+	Workers     int
+	Jobs        map[cell.JobState]int
+	Allocations int
+	Capacity    cell.Resources
+	Reserved    cell.Resources
+	Members     int
+}
+
+// WorkerView is a worker's current epoch and its allocations, complete.
+type WorkerView struct {
+	Name        cell.WorkerName
+	Registered  bool
+	Incarnation cell.Incarnation
+	Epoch       cell.Epoch
+	Version     uint64 // log index of the last change of its allocations
+	Assignments []Assignment
+}
+
+// Assignment is one allocation as the worker needs it.
+type Assignment struct {
+	Allocation cell.Allocation
+	Command    string
+	RunTime    time.Duration // declared
+	Stop       bool          // end it: checkpoint where it can, otherwise stop
+}
--- /dev/null
+++ b/core/strictconf/tree.go
@@ -0,0 +1,132 @@
+package strictconf
+
+import (
+	"errors"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// node is a part of a file with the line on which it was defined.
+type node struct {
+	line     int
+	value    any              // as decoded by the TOML library
+	children map[string]*node // of a table
+	items    []*node          // of an array of tables
+}
+
+// parseTree decodes data and attaches the line of each key. The library's
+// decoder is the judge of syntax; the parser only supplies the positions.
+func parseTree(data []byte) (*node, *Fault) {
+	values := map[string]any{}
+	if err := toml.Unmarshal(data, &values); err != nil {
+		return nil, syntaxFault(err)
+	}
+	root := tableNode(1, values)
+	attachLines(root, data)
+	return root, nil
+}
+
+func syntaxFault(err error) *Fault {
+	fault := &Fault{Problem: err.Error()}
+	var decodeErr *toml.DecodeError
+	if errors.As(err, &decodeErr) {
+		fault.Line, _ = decodeErr.Position()
+	}
+	return fault
+}
+
+func tableNode(line int, values map[string]any) *node {
+	n := &node{line: line, value: values, children: map[string]*node{}}
+	for key, value := range values {
+		n.children[key] = valueNode(line, value)
+	}
+	return n
+}
+
+func valueNode(line int, value any) *node {
+	switch value := value.(type) {
+	case map[string]any:
+		return tableNode(line, value)
+	case []any:
+		n := &node{line: line, value: value}
+		for _, item := range value {
+			n.items = append(n.items, valueNode(line, item))
+		}
+		return n
+	default:
+		return &node{line: line, value: value}
+	}
+}
+
+// attachLines walks the expressions of the file in order and sets the line of
+// each node that they define.
+func attachLines(root *node, data []byte) {
+	var parser unstable.Parser
+	parser.Reset(data)
+	counts := map[*node]int{} // array of tables -> tables seen
+	table := root
+	for parser.NextExpression() {
+		expr := parser.Expression()
+		switch expr.Kind {
+		case unstable.Table:
+			table = descend(&parser, root, expr, counts, false)
+		case unstable.ArrayTable:
+			table = descend(&parser, root, expr, counts, true)
+		case unstable.KeyValue:
+			attachKeyValue(&parser, table, expr, counts)
+		}
+		if table == nil {
+			return
+		}
+	}
+}
+
+func attachKeyValue(parser *unstable.Parser, table *node, expr *unstable.Node, counts map[*node]int) {
+	target := descend(parser, table, expr, counts, false)
+	if target == nil {
+		return
+	}
+	for _, item := range target.items {
+		item.line = target.line
+	}
+	value := expr.Value()
+	if value.Kind != unstable.InlineTable {
+		return
+	}
+	for it := value.Children(); it.Next(); {
+		if it.Node().Kind == unstable.KeyValue {
+			attachKeyValue(parser, target, it.Node(), counts)
+		}
+	}
+}
+
+// descend follows the key of expr from start and sets the lines on the way. It
+// enters the newest table of an array of tables, or the next one where expr
+// opens one.
+func descend(parser *unstable.Parser, start *node, expr *unstable.Node, counts map[*node]int, opens bool) *node {
+	current := start
+	for it := expr.Key(); it.Next(); {
+		key := it.Node()
+		next := current.children[string(key.Data)]
+		if next == nil {
+			return nil
+		}
+		line := parser.Shape(key.Raw).Start.Line
+		last := it.IsLast()
+		if last || next.line == start.line {
+			next.line = line
+		}
+		if opens && last {
+			counts[next]++
+		}
+		if seen := counts[next]; seen > 0 && seen <= len(next.items) {
+			next = next.items[seen-1]
+			if opens && last {
+				next.line = line
+			}
+		}
+		current = next
+	}
+	return current
+}
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,76 @@
+// Package eventlog writes structured logs as numbered events over zap. Every
+// event is declared once in the catalogue of its package and listed in
+// docs/logs.md, so that an operator can look a number up.
+package eventlog
+
+import (
+	"fmt"
+	"io"
+	"sort"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is an entry of the catalogue.
+type Event struct {
+	Number int
+	Level  zapcore.Level
+	Text   string // fixed message; details go into fields
+}
+
+// catalogue holds every declared event. It is written by package variable
+// initialisation only and read-only after that.
+var catalogue = map[int]Event{}
+
+// Declare adds an event to the catalogue. It is for package variables only and
+// panics where the number is taken, which is a fault in the code.
+func Declare(number int, level zapcore.Level, text string) Event {
+	if other, taken := catalogue[number]; taken {
+		panic(fmt.Sprintf("event number %d is taken by %q", number, other.Text))
+	}
+	event := Event{Number: number, Level: level, Text: text}
+	catalogue[number] = event
+	return event
+}
+
+// Catalogue returns all declared events by number.
+func Catalogue() []Event {
+	events := make([]Event, 0, len(catalogue))
+	for _, event := range catalogue {
+		events = append(events, event)
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Number < events[j].Number })
+	return events
+}
+
+// Logger writes events with the name of the process.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// New returns a logger that writes JSON lines to out. level is a zap level
+// name such as "info".
+func New(out io.Writer, level, process string) (*Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q: %w", level, err)
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.TimeKey = "time"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), parsed)
+	return &Logger{zap: zap.New(core).With(zap.String("process", process))}, nil
+}
+
+// Nop returns a logger that writes nothing.
+func Nop() *Logger { return &Logger{zap: zap.NewNop()} }
+
+// Log writes one event.
+func (l *Logger) Log(event Event, fields ...zap.Field) {
+	checked := l.zap.Check(event.Level, event.Text)
+	if checked == nil {
+		return
+	}
+	checked.Write(append([]zap.Field{zap.Int("event", event.Number)}, fields...)...)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,106 @@
+// Package settings reads the settings files of the processes: strict TOML with
+// every setting present (core/strictconf), checked before anything starts.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/godwitlink/godwitlink/core/strictconf"
+)
+
+// ExitStatus is the exit status of a process that refuses its settings.
+const ExitStatus = 2
+
+// Checker is settings that can check what a type cannot express.
+type Checker interface {
+	// Check returns the faults that remain after decoding. Faults name keys;
+	// lines are filled in by Load.
+	Check() strictconf.Faults
+}
+
+// FileError lists all faults of a settings file.
+type FileError struct {
+	File   string
+	Faults strictconf.Faults
+}
+
+// Error formats one fault a line, each with the file's name.
+func (e *FileError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = e.File + ": " + fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads, decodes and checks a settings file into the struct that into
+// points to. The error is a *FileError where the file is readable and faulty.
+func Load(file string, into Checker) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	faults := strictconf.Decode(data, into)
+	if len(faults) == 0 {
+		faults = withLines(data, into.Check())
+	}
+	if len(faults) > 0 {
+		return &FileError{File: file, Faults: faults}
+	}
+	return nil
+}
+
+func withLines(data []byte, faults strictconf.Faults) strictconf.Faults {
+	lines := strictconf.Lines(data)
+	for i := range faults {
+		if faults[i].Line == 0 {
+			faults[i].Line = lines[faults[i].Key]
+		}
+	}
+	faults.Sort()
+	return faults
+}
+
+// Common is what every process of the system has.
+type Common struct {
+	Name          string `toml:"name"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure_domain"`
+	LogLevel      string `toml:"log_level"`
+}
+
+// CheckAddress returns a fault where address is not an IP address and port.
+func CheckAddress(key, address string) strictconf.Faults {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return strictconf.Faults{{
+			Key:      key,
+			Problem:  fmt.Sprintf("%q is not an address", address),
+			Expected: "an IP address and port, such as 127.0.0.1:7000",
+		}}
+	}
+	return nil
+}
+
+// CheckNotEmpty returns a fault where value is empty.
+func CheckNotEmpty(key, value string) strictconf.Faults {
+	if value == "" {
+		return strictconf.Faults{{Key: key, Problem: "is empty", Expected: "a name"}}
+	}
+	return nil
+}
+
+// CheckLogLevel returns a fault where level is not a log level.
+func CheckLogLevel(key, level string) strictconf.Faults {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return strictconf.Faults{{
+		Key:      key,
+		Problem:  fmt.Sprintf("%q is not a log level", level),
+		Expected: "debug, info, warn or error",
+	}}
+}
