--- /dev/null
+++ b/core/lease/example_test.go
@@ -0,0 +1,27 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/lease"
+)
+
+func Example() {
+	terms := lease.Terms{Duration: 15 * time.Second, StopMargin: 500 * time.Millisecond, DriftPPM: 1000}
+	start := time.Unix(0, 0)
+
+	holder := lease.NewHolder()
+	sequence := holder.Sending(lease.Reading{Wall: start})
+
+	granter := lease.NewGranter(terms)
+	answeredAt := start.Add(20 * time.Millisecond)
+	granter.Renew(answeredAt, "worker-1", 7)
+	holder.Granted(lease.Reading{Monotonic: 40 * time.Millisecond, Wall: start.Add(40 * time.Millisecond)}, sequence, terms)
+
+	fmt.Println("holder stops after", terms.HolderDuration())
+	fmt.Println("granter waits until", granter.NextDeadline().Sub(start))
+	// Output:
+	// holder stops after 14.485s
+	// granter waits until 15.035s
+}
--- /dev/null
+++ b/core/lease/granter.go
@@ -0,0 +1,145 @@
+package lease
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Expiry is a lease that has run out by the granter's clock.
+type Expiry struct {
+	Worker cell.WorkerName
+	Epoch  cell.Epoch
+}
+
+// Granter keeps the end of every lease on the leader. A new leader creates a
+// new Granter and renews every registered worker at the moment of its
+// election, because renewals are not replicated.
+type Granter struct {
+	terms   Terms
+	leases  map[cell.WorkerName]*grant
+	pending deadlineHeap
+}
+
+type grant struct {
+	worker cell.WorkerName
+	epoch  cell.Epoch
+	end    time.Time
+	queued time.Time // end under which the grant stands in the heap
+}
+
+// NewGranter returns a granter without leases. The terms of a running leader
+// change with SetTerms.
+func NewGranter(terms Terms) *Granter {
+	return &Granter{terms: terms, leases: map[cell.WorkerName]*grant{}}
+}
+
+// SetTerms changes the terms of later renewals. Leases that were granted under
+// longer terms keep their end.
+func (g *Granter) SetTerms(terms Terms) { g.terms = terms }
+
+// Terms returns the terms in force, for the answer to a renewal.
+func (g *Granter) Terms() Terms { return g.terms }
+
+// Renew starts or extends the lease of a worker's epoch. It must be called
+// when the renewal is answered, not when it was received. An epoch older than
+// the one held is ignored.
+func (g *Granter) Renew(now time.Time, worker cell.WorkerName, epoch cell.Epoch) {
+	g.renewUntil(now.Add(g.terms.GranterDuration()), worker, epoch)
+}
+
+// Adopt takes over a lease that a former leader granted. longest is the
+// longest lease duration that may still be running, because the terms may have
+// become shorter shortly before the change of leader.
+func (g *Granter) Adopt(now time.Time, worker cell.WorkerName, epoch cell.Epoch, longest time.Duration) {
+	terms := g.terms
+	terms.Duration = max(terms.Duration, longest)
+	g.renewUntil(now.Add(terms.GranterDuration()), worker, epoch)
+}
+
+func (g *Granter) renewUntil(end time.Time, worker cell.WorkerName, epoch cell.Epoch) {
+	lease := g.leases[worker]
+	if lease == nil || lease.epoch < epoch {
+		lease = &grant{worker: worker, epoch: epoch, end: end, queued: end}
+		g.leases[worker] = lease
+		heap.Push(&g.pending, lease)
+		return
+	}
+	if lease.epoch == epoch && end.After(lease.end) {
+		// The heap is corrected when the old end is reached, so that a
+		// renewal costs no heap operation.
+		lease.end = end
+	}
+}
+
+// Forget drops the lease of an epoch that the state has ended.
+func (g *Granter) Forget(worker cell.WorkerName, epoch cell.Epoch) {
+	if lease := g.leases[worker]; lease != nil && lease.epoch == epoch {
+		delete(g.leases, worker)
+	}
+}
+
+// Expired returns the leases that have run out. Each is returned at every call
+// until Forget, because the command that ends the epoch may get lost.
+func (g *Granter) Expired(now time.Time) []Expiry {
+	var expired []Expiry
+	var again []*grant
+	for len(g.pending) > 0 && !g.pending[0].queued.After(now) {
+		lease := heap.Pop(&g.pending).(*grant)
+		if g.leases[lease.worker] != lease {
+			continue
+		}
+		if lease.end.After(now) {
+			lease.queued = lease.end
+			heap.Push(&g.pending, lease)
+			continue
+		}
+		lease.queued = now.Add(retryExpiry)
+		again = append(again, lease)
+		expired = append(expired, Expiry{Worker: lease.worker, Epoch: lease.epoch})
+	}
+	for _, lease := range again {
+		heap.Push(&g.pending, lease)
+	}
+	return expired
+}
+
+// retryExpiry is the time after which an expiry that was not followed by
+// Forget is returned again.
+const retryExpiry = time.Second
+
+// NextDeadline returns when to call Expired next, or the zero time where no
+// lease is held. It may be earlier than the next expiry.
+func (g *Granter) NextDeadline() time.Time {
+	if len(g.pending) == 0 {
+		return time.Time{}
+	}
+	return g.pending[0].queued
+}
+
+// Held reports whether the worker's epoch may still be running tasks by the
+// granter's clock.
+func (g *Granter) Held(now time.Time, worker cell.WorkerName, epoch cell.Epoch) bool {
+	lease := g.leases[worker]
+	return lease != nil && lease.epoch == epoch && lease.end.After(now)
+}
+
+// deadlineHeap orders grants by their queued end.
+type deadlineHeap []*grant
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].queued.Before(h[j].queued) }
+func (h deadlineHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(*grant)) }
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/core/lease/holder.go
@@ -0,0 +1,87 @@
+package lease
+
+import "time"
+
+// Reading is one reading of the holder's clocks. Both are needed, because a
+// suspended VM may stop its monotonic clock, and a wall clock may be set back.
+type Reading struct {
+	Monotonic time.Duration // since any fixed moment of this process
+	Wall      time.Time
+}
+
+// since returns the time that has passed since the earlier reading: the larger
+// one of both clocks, so that a stopped or stepped clock can only end a lease
+// early.
+func (r Reading) since(earlier Reading) time.Duration {
+	return max(r.Monotonic-earlier.Monotonic, r.Wall.Round(0).Sub(earlier.Wall.Round(0)))
+}
+
+// maxUnanswered is how many renewals may be on the way. Older ones are
+// forgotten; their grants are ignored.
+const maxUnanswered = 16
+
+// Holder is the worker's side of its lease. The zero value holds none.
+type Holder struct {
+	sequence   uint64
+	unanswered []sentRenewal
+	held       bool
+	from       Reading // sending of the renewal that was granted
+	duration   time.Duration
+}
+
+type sentRenewal struct {
+	sequence uint64
+	at       Reading
+}
+
+// NewHolder returns a holder without a lease.
+func NewHolder() *Holder { return &Holder{} }
+
+// Sending records that a renewal is about to be sent and returns its sequence
+// number. It must be called before the first byte leaves.
+func (h *Holder) Sending(now Reading) uint64 {
+	h.sequence++
+	h.unanswered = append(h.unanswered, sentRenewal{sequence: h.sequence, at: now})
+	if len(h.unanswered) > maxUnanswered {
+		h.unanswered = h.unanswered[1:]
+	}
+	return h.sequence
+}
+
+// Granted extends the lease by the answer to the renewal with the given
+// sequence number. An unknown or repeated number is ignored, and so is a grant
+// that would end earlier than the lease held.
+func (h *Holder) Granted(now Reading, sequence uint64, terms Terms) {
+	for i, renewal := range h.unanswered {
+		if renewal.sequence != sequence {
+			continue
+		}
+		h.unanswered = append(h.unanswered[:i:i], h.unanswered[i+1:]...)
+		remaining := terms.HolderDuration() - now.since(renewal.at)
+		if !h.held || remaining > h.Remaining(now) {
+			h.held = true
+			h.from = renewal.at
+			h.duration = terms.HolderDuration()
+		}
+		return
+	}
+}
+
+// Lost ends the lease at once, for example when the epoch has ended.
+func (h *Holder) Lost() {
+	h.held = false
+	h.unanswered = nil
+}
+
+// Valid reports whether tasks may run and start now. It is to be called before
+// every start and after every pause.
+func (h *Holder) Valid(now Reading) bool { return h.Remaining(now) > 0 }
+
+// Remaining returns how long tasks may still run; 0 or less where there is no
+// lease.
+func (h *Holder) Remaining(now Reading) time.Duration {
+	if !h.held {
+		return 0
+	}
+	return h.duration - now.since(h.from)
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,134 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Guards against two holders of one task: with clocks at any rate within the
+// bound, renewals and answers delayed at will, a paused holder and terms that
+// change, the holder's lease must be over before the granter reports it as
+// expired.
+func TestHolderEndsBeforeGranter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newLeaseWorld(t)
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			w.step(t)
+			w.check(t)
+		}
+	})
+}
+
+// leaseWorld holds one worker and one leader whose clocks run at different
+// rates of the true time.
+type leaseWorld struct {
+	start        time.Time
+	elapsed      time.Duration // true time
+	holderRate   float64
+	granterRate  float64
+	terms        Terms
+	holder       *Holder
+	granter      *Granter
+	requests     []uint64
+	answers      []answer
+	suspended    time.Duration // time for which the holder's monotonic clock stood still
+	everExpired  bool
+	longestTerms time.Duration
+}
+
+type answer struct {
+	sequence uint64
+	terms    Terms
+}
+
+func newLeaseWorld(t *rapid.T) *leaseWorld {
+	drift := rapid.Int64Range(0, 5000).Draw(t, "drift")
+	rate := func(name string) float64 {
+		return 1 + float64(rapid.Int64Range(-drift, drift).Draw(t, name))/partsPerMillion
+	}
+	terms := Terms{Duration: 10 * time.Second, StopMargin: 300 * time.Millisecond, DriftPPM: drift}
+	return &leaseWorld{
+		start: time.Unix(1_000_000, 0), terms: terms,
+		holderRate: rate("holder"), granterRate: rate("granter"),
+		holder: NewHolder(), granter: NewGranter(terms),
+		longestTerms: terms.Duration,
+	}
+}
+
+func (w *leaseWorld) holderNow() Reading {
+	passed := time.Duration(float64(w.elapsed) * w.holderRate)
+	return Reading{Monotonic: passed - w.suspended, Wall: w.start.Add(passed)}
+}
+
+func (w *leaseWorld) granterNow() time.Time {
+	return w.start.Add(time.Duration(float64(w.elapsed) * w.granterRate))
+}
+
+func (w *leaseWorld) step(t *rapid.T) {
+	const worker, epoch = cell.WorkerName("w"), cell.Epoch(1)
+	switch rapid.IntRange(0, 6).Draw(t, "action") {
+	case 0:
+		w.requests = append(w.requests, w.holder.Sending(w.holderNow()))
+	case 1:
+		if len(w.requests) > 0 && !w.everExpired {
+			i := rapid.IntRange(0, len(w.requests)-1).Draw(t, "request")
+			w.granter.Renew(w.granterNow(), worker, epoch)
+			w.answers = append(w.answers, answer{w.requests[i], w.granter.Terms()})
+		}
+	case 2:
+		if len(w.answers) > 0 {
+			i := rapid.IntRange(0, len(w.answers)-1).Draw(t, "answer")
+			w.holder.Granted(w.holderNow(), w.answers[i].sequence, w.answers[i].terms)
+		}
+	case 3:
+		pause := time.Duration(rapid.Int64Range(0, int64(4*time.Second)).Draw(t, "suspend"))
+		w.elapsed += pause
+		w.suspended += time.Duration(float64(pause) * w.holderRate)
+	case 4:
+		w.terms.Duration = time.Duration(rapid.Int64Range(2, 20).Draw(t, "duration")) * time.Second
+		w.longestTerms = max(w.longestTerms, w.terms.Duration)
+		w.granter.SetTerms(w.terms)
+	case 5:
+		next := NewGranter(w.terms)
+		if !w.everExpired {
+			next.Adopt(w.granterNow(), worker, epoch, w.longestTerms)
+		}
+		w.granter = next
+	default:
+		w.elapsed += time.Duration(rapid.Int64Range(0, int64(6*time.Second)).Draw(t, "wait"))
+	}
+}
+
+func (w *leaseWorld) check(t *rapid.T) {
+	if len(w.granter.Expired(w.granterNow())) > 0 {
+		w.everExpired = true
+	}
+	if w.everExpired && w.holder.Valid(w.holderNow()) {
+		t.Fatalf("lease expired at the granter, holder still has %v", w.holder.Remaining(w.holderNow()))
+	}
+}
+
+// Guards against an expiry that is reported once and lost with its command,
+// and against one that is reported after Forget or for an older epoch.
+func TestExpiredRepeatsUntilForgotten(t *testing.T) {
+	start := time.Unix(0, 0)
+	g := NewGranter(Terms{Duration: time.Second})
+	g.Renew(start, "w", 1)
+	g.Renew(start, "w", 2)
+	first := g.Expired(start.Add(time.Second))
+	again := g.Expired(start.Add(time.Second + retryExpiry))
+	if want := fmt.Sprint([]Expiry{{Worker: "w", Epoch: 2}}); fmt.Sprint(first) != want || fmt.Sprint(again) != want {
+		t.Fatalf("Expired = %v, then %v; want %v twice", first, again, want)
+	}
+	g.Forget("w", 1)
+	g.Forget("w", 2)
+	if left := g.Expired(start.Add(time.Hour)); len(left) > 0 {
+		t.Fatalf("Expired after Forget = %v", left)
+	}
+}
