--- /dev/null
+++ b/core/membership/registry.go
@@ -0,0 +1,206 @@
+package membership
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+const (
+	// maxBackends bounds the memory that announcers can take. The planned cell
+	// has 900 workers.
+	maxBackends = 4096
+	// tokensKept is the number of tokens that are valid at once for one backend
+	// server: one in use and some of answers that may have been lost.
+	tokensKept = 4
+	// retentionLeases is how long an expired or leaving record is kept, in
+	// leases. One lease would do: any message from before is older by then.
+	retentionLeases = 3
+)
+
+// Token marks the time of an answer to an announcement.
+type Token string
+
+// Verdict says what became of an announcement.
+type Verdict string
+
+// Verdicts.
+const (
+	VerdictAccepted       Verdict = "accepted"
+	VerdictNeedsToken     Verdict = "needs-token"     // repeat at once with the token of the answer
+	VerdictStale          Verdict = "stale"           // older than what is known
+	VerdictUnknownService Verdict = "unknown-service" // not in the cell file
+	VerdictFull           Verdict = "full"            // too many backend servers
+)
+
+// Reply answers an announcement.
+type Reply struct {
+	Verdict Verdict
+	Token   Token
+}
+
+// Aged is an announcement with its age, as passed between entry processes.
+type Aged struct {
+	Announcement
+	Age time.Duration
+}
+
+type issuedToken struct {
+	token Token
+	at    time.Time
+}
+
+type record struct {
+	known    bool // an announcement was accepted
+	sighting Sighting
+	direct   Sighting // last one received by this process itself
+	cursor   uint64   // position of direct in the log, 0 for none
+	issued   []issuedToken
+	touched  time.Time
+}
+
+// Registry holds the announcements known to one entry process.
+type Registry struct {
+	tokenPrefix string
+	nextToken   uint64
+	leases      map[cell.Service]time.Duration
+	records     map[cell.BackendName]*record
+	cursor      uint64
+}
+
+// NewRegistry returns an empty registry for an incarnation of an entry process.
+func NewRegistry(entry cell.EntryName, incarnation cell.Incarnation) *Registry {
+	return &Registry{
+		tokenPrefix: fmt.Sprintf("%s.%d.", entry, incarnation),
+		leases:      map[cell.Service]time.Duration{},
+		records:     map[cell.BackendName]*record{},
+	}
+}
+
+// SetLeases states the services of the cell with their announce_lease.
+func (r *Registry) SetLeases(leases map[cell.Service]time.Duration) { r.leases = leases }
+
+// Receive takes an announcement that a backend server sent to this process.
+func (r *Registry) Receive(now time.Time, a Announcement, token Token) Reply {
+	if _, ok := r.leases[a.Service]; !ok {
+		return Reply{Verdict: VerdictUnknownService}
+	}
+	rec := r.recordOf(now, a.Backend)
+	if rec == nil {
+		return Reply{Verdict: VerdictFull}
+	}
+	issuedAt, valid := rec.issuedAt(token)
+	reply := Reply{Verdict: VerdictNeedsToken, Token: r.issue(now, rec)}
+	if !valid {
+		return reply
+	}
+	s := Sighting{Announcement: a, SeenAt: issuedAt}
+	if !rec.take(s) {
+		reply.Verdict = VerdictStale
+		return reply
+	}
+	r.cursor++
+	rec.direct, rec.cursor = s, r.cursor
+	reply.Verdict = VerdictAccepted
+	return reply
+}
+
+// Pulled takes an announcement from another entry process. sentAt is when the
+// pull was sent. It reports whether the announcement was news.
+func (r *Registry) Pulled(now, sentAt time.Time, a Aged) bool {
+	if _, ok := r.leases[a.Service]; !ok || a.Age < 0 {
+		return false
+	}
+	rec := r.recordOf(now, a.Backend)
+	return rec != nil && rec.take(Sighting{Announcement: a.Announcement, SeenAt: sentAt.Add(-a.Age)})
+}
+
+// Sighting returns the last accepted announcement of a backend server.
+func (r *Registry) Sighting(name cell.BackendName) (Sighting, bool) {
+	rec := r.records[name]
+	if rec == nil || !rec.known {
+		return Sighting{}, false
+	}
+	return rec.sighting, true
+}
+
+// Since returns up to limit announcements that this process received itself
+// after the cursor, oldest first, and the cursor to ask with next. Only the
+// last one of each backend server is kept.
+func (r *Registry) Since(now time.Time, cursor uint64, limit int) ([]Aged, uint64) {
+	var found []*record
+	for _, rec := range r.records {
+		if rec.cursor > cursor {
+			found = append(found, rec)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].cursor < found[j].cursor })
+	if len(found) > limit {
+		found = found[:limit]
+	}
+	items := make([]Aged, len(found))
+	for i, rec := range found {
+		items[i] = Aged{Announcement: rec.direct.Announcement, Age: now.Sub(rec.direct.SeenAt)}
+		cursor = rec.cursor
+	}
+	return items, cursor
+}
+
+// Cursor returns the position of the last announcement in the log.
+func (r *Registry) Cursor() uint64 { return r.cursor }
+
+// Expire drops records that no message can change the meaning of any more.
+func (r *Registry) Expire(now time.Time) {
+	for name, rec := range r.records {
+		lease := r.leases[rec.sighting.Service]
+		last := rec.touched
+		if rec.known && rec.sighting.SeenAt.After(last) {
+			last = rec.sighting.SeenAt
+		}
+		if now.Sub(last) > retentionLeases*max(lease, time.Second) {
+			delete(r.records, name)
+		}
+	}
+}
+
+func (r *Registry) recordOf(now time.Time, name cell.BackendName) *record {
+	rec := r.records[name]
+	if rec == nil {
+		if len(r.records) >= maxBackends {
+			return nil
+		}
+		rec = &record{}
+		r.records[name] = rec
+	}
+	rec.touched = now
+	return rec
+}
+
+func (r *Registry) issue(now time.Time, rec *record) Token {
+	r.nextToken++
+	token := Token(fmt.Sprintf("%s%d", r.tokenPrefix, r.nextToken))
+	rec.issued = append(rec.issued, issuedToken{token: token, at: now})
+	if len(rec.issued) > tokensKept {
+		rec.issued = append(rec.issued[:0], rec.issued[1:]...)
+	}
+	return token
+}
+
+func (rec *record) issuedAt(token Token) (time.Time, bool) {
+	for _, issued := range rec.issued {
+		if issued.token == token {
+			return issued.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (rec *record) take(s Sighting) bool {
+	if rec.known && !s.newer(rec.sighting) {
+		return false
+	}
+	rec.known, rec.sighting = true, s
+	return true
+}
--- /dev/null
+++ b/core/routing/pick.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// samples is how many random servers of one locality are looked at before
+	// all of them are. With two free ones found the search ends.
+	samples = 6
+	// domainPenalty is the delay that leaving the failure domain must save.
+	domainPenalty = time.Millisecond
+)
+
+// search is the state of one choice.
+type search struct {
+	now   time.Time
+	group *group
+	all   bool // too few usable servers: use those that are out as well
+	req   Request
+}
+
+// Pick chooses a backend server. The caller reports Started at once where it
+// uses the choice.
+func (t *Table) Pick(now time.Time, r Request) (Choice, Refusal) {
+	g := t.groups[r.Service]
+	if g == nil || len(g.servers) == 0 {
+		return Choice{}, RefusalNoBackend
+	}
+	q := search{now: now, group: g, req: r}
+	q.all = q.tooFewUsable()
+	best := t.nearest(q)
+	if best == nil {
+		return Choice{}, q.refusal()
+	}
+	t.nextID++
+	return Choice{
+		Service:     r.Service,
+		Backend:     best.Backend,
+		Incarnation: best.Incarnation,
+		Address:     best.Address,
+		Connections: best.limit,
+		CrossRegion: best.Region != t.opts.Region,
+		ID:          t.nextID,
+	}, RefusalNone
+}
+
+// nearest compares the best candidates of the localities, from near to far.
+func (t *Table) nearest(q search) *server {
+	penalties := [localities]time.Duration{0, domainPenalty, q.group.policy.CrossRegionPenalty}
+	var best *server
+	var bestDelay time.Duration
+	for l, servers := range q.group.near {
+		candidate := t.candidate(q, servers)
+		if candidate == nil {
+			continue
+		}
+		delay := candidate.expectedDelay(q.now, q.group.typical) + penalties[l]
+		if best == nil || delay < bestDelay {
+			best, bestDelay = candidate, delay
+		}
+	}
+	return best
+}
+
+// candidate returns the better of two random servers with room. Where samples
+// find none, it takes the best of all.
+func (t *Table) candidate(q search, servers []*server) *server {
+	if len(servers) == 0 {
+		return nil
+	}
+	var first *server
+	for range samples {
+		s := servers[t.opts.Random.IntN(len(servers))]
+		if s == first || !q.eligible(s) {
+			continue
+		}
+		if first == nil {
+			first = s
+			continue
+		}
+		return q.better(first, s)
+	}
+	if first != nil {
+		return first
+	}
+	return q.bestOf(servers)
+}
+
+func (q search) better(a, b *server) *server {
+	if b.score(q.now, q.group.typical) < a.score(q.now, q.group.typical) {
+		return b
+	}
+	return a
+}
+
+func (q search) bestOf(servers []*server) *server {
+	var best *server
+	for _, s := range servers {
+		if !q.eligible(s) {
+			continue
+		}
+		if best == nil {
+			best = s
+			continue
+		}
+		best = q.better(best, s)
+	}
+	return best
+}
+
+func (q search) eligible(s *server) bool {
+	return q.candidateAtAll(s) && s.room(q.now) && !slices.Contains(q.req.Exclude, s.Backend)
+}
+
+func (q search) candidateAtAll(s *server) bool {
+	return q.group.valid(q.now, s) && (q.all || s.usable(q.now))
+}
+
+// tooFewUsable reports whether the share of usable servers is below the panic
+// threshold. Servers without a valid announcement count as not usable and are
+// never used.
+func (q search) tooFewUsable() bool {
+	usable := 0
+	for _, s := range q.group.servers {
+		if q.group.valid(q.now, s) && s.usable(q.now) {
+			usable++
+		}
+	}
+	return float64(usable) < q.group.policy.PanicThreshold*float64(len(q.group.servers))
+}
+
+func (q search) refusal() Refusal {
+	refusal := RefusalNoBackend
+	for _, s := range q.group.servers {
+		if !q.candidateAtAll(s) {
+			continue
+		}
+		if !slices.Contains(q.req.Exclude, s.Backend) {
+			return RefusalBusy
+		}
+		refusal = RefusalTried
+	}
+	return refusal
+}
--- /dev/null
+++ b/core/routing/table.go
@@ -0,0 +1,175 @@
+package routing
+
+import (
+	"sort"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// typicalWeight is the weight of one answer in the mean delay of a service.
+const typicalWeight = 0.01
+
+// Table holds the backend servers of all services.
+type Table struct {
+	opts   Options
+	groups map[cell.Service]*group
+	nextID uint64
+}
+
+// group is the servers of one service.
+type group struct {
+	policy  Policy
+	servers map[cell.BackendName]*server
+	near    [localities][]*server // sorted by name, without leaving ones
+	typical time.Duration         // mean delay of the service, 0 for none
+}
+
+// NewTable returns an empty table.
+func NewTable(opts Options) *Table {
+	return &Table{opts: opts, groups: map[cell.Service]*group{}}
+}
+
+// SetPolicies states the services of the cell. Servers of services that are
+// gone are dropped.
+func (t *Table) SetPolicies(policies map[cell.Service]Policy) {
+	next := map[cell.Service]*group{}
+	for service, policy := range policies {
+		g := t.groups[service]
+		if g == nil {
+			g = &group{servers: map[cell.BackendName]*server{}}
+		}
+		g.policy = policy
+		for _, s := range g.servers {
+			s.update(s.Announcement, policy)
+		}
+		next[service] = g
+	}
+	t.groups = next
+}
+
+// Announce takes the last known announcement of a backend server. A newer
+// incarnation replaces the server; a leave removes it.
+func (t *Table) Announce(now time.Time, a Announcement) {
+	g := t.groups[a.Service]
+	if g == nil {
+		return
+	}
+	known := g.servers[a.Backend]
+	if known != nil && a.Incarnation < known.Incarnation {
+		return
+	}
+	if a.Leaving || now.Sub(a.SeenAt) >= g.policy.Lease {
+		if known != nil {
+			t.drop(g, a.Backend)
+		}
+		return
+	}
+	if known != nil && known.Incarnation == a.Incarnation && known.Address == a.Address {
+		moved := known.Region != a.Region || known.FailureDomain != a.FailureDomain
+		known.update(a, g.policy)
+		if moved {
+			t.index(g)
+		}
+		return
+	}
+	g.servers[a.Backend] = newServer(a, g.policy)
+	t.index(g)
+}
+
+// Expire drops the servers whose announcement is older than the lease and
+// returns them.
+func (t *Table) Expire(now time.Time) []cell.BackendName {
+	var gone []cell.BackendName
+	for _, g := range t.groups {
+		for name, s := range g.servers {
+			if !g.valid(now, s) {
+				gone = append(gone, name)
+			}
+		}
+		for _, name := range gone {
+			t.drop(g, name)
+		}
+	}
+	return gone
+}
+
+// Started records that a request was dispatched.
+func (t *Table) Started(now time.Time, c Choice) {
+	if s := t.serverOf(c); s != nil {
+		s.outstanding[c.ID] = now
+	}
+}
+
+// Finished records how a dispatched request ended.
+func (t *Table) Finished(now time.Time, c Choice, o Observation) {
+	s := t.serverOf(c)
+	if s == nil {
+		return
+	}
+	delete(s.outstanding, c.ID)
+	s.observe(now, o)
+	if o.Result == ResultAnswered {
+		t.groups[c.Service].learn(o.Delay)
+	}
+}
+
+// Capacity returns the number of requests that this entry process may have in
+// flight at all valid servers of a service together.
+func (t *Table) Capacity(service cell.Service) int {
+	total := 0
+	if g := t.groups[service]; g != nil {
+		for _, s := range g.servers {
+			total += min(s.limit, s.Slots)
+		}
+	}
+	return total
+}
+
+// Known returns the number of servers of a service with a valid announcement.
+func (t *Table) Known(service cell.Service) int {
+	if g := t.groups[service]; g != nil {
+		return len(g.servers)
+	}
+	return 0
+}
+
+func (t *Table) serverOf(c Choice) *server {
+	g := t.groups[c.Service]
+	if g == nil {
+		return nil
+	}
+	s := g.servers[c.Backend]
+	if s == nil || s.Incarnation != c.Incarnation {
+		return nil
+	}
+	return s
+}
+
+func (t *Table) drop(g *group, name cell.BackendName) {
+	delete(g.servers, name)
+	t.index(g)
+}
+
+func (t *Table) index(g *group) {
+	g.near = [localities][]*server{}
+	for _, s := range g.servers {
+		l := t.opts.localityOf(s.Region, s.FailureDomain)
+		g.near[l] = append(g.near[l], s)
+	}
+	for _, servers := range g.near {
+		sort.Slice(servers, func(i, j int) bool { return servers[i].Backend < servers[j].Backend })
+	}
+}
+
+func (g *group) valid(now time.Time, s *server) bool {
+	return now.Sub(s.SeenAt) < g.policy.Lease
+}
+
+func (g *group) learn(delay time.Duration) {
+	if g.typical == 0 {
+		g.typical = delay
+		return
+	}
+	g.typical += time.Duration(typicalWeight * float64(delay-g.typical))
+}
--- /dev/null
+++ b/internal/backendserver/announcer.go
@@ -0,0 +1,162 @@
+package backendserver
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/membership"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+)
+
+// announceTimeout ends an announcement to an entry process that does not
+// answer, early enough for another one to get it within the lease.
+const announceTimeout = 500 * time.Millisecond
+
+// announcer owns the announcements.
+type announcer struct {
+	template backendapi.Announcement
+	entries  []string
+	next     int // entry process whose turn it is
+	tokens   map[string]heldToken
+	interval time.Duration
+	lease    time.Duration
+	client   *http.Client
+	logger   *eventlog.Logger
+	counts   func() Counts
+	failing  bool
+}
+
+// heldToken is the last token of an entry process.
+type heldToken struct {
+	token string
+	at    time.Time
+}
+
+// run announces until ctx ends.
+func (a *announcer) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.round(ctx, false)
+		pause(ctx, a.interval)
+	}
+}
+
+// leave announces until an entry process has acknowledged the leave or ctx
+// ends.
+func (a *announcer) leave(ctx context.Context) {
+	for ctx.Err() == nil && !a.round(ctx, true) {
+		pause(ctx, a.interval/4)
+	}
+}
+
+// round announces to the entry processes in turn until one accepts.
+func (a *announcer) round(ctx context.Context, leaving bool) bool {
+	for range a.entries {
+		entry := a.entries[a.next]
+		a.next = (a.next + 1) % len(a.entries)
+		err := a.announce(ctx, entry, leaving)
+		a.note(entry, err)
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// announce sends one announcement, and repeats it with the token of the answer
+// where the entry process had none of its own.
+func (a *announcer) announce(ctx context.Context, entry string, leaving bool) error {
+	verdict, err := a.send(ctx, entry, leaving)
+	if err == nil && verdict == membership.VerdictNeedsToken {
+		verdict, err = a.send(ctx, entry, leaving)
+	}
+	if err != nil {
+		return err
+	}
+	if verdict != membership.VerdictAccepted {
+		return fmt.Errorf("backendserver: announcement was not accepted: %s", verdict)
+	}
+	return nil
+}
+
+func (a *announcer) send(ctx context.Context, entry string, leaving bool) (membership.Verdict, error) {
+	a.template.Sequence++
+	message := a.template
+	message.Leaving = leaving
+	message.InFlight = a.counts().InFlight
+	message.Token = a.tokenFor(entry)
+	body, err := json.Marshal(message)
+	if err != nil {
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	url := "http://" + entry + backendapi.AnnouncePath
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	return a.take(entry, resp)
+}
+
+// tokenFor returns the token of an entry process while it is young: the
+// announcement counts as old as its token.
+func (a *announcer) tokenFor(entry string) string {
+	held := a.tokens[entry]
+	if time.Since(held.at) > a.lease/2 {
+		return ""
+	}
+	return held.token
+}
+
+func (a *announcer) take(entry string, resp *http.Response) (membership.Verdict, error) {
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("backendserver: announcement answered with status %d", resp.StatusCode)
+	}
+	var answer backendapi.Answer
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return "", err
+	}
+	a.tokens[entry] = heldToken{token: answer.Token, at: time.Now()}
+	if answer.IntervalMS > 0 && answer.LeaseMS > 0 {
+		a.interval = time.Duration(answer.IntervalMS) * time.Millisecond
+		a.lease = time.Duration(answer.LeaseMS) * time.Millisecond
+	}
+	return membership.Verdict(answer.Verdict), nil
+}
+
+// note logs the first failure and the first success after one.
+func (a *announcer) note(entry string, err error) {
+	failing := err != nil
+	if failing == a.failing {
+		return
+	}
+	a.failing = failing
+	event := eventAnnounceWorks
+	if failing {
+		event = eventAnnounceFailed
+	}
+	a.logger.Log(event, zap.String("entry", entry), zap.Error(err))
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/backendserver/handler.go
@@ -0,0 +1,97 @@
+package backendserver
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+// maxBodyBytes bounds the request body that is echoed.
+const maxBodyBytes = 16 << 20
+
+// serveRequest runs one routed request.
+func (s *Server) serveRequest(w http.ResponseWriter, req *http.Request) {
+	id := req.Header.Get(backendapi.HeaderRequestID)
+	t := s.begin(req.Header.Get(backendapi.HeaderKey))
+	w.Header().Set(backendapi.HeaderRequestID, id)
+	if t.fate == fateRefuse || t.fate == fateTurnAway {
+		refuse(w, t)
+		return
+	}
+	defer s.end()
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	if err != nil {
+		return // the entry process has gone
+	}
+	// The work goes on where the entry process has gone, as real work does.
+	time.Sleep(t.delay)
+	w.Header().Set(backendapi.HeaderInFlight, strconv.Itoa(max(0, t.inFlight-1)))
+	s.answer(w, req, t, body)
+}
+
+func refuse(w http.ResponseWriter, t ticket) {
+	reason := "backend-refused"
+	if t.fate == fateTurnAway {
+		reason = "draining"
+	}
+	w.Header().Set(backendapi.HeaderOutcome, string(state.OutcomeNotRun))
+	w.Header().Set(backendapi.HeaderReason, reason)
+	w.Header().Set(backendapi.HeaderInFlight, strconv.Itoa(t.inFlight))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (s *Server) answer(w http.ResponseWriter, req *http.Request, t ticket, body []byte) {
+	switch t.fate {
+	case fateReset:
+		reset(w)
+	case fateFail:
+		http.Error(w, "stand-in fails on request", http.StatusInternalServerError)
+	case fateTruncate:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1000))
+		// The connection is cut anyhow.
+		_, _ = w.Write(body)
+		panic(http.ErrAbortHandler)
+	case fateForeign:
+		w.Header().Set(backendapi.HeaderRequestID, "another-request")
+		fallthrough
+	default:
+		s.echo(w, req, t, body)
+	}
+}
+
+// echo answers with what was received, so that a test can tell that a caller
+// got the answer to its own request.
+func (s *Server) echo(w http.ResponseWriter, req *http.Request, t ticket, body []byte) {
+	head := fmt.Sprintf("%s %s %s run %d\n", s.settings.Process.Name, req.Method, req.URL.RequestURI(), t.run)
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(head)+len(body)))
+	// The entry process has gone where this fails; it sees a truncation.
+	_, _ = io.WriteString(w, head)
+	_, _ = w.Write(body)
+}
+
+// reset closes the connection so that the other side gets an RST.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// serveRuns serves GET /debug/runs.
+func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// The reader has gone where this fails.
+	_ = json.NewEncoder(w).Encode(s.Counts())
+}
--- /dev/null
+++ b/internal/gateway/announce.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/membership"
+	"github.com/godwitlink/godwitlink/core/routing"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+func (g *Gateway) serveAnnounce(w http.ResponseWriter, req *http.Request) {
+	if req.Method != http.MethodPost {
+		w.Header().Set("Allow", http.MethodPost)
+		http.Error(w, "only POST", http.StatusMethodNotAllowed)
+		return
+	}
+	a, token, err := backendapi.DecodeAnnouncement(req.Body)
+	if err != nil {
+		g.opts.Metrics.Add(metricAnnounces, "malformed", 1)
+		g.opts.Logger.Log(eventBadAnnounce, zap.String("from", req.RemoteAddr), zap.Error(err))
+		http.Error(w, err.Error(), announceStatus(err))
+		return
+	}
+	reply := make(chan announceReply, 1)
+	if !g.trySend(announce{announcement: a, token: token, reply: reply}) {
+		g.opts.Metrics.Add(metricAnnounces, "overloaded", 1)
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case answer := <-reply:
+		g.answerAnnounce(w, answer)
+	case <-g.stopped:
+		http.Error(w, "stopped", http.StatusServiceUnavailable)
+	}
+}
+
+func announceStatus(err error) int {
+	if errors.Is(err, backendapi.ErrTooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+func (g *Gateway) answerAnnounce(w http.ResponseWriter, answer announceReply) {
+	g.opts.Metrics.Add(metricAnnounces, string(answer.Verdict), 1)
+	w.Header().Set("Content-Type", "application/json")
+	switch answer.Verdict {
+	case membership.VerdictUnknownService:
+		w.WriteHeader(http.StatusNotFound)
+	case membership.VerdictFull:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	// The backend server repeats an announcement whose answer it misses.
+	_ = json.NewEncoder(w).Encode(backendapi.Answer{
+		Verdict:    string(answer.Verdict),
+		Token:      string(answer.Token),
+		IntervalMS: answer.service.AnnounceInterval.Milliseconds(),
+		LeaseMS:    answer.service.AnnounceLease.Milliseconds(),
+	})
+}
+
+func (m announce) apply(r *router, now time.Time) {
+	reply := announceReply{Reply: r.registry.Receive(now, m.announcement, m.token)}
+	for _, service := range r.services.byPrefix {
+		if service.Name == m.announcement.Service {
+			reply.service = service
+		}
+	}
+	if reply.Verdict == membership.VerdictAccepted {
+		r.learn(now, m.announcement)
+		r.answerPulls(now)
+	}
+	m.reply <- reply
+}
+
+func (m pulled) apply(r *router, now time.Time) {
+	r.peers.Advance(m.peer, m.incarnation, m.cursor)
+	for _, item := range m.items {
+		if r.registry.Pulled(now, m.sentAt, item) {
+			r.learn(now, item.Announcement)
+		}
+	}
+}
+
+// learn passes what the registry now knows of a backend server to the table.
+func (r *router) learn(now time.Time, a membership.Announcement) {
+	s, ok := r.registry.Sighting(a.Backend)
+	if !ok {
+		return
+	}
+	before := r.table.Known(s.Service)
+	r.table.Announce(now, routing.Announcement{
+		Service:       s.Service,
+		Backend:       s.Backend,
+		Incarnation:   s.Incarnation,
+		Address:       s.Address,
+		Region:        s.Region,
+		FailureDomain: s.FailureDomain,
+		Slots:         s.Slots,
+		Connections:   s.Connections,
+		InFlight:      s.InFlight,
+		Leaving:       s.Leaving,
+		SeenAt:        s.SeenAt,
+	})
+	r.logChange(before, s)
+	queue := r.queues[s.Service]
+	if queue == nil {
+		return
+	}
+	queue.SetCeiling(r.table.Capacity(s.Service))
+	r.pump(now, s.Service)
+}
+
+func (r *router) logChange(before int, s membership.Sighting) {
+	after := r.table.Known(s.Service)
+	if after == before {
+		return
+	}
+	event := eventBackendJoined
+	if after < before {
+		event = eventBackendLeft
+		r.dropUpstream(s.Backend)
+	}
+	r.gateway.opts.Logger.Log(event,
+		zap.String("backend", string(s.Backend)),
+		zap.Uint64("incarnation", uint64(s.Incarnation)),
+		zap.String("address", s.Address))
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/core/routing"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+// errBroken is an answer that cannot be passed on.
+var errBroken = errors.New("gateway: answer is broken or of another request")
+
+// attempt is one dispatch to one backend server.
+type attempt struct {
+	call     *call
+	id       string // Godwit-Request-Id of this dispatch
+	wire     wire
+	sentAt   time.Time
+	inFlight int
+	delay    time.Duration // from dispatch to the answer's head
+}
+
+// dispatch sends the request to the granted backend server and passes its
+// answer on.
+func (c *call) dispatch() exchange.Effect {
+	c.attempts++
+	a := &attempt{
+		call:     c,
+		id:       c.id + "." + strconv.Itoa(c.attempts),
+		sentAt:   time.Now(),
+		inFlight: routing.UnknownInFlight,
+	}
+	ctx, cancel := c.dispatchContext()
+	defer cancel()
+	end, result := a.run(ctx)
+	end.Backend = c.granted.choice.Backend
+	if a.delay == 0 {
+		a.delay = time.Since(a.sentAt)
+	}
+	c.release(c.granted.choice, routing.Observation{Result: result, Delay: a.delay, InFlight: a.inFlight})
+	effect := c.exchange.Attempted(c.gateway.clock.now(), end)
+	if e, ok := effect.(exchange.Enqueue); ok && e.Retry {
+		c.gateway.opts.Metrics.Add(metricRetries, string(end.Reason), 1)
+	}
+	return effect
+}
+
+func (a *attempt) run(ctx context.Context) (exchange.Attempt, routing.Result) {
+	c := a.call
+	if c.granted.choice.CrossRegion {
+		c.gateway.opts.Metrics.Add(metricCrossRegion, "", 1)
+	}
+	resp, err := c.granted.upstream.transport.RoundTrip(a.request(a.wire.trace(ctx)))
+	if err != nil {
+		return a.failed(ctx, err)
+	}
+	defer resp.Body.Close()
+	a.delay = time.Since(a.sentAt)
+	a.inFlight = inFlightOf(resp.Header)
+	if err := a.check(resp); err != nil {
+		return a.failed(ctx, err)
+	}
+	if saysNotRun(resp) {
+		return exchange.Attempt{Reach: exchange.ReachRefused, Reason: exchange.ReasonBackendRefused}, routing.ResultRefused
+	}
+	passed, err := c.pass(resp)
+	if err != nil {
+		end, result := a.failed(ctx, err)
+		end.Passed = passed
+		return end, result
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return exchange.Attempt{Reach: exchange.ReachAnswered}, routing.ResultFailed
+	}
+	return exchange.Attempt{Reach: exchange.ReachAnswered}, routing.ResultAnswered
+}
+
+// request builds the request to the backend server.
+func (a *attempt) request(ctx context.Context) *http.Request {
+	c := a.call
+	header := forwardedHeaders(c.req)
+	header[backendapi.HeaderRequestID] = []string{a.id}
+	header[backendapi.HeaderDeadline] = []string{strconv.FormatInt(max(1, c.remaining().Milliseconds()), 10)}
+	header[backendapi.HeaderTeam] = []string{string(c.team)}
+	out := &http.Request{
+		Method:        c.req.Method,
+		URL:           a.url(),
+		Host:          c.req.Host,
+		Header:        header,
+		ContentLength: int64(len(c.body)),
+	}
+	out.Body = a.body()
+	return out.WithContext(ctx)
+}
+
+func (a *attempt) url() *url.URL {
+	from := a.call.req.URL
+	return &url.URL{
+		Scheme:     "http",
+		Host:       a.call.granted.choice.Address,
+		Path:       from.Path,
+		RawPath:    from.RawPath,
+		RawQuery:   from.RawQuery,
+		ForceQuery: from.ForceQuery,
+	}
+}
+
+// body returns the body to send. http.Transport sends a request again by
+// itself where a reused connection fails, if the request has no body or can
+// rewind it and looks idempotent, which any Idempotency-Key makes it. A body
+// that is not nil and has no GetBody prevents that, so every request that is
+// not idempotent has one, if only an empty one.
+func (a *attempt) body() io.ReadCloser {
+	if len(a.call.body) == 0 && a.call.idempotent {
+		return nil
+	}
+	return io.NopCloser(bytes.NewReader(a.call.body))
+}
+
+// check refuses answers that cannot be shown to be complete answers to this
+// request.
+func (a *attempt) check(resp *http.Response) error {
+	if got := resp.Header.Get(backendapi.HeaderRequestID); got != a.id {
+		a.call.gateway.opts.Metrics.Add(metricForeignAnswers, "", 1)
+		a.call.gateway.opts.Logger.Log(eventForeignAnswer,
+			zap.String("backend", string(a.call.granted.choice.Backend)),
+			zap.String("want", a.id), zap.String("got", got))
+		return errBroken
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return errBroken
+	}
+	// The end of a body that ends with its connection cannot be told from a
+	// truncation.
+	endsWithConnection := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if endsWithConnection && a.call.req.Method != http.MethodHead {
+		return errBroken
+	}
+	return nil
+}
+
+// failed ends an attempt without an answer. The connection is not used again.
+func (a *attempt) failed(ctx context.Context, err error) (exchange.Attempt, routing.Result) {
+	c := a.call
+	connected := len(a.wire.uses) > 0
+	sent := a.wire.abandon()
+	end := exchange.Attempt{Reach: exchange.ReachUncertain, Reason: exchange.ReasonBrokenAnswer}
+	result := routing.ResultFailed
+	if !sent {
+		end = exchange.Attempt{Reach: exchange.ReachNothing, Reason: exchange.ReasonConnectFailed}
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		end.Reason, result = exchange.ReasonDeadline, routing.ResultTimedOut
+	case ctx.Err() != nil, errors.Is(err, errCallerGone):
+		result = routing.ResultAbandoned
+	case !connected:
+		result = routing.ResultConnectFailed
+	}
+	c.gateway.opts.Logger.Log(eventAttemptFailed,
+		zap.String("backend", string(c.granted.choice.Backend)),
+		zap.String("request", a.id), zap.String("reach", string(end.Reach)), zap.Error(err))
+	return end, result
+}
+
+func inFlightOf(header http.Header) int {
+	stated, err := strconv.Atoi(header.Get(backendapi.HeaderInFlight))
+	if err != nil || stated < 0 {
+		return routing.UnknownInFlight
+	}
+	return stated
+}
+
+// saysNotRun reports whether the backend server refused the request without
+// running it.
+func saysNotRun(resp *http.Response) bool {
+	outcome := resp.Header.Get(backendapi.HeaderOutcome)
+	return resp.StatusCode >= http.StatusBadRequest && outcome == string(state.OutcomeNotRun)
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/admission"
+	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/core/routing"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+// call is one request of a caller.
+type call struct {
+	routed
+	gateway    *Gateway
+	w          http.ResponseWriter
+	req        *http.Request
+	idempotent bool
+	id         string
+	arrivedAt  time.Time
+	exchange   *exchange.Exchange
+	entered    bool // counted by the router as in flight
+	beginID    uint64
+	digest     uint64
+	granted    grant
+	attempts   int
+	retryAfter time.Duration
+	stored     *state.StoredAnswer // answer to record; nil where too large
+}
+
+func (g *Gateway) serveCaller(w http.ResponseWriter, req *http.Request) {
+	s := g.table.Load()
+	now := g.clock.now()
+	if s.draining {
+		w.Header().Set("Connection", "close")
+		g.refuse(w, refused(exchange.ReasonDraining, 0, "entry process is stopping"))
+		return
+	}
+	if s.generation == 0 {
+		g.refuse(w, refused(exchange.ReasonNotReady, 0, "no configuration yet"))
+		return
+	}
+	decoded, err := g.decodeRequest(w, req, s, now)
+	if err != nil {
+		g.refuse(w, err)
+		return
+	}
+	g.newCall(w, req, decoded, s, now).run()
+}
+
+// refuse answers a request that was not routed.
+func (g *Gateway) refuse(w http.ResponseWriter, err *refusalError) {
+	g.opts.Metrics.Add(metricRefusals, string(err.reason), 1)
+	status := err.status
+	if status == 0 {
+		status = statusOf(err.reason)
+	}
+	answer := ownAnswer{
+		status: status,
+		body:   refusalBody{Outcome: state.OutcomeNotRun, Reason: err.reason, Detail: err.detail},
+	}
+	if status == http.StatusServiceUnavailable {
+		answer.retryAfter = spreadRetryAfter()
+	}
+	answer.write(w)
+}
+
+func (g *Gateway) newCall(w http.ResponseWriter, req *http.Request, decoded routed, s *services, now time.Time) *call {
+	c := &call{
+		routed:     decoded,
+		gateway:    g,
+		w:          w,
+		req:        req,
+		idempotent: idempotent(decoded.service, req.Method),
+		id:         fmt.Sprintf("%s-%d-%d", g.opts.Entry, g.opts.Incarnation, g.numbers.Add(1)),
+		arrivedAt:  now,
+	}
+	c.exchange = exchange.New(exchange.Spec{
+		Idempotent:     c.idempotent,
+		Keyed:          !c.idempotent && c.key != "",
+		Stale:          s.stale(now),
+		Deadline:       c.deadline,
+		DispatchWindow: c.service.DispatchWindow,
+	})
+	w.Header().Set(backendapi.HeaderRequestID, c.id)
+	return c
+}
+
+// run follows the effects of the exchange to its end.
+func (c *call) run() {
+	effect := c.exchange.Start(c.gateway.clock.now())
+	for {
+		switch e := effect.(type) {
+		case exchange.Begin:
+			effect = c.begin()
+		case exchange.Poll:
+			effect = c.poll(e)
+		case exchange.Enqueue:
+			effect = c.enqueue(e)
+		case exchange.Dispatch:
+			effect = c.dispatch()
+		case exchange.Replay:
+			writeReplay(c.w, e.Answer)
+			c.count(state.OutcomeDone)
+			c.leave()
+			return
+		case exchange.Conclude:
+			c.conclude(e)
+			return
+		}
+	}
+}
+
+// enqueue asks the router for a backend server.
+func (c *call) enqueue(e exchange.Enqueue) exchange.Effect {
+	reply := make(chan grant, 1)
+	ticket := admission.Ticket{
+		ID:       c.gateway.numbers.Add(1),
+		Team:     c.team,
+		Deadline: c.deadline,
+		Retry:    e.Retry,
+	}
+	m := admit{first: !c.entered, service: c.service.Name, ticket: ticket, exclude: e.Exclude, reply: reply}
+	if !c.gateway.trySend(m) {
+		return c.exchange.NotGranted(exchange.ReasonOverloaded)
+	}
+	waitFrom := time.Now()
+	answer := c.awaitGrant(ticket.ID, reply)
+	c.gateway.opts.Metrics.Observe(metricQueueDelay, time.Since(waitFrom))
+	if answer.reason != exchange.ReasonDraining {
+		c.entered = true
+	}
+	if answer.reason != exchange.ReasonNone {
+		c.retryAfter = answer.retryAfter
+		return c.exchange.NotGranted(answer.reason)
+	}
+	effect := c.exchange.Granted(c.gateway.clock.now(), answer.choice.Backend)
+	if _, ok := effect.(exchange.Dispatch); !ok || c.abandoned() {
+		c.release(answer.choice, routing.Observation{Result: routing.ResultAbandoned, InFlight: routing.UnknownInFlight})
+		if ok {
+			return c.exchange.NotGranted(exchange.ReasonDeadline)
+		}
+		return effect
+	}
+	c.granted = answer
+	return effect
+}
+
+// awaitGrant waits for the router, which answers by the deadline at the latest.
+func (c *call) awaitGrant(id uint64, reply <-chan grant) grant {
+	select {
+	case answer := <-reply:
+		return answer
+	case <-c.gateway.stopped:
+		return grant{reason: exchange.ReasonDraining}
+	case <-c.req.Context().Done():
+		c.gateway.send(withdraw{service: c.service.Name, id: id})
+	}
+	select {
+	case answer := <-reply:
+		return answer
+	case <-c.gateway.stopped:
+		return grant{reason: exchange.ReasonDraining}
+	}
+}
+
+// abandoned reports whether the caller has gone before anything was dispatched.
+func (c *call) abandoned() bool { return c.req.Context().Err() != nil }
+
+func (c *call) release(choice routing.Choice, o routing.Observation) {
+	c.gateway.send(finished{choice: choice, observation: o})
+}
+
+// enter counts the call as in flight before it has asked for a backend server.
+func (c *call) enter() exchange.Reason {
+	if c.entered {
+		return exchange.ReasonNone
+	}
+	reply := make(chan exchange.Reason, 1)
+	if !c.gateway.trySend(enter{reply: reply}) {
+		return exchange.ReasonOverloaded
+	}
+	select {
+	case reason := <-reply:
+		c.entered = reason == exchange.ReasonNone
+		return reason
+	case <-c.gateway.stopped:
+		return exchange.ReasonDraining
+	}
+}
+
+func (c *call) leave() {
+	if c.entered {
+		c.gateway.send(leave{})
+	}
+}
+
+// conclude answers the caller where no backend server's answer was passed on,
+// and records the outcome.
+func (c *call) conclude(e exchange.Conclude) {
+	g := c.gateway
+	if c.exchange.Violation(e) {
+		g.opts.Metrics.Add(metricViolations, "not-run-never-reached", 1)
+		g.opts.Logger.Log(eventViolation, zap.String("check", "not-run-never-reached"), zap.String("request", c.id))
+	}
+	c.count(e.Outcome)
+	if e.Reason != exchange.ReasonNone {
+		g.opts.Metrics.Add(metricRefusals, string(e.Reason), 1)
+	}
+	if e.Record {
+		c.record(e.Outcome)
+	} else {
+		defer c.leave()
+	}
+	switch {
+	case e.Abort:
+		// Closes the connection, so that the caller sees a truncated answer.
+		panic(http.ErrAbortHandler)
+	case e.Reason != exchange.ReasonNone:
+		c.writeOwn(e)
+	}
+}
+
+func (c *call) writeOwn(e exchange.Conclude) {
+	answer := ownAnswer{
+		status:     statusOf(e.Reason),
+		body:       refusalBody{Outcome: e.Outcome, Reason: e.Reason},
+		retryAfter: c.retryAfter,
+	}
+	if answer.retryAfter == 0 && answer.status == http.StatusServiceUnavailable {
+		answer.retryAfter = spreadRetryAfter()
+	}
+	answer.write(c.w)
+}
+
+func (c *call) count(outcome state.Outcome) {
+	c.gateway.opts.Metrics.Add(metricRequests, string(outcome), 1)
+	c.gateway.opts.Metrics.Observe(metricDelay, c.gateway.clock.now().Sub(c.arrivedAt))
+}
+
+// remaining returns the time to the deadline.
+func (c *call) remaining() time.Duration { return c.deadline.Sub(c.gateway.clock.now()) }
+
+// dispatchContext ends at the deadline. A caller that goes away ends only an
+// idempotent request: another one runs at most once, so its answer is kept.
+func (c *call) dispatchContext() (context.Context, context.CancelFunc) {
+	ctx := c.req.Context()
+	if !c.idempotent {
+		ctx = context.WithoutCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.remaining())
+}
--- /dev/null
+++ b/internal/gateway/clock.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// suspendSlack is how far the wall clock may run ahead of the monotonic clock
+// before the difference counts as time in which the VM was suspended. Smaller
+// ones are corrections by time synchronisation.
+const suspendSlack = time.Second
+
+// elapsedClock counts the larger of monotonic and wall-clock time, because the
+// monotonic clock may stop while a VM is suspended. The router task advances
+// it; everyone reads it.
+type elapsedClock struct {
+	base      time.Time
+	suspended atomic.Int64 // nanoseconds added to the monotonic clock
+}
+
+func newElapsedClock() *elapsedClock { return &elapsedClock{base: time.Now()} }
+
+// now returns the time of the clock. Differences between two of its times are
+// never shorter than the monotonic difference.
+func (c *elapsedClock) now() time.Time {
+	return time.Now().Add(time.Duration(c.suspended.Load()))
+}
+
+// advance accounts for a suspension since the last call.
+func (c *elapsedClock) advance() { c.account(time.Now()) }
+
+func (c *elapsedClock) account(now time.Time) {
+	monotonic := now.Sub(c.base)
+	wall := now.Round(0).Sub(c.base.Round(0))
+	ahead := wall - monotonic
+	if ahead > time.Duration(c.suspended.Load())+suspendSlack {
+		c.suspended.Store(int64(ahead))
+	}
+}
--- /dev/null
+++ b/internal/gateway/decode.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+// maxKeyBytes is the largest Idempotency-Key that is accepted.
+const maxKeyBytes = 256
+
+// routedMethods are the methods that are passed on.
+var routedMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// refusalError is a request that cannot be routed.
+type refusalError struct {
+	reason exchange.Reason
+	status int // 0 for that of the reason
+	detail string
+}
+
+// Error implements error.
+func (e *refusalError) Error() string { return string(e.reason) + ": " + e.detail }
+
+func refused(reason exchange.Reason, status int, detail string) *refusalError {
+	return &refusalError{reason: reason, status: status, detail: detail}
+}
+
+// routed is a decoded request.
+type routed struct {
+	service  cellconfig.Service
+	team     cell.Team
+	key      string
+	body     []byte
+	deadline time.Time
+}
+
+// decodeRequest checks a request and reads its body.
+func (g *Gateway) decodeRequest(w http.ResponseWriter, req *http.Request, s *services, now time.Time) (routed, *refusalError) {
+	if !slices.Contains(routedMethods, req.Method) {
+		return routed{}, refused(exchange.ReasonBadRequest, http.StatusMethodNotAllowed, "method is not routed")
+	}
+	if hasDotSegment(req.URL.Path) {
+		return routed{}, refused(exchange.ReasonBadRequest, 0, "path has a dot segment")
+	}
+	service, ok := s.match(req.URL.Path)
+	if !ok {
+		return routed{}, refused(exchange.ReasonNoService, 0, "no service under this path")
+	}
+	d := routed{service: service}
+	for _, step := range []func(*http.Request) *refusalError{d.takeTeam, d.takeKey} {
+		if err := step(req); err != nil {
+			return routed{}, err
+		}
+	}
+	allowed, err := deadlineOf(req, service)
+	if err != nil {
+		return routed{}, err
+	}
+	d.deadline = now.Add(allowed)
+	return d, d.readBody(w, req, allowed)
+}
+
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *routed) takeTeam(req *http.Request) *refusalError {
+	values := req.Header[backendapi.HeaderTeam]
+	if len(values) == 0 && len(d.service.Teams) == 1 {
+		d.team = d.service.Teams[0]
+		return nil
+	}
+	if len(values) != 1 || !slices.Contains(d.service.Teams, cell.Team(values[0])) {
+		return refused(exchange.ReasonBadRequest, 0, "Godwit-Team does not name one team of the service")
+	}
+	d.team = cell.Team(values[0])
+	return nil
+}
+
+func (d *routed) takeKey(req *http.Request) *refusalError {
+	values := req.Header[backendapi.HeaderKey]
+	if len(values) == 0 {
+		return nil
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
+		return refused(exchange.ReasonBadRequest, 0, fmt.Sprintf("Idempotency-Key is not one value of 1 to %d bytes", maxKeyBytes))
+	}
+	d.key = values[0]
+	return nil
+}
+
+func deadlineOf(req *http.Request, service cellconfig.Service) (time.Duration, *refusalError) {
+	values := req.Header[backendapi.HeaderDeadline]
+	if len(values) == 0 {
+		return clampDeadline(service, 0), nil
+	}
+	millis, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || len(values) > 1 {
+		return 0, refused(exchange.ReasonBadRequest, 0, "Godwit-Deadline-Ms is not one whole number")
+	}
+	if millis <= 0 {
+		return 0, refused(exchange.ReasonDeadline, 0, "deadline has passed")
+	}
+	return clampDeadline(service, millis), nil
+}
+
+// readBody reads the whole body, because it is part of the digest and may be
+// sent again. A caller that sends too slowly is cut at its deadline.
+func (d *routed) readBody(w http.ResponseWriter, req *http.Request, allowed time.Duration) *refusalError {
+	limit := int64(d.service.MaxRequestBytes)
+	if req.ContentLength == 0 {
+		return nil
+	}
+	if req.ContentLength > limit {
+		return refused(exchange.ReasonTooLarge, 0, "body exceeds max_request_bytes")
+	}
+	control := http.NewResponseController(w)
+	// Not supported by recorders in tests; the body is bounded all the same.
+	_ = control.SetReadDeadline(time.Now().Add(allowed))
+	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil && isTimeout(err):
+		return refused(exchange.ReasonDeadline, http.StatusRequestTimeout, "body was not complete by the deadline")
+	case err != nil:
+		return refused(exchange.ReasonBadRequest, 0, "body is malformed or truncated")
+	case int64(len(body)) > limit:
+		return refused(exchange.ReasonTooLarge, 0, "body exceeds max_request_bytes")
+	}
+	d.body = body
+	return nil
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// digest identifies the content of a request under its key: method, path, query
+// and body.
+func digest(req *http.Request, body []byte) uint64 {
+	hash := sha256.New()
+	// Writing to a hash does not fail.
+	_, _ = fmt.Fprintf(hash, "%s %q %d ", req.Method, req.URL.RequestURI(), len(body))
+	_, _ = hash.Write(body)
+	return binary.BigEndian.Uint64(hash.Sum(nil))
+}
--- /dev/null
+++ b/internal/gateway/doc.go
@@ -0,0 +1,9 @@
+// Package gateway serves callers' requests and the announcements of backend
+// servers inside an entry process.
+//
+// The router task owns the table of backend servers, the announcements, the
+// queues and the connections to backend servers. Request handlers are
+// goroutines without state: they decode a request, follow the effects of its
+// core/exchange, and exchange messages with the router task. One pull task for
+// each other entry process fetches the announcements that it received.
+package gateway
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// RequestLog is what the gateway needs of the control group.
+type RequestLog interface {
+	Propose(ctx context.Context, c state.Command) (state.Result, error)
+	Read(ctx context.Context, q state.Query) (state.Answer, error)
+}
+
+// Options are the settings of a gateway.
+type Options struct {
+	Entry         cell.EntryName
+	Incarnation   cell.Incarnation
+	Region        cell.Region
+	FailureDomain cell.FailureDomain
+	Logger        *eventlog.Logger
+	Metrics       *metrics.Set
+	Log           RequestLog
+	Seed          uint64       // of the random choices
+	PeerScheme    string       // "http" where empty
+	PeerClient    *http.Client // calls other entry processes; a new one where nil
+}
+
+// routerMessages is the capacity of the router's channel. A full channel
+// refuses new requests with overloaded; messages about running ones wait.
+const routerMessages = 1024
+
+// Gateway serves callers and backend servers.
+type Gateway struct {
+	opts     Options
+	messages chan message
+	stopped  chan struct{} // closed when the router has ended
+	table    atomic.Pointer[services]
+	clock    *elapsedClock
+	numbers  atomic.Uint64 // of requests and begins of this incarnation
+}
+
+// New returns a gateway. It refuses requests with not-ready until SetConfig.
+func New(opts Options) *Gateway {
+	if opts.Logger == nil {
+		opts.Logger = eventlog.Nop()
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.New()
+	}
+	if opts.PeerScheme == "" {
+		opts.PeerScheme = "http"
+	}
+	if opts.PeerClient == nil {
+		opts.PeerClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	}
+	g := &Gateway{
+		opts:     opts,
+		messages: make(chan message, routerMessages),
+		stopped:  make(chan struct{}),
+		clock:    newElapsedClock(),
+	}
+	g.table.Store(&services{})
+	return g
+}
+
+// Run runs the router task and the pull tasks until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	defer close(g.stopped)
+	newRouter(ctx, g).run(ctx)
+	return nil
+}
+
+// CallerHandler serves routed requests.
+func (g *Gateway) CallerHandler() http.Handler { return http.HandlerFunc(g.serveCaller) }
+
+// AnnounceHandler serves POST /v1/backends/announce.
+func (g *Gateway) AnnounceHandler() http.Handler { return http.HandlerFunc(g.serveAnnounce) }
+
+// PeerServer serves Peer.Pull.
+func (g *Gateway) PeerServer() rpcpb.Peer { return peerServer{gateway: g} }
+
+// SetConfig puts a cell file in force. It is called again with a later
+// confirmedAt whenever the control group has confirmed the same file. An older
+// generation is ignored.
+func (g *Gateway) SetConfig(file cellconfig.File, confirmedAt time.Time) {
+	g.send(setConfig{file: file, confirmedAt: confirmedAt})
+}
+
+// SetMembers states the entry processes of the cell.
+func (g *Gateway) SetMembers(members []state.Member) {
+	g.send(setMembers{members: members})
+}
+
+// Drain refuses new requests and waits until those in flight have ended or ctx
+// ends. It returns the number of requests that were still running then.
+func (g *Gateway) Drain(ctx context.Context) (cut int) {
+	g.opts.Logger.Log(eventDrainStarted)
+	idle := make(chan struct{})
+	g.send(startDrain{idle: idle})
+	select {
+	case <-idle:
+	case <-g.stopped:
+	case <-ctx.Done():
+		cut = g.inFlight()
+	}
+	g.logDrained(cut)
+	return cut
+}
+
+func (g *Gateway) inFlight() int {
+	reply := make(chan int, 1)
+	g.send(countFlights{reply: reply})
+	select {
+	case count := <-reply:
+		return count
+	case <-g.stopped:
+		return 0
+	}
+}
+
+// send delivers a message, waiting while the channel is full. It reports false
+// where the router has ended.
+func (g *Gateway) send(m message) bool {
+	select {
+	case g.messages <- m:
+		return true
+	case <-g.stopped:
+		return false
+	}
+}
+
+// trySend delivers a message that may be refused instead.
+func (g *Gateway) trySend(m message) bool {
+	select {
+	case g.messages <- m:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/backendserver"
+)
+
+// Guards the path of a request as a whole: a backend server announces itself to
+// one entry process, another one learns of it by a pull, and both serve callers
+// with the answer to their own request.
+func TestRoutedRequestEndToEnd(t *testing.T) {
+	c := newCell(t, 2)
+	server := c.addServer(backendserver.Faults{}, c.entries[0])
+	c.awaitBackends(1)
+	for i, e := range c.entries {
+		got := e.call("GET", "/turnos/week?n=1", "")
+		if got.status != 200 || got.outcome != "done" || !strings.Contains(got.body, "GET /turnos/week?n=1") {
+			t.Errorf("entry %d: GET answered %+v", i, got)
+		}
+		got = e.call("POST", "/turnos/book", "washer 7", backendapi.HeaderKey, "key-"+string(e.opts.Entry))
+		if got.status != 200 || !strings.HasSuffix(got.body, "run 1\nwasher 7") {
+			t.Errorf("entry %d: POST answered %+v", i, got)
+		}
+	}
+	if counts := server.Counts(); counts.Total != 4 {
+		t.Errorf("backend server ran %d requests, want 4", counts.Total)
+	}
+}
+
+// Guards against a repeated request that runs again instead of getting the
+// stored answer.
+func TestRepeatGetsStoredAnswer(t *testing.T) {
+	c := newCell(t, 2)
+	server := c.addServer(backendserver.Faults{})
+	c.awaitBackends(1)
+	first := c.entries[0].call("POST", "/turnos/book", "washer 7", backendapi.HeaderKey, "k1")
+	second := c.entries[1].call("POST", "/turnos/book", "washer 7", backendapi.HeaderKey, "k1")
+	other := c.entries[1].call("POST", "/turnos/book", "washer 8", backendapi.HeaderKey, "k1")
+	if first.body != second.body || second.outcome != "done" {
+		t.Errorf("repeat answered %+v, first %+v", second, first)
+	}
+	if other.status != 409 || other.reason != "key-reused" || other.outcome != "not-run" {
+		t.Errorf("another request under the key answered %+v", other)
+	}
+	if runs := server.Counts().Runs["k1"]; runs != 1 {
+		t.Errorf("ran %d times, want 1", runs)
+	}
+}
+
+// Guards against a request that is dispatched without its record, and against
+// a repeat that runs after its first entry process died with the outcome open.
+func TestRecordDecidesOverDispatch(t *testing.T) {
+	c := newCell(t, 2)
+	server := c.addServer(backendserver.Faults{Delay: 300 * time.Millisecond})
+	c.awaitBackends(1)
+	c.log.setDown(true)
+	got := c.entries[0].call("POST", "/turnos/book", "x", backendapi.HeaderKey, "k1")
+	if got.outcome != "not-run" || got.reason != "control-unavailable" {
+		t.Errorf("without the control group answered %+v", got)
+	}
+	c.log.setDown(false)
+	go c.entries[0].call("POST", "/turnos/book", "x", backendapi.HeaderKey, "k2")
+	c.await("first run", func() bool { return server.Counts().Runs["k2"] == 1 })
+	c.log.entryGone("entry-0")
+	got = c.entries[1].call("POST", "/turnos/book", "x", backendapi.HeaderKey, "k2")
+	if got.outcome != "unknown" || got.reason != "key-unknown" {
+		t.Errorf("repeat after the entry process died answered %+v", got)
+	}
+	if runs := server.Counts().Runs; runs["k1"] != 0 || runs["k2"] != 1 {
+		t.Errorf("runs by key: %v", runs)
+	}
+}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/backendserver"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// fakeLog keeps request records in memory as the control group does.
+type fakeLog struct {
+	mu      sync.Mutex
+	records map[state.RequestKey]*fakeRecord
+	down    bool
+	delay   time.Duration
+}
+
+type fakeRecord struct {
+	begin  state.BeginRequest
+	result state.RequestResult
+}
+
+var errLogDown = errors.New("no leader")
+
+func (l *fakeLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	pause(ctx, l.delay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.down:
+		return state.Result{}, errLogDown
+	case c.BeginRequest != nil:
+		return l.begin(*c.BeginRequest), nil
+	case c.FinishRequest != nil:
+		return l.finish(*c.FinishRequest), nil
+	}
+	return state.Result{Refusal: state.RefusalInvalid}, nil
+}
+
+func (l *fakeLog) begin(b state.BeginRequest) state.Result {
+	if known := l.records[b.Key]; known != nil {
+		if known.begin.Digest != b.Digest {
+			return state.Result{Refusal: state.RefusalKeyReused}
+		}
+		result := known.result
+		result.Dispatch = known.begin.Attempt == b.Attempt && known.begin.Entry == b.Entry
+		return state.Result{Request: &result}
+	}
+	l.records[b.Key] = &fakeRecord{begin: b, result: state.RequestResult{State: state.RequestRunning}}
+	return state.Result{Request: &state.RequestResult{Dispatch: true, State: state.RequestRunning}}
+}
+
+func (l *fakeLog) finish(f state.FinishRequest) state.Result {
+	known := l.records[f.Key]
+	switch {
+	case known == nil:
+		return state.Result{Refusal: state.RefusalUnknownRequest}
+	case known.begin.Attempt != f.Attempt || known.begin.Entry != f.Entry:
+		return state.Result{Refusal: state.RefusalWrongAttempt}
+	case f.Outcome == state.OutcomeNotRun:
+		delete(l.records, f.Key)
+	case f.Outcome == state.OutcomeDone:
+		known.result = state.RequestResult{State: state.RequestFinished, Answer: f.Answer}
+	default:
+		known.result = state.RequestResult{State: state.RequestUnknown}
+	}
+	return state.Result{}
+}
+
+// entryGone does what LeaveMember does to the records of an entry process.
+func (l *fakeLog) entryGone(entry cell.EntryName) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, known := range l.records {
+		if known.begin.Entry == entry && known.result.State == state.RequestRunning {
+			known.result.State = state.RequestUnknown
+		}
+	}
+}
+
+func (l *fakeLog) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *fakeLog) Read(ctx context.Context, q state.Query) (state.Answer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return state.Answer{}, errLogDown
+	}
+	known := l.records[q.Request.Key]
+	if known == nil {
+		return state.Answer{}, nil
+	}
+	result := known.result
+	return state.Answer{Request: &result}, nil
+}
+
+// testFile is a cell file with one service and two teams.
+func testFile() cellconfig.File {
+	return cellconfig.File{
+		Generation: 1,
+		Cell:       cellconfig.Cell{MaxEntries: 9, StaleAfter: time.Minute},
+		Teams:      []cellconfig.Team{{Name: "reservas", Share: 0.5}, {Name: "cobros", Share: 0.25}},
+		Services: []cellconfig.Service{{
+			Name: "turnos", PathPrefix: "/turnos/", Teams: []cell.Team{"reservas", "cobros"},
+			IdempotentMethods: []string{"GET", "HEAD"},
+			AnnounceInterval:  100 * time.Millisecond, AnnounceLease: 2 * time.Second,
+			MaxQueue: 400, DefaultDeadline: 5 * time.Second, MaxDeadline: 30 * time.Second,
+			DispatchWindow: 2 * time.Second, MaxRequestBytes: 1 << 20, ReplayMaxBytes: 64 << 10,
+			AnswerRetention: time.Hour, RetryBudget: 0.1,
+			CrossRegionPenalty: 20 * time.Millisecond, PanicThreshold: 0.5,
+		}},
+	}
+}
+
+// testCell is gateways and stand-in backend servers in this process.
+type testCell struct {
+	t       *testing.T
+	file    cellconfig.File
+	log     *fakeLog
+	entries []*testEntry
+	servers []*testServer
+}
+
+type testEntry struct {
+	*Gateway
+	callers  *httptest.Server
+	platform *httptest.Server
+	internal *httptest.Server
+	metrics  *metrics.Set
+	stop     context.CancelFunc
+}
+
+type testServer struct {
+	*backendserver.Server
+	leave context.CancelFunc
+	done  chan error
+}
+
+func newCell(t *testing.T, entries int) *testCell {
+	c := &testCell{t: t, file: testFile(), log: &fakeLog{records: map[state.RequestKey]*fakeRecord{}}}
+	var members []state.Member
+	for i := range entries {
+		e := c.addEntry(i)
+		members = append(members, state.Member{
+			Name: e.opts.Entry, Incarnation: e.opts.Incarnation, Address: e.internal.Listener.Addr().String(),
+		})
+	}
+	for _, e := range c.entries {
+		e.SetMembers(members)
+	}
+	return c
+}
+
+func (c *testCell) addEntry(i int) *testEntry {
+	set := metrics.New()
+	g := New(Options{
+		Entry: cell.EntryName(fmt.Sprintf("entry-%d", i)), Incarnation: 1,
+		Region: "quito-norte", FailureDomain: "quito-norte-1",
+		Metrics: set, Log: c.log, Seed: uint64(i),
+	})
+	ctx, stop := context.WithCancel(c.t.Context())
+	go g.Run(ctx)
+	e := &testEntry{Gateway: g, metrics: set, stop: stop}
+	e.callers = httptest.NewServer(g.CallerHandler())
+	e.platform = httptest.NewServer(g.AnnounceHandler())
+	e.internal = httptest.NewServer(rpcpb.NewPeerServer(g.PeerServer()))
+	c.t.Cleanup(func() {
+		stop()
+		e.callers.CloseClientConnections()
+		e.callers.Close()
+		e.platform.CloseClientConnections()
+		e.platform.Close()
+		e.internal.CloseClientConnections()
+		e.internal.Close()
+	})
+	g.SetConfig(c.file, time.Now())
+	c.entries = append(c.entries, e)
+	return e
+}
+
+// addServer starts a stand-in that announces itself to the given entries, or
+// to all.
+func (c *testCell) addServer(faults backendserver.Faults, entries ...*testEntry) *testServer {
+	if len(entries) == 0 {
+		entries = c.entries
+	}
+	p := backendserver.Process{
+		Name: fmt.Sprintf("backend-%d", len(c.servers)), Region: "quito-norte", FailureDomain: "quito-norte-1",
+		Service: "turnos", Listen: "127.0.0.1:0", ListenDebug: "127.0.0.1:0", Slots: 8, Connections: 60,
+		AnnounceInterval: 100 * time.Millisecond, AnnounceLease: 2 * time.Second,
+	}
+	for _, e := range entries {
+		p.Entries = append(p.Entries, e.platform.Listener.Addr().String())
+	}
+	server, err := backendserver.New(backendserver.Settings{Process: p, Faults: faults}, uint64(time.Now().UnixNano()), eventlog.Nop())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	s := &testServer{Server: server, leave: leave, done: make(chan error, 1)}
+	go func() { s.done <- server.Run(ctx) }()
+	c.t.Cleanup(func() {
+		_ = server.Kill()
+		leave()
+	})
+	c.servers = append(c.servers, s)
+	return s
+}
+
+// awaitBackends waits until every entry process knows n backend servers.
+func (c *testCell) awaitBackends(n int) {
+	c.t.Helper()
+	for _, e := range c.entries {
+		c.await(fmt.Sprintf("%d backend servers at %s", n, e.opts.Entry), func() bool {
+			known := make(chan int, 1)
+			return e.send(probe{func(r *router) { known <- r.table.Known("turnos") }}) && <-known == n
+		})
+	}
+}
+
+// probe runs a function in the router task.
+type probe struct{ look func(r *router) }
+
+func (p probe) apply(r *router, _ time.Time) { p.look(r) }
+
+func (c *testCell) await(what string, done func() bool) {
+	c.t.Helper()
+	for range 1000 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatalf("not reached: %s", what)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	body    string
+	header  http.Header
+	err     error // of the request or of reading the body
+}
+
+// call sends a request; headers are name-value pairs.
+func (e *testEntry) call(method, path, body string, headers ...string) answer {
+	req, err := http.NewRequest(method, e.callers.URL+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set(backendapi.HeaderTeam, "reservas")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{
+		status: resp.StatusCode, outcome: resp.Header.Get(backendapi.HeaderOutcome),
+		reason: resp.Header.Get(backendapi.HeaderReason), body: string(data), header: resp.Header, err: err,
+	}
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+// hopHeaders are valid for one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// ownHeaders are set by the gateway; what a peer sent in them is dropped.
+var ownHeaders = []string{
+	backendapi.HeaderDeadline, backendapi.HeaderRequestID, backendapi.HeaderOutcome,
+	backendapi.HeaderReason, backendapi.HeaderInFlight,
+}
+
+// endToEnd copies the headers that are passed on.
+func endToEnd(from http.Header) http.Header {
+	to := make(http.Header, len(from)+4)
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, line := range from["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(to, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(to, name)
+	}
+	for _, name := range ownHeaders {
+		delete(to, name)
+	}
+	return to
+}
+
+// forwardedHeaders returns the headers of a caller's request as the backend
+// server gets them.
+func forwardedHeaders(req *http.Request) http.Header {
+	header := endToEnd(req.Header)
+	delete(header, "Expect") // the body has been read
+	delete(header, "Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	if host, _, err := net.SplitHostPort(req.RemoteAddr); err == nil {
+		chain := append([]string{}, header["X-Forwarded-For"]...)
+		header["X-Forwarded-For"] = []string{strings.Join(append(chain, host), ", ")}
+	}
+	return header
+}
+
+// storedHeader lists the headers of an answer for replay.
+func storedHeader(header http.Header) []state.HeaderField {
+	var fields []state.HeaderField
+	for name, values := range header {
+		for _, value := range values {
+			fields = append(fields, state.HeaderField{Name: name, Value: value})
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/gateway/keyed.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+const (
+	// Bounds of the pause between attempts to record an outcome.
+	finishPauseMin = 50 * time.Millisecond
+	finishPauseMax = 2 * time.Second
+	// finishTimeout ends the attempts. The record then stays running until this
+	// entry process leaves, and becomes unknown.
+	finishTimeout = 30 * time.Second
+)
+
+func (c *call) requestKey() state.RequestKey {
+	return state.RequestKey{Service: c.service.Name, Team: c.team, Key: c.key}
+}
+
+// begin proposes the record of the request.
+func (c *call) begin() exchange.Effect {
+	if reason := c.enter(); reason != exchange.ReasonNone {
+		return c.exchange.NotGranted(reason)
+	}
+	c.beginID = c.gateway.numbers.Add(1)
+	c.digest = digest(c.req, c.body)
+	ctx, cancel := context.WithTimeout(c.req.Context(), min(c.remaining(), c.service.DispatchWindow))
+	defer cancel()
+	result, err := c.gateway.opts.Log.Propose(ctx, state.Command{BeginRequest: &state.BeginRequest{
+		Key:         c.requestKey(),
+		Digest:      c.digest,
+		Entry:       c.gateway.opts.Entry,
+		Incarnation: c.gateway.opts.Incarnation,
+		Attempt:     c.beginID,
+		Retention:   c.service.AnswerRetention,
+	}})
+	return c.exchange.Began(c.gateway.clock.now(), begunOf(result.Refusal, result.Request, err))
+}
+
+// poll reads the record that another request has begun.
+func (c *call) poll(e exchange.Poll) exchange.Effect {
+	pause(c.req.Context(), e.After)
+	if c.abandoned() {
+		return exchange.Conclude{Outcome: state.OutcomeUnknown, Reason: exchange.ReasonKeyRunning}
+	}
+	ctx, cancel := context.WithTimeout(c.req.Context(), max(c.remaining(), time.Millisecond))
+	defer cancel()
+	answer, err := c.gateway.opts.Log.Read(ctx, state.Query{Request: &state.RequestQuery{Key: c.requestKey()}})
+	return c.exchange.Polled(c.gateway.clock.now(), begunOf(state.RefusalNone, answer.Request, err))
+}
+
+func begunOf(refusal state.Refusal, request *state.RequestResult, err error) exchange.Begun {
+	b := exchange.Begun{Err: err != nil, Refusal: refusal, Found: request != nil}
+	if request != nil {
+		b.Request = *request
+	}
+	return b
+}
+
+// record commits the outcome while the caller gets its answer. The request
+// counts as in flight until then.
+func (c *call) record(outcome state.Outcome) {
+	finish := state.Command{FinishRequest: &state.FinishRequest{
+		Key:     c.requestKey(),
+		Entry:   c.gateway.opts.Entry,
+		Attempt: c.beginID,
+		Outcome: outcome,
+		Answer:  c.stored,
+	}}
+	go func() {
+		defer c.leave()
+		c.gateway.finish(finish, c.id)
+	}()
+}
+
+func (g *Gateway) finish(command state.Command, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	wait := finishPauseMin
+	for {
+		result, err := g.opts.Log.Propose(ctx, command)
+		if err == nil {
+			g.checkFinish(result, id)
+			return
+		}
+		pause(ctx, wait)
+		if ctx.Err() != nil {
+			g.logUnrecorded(id, err.Error())
+			return
+		}
+		wait = min(2*wait, finishPauseMax)
+	}
+}
+
+// checkFinish logs a refused finish. A record that does not exist is expected
+// where the begin was never committed.
+func (g *Gateway) checkFinish(result state.Result, id string) {
+	if result.Refusal != state.RefusalNone && result.Refusal != state.RefusalUnknownRequest {
+		g.logUnrecorded(id, string(result.Refusal))
+	}
+}
+
+func (g *Gateway) logUnrecorded(id, why string) {
+	g.opts.Metrics.Add(metricUnrecorded, "", 1)
+	g.opts.Logger.Log(eventFinishFailed, zap.String("request", id), zap.String("why", why))
+}
+
+func (g *Gateway) logDrained(cut int) {
+	g.opts.Logger.Log(eventDrainEnded, zap.Int("cut", cut))
+}
--- /dev/null
+++ b/internal/gateway/router_requests.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/admission"
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/core/routing"
+)
+
+func (m admit) apply(r *router, now time.Time) {
+	if m.first {
+		if reason := r.enter(); reason != exchange.ReasonNone {
+			m.reply <- grant{reason: reason}
+			return
+		}
+	}
+	queue := r.queues[m.service]
+	if queue == nil {
+		m.reply <- grant{reason: exchange.ReasonNoService}
+		return
+	}
+	r.waiting[m.ticket.ID] = m
+	for _, refused := range queue.Offer(now, m.ticket) {
+		r.refuse(queue, refused)
+	}
+	r.pump(now, m.service)
+}
+
+func (m withdraw) apply(r *router, _ time.Time) {
+	queue := r.queues[m.service]
+	waiting, ok := r.waiting[m.id]
+	if !ok || queue == nil {
+		return
+	}
+	queue.Remove(m.id)
+	delete(r.waiting, m.id)
+	waiting.reply <- grant{reason: exchange.ReasonDeadline}
+}
+
+func (m finished) apply(r *router, now time.Time) {
+	r.table.Finished(now, m.choice, m.observation)
+	queue := r.queues[m.choice.Service]
+	if queue == nil {
+		return
+	}
+	queue.Finished(now, admission.Sample{
+		Answered: m.observation.Result == routing.ResultAnswered,
+		Refused:  m.observation.Result == routing.ResultRefused,
+		Delay:    m.observation.Delay,
+	})
+	r.pump(now, m.choice.Service)
+}
+
+// pump dispatches waiting requests of a service while there is room.
+func (r *router) pump(now time.Time, service cell.Service) {
+	queue := r.queues[service]
+	for {
+		ticket, ok := queue.Next()
+		if !ok {
+			return
+		}
+		waiting := r.waiting[ticket.ID]
+		choice, refusal := r.table.Pick(now, routing.Request{Service: service, Exclude: waiting.exclude})
+		switch refusal {
+		case routing.RefusalBusy:
+			return
+		case routing.RefusalNone:
+			queue.Take(now, ticket)
+			r.grant(now, waiting, choice)
+		default:
+			queue.Remove(ticket.ID)
+			r.refuse(queue, admission.Refused{Ticket: ticket, Reason: admission.Refusal(exchange.ReasonNoBackend)})
+		}
+	}
+}
+
+func (r *router) grant(now time.Time, waiting admit, choice routing.Choice) {
+	r.table.Started(now, choice)
+	delete(r.waiting, waiting.ticket.ID)
+	waiting.reply <- grant{choice: choice, upstream: r.upstreamOf(choice)}
+}
+
+func (r *router) refuse(queue *admission.Queue, refused admission.Refused) {
+	waiting, ok := r.waiting[refused.Ticket.ID]
+	if !ok {
+		return
+	}
+	delete(r.waiting, refused.Ticket.ID)
+	waiting.reply <- grant{reason: exchange.Reason(refused.Reason), retryAfter: queue.RetryAfter()}
+}
+
+func (r *router) refuseAll(service cell.Service, reason exchange.Reason) {
+	for id, waiting := range r.waiting {
+		if waiting.service == service {
+			delete(r.waiting, id)
+			waiting.reply <- grant{reason: reason}
+		}
+	}
+}
+
+// upstreamOf returns the connections to the chosen incarnation.
+func (r *router) upstreamOf(choice routing.Choice) *upstream {
+	known := r.upstreams[choice.Backend]
+	if known != nil && known.incarnation == choice.Incarnation && known.address == choice.Address {
+		return known
+	}
+	r.dropUpstream(choice.Backend)
+	next := newUpstream(choice.Incarnation, choice.Address, choice.Connections)
+	r.upstreams[choice.Backend] = next
+	return next
+}
--- /dev/null
+++ b/internal/gateway/services.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/admission"
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/routing"
+)
+
+// services is an immutable view of the services in force. The router task
+// publishes it; handlers only read it.
+type services struct {
+	generation  cell.Generation
+	confirmedAt time.Time
+	staleAfter  time.Duration
+	maxEntries  int
+	draining    bool
+	byPrefix    []cellconfig.Service // longest prefix first
+	shares      map[cell.Team]float64
+}
+
+func newServices(file cellconfig.File, confirmedAt time.Time) *services {
+	s := &services{
+		generation:  file.Generation,
+		confirmedAt: confirmedAt,
+		staleAfter:  file.Cell.StaleAfter,
+		maxEntries:  file.Cell.MaxEntries,
+		byPrefix:    slices.Clone(file.Services),
+		shares:      map[cell.Team]float64{},
+	}
+	slices.SortStableFunc(s.byPrefix, func(a, b cellconfig.Service) int {
+		return len(b.PathPrefix) - len(a.PathPrefix)
+	})
+	for _, team := range file.Teams {
+		s.shares[team.Name] = team.Share
+	}
+	return s
+}
+
+// match returns the service of a path.
+func (s *services) match(path string) (cellconfig.Service, bool) {
+	for _, service := range s.byPrefix {
+		if strings.HasPrefix(path, service.PathPrefix) {
+			return service, true
+		}
+	}
+	return cellconfig.Service{}, false
+}
+
+func (s *services) stale(now time.Time) bool {
+	return now.Sub(s.confirmedAt) > s.staleAfter
+}
+
+func (s *services) leases() map[cell.Service]time.Duration {
+	leases := map[cell.Service]time.Duration{}
+	for _, service := range s.byPrefix {
+		leases[service.Name] = service.AnnounceLease
+	}
+	return leases
+}
+
+func (s *services) policies() map[cell.Service]routing.Policy {
+	policies := map[cell.Service]routing.Policy{}
+	for _, service := range s.byPrefix {
+		policies[service.Name] = routing.Policy{
+			Lease:              service.AnnounceLease,
+			MaxEntries:         s.maxEntries,
+			CrossRegionPenalty: service.CrossRegionPenalty,
+			PanicThreshold:     service.PanicThreshold,
+		}
+	}
+	return policies
+}
+
+func (s *services) queueOptions(service cellconfig.Service) admission.Options {
+	shares := map[cell.Team]float64{}
+	for _, team := range service.Teams {
+		shares[team] = s.shares[team]
+	}
+	return admission.Options{
+		MaxQueue:    service.MaxQueue,
+		Shares:      shares,
+		RetryBudget: service.RetryBudget,
+		Order:       admission.ShedNewest,
+	}
+}
+
+// idempotent reports whether a method of a service may be run more than once.
+func idempotent(service cellconfig.Service, method string) bool {
+	return slices.Contains(service.IdempotentMethods, method)
+}
+
+// clampDeadline returns the time that a request has, from what its caller
+// stated in milliseconds; 0 is none stated.
+func clampDeadline(service cellconfig.Service, millis int64) time.Duration {
+	if millis <= 0 {
+		return service.DefaultDeadline
+	}
+	if millis > math.MaxInt64/int64(time.Millisecond) {
+		return service.MaxDeadline
+	}
+	return min(time.Duration(millis)*time.Millisecond, service.MaxDeadline)
+}
