--- /dev/null
+++ b/core/agent/agent_test.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/lease"
+)
+
+// Guards against tasks that run past the lease, start twice or start without a
+// lease, against lost reports, and against tasks nobody remembers that are left
+// running. Each case in testdata is one story of a worker.
+func TestAgent(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		w := &agentWorld{}
+		w.agent = New(w.reading())
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return w.run(t, d)
+		})
+	})
+}
+
+type agentWorld struct {
+	agent    *Agent
+	now      time.Duration
+	sequence uint64
+}
+
+func (w *agentWorld) reading() lease.Reading {
+	return lease.Reading{Monotonic: w.now, Wall: time.Unix(0, 0).Add(w.now)}
+}
+
+func (w *agentWorld) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "wait":
+		var text string
+		d.ScanArgs(t, "for", &text)
+		wait, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.now += wait
+	case "answer":
+		w.agent.Synced(w.reading(), w.answer(t, d))
+	case "ended":
+		var id uint64
+		var outcome string
+		d.ScanArgs(t, "id", &id)
+		d.ScanArgs(t, "outcome", &outcome)
+		w.agent.Ended(cell.AllocationID(id), Outcome(outcome), "")
+	case "leave":
+		w.agent.Leave(w.reading())
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return w.effects()
+}
+
+func (w *agentWorld) answer(t *testing.T, d *datadriven.TestData) Answer {
+	answer := Answer{
+		Sequence:     w.sequence,
+		Granted:      !d.HasArg("watch") && !d.HasArg("epoch-ended"),
+		EpochEnded:   d.HasArg("epoch-ended"),
+		Refused:      d.HasArg("refused"),
+		Terms:        lease.Terms{Duration: 10 * time.Second, StopMargin: time.Second},
+		SyncInterval: 2 * time.Second,
+	}
+	d.ScanArgs(t, "epoch", (*uint64)(&answer.Epoch))
+	if d.HasArg("version") {
+		answer.Changed = true
+		d.ScanArgs(t, "version", &answer.Version)
+		answer.Tasks = parseTasks(d.Input)
+	}
+	return answer
+}
+
+// parseTasks reads lines such as "7 keep" or "8 stop=checkpoint".
+func parseTasks(input string) []Task {
+	var tasks []Task
+	for _, line := range strings.Split(input, "\n") {
+		var task Task
+		if _, err := fmt.Sscanf(line, "%d", &task.Allocation); err != nil {
+			continue
+		}
+		task.KeepOnDisconnect = strings.Contains(line, "keep")
+		if _, kind, ok := strings.Cut(line, "stop="); ok {
+			task.Stop = StopKind(kind)
+		}
+		tasks = append(tasks, task)
+	}
+	return tasks
+}
+
+func (w *agentWorld) effects() string {
+	var b strings.Builder
+	effects := w.agent.Effects(w.reading())
+	for _, stop := range effects.Stops {
+		fmt.Fprintf(&b, "stop %d %s\n", stop.Allocation, stop.Kind)
+	}
+	for _, task := range effects.Starts {
+		fmt.Fprintf(&b, "start %d\n", task.Allocation)
+	}
+	if sync := effects.Sync; sync != nil {
+		w.sequence = sync.Sequence
+		fmt.Fprintf(&b, "sync epoch=%d version=%d leaving=%v", sync.Epoch, sync.Version, sync.Leaving)
+		for _, report := range sync.Reports {
+			fmt.Fprintf(&b, " %d:%s", report.Allocation, report.Outcome)
+		}
+		b.WriteString("\n")
+	}
+	if effects.Done {
+		b.WriteString("done\n")
+	}
+	if b.Len() == 0 {
+		return "nothing\n"
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,168 @@
+// Package api holds the JSON messages of the HTTP interface of the entry
+// process for callers, operators and workers, shared by the entry process,
+// godwitctl and the stand-ins.
+package api
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/strictconf"
+)
+
+// Header names.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderOutcome        = "Godwit-Outcome"
+	HeaderReason         = "Godwit-Reason"
+)
+
+// Problem is the body of every answer that is not a success.
+type Problem struct {
+	Reason string            `json:"reason"` // reason code
+	Detail string            `json:"detail,omitempty"`
+	Faults strictconf.Faults `json:"faults,omitempty"` // of a cell file
+}
+
+// JobSubmission is the body of POST /v1/jobs.
+type JobSubmission struct {
+	Name         string          `json:"name"`
+	Team         cell.Team       `json:"team"`
+	Policy       cell.PolicyName `json:"policy"`
+	Priority     cell.Priority   `json:"priority"`
+	Tasks        int             `json:"tasks"`
+	CPUs         float64         `json:"cpus"`         // cores for one task
+	Memory       string          `json:"memory"`       // for one task, with unit, such as "512MiB"
+	Accelerators int64           `json:"accelerators"` // for one task
+	RunTime      string          `json:"run_time"`     // declared, such as "90s"; "0s" for services
+	Region       cell.Region     `json:"region"`       // empty: any
+	Checkpoints  bool            `json:"checkpoints"`
+	Command      string          `json:"command"`
+}
+
+// JobAccepted answers a submission or cancellation.
+type JobAccepted struct {
+	ID       cell.JobID    `json:"id"`
+	State    cell.JobState `json:"state"`
+	Repeated bool          `json:"repeated"` // the key was known; nothing was added
+}
+
+// Job is the body of GET /v1/jobs/{id}.
+type Job struct {
+	ID          cell.JobID    `json:"id"`
+	Name        string        `json:"name"`
+	Team        cell.Team     `json:"team"`
+	State       cell.JobState `json:"state"`
+	SubmittedAt time.Time     `json:"submitted_at"`
+	Tasks       []Task        `json:"tasks"`
+}
+
+// Task is one task of a Job.
+type Task struct {
+	State    cell.TaskState  `json:"state"`
+	Attempts int             `json:"attempts"`
+	Worker   cell.WorkerName `json:"worker,omitempty"`
+	Detail   string          `json:"detail,omitempty"`
+}
+
+// FileAccepted answers POST /v1/config and /v1/config/check.
+type FileAccepted struct {
+	Generation cell.Generation `json:"generation"`
+	Digest     string          `json:"digest"`
+	Repeated   bool            `json:"repeated"`
+	Changes    []string        `json:"changes"`
+}
+
+// Config is the body of GET /v1/config.
+type Config struct {
+	Generation cell.Generation `json:"generation"`
+	Digest     string          `json:"digest"`
+	Submitter  string          `json:"submitter"`
+	From       string          `json:"from"`
+	At         time.Time       `json:"at"`
+	Text       string          `json:"text"`
+	Entries    []EntryInForce  `json:"entries"`
+}
+
+// EntryInForce tells which generation an entry process has in force.
+type EntryInForce struct {
+	Name       cell.EntryName  `json:"name"`
+	Generation cell.Generation `json:"generation"`
+	AgeMillis  int64           `json:"age_millis"` // since it was last heard
+}
+
+// Status is the body of GET /v1/status.
+type Status struct {
+	Entry       cell.EntryName        `json:"entry"` // that answered
+	Generation  cell.Generation       `json:"generation"`
+	Digest      string                `json:"digest"`
+	Workers     int                   `json:"workers"`
+	Allocations int                   `json:"allocations"`
+	Jobs        map[cell.JobState]int `json:"jobs"`
+	Capacity    string                `json:"capacity"`
+	Reserved    string                `json:"reserved"`
+	Entries     []EntryInForce        `json:"entries"`
+}
+
+// Explanation is the body of GET /v1/explain/job/{id}.
+type Explanation struct {
+	Job   cell.JobID    `json:"job"`
+	State cell.JobState `json:"state"`
+	Lines []string      `json:"lines"`
+}
+
+// WorkerSync is the body of POST /v1/workers/{name}/sync.
+type WorkerSync struct {
+	Incarnation   cell.Incarnation   `json:"incarnation"`
+	Epoch         cell.Epoch         `json:"epoch"`    // 0: register
+	Sequence      uint64             `json:"sequence"` // 0: watch only, no renewal
+	Region        cell.Region        `json:"region"`
+	FailureDomain cell.FailureDomain `json:"failure_domain"`
+	Rack          cell.Rack          `json:"rack"`
+	Pool          cell.Pool          `json:"pool"`
+	MilliCPU      int64              `json:"milli_cpu"`
+	MemoryBytes   int64              `json:"memory_bytes"`
+	Accelerators  int64              `json:"accelerators"`
+	Reports       []TaskReport       `json:"reports,omitempty"`
+	Version       uint64             `json:"version"`         // of the assignments held
+	MaxWaitMillis int64              `json:"max_wait_millis"` // wait so long for another version
+}
+
+// TaskReport is a worker's news of one allocation.
+type TaskReport struct {
+	Allocation      cell.AllocationID `json:"allocation"`
+	Outcome         string            `json:"outcome"` // see state.TaskOutcome
+	Detail          string            `json:"detail,omitempty"`
+	UsedMilliCPU    int64             `json:"used_milli_cpu"`
+	UsedMemoryBytes int64             `json:"used_memory_bytes"`
+	UsageAgeMillis  int64             `json:"usage_age_millis"`
+}
+
+// WorkerSynced answers a WorkerSync. Times are in milliseconds.
+type WorkerSynced struct {
+	Epoch              cell.Epoch   `json:"epoch"`
+	Sequence           uint64       `json:"sequence"`
+	Granted            bool         `json:"granted"`
+	Reason             string       `json:"reason,omitempty"` // where not granted
+	LeaseMillis        int64        `json:"lease_millis"`
+	StopMarginMillis   int64        `json:"stop_margin_millis"`
+	DriftPPM           int64        `json:"drift_ppm"`
+	SyncIntervalMillis int64        `json:"sync_interval_millis"`
+	Version            uint64       `json:"version"`
+	Changed            bool         `json:"changed"`               // Assignments is set
+	Assignments        []Assignment `json:"assignments,omitempty"` // complete
+}
+
+// Assignment is one allocation of a worker.
+type Assignment struct {
+	Allocation       cell.AllocationID `json:"allocation"`
+	Job              cell.JobID        `json:"job"`
+	Task             int               `json:"task"`
+	MilliCPU         int64             `json:"milli_cpu"`
+	MemoryBytes      int64             `json:"memory_bytes"`
+	Accelerators     int64             `json:"accelerators"`
+	Command          string            `json:"command"`
+	RunMillis        int64             `json:"run_millis"`
+	Stop             string            `json:"stop,omitempty"` // "stop" or "checkpoint"
+	KeepOnDisconnect bool              `json:"keep_on_disconnect"`
+}
--- /dev/null
+++ b/internal/controlclient/client.go
@@ -0,0 +1,222 @@
+// Package controlclient talks to the leader of the control group: it finds the
+// leader, proposes commands, reads, renews worker leases and polls the feed.
+package controlclient
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/twitchtv/twirp"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// Errors of the client.
+var (
+	// ErrUnavailable says that no leader took the call. A proposal that failed
+	// with it was not accepted by any replica that this client reached.
+	ErrUnavailable = merry.Sentinel("control group unavailable")
+	// ErrOutcomeUnknown says that a proposal may or may not have been
+	// committed. The caller may send it again: commands are idempotent.
+	ErrOutcomeUnknown = merry.Sentinel("outcome of the proposal is unknown")
+	// ErrMalformed says that a command could not be encoded or an answer not
+	// be decoded.
+	ErrMalformed = merry.Sentinel("malformed control message")
+)
+
+var metricRetries = metrics.Declare("control_client_retries_total", metrics.KindCounter,
+	"calls to the control group that were sent again, by reason")
+
+const (
+	// firstBackoff and maxBackoff bound the wait between two attempts. An
+	// election takes 0.4 to 0.8 s, so the wait stays well below it.
+	firstBackoff = 10 * time.Millisecond
+	maxBackoff   = 200 * time.Millisecond
+	// attemptTimeout bounds one attempt, so that a replica that is cut off
+	// silently does not use up the whole deadline of the call.
+	attemptTimeout = time.Second
+)
+
+// Client is safe for use by many goroutines; they share no state but send
+// messages to the directory task.
+type Client struct {
+	directory *directory
+	metrics   *metrics.Set
+}
+
+// New returns a client for the control replicas at the given addresses (IP and
+// port). Run must be called for it to work.
+func New(addresses []string, scheme string, httpClient *http.Client, set *metrics.Set) *Client {
+	return &Client{directory: newDirectory(addresses, scheme, httpClient), metrics: set}
+}
+
+// Run runs the client's task until ctx ends.
+func (c *Client) Run(ctx context.Context) { c.directory.run(ctx) }
+
+// Propose sends a command to the leader, again after each failure, until it is
+// committed or ctx ends. Commands are idempotent, so sending one twice has the
+// effect of once.
+func (c *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	encoded, err := codec.EncodeCommand(command)
+	if err != nil {
+		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
+	}
+	var response *rpcpb.ProposeResponse
+	err = c.untilAnswered(ctx, func(ctx context.Context, control rpcpb.Control) error {
+		var callErr error
+		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
+		return callErr
+	})
+	if err != nil {
+		return state.Result{}, err
+	}
+	result, err := codec.DecodeResult(response.Result)
+	if err != nil {
+		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
+	}
+	return result, nil
+}
+
+// Read answers a query from the leader's current state.
+func (c *Client) Read(ctx context.Context, query state.Query) (state.Answer, error) {
+	encoded, err := codec.EncodeQuery(query)
+	if err != nil {
+		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
+	}
+	var response *rpcpb.ReadResponse
+	err = c.untilAnswered(ctx, func(ctx context.Context, control rpcpb.Control) error {
+		var callErr error
+		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
+		return callErr
+	})
+	if err != nil {
+		return state.Answer{}, err
+	}
+	answer, err := codec.DecodeAnswer(response.Answer)
+	if err != nil {
+		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
+	}
+	return answer, nil
+}
+
+// Renew sends a batch of worker renewals, once.
+func (c *Client) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
+	var response *rpcpb.RenewResponse
+	err := c.once(ctx, func(ctx context.Context, control rpcpb.Control) error {
+		var callErr error
+		response, callErr = control.Renew(ctx, request)
+		return callErr
+	})
+	return response, err
+}
+
+// Feed polls the feed, once. The wait that the request asks for must fit into
+// ctx.
+func (c *Client) Feed(ctx context.Context, request *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
+	var response *rpcpb.FeedResponse
+	err := c.once(ctx, func(ctx context.Context, control rpcpb.Control) error {
+		var callErr error
+		response, callErr = control.Feed(ctx, request)
+		return callErr
+	})
+	return response, err
+}
+
+type call func(ctx context.Context, control rpcpb.Control) error
+
+// once makes one call to the replica believed to lead.
+func (c *Client) once(ctx context.Context, do call) error {
+	target, err := c.directory.leader(ctx)
+	if err != nil {
+		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
+	}
+	if err := do(ctx, target.control); err != nil {
+		c.report(target, classify(err))
+		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
+	}
+	return nil
+}
+
+// untilAnswered repeats a call until it is answered or ctx ends.
+func (c *Client) untilAnswered(ctx context.Context, do call) error {
+	maybeAccepted := false
+	backoff := firstBackoff
+	for {
+		target, err := c.directory.leader(ctx)
+		if err != nil {
+			return endOfCall(maybeAccepted, err)
+		}
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		err = do(attempt, target.control)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		failure := classify(err)
+		c.report(target, failure)
+		maybeAccepted = maybeAccepted || failure.maybeAccepted
+		if failure.final {
+			return endOfCall(maybeAccepted, err)
+		}
+		if err := pause(ctx, backoff); err != nil {
+			return endOfCall(maybeAccepted, err)
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func endOfCall(maybeAccepted bool, cause error) error {
+	if maybeAccepted {
+		return merry.Wrap(ErrOutcomeUnknown, merry.WithCause(cause))
+	}
+	return merry.Wrap(ErrUnavailable, merry.WithCause(cause))
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Client) report(target target, failure failure) {
+	c.metrics.Add(metricRetries, failure.reason, 1)
+	c.directory.failed(target.address, failure.leader)
+}
+
+// failure is what a failed call means for the next attempt.
+type failure struct {
+	reason        string
+	leader        string // address of the leader, where the replica named it
+	maybeAccepted bool   // the command may have been committed
+	final         bool   // another attempt would fail alike
+}
+
+// leaderMeta is the twirp error metadata key with the leader's address.
+const leaderMeta = "leader"
+
+func classify(err error) failure {
+	twirpErr, ok := err.(twirp.Error)
+	if !ok {
+		return failure{reason: "transport", maybeAccepted: true}
+	}
+	switch twirpErr.Code() {
+	case twirp.FailedPrecondition:
+		return failure{reason: "not-leader", leader: twirpErr.Meta(leaderMeta)}
+	case twirp.ResourceExhausted:
+		return failure{reason: "overloaded"}
+	case twirp.InvalidArgument, twirp.Malformed:
+		return failure{reason: "malformed", final: true}
+	default:
+		return failure{reason: "transport", maybeAccepted: true}
+	}
+}
--- /dev/null
+++ b/internal/controlclient/directory.go
@@ -0,0 +1,113 @@
+package controlclient
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// directory is the task that knows the control replicas and which of them is
+// believed to lead.
+type directory struct {
+	scheme     string
+	httpClient *http.Client
+	lookups    chan chan target
+	failures   chan failedTarget
+
+	addresses []string // owned by run
+	current   int      // index of the replica believed to lead; owned by run
+	clients   map[string]rpcpb.Control
+}
+
+// target is a replica to call.
+type target struct {
+	address string
+	control rpcpb.Control
+}
+
+type failedTarget struct {
+	address string
+	leader  string // address that the replica named, or empty
+}
+
+// failureQueue bounds the reports that wait for the task. A report that finds
+// it full is dropped: the next failing call reports again.
+const failureQueue = 64
+
+func newDirectory(addresses []string, scheme string, httpClient *http.Client) *directory {
+	return &directory{
+		scheme:     scheme,
+		httpClient: httpClient,
+		lookups:    make(chan chan target),
+		failures:   make(chan failedTarget, failureQueue),
+		addresses:  append([]string(nil), addresses...),
+		clients:    map[string]rpcpb.Control{},
+	}
+}
+
+func (d *directory) run(ctx context.Context) {
+	for {
+		select {
+		case reply := <-d.lookups:
+			reply <- d.currentTarget()
+		case failure := <-d.failures:
+			d.handleFailure(failure)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *directory) currentTarget() target {
+	address := d.addresses[d.current]
+	control := d.clients[address]
+	if control == nil {
+		control = rpcpb.NewControlProtobufClient(d.scheme+"://"+address, d.httpClient)
+		d.clients[address] = control
+	}
+	return target{address: address, control: control}
+}
+
+// handleFailure moves on to the named leader, or to the next replica. Failures
+// of a replica that is no longer the current one are ignored, so that many
+// calls failing at once move on only once.
+func (d *directory) handleFailure(failure failedTarget) {
+	if failure.address != d.addresses[d.current] {
+		return
+	}
+	if failure.leader != "" && failure.leader != failure.address {
+		d.current = d.indexOf(failure.leader)
+		return
+	}
+	d.current = (d.current + 1) % len(d.addresses)
+}
+
+func (d *directory) indexOf(address string) int {
+	for i, known := range d.addresses {
+		if known == address {
+			return i
+		}
+	}
+	d.addresses = append(d.addresses, address)
+	return len(d.addresses) - 1
+}
+
+// leader returns the replica believed to lead.
+func (d *directory) leader(ctx context.Context) (target, error) {
+	reply := make(chan target, 1)
+	select {
+	case d.lookups <- reply:
+		return <-reply, nil
+	case <-ctx.Done():
+		return target{}, ctx.Err()
+	}
+}
+
+// failed reports that a call to address failed.
+func (d *directory) failed(address, leader string) {
+	select {
+	case d.failures <- failedTarget{address: address, leader: leader}:
+	default:
+	}
+}
