--- /dev/null
+++ b/core/replog/core.go
@@ -0,0 +1,248 @@
+package replog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Core is one replica of the log. It is not safe for concurrent use: the task
+// that owns it makes all calls.
+type Core struct {
+	cfg   Config
+	id    ReplicaID
+	now   time.Time // largest time passed in
+	start time.Time // base of Message.SentNanos
+	rng   *rand.Rand
+
+	hard   HardState // Term never decreases; Vote is set at most once a term
+	role   Role      // RoleLearner is derived in Status
+	leader ReplicaID // 0 where unknown
+
+	log      entryLog
+	history  membershipHistory
+	snapshot *Snapshot
+	// founder is set where the replica was started as a voter of the initial
+	// membership. Only a founder may vote with an empty log: any other empty
+	// log may have lost entries that the replica once confirmed.
+	founder bool
+
+	// Invariant: emitted <= commit <= log.last(), and commit never decreases.
+	commit  uint64
+	emitted uint64 // handed out in Effects.Committed, or covered by a snapshot
+
+	// heardAt is when the last message of a current leader arrived. Votes are
+	// refused for ElectionTimeoutMin from it. The start counts as such a
+	// message, because a restarted replica has forgotten what it promised.
+	heardAt          time.Time
+	electionDeadline time.Time
+	grants           map[ReplicaID]bool // of the running (pre-)election
+
+	lead  leadership // valid while role is RoleLeader
+	disk  durability
+	out   outbox
+	fault map[Check]int
+}
+
+// outbox collects what the next Effects returns.
+type outbox struct {
+	messages  []Message
+	afterSync []Message
+	reads     []Read
+	install   *Snapshot // received from the leader, to persist and install
+}
+
+// New returns a replica in its start state as a follower.
+func New(cfg Config, now time.Time) (*Core, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	c := &Core{
+		cfg: cfg, id: cfg.ID, now: now, start: now, heardAt: now,
+		rng:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))),
+		hard:  cfg.HardState,
+		role:  RoleFollower,
+		fault: map[Check]int{},
+	}
+	base := cfg.Membership.normalized()
+	c.founder = cfg.Snapshot == nil && base.IsVoter(cfg.ID)
+	if s := cfg.Snapshot; s != nil {
+		base = s.Membership.normalized()
+		c.snapshot = s
+		c.log.reset(s.Index, s.Term)
+	}
+	c.history = membershipHistory{{index: c.log.base, membership: base}}
+	if err := c.loadEntries(cfg.Entries); err != nil {
+		return nil, err
+	}
+	c.commit, c.emitted = c.log.base, c.log.base
+	c.disk.loaded(c.log.last(), c.hard)
+	c.resetElectionTimer()
+	return c, nil
+}
+
+func (c *Core) loadEntries(entries []Entry) error {
+	for i, e := range entries {
+		if e.Index != c.log.base+uint64(i)+1 {
+			return fmt.Errorf("%w: entry %d at position %d after index %d", ErrInvalidConfig, e.Index, i, c.log.base)
+		}
+		if e.Kind != EntryMembership {
+			continue
+		}
+		m, err := DecodeMembership(e.Data)
+		if err != nil {
+			return fmt.Errorf("%w: entry %d: %w", ErrInvalidConfig, e.Index, err)
+		}
+		c.history = append(c.history, membershipRecord{e.Index, m})
+	}
+	c.log.append(entries...)
+	return nil
+}
+
+func (cfg Config) validate() error {
+	checks := []struct {
+		ok   bool
+		text string
+	}{
+		{cfg.ID != 0, "replica id must not be 0"},
+		{cfg.HeartbeatInterval > 0, "heartbeat interval must be above 0"},
+		{cfg.HeartbeatInterval < cfg.ElectionTimeoutMin, "heartbeat interval must be below the election timeout"},
+		{cfg.ElectionTimeoutMin < cfg.ElectionTimeoutMax, "minimum election timeout must be below the maximum"},
+		{cfg.MaxDriftPPM >= 0 && cfg.MaxDriftPPM < partsPerMillion/4, "drift bound out of range"},
+		{cfg.MaxBatchBytes > 0, "batch size must be above 0"},
+		{cfg.MaxInflight > 0, "appends in flight must be above 0"},
+		{cfg.MaxPending > 0, "pending proposals must be above 0"},
+	}
+	for _, check := range checks {
+		if !check.ok {
+			return fmt.Errorf("%w: %s", ErrInvalidConfig, check.text)
+		}
+	}
+	return nil
+}
+
+// advance takes the time of a call. Time never runs backwards inside the core.
+func (c *Core) advance(now time.Time) {
+	if now.After(c.now) {
+		c.now = now
+	}
+}
+
+// Tick lets time pass. The owner calls it at Effects.Deadline at the latest;
+// an early call does no harm.
+func (c *Core) Tick(now time.Time) {
+	c.advance(now)
+	if c.role == RoleLeader {
+		c.tickLeader()
+		return
+	}
+	if c.now.Before(c.electionDeadline) {
+		return
+	}
+	c.resetElectionTimer()
+	if c.mayCampaign() {
+		c.startPreVote()
+	}
+}
+
+// Step takes a message from another replica. Requests are judged by their
+// term and log, also where the sender is not in the membership that this
+// replica knows, because that may be outdated. Answers count only from
+// members.
+func (c *Core) Step(now time.Time, m Message) {
+	c.advance(now)
+	if m.To != c.id || m.From == c.id || m.From == 0 || m.Term == 0 {
+		return
+	}
+	if m.Type.isAnswer() && !c.membership().Contains(m.From) {
+		return
+	}
+	if m.Type == MessagePreVote || m.Type == MessagePreVoteAnswer {
+		c.stepPreVote(m)
+		return
+	}
+	if m.Term < c.hard.Term {
+		c.answerOldTerm(m)
+		return
+	}
+	if m.Term > c.hard.Term {
+		if m.Type == MessageVote && c.refusesVotes(m) {
+			return
+		}
+		c.becomeFollower(m.Term, 0)
+	}
+	c.stepCurrentTerm(m)
+}
+
+func (t MessageType) isAnswer() bool {
+	switch t {
+	case MessagePreVoteAnswer, MessageVoteAnswer, MessageAppendAnswer, MessageSnapshotAnswer:
+		return true
+	}
+	return false
+}
+
+func (c *Core) stepCurrentTerm(m Message) {
+	switch m.Type {
+	case MessageVote:
+		c.handleVote(m)
+	case MessageVoteAnswer:
+		c.handleVoteAnswer(m)
+	case MessageAppend:
+		if c.acceptLeader(m) {
+			c.handleAppend(m)
+		}
+	case MessageSnapshot:
+		if c.acceptLeader(m) {
+			c.handleSnapshot(m)
+		}
+	case MessageAppendAnswer:
+		c.handleAppendAnswer(m)
+	case MessageSnapshotAnswer:
+		c.handleSnapshotAnswer(m)
+	case MessageTimeoutNow:
+		c.handleTimeoutNow(m)
+	}
+}
+
+// answerOldTerm tells a sender of an earlier term that the term is over. An
+// old leader steps down by it.
+func (c *Core) answerOldTerm(m Message) {
+	switch m.Type {
+	case MessageVote:
+		c.sendAfterSync(Message{Type: MessageVoteAnswer, To: m.From, Term: c.hard.Term, Reject: true})
+	case MessageAppend, MessageSnapshot:
+		c.sendAfterSync(Message{Type: MessageAppendAnswer, To: m.From, Term: c.hard.Term, Reject: true})
+	}
+}
+
+// membership returns the membership in force.
+func (c *Core) membership() Membership { return c.history.latest().membership }
+
+// send queues a message that may leave before the next sync.
+func (c *Core) send(m Message) {
+	m.From = c.id
+	c.out.messages = append(c.out.messages, m)
+}
+
+// sendAfterSync queues a message that promises something which must be
+// durable first: a term, a vote or entries.
+func (c *Core) sendAfterSync(m Message) {
+	m.From = c.id
+	c.out.afterSync = append(c.out.afterSync, m)
+}
+
+// becomeFollower moves to a term, or steps down within the current one.
+func (c *Core) becomeFollower(term uint64, leader ReplicaID) {
+	if term > c.hard.Term {
+		c.hard = HardState{Term: term}
+	}
+	if c.role == RoleLeader {
+		c.abortReads()
+		c.lead = leadership{}
+		c.resetElectionTimer()
+	}
+	c.role = RoleFollower
+	c.leader = leader
+	c.grants = nil
+}
--- a/core/replog/doc.go
+++ b/core/replog/doc.go
@@ -11,6 +11,10 @@
 //	// 4. apply effects.Committed in order
 //	// 5. call core.Tick(now) at effects.Deadline at the latest
 //
+// The owner may take further effects before the sync of earlier ones is done,
+// but persists, acknowledges and applies the batches in the order in which it
+// took them. A batch without anything to persist repeats the last mark.
+//
 // The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote,
 // check-quorum, leader lease, pipelined appends, learners, membership changes
 // one at a time, and leadership transfer.
--- /dev/null
+++ b/core/replog/log.go
@@ -0,0 +1,100 @@
+package replog
+
+// entryLog holds the entries after a base entry. The base is the last entry
+// that compaction dropped, or index 0 of term 0.
+//
+// Entries are never changed in place: messages and effects share the backing
+// arrays, so a truncation limits the capacity and the next append copies.
+type entryLog struct {
+	base     uint64 // index of the entry before entries[0]
+	baseTerm uint64
+	entries  []Entry
+}
+
+func (l *entryLog) last() uint64 { return l.base + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term returns the term of the entry at index; ok is false where the log does
+// not reach so far back or forward.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	if index == l.base {
+		return l.baseTerm, true
+	}
+	if index < l.base || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.base-1].Term, true
+}
+
+// matches reports whether the log has an entry of this index and term.
+func (l *entryLog) matches(index, term uint64) bool {
+	own, ok := l.term(index)
+	return ok && own == term
+}
+
+// slice returns the entries from first to last, both included.
+func (l *entryLog) slice(first, last uint64) []Entry {
+	if first > last {
+		return nil
+	}
+	from, to := first-l.base-1, last-l.base
+	return l.entries[from:to:to]
+}
+
+// batch returns entries from first on, at least one and at most about
+// maxBytes of data.
+func (l *entryLog) batch(first uint64, maxBytes int) []Entry {
+	end, size := first, 0
+	for end <= l.last() {
+		size += len(l.entries[end-l.base-1].Data) + entryOverheadBytes
+		if end > first && size > maxBytes {
+			break
+		}
+		end++
+	}
+	return l.slice(first, end-1)
+}
+
+// entryOverheadBytes approximates the encoded size of an entry without data.
+const entryOverheadBytes = 16
+
+func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+
+// truncateFrom drops the entries at index and after it.
+func (l *entryLog) truncateFrom(index uint64) {
+	keep := index - l.base - 1
+	l.entries = l.entries[:keep:keep]
+}
+
+// compactTo drops the entries up to and including index.
+func (l *entryLog) compactTo(index uint64) {
+	if index <= l.base {
+		return
+	}
+	term, _ := l.term(index)
+	rest := make([]Entry, l.last()-index)
+	copy(rest, l.entries[index-l.base:])
+	l.base, l.baseTerm, l.entries = index, term, rest
+}
+
+// reset replaces the whole log by a base entry.
+func (l *entryLog) reset(index, term uint64) {
+	l.base, l.baseTerm, l.entries = index, term, nil
+}
+
+// lastNotAfterTerm returns the largest index up to limit whose term is at most
+// term. It stops at the base.
+func (l *entryLog) lastNotAfterTerm(limit, term uint64) uint64 {
+	index := min(limit, l.last())
+	for index > l.base {
+		if own, _ := l.term(index); own <= term {
+			break
+		}
+		index--
+	}
+	return index
+}
--- /dev/null
+++ b/core/replog/quorum.go
@@ -0,0 +1,59 @@
+package replog
+
+import (
+	"slices"
+	"time"
+)
+
+// partsPerMillion is the unit of Config.MaxDriftPPM.
+const partsPerMillion = 1_000_000
+
+// quorumIndex returns the largest index that a quorum of voters has reached.
+func (c *Core) quorumIndex(own uint64, of func(*progress) uint64) uint64 {
+	var reached []uint64
+	for _, id := range c.membership().Voters {
+		if id == c.id {
+			reached = append(reached, own)
+		} else {
+			reached = append(reached, of(c.lead.peers[id]))
+		}
+	}
+	slices.Sort(reached)
+	return reached[len(reached)-c.membership().Quorum()]
+}
+
+// quorumTime returns the latest time that a quorum of voters has reached; the
+// leader itself counts with the present time.
+func (c *Core) quorumTime(of func(*progress) time.Time) time.Time {
+	var reached []time.Time
+	for _, id := range c.membership().Voters {
+		if id == c.id {
+			reached = append(reached, c.now)
+		} else {
+			reached = append(reached, of(c.lead.peers[id]))
+		}
+	}
+	slices.SortFunc(reached, time.Time.Compare)
+	return reached[len(reached)-c.membership().Quorum()]
+}
+
+// leaseEnd returns when the leader lease ends by the leader's own clock, or
+// the zero time where there is none.
+//
+// Every member of a quorum refuses votes for ElectionTimeoutMin by its own
+// clock after it received a message that was sent at leasedFrom or later. A
+// follower's clock may be fast and the leader's slow, each by the drift bound,
+// so the lease is shorter by twice the bound.
+func (c *Core) leaseEnd() time.Time {
+	if c.role != RoleLeader || c.lead.leaseVoid {
+		return time.Time{}
+	}
+	from := c.quorumTime(func(p *progress) time.Time { return p.leasedFrom })
+	if from.IsZero() {
+		return time.Time{}
+	}
+	drift := c.cfg.ElectionTimeoutMin * time.Duration(2*c.cfg.MaxDriftPPM) / partsPerMillion
+	return from.Add(c.cfg.ElectionTimeoutMin - drift)
+}
+
+func (c *Core) holdsLease() bool { return c.now.Before(c.leaseEnd()) }
--- /dev/null
+++ b/core/replog/read.go
@@ -0,0 +1,68 @@
+package replog
+
+import "time"
+
+// pendingRead is a read barrier that waits for a quorum round.
+type pendingRead struct {
+	id    uint64
+	round uint64
+	// index is the commit index at the time of the call, or 0 where no entry
+	// of the own term was committed then.
+	index uint64
+}
+
+// ReadBarrier asks for an index at which a read is current. The answer comes
+// in Effects.Reads: at once under the leader lease, otherwise after a quorum
+// has confirmed the leadership in a round that started after this call. It
+// returns ErrNotLeader.
+func (c *Core) ReadBarrier(now time.Time, id uint64) error {
+	c.advance(now)
+	if c.role != RoleLeader {
+		return ErrNotLeader
+	}
+	if c.ownTermCommitted() && c.holdsLease() {
+		c.out.reads = append(c.out.reads, Read{ID: id, Index: c.commit})
+		return nil
+	}
+	read := pendingRead{id: id, round: c.lead.round + 1}
+	if c.ownTermCommitted() {
+		read.index = c.commit
+	}
+	c.lead.reads = append(c.lead.reads, read)
+	c.lead.roundWanted = true
+	return nil
+}
+
+// ownTermCommitted reports whether this leader's commit index covers
+// everything that earlier leaders committed.
+func (c *Core) ownTermCommitted() bool {
+	return c.role == RoleLeader && c.commit >= c.lead.termStart
+}
+
+// finishReads completes the barriers whose round a quorum has answered.
+func (c *Core) finishReads() {
+	if !c.ownTermCommitted() || len(c.lead.reads) == 0 {
+		return
+	}
+	answered := c.quorumIndex(c.lead.round, func(p *progress) uint64 { return p.round })
+	done := 0
+	for _, read := range c.lead.reads {
+		if read.round > answered {
+			break
+		}
+		if read.index == 0 {
+			read.index = c.commit
+		}
+		c.out.reads = append(c.out.reads, Read{ID: read.id, Index: read.index})
+		done++
+	}
+	c.lead.reads = c.lead.reads[done:]
+}
+
+// abortReads ends the barriers of a leader that steps down.
+func (c *Core) abortReads() {
+	for _, read := range c.lead.reads {
+		c.out.reads = append(c.out.reads, Read{ID: read.id, Aborted: true})
+	}
+	c.lead.reads = nil
+}
