Add scheduler core with queues, worker index and fair shares

Cause: the control leader needs plans for service, batch and gang work. Checked: make lint; go test -race ./core/placement, scenarios in testdata/basic.

--- /dev/null
+++ b/core/placement/config.go
@@ -0,0 +1,149 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/strictconf"
+)
+
+// settings are the parts of the cell file that the scheduler needs.
+type settings struct {
+	policies map[cell.PolicyName]cellconfig.Policy
+	retired  map[cell.WorkerName]bool
+}
+
+// configChanged puts another cell file in force. The state has checked the
+// file; one that does not decode is ignored.
+func (s *Scheduler) configChanged(record state.ConfigRecord) {
+	var file cellconfig.File
+	if faults := strictconf.Decode(record.Body, &file); len(faults) > 0 {
+		return
+	}
+	s.config = settings{
+		policies: map[cell.PolicyName]cellconfig.Policy{},
+		retired:  map[cell.WorkerName]bool{},
+	}
+	for _, p := range file.Policies {
+		s.config.policies[p.Name] = p
+	}
+	for _, name := range file.Cell.RetiredWorkers {
+		s.config.retired[name] = true
+	}
+	s.applyTeams(file.Teams)
+	s.applyPolicies()
+	s.applyRetired()
+	s.wakeAll()
+}
+
+func (s *Scheduler) applyTeams(teams []cellconfig.Team) {
+	for _, t := range s.teamList {
+		t.known, t.share, t.quota, t.urgentLimit = false, 0, cell.Resources{}, 0
+	}
+	for _, configured := range teams {
+		t := s.team(configured.Name)
+		t.known = true
+		t.share = configured.Share
+		t.quota = configured.Quota()
+		t.urgentLimit = configured.UrgentMilliCPU()
+	}
+	s.refreshFairness()
+}
+
+func (s *Scheduler) refreshFairness() {
+	for _, t := range s.teamList {
+		t.refreshFairness(s.total)
+	}
+}
+
+// applyPolicies refreshes every scope and what allocations offer to urgent work.
+func (s *Scheduler) applyPolicies() {
+	for _, sc := range s.scopeList {
+		s.resolve(sc)
+	}
+	for _, g := range s.groupList {
+		for _, w := range g.index.workers {
+			for _, a := range w.allocations {
+				s.markVictim(a)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) applyRetired() {
+	for _, g := range s.groupList {
+		for _, w := range g.index.workers {
+			w.retired = s.config.retired[w.Name]
+			s.changed(w)
+		}
+	}
+}
+
+// team returns the team of a name, which may not be in the file any more.
+func (s *Scheduler) team(name cell.Team) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name, activeIndex: notReady}
+		s.teams[name] = t
+		s.teamList = append(s.teamList, t)
+	}
+	return t
+}
+
+// scope returns the workers that a policy admits for a region.
+func (s *Scheduler) scope(policy cell.PolicyName, region cell.Region) *scope {
+	key := scopeKey{policy, region}
+	sc := s.scopes[key]
+	if sc == nil {
+		sc = &scope{region: region}
+		sc.policy.Name = policy
+		s.scopes[key] = sc
+		s.scopeList = append(s.scopeList, sc)
+		s.resolve(sc)
+	}
+	return sc
+}
+
+// resolve fills a scope from the file in force and the groups that exist.
+func (s *Scheduler) resolve(sc *scope) {
+	policy, known := s.config.policies[sc.policy.Name]
+	sc.known = known
+	if known {
+		sc.policy = policy
+	}
+	sc.groups = sc.groups[:0]
+	for _, g := range s.groupList {
+		g.scopes = slices.DeleteFunc(g.scopes, func(o *scope) bool { return o == sc })
+		if known && sc.admits(g) {
+			sc.groups = append(sc.groups, g)
+			g.scopes = append(g.scopes, sc)
+		}
+	}
+}
+
+func (sc *scope) admits(g *group) bool {
+	if sc.region != "" && sc.region != g.region {
+		return false
+	}
+	return slices.Contains(sc.policy.Pools, g.pool)
+}
+
+// group returns the group of a worker's place.
+func (s *Scheduler) group(w cell.Worker) *group {
+	key := groupKey{w.Pool, w.Region, w.FailureDomain}
+	g := s.groups[key]
+	if g == nil {
+		g = &group{groupKey: key}
+		s.groups[key] = g
+		s.groupList = append(s.groupList, g)
+		for _, sc := range s.scopeList {
+			if sc.known && sc.admits(g) {
+				sc.groups = append(sc.groups, g)
+				g.scopes = append(g.scopes, sc)
+			}
+		}
+	}
+	return g
+}
--- /dev/null
+++ b/core/placement/events.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+func (s *Scheduler) jobAdded(e *state.JobAdded) {
+	j := &job{id: e.ID, spec: e.Spec, team: s.team(e.Spec.Team), queuedAt: s.now}
+	s.jobs[e.ID] = j
+}
+
+// jobEnded drops a job's waiting tasks at once, whatever their number. Its
+// allocations end by events of their own.
+func (s *Scheduler) jobEnded(id cell.JobID) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	j.ended = true
+	j.queued = nil
+	s.unlink(j)
+	delete(s.jobs, id)
+}
+
+func (s *Scheduler) taskQueued(e *state.TaskQueued) {
+	j := s.jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	notBefore := time.UnixMilli(e.NotBefore)
+	if e.NotBefore != 0 && notBefore.After(s.now) {
+		j.backoff++
+		s.startTimer(timer{at: notBefore.UnixNano(), job: j, index: e.Task.Index})
+		return
+	}
+	s.enqueue(j, e.Task.Index)
+}
+
+// taskPlaced books a committed placement, which was planned here or by a
+// former leader.
+func (s *Scheduler) taskPlaced(committed cell.Allocation) {
+	a := s.planned[committed.Task]
+	if a != nil && a.worker.Name != committed.Worker {
+		s.release(a)
+		a = nil
+	}
+	if a == nil {
+		a = s.adopt(committed)
+	}
+	delete(s.planned, committed.Task)
+	a.id = committed.ID
+	a.placedAt = committed.PlacedAt
+	s.allocations[a.id] = a
+}
+
+// adopt books an allocation that this scheduler did not plan.
+func (s *Scheduler) adopt(committed cell.Allocation) *allocation {
+	j := s.jobs[committed.Task.Job]
+	if j != nil {
+		s.forgetQueued(j, committed.Task.Index)
+	}
+	w := s.workers[committed.Worker]
+	if w == nil {
+		w = &worker{Worker: cell.Worker{Name: committed.Worker}}
+		s.workers[w.Name] = w
+	}
+	a := &allocation{
+		task: committed.Task, job: j, team: s.team(committed.Team), worker: w,
+		size: committed.Size, urgent: committed.Priority == cell.PriorityUrgent,
+	}
+	s.book(a)
+	return a
+}
+
+func (s *Scheduler) taskStarted(id cell.AllocationID) {
+	if a := s.allocations[id]; a != nil {
+		a.startedAt = s.now
+	}
+}
+
+func (s *Scheduler) taskStopping(id cell.AllocationID) {
+	if a := s.allocations[id]; a != nil {
+		a.stopping = true
+		s.markVictim(a)
+	}
+}
+
+func (s *Scheduler) allocationEnded(e *state.AllocationEnded) {
+	a := s.allocations[e.Allocation.ID]
+	if a == nil {
+		return
+	}
+	delete(s.allocations, e.Allocation.ID)
+	if a.job != nil && e.Outcome == state.ReportSucceeded {
+		a.job.done++
+	}
+	s.release(a)
+}
+
+func (s *Scheduler) usageReported(e *state.UsageReported) {
+	a := s.allocations[e.Allocation]
+	if a == nil {
+		return
+	}
+	s.rebook(a, e.Report.Used)
+}
+
+func (s *Scheduler) workerAdded(e *state.WorkerAdded) {
+	w := s.workers[e.Worker.Name]
+	if w == nil {
+		w = &worker{}
+		s.workers[e.Worker.Name] = w
+	}
+	if w.present {
+		s.total = s.total.Sub(w.Capacity)
+	}
+	s.moveToGroup(w, e.Worker)
+	w.epoch, w.present = e.Epoch, true
+	w.retired = s.config.retired[w.Name]
+	s.total = s.total.Add(w.Capacity)
+	s.refreshFairness()
+	s.changed(w)
+}
+
+// moveToGroup takes over what a worker registered as, which may differ from
+// its former registration.
+func (s *Scheduler) moveToGroup(w *worker, registered cell.Worker) {
+	if w.group != nil {
+		w.group.index.remove(w)
+		w.group.index.workers = slices.DeleteFunc(w.group.index.workers, func(o *worker) bool { return o == w })
+	}
+	w.Worker = registered
+	w.group = s.group(registered)
+	x := &w.group.index
+	at, _ := slices.BinarySearchFunc(x.workers, w, func(a, b *worker) int {
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	x.workers = slices.Insert(x.workers, at, w)
+	x.grow(w.Capacity)
+}
+
+// workerRemoved ends the epoch of a worker. Allocations that are kept on it
+// stay booked until they end.
+func (s *Scheduler) workerRemoved(e *state.WorkerRemoved) {
+	w := s.workers[e.Worker]
+	if w == nil || !w.present || w.epoch != e.Epoch {
+		return
+	}
+	w.present = false
+	s.total = s.total.Sub(w.Capacity)
+	s.refreshFairness()
+	s.changed(w)
+}
--- /dev/null
+++ b/core/placement/heap.go
@@ -0,0 +1,59 @@
+package placement
+
+// classHeap orders the ready classes of a team: by priority, then by the
+// order of the oldest job.
+type classHeap []*class
+
+func (h classHeap) Len() int { return len(h) }
+
+func (h classHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if ra, rb := rank(a.key.priority), rank(b.key.priority); ra != rb {
+		return ra < rb
+	}
+	if a.order != b.order {
+		return a.order < b.order
+	}
+	return a.head.id < b.head.id
+}
+
+func (h classHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapIndex, h[j].heapIndex = i, j
+}
+
+func (h *classHeap) Push(x any) {
+	c := x.(*class)
+	c.heapIndex = len(*h)
+	*h = append(*h, c)
+}
+
+func (h *classHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	last.heapIndex = notReady
+	return last
+}
+
+// timer is a time at which a task or a gang becomes ready.
+type timer struct {
+	at    int64 // Unix nanoseconds
+	job   *job
+	index int // of the task that backs off, or settleGang
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/core/placement/index.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"math/bits"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+const (
+	// levels is the number of steps in which free processors and free memory
+	// are indexed; one machine word holds a set of them.
+	levels = 64
+	// planes separates workers by free accelerators, so that a search for
+	// accelerators does not visit workers that have none left.
+	planes = 9
+)
+
+// index finds the workers of a group by what they have available. A worker is
+// in the slot of its available processors (row), memory (column) and
+// accelerators (plane). Moving a worker is a constant number of steps; a search
+// visits only non-empty slots that can hold the task.
+type index struct {
+	largest cell.Resources // capacity that the levels divide
+	planes  [planes]*plane
+	workers []*worker // all workers of the group, by name
+}
+
+type plane struct {
+	count   int
+	rows    uint64         // rows with any worker
+	columns uint64         // columns with any worker
+	inRow   [levels]uint64 // columns in use, by row
+	inCol   [levels]uint64 // rows in use, by column
+	heads   [levels][levels]*worker
+}
+
+// slot is the place of a worker in its index.
+type slot struct {
+	plane, row, column int8
+	used               bool
+}
+
+func level(amount, largest int64) int8 {
+	if amount <= 0 || largest <= 0 {
+		return 0
+	}
+	return int8(min(amount*levels/largest, levels-1))
+}
+
+func planeOf(accelerators int64) int8 {
+	return int8(max(0, min(accelerators, planes-1)))
+}
+
+func (x *index) slotOf(r cell.Resources) slot {
+	return slot{
+		plane:  planeOf(r.Accelerators),
+		row:    level(r.MilliCPU, x.largest.MilliCPU),
+		column: level(r.MemoryBytes, x.largest.MemoryBytes),
+		used:   true,
+	}
+}
+
+// place moves w to the slot of what it has available, or takes it out where it
+// may not be used.
+func (x *index) place(w *worker) {
+	want := slot{}
+	if w.usable() {
+		want = x.slotOf(w.available())
+	}
+	if want == w.slot {
+		return
+	}
+	x.remove(w)
+	if want.used {
+		x.insert(w, want)
+	}
+}
+
+func (x *index) insert(w *worker, s slot) {
+	p := x.planes[s.plane]
+	if p == nil {
+		p = &plane{}
+		x.planes[s.plane] = p
+	}
+	head := p.heads[s.row][s.column]
+	w.slot, w.next, w.prev = s, head, nil
+	if head != nil {
+		head.prev = w
+	}
+	p.heads[s.row][s.column] = w
+	p.count++
+	p.rows |= 1 << s.row
+	p.columns |= 1 << s.column
+	p.inRow[s.row] |= 1 << s.column
+	p.inCol[s.column] |= 1 << s.row
+}
+
+func (x *index) remove(w *worker) {
+	if !w.slot.used {
+		return
+	}
+	s, p := w.slot, x.planes[w.slot.plane]
+	if w.next != nil {
+		w.next.prev = w.prev
+	}
+	if w.prev != nil {
+		w.prev.next = w.next
+	} else {
+		p.heads[s.row][s.column] = w.next
+	}
+	w.slot, w.next, w.prev = slot{}, nil, nil
+	p.count--
+	if p.heads[s.row][s.column] == nil {
+		p.clear(s)
+	}
+}
+
+func (p *plane) clear(s slot) {
+	p.inRow[s.row] &^= 1 << s.column
+	p.inCol[s.column] &^= 1 << s.row
+	if p.inRow[s.row] == 0 {
+		p.rows &^= 1 << s.row
+	}
+	if p.inCol[s.column] == 0 {
+		p.columns &^= 1 << s.column
+	}
+}
+
+// grow admits a larger capacity; all workers move to their new slots.
+func (x *index) grow(capacity cell.Resources) {
+	if capacity.MilliCPU <= x.largest.MilliCPU && capacity.MemoryBytes <= x.largest.MemoryBytes {
+		return
+	}
+	for _, w := range x.workers {
+		x.remove(w)
+	}
+	x.largest.MilliCPU = max(x.largest.MilliCPU, capacity.MilliCPU)
+	x.largest.MemoryBytes = max(x.largest.MemoryBytes, capacity.MemoryBytes)
+	for _, w := range x.workers {
+		x.place(w)
+	}
+}
+
+// visit calls yield for workers that have size available, tightest first in
+// the dominant dimension of size, until yield returns false. Workers with
+// fewer free accelerators come first.
+func (x *index) visit(size cell.Resources, yield func(*worker) bool) {
+	least := x.slotOf(size)
+	byMemory := ratioLess(size.MilliCPU, x.largest.MilliCPU, size.MemoryBytes, x.largest.MemoryBytes)
+	for i := least.plane; i < planes; i++ {
+		p := x.planes[i]
+		if p == nil || p.count == 0 {
+			continue
+		}
+		if !p.visit(least, size, byMemory, yield) {
+			return
+		}
+	}
+}
+
+func (p *plane) visit(least slot, size cell.Resources, byMemory bool, yield func(*worker) bool) bool {
+	outer, inner := p.rows>>least.row<<least.row, uint(least.column)
+	sets := &p.inRow
+	if byMemory {
+		outer, inner = p.columns>>least.column<<least.column, uint(least.row)
+		sets = &p.inCol
+	}
+	for ; outer != 0; outer &= outer - 1 {
+		i := bits.TrailingZeros64(outer)
+		for set := sets[i] >> inner << inner; set != 0; set &= set - 1 {
+			j := bits.TrailingZeros64(set)
+			head := p.heads[i][j]
+			if byMemory {
+				head = p.heads[j][i]
+			}
+			if !visitList(head, size, yield) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func visitList(w *worker, size cell.Resources, yield func(*worker) bool) bool {
+	for ; w != nil; w = w.next {
+		if size.Fits(w.available()) && !yield(w) {
+			return false
+		}
+	}
+	return true
+}
+
+// ratioLess reports whether a/b is less than c/d.
+func ratioLess(a, b, c, d int64) bool {
+	return float64(a)*float64(d) < float64(c)*float64(b)
+}
--- /dev/null
+++ b/core/placement/model.go
@@ -0,0 +1,215 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+)
+
+// worker is a machine and what is booked on it.
+type worker struct {
+	cell.Worker
+	epoch   cell.Epoch
+	present bool // its epoch has not ended
+	retired bool // named under retired_workers
+	group   *group
+
+	used        cell.Resources // by allocations and planned placements
+	urgentHold  cell.Resources // claimed for urgent tasks
+	gangHold    cell.Resources // reserved for a gang
+	preemptible cell.Resources // part of used that urgent work may take
+	allocations []*allocation
+
+	slot       slot
+	next, prev *worker // in the list of its slot
+}
+
+// free returns what no allocation or planned placement uses.
+func (w *worker) free() cell.Resources { return w.Capacity.Sub(w.used) }
+
+// available returns what ordinary work may use.
+func (w *worker) available() cell.Resources {
+	return w.free().Sub(w.urgentHold).Sub(w.gangHold)
+}
+
+// usable reports whether the worker may be given work at all.
+func (w *worker) usable() bool {
+	return w.present && !w.retired
+}
+
+// allocation is a planned or committed placement.
+type allocation struct {
+	id        cell.AllocationID // 0 while only planned
+	task      cell.TaskID
+	job       *job // nil where the job is not known
+	team      *team
+	worker    *worker
+	size      cell.Resources // declared
+	booked    cell.Resources // the larger of declared and measured
+	urgent    bool
+	victim    bool // its policy is preemptible and it is not urgent
+	stopping  bool
+	placedAt  time.Time
+	startedAt time.Time // zero until the worker has started it
+}
+
+// job is a job with its tasks that wait.
+type job struct {
+	id       cell.JobID
+	spec     cell.JobSpec
+	team     *team
+	class    *class // where it waits, nil where it does not
+	queued   []int  // indexes of tasks that wait in class
+	backoff  int    // tasks that wait for their NotBefore
+	live     int    // tasks planned or placed
+	done     int    // tasks that succeeded
+	ended    bool
+	queuedAt time.Time // of the job; kept when tasks are queued again
+	spread   *spreadCount
+
+	next, prev *job // in the list of class
+}
+
+// classKey is what equal tasks have in common.
+type classKey struct {
+	team     cell.Team
+	policy   cell.PolicyName
+	region   cell.Region
+	priority cell.Priority
+	size     cell.Resources
+	runTime  int // bucket of the expected run time
+	tasks    int // of one gang; 0 for other kinds
+}
+
+// class holds the waiting jobs whose tasks are equal for the scheduler: where
+// one task does not fit, none does.
+type class struct {
+	key        classKey
+	team       *team
+	scope      *scope
+	expected   time.Duration // run time by the bucket; 0 for services
+	head, tail *job
+	heapIndex  int // in team.ready; notReady outside it
+	order      int64
+	wait       Reason     // why it is not ready
+	list       *classList // that holds it while it is not ready
+	at         int        // in list
+}
+
+// classList is an unordered set of classes that wait for the same change.
+type classList struct{ classes []*class }
+
+func (l *classList) add(c *class) {
+	c.list, c.at = l, len(l.classes)
+	l.classes = append(l.classes, c)
+}
+
+// remove takes c out. A nil list holds nothing.
+func (l *classList) remove(c *class) {
+	if l == nil {
+		return
+	}
+	last := l.classes[len(l.classes)-1]
+	l.classes[c.at], last.at = last, c.at
+	l.classes[len(l.classes)-1] = nil
+	l.classes = l.classes[:len(l.classes)-1]
+	c.list = nil
+}
+
+const notReady = -1
+
+func (c *class) urgent() bool { return c.key.priority == cell.PriorityUrgent }
+
+func (c *class) gang() bool { return c.scope.policy.Kind == cell.KindGang }
+
+// rank orders priorities, most important first.
+func rank(p cell.Priority) int {
+	switch p {
+	case cell.PriorityUrgent:
+		return 0
+	case cell.PriorityLow:
+		return 2
+	default:
+		return 1
+	}
+}
+
+// scope is the set of workers that a policy admits for a region, with the
+// classes that found no room there.
+type scope struct {
+	policy     cellconfig.Policy
+	region     cell.Region // empty: any
+	known      bool        // the policy is in the file
+	groups     []*group
+	blocked    classList
+	minBlocked cell.Resources // smallest size of blocked in every dimension
+	gain       cell.Resources // most room that a worker has after a change
+	gained     bool
+}
+
+type scopeKey struct {
+	policy cell.PolicyName
+	region cell.Region
+}
+
+// group is the workers of one pool in one failure domain.
+type group struct {
+	groupKey
+	index  index
+	scopes []*scope
+}
+
+type groupKey struct {
+	pool   cell.Pool
+	region cell.Region
+	domain cell.FailureDomain
+}
+
+// team is an owner of jobs and its use of the cell.
+type team struct {
+	name        cell.Team
+	known       bool // in the file
+	share       float64
+	quota       cell.Resources
+	urgentLimit int64 // thousandths of a core
+	usage       cell.Resources
+	urgentUsage int64
+	fairness    float64 // dominant share of usage divided by share
+	ready       classHeap
+	parked      classList // wait until the team uses less
+	activeIndex int       // in Scheduler.active; notReady outside it
+}
+
+// minShare stands for a share of 0, which may use only what others leave.
+const minShare = 1e-6
+
+func (t *team) refreshFairness(total cell.Resources) {
+	t.fairness = t.usage.DominantShare(total) / max(t.share, minShare)
+}
+
+// spreadCount counts the tasks of a service by place.
+type spreadCount struct {
+	domains map[cell.FailureDomain]int
+	racks   map[rackKey]int
+	workers map[cell.WorkerName]int
+}
+
+type rackKey struct {
+	domain cell.FailureDomain
+	rack   cell.Rack
+}
+
+func newSpreadCount() *spreadCount {
+	return &spreadCount{
+		domains: map[cell.FailureDomain]int{},
+		racks:   map[rackKey]int{},
+		workers: map[cell.WorkerName]int{},
+	}
+}
+
+func (c *spreadCount) add(w *worker, n int) {
+	c.domains[w.FailureDomain] += n
+	c.racks[rackKey{w.FailureDomain, w.Rack}] += n
+	c.workers[w.Name] += n
+}
--- /dev/null
+++ b/core/placement/options.go
@@ -0,0 +1,28 @@
+package placement
+
+import "time"
+
+// Options are the settings of a scheduler that are not part of the cell file.
+type Options struct {
+	// RunTimeWeight is the waiting time that one unit of expected run time
+	// counts as in the order of a team's jobs: 0 is submission order. A job
+	// is overtaken only by jobs submitted within its expected run time times
+	// the weight, at most maxHeadStart, so long work is not starved.
+	RunTimeWeight float64
+}
+
+// DefaultOptions returns the settings that the benchmarks chose.
+func DefaultOptions() Options {
+	return Options{RunTimeWeight: 1}
+}
+
+const (
+	// maxHeadStart bounds how much later a shorter job may be submitted and
+	// still overtake a longer one.
+	maxHeadStart = 30 * time.Minute
+	// triesPerPlacement bounds the failed searches of one Plan call, so that
+	// its time stays proportional to its limit.
+	triesPerPlacement = 4
+	// minTries is the number of failed searches that any Plan call may make.
+	minTries = 256
+)
--- /dev/null
+++ b/core/placement/plan.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// Plan decides on at most limit placements, urgent work first, then by fair
+// shares. Called without news since the last call it costs next to nothing.
+func (s *Scheduler) Plan(now time.Time, limit int) state.CommitPlan {
+	s.advance(now)
+	s.runTimers()
+	s.wakeGained()
+	var plan state.CommitPlan
+	tries := minTries + triesPerPlacement*limit
+	for len(plan.Placements) < limit && tries > 0 {
+		c := s.next()
+		if c == nil {
+			break
+		}
+		if !s.try(&plan, c) {
+			tries--
+		}
+	}
+	return plan
+}
+
+// next returns the class whose turn it is: the urgent class that waits longest,
+// otherwise the first class of the team that is furthest below its share.
+func (s *Scheduler) next() *class {
+	var best *class
+	for _, t := range s.active {
+		if c := t.ready[0]; best == nil || before(c, best) {
+			best = c
+		}
+	}
+	return best
+}
+
+func before(a, b *class) bool {
+	if a.urgent() != b.urgent() {
+		return a.urgent()
+	}
+	if !a.urgent() && a.team.fairness != b.team.fairness {
+		return a.team.fairness < b.team.fairness
+	}
+	if a.order != b.order {
+		return a.order < b.order
+	}
+	return a.head.id < b.head.id
+}
+
+// try places the first task of a class, or all tasks of its first gang. It
+// returns false where that was not possible and the class is not ready now.
+func (s *Scheduler) try(plan *state.CommitPlan, c *class) bool {
+	if c.gang() {
+		return s.tryGang(plan, c)
+	}
+	if reason := c.admit(1); reason != ReasonNone {
+		s.park(c, reason)
+		return false
+	}
+	w := s.choose(c.head, c.scope, c.key.size)
+	if w == nil {
+		s.block(c, ReasonNoRoom)
+		return false
+	}
+	j, index := s.takeTask(c)
+	s.reserve(plan, j, index, w)
+	return true
+}
--- /dev/null
+++ b/core/placement/reserve.go
@@ -0,0 +1,113 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// reserve is the last phase of a decision: the worker is booked for the task
+// and the placement is added to the plan.
+func (s *Scheduler) reserve(plan *state.CommitPlan, j *job, index int, w *worker) {
+	task := cell.TaskID{Job: j.id, Index: index}
+	a := &allocation{
+		task: task, job: j, team: j.team, worker: w, size: j.spec.Size,
+		urgent: j.spec.Priority == cell.PriorityUrgent, placedAt: s.now,
+	}
+	s.planned[task] = a
+	s.book(a)
+	plan.Placements = append(plan.Placements, state.Placement{Task: task, Worker: w.Name, Epoch: w.epoch})
+}
+
+// book counts an allocation on its worker, its team and its job.
+func (s *Scheduler) book(a *allocation) {
+	w, t := a.worker, a.team
+	a.booked = a.size
+	w.used = w.used.Add(a.booked)
+	w.allocations = append(w.allocations, a)
+	s.markVictim(a)
+	t.usage = t.usage.Add(a.size)
+	if a.urgent {
+		t.urgentUsage += a.size.MilliCPU
+	}
+	t.refreshFairness(s.total)
+	if j := a.job; j != nil {
+		j.live++
+		if j.spread != nil {
+			j.spread.add(w, 1)
+		}
+	}
+	s.changed(w)
+}
+
+// release undoes book.
+func (s *Scheduler) release(a *allocation) {
+	w, t := a.worker, a.team
+	if s.planned[a.task] == a {
+		delete(s.planned, a.task)
+	}
+	s.unmarkVictim(a)
+	w.used = w.used.Sub(a.booked)
+	w.allocations = slices.DeleteFunc(w.allocations, func(o *allocation) bool { return o == a })
+	t.usage = t.usage.Sub(a.size)
+	if a.urgent {
+		t.urgentUsage -= a.size.MilliCPU
+	}
+	t.refreshFairness(s.total)
+	if j := a.job; j != nil {
+		j.live--
+		if j.spread != nil {
+			j.spread.add(w, -1)
+		}
+	}
+	s.unpark(t)
+	s.gained(w)
+	if !w.present && len(w.allocations) == 0 {
+		s.forget(w)
+	}
+}
+
+// forget drops a worker that has neither an epoch nor allocations.
+func (s *Scheduler) forget(w *worker) {
+	delete(s.workers, w.Name)
+	if w.group != nil {
+		x := &w.group.index
+		x.remove(w)
+		x.workers = slices.DeleteFunc(x.workers, func(o *worker) bool { return o == w })
+	}
+}
+
+// rebook takes account of measured usage above the declared size. A booking
+// never goes below the declared size: reports lag, so what looks idle may be
+// in use by the time that another task starts there.
+func (s *Scheduler) rebook(a *allocation, used cell.Resources) {
+	booked := largest(a.size, used)
+	if booked == a.booked {
+		return
+	}
+	w := a.worker
+	s.unmarkVictim(a)
+	w.used = w.used.Sub(a.booked).Add(booked)
+	a.booked = booked
+	s.markVictim(a)
+	s.gained(w)
+}
+
+// markVictim counts what an allocation offers to urgent work, by the policy in
+// force.
+func (s *Scheduler) markVictim(a *allocation) {
+	s.unmarkVictim(a)
+	if a.job == nil || a.urgent || a.stopping || !s.config.policies[a.job.spec.Policy].Preemptible {
+		return
+	}
+	a.victim = true
+	a.worker.preemptible = a.worker.preemptible.Add(a.booked)
+}
+
+func (s *Scheduler) unmarkVictim(a *allocation) {
+	if a.victim {
+		a.victim = false
+		a.worker.preemptible = a.worker.preemptible.Sub(a.booked)
+	}
+}
--- /dev/null
+++ b/core/placement/scheduler.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// Scheduler holds the queues, the index of workers and the plans under way. It
+// is owned by one task and is not safe for concurrent use.
+type Scheduler struct {
+	opts Options
+	now  time.Time // largest time seen
+
+	config      settings
+	workers     map[cell.WorkerName]*worker
+	groups      map[groupKey]*group
+	groupList   []*group
+	scopes      map[scopeKey]*scope
+	scopeList   []*scope
+	teams       map[cell.Team]*team
+	teamList    []*team
+	active      []*team // teams with ready classes
+	jobs        map[cell.JobID]*job
+	classes     map[classKey]*class
+	allocations map[cell.AllocationID]*allocation
+	planned     map[cell.TaskID]*allocation
+	timers      timerHeap
+	total       cell.Resources // capacity of all present workers
+
+	scratchGroups []*group
+}
+
+// New returns a scheduler of an empty cell.
+func New(opts Options) *Scheduler {
+	return &Scheduler{
+		opts:        opts,
+		workers:     map[cell.WorkerName]*worker{},
+		groups:      map[groupKey]*group{},
+		scopes:      map[scopeKey]*scope{},
+		teams:       map[cell.Team]*team{},
+		jobs:        map[cell.JobID]*job{},
+		classes:     map[classKey]*class{},
+		allocations: map[cell.AllocationID]*allocation{},
+		planned:     map[cell.TaskID]*allocation{},
+	}
+}
+
+// Step takes one event of the replicated state, in the order of the log.
+func (s *Scheduler) Step(now time.Time, e state.Event) {
+	s.advance(now)
+	switch {
+	case e.ConfigChanged != nil:
+		s.configChanged(e.ConfigChanged.Record)
+	case e.JobAdded != nil:
+		s.jobAdded(e.JobAdded)
+	case e.JobEnded != nil:
+		s.jobEnded(e.JobEnded.ID)
+	case e.TaskQueued != nil:
+		s.taskQueued(e.TaskQueued)
+	case e.TaskPlaced != nil:
+		s.taskPlaced(e.TaskPlaced.Allocation)
+	case e.TaskStarted != nil:
+		s.taskStarted(e.TaskStarted.Allocation)
+	case e.TaskStopping != nil:
+		s.taskStopping(e.TaskStopping.Allocation)
+	case e.AllocationEnded != nil:
+		s.allocationEnded(e.AllocationEnded)
+	case e.UsageReported != nil:
+		s.usageReported(e.UsageReported)
+	case e.WorkerAdded != nil:
+		s.workerAdded(e.WorkerAdded)
+	case e.WorkerRemoved != nil:
+		s.workerRemoved(e.WorkerRemoved)
+	}
+}
+
+// advance keeps the time of the scheduler from running backwards.
+func (s *Scheduler) advance(now time.Time) {
+	if now.After(s.now) {
+		s.now = now
+	}
+}
+
+// NextWake returns when Plan may find something to do without a new event; the
+// zero time where only an event can help.
+func (s *Scheduler) NextWake(now time.Time) time.Time {
+	s.advance(now)
+	if len(s.active) > 0 {
+		return now
+	}
+	if len(s.timers) > 0 {
+		return time.Unix(0, s.timers[0].at)
+	}
+	return time.Time{}
+}
+
+// PlanApplied says what became of a plan, after the events of its commit.
+// Placements for which the result has no entry count as refused.
+func (s *Scheduler) PlanApplied(now time.Time, plan state.CommitPlan, result state.PlanResult) {
+	s.advance(now)
+	for i, p := range plan.Placements {
+		accepted := i < len(result.Placements) && result.Placements[i] == state.RefusalNone
+		a := s.planned[p.Task]
+		if accepted || a == nil {
+			continue
+		}
+		s.release(a)
+		if j := a.job; j != nil && !j.ended {
+			s.enqueue(j, p.Task.Index)
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/score.go
@@ -0,0 +1,137 @@
+package placement
+
+import (
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+)
+
+const (
+	// fitCandidates is the number of fitting workers of a group that are
+	// scored for a task that is packed. The index offers the tightest first.
+	fitCandidates = 8
+	// spreadCandidates is the number for a task that is spread. It is larger
+	// because the workers that already have a task of the job come first in
+	// the order of the index.
+	spreadCandidates = 64
+)
+
+// choose is the score phase for one task: it returns the best worker of the
+// scope, or nil where none fits.
+func (s *Scheduler) choose(j *job, sc *scope, size cell.Resources) *worker {
+	if sc.policy.Kind == cell.KindService && sc.policy.SpreadBy != cellconfig.SpreadNone {
+		return s.chooseSpread(j, sc, size)
+	}
+	return choosePacked(sc, size)
+}
+
+// choosePacked returns the worker that the task leaves fullest.
+func choosePacked(sc *scope, size cell.Resources) *worker {
+	var best *worker
+	bestLeft := 0.0
+	for _, g := range sc.groups {
+		seen := 0
+		g.fitting(size, func(w *worker) bool {
+			if left := leftover(w, size); best == nil || left < bestLeft {
+				best, bestLeft = w, left
+			}
+			seen++
+			return seen < fitCandidates
+		})
+	}
+	return best
+}
+
+// leftover is what stays available on a worker after a task, as the sum of the
+// shares of its processors and memory. Accelerators left idle weigh as much.
+func leftover(w *worker, size cell.Resources) float64 {
+	left := w.available().Sub(size)
+	sum := share(left.MilliCPU, w.Capacity.MilliCPU) + share(left.MemoryBytes, w.Capacity.MemoryBytes)
+	return sum + share(left.Accelerators, w.Capacity.Accelerators)
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// spreadScore orders workers for a service; lower is better, field by field.
+type spreadScore struct {
+	domain, rack, worker int // tasks of the job that are there already
+	left                 float64
+}
+
+func (a spreadScore) less(b spreadScore) bool {
+	if a.domain != b.domain {
+		return a.domain < b.domain
+	}
+	if a.rack != b.rack {
+		return a.rack < b.rack
+	}
+	if a.worker != b.worker {
+		return a.worker < b.worker
+	}
+	return a.left < b.left
+}
+
+// chooseSpread returns the worker that spreads the tasks of a service best.
+// Groups with fewer tasks of the job come first, so that the search ends with
+// the first failure domain that has room.
+func (s *Scheduler) chooseSpread(j *job, sc *scope, size cell.Resources) *worker {
+	if j.spread == nil {
+		j.spread = newSpreadCount()
+	}
+	byDomain := sc.policy.SpreadBy == cellconfig.SpreadFailureDomain
+	groups := s.bySpread(j, sc, byDomain)
+	var best *worker
+	var bestScore spreadScore
+	for _, g := range groups {
+		count := j.spread.domainCount(g, byDomain)
+		if best != nil && count > bestScore.domain {
+			break
+		}
+		seen := 0
+		g.fitting(size, func(w *worker) bool {
+			score := j.spread.score(w, count, size)
+			if best == nil || score.less(bestScore) {
+				best, bestScore = w, score
+			}
+			seen++
+			return seen < spreadCandidates && (score.rack > 0 || score.worker > 0)
+		})
+	}
+	return best
+}
+
+// bySpread returns the groups of a scope, those with the fewest tasks of the
+// job first. The slice is valid until the next call.
+func (s *Scheduler) bySpread(j *job, sc *scope, byDomain bool) []*group {
+	groups := append(s.scratchGroups[:0], sc.groups...)
+	s.scratchGroups = groups
+	if !byDomain {
+		return groups
+	}
+	for i := 1; i < len(groups); i++ {
+		for k := i; k > 0 && j.spread.domains[groups[k].domain] < j.spread.domains[groups[k-1].domain]; k-- {
+			groups[k], groups[k-1] = groups[k-1], groups[k]
+		}
+	}
+	return groups
+}
+
+func (c *spreadCount) domainCount(g *group, byDomain bool) int {
+	if !byDomain {
+		return 0
+	}
+	return c.domains[g.domain]
+}
+
+func (c *spreadCount) score(w *worker, domain int, size cell.Resources) spreadScore {
+	return spreadScore{
+		domain: domain,
+		rack:   c.racks[rackKey{w.FailureDomain, w.Rack}],
+		worker: c.workers[w.Name],
+		left:   leftover(w, size),
+	}
+}
