Add the worker relay core, godwitctl and the worker stand-in

Cause: entry processes stand between 900 workers and the leader; the leader must not serve 900 connections. Checked: datadriven cases of core/relay; vet and staticcheck.

--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/lease"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// Guards against two batches under way, grants passed for another renewal,
+// watches that miss a change, assignments that go back, and waiters that are
+// never answered.
+func TestRelay(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		w := &relayWorld{relay: New(), now: time.Unix(0, 0)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.run(t, d)
+			return w.effects()
+		})
+	})
+}
+
+type relayWorld struct {
+	relay  *Relay
+	now    time.Time
+	waiter WaiterID
+}
+
+func (w *relayWorld) run(t *testing.T, d *datadriven.TestData) {
+	var name string
+	var epoch, sequence, version uint64
+	d.MaybeScanArgs(t, "worker", &name)
+	d.MaybeScanArgs(t, "epoch", &epoch)
+	d.MaybeScanArgs(t, "sequence", &sequence)
+	d.MaybeScanArgs(t, "version", &version)
+	switch d.Cmd {
+	case "sync":
+		w.waiter++
+		w.relay.Sync(w.now, Sync{
+			Waiter: w.waiter, Worker: cell.Worker{Name: cell.WorkerName(name)}, Epoch: cell.Epoch(epoch),
+			Sequence: sequence, Version: version, MaxWait: 5 * time.Second, Leaving: d.HasArg("leaving"),
+		})
+	case "registered":
+		registration := Registration{Worker: cell.WorkerName(name), Epoch: cell.Epoch(epoch), Failed: d.HasArg("failed")}
+		if d.HasArg("refused") {
+			registration.Refusal = state.RefusalWorkerNotAdmitted
+		}
+		w.relay.Registered(w.now, registration)
+	case "granted":
+		w.relay.Granted(w.now, []Grant{{
+			Worker: cell.WorkerName(name), Sequence: sequence, Granted: !d.HasArg("ended"),
+			Terms: lease.Terms{Duration: 15 * time.Second},
+		}})
+	case "renew-failed":
+		w.relay.RenewFailed(w.now)
+	case "assigned":
+		view := state.WorkerView{Name: cell.WorkerName(name), Epoch: cell.Epoch(epoch), Version: version}
+		w.relay.Assigned(w.now, view)
+	case "departed":
+		w.relay.Departed(Departure{Waiter: w.waiter, Worker: cell.WorkerName(name)}, !d.HasArg("failed"))
+	case "wait":
+		var text string
+		d.ScanArgs(t, "for", &text)
+		wait, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.now = w.now.Add(wait)
+		w.relay.Tick(w.now)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+}
+
+func (w *relayWorld) effects() string {
+	var b strings.Builder
+	effects := w.relay.Effects()
+	for _, a := range effects.Answers {
+		fmt.Fprintf(&b, "answer %d status=%d sequence=%d epoch=%d", a.Waiter, a.Status, a.Sequence, a.Epoch)
+		if a.Changed {
+			fmt.Fprintf(&b, " version=%d", a.Version)
+		}
+		b.WriteString("\n")
+	}
+	for _, worker := range effects.Register {
+		fmt.Fprintf(&b, "register %s\n", worker.Name)
+	}
+	for _, renewal := range effects.Renewals {
+		fmt.Fprintf(&b, "renew %s epoch=%d sequence=%d\n", renewal.Worker, renewal.Epoch, renewal.Sequence)
+	}
+	for _, departure := range effects.Depart {
+		fmt.Fprintf(&b, "depart %s epoch=%d\n", departure.Worker, departure.Epoch)
+	}
+	if effects.AttachedChanged {
+		fmt.Fprintf(&b, "attached %v\n", w.relay.Attached())
+	}
+	if b.Len() == 0 {
+		return "nothing\n"
+	}
+	return b.String()
+}
--- a/core/state/query.go
+++ b/core/state/query.go
@@ -14,6 +14,7 @@
 	Workers *WorkersQuery `cbor:",omitempty"`
 	Request *RequestQuery `cbor:",omitempty"`
 	Members *MembersQuery `cbor:",omitempty"`
+	Explain *ExplainQuery `cbor:",omitempty"`
 }
 
 // ConfigQuery asks for the file in force (Generation 0) or an earlier one.
@@ -34,6 +35,10 @@
 // MembersQuery asks for the entry processes.
 type MembersQuery struct{}
 
+// ExplainQuery asks why a job waits. The scheduler of the leader answers it;
+// the state alone does not know.
+type ExplainQuery struct{ Job cell.JobID }
+
 // Answer answers a Query, in the field of the query's kind. The field is nil
 // where nothing was found.
 type Answer struct {
@@ -43,6 +48,13 @@
 	Workers []WorkerView   `cbor:",omitempty"`
 	Request *RequestResult `cbor:",omitempty"`
 	Members []Member       `cbor:",omitempty"`
+	Explain *ExplainView   `cbor:",omitempty"`
+}
+
+// ExplainView says why a job waits, one reason a line.
+type ExplainView struct {
+	State cell.JobState
+	Lines []string
 }
 
 // JobView is what a caller sees of a job.
@@ -72,6 +84,16 @@
 	Capacity    cell.Resources
 	Reserved    cell.Resources
 	Members     int
+	// Entries tells what each entry process has in force. The leader adds it
+	// from the feed calls; it is not part of the replicated state.
+	Entries []EntryView
+}
+
+// EntryView is the configuration in force at an entry process.
+type EntryView struct {
+	Name       cell.EntryName
+	Generation cell.Generation
+	Age        time.Duration // since its last feed call
 }
 
 // WorkerView is a worker's current epoch and its allocations, complete.
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -126,6 +126,7 @@
 	Reports       []TaskReport       `json:"reports,omitempty"`
 	Version       uint64             `json:"version"`         // of the assignments held
 	MaxWaitMillis int64              `json:"max_wait_millis"` // wait so long for another version
+	Leaving       bool               `json:"leaving"`         // all tasks have been stopped; the epoch may end
 }
 
 // TaskReport is a worker's news of one allocation.
@@ -138,6 +139,12 @@
 	UsageAgeMillis  int64             `json:"usage_age_millis"`
 }
 
+// Reasons why a sync was not granted.
+const (
+	ReasonEpochEnded  = "epoch-ended"  // register again
+	ReasonNotAdmitted = "not-admitted" // the cell file does not admit this worker
+)
+
 // WorkerSynced answers a WorkerSync. Times are in milliseconds.
 type WorkerSynced struct {
 	Epoch              cell.Epoch   `json:"epoch"`
--- /dev/null
+++ b/internal/ctl/command.go
@@ -0,0 +1,143 @@
+package ctl
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/strictconf"
+	"github.com/godwitlink/godwitlink/internal/api"
+)
+
+// options are the flags of all subcommands.
+type options struct {
+	entries []string
+	output  string
+	timeout time.Duration
+}
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// FaultsError says that a file was refused before it was sent.
+type FaultsError struct {
+	File   string
+	Faults strictconf.Faults
+}
+
+// Error lists the faults, one a line.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = e.File + ": " + fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ErrNotYet says that a file is accepted but not in force everywhere.
+var ErrNotYet = errors.New("not in force everywhere yet")
+
+// ExitStatus returns the exit status for an error of Command.
+func ExitStatus(err error) int {
+	var faults *FaultsError
+	var refused *refusal
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &faults):
+		return ExitFaults
+	case errors.As(err, &refused) && len(refused.problem.Faults) > 0:
+		return ExitFaults
+	case errors.Is(err, ErrUnreachable):
+		return ExitUnreachable
+	case errors.Is(err, ErrUnknownOutcome):
+		return ExitUnknown
+	case errors.Is(err, ErrRefused):
+		return ExitRefused
+	case errors.Is(err, ErrNotYet):
+		return ExitNotYet
+	default:
+		return ExitFailure
+	}
+}
+
+// Command returns the command line of godwitctl.
+func Command(version string) *cobra.Command {
+	o := &options{}
+	root := &cobra.Command{
+		Use:   "godwitctl",
+		Short: "Submit cell files and read back what is in force",
+		Long: "godwitctl submits whole cell files and reads back what is in force.\n\n" +
+			"Exit status: 0 done, 1 failure, 2 faults in the file, 3 refused, 4 no entry process answered,\n" +
+			"5 outcome unknown (apply the same file again), 6 not in force everywhere within the time given.",
+		Version:      version,
+		SilenceUsage: true, SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error { return o.check() },
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&o.entries, "entry", nil, "platform address of an entry process (IP:port); repeat for several")
+	flags.StringVar(&o.output, "output", outputText, "text or json")
+	flags.DurationVar(&o.timeout, "timeout", 15*time.Second, "longest time for the whole command")
+	root.AddCommand(o.applyCommand(), o.checkCommand(), o.diffCommand(), o.getCommand(),
+		o.statusCommand(), o.explainCommand(), o.watchCommand())
+	return root
+}
+
+func (o *options) check() error {
+	if o.output != outputText && o.output != outputJSON {
+		return fmt.Errorf("--output is %q; expected text or json", o.output)
+	}
+	return nil
+}
+
+func (o *options) client() (*client, error) {
+	if len(o.entries) == 0 {
+		return nil, errors.New("--entry is required")
+	}
+	return &client{entries: o.entries, http: &http.Client{Timeout: o.timeout}}, nil
+}
+
+// print writes value as JSON, or by text.
+func (o *options) print(out io.Writer, value any, text func(io.Writer)) error {
+	if o.output == outputText {
+		text(out)
+		return nil
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// readFile reads a cell file and refuses it where it has faults by itself.
+func readFile(path string) ([]byte, cellconfig.File, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, cellconfig.File{}, err
+	}
+	file, faults := cellconfig.Parse(body)
+	if len(faults) > 0 {
+		return nil, cellconfig.File{}, &FaultsError{File: path, Faults: faults}
+	}
+	return body, file, nil
+}
+
+func printAccepted(out io.Writer, accepted api.FileAccepted) {
+	word := "accepted"
+	if accepted.Repeated {
+		word = "accepted again"
+	}
+	fmt.Fprintf(out, "%s: generation %d, digest %s\n", word, accepted.Generation, accepted.Digest)
+	for _, change := range accepted.Changes {
+		fmt.Fprintln(out, "  "+change)
+	}
+}
--- /dev/null
+++ b/internal/workeragent/runner.go
@@ -0,0 +1,191 @@
+package workeragent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/agent"
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// taskEnd says that a task has ended.
+type taskEnd struct {
+	allocation cell.AllocationID
+	outcome    agent.Outcome
+	detail     string
+}
+
+// Run is one execution of a task, as the debug address shows it.
+type Run struct {
+	Allocation cell.AllocationID `json:"allocation"`
+	Job        cell.JobID        `json:"job"`
+	Task       int               `json:"task"`
+	StartedAt  time.Time         `json:"started_at"`
+	EndedAt    time.Time         `json:"ended_at,omitzero"`
+	Outcome    agent.Outcome     `json:"outcome"`
+}
+
+// runner is the task that owns the running tasks and the list of runs.
+type runner struct {
+	starts  chan agent.Task
+	stops   chan agent.Stop
+	done    chan taskEnd
+	queries chan chan []Run
+	ended   chan<- taskEnd
+
+	running map[cell.AllocationID]chan agent.StopKind
+	runs    []Run
+	outbox  []taskEnd // not yet taken by the agent's task; at most one for each task
+}
+
+func newRunner(ended chan<- taskEnd) *runner {
+	return &runner{
+		starts:  make(chan agent.Task),
+		stops:   make(chan agent.Stop),
+		done:    make(chan taskEnd),
+		queries: make(chan chan []Run),
+		ended:   ended,
+		running: map[cell.AllocationID]chan agent.StopKind{},
+	}
+}
+
+func (r *runner) start(ctx context.Context, task agent.Task) {
+	select {
+	case r.starts <- task:
+	case <-ctx.Done():
+	}
+}
+
+func (r *runner) stop(ctx context.Context, stop agent.Stop) {
+	select {
+	case r.stops <- stop:
+	case <-ctx.Done():
+	}
+}
+
+func (r *runner) run(ctx context.Context) {
+	for {
+		// The runner must go on taking starts and stops while the agent's task
+		// is busy, or the two would wait for each other.
+		var out chan<- taskEnd
+		var next taskEnd
+		if len(r.outbox) > 0 {
+			out, next = r.ended, r.outbox[0]
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case out <- next:
+			r.outbox = r.outbox[1:]
+		case task := <-r.starts:
+			r.begin(ctx, task)
+		case stop := <-r.stops:
+			r.pass(stop)
+		case end := <-r.done:
+			r.finish(end)
+		case reply := <-r.queries:
+			reply <- append([]Run(nil), r.runs...)
+		}
+	}
+}
+
+// pass tells a running task to stop; only the first stop counts.
+func (r *runner) pass(stop agent.Stop) {
+	running := r.running[stop.Allocation]
+	if running == nil {
+		return
+	}
+	select {
+	case running <- stop.Kind:
+	default:
+	}
+}
+
+func (r *runner) begin(ctx context.Context, task agent.Task) {
+	stop := make(chan agent.StopKind, 1)
+	r.running[task.Allocation] = stop
+	r.runs = append(r.runs, Run{
+		Allocation: task.Allocation, Job: task.Job, Task: task.Index,
+		StartedAt: time.Now(), Outcome: agent.OutcomeRunning,
+	})
+	go func() {
+		end := execute(ctx, task, stop)
+		select {
+		case r.done <- end:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (r *runner) finish(end taskEnd) {
+	delete(r.running, end.allocation)
+	for i := range r.runs {
+		if r.runs[i].Allocation == end.allocation {
+			r.runs[i].EndedAt = time.Now()
+			r.runs[i].Outcome = end.outcome
+		}
+	}
+	r.outbox = append(r.outbox, end)
+}
+
+// execute runs one task until it ends by itself or is stopped. The first word
+// of the command says what it does: "sleep 200ms", "fail 50ms", or anything
+// else, which runs until it is stopped.
+func execute(ctx context.Context, task agent.Task, stop <-chan agent.StopKind) taskEnd {
+	outcome, wait := parseCommand(task.Command)
+	var over <-chan time.Time
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		over = timer.C
+	}
+	end := taskEnd{allocation: task.Allocation, outcome: outcome}
+	select {
+	case <-over:
+		if outcome == agent.OutcomeFailed {
+			end.detail = "command says fail"
+		}
+	case kind := <-stop:
+		end.outcome = agent.OutcomeStopped
+		if kind == agent.StopCheckpoint {
+			end.outcome = agent.OutcomeCheckpointed
+		}
+	case <-ctx.Done():
+		end.outcome = agent.OutcomeStopped
+	}
+	return end
+}
+
+func parseCommand(command string) (agent.Outcome, time.Duration) {
+	word, rest, _ := strings.Cut(command, " ")
+	wait, err := time.ParseDuration(rest)
+	if err != nil {
+		return agent.OutcomeStopped, 0
+	}
+	switch word {
+	case "sleep":
+		return agent.OutcomeSucceeded, max(wait, time.Millisecond)
+	case "fail":
+		return agent.OutcomeFailed, max(wait, time.Millisecond)
+	default:
+		return agent.OutcomeStopped, 0
+	}
+}
+
+// debugHandler answers every request with the runs as JSON.
+func (r *runner) debugHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		reply := make(chan []Run, 1)
+		select {
+		case r.queries <- reply:
+		case <-request.Context().Done():
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// The client has gone where this fails.
+		_ = json.NewEncoder(w).Encode(<-reply)
+	})
+}
