Cover the entry view in the codec's round trip

Cause: StatusView gained a list; an absent list decodes as an empty one by design, so the sample must fill it. Checked: go test ./internal/codec

--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -32,7 +32,7 @@
 	roundTrip(t, queries, state.Query{Job: &state.JobQuery{Job: 1}})
 	roundTrip(t, answers, state.Answer{Status: &state.StatusView{Jobs: map[cell.JobState]int{
 		cell.JobQueued: 1, cell.JobRunning: 2, cell.JobFailed: 3,
-	}}})
+	}, Entries: []state.EntryView{{Name: "entry-1", Generation: 2, Age: time.Second}}}})
 	roundTrip(t, records, state.ConfigRecord{Generation: 1, At: at, Body: []byte("x")})
 	roundTrip(t, memberships, replog.Membership{Voters: []replog.ReplicaID{1, 2}, Learners: []replog.ReplicaID{3}})
 	snapshot, err := snapshots.decode(mustEncode(t, snapshots, state.New().Snapshot()))
