Add the entry process around the gateway, the relay and the feed

Cause: callers, operators, workers and backend servers need one process that serves them all and learns the configuration in force from the leader. Change: internal/entry with feed, relay and health tasks, the HTTP interface and the planned stop; the gateway takes its member incarnation from the feed, so that a process which was removed dispatches only after it has joined again.

--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,180 @@
+// Package entry is the entry process: it serves callers, operators, worker
+// agents and backend servers. Its tasks are the feed (membership and
+// configuration), the relay (worker leases), the health task, and those of
+// internal/gateway (callers' requests and announcements).
+package entry
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/gateway"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// controlConnections bounds the connections to one control replica: one for
+// the feed, one for renewals, the rest for proposals and reads.
+const controlConnections = 64
+
+// Entry is an entry process.
+type Entry struct {
+	settings  Settings
+	logger    *eventlog.Logger
+	metrics   *metrics.Set
+	self      state.Member
+	client    *controlclient.Client
+	gateway   *gateway.Gateway
+	health    *health
+	relay     *relayTask
+	feed      *feed
+	listeners listeners
+	stopping  chan struct{}
+}
+
+// New builds an entry process and opens its sockets. It serves nothing before
+// Run.
+func New(s Settings, logger *eventlog.Logger) (*Entry, error) {
+	set := metrics.New()
+	e := &Entry{
+		settings: s, logger: logger, metrics: set,
+		self: state.Member{
+			Name: cell.EntryName(s.Name), Incarnation: cell.Incarnation(time.Now().UnixMilli()),
+			Address: s.ListenInternal,
+			Region:  cell.Region(s.Region), FailureDomain: cell.FailureDomain(s.FailureDomain),
+		},
+		health:    newHealth(),
+		listeners: listeners{logger: logger},
+		stopping:  make(chan struct{}),
+	}
+	httpClient := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: controlConnections, MaxConnsPerHost: controlConnections,
+	}}
+	e.client = controlclient.New(s.ControlAddresses, "http", httpClient, set)
+	e.gateway = gateway.New(gateway.Options{
+		Entry: e.self.Name, Incarnation: e.self.Incarnation,
+		Region: e.self.Region, FailureDomain: e.self.FailureDomain,
+		Logger: logger, Metrics: set, Log: e.client, Seed: uint64(e.self.Incarnation),
+	})
+	e.relay = newRelayTask(e.client, e.self, logger, set)
+	e.feed = &feed{
+		client: e.client, self: e.self, gateway: e.gateway, logger: logger, metrics: set,
+		attached: e.relay.attached, assigned: e.relay.assigned, ready: e.health.configured,
+	}
+	if err := e.listen(); err != nil {
+		e.listeners.close()
+		return nil, err
+	}
+	return e, nil
+}
+
+// listen opens the sockets, callers first: a planned stop closes them in this
+// order.
+func (e *Entry) listen() error {
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.settings.ListenCallers, e.callers()},
+		{e.settings.ListenPlatform, e.platform()},
+		{e.settings.ListenInternal, rpcpb.NewPeerServer(e.gateway.PeerServer())},
+		{e.settings.ListenMetrics, e.operations()},
+	}
+	for _, h := range handlers {
+		if err := e.listeners.add(h.address, h.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *Entry) callers() http.Handler {
+	mux := http.NewServeMux()
+	jobsAPI{responder: responder{e.metrics}, control: e.client}.register(mux)
+	mux.Handle("/", e.gateway.CallerHandler())
+	return mux
+}
+
+func (e *Entry) platform() http.Handler {
+	mux := http.NewServeMux()
+	answers := responder{e.metrics}
+	operatorsAPI{responder: answers, control: e.client, entry: e.self.Name}.register(mux)
+	workersAPI{responder: answers, syncs: e.relay.syncs, stopping: e.stopping}.register(mux)
+	mux.Handle("POST /v1/backends/announce", e.gateway.AnnounceHandler())
+	return mux
+}
+
+func (e *Entry) operations() http.Handler {
+	mux := http.NewServeMux()
+	e.health.register(mux)
+	mux.Handle("GET /metrics", e.metrics)
+	return mux
+}
+
+// Run serves until stop ends, then stops as planned. It ends at once when kill
+// ends.
+func (e *Entry) Run(stop, kill context.Context) error {
+	tasks, endTasks := context.WithCancel(kill)
+	defer endTasks()
+	go e.client.Run(tasks)
+	go e.health.run(tasks)
+	go e.relay.run(tasks)
+	go e.feed.run(tasks)
+	gatewayEnded := make(chan error, 1)
+	go func() { gatewayEnded <- e.gateway.Run(tasks) }()
+	e.listeners.serve()
+	e.logger.Log(eventStarted, zap.Int("pid", os.Getpid()))
+
+	select {
+	case <-stop.Done():
+		e.plannedStop(kill)
+	case err := <-gatewayEnded:
+		e.listeners.close()
+		return err
+	}
+	e.listeners.close()
+	return nil
+}
+
+// plannedStop ends the process without cutting off a request: readiness off,
+// time for the balancer to move away, then no new requests, and the end of
+// those in flight.
+func (e *Entry) plannedStop(kill context.Context) {
+	e.logger.Log(eventStopping)
+	e.health.drain(kill)
+	for _, server := range e.listeners.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	wait(kill, e.settings.ReadinessDelay)
+	grace, cancel := context.WithTimeout(kill, e.settings.StopGrace)
+	defer cancel()
+	cut := e.gateway.Drain(grace)
+	close(e.stopping)
+	e.listeners.shutdown(grace)
+	if cut > 0 {
+		e.logger.Log(eventCut, zap.Int("requests", cut))
+	}
+	e.leave(kill)
+	e.logger.Log(eventStopped, zap.Int("cut", cut))
+}
+
+// leaveTimeout bounds the commit of the leave; without it the control group
+// removes this process once it misses its feed calls.
+const leaveTimeout = 2 * time.Second
+
+func (e *Entry) leave(kill context.Context) {
+	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
+	defer cancel()
+	command := state.Command{LeaveMember: &state.LeaveMember{Name: e.self.Name, Incarnation: e.self.Incarnation}}
+	if _, err := e.client.Propose(ctx, command); err != nil {
+		e.logger.Log(eventLeaveFailed, zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entry/feed.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/relay"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+const (
+	// feedWait is how long the leader holds a feed call without news.
+	feedWait = 5 * time.Second
+	// feedTimeout bounds a feed call; a leader that is cut off silently is
+	// noticed after so long.
+	feedTimeout = feedWait + 2*time.Second
+	// feedPause is the wait after a failed call.
+	feedPause = 100 * time.Millisecond
+	// feedRestartPause collects workers that attach at the same time into one
+	// new call.
+	feedRestartPause = 50 * time.Millisecond
+	// joinTimeout bounds one attempt to join.
+	joinTimeout = 5 * time.Second
+)
+
+// feed is the task that owns this process's membership and its view of the
+// configuration in force. It passes news on to the gateway and the relay.
+type feed struct {
+	client  *controlclient.Client
+	self    state.Member
+	gateway callerGateway
+	logger  *eventlog.Logger
+	metrics *metrics.Set
+
+	attached chan []relay.Attached // newest list, capacity 1
+	assigned chan<- []state.WorkerView
+	ready    chan<- bool
+
+	joined         bool
+	file           cellconfig.File
+	digest         string
+	membersVersion uint64
+}
+
+// callerGateway is what the feed needs of the gateway.
+type callerGateway interface {
+	SetConfig(file cellconfig.File, confirmedAt time.Time)
+	SetMembers(members []state.Member)
+	SetIncarnation(incarnation cell.Incarnation)
+}
+
+func (f *feed) run(ctx context.Context) {
+	var workers []relay.Attached
+	for ctx.Err() == nil {
+		if !f.joined && !f.join(ctx) {
+			wait(ctx, feedPause)
+			continue
+		}
+		workers = f.poll(ctx, workers)
+	}
+}
+
+// join makes this process a member. Its incarnation is the start time, or one
+// more than the incarnation that the cell knows where the clock was set back.
+func (f *feed) join(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	result, err := f.client.Propose(ctx, state.Command{JoinMember: &state.JoinMember{Member: f.self}})
+	if err != nil {
+		f.logger.Log(eventJoinRefused, zap.Error(err))
+		return false
+	}
+	if result.Refusal == state.RefusalStaleIncarnation {
+		f.raiseIncarnation(ctx)
+		return false
+	}
+	if result.Refusal != state.RefusalNone {
+		f.logger.Log(eventJoinRefused, zap.String("refusal", string(result.Refusal)))
+		return false
+	}
+	f.joined = true
+	f.membersVersion = 0
+	f.gateway.SetIncarnation(f.self.Incarnation)
+	f.logger.Log(eventJoined, zap.Uint64("incarnation", uint64(f.self.Incarnation)))
+	return true
+}
+
+func (f *feed) raiseIncarnation(ctx context.Context) {
+	answer, err := f.client.Read(ctx, state.Query{Members: &state.MembersQuery{}})
+	if err != nil {
+		return
+	}
+	for _, member := range answer.Members {
+		if member.Name == f.self.Name {
+			f.self.Incarnation = member.Incarnation + 1
+		}
+	}
+	if len(answer.Members) == 0 {
+		f.self.Incarnation++
+	}
+}
+
+// feedResult is the outcome of one feed call.
+type feedResult struct {
+	sentAt   time.Time
+	response *rpcpb.FeedResponse
+	err      error
+}
+
+// poll makes one feed call and handles its outcome. It ends the call early
+// where the attached workers change. It returns the list of workers to use for
+// the next call.
+func (f *feed) poll(ctx context.Context, workers []relay.Attached) []relay.Attached {
+	call, cancel := context.WithTimeout(ctx, feedTimeout)
+	defer cancel()
+	results := make(chan feedResult, 1)
+	request := f.request(workers)
+	go func() {
+		sentAt := time.Now()
+		response, err := f.client.Feed(call, request)
+		results <- feedResult{sentAt: sentAt, response: response, err: err}
+	}()
+	select {
+	case workers = <-f.attached:
+		f.metrics.Gauge(metricWorkers, float64(len(workers)))
+		cancel()
+		<-results
+		wait(ctx, feedRestartPause)
+	case result := <-results:
+		f.handle(ctx, result)
+		workers = updateVersions(workers, result.response)
+	}
+	return workers
+}
+
+func (f *feed) request(workers []relay.Attached) *rpcpb.FeedRequest {
+	request := &rpcpb.FeedRequest{
+		Entry: string(f.self.Name), EntryIncarnation: uint64(f.self.Incarnation),
+		Generation: uint64(f.file.Generation), MaxWaitMillis: uint32(feedWait.Milliseconds()),
+		MembersVersion: f.membersVersion,
+	}
+	for _, w := range workers {
+		request.Workers = append(request.Workers, &rpcpb.WorkerVersion{
+			Worker: string(w.Worker), Epoch: uint64(w.Epoch), Version: w.Version,
+		})
+	}
+	return request
+}
+
+// updateVersions notes the versions that the response brought, so that the
+// next call does not ask for them again.
+func updateVersions(workers []relay.Attached, response *rpcpb.FeedResponse) []relay.Attached {
+	if response == nil {
+		return workers
+	}
+	news := map[string]*rpcpb.WorkerAssignments{}
+	for _, assignments := range response.Assignments {
+		news[assignments.Worker] = assignments
+	}
+	for i := range workers {
+		if changed := news[string(workers[i].Worker)]; changed != nil {
+			workers[i].Epoch = cell.Epoch(changed.Epoch)
+			workers[i].Version = changed.Version
+		}
+	}
+	return workers
+}
+
+func (f *feed) handle(ctx context.Context, result feedResult) {
+	if result.err != nil {
+		if ctx.Err() == nil {
+			f.metrics.Add(metricFeedFailures, "", 1)
+			f.logger.Log(eventFeedFailed, zap.Error(result.err))
+			wait(ctx, feedPause)
+		}
+		return
+	}
+	response := result.response
+	if response.Left {
+		f.joined = false
+		f.self.Incarnation++
+		return
+	}
+	f.handleConfig(ctx, result)
+	if response.MembersVersion != f.membersVersion {
+		f.membersVersion = response.MembersVersion
+		f.gateway.SetMembers(f.peers(response.Members))
+	}
+	if len(response.Assignments) > 0 {
+		select {
+		case f.assigned <- viewsOf(response.Assignments):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// handleConfig puts a newer file in force, and confirms the present one
+// otherwise. The time of confirmation is that of sending the call.
+func (f *feed) handleConfig(ctx context.Context, result feedResult) {
+	if len(result.response.Config) > 0 {
+		f.takeConfig(result.response.Config)
+	}
+	if f.file.Generation == 0 {
+		return
+	}
+	f.gateway.SetConfig(f.file, result.sentAt)
+	select {
+	case f.ready <- true:
+	case <-ctx.Done():
+	}
+}
+
+func (f *feed) takeConfig(encoded []byte) {
+	record, err := codec.DecodeConfigRecord(encoded)
+	if err != nil {
+		f.logger.Log(eventConfigFaulty, zap.Error(err))
+		return
+	}
+	if record.Generation < f.file.Generation {
+		f.metrics.Add(metricConfigOlder, "", 1)
+		f.logger.Log(eventConfigOlder, zap.Uint64("generation", uint64(record.Generation)))
+		return
+	}
+	file, faults := cellconfig.Parse(record.Body)
+	if len(faults) > 0 {
+		f.logger.Log(eventConfigFaulty, zap.Error(faults))
+		return
+	}
+	f.file, f.digest = file, record.Digest
+	f.metrics.Gauge(metricGeneration, float64(file.Generation))
+	f.logger.Log(eventConfigInForce, zap.Uint64("generation", uint64(file.Generation)), zap.String("digest", record.Digest))
+}
+
+// peers returns the members other than this process.
+func (f *feed) peers(members []*rpcpb.Member) []state.Member {
+	var peers []state.Member
+	for _, m := range members {
+		if m.Name == string(f.self.Name) {
+			continue
+		}
+		peers = append(peers, state.Member{
+			Name: cell.EntryName(m.Name), Incarnation: cell.Incarnation(m.Incarnation), Address: m.Address,
+			Region: cell.Region(m.Region), FailureDomain: cell.FailureDomain(m.FailureDomain),
+		})
+	}
+	return peers
+}
+
+// wait waits for d or the end of ctx.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/api"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// callTimeout bounds a call of an operator or a caller to the control group.
+// An election takes less than 3 s in the worst case that is aimed at.
+const callTimeout = 10 * time.Second
+
+// Reason codes of this layer; those of the state machine are passed on.
+const (
+	reasonBadRequest  = "bad-request"
+	reasonTooLarge    = "too-large"
+	reasonNotFound    = "not-found"
+	reasonUnavailable = "control-unavailable"
+	reasonUnknown     = "outcome-unknown"
+	reasonOverloaded  = "overloaded"
+	reasonNotReady    = "not-ready"
+	reasonNoKey       = "key-missing"
+	reasonDraining    = "draining"
+)
+
+// retryAfterSeconds is the Retry-After of a refusal for lack of a leader. An
+// election takes about as long.
+const retryAfterSeconds = 1
+
+// responder writes JSON answers and counts refusals.
+type responder struct {
+	metrics *metrics.Set
+}
+
+func (r responder) ok(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client has gone where this fails.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (r responder) refuse(w http.ResponseWriter, status int, problem api.Problem) {
+	r.metrics.Add(metricRefusals, problem.Reason, 1)
+	w.Header().Set(api.HeaderReason, problem.Reason)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	r.ok(w, status, problem)
+}
+
+// refuseError answers a failed call to the control group.
+func (r responder) refuseError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, controlclient.ErrOutcomeUnknown):
+		w.Header().Set(api.HeaderOutcome, string(state.OutcomeUnknown))
+		r.refuse(w, http.StatusGatewayTimeout, api.Problem{
+			Reason: reasonUnknown, Detail: "the command may have been committed; sending it again is safe",
+		})
+	case errors.Is(err, controlclient.ErrMalformed):
+		r.refuse(w, http.StatusBadRequest, api.Problem{Reason: reasonBadRequest, Detail: err.Error()})
+	default:
+		w.Header().Set(api.HeaderOutcome, string(state.OutcomeNotRun))
+		r.refuse(w, http.StatusServiceUnavailable, api.Problem{
+			Reason: reasonUnavailable, Detail: "no leader of the control group answered",
+		})
+	}
+}
+
+// refuseResult answers a command that the state machine refused.
+func (r responder) refuseResult(w http.ResponseWriter, result state.Result) {
+	problem := api.Problem{Reason: string(result.Refusal), Detail: result.Detail}
+	if result.File != nil {
+		problem.Faults = result.File.Faults
+	}
+	w.Header().Set(api.HeaderOutcome, string(state.OutcomeNotRun))
+	r.refuse(w, statusOf(result.Refusal), problem)
+}
+
+func statusOf(refusal state.Refusal) int {
+	switch refusal {
+	case state.RefusalGenerationUsed, state.RefusalGenerationOld, state.RefusalKeyReused, state.RefusalJobEnded:
+		return http.StatusConflict
+	case state.RefusalUnknownJob:
+		return http.StatusNotFound
+	case state.RefusalQueueFull:
+		return http.StatusTooManyRequests
+	case state.RefusalNoConfig:
+		return http.StatusServiceUnavailable
+	case state.RefusalUnknownTeam, state.RefusalPolicyNotAllowed:
+		return http.StatusForbidden
+	default:
+		return http.StatusUnprocessableEntity
+	}
+}
+
+// readBody reads at most limit bytes and refuses the request where it is
+// larger or broken.
+func (r responder) readBody(w http.ResponseWriter, request *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		r.refuse(w, http.StatusRequestEntityTooLarge, api.Problem{
+			Reason: reasonTooLarge, Detail: "at most " + strconv.FormatInt(limit, 10) + " bytes",
+		})
+	case err != nil:
+		r.refuse(w, http.StatusBadRequest, api.Problem{Reason: reasonBadRequest, Detail: err.Error()})
+	}
+	return body, err == nil
+}
+
+// readJSON reads a JSON body without unknown fields.
+func (r responder) readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxJSONBytes))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		r.refuse(w, http.StatusRequestEntityTooLarge, api.Problem{Reason: reasonTooLarge})
+	case err != nil:
+		r.refuse(w, http.StatusBadRequest, api.Problem{Reason: reasonBadRequest, Detail: err.Error()})
+	}
+	return err == nil
+}
+
+// maxJSONBytes bounds a JSON body. A worker's report of 500 tasks takes about
+// 100 KB.
+const maxJSONBytes = 1 << 20
--- /dev/null
+++ b/internal/entry/listeners.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+)
+
+// ErrListen says that an address of the settings cannot be listened on.
+var ErrListen = merry.Sentinel("cannot listen")
+
+const (
+	// headerTimeout cuts off clients that send their header slowly.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes keep-alive connections without requests.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// listeners are the sockets of this process and the servers on them.
+type listeners struct {
+	logger  *eventlog.Logger
+	servers []*http.Server
+	sockets []net.Listener
+}
+
+// add opens a socket. Nothing is served before serve.
+func (l *listeners) add(address string, handler http.Handler) error {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return merry.Wrap(ErrListen, merry.WithCause(err))
+	}
+	l.sockets = append(l.sockets, socket)
+	l.servers = append(l.servers, &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	})
+	return nil
+}
+
+func (l *listeners) serve() {
+	for i := range l.servers {
+		go func() {
+			err := l.servers[i].Serve(l.sockets[i])
+			if !errors.Is(err, http.ErrServerClosed) {
+				l.logger.Log(eventListenerFailed, zap.Stringer("address", l.sockets[i].Addr()), zap.Error(err))
+			}
+		}()
+	}
+}
+
+// shutdown ends the servers one after the other in the order in which they
+// were added, each after its calls in flight have ended or ctx is over.
+func (l *listeners) shutdown(ctx context.Context) {
+	for _, server := range l.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			// Calls are still in flight at the end of the grace period.
+			_ = server.Close()
+		}
+	}
+}
+
+func (l *listeners) close() {
+	for _, server := range l.servers {
+		_ = server.Close() // the process ends; there is nobody to tell
+	}
+}
--- /dev/null
+++ b/internal/entry/operators.go
@@ -0,0 +1,181 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/api"
+)
+
+// operatorsAPI serves operators: files in, read-back out.
+type operatorsAPI struct {
+	responder
+	control controlGroup
+	entry   cell.EntryName
+}
+
+func (a operatorsAPI) register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/config", a.apply)
+	mux.HandleFunc("POST /v1/config/check", a.check)
+	mux.HandleFunc("GET /v1/config", a.get)
+	mux.HandleFunc("GET /v1/config/{generation}", a.get)
+	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/explain/job/{id}", a.explain)
+}
+
+// parse reads the file and refuses it where it has faults by itself, before
+// anything is sent to the control group.
+func (a operatorsAPI) parse(w http.ResponseWriter, request *http.Request) ([]byte, cellconfig.File, bool) {
+	body, ok := a.readBody(w, request, cellconfig.MaxFileBytes)
+	if !ok {
+		return nil, cellconfig.File{}, false
+	}
+	file, faults := cellconfig.Parse(body)
+	if len(faults) > 0 {
+		a.refuse(w, http.StatusUnprocessableEntity, api.Problem{
+			Reason: string(state.RefusalFileFaults), Detail: "the file was refused as a whole", Faults: faults,
+		})
+		return nil, cellconfig.File{}, false
+	}
+	return body, file, true
+}
+
+func (a operatorsAPI) apply(w http.ResponseWriter, request *http.Request) {
+	body, _, ok := a.parse(w, request)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
+	defer cancel()
+	result, err := a.control.Propose(ctx, state.Command{
+		ApplyFile: &state.ApplyFile{Body: body, From: request.RemoteAddr},
+	})
+	switch {
+	case err != nil:
+		a.refuseError(w, err)
+	case result.Refusal != state.RefusalNone || result.File == nil:
+		a.refuseResult(w, result)
+	default:
+		a.ok(w, http.StatusOK, api.FileAccepted{
+			Generation: result.File.Generation, Digest: result.File.Digest,
+			Repeated: result.File.Repeated, Changes: result.File.Changes,
+		})
+	}
+}
+
+// check tells what would change, without the checks against the state that
+// only a commit makes.
+func (a operatorsAPI) check(w http.ResponseWriter, request *http.Request) {
+	body, file, ok := a.parse(w, request)
+	if !ok {
+		return
+	}
+	record, ok := a.record(w, request, 0)
+	if !ok {
+		return
+	}
+	accepted := api.FileAccepted{Generation: file.Generation, Digest: cellconfig.Digest(body)}
+	if record != nil {
+		inForce, _ := cellconfig.Parse(record.Body)
+		accepted.Changes = cellconfig.Diff(inForce, file)
+		accepted.Repeated = record.Digest == accepted.Digest
+	}
+	a.ok(w, http.StatusOK, accepted)
+}
+
+// record reads a configuration record; it is nil where there is none.
+func (a operatorsAPI) record(w http.ResponseWriter, request *http.Request, generation cell.Generation) (*state.ConfigRecord, bool) {
+	ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
+	defer cancel()
+	answer, err := a.control.Read(ctx, state.Query{Config: &state.ConfigQuery{Generation: generation}})
+	if err != nil {
+		a.refuseError(w, err)
+		return nil, false
+	}
+	return answer.Config, true
+}
+
+func (a operatorsAPI) get(w http.ResponseWriter, request *http.Request) {
+	var generation uint64
+	if text := request.PathValue("generation"); text != "" {
+		parsed, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			a.refuse(w, http.StatusBadRequest, api.Problem{Reason: reasonBadRequest, Detail: "a generation is a number"})
+			return
+		}
+		generation = parsed
+	}
+	record, ok := a.record(w, request, cell.Generation(generation))
+	if !ok {
+		return
+	}
+	if record == nil {
+		a.refuse(w, http.StatusNotFound, api.Problem{Reason: reasonNotFound, Detail: "no such generation is kept"})
+		return
+	}
+	status, ok := a.statusView(w, request)
+	if !ok {
+		return
+	}
+	a.ok(w, http.StatusOK, api.Config{
+		Generation: record.Generation, Digest: record.Digest, Submitter: record.Submitter, From: record.From,
+		At: record.At, Text: string(record.Body), Entries: entriesOf(status),
+	})
+}
+
+func (a operatorsAPI) statusView(w http.ResponseWriter, request *http.Request) (*state.StatusView, bool) {
+	ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
+	defer cancel()
+	answer, err := a.control.Read(ctx, state.Query{Status: &state.StatusQuery{}})
+	if err != nil {
+		a.refuseError(w, err)
+		return nil, false
+	}
+	if answer.Status == nil {
+		answer.Status = &state.StatusView{}
+	}
+	return answer.Status, true
+}
+
+func (a operatorsAPI) status(w http.ResponseWriter, request *http.Request) {
+	view, ok := a.statusView(w, request)
+	if !ok {
+		return
+	}
+	a.ok(w, http.StatusOK, api.Status{
+		Entry: a.entry, Generation: view.Generation, Digest: view.Digest,
+		Workers: view.Workers, Allocations: view.Allocations, Jobs: view.Jobs,
+		Capacity: view.Capacity.String(), Reserved: view.Reserved.String(), Entries: entriesOf(view),
+	})
+}
+
+func entriesOf(view *state.StatusView) []api.EntryInForce {
+	var entries []api.EntryInForce
+	for _, e := range view.Entries {
+		entries = append(entries, api.EntryInForce{Name: e.Name, Generation: e.Generation, AgeMillis: e.Age.Milliseconds()})
+	}
+	return entries
+}
+
+func (a operatorsAPI) explain(w http.ResponseWriter, request *http.Request) {
+	id, ok := jobsAPI{responder: a.responder, control: a.control}.jobID(w, request)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
+	defer cancel()
+	answer, err := a.control.Read(ctx, state.Query{Explain: &state.ExplainQuery{Job: id}})
+	if err != nil {
+		a.refuseError(w, err)
+		return
+	}
+	if answer.Explain == nil {
+		a.refuse(w, http.StatusNotFound, api.Problem{Reason: reasonNotFound, Detail: "no such job, or it ended long ago"})
+		return
+	}
+	a.ok(w, http.StatusOK, api.Explanation{Job: id, State: answer.Explain.State, Lines: answer.Explain.Lines})
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/strictconf"
+	"github.com/godwitlink/godwitlink/internal/settings"
+)
+
+// Settings of an entry process (docs/design.md, section 8).
+type Settings struct {
+	Name             string        `toml:"name"`
+	Region           string        `toml:"region"`
+	FailureDomain    string        `toml:"failure_domain"`
+	LogLevel         string        `toml:"log_level"`
+	ListenCallers    string        `toml:"listen_callers"`
+	ListenPlatform   string        `toml:"listen_platform"` // operators, workers, backend servers
+	ListenInternal   string        `toml:"listen_internal"` // other entry processes
+	ListenMetrics    string        `toml:"listen_metrics"`
+	ControlAddresses []string      `toml:"control_addresses"`
+	ReadinessDelay   time.Duration `toml:"readiness_delay"` // between readiness off and the end of new requests
+	StopGrace        time.Duration `toml:"stop_grace"`      // longest wait for requests in flight at a planned stop
+}
+
+// Check implements settings.Checker.
+func (s *Settings) Check() strictconf.Faults {
+	faults := settings.CheckNotEmpty("name", s.Name)
+	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
+	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
+	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
+	faults = append(faults, settings.CheckAddress("listen_callers", s.ListenCallers)...)
+	faults = append(faults, settings.CheckAddress("listen_platform", s.ListenPlatform)...)
+	faults = append(faults, settings.CheckAddress("listen_internal", s.ListenInternal)...)
+	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
+	if len(s.ControlAddresses) == 0 {
+		faults = append(faults, strictconf.Fault{
+			Key: "control_addresses", Problem: "is empty", Expected: "the address of each control replica",
+		})
+	}
+	for i, address := range s.ControlAddresses {
+		faults = append(faults, settings.CheckAddress(fmt.Sprintf("control_addresses[%d]", i), address)...)
+	}
+	if s.StopGrace <= 0 {
+		faults = append(faults, strictconf.Fault{Key: "stop_grace", Problem: "is not positive", Expected: "a duration"})
+	}
+	if s.ReadinessDelay < 0 {
+		faults = append(faults, strictconf.Fault{Key: "readiness_delay", Problem: "is negative", Expected: "a duration"})
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/entry/workers.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/godwitlink/godwitlink/core/relay"
+	"github.com/godwitlink/godwitlink/internal/api"
+)
+
+// workersAPI serves worker agents.
+type workersAPI struct {
+	responder
+	syncs    chan<- syncMessage
+	stopping <-chan struct{} // closed when a planned stop begins
+}
+
+func (a workersAPI) register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/workers/{name}/sync", a.sync)
+}
+
+func (a workersAPI) sync(w http.ResponseWriter, request *http.Request) {
+	var message api.WorkerSync
+	if !a.readJSON(w, request, &message) {
+		return
+	}
+	// The reply has room, so that the relay task never waits for a worker that
+	// has gone.
+	reply := make(chan relay.Answer, 1)
+	select {
+	case a.syncs <- syncMessage{sync: syncOf(request.PathValue("name"), message), reply: reply}:
+	default:
+		a.refuse(w, http.StatusServiceUnavailable, api.Problem{Reason: reasonOverloaded})
+		return
+	}
+	select {
+	case answer := <-reply:
+		a.answer(w, answer)
+	case <-a.stopping:
+		a.refuse(w, http.StatusServiceUnavailable, api.Problem{Reason: reasonDraining})
+	case <-request.Context().Done():
+	}
+}
+
+func (a workersAPI) answer(w http.ResponseWriter, answer relay.Answer) {
+	if answer.Status == relay.StatusUnavailable {
+		a.refuse(w, http.StatusServiceUnavailable, api.Problem{Reason: reasonUnavailable})
+		return
+	}
+	a.ok(w, http.StatusOK, toAPISynced(answer))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	table    atomic.Pointer[services]
 	clock    *elapsedClock
 	numbers  atomic.Uint64 // of requests and begins of this incarnation
+	member   atomic.Uint64 // incarnation under which the entry process is a member
 }
 
 // New returns a gateway. It refuses requests with not-ready until SetConfig.
@@ -69,6 +70,7 @@
 		clock:    newElapsedClock(),
 	}
 	g.table.Store(&services{})
+	g.SetIncarnation(opts.Incarnation)
 	return g
 }
 
@@ -95,6 +97,13 @@
 	g.send(setConfig{file: file, confirmedAt: confirmedAt})
 }
 
+// SetIncarnation sets the incarnation under which this entry process is a
+// member of the cell. It differs from Options.Incarnation after the control
+// group removed this process and it joined again.
+func (g *Gateway) SetIncarnation(incarnation cell.Incarnation) {
+	g.member.Store(uint64(incarnation))
+}
+
 // SetMembers states the entry processes of the cell.
 func (g *Gateway) SetMembers(members []state.Member) {
 	g.send(setMembers{members: members})
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/exchange"
 	"github.com/godwitlink/godwitlink/core/state"
 )
@@ -36,7 +37,7 @@
 		Key:         c.requestKey(),
 		Digest:      c.digest,
 		Entry:       c.gateway.opts.Entry,
-		Incarnation: c.gateway.opts.Incarnation,
+		Incarnation: cell.Incarnation(c.gateway.member.Load()),
 		Attempt:     c.beginID,
 		Retention:   c.service.AnswerRetention,
 	}})
