--- a/core/walcodec/log.go
+++ b/core/walcodec/log.go
@@ -17,6 +17,7 @@
 	base      Position // entry before the first of entries
 	entries   []replog.Entry
 	started   bool
+	floor     uint64 // index of the last reset; nothing at or below it changes
 }
 
 // Last returns the position of the last entry.
@@ -39,7 +40,7 @@
 		}
 	}
 	if b.Reset != nil {
-		l.base, l.entries = *b.Reset, nil
+		l.base, l.entries, l.floor = *b.Reset, nil, b.Reset.Index
 	}
 	if b.HardState != nil {
 		l.HardState = *b.HardState
@@ -67,9 +68,16 @@
 }
 
 func (l *Log) put(entry replog.Entry) error {
-	if entry.Index <= l.base.Index || entry.Index > l.Last().Index+1 {
+	if entry.Index <= l.floor || entry.Index > l.Last().Index+1 {
 		return fmt.Errorf("%w: entry %d follows entry %d", ErrGap, entry.Index, l.Last().Index)
 	}
+	if entry.Index <= l.base.Index {
+		// The entries before the base stood in segments that were removed
+		// after a snapshot, and this one replaces some of them. The term of
+		// the entry before it is not known; the snapshot is at or after the
+		// former base, so Attach does not ask for it.
+		l.base, l.entries = Position{Index: entry.Index - 1}, nil
+	}
 	keep := entry.Index - l.base.Index - 1
 	l.entries = append(l.entries[:keep], entry)
 	return nil
--- a/core/walcodec/walcodec_test.go
+++ b/core/walcodec/walcodec_test.go
@@ -79,6 +79,7 @@
 		{batch: Batch{Entries: []replog.Entry{entry(4, 2)}}, gap: true},
 		{batch: Batch{Base: &Position{Index: 3, Term: 2}}, gap: true},
 		{batch: Batch{Reset: &Position{Index: 9, Term: 3}, Entries: []replog.Entry{entry(10, 3)}}, last: Position{10, 3}},
+		{batch: Batch{Entries: []replog.Entry{entry(9, 4)}}, gap: true},
 	}
 	for i, step := range steps {
 		err := log.Apply(step.batch)
@@ -91,6 +92,16 @@
 	}
 }
 
+// Guards against a refused recovery where the first segment left after a
+// snapshot replaces entries that stood in a removed one.
+func TestLogReplacesEntriesOfRemovedSegment(t *testing.T) {
+	log := Log{}
+	replaced := Batch{Base: &Position{Index: 100, Term: 1}, Entries: []replog.Entry{{Index: 90, Term: 2}, {Index: 91, Term: 2}}}
+	if err := log.Apply(replaced); err != nil || log.Last() != (Position{91, 2}) {
+		t.Fatalf("last %v, error %v", log.Last(), err)
+	}
+}
+
 // Guards against a snapshot that keeps entries of another log after it, or
 // drops entries that continue it.
 func TestLogAttach(t *testing.T) {
--- /dev/null
+++ b/internal/storage/disk.go
@@ -0,0 +1,144 @@
+package storage
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// File is an open file of the data folder.
+type File interface {
+	Write(data []byte) (int, error) // appends
+	Sync() error
+	Truncate(size int64) error
+	Close() error
+}
+
+// Disk is the file operations that the task needs, on one folder. Names have
+// no path.
+type Disk interface {
+	// Lock keeps other processes out of the folder until Unlock. It returns
+	// ErrLocked where another process holds it.
+	Lock() error
+	Unlock() error
+	List() ([]string, error)
+	Read(name string) ([]byte, error) // fs.ErrNotExist where absent
+	Create(name string) (File, error) // empty, for appending
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	SyncFolder() error
+}
+
+// Permissions of the data folder and its files: commands may hold the answers
+// of callers.
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+const lockName = "lock"
+
+// folder is the Disk of a folder of the file system.
+type folder struct {
+	path string
+	lock *os.File
+}
+
+// NewFolder returns the Disk of a folder, which is created where absent.
+func NewFolder(path string) (Disk, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, err
+	}
+	return &folder{path: path}, nil
+}
+
+func (f *folder) join(name string) string { return filepath.Join(f.path, name) }
+
+func (f *folder) Lock() error {
+	file, err := os.OpenFile(f.join(lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return err
+	}
+	if err := unix.Flock(int(file.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		closeErr := file.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			return errors.Join(ErrLocked, closeErr)
+		}
+		return errors.Join(err, closeErr)
+	}
+	f.lock = file
+	return nil
+}
+
+func (f *folder) Unlock() error {
+	if f.lock == nil {
+		return nil
+	}
+	lock := f.lock
+	f.lock = nil
+	return lock.Close()
+}
+
+func (f *folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, entry := range entries {
+		if entry.Name() != lockName {
+			names = append(names, entry.Name())
+		}
+	}
+	return names, nil
+}
+
+func (f *folder) Read(name string) ([]byte, error) { return os.ReadFile(f.join(name)) }
+
+func (f *folder) Create(name string) (File, error) {
+	return os.OpenFile(f.join(name), os.O_CREATE|os.O_TRUNC|os.O_APPEND|os.O_WRONLY, fileMode)
+}
+
+func (f *folder) Truncate(name string, size int64) error {
+	file, err := os.OpenFile(f.join(name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+	if err := file.Truncate(size); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	return file.Close()
+}
+
+func (f *folder) Rename(from, to string) error { return os.Rename(f.join(from), f.join(to)) }
+
+func (f *folder) Remove(name string) error { return os.Remove(f.join(name)) }
+
+func (f *folder) SyncFolder() error {
+	dir, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	if err := dir.Sync(); err != nil {
+		return errors.Join(err, dir.Close())
+	}
+	return dir.Close()
+}
+
+// diskFull reports whether err says that the file system has no room left.
+func diskFull(err error) bool {
+	var unknown syncError
+	if errors.As(err, &unknown) {
+		return false
+	}
+	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) || errors.Is(err, ErrDiskFull)
+}
+
+func notExist(err error) bool { return errors.Is(err, fs.ErrNotExist) }
--- /dev/null
+++ b/internal/storage/fakedisk_test.go
@@ -0,0 +1,169 @@
+package storage
+
+import (
+	"errors"
+	"io/fs"
+	"math/rand/v2"
+	"sort"
+)
+
+var errDead = errors.New("the machine has stopped")
+
+// fakeDisk is a folder in memory that loses what was not synced. Names live in
+// current until SyncFolder copies them to durable; bytes count as durable up
+// to the synced length of their file.
+type fakeDisk struct {
+	current map[string]*fakeFile
+	durable map[string]*fakeFile
+	locked  bool
+	ops     int           // operations that change the disk so far
+	fail    map[int]error // error of the operation with that number
+	dieAt   int           // from this operation on everything fails; 0 for never
+}
+
+type fakeFile struct {
+	disk   *fakeDisk
+	data   []byte
+	synced []byte
+}
+
+func newFakeDisk() *fakeDisk {
+	return &fakeDisk{current: map[string]*fakeFile{}, durable: map[string]*fakeFile{}, fail: map[int]error{}}
+}
+
+// afterCrash returns the disk as the next start finds it: of the unsynced
+// bytes of each file a random part was written, and of the unsynced names
+// either none or all.
+func (d *fakeDisk) afterCrash(random *rand.Rand) *fakeDisk {
+	next := newFakeDisk()
+	names := d.durable
+	if random.IntN(2) == 0 {
+		names = d.current
+	}
+	for _, name := range sortedNames(names) {
+		file := names[name]
+		data := append([]byte(nil), file.synced...)
+		if extra := len(file.data) - len(data); extra > 0 {
+			data = append(data, file.data[len(data):len(data)+random.IntN(extra+1)]...)
+		}
+		next.current[name] = &fakeFile{disk: next, data: data, synced: data}
+	}
+	next.syncNames()
+	return next
+}
+
+func sortedNames(files map[string]*fakeFile) []string {
+	names := make([]string, 0, len(files))
+	for name := range files {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (d *fakeDisk) step() error {
+	d.ops++
+	if d.dieAt > 0 && d.ops >= d.dieAt {
+		return errDead
+	}
+	return d.fail[d.ops]
+}
+
+func (d *fakeDisk) syncNames() {
+	d.durable = map[string]*fakeFile{}
+	for name, file := range d.current {
+		d.durable[name] = file
+	}
+}
+
+func (d *fakeDisk) Lock() error {
+	if d.locked {
+		return ErrLocked
+	}
+	d.locked = true
+	return nil
+}
+
+func (d *fakeDisk) Unlock() error { d.locked = false; return nil }
+
+func (d *fakeDisk) List() ([]string, error) { return sortedNames(d.current), nil }
+
+func (d *fakeDisk) Read(name string) ([]byte, error) {
+	file, ok := d.current[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return append([]byte(nil), file.data...), nil
+}
+
+func (d *fakeDisk) Create(name string) (File, error) {
+	if err := d.step(); err != nil {
+		return nil, err
+	}
+	file := &fakeFile{disk: d}
+	d.current[name] = file
+	return file, nil
+}
+
+func (d *fakeDisk) Truncate(name string, size int64) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	file := d.current[name]
+	file.data = file.data[:size]
+	file.synced = file.data
+	return nil
+}
+
+func (d *fakeDisk) Rename(from, to string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.current[to] = d.current[from]
+	delete(d.current, from)
+	return nil
+}
+
+func (d *fakeDisk) Remove(name string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	delete(d.current, name)
+	return nil
+}
+
+func (d *fakeDisk) SyncFolder() error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.syncNames()
+	return nil
+}
+
+func (f *fakeFile) Write(data []byte) (int, error) {
+	err := f.disk.step()
+	n := len(data)
+	if err != nil {
+		n /= 2 // an interrupted write leaves a part behind
+	}
+	f.data = append(f.data, data[:n]...)
+	return n, err
+}
+
+func (f *fakeFile) Sync() error {
+	if err := f.disk.step(); err != nil {
+		return err
+	}
+	f.synced = append([]byte(nil), f.data...)
+	return nil
+}
+
+func (f *fakeFile) Truncate(size int64) error {
+	if err := f.disk.step(); err != nil {
+		return err
+	}
+	f.data = f.data[:size]
+	return nil
+}
+
+func (f *fakeFile) Close() error { return nil }
--- /dev/null
+++ b/internal/storage/recover.go
@@ -0,0 +1,192 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/walcodec"
+)
+
+// Names of the files in a data folder.
+const (
+	identityName   = "identity"
+	segmentFormat  = "segment-%016x.wal"
+	snapshotFormat = "snapshot-%016x.snap"
+	temporaryEnd   = ".tmp"
+)
+
+// Recovered is the content of a data folder.
+type Recovered struct {
+	// Identity is nil where the folder is empty: the replica has never voted
+	// with it.
+	Identity  *walcodec.Identity
+	HardState replog.HardState
+	Snapshot  *replog.Snapshot
+	Entries   []replog.Entry // after the snapshot
+	Torn      bool           // a torn record stands at the end of the last segment
+}
+
+// segmentInfo is a segment file that is complete.
+type segmentInfo struct {
+	number   uint64
+	size     int64
+	maxIndex uint64 // largest index of an entry in it
+}
+
+// content is what reading the folder yields.
+type content struct {
+	Recovered
+	segments  []segmentInfo
+	temporary []string
+	snapshots []string // file names, oldest first
+	// written is the end of the log as the records state it. It differs from
+	// that of Entries where a snapshot was installed and the process ended
+	// before the reset was recorded.
+	written walcodec.Position
+	reset   *walcodec.Position // to be recorded before the next entries
+}
+
+// readFolder reads and checks all files. It changes nothing.
+func readFolder(disk Disk) (content, error) {
+	names, err := disk.List()
+	if err != nil {
+		return content{}, merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	sort.Strings(names)
+	c := content{}
+	var segments []string
+	for _, name := range names {
+		switch {
+		case strings.HasSuffix(name, temporaryEnd):
+			c.temporary = append(c.temporary, name)
+		case strings.HasPrefix(name, "segment-"):
+			segments = append(segments, name)
+		case strings.HasPrefix(name, "snapshot-"):
+			c.snapshots = append(c.snapshots, name)
+		}
+	}
+	if err := c.readIdentity(disk); err != nil {
+		return content{}, err
+	}
+	if c.Identity == nil && len(segments)+len(c.snapshots) > 0 {
+		return content{}, merry.Prependf(ErrIncomplete, "the file %s is missing", identityName)
+	}
+	if err := c.readSnapshot(disk); err != nil {
+		return content{}, err
+	}
+	return c, c.readLog(disk, segments)
+}
+
+func (c *content) readIdentity(disk Disk) error {
+	data, err := disk.Read(identityName)
+	if notExist(err) {
+		return nil
+	}
+	if err != nil {
+		return merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	identity, err := walcodec.DecodeIdentity(data)
+	if err != nil {
+		return damage(identityName, err)
+	}
+	c.Identity = &identity
+	return nil
+}
+
+func (c *content) readSnapshot(disk Disk) error {
+	if len(c.snapshots) == 0 {
+		return nil
+	}
+	name := c.snapshots[len(c.snapshots)-1]
+	data, err := disk.Read(name)
+	if err != nil {
+		return merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	snapshot, err := walcodec.DecodeSnapshot(data)
+	if err != nil {
+		return damage(name, err)
+	}
+	if want := fmt.Sprintf(snapshotFormat, snapshot.Index); name != want {
+		return damage(name, &walcodec.DamageError{Reason: "the snapshot in it belongs to " + want})
+	}
+	c.Snapshot = &snapshot
+	return nil
+}
+
+func (c *content) readLog(disk Disk, names []string) error {
+	log := walcodec.Log{}
+	for i, name := range names {
+		if i > 0 && name != segmentName(c.segments[i-1].number+1) {
+			return merry.Prependf(ErrIncomplete, "a segment before %s is missing", name)
+		}
+		info, err := c.readSegment(disk, name, i == len(names)-1, &log)
+		if err != nil {
+			return err
+		}
+		c.segments = append(c.segments, info)
+	}
+	c.HardState = log.HardState
+	c.written = log.Last()
+	position := walcodec.Position{}
+	if c.Snapshot != nil {
+		position = walcodec.Position{Index: c.Snapshot.Index, Term: c.Snapshot.Term}
+	}
+	kept, err := log.Attach(position)
+	if err != nil {
+		return merry.Prepend(ErrIncomplete, err.Error())
+	}
+	if !kept {
+		c.reset = &position
+	}
+	c.Entries = log.Entries()
+	return nil
+}
+
+func (c *content) readSegment(disk Disk, name string, last bool, log *walcodec.Log) (segmentInfo, error) {
+	data, err := disk.Read(name)
+	if err != nil {
+		return segmentInfo{}, merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	segment, err := walcodec.ScanSegment(data, last)
+	if err != nil {
+		return segmentInfo{}, damage(name, err)
+	}
+	info := segmentInfo{number: segment.Header.Number, size: segment.Size}
+	if want := fmt.Sprintf(segmentFormat, info.number); name != want {
+		return info, damage(name, &walcodec.DamageError{Reason: "the segment in it belongs to " + want})
+	}
+	c.Torn = c.Torn || segment.Torn
+	for _, batch := range segment.Batches {
+		if err := log.Apply(batch); err != nil {
+			return info, damage(name, &walcodec.DamageError{Offset: segment.Size, Reason: err.Error()})
+		}
+		for _, entry := range batch.Entries {
+			info.maxIndex = max(info.maxIndex, entry.Index)
+		}
+	}
+	return info, nil
+}
+
+// damage names the file of a damage that the codec found.
+func damage(name string, err error) error {
+	var found *walcodec.DamageError
+	if !errors.As(err, &found) {
+		return merry.Wrap(&DamageError{File: name, Reason: err.Error()})
+	}
+	return merry.Wrap(&DamageError{File: name, Offset: found.Offset, Reason: found.Reason})
+}
+
+// Inspect reads a data folder without changing it. The folder must not be in
+// use.
+func Inspect(disk Disk) (Recovered, error) {
+	if err := disk.Lock(); err != nil {
+		return Recovered{}, merry.Wrap(err)
+	}
+	c, err := readFolder(disk)
+	return c.Recovered, errors.Join(err, disk.Unlock())
+}
--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,401 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+const testSeed = 11
+
+// testSegmentBytes makes a workload of a few dozen appends roll over often.
+const testSegmentBytes = 300
+
+func testOptions(disk Disk) Options {
+	return Options{Disk: disk, Replica: 1, Logger: eventlog.Nop(), Metrics: metrics.New(), SegmentBytes: testSegmentBytes}
+}
+
+func entries(first, last, term uint64) []replog.Entry {
+	var all []replog.Entry
+	for i := first; i <= last; i++ {
+		all = append(all, replog.Entry{Index: i, Term: term, Kind: replog.EntryCommand, Data: fmt.Appendf(nil, "command %d of term %d", i, term)})
+	}
+	return all
+}
+
+func snapshotAt(index, term uint64) *replog.Snapshot {
+	return &replog.Snapshot{Index: index, Term: term, Data: fmt.Appendf(nil, "state at %d", index)}
+}
+
+// workload holds appends that replace suffixes, snapshots that remove
+// segments, and an installed snapshot that replaces the log.
+func workload() []Request {
+	requests := []Request{
+		Append{HardState: &replog.HardState{Term: 1, Vote: 1}},
+		Append{Entries: entries(1, 4, 1)},
+		Append{Entries: entries(5, 9, 1)},
+		Append{Entries: entries(10, 14, 1)},
+		SaveSnapshot{*snapshotAt(8, 1)},
+		Append{HardState: &replog.HardState{Term: 2, Vote: 2}, Entries: entries(12, 15, 2)},
+		Append{Entries: entries(16, 20, 2)},
+		SaveSnapshot{*snapshotAt(15, 2)},
+		Append{HardState: &replog.HardState{Term: 3}, Install: snapshotAt(30, 3), Entries: entries(31, 33, 3)},
+		Append{Entries: entries(34, 38, 3)},
+		SaveSnapshot{*snapshotAt(36, 3)},
+		Append{Entries: entries(37, 37, 4)},
+	}
+	seq := uint64(0)
+	for i, request := range requests {
+		if request, ok := request.(Append); ok {
+			seq++
+			request.Seq = seq
+			requests[i] = request
+		}
+	}
+	return requests
+}
+
+// model is the state that a folder must recover to.
+type model struct {
+	hardState replog.HardState
+	snapshot  uint64
+	entries   []replog.Entry // after the snapshot
+}
+
+func (m model) apply(request Request) model {
+	switch request := request.(type) {
+	case SaveSnapshot:
+		m.entries = m.entries[request.Snapshot.Index-m.snapshot:]
+		m.snapshot = request.Snapshot.Index
+	case Append:
+		if request.HardState != nil {
+			m.hardState = *request.HardState
+		}
+		if request.Install != nil {
+			m.snapshot, m.entries = request.Install.Index, nil
+		}
+		if len(request.Entries) > 0 {
+			keep := request.Entries[0].Index - m.snapshot - 1
+			m.entries = append(m.entries[:keep:keep], request.Entries...)
+		}
+	}
+	return m
+}
+
+func (m model) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v snapshot %d:", m.hardState, m.snapshot)
+	for _, entry := range m.entries {
+		fmt.Fprintf(&b, " %d/%d=%s", entry.Index, entry.Term, entry.Data)
+	}
+	return b.String()
+}
+
+func recoveredModel(r Recovered) model {
+	m := model{hardState: r.HardState, entries: r.Entries}
+	if r.Snapshot != nil {
+		m.snapshot = r.Snapshot.Index
+	}
+	return m
+}
+
+// allowed returns the states in which the folder may be found where request
+// was under way when the machine stopped.
+func allowed(before model, request Request) []string {
+	states := []string{before.String(), before.apply(request).String()}
+	if install, ok := request.(Append); ok && install.Install != nil {
+		between := model{hardState: before.hardState, snapshot: install.Install.Index}
+		states = append(states, between.String())
+	}
+	return states
+}
+
+// Guards against lost or invented entries: the machine stops at every single
+// write, sync, rename and removal of a workload, and the folder must recover
+// to all that was answered and at most the request under way. After it the
+// rest of the workload must go on from there.
+func TestRecoversFromStopAtEveryOperation(t *testing.T) {
+	for seed := range uint64(8) {
+		for dieAt := 1; ; dieAt++ {
+			disk := newFakeDisk()
+			disk.dieAt = dieAt
+			before, pending := runUntilDeath(t, disk)
+			if pending == nil {
+				break
+			}
+			random := rand.New(rand.NewPCG(testSeed, seed))
+			store, recovered, err := Open(testOptions(disk.afterCrash(random)))
+			if err != nil {
+				t.Fatalf("stop at %d, seed %d: %v", dieAt, seed, err)
+			}
+			got := recoveredModel(recovered).String()
+			if !strings.Contains(strings.Join(allowed(before, pending), "\n")+"\n", got+"\n") {
+				t.Fatalf("stop at %d, seed %d:\n got %s\nwant one of %s", dieAt, seed, got, strings.Join(allowed(before, pending), "\n"))
+			}
+			resume(t, store, recoveredModel(recovered))
+		}
+	}
+}
+
+// runUntilDeath runs the workload and returns the state that was answered and
+// the request that was not, or nil where the workload came to its end.
+func runUntilDeath(t *testing.T, disk *fakeDisk) (model, Request) {
+	t.Helper()
+	store, _, err := Open(testOptions(disk))
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := model{}
+	if err := store.Admit(); err != nil {
+		return state, Append{}
+	}
+	for _, request := range workload() {
+		if err := store.serve([]Request{request}); err != nil {
+			if !errors.Is(err, ErrFailed) {
+				t.Fatalf("error %v is not ErrFailed", err)
+			}
+			return state, request
+		}
+		<-store.completions
+		state = state.apply(request)
+	}
+	return state, nil
+}
+
+// resume appends to a recovered store and recovers it again.
+func resume(t *testing.T, store *Store, state model) {
+	t.Helper()
+	if store.Identity() == nil {
+		return
+	}
+	next := state.snapshot + uint64(len(state.entries)) + 1
+	request := Append{Seq: 1, HardState: &replog.HardState{Term: 9}, Entries: entries(next, next+2, 9)}
+	if err := store.serve([]Request{request}); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	_, recovered, err := Open(testOptions(store.disk))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := recoveredModel(recovered).String(), state.apply(request).String(); got != want {
+		t.Fatalf("after the restart:\n got %s\nwant %s", got, want)
+	}
+}
+
+// Guards against a process that goes on after a failed sync, whose file
+// content is unknown, and against taking such a failure for a full disk.
+func TestFailedSyncIsFatal(t *testing.T) {
+	for _, cause := range []error{syscall.EIO, syscall.ENOSPC} {
+		disk := newFakeDisk()
+		store, _, err := Open(testOptions(disk))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := store.serve([]Request{Append{Seq: 1, HardState: &replog.HardState{Term: 1}}}); err != nil {
+			t.Fatal(err)
+		}
+		disk.fail[disk.ops+2] = cause // after the write of the record
+		err = store.serve([]Request{Append{Seq: 2, HardState: &replog.HardState{Term: 2}}})
+		if !errors.Is(err, ErrFailed) {
+			t.Errorf("%v: error %v, want ErrFailed", cause, err)
+		}
+	}
+}
+
+// Guards against a full disk that stops the process, loses an answered append
+// or takes a later append before the refused one.
+func TestFullDiskRefusesUntilRoom(t *testing.T) {
+	disk := newFakeDisk()
+	store, _, err := Open(testOptions(disk))
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve := func(request Append) error {
+		t.Helper()
+		if err := store.serve([]Request{request}); err != nil {
+			t.Fatal(err)
+		}
+		return (<-store.completions).Err
+	}
+	if err := store.Admit(); err != nil {
+		t.Fatal(err)
+	}
+	first := Append{Seq: 1, Entries: entries(1, 2, 1)}
+	second := Append{Seq: 2, Entries: entries(3, 4, 1)}
+	third := Append{Seq: 3, Entries: entries(5, 6, 1)}
+	if err := serve(first); err != nil {
+		t.Fatal(err)
+	}
+	disk.fail[disk.ops+1] = syscall.ENOSPC
+	if err := serve(second); !errors.Is(err, ErrDiskFull) {
+		t.Fatalf("error %v, want ErrDiskFull", err)
+	}
+	if err := serve(third); !errors.Is(err, ErrDiskFull) {
+		t.Fatalf("append after a refused one: error %v, want ErrDiskFull", err)
+	}
+	for _, request := range []Append{second, third} {
+		if err := serve(request); err != nil {
+			t.Fatalf("append %d with room again: %v", request.Seq, err)
+		}
+	}
+	store.Close()
+	_, recovered, err := Open(testOptions(disk))
+	if err != nil || len(recovered.Entries) != 6 {
+		t.Fatalf("%d entries, error %v, want 6", len(recovered.Entries), err)
+	}
+}
+
+// Guards against a limit that is not checked, and against a bound of entries
+// for each sync that drops entries.
+func TestOptionsOfWriting(t *testing.T) {
+	disk := newFakeDisk()
+	opts := testOptions(disk)
+	opts.EntriesPerSync = 1
+	opts.LimitBytes = 600
+	store, _, err := Open(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Admit(); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.serve([]Request{Append{Seq: 1, Entries: entries(1, 5, 1)}, Append{Seq: 2, Entries: entries(6, 60, 1)}}); err != nil {
+		t.Fatal(err)
+	}
+	if first := <-store.completions; !errors.Is(first.Err, ErrDiskFull) {
+		t.Fatalf("group above the limit: %v", first.Err)
+	}
+	store.Close()
+	_, recovered, err := Open(testOptions(disk))
+	if err != nil || len(recovered.Entries) < 5 {
+		t.Fatalf("%d entries, error %v, want at least 5", len(recovered.Entries), err)
+	}
+}
+
+// Guards against two processes on one folder, and against a folder that is
+// taken over by another replica id.
+func TestFolderIsHeldByOneReplica(t *testing.T) {
+	open := func(path string, id replog.ReplicaID) (*Store, error) {
+		disk, err := NewFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		opts := testOptions(disk)
+		opts.Replica = id
+		store, _, err := Open(opts)
+		return store, err
+	}
+	path := t.TempDir()
+	store, err := open(path, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Admit(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open(path, 1); !errors.Is(err, ErrLocked) {
+		t.Errorf("second process: error %v, want ErrLocked", err)
+	}
+	store.Close()
+	if _, err := open(path, 2); !errors.Is(err, ErrOtherReplica) {
+		t.Errorf("other replica: error %v, want ErrOtherReplica", err)
+	}
+	store, err = open(path, 1)
+	if err != nil {
+		t.Fatalf("second start: %v", err)
+	}
+	store.Close()
+}
+
+// Guards against a folder that is started although a file of it is damaged or
+// missing. The error must name the file and the offset.
+func TestDamagedFolderIsRefused(t *testing.T) {
+	path := t.TempDir()
+	fill(t, path)
+	segments, err := filepath.Glob(filepath.Join(path, "segment-*"))
+	if err != nil || len(segments) < 3 {
+		t.Fatalf("segments %v, error %v, want at least 3", segments, err)
+	}
+	flip := func(data []byte) []byte { data[len(data)-3] ^= 1; return data }
+	missing := func([]byte) []byte { return nil }
+	cases := map[string]struct {
+		file   string
+		change func([]byte) []byte
+		want   string
+	}{
+		"damaged middle segment": {segments[1], flip, filepath.Base(segments[1]) + ": damaged at offset "},
+		"missing middle segment": {segments[1], missing, "a segment before " + filepath.Base(segments[2]) + " is missing"},
+		"missing first segment":  {segments[0], missing, "the log has a gap"},
+		"damaged identity":       {filepath.Join(path, identityName), flip, "identity: damaged at offset "},
+		"missing identity":       {filepath.Join(path, identityName), missing, "the file identity is missing"},
+	}
+	for name, c := range cases {
+		original, err := os.ReadFile(c.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if changed := c.change(bytes.Clone(original)); changed != nil {
+			err = os.WriteFile(c.file, changed, fileMode)
+		} else {
+			err = os.Remove(c.file)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		disk, err := NewFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Open(testOptions(disk)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q", name, err, c.want)
+		}
+		if err := os.WriteFile(c.file, original, fileMode); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := Inspect(mustFolder(t, path)); err != nil {
+		t.Errorf("restored folder: %v", err)
+	}
+}
+
+func mustFolder(t *testing.T, path string) Disk {
+	t.Helper()
+	disk, err := NewFolder(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return disk
+}
+
+// fill writes a log of several segments without a snapshot.
+func fill(t *testing.T, path string) {
+	t.Helper()
+	store, _, err := Open(testOptions(mustFolder(t, path)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	if err := store.Admit(); err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(12) {
+		request := Append{Seq: i + 1, Entries: entries(3*i+1, 3*i+3, 1)}
+		if err := store.serve([]Request{request}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if store.Identity() == nil || !store.Identity().Formed {
+		t.Fatal("the identity does not say that the group was formed")
+	}
+}
--- /dev/null
+++ b/internal/storage/store.go
@@ -0,0 +1,305 @@
+package storage
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/walcodec"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// MailboxSize is the capacity of the channels of requests and completions. A
+// client that has at most so many requests without a completion never blocks
+// the task, nor itself.
+const MailboxSize = 256
+
+// Options of a Store.
+type Options struct {
+	Disk    Disk
+	Replica replog.ReplicaID
+	Logger  *eventlog.Logger
+	Metrics *metrics.Set
+
+	SegmentBytes int64 // a segment is closed above this size
+	LimitBytes   int64 // log size above which appends are refused; 0 for no limit
+	// EntriesPerSync bounds the entries of one write and sync; 0 is no bound.
+	// 1 is the plain version that benchmarks compare with group commit.
+	EntriesPerSync int
+}
+
+// DefaultSegmentBytes keeps the time to read a segment at a start below a
+// tenth of a second, and the number of files of a day's log small.
+const DefaultSegmentBytes = 16 << 20
+
+// Request is sent to a Store.
+type Request interface{ request() }
+
+// Append makes a part of the log durable. Appends are numbered from 1 without
+// gaps. After a refusal with ErrDiskFull the refused append must be repeated
+// before any later one.
+type Append struct {
+	Seq       uint64
+	HardState *replog.HardState
+	Install   *replog.Snapshot // replaces the log
+	Entries   []replog.Entry   // replace entries of the same index and after
+}
+
+// SaveSnapshot stores a snapshot of the replica's own state and removes the
+// segments that it covers.
+type SaveSnapshot struct{ Snapshot replog.Snapshot }
+
+func (Append) request()       {}
+func (SaveSnapshot) request() {}
+
+// Completion answers a request.
+type Completion struct {
+	Seq      uint64 // of an Append; 0 for SaveSnapshot
+	Snapshot uint64 // index of a SaveSnapshot
+	Err      error  // nil or ErrDiskFull
+}
+
+// Store is the task that owns a data folder.
+type Store struct {
+	opts        Options
+	disk        Disk
+	requests    chan Request
+	completions chan Completion
+	log         writer
+	nextSeq     uint64
+	full        bool
+	identity    *walcodec.Identity
+	snapshots   []string
+}
+
+// Open locks and recovers the folder. A damaged folder is left as it is; the
+// error is then a *DamageError or ErrIncomplete.
+func Open(opts Options) (*Store, Recovered, error) {
+	disk := opts.Disk
+	if err := disk.Lock(); err != nil {
+		return nil, Recovered{}, merry.Wrap(err)
+	}
+	store, recovered, err := open(opts)
+	if err != nil {
+		return nil, Recovered{}, errors.Join(err, disk.Unlock())
+	}
+	return store, recovered, nil
+}
+
+func open(opts Options) (*Store, Recovered, error) {
+	c, err := readFolder(opts.Disk)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	if c.Identity != nil && c.Identity.Replica != opts.Replica {
+		return nil, Recovered{}, merry.Appendf(ErrOtherReplica, "replica %d, not %d", c.Identity.Replica, opts.Replica)
+	}
+	if err := repair(opts, c); err != nil {
+		return nil, Recovered{}, merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	store := &Store{
+		opts:        opts,
+		disk:        opts.Disk,
+		requests:    make(chan Request, MailboxSize),
+		completions: make(chan Completion, MailboxSize),
+		log:         newWriter(opts, c),
+		nextSeq:     1,
+		identity:    c.Identity,
+		snapshots:   c.snapshots,
+	}
+	opts.Logger.Log(eventRecovered, zap.Int("segments", len(c.segments)), zap.Int("entries", len(c.Entries)),
+		zap.Uint64("last_index", c.written.Index), zap.Uint64("term", c.HardState.Term))
+	return store, c.Recovered, nil
+}
+
+// repair cuts a torn record and removes what an interrupted start or snapshot
+// has left.
+func repair(opts Options, c content) error {
+	for _, name := range c.temporary {
+		if err := opts.Disk.Remove(name); err != nil {
+			return err
+		}
+	}
+	if !c.Torn {
+		return nil
+	}
+	last := c.segments[len(c.segments)-1]
+	opts.Logger.Log(eventTornCut, zap.String("file", segmentName(last.number)), zap.Int64("offset", last.size))
+	return opts.Disk.Truncate(segmentName(last.number), last.size)
+}
+
+// Requests is the mailbox of the task.
+func (s *Store) Requests() chan<- Request { return s.requests }
+
+// Completions answers the requests in their order.
+func (s *Store) Completions() <-chan Completion { return s.completions }
+
+// Identity returns the identity as of Open or Admit.
+func (s *Store) Identity() *walcodec.Identity { return s.identity }
+
+// Admit writes the identity file of an empty folder. It is called before Run;
+// from then on the replica may vote with the folder.
+func (s *Store) Admit() error {
+	return s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica})
+}
+
+// Run serves requests until ctx ends. It returns an error that wraps ErrFailed
+// where the folder cannot be written; the process must then end.
+func (s *Store) Run(ctx context.Context) error {
+	defer s.close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case first := <-s.requests:
+			if err := s.serve(s.drain(first)); err != nil {
+				s.opts.Logger.Log(eventFailed, zap.Error(err))
+				return err
+			}
+		}
+	}
+}
+
+// Close releases a store whose Run is never called.
+func (s *Store) Close() { s.close() }
+
+func (s *Store) close() {
+	s.log.close()
+	if err := s.disk.Unlock(); err != nil {
+		s.opts.Logger.Log(eventFailed, zap.Error(err))
+	}
+}
+
+// drain returns the waiting requests, which are served as one group.
+func (s *Store) drain(first Request) []Request {
+	group := []Request{first}
+	for len(group) < MailboxSize {
+		select {
+		case next := <-s.requests:
+			group = append(group, next)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// serve writes consecutive appends together and everything else by itself.
+func (s *Store) serve(group []Request) error {
+	var appends []Append
+	for _, request := range group {
+		switch request := request.(type) {
+		case Append:
+			if request.Install == nil {
+				appends = append(appends, request)
+				continue
+			}
+			if err := s.serveAppends(appends); err != nil {
+				return err
+			}
+			appends = nil
+			if err := s.serveInstall(request); err != nil {
+				return err
+			}
+		case SaveSnapshot:
+			if err := s.serveAppends(appends); err != nil {
+				return err
+			}
+			appends = nil
+			if err := s.serveSnapshot(request.Snapshot); err != nil {
+				return err
+			}
+		}
+	}
+	return s.serveAppends(appends)
+}
+
+func (s *Store) serveAppends(appends []Append) error {
+	accepted := s.inOrder(appends)
+	if len(accepted) == 0 {
+		return nil
+	}
+	started := time.Now()
+	err := s.markFormed(accepted)
+	if err == nil {
+		err = s.log.write(accepted)
+	}
+	if err != nil && !diskFull(err) {
+		return merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	s.opts.Metrics.Observe(metricSync, time.Since(started))
+	s.answer(accepted, err)
+	return nil
+}
+
+// inOrder returns the appends that continue the last one and refuses the rest,
+// which follow a refused one.
+func (s *Store) inOrder(appends []Append) []Append {
+	for i, request := range appends {
+		if request.Seq != s.nextSeq+uint64(i) {
+			s.refuse(appends[i:])
+			return appends[:i]
+		}
+	}
+	return appends
+}
+
+func (s *Store) answer(appends []Append, err error) {
+	if err != nil {
+		s.setFull(true, err)
+		s.refuse(appends)
+		return
+	}
+	s.setFull(false, nil)
+	s.nextSeq += uint64(len(appends))
+	s.opts.Metrics.Add(metricAppends, "", int64(len(appends)))
+	for _, request := range appends {
+		s.completions <- Completion{Seq: request.Seq}
+	}
+}
+
+func (s *Store) refuse(appends []Append) {
+	s.opts.Metrics.Add(metricRefusals, "disk-full", int64(len(appends)))
+	for _, request := range appends {
+		s.completions <- Completion{Seq: request.Seq, Err: ErrDiskFull}
+	}
+}
+
+func (s *Store) setFull(full bool, err error) {
+	if full == s.full {
+		return
+	}
+	s.full = full
+	if full {
+		s.opts.Logger.Log(eventDiskFull, zap.Error(err))
+		return
+	}
+	s.opts.Logger.Log(eventDiskRoom)
+}
+
+// markFormed records that the replica belongs to a formed group, before the
+// first entry is stored.
+func (s *Store) markFormed(appends []Append) error {
+	if s.identity == nil || s.identity.Formed {
+		return nil
+	}
+	for _, request := range appends {
+		if len(request.Entries) > 0 || request.Install != nil {
+			return s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica, Formed: true})
+		}
+	}
+	return nil
+}
+
+func (s *Store) writeIdentity(identity walcodec.Identity) error {
+	if err := writeWhole(s.disk, identityName, walcodec.EncodeIdentity(identity)); err != nil {
+		return err
+	}
+	s.identity = &identity
+	return nil
+}
