Add the transport of log messages between replicas

Cause: the replicated log needs its messages carried to the other replicas. The membership encoding of walcodec is that of core/replog.

--- a/core/walcodec/snapshot.go
+++ b/core/walcodec/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"hash/crc32"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -27,7 +28,7 @@
 func EncodeSnapshot(s replog.Snapshot) []byte {
 	body := make([]byte, 0, len(s.Data)+64)
 	body = appendPosition(body, Position{Index: s.Index, Term: s.Term})
-	body = AppendMembership(body, s.Membership)
+	body = appendBytes(body, replog.EncodeMembership(s.Membership))
 	body = appendBytes(body, s.Data)
 	return seal(snapshotMagic, body)
 }
@@ -41,9 +42,10 @@
 	r := &reader{rest: body}
 	position := r.position()
 	s := replog.Snapshot{Index: position.Index, Term: position.Term}
-	s.Membership = r.membership()
+	membership, err := replog.DecodeMembership(r.bytes())
+	s.Membership = membership
 	s.Data = r.bytes()
-	if err := r.finish(); err != nil {
+	if err := errors.Join(err, r.finish()); err != nil {
 		return replog.Snapshot{}, &DamageError{Offset: sealBytes, Reason: err.Error()}
 	}
 	return s, nil
@@ -75,40 +77,6 @@
 	return id, nil
 }
 
-// AppendMembership appends an encoded membership to dst.
-func AppendMembership(dst []byte, m replog.Membership) []byte {
-	for _, ids := range [][]replog.ReplicaID{m.Voters, m.Learners} {
-		dst = binary.AppendUvarint(dst, uint64(len(ids)))
-		for _, id := range ids {
-			dst = binary.AppendUvarint(dst, uint64(id))
-		}
-	}
-	return dst
-}
-
-// DecodeMembership decodes a membership. The error is ErrMalformed.
-func DecodeMembership(data []byte) (replog.Membership, error) {
-	r := &reader{rest: data}
-	m := r.membership()
-	return m, r.finish()
-}
-
-func (r *reader) membership() replog.Membership {
-	return replog.Membership{Voters: r.replicaIDs(), Learners: r.replicaIDs()}
-}
-
-func (r *reader) replicaIDs() []replog.ReplicaID {
-	n := r.count(1)
-	if n == 0 {
-		return nil
-	}
-	ids := make([]replog.ReplicaID, n)
-	for i := range ids {
-		ids[i] = replog.ReplicaID(r.uvarint())
-	}
-	return ids
-}
-
 func seal(magic string, body []byte) []byte {
 	out := make([]byte, 0, sealBytes+len(body))
 	out = append(out, magic...)
--- /dev/null
+++ b/internal/replication/replication_test.go
@@ -0,0 +1,133 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// inbox is a Receiver that collects messages.
+type inbox chan []replog.Message
+
+func (i inbox) Deliver(ctx context.Context, messages []replog.Message) error {
+	select {
+	case i <- messages:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (i inbox) Status(context.Context) (Status, error) { return Status{ID: 2, Formed: true}, nil }
+
+func sampleMessages() []replog.Message {
+	entries := []replog.Entry{
+		{Index: 8, Term: 3, Kind: replog.EntryCommand, Data: []byte("set")},
+		{Index: 9, Term: 4, Kind: replog.EntryMembership, Data: replog.EncodeMembership(replog.Membership{Voters: []replog.ReplicaID{1, 2}})},
+	}
+	snapshot := &replog.Snapshot{Index: 7, Term: 3, Membership: replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}}, Data: []byte("state")}
+	return []replog.Message{
+		{Type: replog.MessageAppend, From: 1, To: 2, Term: 4, LogTerm: 3, LogIndex: 7, Commit: 6, Entries: entries, Context: 5, SentNanos: 77},
+		{Type: replog.MessageAppendAnswer, From: 1, To: 2, Term: 4, LogIndex: 9, Reject: true, Hint: 3},
+		{Type: replog.MessageSnapshot, From: 1, To: 2, Term: 4, Snapshot: snapshot},
+	}
+}
+
+func testServer(t *testing.T, receiver Receiver, set *metrics.Set) *httptest.Server {
+	t.Helper()
+	mux := http.NewServeMux()
+	prefix, handler := NewServer(2, receiver, eventlog.Nop(), set)
+	mux.Handle(prefix, handler)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against fields of a message that are lost or changed on the way.
+func TestMessagesArriveUnchanged(t *testing.T) {
+	received := make(inbox, 16)
+	server := testServer(t, received, metrics.New())
+	sender := NewSender(SenderOptions{
+		Peers: []Peer{{ID: 2, Address: strings.TrimPrefix(server.URL, "http://")}}, Scheme: "http",
+		Client: NewClient(), Logger: eventlog.Nop(), Metrics: metrics.New(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); sender.Run(ctx) }()
+	want := sampleMessages()
+	sender.Send(want)
+	got := map[replog.MessageType]replog.Message{}
+	for len(got) < len(want) {
+		for _, m := range <-received {
+			got[m.Type] = m
+		}
+	}
+	for _, m := range want {
+		if !reflect.DeepEqual(got[m.Type], m) {
+			t.Errorf("got %+v, want %+v", got[m.Type], m)
+		}
+	}
+	cancel()
+	<-done
+}
+
+// Guards against a queue that blocks the replica task while a peer is away.
+func TestFullQueueDrops(t *testing.T) {
+	set := metrics.New()
+	sender := NewSender(SenderOptions{Peers: []Peer{{ID: 2, Address: "127.0.0.1:1"}}, Scheme: "http", Client: NewClient(), Logger: eventlog.Nop(), Metrics: set})
+	for range logQueue + 3 {
+		sender.Send([]replog.Message{{Type: replog.MessageAppend, To: 2}})
+	}
+	if want := `replication_messages_dropped_total{reason="queue-full"} 3`; !strings.Contains(set.Text(), want) {
+		t.Errorf("metrics without %s:\n%s", want, set.Text())
+	}
+}
+
+// Guards against malformed messages that reach the log, and against one of
+// them hiding the sound ones of its batch.
+func TestMalformedMessagesAreDropped(t *testing.T) {
+	cases := map[string]func(m *rpcpb.LogMessage){
+		"unknown type":          func(m *rpcpb.LogMessage) { m.Type = 77 },
+		"no sender":             func(m *rpcpb.LogMessage) { m.From = 0 },
+		"no term":               func(m *rpcpb.LogMessage) { m.Term = 0 },
+		"gap in entries":        func(m *rpcpb.LogMessage) { m.Entries[1].Index++ },
+		"term decreases":        func(m *rpcpb.LogMessage) { m.Entries[1].Term = 2 },
+		"term above message":    func(m *rpcpb.LogMessage) { m.Entries[1].Term = 5 },
+		"unknown kind":          func(m *rpcpb.LogMessage) { m.Entries[0].Kind = 9 },
+		"malformed membership":  func(m *rpcpb.LogMessage) { m.Entries[1].Data = []byte{200} },
+		"entries in an answer":  func(m *rpcpb.LogMessage) { m.Type = uint32(replog.MessageAppendAnswer) },
+		"snapshot of an append": func(m *rpcpb.LogMessage) { m.Snapshot = &rpcpb.LogSnapshot{Index: 1, Term: 1} },
+	}
+	set := metrics.New()
+	received := make(inbox, 16)
+	server := testServer(t, received, set)
+	client := rpcpb.NewReplicationProtobufClient(server.URL, server.Client())
+	sample := encodeMessage(sampleMessages()[0])
+	for name, change := range cases {
+		malformed := proto.Clone(sample).(*rpcpb.LogMessage)
+		change(malformed)
+		if _, err := decodeMessage(malformed); !errors.Is(err, errMalformed) {
+			t.Errorf("%s: error %v", name, err)
+		}
+		if _, err := client.Step(t.Context(), &rpcpb.StepRequest{Messages: []*rpcpb.LogMessage{malformed, sample}}); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if got := <-received; len(got) != 1 {
+			t.Errorf("%s: %d messages delivered, want 1", name, len(got))
+		}
+	}
+	if want := `replication_messages_dropped_total{reason="malformed"} 10`; !strings.Contains(set.Text(), want) {
+		t.Errorf("metrics without %s:\n%s", want, set.Text())
+	}
+}
--- /dev/null
+++ b/internal/replication/server.go
@@ -0,0 +1,87 @@
+package replication
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// maxRequestBytes bounds a request: a snapshot of the planned cell is below
+// 64 MiB.
+const maxRequestBytes = 128 << 20
+
+// Status is what a replica says of itself to a replica with an empty folder.
+type Status struct {
+	ID     replog.ReplicaID
+	Formed bool // it has stored an entry of a formed group
+	Term   uint64
+	Commit uint64
+	Leader replog.ReplicaID
+}
+
+// Receiver is the replica behind a server.
+type Receiver interface {
+	// Deliver hands messages to the replica task. It waits while the task has
+	// a full mailbox, until ctx ends.
+	Deliver(ctx context.Context, messages []replog.Message) error
+	Status(ctx context.Context) (Status, error)
+}
+
+// Server serves the twirp service Replication.
+type Server struct {
+	self     replog.ReplicaID
+	receiver Receiver
+	logger   *eventlog.Logger
+	metrics  *metrics.Set
+}
+
+// NewServer returns the HTTP handler of the service and its path prefix.
+func NewServer(self replog.ReplicaID, receiver Receiver, logger *eventlog.Logger, set *metrics.Set) (string, http.Handler) {
+	server := rpcpb.NewReplicationServer(&Server{self: self, receiver: receiver, logger: logger, metrics: set})
+	return server.PathPrefix(), http.MaxBytesHandler(server, maxRequestBytes)
+}
+
+// Step implements rpcpb.Replication.
+func (s *Server) Step(ctx context.Context, request *rpcpb.StepRequest) (*rpcpb.StepResponse, error) {
+	messages := make([]replog.Message, 0, len(request.Messages))
+	for _, in := range request.Messages {
+		m, err := decodeMessage(in)
+		if err != nil {
+			s.metrics.Add(metricDropped, "malformed", 1)
+			s.logger.Log(eventMalformed, zap.Uint64("from", in.From), zap.Error(err))
+			continue
+		}
+		if m.To != s.self {
+			s.metrics.Add(metricDropped, "other-replica", 1)
+			continue
+		}
+		messages = append(messages, m)
+	}
+	if len(messages) == 0 {
+		return &rpcpb.StepResponse{}, nil
+	}
+	if err := s.receiver.Deliver(ctx, messages); err != nil {
+		s.metrics.Add(metricDropped, "mailbox-full", int64(len(messages)))
+		return nil, twirp.NewError(twirp.Unavailable, "the replica does not take messages now")
+	}
+	return &rpcpb.StepResponse{}, nil
+}
+
+// Status implements rpcpb.Replication.
+func (s *Server) Status(ctx context.Context, _ *rpcpb.StatusRequest) (*rpcpb.StatusResponse, error) {
+	status, err := s.receiver.Status(ctx)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "the replica does not answer now")
+	}
+	return &rpcpb.StatusResponse{
+		ReplicaId: uint64(status.ID), Formed: status.Formed, Term: status.Term,
+		CommitIndex: status.Commit, LeaderId: uint64(status.Leader),
+	}, nil
+}
