Add the replica task, the Control service and godwit-control

Cause: the cores of the log, the state, the scheduler and the leases need the process that runs them. Change: internal/replica with the replica task (log, state, on the leader scheduler and lease granter), first start, planned stop, proposals, reads, renewals and feeds; internal/controlproc with settings and listeners; cmd/godwit-control; internal/bench/localgroup, a group on loopback for tests and benchmarks. Storage takes the admission of an empty folder as a request.

--- /dev/null
+++ b/internal/bench/localgroup/group.go
@@ -0,0 +1,205 @@
+// Package localgroup runs a control group inside one process, on loopback
+// addresses and real files, for tests and benchmarks.
+package localgroup
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+// Times of the replicas, as in docs/design.md, section 7.
+const (
+	electionTimeoutMin = 400 * time.Millisecond
+	electionTimeoutMax = 800 * time.Millisecond
+	heartbeatInterval  = 100 * time.Millisecond
+	maxClockDriftPPM   = 1000
+	snapshotEvery      = 10_000
+)
+
+// ErrNoLeader says that no replica leads.
+var ErrNoLeader = errors.New("no replica leads")
+
+// Options of a group.
+type Options struct {
+	Folder string // each replica has a folder in it
+	Size   int
+	Logger *eventlog.Logger
+	Tune   func(*replica.Options) // may change the options of each start
+}
+
+// Group is a set of replicas. It is used by one goroutine.
+type Group struct {
+	opts    Options
+	voters  []replication.Peer
+	members []*member
+	client  *controlclient.Client
+	Metrics *metrics.Set // of all replicas and the client
+	cancel  context.CancelFunc
+	clients chan struct{} // closed when the client's task has ended
+}
+
+// member is one replica, running where replica is not nil.
+type member struct {
+	replica *replica.Replica
+	server  *http.Server
+	cancel  context.CancelFunc
+	ended   chan error
+}
+
+// Start opens the listeners and starts all replicas.
+func Start(opts Options) (*Group, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Group{opts: opts, Metrics: metrics.New(), cancel: cancel, clients: make(chan struct{})}
+	var listeners []net.Listener
+	var addresses []string
+	for i := range opts.Size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+		addresses = append(addresses, listener.Addr().String())
+		g.voters = append(g.voters, replication.Peer{ID: replog.ReplicaID(i + 1), Address: listener.Addr().String()})
+		g.members = append(g.members, &member{})
+	}
+	g.client = controlclient.New(addresses, "http", replication.NewClient(), g.Metrics)
+	go func() { g.client.Run(ctx); close(g.clients) }()
+	for i, listener := range listeners {
+		if err := g.start(i, listener); err != nil {
+			return nil, errors.Join(err, g.Close())
+		}
+	}
+	return g, nil
+}
+
+// Client talks to the group. It finds the leader by itself.
+func (g *Group) Client() *controlclient.Client { return g.client }
+
+// Folder is the data folder of a replica.
+func (g *Group) Folder(i int) string {
+	return filepath.Join(g.opts.Folder, fmt.Sprintf("replica-%d", i+1))
+}
+
+// Replica returns a replica, or nil where it does not run.
+func (g *Group) Replica(i int) *replica.Replica { return g.members[i].replica }
+
+// Restart starts a replica that was stopped, at its former address.
+func (g *Group) Restart(i int) error {
+	listener, err := net.Listen("tcp", g.voters[i].Address)
+	if err != nil {
+		return err
+	}
+	return g.start(i, listener)
+}
+
+func (g *Group) start(i int, listener net.Listener) error {
+	disk, err := storage.NewFolder(g.Folder(i))
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	logger := g.opts.Logger
+	if logger == nil {
+		logger = eventlog.Nop()
+	}
+	opts := replica.Options{
+		ID: g.voters[i].ID, Voters: g.voters, Scheme: "http", Logger: logger, Metrics: g.Metrics,
+		Storage:            storage.Options{Disk: disk, SegmentBytes: storage.DefaultSegmentBytes},
+		ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax,
+		HeartbeatInterval: heartbeatInterval, MaxClockDriftPPM: maxClockDriftPPM,
+		SnapshotEveryEntries: snapshotEvery, Seed: uint64(time.Now().UnixNano()),
+	}
+	if g.opts.Tune != nil {
+		g.opts.Tune(&opts)
+	}
+	r, err := replica.New(opts)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), server: &http.Server{Handler: r.Handler()}}
+	go func() { m.ended <- r.Run(ctx) }()
+	go func() {
+		// Kill closes the server; any other end shows in the calls to it.
+		_ = m.server.Serve(listener)
+	}()
+	g.members[i] = m
+	return nil
+}
+
+// Kill ends a replica without a planned stop.
+func (g *Group) Kill(i int) error {
+	m := g.members[i]
+	g.members[i] = &member{}
+	closeErr := m.server.Close()
+	m.cancel()
+	return errors.Join(closeErr, <-m.ended)
+}
+
+// Stop ends a replica by a planned stop.
+func (g *Group) Stop(ctx context.Context, i int) error {
+	m := g.members[i]
+	g.members[i] = &member{}
+	err := errors.Join(m.replica.Stop(ctx), <-m.ended)
+	m.cancel()
+	return errors.Join(err, m.server.Shutdown(ctx))
+}
+
+// Wait returns the result of a replica that ended by itself.
+func (g *Group) Wait(i int) error {
+	m := g.members[i]
+	err := <-m.ended
+	m.ended <- err
+	return err
+}
+
+// leaderPoll is the time between two looks for a leader.
+const leaderPoll = 5 * time.Millisecond
+
+// Leader waits until a replica leads and returns its number.
+func (g *Group) Leader(ctx context.Context) (int, error) {
+	ticker := time.NewTicker(leaderPoll)
+	defer ticker.Stop()
+	for {
+		for i, m := range g.members {
+			if m.replica == nil {
+				continue
+			}
+			report, err := m.replica.Report(ctx)
+			if err == nil && report.Leading && time.Now().Before(report.LeaseEnd) {
+				return i, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ErrNoLeader
+		case <-ticker.C:
+		}
+	}
+}
+
+// Close kills everything that runs.
+func (g *Group) Close() error {
+	var err error
+	for i, m := range g.members {
+		if m.replica != nil {
+			err = errors.Join(err, g.Kill(i))
+		}
+	}
+	g.cancel()
+	<-g.clients
+	return err
+}
--- /dev/null
+++ b/internal/controlproc/process.go
@@ -0,0 +1,182 @@
+package controlproc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+// Log events.
+var (
+	eventListening = eventlog.Declare(1300, zapcore.InfoLevel, "listener opened")
+	eventStopping  = eventlog.Declare(1301, zapcore.InfoLevel, "planned stop, leadership is handed over first")
+	eventKilled    = eventlog.Declare(1302, zapcore.WarnLevel, "second signal, the process ends at once")
+	eventFailed    = eventlog.Declare(1303, zapcore.ErrorLevel, "control replica failed, the process ends")
+	eventServer    = eventlog.Declare(1304, zapcore.ErrorLevel, "listener failed")
+)
+
+// ErrListen says that an address of the settings cannot be listened on.
+var ErrListen = merry.Sentinel("cannot listen")
+
+const (
+	// readHeaderTimeout closes connections that send no request.
+	readHeaderTimeout = 5 * time.Second
+	// shutdownTimeout bounds the wait for calls in flight at a planned stop.
+	// Every call to a replica that does not lead is answered at once.
+	shutdownTimeout = 5 * time.Second
+	// reportTimeout bounds a readiness check.
+	reportTimeout = time.Second
+)
+
+// process holds the parts of a running process.
+type process struct {
+	logger   *eventlog.Logger
+	replica  *replica.Replica
+	servers  []*http.Server
+	failures chan error
+}
+
+// Run runs a control replica. stop asks for a planned stop, kill ends it.
+func Run(stop, kill context.Context, s *Settings, stderr io.Writer) error {
+	logger, err := eventlog.New(stderr, s.LogLevel, s.Name)
+	if err != nil {
+		return err
+	}
+	set := metrics.New()
+	disk, err := storage.NewFolder(s.DataDir)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	now := time.Now()
+	r, err := replica.New(replica.Options{
+		ID: replog.ReplicaID(s.ReplicaID), Voters: s.voters(), Scheme: "http", Logger: logger, Metrics: set,
+		Storage:            storage.Options{Disk: disk, SegmentBytes: storage.DefaultSegmentBytes},
+		ElectionTimeoutMin: s.ElectionTimeoutMin, ElectionTimeoutMax: s.ElectionTimeoutMax,
+		HeartbeatInterval: s.HeartbeatInterval, MaxClockDriftPPM: s.MaxClockDriftPPM,
+		SnapshotEveryEntries: s.SnapshotEveryEntries, Seed: uint64(now.UnixNano()),
+	})
+	if err != nil {
+		return err
+	}
+	p := &process{logger: logger, replica: r, failures: make(chan error, 2)}
+	defer p.closeServers()
+	for _, listener := range []struct {
+		address string
+		handler http.Handler
+	}{{s.ListenInternal, r.Handler()}, {s.ListenMetrics, p.metricsHandler(set)}} {
+		if err := p.serve(listener.address, listener.handler); err != nil {
+			r.Close()
+			return err
+		}
+	}
+	return p.run(stop, kill)
+}
+
+// serve opens a listener. TLS goes in here, around the listener.
+func (p *process) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
+	}
+	p.logger.Log(eventListening, zap.String("address", listener.Addr().String()))
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	p.servers = append(p.servers, server)
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.logger.Log(eventServer, zap.String("address", address), zap.Error(err))
+			p.failures <- err
+		}
+	}()
+	return nil
+}
+
+func (p *process) run(stop, kill context.Context) error {
+	running, cancel := context.WithCancel(kill)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- p.replica.Run(running) }()
+	select {
+	case err := <-ended:
+		return p.failed(err)
+	case err := <-p.failures:
+		cancel()
+		return errors.Join(err, <-ended)
+	case <-stop.Done():
+	}
+	return p.stop(kill, ended)
+}
+
+// stop hands the leadership over, ends the replica and waits for the answers
+// to the calls in flight.
+func (p *process) stop(kill context.Context, ended <-chan error) error {
+	p.logger.Log(eventStopping)
+	stopErr := p.replica.Stop(kill)
+	err := <-ended
+	if kill.Err() != nil {
+		p.logger.Log(eventKilled)
+		return nil
+	}
+	if stopErr != nil && !errors.Is(stopErr, replica.ErrStopped) {
+		err = errors.Join(err, stopErr)
+	}
+	timed, cancel := context.WithTimeout(kill, shutdownTimeout)
+	defer cancel()
+	for _, server := range p.servers {
+		err = errors.Join(err, server.Shutdown(timed))
+	}
+	return err
+}
+
+func (p *process) failed(err error) error {
+	if err != nil {
+		p.logger.Log(eventFailed, zap.Error(err))
+	}
+	return err
+}
+
+func (p *process) closeServers() {
+	for _, server := range p.servers {
+		// The process ends; a connection that was closed already is no fault.
+		_ = server.Close()
+	}
+}
+
+// metricsHandler serves metrics and health. A replica is ready when it knows
+// the leader of its group.
+func (p *process) metricsHandler(set *metrics.Set) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", set)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
+		p.health(w, r, func(replica.Report) bool { return true })
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, r *http.Request) {
+		p.health(w, r, func(report replica.Report) bool { return report.Leader != 0 })
+	})
+	return mux
+}
+
+func (p *process) health(w http.ResponseWriter, r *http.Request, good func(replica.Report) bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), reportTimeout)
+	defer cancel()
+	report, err := p.replica.Report(ctx)
+	if err != nil || !good(report) {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	// The checker has gone where this fails; there is nobody to tell.
+	_, _ = io.WriteString(w, "ok\n")
+}
--- /dev/null
+++ b/internal/controlproc/settings.go
@@ -0,0 +1,118 @@
+package controlproc
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/strictconf"
+	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/settings"
+)
+
+// Settings of godwit-control (docs/design.md, section 8).
+type Settings struct {
+	Name          string `toml:"name"`
+	Region        string `toml:"region"`
+	FailureDomain string `toml:"failure_domain"`
+	LogLevel      string `toml:"log_level"`
+
+	ListenInternal string `toml:"listen_internal"` // twirp
+	ListenMetrics  string `toml:"listen_metrics"`
+
+	ReplicaID            uint64        `toml:"replica_id"`
+	DataDir              string        `toml:"data_dir"`
+	ElectionTimeoutMin   time.Duration `toml:"election_timeout_min"`
+	ElectionTimeoutMax   time.Duration `toml:"election_timeout_max"`
+	HeartbeatInterval    time.Duration `toml:"heartbeat_interval"`
+	MaxClockDriftPPM     int64         `toml:"max_clock_drift_ppm"` // parts per million
+	SnapshotEveryEntries uint64        `toml:"snapshot_every_entries"`
+	Replicas             []Replica     `toml:"replica"`
+}
+
+// Replica is an initial voter.
+type Replica struct {
+	ID      uint64 `toml:"id"`
+	Address string `toml:"address"` // of its listen_internal
+}
+
+// Bounds of the settings.
+const (
+	// maxDriftPPM keeps the leader lease above half of the election timeout.
+	maxDriftPPM = 100_000
+	// heartbeatsPerTimeout is the least number of heartbeats in the minimum
+	// election timeout, so that one lost heartbeat starts no election.
+	heartbeatsPerTimeout = 3
+)
+
+// Check implements settings.Checker.
+func (s *Settings) Check() strictconf.Faults {
+	var faults strictconf.Faults
+	faults = append(faults, settings.CheckNotEmpty("name", s.Name)...)
+	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
+	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
+	faults = append(faults, settings.CheckNotEmpty("data_dir", s.DataDir)...)
+	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
+	faults = append(faults, settings.CheckAddress("listen_internal", s.ListenInternal)...)
+	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
+	faults = append(faults, s.checkTimes()...)
+	faults = append(faults, s.checkReplicas()...)
+	if s.SnapshotEveryEntries == 0 {
+		faults = append(faults, strictconf.Fault{Key: "snapshot_every_entries", Problem: "is 0", Expected: "at least 1"})
+	}
+	return faults
+}
+
+func (s *Settings) checkTimes() strictconf.Faults {
+	var faults strictconf.Faults
+	if s.HeartbeatInterval <= 0 {
+		faults = append(faults, strictconf.Fault{
+			Key: "heartbeat_interval", Problem: fmt.Sprintf("is %v", s.HeartbeatInterval), Expected: "a duration above 0",
+		})
+	}
+	if s.ElectionTimeoutMin < heartbeatsPerTimeout*s.HeartbeatInterval {
+		faults = append(faults, strictconf.Fault{
+			Key: "election_timeout_min", Problem: fmt.Sprintf("is %v", s.ElectionTimeoutMin),
+			Expected: fmt.Sprintf("at least %d times heartbeat_interval", heartbeatsPerTimeout),
+		})
+	}
+	if s.ElectionTimeoutMax <= s.ElectionTimeoutMin {
+		faults = append(faults, strictconf.Fault{
+			Key: "election_timeout_max", Problem: fmt.Sprintf("is %v", s.ElectionTimeoutMax), Expected: "more than election_timeout_min",
+		})
+	}
+	if s.MaxClockDriftPPM < 0 || s.MaxClockDriftPPM > maxDriftPPM {
+		faults = append(faults, strictconf.Fault{
+			Key: "max_clock_drift_ppm", Problem: fmt.Sprintf("is %d", s.MaxClockDriftPPM), Expected: fmt.Sprintf("0 to %d", maxDriftPPM),
+		})
+	}
+	return faults
+}
+
+func (s *Settings) checkReplicas() strictconf.Faults {
+	var faults strictconf.Faults
+	ids, addresses := map[uint64]bool{}, map[string]bool{}
+	for i, r := range s.Replicas {
+		key := fmt.Sprintf("replica[%d]", i)
+		faults = append(faults, settings.CheckAddress(key+".address", r.Address)...)
+		if r.ID == 0 || ids[r.ID] {
+			faults = append(faults, strictconf.Fault{Key: key + ".id", Problem: fmt.Sprintf("is %d", r.ID), Expected: "a number above 0 that no other replica has"})
+		}
+		if addresses[r.Address] {
+			faults = append(faults, strictconf.Fault{Key: key + ".address", Problem: fmt.Sprintf("%q is used twice", r.Address), Expected: "an address of its own"})
+		}
+		ids[r.ID], addresses[r.Address] = true, true
+	}
+	if !ids[s.ReplicaID] {
+		faults = append(faults, strictconf.Fault{Key: "replica_id", Problem: fmt.Sprintf("is %d", s.ReplicaID), Expected: "the id of one of the tables replica"})
+	}
+	return faults
+}
+
+func (s *Settings) voters() []replication.Peer {
+	peers := make([]replication.Peer, len(s.Replicas))
+	for i, r := range s.Replicas {
+		peers[i] = replication.Peer{ID: replog.ReplicaID(r.ID), Address: r.Address}
+	}
+	return peers
+}
--- /dev/null
+++ b/internal/replica/effects.go
@@ -0,0 +1,256 @@
+package replica
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+// diskQueue holds what the storage task has not completed.
+type diskQueue struct {
+	seq      uint64 // of the last append
+	unsynced []unsynced
+	inStore  int       // requests without a completion
+	full     bool      // an append was refused; new commands are refused
+	retryAt  time.Time // when to repeat the refused appends; zero for never
+}
+
+// unsynced is an append and what follows its sync.
+type unsynced struct {
+	request   storage.Append
+	mark      uint64
+	afterSync []replog.Message
+}
+
+// flush carries out the effects of the log until there are none. While too
+// many writes are under way it leaves them with the log.
+func (t *task) flush(now time.Time) error {
+	for len(t.disk.unsynced) < maxUnsynced {
+		effects := t.core.Effects()
+		t.coreDeadline = effects.Deadline
+		if effects.Empty() {
+			break
+		}
+		if err := t.carryOut(now, effects); err != nil {
+			return err
+		}
+	}
+	t.observeRole(now)
+	return nil
+}
+
+func (t *task) carryOut(now time.Time, e replog.Effects) error {
+	t.sender.Send(e.Messages)
+	t.persist(e)
+	if e.Snapshot != nil {
+		if err := t.install(*e.Snapshot, now); err != nil {
+			return err
+		}
+	}
+	for _, entry := range e.Committed {
+		t.apply(now, entry)
+	}
+	for _, read := range e.Reads {
+		t.finishRead(read)
+	}
+	return nil
+}
+
+func (t *task) persist(e replog.Effects) {
+	if e.HardState == nil && e.Snapshot == nil && len(e.Entries) == 0 {
+		t.sendAfterSync(e.AfterSync)
+		return
+	}
+	t.formed = t.formed || e.Snapshot != nil || len(e.Entries) > 0
+	t.disk.seq++
+	request := storage.Append{Seq: t.disk.seq, HardState: e.HardState, Install: e.Snapshot, Entries: e.Entries}
+	t.disk.unsynced = append(t.disk.unsynced, unsynced{request: request, mark: e.Mark, afterSync: e.AfterSync})
+	if !t.disk.full {
+		t.submit(request)
+	}
+}
+
+// sendAfterSync holds messages back until the last write is synced.
+func (t *task) sendAfterSync(messages []replog.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	if n := len(t.disk.unsynced); n > 0 {
+		last := &t.disk.unsynced[n-1]
+		last.afterSync = append(last.afterSync, messages...)
+		return
+	}
+	t.sender.Send(messages)
+}
+
+// submit never blocks: at most maxUnsynced appends and one snapshot are on the
+// way, and the mailbox holds more.
+func (t *task) submit(request storage.Request) {
+	t.disk.inStore++
+	t.store.Requests() <- request
+}
+
+func (t *task) handleCompletions(now time.Time) {
+	completions := t.mail.completions
+	t.mail.completions = nil
+	for _, c := range completions {
+		t.disk.inStore--
+		switch {
+		case c.Snapshot != 0:
+			t.snapshotSaved(c)
+		case c.Err != nil:
+			t.setDiskFull(true)
+		default:
+			t.synced(now)
+		}
+	}
+	if t.disk.full && t.disk.inStore == 0 && t.disk.retryAt.IsZero() {
+		t.disk.retryAt = now.Add(diskRetryInterval)
+	}
+}
+
+// synced takes the completion of the oldest append: they come in order.
+func (t *task) synced(now time.Time) {
+	first := t.disk.unsynced[0]
+	t.disk.unsynced = t.disk.unsynced[1:]
+	t.core.Persisted(now, first.mark)
+	t.sender.Send(first.afterSync)
+	if len(t.disk.unsynced) == 0 {
+		t.setDiskFull(false)
+	}
+}
+
+func (t *task) setDiskFull(full bool) {
+	if full == t.disk.full {
+		return
+	}
+	t.disk.full = full
+	event := eventDiskRoom
+	if full {
+		event = eventDiskFull
+	}
+	t.opts.Logger.Log(event, zap.Int("waiting", len(t.disk.unsynced)))
+}
+
+// retryDisk repeats the refused appends in their order.
+func (t *task) retryDisk(now time.Time) {
+	if t.disk.retryAt.IsZero() || now.Before(t.disk.retryAt) {
+		return
+	}
+	t.disk.retryAt = time.Time{}
+	t.opts.Metrics.Add(metricRetries, "disk-full", 1)
+	for _, waiting := range t.disk.unsynced {
+		t.submit(waiting.request)
+	}
+}
+
+// snapshotWork is a snapshot of the own state on its way to the disk.
+type snapshotWork struct {
+	encoded  chan encodedSnapshot
+	ready    *encodedSnapshot
+	underWay bool
+	saving   replog.Snapshot // handed to the storage task
+	index    uint64          // of the last snapshot that was taken or installed
+}
+
+// takeSnapshot starts a snapshot where enough entries were applied since the
+// last one, and hands an encoded one to the storage task.
+func (t *task) takeSnapshot() {
+	if ready := t.snapshots.ready; ready != nil {
+		t.snapshots.ready = nil
+		t.saveSnapshot(*ready)
+	}
+	if t.snapshots.underWay || t.disk.full || t.applied < t.snapshots.index+t.opts.SnapshotEveryEntries {
+		return
+	}
+	snapshot, err := t.core.SnapshotAt(t.applied)
+	if err != nil {
+		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(err))
+		t.snapshots.index = t.applied // tried again after as many entries
+		return
+	}
+	t.snapshots.underWay = true
+	t.snapshots.index = t.applied
+	content := t.state.Snapshot()
+	// Encoding takes longer than a heartbeat may wait.
+	go func() {
+		var err error
+		snapshot.Data, err = codec.EncodeSnapshot(content)
+		t.snapshots.encoded <- encodedSnapshot{snapshot: snapshot, err: err}
+	}()
+}
+
+func (t *task) saveSnapshot(encoded encodedSnapshot) {
+	if encoded.err != nil {
+		t.snapshots.underWay = false
+		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(encoded.err))
+		return
+	}
+	if t.disk.full || encoded.snapshot.Index < t.snapshots.index {
+		// A newer one was installed meanwhile, or there is no room.
+		t.snapshots.underWay = false
+		return
+	}
+	t.snapshots.saving = encoded.snapshot
+	t.submit(storage.SaveSnapshot{Snapshot: encoded.snapshot})
+}
+
+func (t *task) snapshotSaved(c storage.Completion) {
+	t.snapshots.underWay = false
+	if c.Err != nil {
+		t.opts.Metrics.Add(metricRetries, "snapshot", 1)
+		return
+	}
+	if err := t.core.Compact(t.snapshots.saving); err != nil {
+		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(err))
+	}
+	t.snapshots.saving = replog.Snapshot{}
+}
+
+// install replaces the state by the leader's. Commands that wait here are in
+// it or were replaced; which of the two is not known.
+func (t *task) install(snapshot replog.Snapshot, now time.Time) error {
+	if err := t.restore(snapshot, now); err != nil {
+		return err
+	}
+	t.snapshots.index = snapshot.Index
+	t.proposals.abandon(snapshot.Index)
+	t.opts.Logger.Log(eventInstalled, zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(snapshot.Data)))
+	return nil
+}
+
+// apply carries out a committed entry.
+func (t *task) apply(now time.Time, entry replog.Entry) {
+	t.applied = entry.Index
+	waiting, known := t.proposals.take(entry.Index)
+	if known && waiting.term != entry.Term {
+		waiting.finish(proposed{}, t.notLeader())
+		known = false
+	}
+	if entry.Kind != replog.EntryCommand {
+		return
+	}
+	command := waiting.command
+	if !known {
+		var err error
+		command, err = codec.DecodeCommand(entry.Data)
+		if err != nil {
+			t.opts.Logger.Log(eventBadEntry, zap.Uint64("index", entry.Index), zap.Error(err))
+			return
+		}
+	}
+	result, events := t.state.Apply(entry.Index, command)
+	t.opts.Metrics.Add(metricCommands, "", 1)
+	if result.Refusal != state.RefusalNone {
+		t.opts.Metrics.Add(metricResults, string(result.Refusal), 1)
+	}
+	t.observe(now, entry.Index, command, result, events)
+	if known {
+		waiting.finish(proposed{result: result, index: entry.Index}, nil)
+	}
+}
--- /dev/null
+++ b/internal/replica/errors.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/twitchtv/twirp"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+)
+
+// Errors of calls to a replica.
+var (
+	// ErrOverloaded refuses a call that found too many others waiting.
+	ErrOverloaded = merry.Sentinel("too many calls are waiting")
+	// ErrDiskFull refuses a command while the disk of the leader is full.
+	ErrDiskFull = merry.Sentinel("the disk of the control replica is full")
+	// ErrOutcomeUnknown says that a command may or may not be committed.
+	ErrOutcomeUnknown = merry.Sentinel("the outcome of the command is unknown")
+	// ErrMalformed refuses what cannot be decoded or may not be proposed.
+	ErrMalformed = merry.Sentinel("malformed call")
+	// ErrStopped refuses calls to a replica that has ended.
+	ErrStopped = merry.Sentinel("the control replica has stopped")
+	// ErrMustJoin stops a replica whose folder is empty although the group
+	// has been formed: it may have voted with a folder that was lost.
+	ErrMustJoin = merry.Sentinel("the group was formed before and the data folder is empty: the replica must join under a new id")
+)
+
+// NotLeaderError refuses a call that only the leader answers. Nothing of the
+// call was carried out.
+type NotLeaderError struct {
+	Leader string // address of the leader, or empty
+}
+
+// Error names the leader where it is known.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader, none is known"
+	}
+	return "not the leader, which is " + e.Leader
+}
+
+// reasonOf names an error in metrics and in the metadata of answers.
+func reasonOf(err error) string {
+	var notLeader *NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return "not-leader"
+	case errors.Is(err, ErrOverloaded):
+		return "overloaded"
+	case errors.Is(err, ErrDiskFull):
+		return "disk-full"
+	case errors.Is(err, ErrOutcomeUnknown):
+		return "outcome-unknown"
+	case errors.Is(err, ErrMalformed):
+		return "malformed"
+	case errors.Is(err, ErrStopped):
+		return "stopped"
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return "deadline"
+	default:
+		return "internal"
+	}
+}
+
+// toTwirp translates an error for the caller. Only failed_precondition and
+// resource_exhausted promise that nothing was carried out.
+func toTwirp(err error) error {
+	var notLeader *NotLeaderError
+	if errors.As(err, &notLeader) {
+		answer := twirp.NewError(twirp.FailedPrecondition, notLeader.Error())
+		if notLeader.Leader != "" {
+			answer = answer.WithMeta("leader", notLeader.Leader)
+		}
+		return answer
+	}
+	reason := reasonOf(err)
+	code := twirp.Unavailable
+	switch reason {
+	case "overloaded", "disk-full":
+		code = twirp.ResourceExhausted
+	case "malformed":
+		code = twirp.InvalidArgument
+	case "deadline":
+		code = twirp.DeadlineExceeded
+	}
+	return twirp.NewError(code, err.Error()).WithMeta("reason", reason)
+}
+
+// fromLog translates an error of the log.
+func (t *task) fromLog(err error) error {
+	switch {
+	case errors.Is(err, replog.ErrNotLeader):
+		return t.notLeader()
+	case errors.Is(err, replog.ErrOverloaded):
+		return ErrOverloaded
+	default:
+		return err
+	}
+}
+
+func (t *task) notLeader() error {
+	leader := t.status.Leader
+	if leader == t.opts.ID {
+		// A leader without a valid lease, or one that hands over.
+		leader = 0
+	}
+	return &NotLeaderError{Leader: t.addresses[leader]}
+}
--- /dev/null
+++ b/internal/replica/events.go
@@ -0,0 +1,50 @@
+package replica
+
+import (
+	"go.uber.org/zap/zapcore"
+
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// Log events.
+var (
+	eventStarted        = eventlog.Declare(1200, zapcore.InfoLevel, "control replica started")
+	eventWaitsForGroup  = eventlog.Declare(1201, zapcore.InfoLevel, "empty data folder, waits for the other initial voters")
+	eventGroupNew       = eventlog.Declare(1202, zapcore.InfoLevel, "no initial voter was in a formed group, the replica may vote")
+	eventGroupFormed    = eventlog.Declare(1203, zapcore.ErrorLevel, "empty data folder but the group was formed before")
+	eventRole           = eventlog.Declare(1204, zapcore.InfoLevel, "role changed")
+	eventLeading        = eventlog.Declare(1205, zapcore.InfoLevel, "leadership taken, scheduler and leases rebuilt")
+	eventNotLeading     = eventlog.Declare(1206, zapcore.InfoLevel, "leadership ended")
+	eventTransfer       = eventlog.Declare(1207, zapcore.InfoLevel, "leadership is handed over")
+	eventStopped        = eventlog.Declare(1208, zapcore.InfoLevel, "control replica stopped")
+	eventDiskFull       = eventlog.Declare(1209, zapcore.ErrorLevel, "commands are refused until the disk has room")
+	eventDiskRoom       = eventlog.Declare(1210, zapcore.InfoLevel, "commands are taken again")
+	eventInstalled      = eventlog.Declare(1211, zapcore.InfoLevel, "snapshot of the leader installed")
+	eventBadEntry       = eventlog.Declare(1212, zapcore.ErrorLevel, "entry of the log cannot be decoded, it has no effect")
+	eventConfig         = eventlog.Declare(1213, zapcore.InfoLevel, "cell file in force")
+	eventExpire         = eventlog.Declare(1214, zapcore.WarnLevel, "lease of a worker has run out")
+	eventMemberGone     = eventlog.Declare(1215, zapcore.WarnLevel, "entry process made no feed call")
+	eventViolation      = eventlog.Declare(1216, zapcore.ErrorLevel, "invariant violated")
+	eventSnapshotFailed = eventlog.Declare(1217, zapcore.ErrorLevel, "snapshot of the state not taken")
+)
+
+// Metrics.
+var (
+	metricCommit = metrics.Declare("control_commit_delay_seconds", metrics.KindHistogram,
+		"time from taking a command to its result")
+	metricCommands = metrics.Declare("control_commands_total", metrics.KindCounter, "commands applied by this replica")
+	metricRefusals = metrics.Declare("control_refusals_total", metrics.KindCounter, "calls that were refused, by reason")
+	metricResults  = metrics.Declare("control_command_refusals_total", metrics.KindCounter,
+		"commands that the state refused, by reason")
+	metricRetries = metrics.Declare("control_retries_total", metrics.KindCounter,
+		"work of the leader that is tried again, by reason")
+	metricGrants     = metrics.Declare("control_lease_grants_total", metrics.KindCounter, "worker leases granted")
+	metricNoGrants   = metrics.Declare("control_lease_refusals_total", metrics.KindCounter, "worker leases not granted, by reason")
+	metricPlaced     = metrics.Declare("control_placements_total", metrics.KindCounter, "placements committed")
+	metricNotPlaced  = metrics.Declare("control_placement_refusals_total", metrics.KindCounter, "planned placements refused, by reason")
+	metricViolations = metrics.Declare("control_violations_total", metrics.KindCounter, "violated invariants by name")
+	metricTerm       = metrics.Declare("control_term", metrics.KindGauge, "term of the replicated log")
+	metricIndex      = metrics.Declare("control_applied_index", metrics.KindGauge, "index of the last applied entry")
+	metricLeader     = metrics.Declare("control_is_leader", metrics.KindGauge, "1 on the leader, otherwise 0")
+)
--- /dev/null
+++ b/internal/replica/formation.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+// Times of the questions at the first start.
+const (
+	askInterval = 100 * time.Millisecond
+	askTimeout  = time.Second
+)
+
+// founding is what another initial voter said of itself.
+type founding struct {
+	peer   replication.Peer
+	formed bool
+}
+
+// admit lets a replica with an empty folder vote, after every other initial
+// voter has said that it was never in a formed group. Otherwise the folder may
+// have been lost after the replica had voted with it.
+func (t *task) admit(ctx context.Context) error {
+	if t.recovered.Identity != nil {
+		return nil
+	}
+	t.opts.Logger.Log(eventWaitsForGroup)
+	if err := t.askVoters(ctx); err != nil || ctx.Err() != nil {
+		return err
+	}
+	t.opts.Logger.Log(eventGroupNew)
+	t.store.Requests() <- storage.Admit{}
+	select {
+	case <-ctx.Done():
+		return nil
+	case admitted := <-t.store.Completions():
+		return admitted.Err
+	}
+}
+
+func (t *task) askVoters(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := otherVoters(t.opts)
+	answers := make(chan founding, len(others))
+	for _, peer := range others {
+		client := rpcpb.NewReplicationProtobufClient(t.opts.Scheme+"://"+peer.Address, t.client)
+		go askVoter(ctx, client, peer, answers)
+	}
+	for waiting := len(others); waiting > 0; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case answer := <-answers:
+			if answer.formed {
+				t.opts.Logger.Log(eventGroupFormed, zap.Uint64("said_by", uint64(answer.peer.ID)))
+				return ErrMustJoin
+			}
+			waiting--
+		case c := <-t.calls:
+			t.answerUnformed(c)
+		case <-t.steps:
+			// A replica that may not vote takes no part in the log.
+		}
+	}
+	return nil
+}
+
+func (t *task) answerUnformed(c call) {
+	switch c := c.(type) {
+	case statusCall:
+		c.send(t.report())
+	default:
+		c.refuse(t.notLeader())
+	}
+}
+
+// askVoter repeats the question until it is answered by the right replica.
+func askVoter(ctx context.Context, client rpcpb.Replication, peer replication.Peer, answers chan<- founding) {
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	for {
+		timed, cancel := context.WithTimeout(ctx, askTimeout)
+		status, err := client.Status(timed, &rpcpb.StatusRequest{})
+		cancel()
+		if err == nil && status.ReplicaId == uint64(peer.ID) {
+			answers <- founding{peer: peer, formed: status.Formed}
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/options.go
@@ -0,0 +1,78 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+// Options of a replica.
+type Options struct {
+	ID      replog.ReplicaID
+	Voters  []replication.Peer // initial voters, this replica included
+	Storage storage.Options    // Replica, Logger and Metrics are filled in
+	Scheme  string             // of requests to other replicas
+	Logger  *eventlog.Logger
+	Metrics *metrics.Set
+
+	ElectionTimeoutMin   time.Duration
+	ElectionTimeoutMax   time.Duration
+	HeartbeatInterval    time.Duration
+	MaxClockDriftPPM     int64
+	SnapshotEveryEntries uint64
+	Seed                 uint64 // of election time-outs
+
+	// OneAtATime proposes the next command only when the one before it is
+	// committed. With storage.Options.EntriesPerSync 1 it is the plain
+	// version that benchmarks compare with.
+	OneAtATime bool
+}
+
+// Bounds of the task.
+const (
+	stepMailbox = 256  // requests with messages of the log
+	callMailbox = 4096 // calls
+	// maxPending bounds the commands that are not committed.
+	maxPending = 8192
+	// maxBatchBytes bounds the entries of one append message.
+	maxBatchBytes = 1 << 20
+	// maxInflight is the number of appends on the way to one follower.
+	maxInflight = 64
+	// maxUnsynced bounds the writes that the storage task has not completed.
+	// It is below the capacity of its mailbox, so the tasks never wait for
+	// each other.
+	maxUnsynced = storage.MailboxSize - 8
+	// MaxCommandBytes bounds a command: a cell file of 1 MiB and its frame.
+	MaxCommandBytes = 2 << 20
+)
+
+// Times of the leader.
+const (
+	advanceInterval = time.Second
+	// planInterval is the least time between two plans, so that a plan covers
+	// the events of many commands.
+	planInterval = 10 * time.Millisecond
+	// memberTimeout is three feed calls of 5 s.
+	memberTimeout = 15 * time.Second
+	maxFeedWait   = 5 * time.Second
+	// diskRetryInterval is the time between two tries to write on a full disk.
+	diskRetryInterval = 500 * time.Millisecond
+	// housekeepingInterval is the time between two updates of gauges.
+	housekeepingInterval = time.Second
+	// usageInterval is the least time between two commits of one worker's
+	// usage. A report that changes the state of a task is committed at once.
+	usageInterval = 30 * time.Second
+)
+
+// Bounds of plans.
+const (
+	// maxPlans is the number of plans that may be on the way. The scheduler
+	// counts the placements of each as reserved until it is told of the
+	// result, so plans on the way never compete for the same room.
+	maxPlans      = 4
+	maxPlacements = 1000 // in one plan
+)
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,154 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+// Replica is the handle of a control replica: it passes messages to the tasks.
+type Replica struct {
+	opts   Options
+	store  *storage.Store
+	sender *replication.Sender
+	task   *task
+	steps  chan []replog.Message
+	calls  chan call
+	done   chan struct{} // closed when the replica task has ended
+}
+
+// New opens the data folder. Run must be called for the replica to work.
+func New(opts Options) (*Replica, error) {
+	disk := opts.Storage
+	disk.Replica, disk.Logger, disk.Metrics = opts.ID, opts.Logger, opts.Metrics
+	store, recovered, err := storage.Open(disk)
+	if err != nil {
+		return nil, err
+	}
+	client := replication.NewClient()
+	r := &Replica{
+		opts:  opts,
+		store: store,
+		sender: replication.NewSender(replication.SenderOptions{
+			Peers: otherVoters(opts), Scheme: opts.Scheme, Client: client, Logger: opts.Logger, Metrics: opts.Metrics,
+		}),
+		steps: make(chan []replog.Message, stepMailbox),
+		calls: make(chan call, callMailbox),
+		done:  make(chan struct{}),
+	}
+	r.task, err = newTask(r, recovered, client)
+	if err != nil {
+		store.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func otherVoters(opts Options) []replication.Peer {
+	var others []replication.Peer
+	for _, peer := range opts.Voters {
+		if peer.ID != opts.ID {
+			others = append(others, peer)
+		}
+	}
+	return others
+}
+
+// Run runs the tasks until ctx ends, Stop was called or one of them fails.
+// After an error the process must end.
+func (r *Replica) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, 3)
+	go func() { results <- r.store.Run(ctx) }()
+	go func() { r.sender.Run(ctx); results <- nil }()
+	go func() { results <- r.task.run(ctx) }()
+	err := <-results
+	cancel()
+	for range cap(results) - 1 {
+		err = errors.Join(err, <-results)
+	}
+	return err
+}
+
+// Close releases the data folder of a replica whose Run is never called.
+func (r *Replica) Close() { r.store.Close() }
+
+// Stop hands leadership over where this replica leads, answers the commands on
+// the way and ends the tasks. It waits until they have ended or ctx ends.
+func (r *Replica) Stop(ctx context.Context) error {
+	_, err := ask(ctx, r, func(reply reply[struct{}]) call { return stopCall{reply} })
+	return err
+}
+
+// Report returns the replica's view of itself.
+func (r *Replica) Report(ctx context.Context) (Report, error) {
+	return ask(ctx, r, func(reply reply[Report]) call { return statusCall{reply} })
+}
+
+// Status implements replication.Receiver.
+func (r *Replica) Status(ctx context.Context) (replication.Status, error) {
+	report, err := r.Report(ctx)
+	return report.Status, err
+}
+
+// Deliver implements replication.Receiver.
+func (r *Replica) Deliver(ctx context.Context, messages []replog.Message) error {
+	select {
+	case r.steps <- messages:
+		return nil
+	case <-r.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// propose commits a command that was stamped by the caller.
+func (r *Replica) propose(ctx context.Context, command state.Command, encoded []byte) (proposed, error) {
+	started := time.Now()
+	got, err := ask(ctx, r, func(reply reply[proposed]) call { return proposeCall{reply, command, encoded} })
+	if err == nil {
+		r.opts.Metrics.Observe(metricCommit, time.Since(started))
+	}
+	return got, err
+}
+
+// ask sends a call to the task and waits for its answer.
+func ask[T any](ctx context.Context, r *Replica, build func(reply[T]) call) (T, error) {
+	var none T
+	reply := newReply[T]()
+	select {
+	case r.calls <- build(reply):
+	default:
+		return none, ErrOverloaded
+	}
+	select {
+	case got := <-reply:
+		return got.value, got.err
+	case <-r.done:
+		return lastAnswer(reply)
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// lastAnswer prefers an answer that the task gave before it ended.
+func lastAnswer[T any](reply reply[T]) (T, error) {
+	select {
+	case got := <-reply:
+		return got.value, got.err
+	default:
+		var none T
+		return none, ErrStopped
+	}
+}
+
+// httpClient is the client for the questions at the first start.
+type httpClient = *http.Client
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -156,8 +156,8 @@
 		t.Fatal(err)
 	}
 	state := model{}
-	if err := store.Admit(); err != nil {
-		return state, Append{}
+	if err := admit(store); err != nil {
+		return state, Admit{}
 	}
 	for _, request := range workload() {
 		if err := store.serve([]Request{request}); err != nil {
@@ -175,7 +175,7 @@
 // resume appends to a recovered store and recovers it again.
 func resume(t *testing.T, store *Store, state model) {
 	t.Helper()
-	if store.Identity() == nil {
+	if store.identity == nil {
 		return
 	}
 	next := state.snapshot + uint64(len(state.entries)) + 1
@@ -228,7 +228,7 @@
 		}
 		return (<-store.completions).Err
 	}
-	if err := store.Admit(); err != nil {
+	if err := admit(store); err != nil {
 		t.Fatal(err)
 	}
 	first := Append{Seq: 1, Entries: entries(1, 2, 1)}
@@ -267,7 +267,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := store.Admit(); err != nil {
+	if err := admit(store); err != nil {
 		t.Fatal(err)
 	}
 	if err := store.serve([]Request{Append{Seq: 1, Entries: entries(1, 5, 1)}, Append{Seq: 2, Entries: entries(6, 60, 1)}}); err != nil {
@@ -301,7 +301,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := store.Admit(); err != nil {
+	if err := admit(store); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := open(path, 1); !errors.Is(err, ErrLocked) {
@@ -369,6 +369,14 @@
 	}
 }
 
+// admit lets the replica vote with a folder.
+func admit(store *Store) error {
+	if err := store.serve([]Request{Admit{}}); err != nil {
+		return err
+	}
+	return (<-store.completions).Err
+}
+
 func mustFolder(t *testing.T, path string) Disk {
 	t.Helper()
 	disk, err := NewFolder(path)
@@ -386,7 +394,7 @@
 		t.Fatal(err)
 	}
 	defer store.Close()
-	if err := store.Admit(); err != nil {
+	if err := admit(store); err != nil {
 		t.Fatal(err)
 	}
 	for i := range uint64(12) {
@@ -395,7 +403,7 @@
 			t.Fatal(err)
 		}
 	}
-	if store.Identity() == nil || !store.Identity().Formed {
+	if store.identity == nil || !store.identity.Formed {
 		t.Fatal("the identity does not say that the group was formed")
 	}
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -54,13 +54,18 @@
 // segments that it covers.
 type SaveSnapshot struct{ Snapshot replog.Snapshot }
 
+// Admit writes the identity file of an empty folder. From then on the replica
+// may vote with the folder.
+type Admit struct{}
+
 func (Append) request()       {}
 func (SaveSnapshot) request() {}
+func (Admit) request()        {}
 
 // Completion answers a request.
 type Completion struct {
-	Seq      uint64 // of an Append; 0 for SaveSnapshot
-	Snapshot uint64 // index of a SaveSnapshot
+	Seq      uint64 // of an Append, otherwise 0
+	Snapshot uint64 // index of a SaveSnapshot, otherwise 0
 	Err      error  // nil or ErrDiskFull
 }
 
@@ -139,15 +144,6 @@
 // Completions answers the requests in their order.
 func (s *Store) Completions() <-chan Completion { return s.completions }
 
-// Identity returns the identity as of Open or Admit.
-func (s *Store) Identity() *walcodec.Identity { return s.identity }
-
-// Admit writes the identity file of an empty folder. It is called before Run;
-// from then on the replica may vote with the folder.
-func (s *Store) Admit() error {
-	return s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica})
-}
-
 // Run serves requests until ctx ends. It returns an error that wraps ErrFailed
 // where the folder cannot be written; the process must then end.
 func (s *Store) Run(ctx context.Context) error {
@@ -214,11 +210,27 @@
 			if err := s.serveSnapshot(request.Snapshot); err != nil {
 				return err
 			}
+		case Admit:
+			if err := s.serveAdmit(); err != nil {
+				return err
+			}
 		}
 	}
 	return s.serveAppends(appends)
 }
 
+func (s *Store) serveAdmit() error {
+	err := s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica})
+	if err != nil && !diskFull(err) {
+		return merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	if err != nil {
+		err = ErrDiskFull
+	}
+	s.completions <- Completion{Err: err}
+	return nil
+}
+
 func (s *Store) serveAppends(appends []Append) error {
 	accepted := s.inOrder(appends)
 	if len(accepted) == 0 {
