Let the stand-in run as a program and test against the real state machine

Cause: the fake request log knew fewer states of a record than core/state. Checked: make lint, go test -race ./internal/gateway.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -79,7 +79,7 @@
 	if b.Err {
 		return x.wait(now)
 	}
-	if !b.Found {
+	if !b.Found || b.Request.State == state.RequestNotRun {
 		return x.begin(now)
 	}
 	return x.repeated(now, b.Request)
--- a/internal/backendserver/handler.go
+++ b/internal/backendserver/handler.go
@@ -69,7 +69,7 @@
 // echo answers with what was received, so that a test can tell that a caller
 // got the answer to its own request.
 func (s *Server) echo(w http.ResponseWriter, req *http.Request, t ticket, body []byte) {
-	head := fmt.Sprintf("%s %s %s run %d\n", s.settings.Process.Name, req.Method, req.URL.RequestURI(), t.run)
+	head := fmt.Sprintf("%s %s %s run %d\n", s.settings.Name, req.Method, req.URL.RequestURI(), t.run)
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", strconv.Itoa(len(head)+len(body)))
 	// The entry process has gone where this fails; it sees a truncation.
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -21,6 +21,7 @@
 	eventAnnounceWorks  = eventlog.Declare(5002, zapcore.InfoLevel, "announcement works again")
 	eventLeaving        = eventlog.Declare(5010, zapcore.InfoLevel, "planned stop: leave is announced")
 	eventLeft           = eventlog.Declare(5011, zapcore.InfoLevel, "planned stop: requests in flight have ended")
+	eventCut            = eventlog.Declare(5012, zapcore.WarnLevel, "stopped at once: requests in flight were cut")
 )
 
 const (
@@ -45,11 +46,11 @@
 
 // New opens the addresses of a stand-in. incarnation is larger at every start.
 func New(settings Settings, incarnation uint64, logger *eventlog.Logger) (*Server, error) {
-	listener, err := net.Listen("tcp", settings.Process.Listen)
+	listener, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
 		return nil, err
 	}
-	debug, err := net.Listen("tcp", settings.Process.ListenDebug)
+	debug, err := net.Listen("tcp", settings.ListenDebug)
 	if err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
@@ -72,14 +73,14 @@
 // DebugAddress returns the address that serves GET /debug/runs.
 func (s *Server) DebugAddress() string { return s.debug.Addr().String() }
 
-// Run serves until ctx ends and then leaves: it announces the leave, serves
+// Run serves until stop ends and then leaves: it announces the leave, serves
 // for announce_lease more, refuses what comes after that, and ends the work in
-// flight.
-func (s *Server) Run(ctx context.Context) error {
+// flight. When kill ends it cuts what is left.
+func (s *Server) Run(stop, kill context.Context) error {
 	defer close(s.stopped)
 	workerCtx, stopWorker := context.WithCancel(context.Background())
 	defer stopWorker()
-	go newWorker(s.settings.Process.Slots, s.settings.Faults).run(workerCtx, s.messages)
+	go newWorker(s.settings.Slots, s.settings.Faults).run(workerCtx, s.messages)
 
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /debug/runs", s.serveRuns)
@@ -94,28 +95,32 @@
 	announced := make(chan struct{})
 	go func() {
 		defer close(announced)
-		announcer.run(ctx)
+		announcer.run(stop)
 	}()
 	select {
 	case err := <-failed:
 		return err
-	case <-ctx.Done():
+	case <-stop.Done():
 	}
 	<-announced
-	s.leave(announcer)
+	s.leave(kill, announcer)
 	return s.http.Close()
 }
 
-func (s *Server) leave(a *announcer) {
+func (s *Server) leave(kill context.Context, a *announcer) {
 	s.logger.Log(eventLeaving)
-	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
 	defer cancel()
 	a.leave(ctx)
-	pause(ctx, a.lease)
+	pause(kill, a.lease)
 	idle := make(chan struct{})
 	s.messages <- turnAway{idle: idle}
-	<-idle
-	s.logger.Log(eventLeft)
+	select {
+	case <-idle:
+		s.logger.Log(eventLeft)
+	case <-kill.Done():
+		s.logger.Log(eventCut, zap.Int("cut", s.Counts().InFlight))
+	}
 }
 
 // Kill cuts all connections and stops serving, as a crash does.
@@ -155,7 +160,7 @@
 }
 
 func (s *Server) newAnnouncer() *announcer {
-	p := s.settings.Process
+	p := s.settings
 	return &announcer{
 		template: backendapi.Announcement{
 			Backend:       p.Name,
--- a/internal/backendserver/settings.go
+++ b/internal/backendserver/settings.go
@@ -10,12 +10,6 @@
 
 // Settings are the settings of a stand-in.
 type Settings struct {
-	Process Process `toml:"backend"`
-	Faults  Faults  `toml:"faults"`
-}
-
-// Process says what a stand-in serves and to whom it announces itself.
-type Process struct {
 	Name             string        `toml:"name"`
 	Region           string        `toml:"region"`
 	FailureDomain    string        `toml:"failure_domain"`
@@ -28,6 +22,7 @@
 	Connections      int           `toml:"connections"`
 	AnnounceInterval time.Duration `toml:"announce_interval"` // until an entry process states another
 	AnnounceLease    time.Duration `toml:"announce_lease"`    // until an entry process states another
+	Faults           Faults        `toml:"faults"`
 }
 
 // Faults are the failures that a stand-in causes. Rates are shares of the
@@ -45,25 +40,21 @@
 
 // Check implements settings.Checker.
 func (s *Settings) Check() strictconf.Faults {
-	p := s.Process
-	var faults strictconf.Faults
-	for key, value := range map[string]string{
-		"backend.name": p.Name, "backend.region": p.Region,
-		"backend.failure_domain": p.FailureDomain, "backend.service": p.Service,
-	} {
-		faults = append(faults, settings.CheckNotEmpty(key, value)...)
-	}
-	faults = append(faults, settings.CheckLogLevel("backend.log_level", p.LogLevel)...)
-	faults = append(faults, settings.CheckAddress("backend.listen", p.Listen)...)
-	faults = append(faults, settings.CheckAddress("backend.listen_debug", p.ListenDebug)...)
-	for i, entry := range p.Entries {
-		faults = append(faults, settings.CheckAddress(fmt.Sprintf("backend.entries[%d]", i), entry)...)
+	faults := settings.CheckNotEmpty("name", s.Name)
+	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
+	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
+	faults = append(faults, settings.CheckNotEmpty("service", s.Service)...)
+	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
+	faults = append(faults, settings.CheckAddress("listen", s.Listen)...)
+	faults = append(faults, settings.CheckAddress("listen_debug", s.ListenDebug)...)
+	for i, entry := range s.Entries {
+		faults = append(faults, settings.CheckAddress(fmt.Sprintf("entries[%d]", i), entry)...)
 	}
-	faults = append(faults, atLeastOne("backend.entries", len(p.Entries))...)
-	faults = append(faults, atLeastOne("backend.slots", p.Slots)...)
-	faults = append(faults, atLeastOne("backend.connections", p.Connections)...)
-	faults = append(faults, positive("backend.announce_interval", p.AnnounceInterval)...)
-	faults = append(faults, positive("backend.announce_lease", p.AnnounceLease)...)
+	faults = append(faults, atLeastOne("entries", len(s.Entries))...)
+	faults = append(faults, atLeastOne("slots", s.Slots)...)
+	faults = append(faults, atLeastOne("connections", s.Connections)...)
+	faults = append(faults, positive("announce_interval", s.AnnounceInterval)...)
+	faults = append(faults, positive("announce_lease", s.AnnounceLease)...)
 	return append(faults, s.Faults.check()...)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -65,7 +65,7 @@
 	c.log.setDown(false)
 	go c.entries[0].call("POST", "/turnos/book", "x", backendapi.HeaderKey, "k2")
 	c.await("first run", func() bool { return server.Counts().Runs["k2"] == 1 })
-	c.log.entryGone("entry-0")
+	c.memberGone(c.entries[0])
 	got = c.entries[1].call("POST", "/turnos/book", "x", backendapi.HeaderKey, "k2")
 	if got.outcome != "unknown" || got.reason != "key-unknown" {
 		t.Errorf("repeat after the entry process died answered %+v", got)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -22,75 +22,40 @@
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
-// fakeLog keeps request records in memory as the control group does.
+// fakeLog is the control group as one replica without a log: the replicated
+// state machine behind a mutex.
 type fakeLog struct {
-	mu      sync.Mutex
-	records map[state.RequestKey]*fakeRecord
-	down    bool
-	delay   time.Duration
-}
-
-type fakeRecord struct {
-	begin  state.BeginRequest
-	result state.RequestResult
+	mu    sync.Mutex
+	state *state.State
+	index uint64
+	down  bool
+	delay time.Duration
 }
 
 var errLogDown = errors.New("no leader")
 
+// Propose implements RequestLog.
 func (l *fakeLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
 	pause(ctx, l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case l.down:
+	if l.down {
 		return state.Result{}, errLogDown
-	case c.BeginRequest != nil:
-		return l.begin(*c.BeginRequest), nil
-	case c.FinishRequest != nil:
-		return l.finish(*c.FinishRequest), nil
-	}
-	return state.Result{Refusal: state.RefusalInvalid}, nil
-}
-
-func (l *fakeLog) begin(b state.BeginRequest) state.Result {
-	if known := l.records[b.Key]; known != nil {
-		if known.begin.Digest != b.Digest {
-			return state.Result{Refusal: state.RefusalKeyReused}
-		}
-		result := known.result
-		result.Dispatch = known.begin.Attempt == b.Attempt && known.begin.Entry == b.Entry
-		return state.Result{Request: &result}
 	}
-	l.records[b.Key] = &fakeRecord{begin: b, result: state.RequestResult{State: state.RequestRunning}}
-	return state.Result{Request: &state.RequestResult{Dispatch: true, State: state.RequestRunning}}
+	l.index++
+	c.At = time.Now()
+	result, _ := l.state.Apply(l.index, c)
+	return result, nil
 }
 
-func (l *fakeLog) finish(f state.FinishRequest) state.Result {
-	known := l.records[f.Key]
-	switch {
-	case known == nil:
-		return state.Result{Refusal: state.RefusalUnknownRequest}
-	case known.begin.Attempt != f.Attempt || known.begin.Entry != f.Entry:
-		return state.Result{Refusal: state.RefusalWrongAttempt}
-	case f.Outcome == state.OutcomeNotRun:
-		delete(l.records, f.Key)
-	case f.Outcome == state.OutcomeDone:
-		known.result = state.RequestResult{State: state.RequestFinished, Answer: f.Answer}
-	default:
-		known.result = state.RequestResult{State: state.RequestUnknown}
-	}
-	return state.Result{}
-}
-
-// entryGone does what LeaveMember does to the records of an entry process.
-func (l *fakeLog) entryGone(entry cell.EntryName) {
+// Read implements RequestLog.
+func (l *fakeLog) Read(_ context.Context, q state.Query) (state.Answer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, known := range l.records {
-		if known.begin.Entry == entry && known.result.State == state.RequestRunning {
-			known.result.State = state.RequestUnknown
-		}
+	if l.down {
+		return state.Answer{}, errLogDown
 	}
+	return l.state.Query(q), nil
 }
 
 func (l *fakeLog) setDown(down bool) {
@@ -99,20 +64,6 @@
 	l.down = down
 }
 
-func (l *fakeLog) Read(ctx context.Context, q state.Query) (state.Answer, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down {
-		return state.Answer{}, errLogDown
-	}
-	known := l.records[q.Request.Key]
-	if known == nil {
-		return state.Answer{}, nil
-	}
-	result := known.result
-	return state.Answer{Request: &result}, nil
-}
-
 // testFile is a cell file with one service and two teams.
 func testFile() cellconfig.File {
 	return cellconfig.File{
@@ -156,7 +107,7 @@
 }
 
 func newCell(t *testing.T, entries int) *testCell {
-	c := &testCell{t: t, file: testFile(), log: &fakeLog{records: map[state.RequestKey]*fakeRecord{}}}
+	c := &testCell{t: t, file: testFile(), log: &fakeLog{state: state.New()}}
 	var members []state.Member
 	for i := range entries {
 		e := c.addEntry(i)
@@ -167,9 +118,25 @@
 	for _, e := range c.entries {
 		e.SetMembers(members)
 	}
+	for _, m := range members {
+		c.propose(state.Command{JoinMember: &state.JoinMember{Member: m}})
+	}
 	return c
 }
 
+func (c *testCell) propose(command state.Command) {
+	c.t.Helper()
+	result, err := c.log.Propose(c.t.Context(), command)
+	if err != nil || result.Refusal != state.RefusalNone {
+		c.t.Fatalf("command refused: %+v %v", result, err)
+	}
+}
+
+// memberGone does what the leader does when an entry process is silent.
+func (c *testCell) memberGone(e *testEntry) {
+	c.propose(state.Command{LeaveMember: &state.LeaveMember{Name: e.opts.Entry, Incarnation: e.opts.Incarnation}})
+}
+
 func (c *testCell) addEntry(i int) *testEntry {
 	set := metrics.New()
 	g := New(Options{
@@ -203,21 +170,22 @@
 	if len(entries) == 0 {
 		entries = c.entries
 	}
-	p := backendserver.Process{
+	p := backendserver.Settings{
 		Name: fmt.Sprintf("backend-%d", len(c.servers)), Region: "quito-norte", FailureDomain: "quito-norte-1",
 		Service: "turnos", Listen: "127.0.0.1:0", ListenDebug: "127.0.0.1:0", Slots: 8, Connections: 60,
 		AnnounceInterval: 100 * time.Millisecond, AnnounceLease: 2 * time.Second,
+		Faults: faults,
 	}
 	for _, e := range entries {
 		p.Entries = append(p.Entries, e.platform.Listener.Addr().String())
 	}
-	server, err := backendserver.New(backendserver.Settings{Process: p, Faults: faults}, uint64(time.Now().UnixNano()), eventlog.Nop())
+	server, err := backendserver.New(p, uint64(time.Now().UnixNano()), eventlog.Nop())
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	ctx, leave := context.WithCancel(context.Background())
 	s := &testServer{Server: server, leave: leave, done: make(chan error, 1)}
-	go func() { s.done <- server.Run(ctx) }()
+	go func() { s.done <- server.Run(ctx, c.t.Context()) }()
 	c.t.Cleanup(func() {
 		_ = server.Kill()
 		leave()
