Test the outcomes that callers are told under failures

Cause: nothing counted at the backend servers what a failure left behind. Change: storms of requests through three gateways while stand-ins reset, truncate, answer late or for another request, refuse, or are killed.

--- /dev/null
+++ b/internal/gateway/failures_test.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/backendserver"
+)
+
+// result is one request of a storm with what its caller got.
+type result struct {
+	key  string
+	path string
+	post bool
+	answer
+}
+
+// storm sends n requests from several callers through all entry processes,
+// every second one a keyed POST. between runs after a third of them.
+func (c *testCell) storm(n, callers int, deadlineMS string, between func()) []result {
+	work := make(chan int)
+	results := make([]result, n)
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for i := range work {
+				r := result{key: fmt.Sprintf("key-%d", i), path: fmt.Sprintf("/turnos/item-%d", i), post: i%2 == 0}
+				method, body := "GET", ""
+				if r.post {
+					method, body = "POST", "body of "+r.key
+				}
+				entry := c.entries[i%len(c.entries)]
+				r.answer = entry.call(method, r.path, body,
+					backendapi.HeaderKey, r.key, backendapi.HeaderDeadline, deadlineMS)
+				results[i] = r
+			}
+		})
+	}
+	for i := range n {
+		if i == n/3 && between != nil {
+			between()
+		}
+		work <- i
+	}
+	close(work)
+	group.Wait()
+	return results
+}
+
+// verify compares what the callers were told with what the backend servers
+// ran. It returns the number of requests that were answered as done.
+func (c *testCell) verify(results []result) (done int) {
+	c.t.Helper()
+	runs := map[string]int{}
+	for _, s := range c.servers {
+		for key, n := range s.finalCounts().Runs {
+			runs[key] += n
+		}
+	}
+	for _, r := range results {
+		if r.post && runs[r.key] > 1 {
+			c.t.Errorf("%s ran %d times", r.key, runs[r.key])
+		}
+		if r.outcome == "not-run" && runs[r.key] > 0 {
+			c.t.Errorf("%s was answered not-run (%s) and ran %d times", r.key, r.reason, runs[r.key])
+		}
+		if r.outcome == "done" && r.err == nil {
+			done++
+			c.checkDone(r)
+		}
+		if r.outcome == "" && r.err == nil {
+			c.t.Errorf("%s was answered without an outcome: %+v", r.key, r.answer)
+		}
+	}
+	for _, e := range c.entries {
+		if strings.Contains(e.metrics.Text(), "gateway_violations_total") {
+			c.t.Errorf("a check failed at %s", e.opts.Entry)
+		}
+	}
+	return done
+}
+
+// checkDone checks that an answer belongs to its request and is complete.
+func (c *testCell) checkDone(r result) {
+	c.t.Helper()
+	if r.status == 500 {
+		return // made by the stand-in's fault
+	}
+	complete := strings.Contains(r.body, r.path+" run") && (!r.post || strings.HasSuffix(r.body, "body of "+r.key))
+	if r.status != 200 || !complete {
+		c.t.Errorf("%s got the answer %d %q", r.key, r.status, r.body)
+	}
+}
+
+// finalCounts returns the counts after the work in flight has ended.
+func (s *testServer) finalCounts() backendserver.Counts {
+	for range 500 {
+		if s.Counts().InFlight == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return s.Counts()
+}
+
+// Guards the outcomes that callers are told under failures: a key runs at most
+// once, not-run means that nothing ran, and an answer is complete and belongs
+// to its request.
+func TestOutcomesUnderFailures(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   backendserver.Faults
+		callers  int
+		deadline string
+		between  func(c *testCell)
+		minDone  int // of 300 requests
+	}{
+		{name: "reset", faults: backendserver.Faults{ResetRate: 0.2}, minDone: 100},
+		{name: "truncated", faults: backendserver.Faults{TruncateRate: 0.2}, minDone: 100},
+		{name: "foreign answer", faults: backendserver.Faults{ForeignRate: 0.2}, minDone: 100},
+		{name: "server error", faults: backendserver.Faults{FailureRate: 0.2}, minDone: 100},
+		{name: "late", faults: backendserver.Faults{LateRate: 0.2, LateDelay: time.Second}, deadline: "300", minDone: 50},
+		{name: "refusals", faults: backendserver.Faults{Delay: 20 * time.Millisecond}, callers: 80, minDone: 100},
+		{name: "server killed", faults: backendserver.Faults{Delay: 5 * time.Millisecond}, minDone: 200,
+			between: func(c *testCell) { _ = c.servers[0].Kill() }},
+		{name: "control group lost", minDone: 150, between: func(c *testCell) { c.log.setDown(true) }},
+		{name: "everything", callers: 40, deadline: "500",
+			faults:  backendserver.Faults{ResetRate: 0.05, TruncateRate: 0.05, ForeignRate: 0.05, LateRate: 0.05, LateDelay: time.Second},
+			between: func(c *testCell) { _ = c.servers[1].Kill() }, minDone: 50},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCell(t, 3)
+			for i := range 3 {
+				test.faults.Seed = uint64(i)
+				c.addServer(test.faults)
+			}
+			c.awaitBackends(3)
+			if test.deadline == "" {
+				test.deadline = "5000"
+			}
+			between := func() {
+				if test.between != nil {
+					test.between(c)
+				}
+			}
+			results := c.storm(300, max(test.callers, 12), test.deadline, between)
+			done := c.verify(results)
+			t.Logf("%d of %d done", done, len(results))
+			if done < test.minDone {
+				t.Errorf("%d of %d done, want %d: the gateway gives up too much", done, len(results), test.minDone)
+			}
+		})
+	}
+}
