--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,11 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, req *http.Request) {
 	s := g.table.Load()
 	now := g.clock.now()
+	if ambiguous(req) {
+		w.Header().Set("Connection", "close")
+		g.refuse(w, refused(exchange.ReasonBadRequest, 0, "body is framed in two ways"))
+		return
+	}
 	if s.draining {
 		w.Header().Set("Connection", "close")
 		g.refuse(w, refused(exchange.ReasonDraining, 0, "entry process is stopping"))
--- a/internal/gateway/catalogue.go
+++ b/internal/gateway/catalogue.go
@@ -40,5 +40,6 @@
 	metricOldGeneration  = metrics.Declare("gateway_old_generations_total", metrics.KindCounter, "configurations ignored because a newer one is in force")
 	metricViolations     = metrics.Declare("gateway_violations_total", metrics.KindCounter, "failed checks, by name")
 	metricForeignAnswers = metrics.Declare("gateway_foreign_answers_total", metrics.KindCounter, "answers with the id of another request")
+	metricConnections    = metrics.Declare("gateway_connections_refused_total", metrics.KindCounter, "caller connections refused, by reason")
 	metricUnrecorded     = metrics.Declare("gateway_unrecorded_outcomes_total", metrics.KindCounter, "finish records that could not be committed")
 )
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -137,6 +137,9 @@
 	c.propose(state.Command{LeaveMember: &state.LeaveMember{Name: e.opts.Entry, Incarnation: e.opts.Incarnation}})
 }
 
+// testConnections is the connection limit of the gateways in tests.
+const testConnections = 200
+
 func (c *testCell) addEntry(i int) *testEntry {
 	set := metrics.New()
 	g := New(Options{
@@ -147,7 +150,10 @@
 	ctx, stop := context.WithCancel(c.t.Context())
 	go g.Run(ctx)
 	e := &testEntry{Gateway: g, metrics: set, stop: stop}
-	e.callers = httptest.NewServer(g.CallerHandler())
+	e.callers = httptest.NewUnstartedServer(nil)
+	e.callers.Listener = g.CallerListener(e.callers.Listener, testConnections)
+	e.callers.Config = g.CallerServer(g.CallerHandler())
+	e.callers.Start()
 	e.platform = httptest.NewServer(g.AnnounceHandler())
 	e.internal = httptest.NewServer(rpcpb.NewPeerServer(g.PeerServer()))
 	c.t.Cleanup(func() {
@@ -252,3 +258,6 @@
 		reason: resp.Header.Get(backendapi.HeaderReason), body: string(data), header: resp.Header, err: err,
 	}
 }
+
+// noFaults is a stand-in that causes no failures.
+var noFaults = backendserver.Faults{}
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/exchange"
+)
+
+// Limits of callers' connections.
+const (
+	headTimeout    = 5 * time.Second
+	keepAliveIdle  = 60 * time.Second
+	maxHeaderBytes = 32 << 10
+	writeSlack     = 4 << 10 // what net/http reads beyond the header limit
+)
+
+// connKey is the context key of a caller's connection.
+type connKey struct{}
+
+// CallerServer returns a server for callers' requests with the limits of the
+// gateway. It is to be served on a listener from CallerListener.
+func (g *Gateway) CallerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       keepAliveIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(discard{}, "", 0), // malformed requests are counted
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+		ConnState: func(conn net.Conn, s http.ConnState) {
+			if caller, ok := conn.(*callerConn); ok && s == http.StateIdle {
+				caller.nextRequest()
+			}
+		},
+	}
+}
+
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// CallerListener limits the number of connections and watches the framing of
+// requests. With TLS it wraps the TLS listener. Connections above the limit are
+// answered with overloaded and closed.
+func (g *Gateway) CallerListener(l net.Listener, maxConnections int) net.Listener {
+	return &callerListener{Listener: l, gateway: g, limit: int64(maxConnections)}
+}
+
+type callerListener struct {
+	net.Listener
+	gateway *Gateway
+	limit   int64
+	open    atomic.Int64
+}
+
+// refusedConnection is sent to a caller above the connection limit.
+const refusedConnection = "HTTP/1.1 503 Service Unavailable\r\nGodwit-Outcome: not-run\r\n" +
+	"Godwit-Reason: overloaded\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// refuseTimeout bounds the write of refusedConnection.
+const refuseTimeout = 100 * time.Millisecond
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.limit {
+			return &callerConn{Conn: conn, listener: l}, nil
+		}
+		l.open.Add(-1)
+		l.refuse(conn)
+	}
+}
+
+func (l *callerListener) refuse(conn net.Conn) {
+	l.gateway.opts.Metrics.Add(metricConnections, string(exchange.ReasonOverloaded), 1)
+	// The caller only learns less where this fails.
+	_ = conn.SetDeadline(time.Now().Add(refuseTimeout))
+	_, _ = conn.Write([]byte(refusedConnection))
+	_ = conn.Close()
+}
+
+// framing is what is known of the framing of the current request.
+type framing int32
+
+const (
+	framingUnseen    framing = iota // its head was not read by itself
+	framingClear                    // one way to find the end of its body
+	framingAmbiguous                // both Content-Length and Transfer-Encoding
+)
+
+// callerConn watches the head of each request, because net/http drops a
+// Content-Length next to a Transfer-Encoding before a handler can refuse it.
+// It also adds the reason code to what net/http answers by itself.
+type callerConn struct {
+	net.Conn
+	listener *callerListener
+	closed   atomic.Bool
+	head     []byte // of the current request so far; used by Read only
+	framing  atomic.Int32
+	handling atomic.Bool // a handler has the current request
+}
+
+// nextRequest is called between requests, when no Read is running.
+func (c *callerConn) nextRequest() {
+	c.head = c.head[:0]
+	c.framing.Store(int32(framingUnseen))
+	c.handling.Store(false)
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && framing(c.framing.Load()) == framingUnseen && len(c.head) < maxHeaderBytes+writeSlack {
+		c.watch(p[:n])
+	}
+	return n, err
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+func (c *callerConn) watch(piece []byte) {
+	c.head = append(c.head, piece...)
+	end := bytes.Index(c.head, headEnd)
+	if end < 0 {
+		return
+	}
+	c.framing.Store(int32(framingOf(c.head[:end])))
+}
+
+func framingOf(head []byte) framing {
+	lower := bytes.ToLower(head)
+	stated := bytes.Contains(lower, []byte("\ncontent-length:"))
+	encoded := bytes.Contains(lower, []byte("\ntransfer-encoding:"))
+	if stated && encoded {
+		return framingAmbiguous
+	}
+	return framingClear
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if !c.handling.Load() && bytes.HasPrefix(p, []byte("HTTP/1.1 4")) {
+		if err := c.writeRefusal(p); err != nil {
+			return 0, err
+		}
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+var lineEnd = []byte("\r\n")
+
+// writeRefusal adds the outcome and the reason to an answer that net/http makes
+// by itself to a malformed or oversize head.
+func (c *callerConn) writeRefusal(p []byte) error {
+	status, rest, _ := bytes.Cut(p, lineEnd)
+	reason := exchange.ReasonBadRequest
+	if bytes.Contains(status, []byte(" 431")) {
+		reason = exchange.ReasonTooLarge
+	}
+	c.listener.gateway.opts.Metrics.Add(metricRefusals, string(reason), 1)
+	extra := "\r\nGodwit-Outcome: not-run\r\nGodwit-Reason: " + string(reason) + "\r\n"
+	_, err := c.Conn.Write(slices.Concat(status, []byte(extra), rest))
+	return err
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.listener.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
+// ambiguous reports whether the end of a request's body can be found in two
+// ways. A chunked request whose head was not seen by itself counts as such.
+func ambiguous(req *http.Request) bool {
+	conn, ok := req.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return false
+	}
+	conn.handling.Store(true)
+	return len(req.TransferEncoding) > 0 && framing(conn.framing.Load()) != framingClear
+}
