Add preemption, gang reservations, learned run times and quarantine

Cause: urgent work has to start on a full cell, gangs must not starve, declared run times are often wrong, and some workers fail every task. Change: urgent tasks claim the room of the cheapest victims until they end; gangs, and single tasks that wait long, reserve workers with backfill by expected run time; estimates per job name and per team and policy; workers are quarantined on evidence against the failure rates of the same jobs elsewhere.

--- a/core/placement/config.go
+++ b/core/placement/config.go
@@ -76,7 +76,10 @@
 	for _, g := range s.groupList {
 		for _, w := range g.index.workers {
 			w.retired = s.config.retired[w.Name]
-			s.changed(w)
+			if w.retired {
+				s.dropWorkerClaims(w)
+			}
+			s.gained(w)
 		}
 	}
 }
--- a/core/placement/events.go
+++ b/core/placement/events.go
@@ -11,6 +11,8 @@
 
 func (s *Scheduler) jobAdded(e *state.JobAdded) {
 	j := &job{id: e.ID, spec: e.Spec, team: s.team(e.Spec.Team), queuedAt: s.now}
+	j.gang = s.scope(e.Spec.Policy, e.Spec.Region).policy.Kind == cell.KindGang
+	s.refreshExpected(j)
 	s.jobs[e.ID] = j
 }
 
@@ -24,6 +26,10 @@
 	j.ended = true
 	j.queued = nil
 	s.unlink(j)
+	for len(j.claims) > 0 {
+		s.dropClaims(j.claims[0])
+	}
+	s.forgetOutcomes(j)
 	delete(s.jobs, id)
 }
 
@@ -56,6 +62,7 @@
 	a.id = committed.ID
 	a.placedAt = committed.PlacedAt
 	s.allocations[a.id] = a
+	s.markVictim(a)
 }
 
 // adopt books an allocation that this scheduler did not plan.
@@ -80,13 +87,16 @@
 func (s *Scheduler) taskStarted(id cell.AllocationID) {
 	if a := s.allocations[id]; a != nil {
 		a.startedAt = s.now
+		if a.worker.health.trial == a {
+			s.startTimer(timer{at: s.now.Add(trialLength).UnixNano(), worker: a.worker})
+		}
 	}
 }
 
 func (s *Scheduler) taskStopping(id cell.AllocationID) {
 	if a := s.allocations[id]; a != nil {
-		a.stopping = true
-		s.markVictim(a)
+		a.told = true
+		s.setStopping(a, true)
 	}
 }
 
@@ -98,7 +108,9 @@
 	delete(s.allocations, e.Allocation.ID)
 	if a.job != nil && e.Outcome == state.ReportSucceeded {
 		a.job.done++
+		s.learnRunTime(a)
 	}
+	s.observe(a, e.Outcome)
 	s.release(a)
 }
 
@@ -107,6 +119,9 @@
 	if a == nil {
 		return
 	}
+	if a.job != nil {
+		s.learnUsage(a, e.Report.Used)
+	}
 	s.rebook(a, e.Report.Used)
 }
 
@@ -124,12 +139,15 @@
 	w.retired = s.config.retired[w.Name]
 	s.total = s.total.Add(w.Capacity)
 	s.refreshFairness()
-	s.changed(w)
+	s.gained(w)
 }
 
 // moveToGroup takes over what a worker registered as, which may differ from
 // its former registration.
 func (s *Scheduler) moveToGroup(w *worker, registered cell.Worker) {
+	for _, a := range w.allocations {
+		s.unmarkVictim(a)
+	}
 	if w.group != nil {
 		w.group.index.remove(w)
 		w.group.index.workers = slices.DeleteFunc(w.group.index.workers, func(o *worker) bool { return o == w })
@@ -142,6 +160,9 @@
 	})
 	x.workers = slices.Insert(x.workers, at, w)
 	x.grow(w.Capacity)
+	for _, a := range w.allocations {
+		s.markVictim(a)
+	}
 }
 
 // workerRemoved ends the epoch of a worker. Allocations that are kept on it
@@ -152,7 +173,11 @@
 		return
 	}
 	w.present = false
+	s.dropWorkerClaims(w)
 	s.total = s.total.Sub(w.Capacity)
 	s.refreshFairness()
 	s.changed(w)
+	if len(w.allocations) == 0 {
+		s.forget(w)
+	}
 }
--- a/core/placement/gang.go
+++ b/core/placement/gang.go
@@ -14,6 +14,9 @@
 		return false
 	}
 	seats := s.seatGang(c.scope, c.key.size, count)
+	if seats == nil && c.urgent() {
+		return s.tryPreempt(plan, c, count)
+	}
 	if seats == nil {
 		s.block(c, ReasonNoRoom)
 		return false
--- a/core/placement/heap.go
+++ b/core/placement/heap.go
@@ -37,11 +37,16 @@
 	return last
 }
 
-// timer is a time at which a task or a gang becomes ready.
+// timer is a time at which a task, a gang or a class becomes ready, or claims
+// are given up. One of job, class,
+// claims and worker is set.
 type timer struct {
-	at    int64 // Unix nanoseconds
-	job   *job
-	index int // of the task that backs off, or settleGang
+	at     int64 // Unix nanoseconds
+	job    *job
+	index  int // of the task that backs off, or settleGang
+	class  *class
+	claims *claimSet
+	worker *worker
 }
 
 type timerHeap []timer
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -21,8 +21,21 @@
 	preemptible cell.Resources // part of used that urgent work may take
 	allocations []*allocation
 
+	leaving   cell.Resources // part of used that was told to stop and will be free soon
+	claims    []*claim
+	hold      *reservation // owner of gangHold
+	holdReady bool         // gangHold is free
+
 	slot       slot
 	next, prev *worker // in the list of its slot
+
+	health health
+	closed bool // by its health
+
+	stamp  uint64         // last search that looked at the worker
+	room   cell.Resources // in a forecast
+	seated int            // tasks that a forecast puts here
+	seatAt int            // in the seats of a forecast
 }
 
 // free returns what no allocation or planned placement uses.
@@ -35,7 +48,7 @@
 
 // usable reports whether the worker may be given work at all.
 func (w *worker) usable() bool {
-	return w.present && !w.retired
+	return w.present && !w.retired && !w.closed
 }
 
 // allocation is a planned or committed placement.
@@ -50,8 +63,13 @@
 	urgent    bool
 	victim    bool // its policy is preemptible and it is not urgent
 	stopping  bool
+	stuck     bool      // was told to stop and did not end in time
+	told      bool      // the state has confirmed that it was told to stop
+	claims    *claimSet // for which it was preempted
 	placedAt  time.Time
 	startedAt time.Time // zero until the worker has started it
+
+	nextVictim, prevVictim *allocation // in a victimList
 }
 
 // job is a job with its tasks that wait.
@@ -65,12 +83,28 @@
 	live     int    // tasks planned or placed
 	done     int    // tasks that succeeded
 	ended    bool
-	queuedAt time.Time // of the job; kept when tasks are queued again
+	gang     bool
+	queuedAt time.Time     // of the job; kept when tasks are queued again
+	expected time.Duration // run time; 0 for services
+	upper    time.Duration // run time that few tasks exceed
+	outcomes outcomes      // on trusted workers
+	seenOn   []*worker     // workers that remember outcomes of the job
 	spread   *spreadCount
 
+	claims      []*claimSet
+	reservation *reservation
+
 	next, prev *job // in the list of class
 }
 
+// gangTasks returns how many tasks depend on each other.
+func (j *job) gangTasks() int {
+	if j.gang {
+		return j.spec.Tasks
+	}
+	return 1
+}
+
 // classKey is what equal tasks have in common.
 type classKey struct {
 	team     cell.Team
@@ -95,6 +129,10 @@
 	wait       Reason     // why it is not ready
 	list       *classList // that holds it while it is not ready
 	at         int        // in list
+	retryAt    time.Time  // earliest next search, where one is expensive
+	retrying   bool       // a timer is set for retryAt
+	skipUntil  time.Time  // no reservation before
+	considered bool       // a reservation was considered for its first job
 }
 
 // classList is an unordered set of classes that wait for the same change.
@@ -146,6 +184,7 @@
 	minBlocked cell.Resources // smallest size of blocked in every dimension
 	gain       cell.Resources // most room that a worker has after a change
 	gained     bool
+	urgent     bool // blocked has urgent classes
 }
 
 type scopeKey struct {
@@ -156,8 +195,9 @@
 // group is the workers of one pool in one failure domain.
 type group struct {
 	groupKey
-	index  index
-	scopes []*scope
+	index   index
+	victims [victimKinds]victimList
+	scopes  []*scope
 }
 
 type groupKey struct {
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -17,6 +17,11 @@
 }
 
 const (
+	// urgentRetryInterval is the least time between two searches for an urgent
+	// class that found nothing to preempt.
+	urgentRetryInterval = 5 * time.Millisecond
+	// upperFactor times the expected run time is exceeded by few tasks.
+	upperFactor = 2
 	// maxHeadStart bounds how much later a shorter job may be submitted and
 	// still overtake a longer one.
 	maxHeadStart = 30 * time.Minute
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -13,6 +13,8 @@
 	s.runTimers()
 	s.wakeGained()
 	var plan state.CommitPlan
+	s.placeClaims(&plan)
+	s.releaseFulfilled(func(c *class) { s.try(&plan, c) })
 	tries := minTries + triesPerPlacement*limit
 	for len(plan.Placements) < limit && tries > 0 {
 		c := s.next()
@@ -23,6 +25,7 @@
 			tries--
 		}
 	}
+	s.reviewReservations()
 	return plan
 }
 
@@ -62,6 +65,12 @@
 		return false
 	}
 	w := s.choose(c.head, c.scope, c.key.size)
+	if w == nil && c.urgent() {
+		return s.tryPreempt(plan, c, 1)
+	}
+	if w == nil {
+		w = s.backfill(c)
+	}
 	if w == nil {
 		s.block(c, ReasonNoRoom)
 		return false
@@ -70,3 +79,13 @@
 	s.reserve(plan, j, index, w)
 	return true
 }
+
+// tryPreempt makes room for urgent tasks, which then wait for it outside the
+// queue.
+func (s *Scheduler) tryPreempt(plan *state.CommitPlan, c *class, count int) bool {
+	if s.preempt(plan, c, count) {
+		return true
+	}
+	s.block(c, ReasonNoRoom)
+	return false
+}
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -33,7 +33,7 @@
 
 // incomplete reports whether tasks of a gang are still to be queued.
 func (s *Scheduler) incomplete(j *job) bool {
-	if s.scope(j.spec.Policy, j.spec.Region).policy.Kind != cell.KindGang {
+	if !j.gang {
 		return false
 	}
 	return len(j.queued) < j.spec.Tasks-j.done-j.live
@@ -70,6 +70,10 @@
 	if c == nil {
 		return
 	}
+	if j.reservation != nil {
+		s.dropReservation(j.reservation)
+	}
+	c.considered = false
 	if j.prev == nil {
 		c.head = j.next
 	} else {
@@ -101,17 +105,18 @@
 // classOf returns the class in which a job waits.
 func (s *Scheduler) classOf(j *job) *class {
 	sc := s.scope(j.spec.Policy, j.spec.Region)
-	bucket := s.runTimeBucket(j)
+	bucket := s.refreshExpected(j)
 	key := classKey{
 		team: j.spec.Team, policy: j.spec.Policy, region: j.spec.Region,
 		priority: j.spec.Priority, size: j.spec.Size, runTime: bucket,
 	}
-	if sc.policy.Kind == cell.KindGang {
+	if j.gang {
 		key.tasks = j.spec.Tasks
 	}
 	c := s.classes[key]
 	if c == nil {
-		c = &class{key: key, team: j.team, scope: sc, expected: bucketTime(bucket), heapIndex: notReady}
+		c = &class{key: key, team: j.team, scope: sc, heapIndex: notReady}
+		c.expected = bucketTime(bucket)
 		s.classes[key] = c
 	}
 	return c
@@ -120,6 +125,9 @@
 // takeTask removes the first waiting task of a class and returns it.
 func (s *Scheduler) takeTask(c *class) (*job, int) {
 	j := c.head
+	if j.reservation != nil {
+		s.dropReservation(j.reservation)
+	}
 	index := j.queued[0]
 	j.queued = j.queued[1:]
 	if len(j.queued) == 0 {
@@ -186,7 +194,26 @@
 		sc.minBlocked = c.key.size
 	}
 	sc.minBlocked = smallest(sc.minBlocked, c.key.size)
+	sc.urgent = sc.urgent || c.urgent()
 	sc.blocked.add(c)
+	s.pace(c)
+	if s.nextReview.IsZero() {
+		s.nextReview = s.now.Add(reviewInterval)
+	}
+	if c.gang() && !c.considered {
+		c.considered = true
+		s.reviewSoon = true
+	}
+}
+
+// pace keeps expensive searches for one class apart.
+func (s *Scheduler) pace(c *class) {
+	switch {
+	case c.gang():
+		c.retryAt = s.now.Add(gangRetryInterval)
+	case c.urgent():
+		c.retryAt = s.now.Add(urgentRetryInterval)
+	}
 }
 
 // unpark makes the parked classes of a team ready again.
@@ -206,7 +233,14 @@
 	if w.group == nil {
 		return
 	}
+	w.closed = !w.health.open(s.now)
 	w.group.index.place(w)
+	if w.hold != nil {
+		s.checkHold(w)
+	}
+	if len(w.claims) > 0 {
+		s.checkClaims(w)
+	}
 }
 
 // gained is changed for a worker that may have more room than before.
@@ -216,6 +250,10 @@
 		return
 	}
 	room := w.available()
+	if w.hold != nil {
+		// Backfill may use what is held.
+		room = room.Add(w.gangHold)
+	}
 	for _, sc := range w.group.scopes {
 		if len(sc.blocked.classes) > 0 {
 			sc.gain = largest(sc.gain, room)
@@ -233,7 +271,7 @@
 		}
 		gain := sc.gain
 		sc.gain, sc.gained = cell.Resources{}, false
-		if sc.minBlocked.Fits(gain) {
+		if sc.urgent || sc.minBlocked.Fits(gain) {
 			s.wake(sc, gain)
 		}
 	}
@@ -242,16 +280,32 @@
 func (s *Scheduler) wake(sc *scope, gain cell.Resources) {
 	l := &sc.blocked
 	for i := len(l.classes) - 1; i >= 0; i-- {
-		if c := l.classes[i]; c.urgent() || c.key.size.Fits(gain) {
-			l.remove(c)
-			s.makeReady(c)
+		c := l.classes[i]
+		if !c.urgent() && !c.key.size.Fits(gain) {
+			continue
 		}
+		if s.now.Before(c.retryAt) {
+			s.retryLater(c)
+			continue
+		}
+		l.remove(c)
+		s.makeReady(c)
 	}
 	sc.refreshMin()
 }
 
+// retryLater makes a blocked class ready at its retryAt.
+func (s *Scheduler) retryLater(c *class) {
+	if !c.retrying {
+		c.retrying = true
+		s.startTimer(timer{at: c.retryAt.UnixNano(), class: c})
+	}
+}
+
 func (sc *scope) refreshMin() {
+	sc.urgent = false
 	for i, c := range sc.blocked.classes {
+		sc.urgent = sc.urgent || c.urgent()
 		if i == 0 {
 			sc.minBlocked = c.key.size
 		}
@@ -271,16 +325,32 @@
 
 func (s *Scheduler) startTimer(t timer) { heap.Push(&s.timers, t) }
 
-// runTimers queues the tasks whose backoff is over.
+// runTimers does what is due: queues tasks whose backoff is over, tries paced
+// classes again, gives up claims.
 func (s *Scheduler) runTimers() {
 	for len(s.timers) > 0 && s.timers[0].at <= s.now.UnixNano() {
 		t := heap.Pop(&s.timers).(timer)
-		if t.job != nil && !t.job.ended {
+		switch {
+		case t.claims != nil:
+			s.claimsDue(t.claims)
+		case t.worker != nil:
+			s.workerDue(t.worker)
+		case t.class != nil:
+			s.classDue(t.class)
+		case !t.job.ended:
 			s.taskDue(t.job, t.index)
 		}
 	}
 }
 
+func (s *Scheduler) classDue(c *class) {
+	c.retrying = false
+	if c.list == &c.scope.blocked {
+		c.list.remove(c)
+		s.makeReady(c)
+	}
+}
+
 func (s *Scheduler) taskDue(j *job, index int) {
 	if index != settleGang {
 		j.backoff--
--- a/core/placement/reserve.go
+++ b/core/placement/reserve.go
@@ -24,20 +24,19 @@
 func (s *Scheduler) book(a *allocation) {
 	w, t := a.worker, a.team
 	a.booked = a.size
+	if a.job != nil {
+		a.booked = s.likelyUse(a.job)
+	}
 	w.used = w.used.Add(a.booked)
 	w.allocations = append(w.allocations, a)
-	s.markVictim(a)
-	t.usage = t.usage.Add(a.size)
-	if a.urgent {
-		t.urgentUsage += a.size.MilliCPU
-	}
-	t.refreshFairness(s.total)
+	s.countTeam(t, a.size, a.urgent, 1)
 	if j := a.job; j != nil {
 		j.live++
 		if j.spread != nil {
 			j.spread.add(w, 1)
 		}
 	}
+	s.beginTrial(a)
 	s.changed(w)
 }
 
@@ -48,19 +47,19 @@
 		delete(s.planned, a.task)
 	}
 	s.unmarkVictim(a)
+	if a.leaving() {
+		w.leaving = w.leaving.Sub(a.booked)
+	}
 	w.used = w.used.Sub(a.booked)
 	w.allocations = slices.DeleteFunc(w.allocations, func(o *allocation) bool { return o == a })
-	t.usage = t.usage.Sub(a.size)
-	if a.urgent {
-		t.urgentUsage -= a.size.MilliCPU
-	}
-	t.refreshFairness(s.total)
+	s.countTeam(t, a.size, a.urgent, -1)
 	if j := a.job; j != nil {
 		j.live--
 		if j.spread != nil {
 			j.spread.add(w, -1)
 		}
 	}
+	s.trialVoid(a)
 	s.unpark(t)
 	s.gained(w)
 	if !w.present && len(w.allocations) == 0 {
@@ -87,27 +86,14 @@
 		return
 	}
 	w := a.worker
-	s.unmarkVictim(a)
-	w.used = w.used.Sub(a.booked).Add(booked)
+	more := booked.Sub(a.booked)
 	a.booked = booked
-	s.markVictim(a)
-	s.gained(w)
-}
-
-// markVictim counts what an allocation offers to urgent work, by the policy in
-// force.
-func (s *Scheduler) markVictim(a *allocation) {
-	s.unmarkVictim(a)
-	if a.job == nil || a.urgent || a.stopping || !s.config.policies[a.job.spec.Policy].Preemptible {
-		return
-	}
-	a.victim = true
-	a.worker.preemptible = a.worker.preemptible.Add(a.booked)
-}
-
-func (s *Scheduler) unmarkVictim(a *allocation) {
+	w.used = w.used.Add(more)
 	if a.victim {
-		a.victim = false
-		a.worker.preemptible = a.worker.preemptible.Sub(a.booked)
+		w.preemptible = w.preemptible.Add(more)
+	}
+	if a.leaving() {
+		w.leaving = w.leaving.Add(more)
 	}
+	s.gained(w)
 }
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -28,7 +28,16 @@
 	planned     map[cell.TaskID]*allocation
 	timers      timerHeap
 	total       cell.Resources // capacity of all present workers
+	learned     learner
+	failureRate float64 // of recent ends in the whole cell
 
+	readyClaims  []*claimSet    // may be placed
+	reservations []*reservation // oldest first
+	fulfilled    []*reservation // have all their workers
+	nextReview   time.Time      // of the reservations; zero where nothing waits
+	reviewSoon   bool           // do not wait for nextReview
+
+	stamp         uint64 // of the last search over workers
 	scratchGroups []*group
 }
 
@@ -44,6 +53,7 @@
 		classes:     map[classKey]*class{},
 		allocations: map[cell.AllocationID]*allocation{},
 		planned:     map[cell.TaskID]*allocation{},
+		learned:     newLearner(),
 	}
 }
 
@@ -87,13 +97,16 @@
 // zero time where only an event can help.
 func (s *Scheduler) NextWake(now time.Time) time.Time {
 	s.advance(now)
-	if len(s.active) > 0 {
+	if len(s.active) > 0 || len(s.readyClaims) > 0 || len(s.fulfilled) > 0 || s.reviewSoon {
 		return now
 	}
+	wake := s.nextReview
 	if len(s.timers) > 0 {
-		return time.Unix(0, s.timers[0].at)
+		if first := time.Unix(0, s.timers[0].at); wake.IsZero() || first.Before(wake) {
+			wake = first
+		}
 	}
-	return time.Time{}
+	return wake
 }
 
 // PlanApplied says what became of a plan, after the events of its commit.
@@ -111,4 +124,7 @@
 			s.enqueue(j, p.Task.Index)
 		}
 	}
+	for _, id := range plan.Preemptions {
+		s.withdraw(id)
+	}
 }
--- a/core/placement/score.go
+++ b/core/placement/score.go
@@ -13,6 +13,8 @@
 	// because the workers that already have a task of the job come first in
 	// the order of the index.
 	spreadCandidates = 64
+	// failureWeight exceeds any leftover.
+	failureWeight = 10.0
 )
 
 // choose is the score phase for one task: it returns the best worker of the
@@ -21,17 +23,18 @@
 	if sc.policy.Kind == cell.KindService && sc.policy.SpreadBy != cellconfig.SpreadNone {
 		return s.chooseSpread(j, sc, size)
 	}
-	return choosePacked(sc, size)
+	return choosePacked(j, sc, size)
 }
 
 // choosePacked returns the worker that the task leaves fullest.
-func choosePacked(sc *scope, size cell.Resources) *worker {
+func choosePacked(j *job, sc *scope, size cell.Resources) *worker {
 	var best *worker
 	bestLeft := 0.0
 	for _, g := range sc.groups {
 		seen := 0
 		g.fitting(size, func(w *worker) bool {
-			if left := leftover(w, size); best == nil || left < bestLeft {
+			left := leftover(w, size) + failurePenalty(j, w)
+			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
 			}
 			seen++
@@ -41,6 +44,18 @@
 	return best
 }
 
+// failurePenalty keeps the next attempt of a job from a worker on which it has
+// failed, while others have room.
+func failurePenalty(j *job, w *worker) float64 {
+	if j.outcomes.failures == 0 {
+		return 0
+	}
+	if here := w.health.byJob[j.id]; here != nil && here.failures > 0 {
+		return failureWeight
+	}
+	return 0
+}
+
 // leftover is what stays available on a worker after a task, as the sum of the
 // shares of its processors and memory. Accelerators left idle weigh as much.
 func leftover(w *worker, size cell.Resources) float64 {
@@ -93,7 +108,7 @@
 		}
 		seen := 0
 		g.fitting(size, func(w *worker) bool {
-			score := j.spread.score(w, count, size)
+			score := j.spread.score(j, w, count, size)
 			if best == nil || score.less(bestScore) {
 				best, bestScore = w, score
 			}
@@ -127,11 +142,11 @@
 	return c.domains[g.domain]
 }
 
-func (c *spreadCount) score(w *worker, domain int, size cell.Resources) spreadScore {
+func (c *spreadCount) score(j *job, w *worker, domain int, size cell.Resources) spreadScore {
 	return spreadScore{
 		domain: domain,
 		rack:   c.racks[rackKey{w.FailureDomain, w.Rack}],
 		worker: c.workers[w.Name],
-		left:   leftover(w, size),
+		left:   leftover(w, size) + failurePenalty(j, w),
 	}
 }
