--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$' | grep -v '\.twirp\.go$$')
 
-.PHONY: all build test lint demo
+.PHONY: all build test lint demo fuzz
 
 all: build
 
@@ -19,3 +19,14 @@
 
 test: lint
 	$(GO) test -race -count=1 ./...
+
+# Runs the whole path as separate processes on loopback. EXAMPLES names cell
+# files to run at the sizes of today, for example
+# EXAMPLES="examples/turnos.toml examples/manuscript.toml".
+demo: build
+	GODWIT_BIN=$(CURDIR)/bin EXAMPLES="$(EXAMPLES)" $(GO) test -count=1 -v -run TestDemo ./test/e2e
+
+# Runs every fuzz target for FUZZTIME.
+FUZZTIME ?= 10s
+fuzz:
+	./scripts/fuzz.sh $(FUZZTIME)
--- /dev/null
+++ b/test/e2e/cluster_test.go
@@ -0,0 +1,314 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// size is how many processes of each kind a run starts.
+type size struct {
+	controls, entries, workers, backends int
+}
+
+// cluster is the processes of one run, each on a loopback address of its own.
+type cluster struct {
+	dir       string
+	bin       string
+	example   string // cell file
+	file      cellconfig.File
+	processes []*process
+	controls  []*controlProcess
+	entries   []*entryProcess
+	workers   []*workerProcess
+	backends  []*backendProcess
+	http      *http.Client
+}
+
+type controlProcess struct {
+	*process
+	id       uint64
+	internal string
+	settings string // file
+}
+
+type entryProcess struct {
+	*process
+	callers, platform, metrics string
+}
+
+type workerProcess struct {
+	*process
+	debug string
+}
+
+type backendProcess struct {
+	*process
+	debug string
+}
+
+// address returns a loopback address that no other run on this machine uses at
+// the same time: the second octet comes from the id of the test process.
+func address(kind, number, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%250, kind, number+1, port)
+}
+
+const (
+	kindControl = 10
+	kindEntry   = 20
+	kindWorker  = 30
+	kindBackend = 40
+)
+
+// newCluster starts all processes. Backend servers serve the first service of
+// the cell file; workers are spread over the regions of its first pool.
+func newCluster(t *testing.T, example string, n size) *cluster {
+	t.Helper()
+	body, err := os.ReadFile(example)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, faults := cellconfig.Parse(body)
+	if len(faults) > 0 {
+		t.Fatalf("%s: %v", example, faults)
+	}
+	c := &cluster{
+		dir: t.TempDir(), bin: buildPrograms(t), example: example, file: file,
+		http: &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+	t.Cleanup(func() { c.cleanUp(t) })
+	for i := range n.controls {
+		c.startControl(t, i, n.controls)
+	}
+	for i := range n.entries {
+		c.startEntry(t, i, n.controls)
+	}
+	for i := range n.workers {
+		c.startWorker(t, i, n.entries)
+	}
+	for i := range n.backends {
+		c.startBackend(t, i, n.entries)
+	}
+	return c
+}
+
+// cleanUp ends what still runs, and shows the logs of a failed run.
+func (c *cluster) cleanUp(t *testing.T) {
+	for _, p := range c.processes {
+		if p.alive() {
+			p.kill()
+		}
+	}
+	if !t.Failed() {
+		return
+	}
+	for _, p := range c.processes {
+		t.Log(p.tail())
+	}
+}
+
+// place returns the region and failure domain of the i-th process of a kind.
+func (c *cluster) place(i int, regions []cell.Region) (cell.Region, cell.FailureDomain) {
+	region := regions[i%len(regions)]
+	for _, r := range c.file.Regions {
+		if r.Name == region {
+			return region, r.FailureDomains[(i/len(regions))%len(r.FailureDomains)]
+		}
+	}
+	panic("region " + region + " is not in the file, which was checked")
+}
+
+func (c *cluster) regions() []cell.Region {
+	var names []cell.Region
+	for _, r := range c.file.Regions {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+func (c *cluster) startControl(t *testing.T, i, total int) {
+	region, domain := c.place(i, c.regions())
+	control := &controlProcess{id: uint64(i + 1), internal: address(kindControl, i, 7001)}
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"control-%d\"\nregion = %q\nfailure_domain = %q\nlog_level = \"info\"\n", i+1, region, domain)
+	fmt.Fprintf(&b, "replica_id = %d\ndata_dir = %q\n", control.id, filepath.Join(c.dir, fmt.Sprintf("data-%d", i+1)))
+	fmt.Fprintf(&b, "listen_internal = %q\nlisten_metrics = %q\n", control.internal, address(kindControl, i, 7009))
+	b.WriteString("election_timeout_min = \"400ms\"\nelection_timeout_max = \"800ms\"\nheartbeat_interval = \"100ms\"\n")
+	b.WriteString("max_clock_drift_ppm = 1000\nsnapshot_every_entries = 10000\n")
+	for peer := range total {
+		fmt.Fprintf(&b, "[[replica]]\nid = %d\naddress = %q\n", peer+1, address(kindControl, peer, 7001))
+	}
+	name := fmt.Sprintf("control-%d", i+1)
+	control.settings = filepath.Join(c.dir, name+".toml")
+	control.process = c.start(t, name, "godwit-control", b.String())
+	c.controls = append(c.controls, control)
+}
+
+func (c *cluster) startEntry(t *testing.T, i, controls int) {
+	region, domain := c.place(i, c.regions())
+	e := &entryProcess{
+		callers:  address(kindEntry, i, 8001),
+		platform: address(kindEntry, i, 8002),
+		metrics:  address(kindEntry, i, 8009),
+	}
+	var addresses []string
+	for control := range controls {
+		addresses = append(addresses, fmt.Sprintf("%q", address(kindControl, control, 7001)))
+	}
+	e.process = c.start(t, fmt.Sprintf("entry-%d", i+1), "godwit-entry", fmt.Sprintf(`
+name = "entry-%d"
+region = %q
+failure_domain = %q
+log_level = "info"
+listen_callers = %q
+listen_platform = %q
+listen_internal = %q
+listen_metrics = %q
+control_addresses = [%s]
+readiness_delay = "500ms"
+stop_grace = "20s"
+`, i+1, region, domain, e.callers, e.platform, address(kindEntry, i, 8003), e.metrics, strings.Join(addresses, ", ")))
+	c.entries = append(c.entries, e)
+}
+
+// platformAddresses lists the entry processes, starting at a different one for
+// each process that connects.
+func platformAddresses(i, entries int) string {
+	var addresses []string
+	for k := range entries {
+		addresses = append(addresses, fmt.Sprintf("%q", address(kindEntry, (i+k)%entries, 8002)))
+	}
+	return strings.Join(addresses, ", ")
+}
+
+func (c *cluster) startWorker(t *testing.T, i, entries int) {
+	pool := c.file.Pools[0]
+	region, domain := c.place(i, pool.Regions)
+	w := &workerProcess{debug: address(kindWorker, i, 9009)}
+	w.process = c.start(t, fmt.Sprintf("worker-%d", i+1), "godwit-worker", fmt.Sprintf(`
+name = "worker-%d"
+region = %q
+failure_domain = %q
+log_level = "info"
+rack = "%s-rack-%d"
+pool = %q
+cpus = %.1f
+memory = %q
+accelerators = %d
+entries = [%s]
+listen_debug = %q
+`, i+1, region, domain, domain, i/8, pool.Name, pool.MaxWorkerCPUs, pool.MaxWorkerMemory,
+		pool.MaxWorkerAccelerators, platformAddresses(i, entries), w.debug))
+	c.workers = append(c.workers, w)
+}
+
+func (c *cluster) startBackend(t *testing.T, i, entries int) {
+	region, domain := c.place(i, c.regions())
+	service := c.file.Services[0]
+	b := &backendProcess{debug: address(kindBackend, i, 9009)}
+	b.process = c.start(t, fmt.Sprintf("backend-%d", i+1), "godwit-backend", fmt.Sprintf(`
+
+name = "backend-%d"
+region = %q
+failure_domain = %q
+log_level = "info"
+service = %q
+listen = %q
+listen_debug = %q
+entries = [%s]
+slots = 8
+connections = 60
+announce_interval = %q
+announce_lease = %q
+[faults]
+delay = "5ms"
+failure_rate = 0.0
+truncate_rate = 0.0
+reset_rate = 0.0
+late_rate = 0.0
+late_delay = "0s"
+foreign_rate = 0.0
+seed = 1
+`, i+1, region, domain, service.Name, address(kindBackend, i, 9001), b.debug,
+		platformAddresses(i, entries), service.AnnounceInterval, service.AnnounceLease))
+	c.backends = append(c.backends, b)
+}
+
+// leader returns the control replica that leads.
+func (c *cluster) leader(t *testing.T) *controlProcess {
+	t.Helper()
+	var leader *controlProcess
+	eventually(t, "a leader of the control group", func() error {
+		for _, control := range c.controls {
+			if !control.alive() {
+				continue
+			}
+			status, err := c.replicaStatus(control)
+			if err != nil {
+				continue
+			}
+			for _, candidate := range c.controls {
+				if candidate.id == status.LeaderId && candidate.alive() {
+					leader = candidate
+					return nil
+				}
+			}
+		}
+		return fmt.Errorf("no replica names a running leader")
+	})
+	return leader
+}
+
+func (c *cluster) replicaStatus(control *controlProcess) (*rpcpb.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return rpcpb.NewReplicationProtobufClient("http://"+control.internal, c.http).Status(ctx, &rpcpb.StatusRequest{})
+}
+
+// ready waits until every entry process has a configuration in force.
+func (c *cluster) ready(t *testing.T) {
+	t.Helper()
+	for _, e := range c.entries {
+		eventually(t, e.name+" to be ready", func() error { return c.getOK("http://" + e.metrics + "/readyz") })
+	}
+}
+
+func (c *cluster) getOK(url string) error {
+	response, err := c.http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", url, response.StatusCode)
+	}
+	return nil
+}
+
+// waitLimit bounds every wait of these tests. It only ends runs that hang.
+const waitLimit = 30 * time.Second
+
+// eventually repeats check until it succeeds.
+func eventually(t *testing.T, what string, check func() error) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("waiting for %s: %v", what, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
