End a leaving worker's epoch with its own command

Cause: make demo showed that each worker took 10 s to leave: the entry process proposed ExpireWorker, which the leader rightly refuses from others, because its safety rests on the leader's clock. Change: ReleaseWorker carries the last reports and ends the epoch on the worker's own word.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -19,6 +19,7 @@
 	RegisterWorker *RegisterWorker `cbor:",omitempty"`
 	ReportTasks    *ReportTasks    `cbor:",omitempty"`
 	ExpireWorker   *ExpireWorker   `cbor:",omitempty"`
+	ReleaseWorker  *ReleaseWorker  `cbor:",omitempty"`
 	BeginRequest   *BeginRequest   `cbor:",omitempty"`
 	FinishRequest  *FinishRequest  `cbor:",omitempty"`
 	JoinMember     *JoinMember     `cbor:",omitempty"`
@@ -103,6 +104,15 @@
 	Epoch  cell.Epoch
 }
 
+// ReleaseWorker ends the epoch of a worker that has stopped all of its tasks
+// and returns its lease. Unlike ExpireWorker it needs no clock: the worker
+// itself says that nothing runs there under this epoch any more.
+type ReleaseWorker struct {
+	Worker  cell.WorkerName
+	Epoch   cell.Epoch
+	Reports []TaskReport // last news, taken before the epoch ends
+}
+
 // RequestKey identifies a non-idempotent request by the caller's own key.
 type RequestKey struct {
 	Service cell.Service
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -100,6 +100,8 @@
 		return s.reportTasks(*c.ReportTasks)
 	case c.ExpireWorker != nil:
 		return s.expireWorker(*c.ExpireWorker)
+	case c.ReleaseWorker != nil:
+		return s.releaseWorker(*c.ReleaseWorker)
 	case c.BeginRequest != nil:
 		return s.beginRequest(*c.BeginRequest)
 	case c.FinishRequest != nil:
@@ -119,7 +121,7 @@
 	count := 0
 	for _, set := range []bool{
 		c.ApplyFile != nil, c.SubmitJob != nil, c.CancelJob != nil, c.CommitPlan != nil,
-		c.RegisterWorker != nil, c.ReportTasks != nil, c.ExpireWorker != nil, c.BeginRequest != nil,
+		c.RegisterWorker != nil, c.ReportTasks != nil, c.ExpireWorker != nil, c.ReleaseWorker != nil, c.BeginRequest != nil,
 		c.FinishRequest != nil, c.JoinMember != nil, c.LeaveMember != nil, c.Advance != nil,
 	} {
 		if set {
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -171,6 +171,17 @@
 	return Result{}
 }
 
+// releaseWorker ends the epoch of a worker that has stopped all of its tasks.
+// An allocation that it does not report was never started there.
+func (s *State) releaseWorker(c ReleaseWorker) Result {
+	result := s.reportTasks(ReportTasks{Worker: c.Worker, Epoch: c.Epoch, Reports: c.Reports})
+	if result.Refusal != RefusalNone {
+		return result
+	}
+	s.endEpoch(s.workers[c.Worker], endAll)
+	return result
+}
+
 // ending says which allocations end with an epoch.
 type ending int
 
--- a/internal/entry/relaytask.go
+++ b/internal/entry/relaytask.go
@@ -190,21 +190,15 @@
 	}
 }
 
-// depart commits a leaving worker's last reports and then ends its epoch.
+// depart commits a leaving worker's last reports and the end of its epoch.
 func (t *relayTask) depart(ctx context.Context, departure relay.Departure) {
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	report := &state.ReportTasks{Worker: departure.Worker, Epoch: departure.Epoch, Reports: departure.Reports}
-	ok := true
-	if len(report.Reports) > 0 {
-		_, err := t.client.Propose(call, state.Command{ReportTasks: report})
-		ok = err == nil
-	}
-	if ok {
-		expire := &state.ExpireWorker{Worker: departure.Worker, Epoch: departure.Epoch}
-		_, err := t.client.Propose(call, state.Command{ExpireWorker: expire})
-		ok = err == nil
-	}
+	result, err := t.client.Propose(call, state.Command{ReleaseWorker: &state.ReleaseWorker{
+		Worker: departure.Worker, Epoch: departure.Epoch, Reports: departure.Reports,
+	}})
+	// A stale epoch has ended already, by an earlier try whose answer was lost.
+	ok := err == nil && (result.Refusal == state.RefusalNone || result.Refusal == state.RefusalStaleEpoch)
 	select {
 	case t.departed <- departOutcome{departure: departure, ok: ok}:
 	case <-ctx.Done():
