--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -229,6 +229,7 @@
 		effects.Sync = a.renewal()
 	}
 	effects.Wake = a.wake()
+	effects.Lease = max(a.holder.Remaining(a.now), 0)
 	return effects
 }
 
--- a/core/agent/types.go
+++ b/core/agent/types.go
@@ -85,5 +85,9 @@
 	Starts []Task
 	Sync   *Sync
 	Wake   time.Duration // call Tick after so long at the latest
-	Done   bool          // a planned stop is complete
+	// Lease is how long tasks may run on from the reading given to Effects; 0
+	// without a lease. A task that outlived a pause must check it before it
+	// goes on.
+	Lease time.Duration
+	Done  bool // a planned stop is complete
 }
--- a/internal/workeragent/runner.go
+++ b/internal/workeragent/runner.go
@@ -14,6 +14,7 @@
 // taskEnd says that a task has ended.
 type taskEnd struct {
 	allocation cell.AllocationID
+	keeps      bool // the task runs on without a lease
 	outcome    agent.Outcome
 	detail     string
 }
@@ -30,12 +31,14 @@
 
 // runner is the task that owns the running tasks and the list of runs.
 type runner struct {
+	leases  chan leaseEnd
 	starts  chan agent.Task
 	stops   chan agent.Stop
 	done    chan taskEnd
 	queries chan chan []Run
 	ended   chan<- taskEnd
 
+	lease   leaseEnd
 	running map[cell.AllocationID]chan agent.StopKind
 	runs    []Run
 	outbox  []taskEnd // not yet taken by the agent's task; at most one for each task
@@ -43,6 +46,7 @@
 
 func newRunner(ended chan<- taskEnd) *runner {
 	return &runner{
+		leases:  make(chan leaseEnd),
 		starts:  make(chan agent.Task),
 		stops:   make(chan agent.Stop),
 		done:    make(chan taskEnd),
@@ -52,6 +56,30 @@
 	}
 }
 
+// leaseEnd is the time until which tasks may go on, by both clocks.
+type leaseEnd struct {
+	monotonic time.Time
+	wall      time.Time // without a monotonic reading
+}
+
+func newLeaseEnd(remaining time.Duration) leaseEnd {
+	end := time.Now().Add(remaining)
+	return leaseEnd{monotonic: end, wall: end.Round(0)}
+}
+
+// over reports whether the lease has ended by either clock.
+func (e leaseEnd) over() bool {
+	now := time.Now()
+	return now.After(e.monotonic) || now.Round(0).After(e.wall)
+}
+
+func (r *runner) setLease(ctx context.Context, remaining time.Duration) {
+	select {
+	case r.leases <- newLeaseEnd(remaining):
+	case <-ctx.Done():
+	}
+}
+
 func (r *runner) start(ctx context.Context, task agent.Task) {
 	select {
 	case r.starts <- task:
@@ -80,6 +108,7 @@
 			return
 		case out <- next:
 			r.outbox = r.outbox[1:]
+		case r.lease = <-r.leases:
 		case task := <-r.starts:
 			r.begin(ctx, task)
 		case stop := <-r.stops:
@@ -120,7 +149,12 @@
 	}()
 }
 
+// finish takes the end of a task. A task that was frozen past the end of the
+// lease must not complete: it may run elsewhere by now.
 func (r *runner) finish(end taskEnd) {
+	if !end.keeps && r.lease.over() {
+		end.outcome = agent.OutcomeStopped
+	}
 	delete(r.running, end.allocation)
 	for i := range r.runs {
 		if r.runs[i].Allocation == end.allocation {
@@ -142,7 +176,7 @@
 		defer timer.Stop()
 		over = timer.C
 	}
-	end := taskEnd{allocation: task.Allocation, outcome: outcome}
+	end := taskEnd{allocation: task.Allocation, keeps: task.KeepOnDisconnect, outcome: outcome}
 	select {
 	case <-over:
 		if outcome == agent.OutcomeFailed {
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -153,6 +153,7 @@
 }
 
 func (w *Worker) carryOut(work context.Context, effects agent.Effects) {
+	w.runner.setLease(work, effects.Lease)
 	for _, stop := range effects.Stops {
 		w.logger.Log(eventTaskStop, zap.Uint64("allocation", uint64(stop.Allocation)), zap.String("kind", string(stop.Kind)))
 		w.runner.stop(work, stop)
