Never answer not-run after net/http has sent a request twice

Cause: TestOutcomesUnderFailures saw a GET that was answered not-run and had run: net/http had sent it again by itself on another connection and only the second one was refused. An answer with two request ids was accepted as well. Change: a refusal after a repeated send counts as uncertain; exactly one matching request id is required. Tests for silent retries, truncation, leave under load, a pause longer than the lease, planned stop, stale configuration. Checked: go test -race ./internal/gateway.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,7 +72,11 @@
 		return a.failed(ctx, err)
 	}
 	if saysNotRun(resp) {
-		return exchange.Attempt{Reach: exchange.ReachRefused, Reason: exchange.ReasonBackendRefused}, routing.ResultRefused
+		end := exchange.Attempt{Reach: exchange.ReachRefused, Reason: exchange.ReasonBackendRefused}
+		if a.wire.repeated() {
+			end.Reach = exchange.ReachUncertain
+		}
+		return end, routing.ResultRefused
 	}
 	passed, err := c.pass(resp)
 	if err != nil {
@@ -131,11 +135,11 @@
 // check refuses answers that cannot be shown to be complete answers to this
 // request.
 func (a *attempt) check(resp *http.Response) error {
-	if got := resp.Header.Get(backendapi.HeaderRequestID); got != a.id {
+	if got := resp.Header[backendapi.HeaderRequestID]; len(got) != 1 || got[0] != a.id {
 		a.call.gateway.opts.Metrics.Add(metricForeignAnswers, "", 1)
 		a.call.gateway.opts.Logger.Log(eventForeignAnswer,
 			zap.String("backend", string(a.call.granted.choice.Backend)),
-			zap.String("want", a.id), zap.String("got", got))
+			zap.String("want", a.id), zap.Strings("got", got))
 		return errBroken
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -27,11 +27,13 @@
 }
 
 // advance accounts for a suspension since the last call.
-func (c *elapsedClock) advance() { c.account(time.Now()) }
+func (c *elapsedClock) advance() {
+	now := time.Now()
+	c.account(now.Sub(c.base), now.Round(0).Sub(c.base.Round(0)))
+}
 
-func (c *elapsedClock) account(now time.Time) {
-	monotonic := now.Sub(c.base)
-	wall := now.Round(0).Sub(c.base.Round(0))
+// account takes the time since base by both clocks.
+func (c *elapsedClock) account(monotonic, wall time.Duration) {
 	ahead := wall - monotonic
 	if ahead > time.Duration(c.suspended.Load())+suspendSlack {
 		c.suspended.Store(int64(ahead))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -234,6 +234,7 @@
 	reason  string
 	body    string
 	header  http.Header
+	closes  bool  // the connection closes after it
 	err     error // of the request or of reading the body
 }
 
@@ -255,7 +256,7 @@
 	data, err := io.ReadAll(resp.Body)
 	return answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(backendapi.HeaderOutcome),
-		reason: resp.Header.Get(backendapi.HeaderReason), body: string(data), header: resp.Header, err: err,
+		reason: resp.Header.Get(backendapi.HeaderReason), body: string(data), header: resp.Header, err: err, closes: resp.Close,
 	}
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -113,5 +113,7 @@
 	for _, conn := range open {
 		_ = conn.Close()
 	}
-	c.await("connections free again", func() bool { return strings.HasPrefix(e.raw(t, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"), "HTTP/1.1 404") })
+	c.await("connections free again", func() bool {
+		return strings.HasPrefix(e.raw(t, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"), "HTTP/1.1 404")
+	})
 }
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/backendserver"
+)
+
+// Guards against a repeat that runs while the first request does, and against
+// one that gets another answer than the first.
+func TestRepeatWaitsForTheFirst(t *testing.T) {
+	c := newCell(t, 2)
+	server := c.addServer(backendserver.Faults{Delay: 300 * time.Millisecond})
+	c.awaitBackends(1)
+	answers := make([]answer, 8)
+	var group sync.WaitGroup
+	for i := range answers {
+		group.Go(func() {
+			answers[i] = c.entries[i%2].call("POST", "/turnos/book", "w", backendapi.HeaderKey, "k")
+		})
+	}
+	group.Wait()
+	for i, got := range answers {
+		if got.outcome != "done" || got.body != answers[0].body {
+			t.Errorf("answer %d: %+v", i, got)
+		}
+	}
+	if runs := server.Counts().Runs["k"]; runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+	// A repeat whose deadline ends first must not be told that nothing ran.
+	go c.entries[0].call("POST", "/turnos/book", "w", backendapi.HeaderKey, "k2")
+	c.await("second run", func() bool { return server.Counts().Runs["k2"] == 1 })
+	got := c.entries[1].call("POST", "/turnos/book", "w", backendapi.HeaderKey, "k2", backendapi.HeaderDeadline, "50")
+	if got.outcome != "unknown" || got.reason != "key-running" {
+		t.Errorf("repeat with a short deadline answered %+v", got)
+	}
+}
+
+// Guards against a caller whose disconnection ends a request that may not run
+// again: its answer is recorded and replayed.
+func TestCallerThatLeavesFindsItsAnswer(t *testing.T) {
+	c := newCell(t, 1)
+	server := c.addServer(backendserver.Faults{Delay: 200 * time.Millisecond})
+	c.awaitBackends(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", c.entries[0].callers.URL+"/turnos/book", strings.NewReader("w"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(backendapi.HeaderTeam, "reservas")
+	req.Header.Set(backendapi.HeaderKey, "k")
+	go func() {
+		c.await("run", func() bool { return server.Counts().Runs["k"] == 1 })
+		cancel()
+	}()
+	if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+		_ = resp.Body.Close()
+		t.Fatal("the caller got an answer before it left")
+	}
+	got := c.entries[0].call("POST", "/turnos/book", "w", backendapi.HeaderKey, "k")
+	if got.outcome != "done" || !strings.HasSuffix(got.body, "run 1\nw") {
+		t.Errorf("repeat answered %+v", got)
+	}
+}
+
+// Guards against new work at a backend server that is leaving: none that
+// starts later than announce_lease after the leave was announced, and no
+// request that fails because of the leave.
+func TestLeaveUnderLoad(t *testing.T) {
+	c := newCell(t, 3)
+	c.addServer(backendserver.Faults{Delay: 2 * time.Millisecond}, c.entries[0])
+	leaving := c.addServer(backendserver.Faults{Delay: 2 * time.Millisecond}, c.entries[1])
+	c.awaitBackends(2)
+	var leftAt time.Time
+	results := c.storm(900, 8, "5000", func() {
+		leftAt = time.Now()
+		leaving.leave()
+		time.Sleep(50 * time.Millisecond)
+	})
+	if done := c.verify(results); done != len(results) {
+		t.Errorf("%d of %d done during a leave", done, len(results))
+	}
+	counts := leaving.Counts()
+	if late := counts.LastRun.Sub(leftAt); late > c.file.Services[0].AnnounceLease {
+		t.Errorf("a run started %v after the leave", late)
+	}
+	if counts.Total == 0 {
+		t.Error("the leaving server had no work before")
+	}
+	c.awaitBackends(1)
+}
+
+// Guards against routing by announcements from before a pause: an entry
+// process that was stopped for longer than the lease routes nothing until it
+// has heard of a backend server again.
+func TestPauseLongerThanTheLease(t *testing.T) {
+	c := newCell(t, 1)
+	e := c.entries[0]
+	server := c.addServer(noFaults)
+	c.awaitBackends(1)
+	_ = server.Kill()
+	server.leave()
+	// The router stops as a paused process does; what arrives meanwhile waits.
+	release := make(chan struct{})
+	e.send(probe{func(*router) { <-release }})
+	answers := make(chan answer, 1)
+	go func() { answers <- e.call("POST", "/turnos/a", "x") }()
+	time.Sleep(c.file.Services[0].AnnounceLease + 100*time.Millisecond)
+	close(release)
+	if got := <-answers; got.outcome != "not-run" || got.reason != "no-backend" {
+		t.Errorf("after the pause answered %+v", got)
+	}
+}
+
+// Guards a planned stop: what runs is completed, what is new is refused as not
+// run on a connection that closes, and what is cut is counted.
+func TestDrain(t *testing.T) {
+	c := newCell(t, 2)
+	c.addServer(backendserver.Faults{Delay: 400 * time.Millisecond})
+	c.awaitBackends(1)
+	for i, wait := range []time.Duration{5 * time.Second, 50 * time.Millisecond} {
+		e := c.entries[i]
+		answers := make(chan answer, 1)
+		key := fmt.Sprintf("k%d", i)
+		go func() { answers <- e.call("POST", "/turnos/a", "x", backendapi.HeaderKey, key) }()
+		c.await("request in flight", func() bool { return e.inFlight() == 1 })
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		cut := make(chan int, 1)
+		go func() { cut <- e.Drain(ctx) }()
+		c.await("draining", func() bool { return e.table.Load().draining })
+		refused := e.call("POST", "/turnos/b", "x", backendapi.HeaderKey, "other")
+		if refused.outcome != "not-run" || refused.reason != "draining" || !refused.closes {
+			t.Errorf("during the drain answered %+v", refused)
+		}
+		if got := <-cut; got != i {
+			t.Errorf("drain within %v cut %d, want %d", wait, got, i)
+		}
+		cancel()
+		if got := <-answers; got.outcome != "done" {
+			t.Errorf("request in flight answered %+v", got)
+		}
+	}
+}
+
+// Guards against keyed or unkeyed non-idempotent requests under a
+// configuration that the control group no longer confirms.
+func TestStaleConfiguration(t *testing.T) {
+	c := newCell(t, 1)
+	e := c.entries[0]
+	c.addServer(noFaults)
+	c.awaitBackends(1)
+	e.SetConfig(c.file, time.Now().Add(-2*c.file.Cell.StaleAfter))
+	c.await("stale", func() bool { return e.call("POST", "/turnos/a", "x").reason == "stale-config" })
+	if got := e.call("GET", "/turnos/a", ""); got.outcome != "done" {
+		t.Errorf("idempotent request answered %+v", got)
+	}
+	older := c.file
+	older.Generation = 0
+	e.SetConfig(older, time.Now())
+	e.SetConfig(c.file, time.Now())
+	c.await("confirmed again", func() bool { return e.call("POST", "/turnos/a", "x").outcome == "done" })
+	if !strings.Contains(e.metrics.Text(), "gateway_old_generations_total 1") {
+		t.Error("the older generation is not counted")
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -102,6 +102,18 @@
 	})
 }
 
+// repeated reports whether http.Transport has sent the request more than once,
+// which it may do with idempotent requests on reused connections. A refusal by
+// a backend server then says nothing of the earlier ones.
+func (w *wire) repeated() bool {
+	for i, use := range w.uses {
+		if i < len(w.uses)-1 && use.conn.seal() != use.before {
+			return true
+		}
+	}
+	return false
+}
+
 // abandon seals the connections of a failed request and reports whether any
 // byte of it may have been sent.
 func (w *wire) abandon() (sent bool) {
--- /dev/null
+++ b/internal/gateway/upstream_test.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/membership"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
+)
+
+// addRaw announces a backend server whose connections serve handles.
+func (c *testCell) addRaw(serve func(conn net.Conn)) {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	a := membership.Announcement{
+		Backend: "raw", Incarnation: 1, Sequence: 1, Service: "turnos", Address: listener.Addr().String(),
+		Region: "quito-norte", FailureDomain: "quito-norte-1", Slots: 8, Connections: 60,
+	}
+	for _, e := range c.entries {
+		var token membership.Token
+		for range 2 {
+			reply := make(chan announceReply, 1)
+			e.send(announce{announcement: a, token: token, reply: reply})
+			token = (<-reply).Token
+		}
+	}
+	c.awaitBackends(1)
+}
+
+// answerOnce answers one request on a connection with its own id and a body.
+func answerOnce(conn net.Conn, reader *bufio.Reader, extra, body string) error {
+	req, err := http.ReadRequest(reader)
+	if err != nil {
+		return err
+	}
+	if _, err := reader.Discard(int(max(req.ContentLength, 0))); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nGodwit-Request-Id: %s\r\n%s\r\n%s",
+		req.Header.Get(backendapi.HeaderRequestID), extra, body)
+	return err
+}
+
+// Guards against net/http sending a request again by itself: it does so on a
+// reused connection that is closed without an answer, for methods that are
+// usually idempotent and for any request without a body that has an
+// Idempotency-Key.
+func TestNoSilentRetryOnReusedConnection(t *testing.T) {
+	cases := []struct{ name, method, body, key string }{
+		{"keyed without body", "POST", "", "k"},
+		{"keyed with body", "POST", "washer", "k"},
+		{"without key", "DELETE", "", ""},
+		{"options", "OPTIONS", "", ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCell(t, 1)
+			var second atomic.Int32 // requests other than the first of a connection
+			var fresh atomic.Int32  // requests on fresh connections
+			c.addRaw(func(conn net.Conn) {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				fresh.Add(1)
+				if answerOnce(conn, reader, "Content-Length: 2\r\n", "ok") != nil {
+					return
+				}
+				if _, err := http.ReadRequest(reader); err == nil {
+					second.Add(1)
+				}
+			})
+			e := c.entries[0]
+			if got := e.call("GET", "/turnos/warm", ""); got.status != 200 {
+				t.Fatalf("first request answered %+v", got)
+			}
+			headers := []string{}
+			if test.key != "" {
+				headers = []string{backendapi.HeaderKey, test.key}
+			}
+			got := e.call(test.method, "/turnos/a", test.body, headers...)
+			if got.outcome != "unknown" || got.reason != "broken-answer" {
+				t.Errorf("answered %+v", got)
+			}
+			if second.Load() != 1 || fresh.Load() != 1 {
+				t.Errorf("sent %d times on the reused connection and opened %d connections, want 1 and 1", second.Load(), fresh.Load())
+			}
+		})
+	}
+}
+
+// Guards against not-run for an idempotent request that net/http had sent
+// before, on a reused connection that broke, and that was then refused. Found by
+// TestOutcomesUnderFailures.
+func TestRefusalAfterSilentRetryIsNotNotRun(t *testing.T) {
+	c := newCell(t, 1)
+	var fresh atomic.Int32
+	c.addRaw(func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if fresh.Add(1) > 1 {
+			req, err := http.ReadRequest(reader)
+			if err == nil {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Busy\r\nGodwit-Request-Id: %s\r\nGodwit-Outcome: not-run\r\nContent-Length: 0\r\n\r\n",
+					req.Header.Get(backendapi.HeaderRequestID))
+			}
+			return
+		}
+		if answerOnce(conn, reader, "Content-Length: 2\r\n", "ok") == nil {
+			_, _ = http.ReadRequest(reader) // taken, never answered
+		}
+	})
+	e := c.entries[0]
+	if got := e.call("GET", "/turnos/warm", ""); got.status != 200 {
+		t.Fatalf("first request answered %+v", got)
+	}
+	if got := e.call("GET", "/turnos/a", ""); got.outcome != "unknown" {
+		t.Errorf("answered %+v, want unknown", got)
+	}
+}
+
+// Guards against a truncated answer that its caller takes for complete, and
+// against answers whose end cannot be known.
+func TestTruncatedAnswers(t *testing.T) {
+	cases := []struct {
+		name, extra, body string
+		whole             bool // the caller gets no byte of it
+	}{
+		{"short body", "Content-Length: 100\r\n", "part", true},
+		{"long body", "Content-Length: 1000000\r\n", strings.Repeat("x", 200_000), false},
+		{"chunked", "Transfer-Encoding: chunked\r\n", "4\r\npart\r\n", false},
+		{"ends with the connection", "Connection: close\r\n", "all of it", true},
+		{"two ids", "Content-Length: 0\r\nGodwit-Request-Id: other\r\n", "", true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCell(t, 1)
+			c.addRaw(func(conn net.Conn) {
+				defer conn.Close()
+				_ = answerOnce(conn, bufio.NewReader(conn), test.extra, test.body)
+			})
+			got := c.entries[0].call("POST", "/turnos/a", "x", backendapi.HeaderKey, "k")
+			switch {
+			case test.whole && (got.outcome != "unknown" || got.status != 502):
+				t.Errorf("answered %+v, want 502 unknown", got)
+			case !test.whole && got.err == nil:
+				t.Errorf("caller got %d bytes as a complete answer", len(got.body))
+			}
+			c.await("record", func() bool {
+				repeat := c.entries[0].call("POST", "/turnos/a", "x", backendapi.HeaderKey, "k", backendapi.HeaderDeadline, "50")
+				return repeat.outcome == "unknown" && repeat.reason == "key-unknown"
+			})
+		})
+	}
+}
+
+// Guards the proof that nothing was sent: a write either is counted before the
+// seal or fails.
+func TestSealOrdersWrites(t *testing.T) {
+	near, far := net.Pipe()
+	go func() {
+		buffer := make([]byte, 16)
+		for {
+			if _, err := far.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	conn := &countedConn{Conn: near}
+	if _, err := conn.Write([]byte("a")); err != nil {
+		t.Fatal(err)
+	}
+	if got := conn.seal(); got != 1 {
+		t.Errorf("seal counted %d writes, want 1", got)
+	}
+	if _, err := conn.Write([]byte("b")); err == nil {
+		t.Error("a write after the seal succeeded")
+	}
+	_ = far.Close()
+}
+
+// Guards against announcements that look younger because the monotonic clock
+// stopped while the VM was suspended.
+func TestClockCountsSuspension(t *testing.T) {
+	c := newElapsedClock()
+	before := c.now()
+	c.account(time.Second, 10*time.Minute)
+	c.account(2*time.Second, 0) // the wall clock was set back
+	if got := c.now().Sub(before); got < 9*time.Minute {
+		t.Errorf("10 minutes of suspension counted as %v", got)
+	}
+	c.account(3*time.Second, 10*time.Minute+1500*time.Millisecond)
+	if got := c.now().Sub(before); got > 11*time.Minute {
+		t.Errorf("one suspension counted twice: %v", got)
+	}
+}
