--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -1,15 +1,23 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// limitFloor keeps a service alive however slow its answers are.
 	limitFloor = 4
-	// congestedFactor is how far the mean delay may rise above its baseline
-	// before the limit shrinks. A tenth of the servers being slow must not
-	// shrink it: routing moves their load away.
-	congestedFactor = 2.5
-	// limitDecrease is the factor of one step down, at most one each mean delay.
+	// A window is measured over at least this many answers and this long. The
+	// mean of 100 exponential delays is within 30 % of the true one nearly
+	// always; the mean of a few answers made the limit collapse without load.
+	windowAnswers = 100
+	windowMin     = 200 * time.Millisecond
+	// congestedFactor is how far the mean delay of a window may be above the
+	// baseline before the limit shrinks. A tenth of the servers being slow must
+	// not shrink it: routing moves their load away.
+	congestedFactor = 2.0
+	// limitDecrease is the factor of one step down, at most one each window.
 	limitDecrease = 0.9
 	// baselineGrowth is the share by which the baseline rises in a second, so
 	// that work that has become slower for good is accepted as normal.
@@ -21,23 +29,29 @@
 // limiter learns how many requests may be in flight: it shrinks while answers
 // take much longer than the baseline and grows while the limit is in use.
 type limiter struct {
-	ceiling    float64 // connections that this entry process may open
-	limit      float64
-	mean       time.Duration
-	baseline   time.Duration
-	raisedAt   time.Time
-	loweredAt  time.Time
-	hasCeiling bool
+	ceiling float64 // connections that this entry process may open
+	limit   float64
+	mean    time.Duration // of recent answers, for the shortest answer
+
+	baseline time.Duration // smallest mean of a window, rising slowly
+	window   window
 }
 
-// setCeiling states the ceiling. The limit starts at the first ceiling.
+// window is the answers since its start.
+type window struct {
+	start   time.Time
+	answers int
+	total   time.Duration
+	limited bool // the limit was nearly reached
+}
+
+// setCeiling states the ceiling. The limit starts there, and follows it up
+// where it had reached the old one.
 func (l *limiter) setCeiling(ceiling int) {
-	grown := float64(ceiling) > l.ceiling
-	l.ceiling = float64(ceiling)
-	if !l.hasCeiling || grown {
-		l.limit = l.ceiling
-		l.hasCeiling = true
+	if l.limit >= l.ceiling {
+		l.limit = float64(ceiling)
 	}
+	l.ceiling = float64(ceiling)
 	l.limit = min(l.limit, l.ceiling)
 }
 
@@ -47,31 +61,35 @@
 
 func (l *limiter) answered(now time.Time, delay time.Duration, inFlight int) {
 	if l.mean == 0 {
-		l.mean, l.baseline, l.raisedAt = delay, delay, now
-		return
+		l.mean = delay
 	}
 	l.mean += time.Duration(delayWeight * float64(delay-l.mean))
-	l.raiseBaseline(now)
-	if float64(l.mean) > congestedFactor*float64(l.baseline) {
-		l.lower(now)
-		return
+	w := &l.window
+	if w.answers == 0 {
+		w.start = now
 	}
-	if float64(inFlight) >= 0.8*l.limit {
-		l.limit = min(l.limit+1/max(l.limit, 1), l.ceiling)
+	w.answers++
+	w.total += delay
+	w.limited = w.limited || float64(inFlight) >= limitDecrease*l.limit
+	if elapsed := now.Sub(w.start); w.answers >= windowAnswers && elapsed >= windowMin {
+		l.adjust(elapsed)
 	}
 }
 
-func (l *limiter) raiseBaseline(now time.Time) {
-	elapsed := now.Sub(l.raisedAt)
-	l.raisedAt = now
-	l.baseline += time.Duration(baselineGrowth * elapsed.Seconds() * float64(l.baseline))
-	l.baseline = min(l.baseline, l.mean)
-}
-
-func (l *limiter) lower(now time.Time) {
-	if now.Sub(l.loweredAt) < l.mean {
-		return
+// adjust ends a window.
+func (l *limiter) adjust(elapsed time.Duration) {
+	w := l.window
+	l.window = window{}
+	mean := w.total / time.Duration(w.answers)
+	grown := float64(l.baseline) * (1 + baselineGrowth*elapsed.Seconds())
+	l.baseline = time.Duration(grown)
+	if l.baseline == 0 || mean < l.baseline {
+		l.baseline = mean
+	}
+	switch {
+	case float64(mean) > congestedFactor*float64(l.baseline):
+		l.limit = max(l.limit*limitDecrease, min(limitFloor, l.ceiling))
+	case w.limited:
+		l.limit = min(l.limit+math.Sqrt(l.limit), l.ceiling)
 	}
-	l.loweredAt = now
-	l.limit = max(l.limit*limitDecrease, limitFloor)
 }
--- /dev/null
+++ b/internal/bench/routingbench/backend.go
@@ -0,0 +1,107 @@
+package routingbench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Sizes of the cell (docs/design.md, section 1.5).
+const (
+	regions          = 3
+	domainsPerRegion = 2
+	entryCount       = 9
+	serverCount      = 50
+	slots            = 8
+	connections      = 60
+)
+
+// Delays of the network, one way.
+const (
+	withinDomain   = 250 * time.Microsecond
+	betweenDomains = time.Millisecond
+	betweenRegions = 8 * time.Millisecond
+)
+
+// meanService is the mean of the exponential service times.
+const meanService = 50 * time.Millisecond
+
+// mode is how a backend server behaves.
+type mode int
+
+const (
+	modeWell    mode = iota
+	modeSlow         // ten times slower
+	modeFailing      // answers every request at once with an error
+	modeSilent       // neither answers nor announces itself
+)
+
+const (
+	slowFactor   = 10
+	failureAfter = time.Millisecond
+)
+
+// place is where a process is.
+type place struct {
+	region cell.Region
+	domain cell.FailureDomain
+}
+
+func placeOf(i int) place {
+	region := i % regions
+	domain := i / regions % domainsPerRegion
+	return place{
+		region: cell.Region(fmt.Sprintf("region-%d", region)),
+		domain: cell.FailureDomain(fmt.Sprintf("region-%d-%d", region, domain)),
+	}
+}
+
+func oneWay(a, b place) time.Duration {
+	switch {
+	case a.region != b.region:
+		return betweenRegions
+	case a.domain != b.domain:
+		return betweenDomains
+	default:
+		return withinDomain
+	}
+}
+
+// backend is one backend server.
+type backend struct {
+	place
+	name     cell.BackendName
+	index    int
+	mode     mode
+	inFlight int
+}
+
+// outcome is what an entry process gets back.
+type outcome struct {
+	refused  bool
+	failed   bool
+	inFlight int
+}
+
+// receive takes a request and calls back with the outcome, at the time at which
+// the server sends it.
+func (b *backend) receive(c *clock, service time.Duration, reply func(outcome)) {
+	switch {
+	case b.mode == modeSilent:
+		return
+	case b.mode == modeFailing:
+		c.after(failureAfter, func() { reply(outcome{failed: true, inFlight: b.inFlight}) })
+		return
+	case b.inFlight >= slots:
+		reply(outcome{refused: true, inFlight: b.inFlight})
+		return
+	case b.mode == modeSlow:
+		service *= slowFactor
+	}
+	b.inFlight++
+	c.after(service, func() {
+		b.inFlight--
+		reply(outcome{inFlight: b.inFlight})
+	})
+}
--- /dev/null
+++ b/internal/bench/routingbench/exact.go
@@ -0,0 +1,45 @@
+package routingbench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/routing"
+)
+
+// ownerHop is what asking the owner of a backend server adds to 8 of 9
+// requests.
+const ownerHop = 2 * betweenDomains
+
+// exactPicker knows the slots of every server exactly, as one owner of each
+// server would. It is slower by ownerHop, which the report adds.
+type exactPicker struct {
+	simple
+	run    *run
+	random *rand.Rand
+}
+
+// Pick implements picker.
+func (x *exactPicker) Pick(_ time.Time, q routing.Request) (routing.Choice, routing.Refusal) {
+	start := x.random.IntN(serverCount)
+	var best *backend
+	for i := range x.run.servers {
+		b := x.run.servers[(start+i)%serverCount]
+		if x.run.booked[b.name] < slots && (best == nil || x.run.booked[b.name] < x.run.booked[best.name]) {
+			best = b
+		}
+	}
+	if best == nil {
+		return routing.Choice{}, routing.RefusalBusy
+	}
+	x.nextID++
+	return routing.Choice{Service: q.Service, Backend: best.name, ID: x.nextID}, routing.RefusalNone
+}
+
+// Started implements picker.
+func (x *exactPicker) Started(_ time.Time, c routing.Choice) { x.run.booked[c.Backend]++ }
+
+// Finished implements picker.
+func (x *exactPicker) Finished(_ time.Time, c routing.Choice, _ routing.Observation) {
+	x.run.booked[c.Backend]--
+}
--- /dev/null
+++ b/internal/bench/routingbench/picker.go
@@ -0,0 +1,148 @@
+package routingbench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/routing"
+)
+
+// picker chooses backend servers for one entry process. *routing.Table is one.
+type picker interface {
+	Announce(now time.Time, a routing.Announcement)
+	Expire(now time.Time) []cell.BackendName
+	Pick(now time.Time, r routing.Request) (routing.Choice, routing.Refusal)
+	Started(now time.Time, c routing.Choice)
+	Finished(now time.Time, c routing.Choice, o routing.Observation)
+	Capacity(service cell.Service) int
+}
+
+// simple is what the compared choices share: the servers with a valid
+// announcement and the outstanding requests of this entry process.
+type simple struct {
+	random  *rand.Rand
+	choose  func(s *simple, now time.Time, usable []*simpleServer) *simpleServer
+	eject   bool // counts errors and revives after a fixed time
+	servers []*simpleServer
+	next    int
+	nextID  uint64
+}
+
+type simpleServer struct {
+	routing.Announcement
+	outstanding int
+	errors      int
+	outUntil    time.Time
+}
+
+// Settings of counting errors, as common proxies have them.
+const (
+	errorsToEject = 5
+	ejectedFor    = 10 * time.Second
+)
+
+// Announce implements picker.
+func (s *simple) Announce(now time.Time, a routing.Announcement) {
+	for _, known := range s.servers {
+		if known.Backend == a.Backend {
+			known.Announcement = a
+			return
+		}
+	}
+	s.servers = append(s.servers, &simpleServer{Announcement: a})
+	slices.SortFunc(s.servers, func(a, b *simpleServer) int {
+		if a.Backend < b.Backend {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Expire implements picker.
+func (s *simple) Expire(now time.Time) []cell.BackendName {
+	s.servers = slices.DeleteFunc(s.servers, func(b *simpleServer) bool { return now.Sub(b.SeenAt) >= announceLease })
+	return nil
+}
+
+// Pick implements picker.
+func (s *simple) Pick(now time.Time, r routing.Request) (routing.Choice, routing.Refusal) {
+	var usable []*simpleServer
+	for _, b := range s.servers {
+		if !slices.Contains(r.Exclude, b.Backend) && !now.Before(b.outUntil) {
+			usable = append(usable, b)
+		}
+	}
+	if len(usable) == 0 {
+		return routing.Choice{}, routing.RefusalNoBackend
+	}
+	chosen := s.choose(s, now, usable)
+	if chosen == nil {
+		return routing.Choice{}, routing.RefusalBusy
+	}
+	s.nextID++
+	return routing.Choice{Service: r.Service, Backend: chosen.Backend, ID: s.nextID}, routing.RefusalNone
+}
+
+// Started implements picker.
+func (s *simple) Started(_ time.Time, c routing.Choice) {
+	if b := s.find(c.Backend); b != nil {
+		b.outstanding++
+	}
+}
+
+// Finished implements picker.
+func (s *simple) Finished(now time.Time, c routing.Choice, o routing.Observation) {
+	b := s.find(c.Backend)
+	if b == nil {
+		return
+	}
+	b.outstanding--
+	switch o.Result {
+	case routing.ResultAnswered:
+		b.errors = 0
+	case routing.ResultFailed, routing.ResultTimedOut, routing.ResultRefused:
+		b.errors++
+	}
+	if s.eject && b.errors >= errorsToEject {
+		b.errors, b.outUntil = 0, now.Add(ejectedFor)
+	}
+}
+
+// Capacity implements picker.
+func (s *simple) Capacity(cell.Service) int {
+	return len(s.servers) * (connections / entryCount)
+}
+
+func (s *simple) find(name cell.BackendName) *simpleServer {
+	for _, b := range s.servers {
+		if b.Backend == name {
+			return b
+		}
+	}
+	return nil
+}
+
+func chooseRoundRobin(s *simple, _ time.Time, usable []*simpleServer) *simpleServer {
+	s.next++
+	return usable[s.next%len(usable)]
+}
+
+func chooseRandom(s *simple, _ time.Time, usable []*simpleServer) *simpleServer {
+	return usable[s.random.IntN(len(usable))]
+}
+
+// chooseLeast takes the server with the fewest outstanding requests of this
+// entry process, from a random start among equals.
+func chooseLeast(s *simple, _ time.Time, usable []*simpleServer) *simpleServer {
+	start := s.random.IntN(len(usable))
+	var least *simpleServer
+	for i := range usable {
+		b := usable[(start+i)%len(usable)]
+		if b.outstanding < connections/entryCount && (least == nil || b.outstanding < least.outstanding) {
+			least = b
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/internal/bench/routingbench/run.go
@@ -0,0 +1,251 @@
+package routingbench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/admission"
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/routing"
+)
+
+// Length of a run on the virtual clock. The failure happens after the warm-up.
+const (
+	warmUp   = 3 * time.Second
+	measured = 8 * time.Second
+)
+
+// scenario is a load with a failure.
+type scenario struct {
+	name       string
+	load       float64 // share of the capacity of all servers
+	mode       mode    // of the first server, from the end of the warm-up
+	lostRegion bool    // the first region is cut off from the end of the warm-up
+	order      admission.ShedOrder
+}
+
+// method is a way to choose a backend server.
+type method struct {
+	name          string
+	ignoreRegions bool
+	simple        *simple // nil for core/routing
+	exact         bool    // one owner knows all slots; costs a hop
+}
+
+// run is one scenario with one method.
+type run struct {
+	clock     clock
+	random    *rand.Rand
+	scenario  scenario
+	method    method
+	servers   []*backend
+	entries   []*entry
+	nextID    uint64
+	start     time.Time
+	waits     []time.Duration
+	arrivals  int
+	answers   int
+	errors    int
+	refused   int // answered as not run
+	refusals  int // by backend servers
+	crossings int
+	booked    map[cell.BackendName]int // outstanding of all entry processes
+}
+
+func newRun(s scenario, m method, seed uint64) *run {
+	r := &run{booked: map[cell.BackendName]int{}, random: rand.New(rand.NewPCG(seed, 7)), scenario: s, method: m, start: time.Unix(1_800_000_000, 0)}
+	r.clock.now = r.start
+	for i := range serverCount {
+		r.servers = append(r.servers, &backend{place: placeOf(i), index: i, name: cell.BackendName(fmt.Sprintf("server-%02d", i))})
+	}
+	for i := range entryCount {
+		r.entries = append(r.entries, r.newEntry(i, seed))
+	}
+	return r
+}
+
+func (r *run) newEntry(i int, seed uint64) *entry {
+	e := &entry{place: placeOf(i), run: r, waiting: map[uint64]*request{}, pairs: map[cell.BackendName]*pair{}}
+	random := rand.New(rand.NewPCG(seed, uint64(i)+100))
+	order := r.scenario.order
+	if order == "" {
+		order = admission.ShedNewest
+	}
+	e.queue = admission.New(admission.Options{
+		MaxQueue: maxQueue, Shares: map[cell.Team]float64{team: 1},
+		RetryBudget: retryBudget, Order: order, Random: random,
+	})
+	e.picker = r.newPicker(e, random)
+	return e
+}
+
+func (r *run) newPicker(e *entry, random *rand.Rand) picker {
+	if r.method.exact {
+		return &exactPicker{run: r, random: random}
+	}
+	if r.method.simple != nil {
+		copied := *r.method.simple
+		copied.random = random
+		return &copied
+	}
+	table := routing.NewTable(routing.Options{Region: e.region, FailureDomain: e.domain, Random: random})
+	table.SetPolicies(map[cell.Service]routing.Policy{service: {
+		Lease: announceLease, MaxEntries: entryCount, CrossRegionPenalty: crossPenalty, PanicThreshold: panicThreshold,
+	}})
+	return table
+}
+
+func (r *run) backend(name cell.BackendName) *backend {
+	for _, b := range r.servers {
+		if b.name == name {
+			return b
+		}
+	}
+	return nil
+}
+
+// execute runs the scenario.
+func (r *run) execute() {
+	for i, b := range r.servers {
+		offset := time.Duration(i) * announceInterval / serverCount
+		r.clock.after(offset, func() { r.announce(b, i) })
+	}
+	for _, e := range r.entries {
+		r.clock.after(time.Duration(r.random.Int64N(int64(tickInterval))), e.tick)
+	}
+	// Arrivals begin when the first announcements have spread.
+	r.clock.after(announceInterval+100*time.Millisecond, r.arrival)
+	r.clock.after(warmUp, r.fail)
+	r.clock.run(r.start.Add(warmUp + measured + deadline + time.Second))
+}
+
+// announce sends an announcement to one entry process, from which the others
+// pull it.
+func (r *run) announce(b *backend, turn int) {
+	if b.mode == modeSilent {
+		return
+	}
+	first := r.entries[turn%entryCount]
+	sentAt := r.clock.now
+	inFlight := b.inFlight
+	direct := oneWay(b.place, first.place)
+	for _, e := range r.entries {
+		delay := direct
+		if e != first {
+			delay += oneWay(first.place, e.place)
+		}
+		r.clock.after(delay, func() {
+			if !e.lost && !first.lost {
+				e.picker.Announce(r.clock.now, r.announcement(e, b, sentAt.Add(-2*direct), inFlight))
+			}
+		})
+	}
+	r.clock.after(announceInterval, func() { r.announce(b, turn+1) })
+}
+
+func (r *run) announcement(e *entry, b *backend, seenAt time.Time, inFlight int) routing.Announcement {
+	a := routing.Announcement{
+		Service: service, Backend: b.name, Incarnation: 1, Address: string(b.name),
+		Region: b.region, FailureDomain: b.domain, Slots: slots, Connections: connections,
+		InFlight: inFlight, SeenAt: seenAt,
+	}
+	if r.method.ignoreRegions {
+		a.Region, a.FailureDomain = e.region, e.domain
+	}
+	return a
+}
+
+func (r *run) fail() {
+	r.crossings, r.refusals = 0, 0
+	if r.scenario.mode != modeWell {
+		r.servers[0].mode = r.scenario.mode
+	}
+	if !r.scenario.lostRegion {
+		return
+	}
+	gone := r.servers[0].region
+	for _, b := range r.servers {
+		if b.region == gone {
+			b.mode = modeSilent
+		}
+	}
+	for _, e := range r.entries {
+		e.lost = e.region == gone
+	}
+}
+
+func (r *run) arrival() {
+	elapsed := r.clock.now.Sub(r.start)
+	if elapsed > warmUp+measured {
+		return
+	}
+	rate := r.scenario.load * serverCount * slots / meanService.Seconds()
+	r.clock.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), r.arrival)
+	e := r.liveEntry()
+	q := &request{
+		arrived:  r.clock.now,
+		deadline: r.clock.now.Add(deadline),
+		service:  time.Duration(r.random.ExpFloat64() * float64(meanService)),
+		recorded: elapsed >= warmUp,
+	}
+	if q.recorded {
+		r.arrivals++
+	}
+	e.arrive(q)
+}
+
+// liveEntry is the choice of the load balancer in front of the entry
+// processes: any that lives.
+func (r *run) liveEntry() *entry {
+	for {
+		e := r.entries[r.random.IntN(len(r.entries))]
+		if !e.lost {
+			return e
+		}
+	}
+}
+
+func (r *run) done(q *request) {
+	if r.end(q) {
+		r.answers++
+		r.waits = append(r.waits, r.clock.now.Sub(q.arrived)-q.service)
+	}
+}
+
+func (r *run) failed(q *request) {
+	if r.end(q) {
+		r.errors++
+	}
+}
+
+// timedOut counts the whole deadline as the waiting time.
+func (r *run) timedOut(q *request) {
+	if r.end(q) {
+		r.errors++
+		r.waits = append(r.waits, deadline)
+	}
+}
+
+func (r *run) notRun(q *request, _ string) {
+	if r.end(q) {
+		r.refused++
+	}
+}
+
+func (r *run) end(q *request) bool {
+	first := !q.ended
+	q.ended = true
+	return first && q.recorded
+}
+
+// percentile returns the waiting time that a share of the requests does not
+// exceed.
+func (r *run) percentile(share float64) time.Duration {
+	if len(r.waits) == 0 {
+		return 0
+	}
+	slices.Sort(r.waits)
+	return r.waits[min(len(r.waits)-1, int(share*float64(len(r.waits))))]
+}
