Give each backend server a home entry process

Change: each server has a home among the entry processes of its region, which prefers it and waits briefly for it; others choose between two random ones as before. What is known of others' load fades into its mean; a first answer no longer sets the mean delay of a server.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -9,6 +9,13 @@
 	// samples is how many random servers of one locality are looked at before
 	// all of them are. With two free ones found the search ends.
 	samples = 6
+	// awayShare is the share of the typical delay that a server with another
+	// home must save. What is known of its load is old, and a request that goes
+	// there may push one of its home's requests to a third server.
+	awayShare = 1.0
+	// homeWaitShare is the share of the typical delay for which a request waits
+	// for a home server rather than go elsewhere.
+	homeWaitShare = 0.25
 	// domainPenalty is the delay that leaving the failure domain must save.
 	domainPenalty = time.Millisecond
 )
@@ -34,6 +41,9 @@
 	if best == nil {
 		return Choice{}, q.refusal()
 	}
+	if !best.home && q.homesFull() && q.homeSoon() {
+		return Choice{}, RefusalBusy
+	}
 	t.nextID++
 	return Choice{
 		Service:     r.Service,
@@ -48,11 +58,17 @@
 
 // nearest compares the best candidates of the localities, from near to far.
 func (t *Table) nearest(q search) *server {
-	penalties := [localities]time.Duration{0, domainPenalty, q.group.policy.CrossRegionPenalty}
+	away := time.Duration(awayShare * float64(q.group.typical))
+	penalties := [localities]time.Duration{
+		atHome:      0,
+		localDomain: away,
+		localRegion: away + domainPenalty,
+		otherRegion: away + q.group.policy.CrossRegionPenalty,
+	}
 	var best *server
 	var bestDelay time.Duration
 	for l, servers := range q.group.near {
-		candidate := t.candidate(q, servers)
+		candidate := t.candidate(q, locality(l), servers)
 		if candidate == nil {
 			continue
 		}
@@ -64,11 +80,12 @@
 	return best
 }
 
-// candidate returns the better of two random servers with room. Where samples
-// find none, it takes the best of all.
-func (t *Table) candidate(q search, servers []*server) *server {
-	if len(servers) == 0 {
-		return nil
+// candidate returns the best home server, because hardly anyone else uses it,
+// and otherwise the better of two random servers with room. Where samples find
+// none, it takes the best of all.
+func (t *Table) candidate(q search, l locality, servers []*server) *server {
+	if len(servers) == 0 || l == atHome {
+		return q.bestOf(servers)
 	}
 	var first *server
 	for range samples {
@@ -88,6 +105,24 @@
 	return q.bestOf(servers)
 }
 
+func (q search) homesFull() bool { return q.bestOf(q.group.near[atHome]) == nil }
+
+// homeSoon reports whether a busy home server is expected to have room for the
+// request so soon that it is better to wait.
+func (q search) homeSoon() bool {
+	room := 0
+	for _, s := range q.group.near[atHome] {
+		if q.mayUse(s) && !slices.Contains(q.req.Exclude, s.Backend) {
+			room += min(s.limit, s.Slots)
+		}
+	}
+	if room == 0 {
+		return false
+	}
+	wait := float64(q.group.typical) * float64(q.req.Waiting) / float64(room)
+	return wait < homeWaitShare*float64(q.group.typical)
+}
+
 func (q search) better(a, b *server) *server {
 	if b.score(q.now, q.group.typical) < a.score(q.now, q.group.typical) {
 		return b
@@ -111,10 +146,10 @@
 }
 
 func (q search) eligible(s *server) bool {
-	return q.candidateAtAll(s) && s.room(q.now) && !slices.Contains(q.req.Exclude, s.Backend)
+	return q.mayUse(s) && s.room(q.now) && !slices.Contains(q.req.Exclude, s.Backend)
 }
 
-func (q search) candidateAtAll(s *server) bool {
+func (q search) mayUse(s *server) bool {
 	return q.group.valid(q.now, s) && (q.all || s.usable(q.now))
 }
 
@@ -134,7 +169,7 @@
 func (q search) refusal() Refusal {
 	refusal := RefusalNoBackend
 	for _, s := range q.group.servers {
-		if !q.candidateAtAll(s) {
+		if !q.mayUse(s) {
 			continue
 		}
 		if !slices.Contains(q.req.Exclude, s.Backend) {
--- a/core/routing/server.go
+++ b/core/routing/server.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/godwitlink/godwitlink/core/cell"
 )
 
 const (
@@ -12,7 +10,7 @@
 	initialDelay = 10 * time.Millisecond
 	// delayWeight is the weight of a new measurement in the mean delay. Larger
 	// weights follow single slow answers, which then count as slow servers.
-	delayWeight = 0.1
+	delayWeight = 0.05
 	// delayHalfLife is how fast the mean delay of a server without answers
 	// returns to that of its service, so that it is tried again.
 	delayHalfLife = 5 * time.Second
@@ -21,7 +19,7 @@
 	failureDelay = time.Second
 	// stalledFactor is how many mean delays an unanswered request must be old
 	// before its age counts as the delay of its server.
-	stalledFactor = 3
+	stalledFactor = 10
 	// failuresToRemove is how many failed answers in a row take a server out.
 	failuresToRemove = 3
 	// Bounds of the time for which a failing server is out. It doubles with each
@@ -31,10 +29,9 @@
 	// initialWindow is how many requests a new or returned server gets at once;
 	// each answer adds one.
 	initialWindow = 1
-	// othersHalfLives is the half-life, in mean delays of the server, of what is
-	// known of the load from other entry processes. Their requests end too, and a
-	// server that is believed full for ever would never be asked again.
-	othersHalfLives = 4
+	// loadWeight is the weight of one report in the mean load from other entry
+	// processes.
+	loadWeight = 0.2
 )
 
 // server is what the table knows of one incarnation of a backend server.
@@ -47,8 +44,10 @@
 	measured   bool
 	measuredAt time.Time
 
-	others   int // requests of other entry processes at reportAt
-	reportAt time.Time
+	home       bool    // this entry process is its home
+	others     float64 // requests of other entry processes at reportAt
+	othersMean float64
+	reportAt   time.Time
 
 	window   int // requests at once during the gradual return
 	failures int // in a row
@@ -69,31 +68,46 @@
 
 func (s *server) update(a Announcement, policy Policy) {
 	s.Announcement = a
-	s.limit = max(1, a.Connections/max(1, policy.MaxEntries))
+	s.setLimit(policy)
 	s.report(a.SeenAt, a.InFlight)
 }
 
+// setLimit divides the connections of the server evenly; its home gets what the
+// division leaves over.
+func (s *server) setLimit(policy Policy) {
+	entries := max(1, policy.MaxEntries)
+	s.limit = max(1, s.Connections/entries)
+	if s.home {
+		s.limit = max(1, s.Connections-(entries-1)*(s.Connections/entries))
+	}
+}
+
 // report takes the number of requests that the server says it runs. A report
 // from before the last one is ignored.
 func (s *server) report(at time.Time, inFlight int) {
 	if at.Before(s.reportAt) {
 		return
 	}
+	s.others = float64(max(0, inFlight-len(s.outstanding)))
+	if s.reportAt.IsZero() {
+		s.othersMean = s.others
+	}
+	s.othersMean += loadWeight * (s.others - s.othersMean)
 	s.reportAt = at
-	s.others = max(0, inFlight-len(s.outstanding))
 }
 
 func (s *server) usable(now time.Time) bool {
 	return !now.Before(s.outUntil)
 }
 
-// inFlight estimates the requests that the server runs now.
+// inFlight estimates the requests that the server runs now. What was last
+// reported of other entry processes fades into its mean within a few delays,
+// because their requests end and new ones start.
 func (s *server) inFlight(now time.Time) float64 {
-	halfLife := othersHalfLives * s.delay
-	age := now.Sub(s.reportAt)
-	others := float64(s.others)
-	if age > 0 {
-		others *= math.Exp2(-float64(age) / float64(halfLife))
+	others := s.others
+	if age := now.Sub(s.reportAt); age > 0 {
+		kept := math.Exp2(-float64(age) / float64(max(s.delay, time.Millisecond)))
+		others = s.othersMean + (s.others-s.othersMean)*kept
 	}
 	return float64(len(s.outstanding)) + others
 }
@@ -133,10 +147,10 @@
 	return float64(s.expectedDelay(now, typical)) * utilisation
 }
 
-func (s *server) observe(now time.Time, o Observation) {
+func (s *server) observe(now time.Time, o Observation, typical time.Duration) {
 	switch o.Result {
 	case ResultAnswered:
-		s.measure(now, o.Delay)
+		s.measure(now, o.Delay, typical)
 		s.failures, s.removals, s.probing = 0, 0, false
 		s.window = min(s.window+1, max(s.limit, s.Slots))
 	case ResultRefused:
@@ -145,14 +159,14 @@
 	case ResultConnectFailed:
 		s.remove(now)
 	case ResultFailed:
-		s.measure(now, max(o.Delay, failureDelay))
+		s.measure(now, max(o.Delay, failureDelay), typical)
 		s.failures++
 		if s.failures >= failuresToRemove || s.probing {
 			s.remove(now)
 		}
 	case ResultTimedOut:
 		// A slow server only gets less load; the deadline says nothing of it.
-		s.measure(now, o.Delay)
+		s.measure(now, o.Delay, typical)
 	}
 	if o.InFlight != UnknownInFlight {
 		s.report(now, o.InFlight)
@@ -164,11 +178,15 @@
 	s.report(now, inFlight)
 }
 
-func (s *server) measure(now time.Time, delay time.Duration) {
+func (s *server) measure(now time.Time, delay, typical time.Duration) {
 	s.measuredAt = now
 	if !s.measured {
-		s.measured, s.delay = true, delay
-		return
+		// Starts from the typical delay: one short answer would make a server
+		// look fast that is hardly ever used.
+		s.measured, s.delay = true, typical
+		if typical == 0 {
+			s.delay = delay
+		}
 	}
 	s.delay += time.Duration(delayWeight * float64(delay-s.delay))
 }
@@ -191,17 +209,20 @@
 type locality int
 
 const (
-	localDomain locality = iota
+	atHome locality = iota
+	localDomain
 	localRegion
 	otherRegion
 	localities
 )
 
-func (o Options) localityOf(region cell.Region, domain cell.FailureDomain) locality {
+func (o Options) localityOf(s *server) locality {
 	switch {
-	case region != o.Region:
+	case s.home:
+		return atHome
+	case s.Region != o.Region:
 		return otherRegion
-	case domain != o.FailureDomain:
+	case s.FailureDomain != o.FailureDomain:
 		return localRegion
 	default:
 		return localDomain
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -12,9 +12,10 @@
 
 // Table holds the backend servers of all services.
 type Table struct {
-	opts   Options
-	groups map[cell.Service]*group
-	nextID uint64
+	opts    Options
+	entries []Entry
+	groups  map[cell.Service]*group
+	nextID  uint64
 }
 
 // group is the servers of one service.
@@ -48,6 +49,15 @@
 	t.groups = next
 }
 
+// SetEntries states the entry processes of the cell, with this one. Without
+// them no server has its home here.
+func (t *Table) SetEntries(entries []Entry) {
+	t.entries = entries
+	for _, g := range t.groups {
+		t.index(g)
+	}
+}
+
 // Announce takes the last known announcement of a backend server. A newer
 // incarnation replaces the server; a leave removes it.
 func (t *Table) Announce(now time.Time, a Announcement) {
@@ -65,12 +75,8 @@
 		}
 		return
 	}
-	if known != nil && known.Incarnation == a.Incarnation && known.Address == a.Address {
-		moved := known.Region != a.Region || known.FailureDomain != a.FailureDomain
+	if known != nil && known.sameServer(a) {
 		known.update(a, g.policy)
-		if moved {
-			t.index(g)
-		}
 		return
 	}
 	g.servers[a.Backend] = newServer(a, g.policy)
@@ -108,9 +114,10 @@
 		return
 	}
 	delete(s.outstanding, c.ID)
-	s.observe(now, o)
+	g := t.groups[c.Service]
+	s.observe(now, o, g.typical)
 	if o.Result == ResultAnswered {
-		t.groups[c.Service].learn(o.Delay)
+		g.learn(o.Delay)
 	}
 }
 
@@ -134,6 +141,12 @@
 	return 0
 }
 
+// sameServer reports whether a is of the same incarnation in the same place.
+func (s *server) sameServer(a Announcement) bool {
+	return s.Incarnation == a.Incarnation && s.Address == a.Address &&
+		s.Region == a.Region && s.FailureDomain == a.FailureDomain
+}
+
 func (t *Table) serverOf(c Choice) *server {
 	g := t.groups[c.Service]
 	if g == nil {
@@ -151,14 +164,21 @@
 	t.index(g)
 }
 
+// index sorts the servers of a group by locality and finds those whose home is
+// this entry process.
 func (t *Table) index(g *group) {
-	g.near = [localities][]*server{}
+	all := make([]*server, 0, len(g.servers))
 	for _, s := range g.servers {
-		l := t.opts.localityOf(s.Region, s.FailureDomain)
-		g.near[l] = append(g.near[l], s)
+		all = append(all, s)
 	}
-	for _, servers := range g.near {
-		sort.Slice(servers, func(i, j int) bool { return servers[i].Backend < servers[j].Backend })
+	sort.Slice(all, func(i, j int) bool { return all[i].Backend < all[j].Backend })
+	homes := homesOf(t.opts.Name, t.entries, all)
+	g.near = [localities][]*server{}
+	for _, s := range all {
+		s.home = homes[s]
+		s.setLimit(g.policy)
+		l := t.opts.localityOf(s)
+		g.near[l] = append(g.near[l], s)
 	}
 }
 
--- a/core/routing/types.go
+++ b/core/routing/types.go
@@ -9,6 +9,7 @@
 
 // Options places the entry process.
 type Options struct {
+	Name          cell.EntryName
 	Region        cell.Region
 	FailureDomain cell.FailureDomain
 	Random        *rand.Rand // seeded by the caller
@@ -41,6 +42,7 @@
 type Request struct {
 	Service cell.Service
 	Exclude []cell.BackendName // tried before by this request
+	Waiting int                // requests of the service that wait, with this one
 }
 
 // Choice is a backend server that was picked for a request.
--- a/internal/bench/routingbench/entry.go
+++ b/internal/bench/routingbench/entry.go
@@ -38,6 +38,7 @@
 // entry is one entry process. It does what the router task of the gateway does.
 type entry struct {
 	place
+	name    cell.EntryName
 	run     *run
 	picker  picker
 	queue   *admission.Queue
@@ -99,7 +100,7 @@
 			return
 		}
 		r := e.waiting[t.ID]
-		choice, refusal := e.picker.Pick(e.now(), routing.Request{Service: service, Exclude: r.tried})
+		choice, refusal := e.picker.Pick(e.now(), routing.Request{Service: service, Exclude: r.tried, Waiting: e.queue.Waiting()})
 		switch refusal {
 		case routing.RefusalBusy:
 			return
@@ -126,7 +127,7 @@
 		e.pairs[c.Backend] = p
 	}
 	a.pair = p
-	if p.open >= connections/entryCount {
+	if p.open >= connections/entryCount && e.run.method.simple != nil {
 		p.waiting = append(p.waiting, a.send)
 		return
 	}
--- a/internal/bench/routingbench/exact.go
+++ b/internal/bench/routingbench/exact.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/routing"
 )
 
@@ -16,6 +17,7 @@
 type exactPicker struct {
 	simple
 	run    *run
+	region cell.Region
 	random *rand.Rand
 }
 
@@ -25,7 +27,7 @@
 	var best *backend
 	for i := range x.run.servers {
 		b := x.run.servers[(start+i)%serverCount]
-		if x.run.booked[b.name] < slots && (best == nil || x.run.booked[b.name] < x.run.booked[best.name]) {
+		if x.run.booked[b.name] < slots && (best == nil || x.before(b, best)) {
 			best = b
 		}
 	}
@@ -36,6 +38,14 @@
 	return routing.Choice{Service: q.Service, Backend: best.name, ID: x.nextID}, routing.RefusalNone
 }
 
+// before prefers the own region, then fewer outstanding requests.
+func (x *exactPicker) before(a, b *backend) bool {
+	if near := a.region == x.region; near != (b.region == x.region) {
+		return near
+	}
+	return x.run.booked[a.name] < x.run.booked[b.name]
+}
+
 // Started implements picker.
 func (x *exactPicker) Started(_ time.Time, c routing.Choice) { x.run.booked[c.Backend]++ }
 
--- a/internal/bench/routingbench/report.go
+++ b/internal/bench/routingbench/report.go
@@ -33,6 +33,7 @@
 func methods() []method {
 	return []method{
 		{name: "godwitlink"},
+		{name: "without homes", noHomes: true},
 		{name: "round-robin", simple: &simple{choose: chooseRoundRobin}},
 		{name: "random", simple: &simple{choose: chooseRandom}},
 		{name: "least outstanding", simple: &simple{choose: chooseLeast}},
--- a/internal/bench/routingbench/run.go
+++ b/internal/bench/routingbench/run.go
@@ -31,7 +31,8 @@
 	name          string
 	ignoreRegions bool
 	simple        *simple // nil for core/routing
-	exact         bool    // one owner knows all slots; costs a hop
+	noHomes       bool
+	exact         bool // one owner knows all slots; costs a hop
 }
 
 // run is one scenario with one method.
@@ -67,7 +68,7 @@
 }
 
 func (r *run) newEntry(i int, seed uint64) *entry {
-	e := &entry{place: placeOf(i), run: r, waiting: map[uint64]*request{}, pairs: map[cell.BackendName]*pair{}}
+	e := &entry{name: entryName(i), place: placeOf(i), run: r, waiting: map[uint64]*request{}, pairs: map[cell.BackendName]*pair{}}
 	random := rand.New(rand.NewPCG(seed, uint64(i)+100))
 	order := r.scenario.order
 	if order == "" {
@@ -83,20 +84,34 @@
 
 func (r *run) newPicker(e *entry, random *rand.Rand) picker {
 	if r.method.exact {
-		return &exactPicker{run: r, random: random}
+		return &exactPicker{run: r, random: random, region: e.region}
 	}
 	if r.method.simple != nil {
 		copied := *r.method.simple
 		copied.random = random
 		return &copied
 	}
-	table := routing.NewTable(routing.Options{Region: e.region, FailureDomain: e.domain, Random: random})
+	table := routing.NewTable(routing.Options{Name: e.name, Region: e.region, FailureDomain: e.domain, Random: random})
 	table.SetPolicies(map[cell.Service]routing.Policy{service: {
 		Lease: announceLease, MaxEntries: entryCount, CrossRegionPenalty: crossPenalty, PanicThreshold: panicThreshold,
 	}})
+	if !r.method.noHomes {
+		table.SetEntries(entryPlaces())
+	}
 	return table
 }
 
+func entryPlaces() []routing.Entry {
+	var entries []routing.Entry
+	for i := range entryCount {
+		p := placeOf(i)
+		entries = append(entries, routing.Entry{Name: entryName(i), Region: p.region, FailureDomain: p.domain})
+	}
+	return entries
+}
+
+func entryName(i int) cell.EntryName { return cell.EntryName(fmt.Sprintf("entry-%d", i)) }
+
 func (r *run) backend(name cell.BackendName) *backend {
 	for _, b := range r.servers {
 		if b.name == name {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -113,6 +113,7 @@
 		e := c.addEntry(i)
 		members = append(members, state.Member{
 			Name: e.opts.Entry, Incarnation: e.opts.Incarnation, Address: e.internal.Listener.Addr().String(),
+			Region: e.opts.Region, FailureDomain: e.opts.FailureDomain,
 		})
 	}
 	for _, e := range c.entries {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/membership"
+	"github.com/godwitlink/godwitlink/core/routing"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/backendapi"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
@@ -33,6 +34,7 @@
 
 func (m setMembers) apply(r *router, _ time.Time) {
 	r.peers.Set(m.members)
+	r.table.SetEntries(entryPlaces(m.members))
 	wanted := map[cell.EntryName]bool{}
 	for _, member := range r.peers.Members() {
 		wanted[member.Name] = true
@@ -46,6 +48,14 @@
 	}
 }
 
+func entryPlaces(members []state.Member) []routing.Entry {
+	entries := make([]routing.Entry, len(members))
+	for i, m := range members {
+		entries[i] = routing.Entry{Name: m.Name, Region: m.Region, FailureDomain: m.FailureDomain}
+	}
+	return entries
+}
+
 func (r *router) startPuller(member state.Member) {
 	running, ok := r.pullers[member.Name]
 	if ok && running.address == member.Address {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -49,6 +49,7 @@
 		services: g.table.Load(),
 		registry: membership.NewRegistry(g.opts.Entry, g.opts.Incarnation),
 		table: routing.NewTable(routing.Options{
+			Name:          g.opts.Entry,
 			Region:        g.opts.Region,
 			FailureDomain: g.opts.FailureDomain,
 			Random:        random,
--- a/internal/gateway/router_requests.go
+++ b/internal/gateway/router_requests.go
@@ -62,7 +62,9 @@
 			return
 		}
 		waiting := r.waiting[ticket.ID]
-		choice, refusal := r.table.Pick(now, routing.Request{Service: service, Exclude: waiting.exclude})
+		choice, refusal := r.table.Pick(now, routing.Request{
+			Service: service, Exclude: waiting.exclude, Waiting: queue.Waiting(),
+		})
 		switch refusal {
 		case routing.RefusalBusy:
 			return
