--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -29,6 +29,10 @@
 	snapshotEvery      = 10_000
 )
 
+// idleConnections keeps a connection for each call that a benchmark has in
+// flight.
+const idleConnections = 256
+
 // ErrNoLeader says that no replica leads.
 var ErrNoLeader = errors.New("no replica leads")
 
@@ -46,6 +50,7 @@
 	voters  []replication.Peer
 	members []*member
 	client  *controlclient.Client
+	http    *http.Client
 	Metrics *metrics.Set // of all replicas and the client
 	cancel  context.CancelFunc
 	clients chan struct{} // closed when the client's task has ended
@@ -76,7 +81,8 @@
 		g.voters = append(g.voters, replication.Peer{ID: replog.ReplicaID(i + 1), Address: listener.Addr().String()})
 		g.members = append(g.members, &member{})
 	}
-	g.client = controlclient.New(addresses, "http", replication.NewClient(), g.Metrics)
+	g.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	g.client = controlclient.New(addresses, "http", g.http, g.Metrics)
 	go func() { g.client.Run(ctx); close(g.clients) }()
 	for i, listener := range listeners {
 		if err := g.start(i, listener); err != nil {
@@ -89,6 +95,12 @@
 // Client talks to the group. It finds the leader by itself.
 func (g *Group) Client() *controlclient.Client { return g.client }
 
+// HTTP is the client under Client, for calls to one replica.
+func (g *Group) HTTP() *http.Client { return g.http }
+
+// Address is the internal address of a replica.
+func (g *Group) Address(i int) string { return g.voters[i].Address }
+
 // Folder is the data folder of a replica.
 func (g *Group) Folder(i int) string {
 	return filepath.Join(g.opts.Folder, fmt.Sprintf("replica-%d", i+1))
--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -100,6 +100,8 @@
 		tasks.Go(func() { l.run(ctx) })
 	}
 	tasks.Wait()
+	// A group of one replica has no lanes.
+	<-ctx.Done()
 }
 
 // Send queues messages without waiting.
