Measure commits, placements and the pause after a leader's death

Cause: the targets of the commit path need figures, against a version without batching. Change: internal/bench/commitbench; replica.Options.Plain commits one command and one placement at a time, in the order of the calls.

--- /dev/null
+++ b/internal/bench/commitbench/failover.go
@@ -0,0 +1,58 @@
+package commitbench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
+)
+
+// settleTime lets a restarted replica catch up before the next kill.
+const settleTime = 500 * time.Millisecond
+
+func runFailover(ctx context.Context, out io.Writer, folder string, opts Options) error {
+	fmt.Fprintf(out, "time from the kill of the leader to the next commit, %d kills\n", opts.Kills)
+	return withGroup(ctx, folder, variants[0], cellFile, func(group *localgroup.Group) error {
+		var pauses []time.Duration
+		for kill := range opts.Kills {
+			pause, err := measureFailover(ctx, group, uint64(2*kill+1))
+			if err != nil {
+				return err
+			}
+			pauses = append(pauses, pause)
+		}
+		slices.Sort(pauses)
+		fmt.Fprintf(out, "median %s, worst %s\n\n", short(pauses[len(pauses)/2]), short(pauses[len(pauses)-1]))
+		return nil
+	})
+}
+
+// measureFailover kills the leader, commits a command and restarts the killed
+// replica.
+func measureFailover(ctx context.Context, group *localgroup.Group, key uint64) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	if _, err := group.Client().Propose(ctx, begin(key)); err != nil {
+		return 0, err
+	}
+	leader, err := group.Leader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	killed := time.Now()
+	if err := group.Kill(leader); err != nil {
+		return 0, err
+	}
+	if _, err := group.Client().Propose(ctx, begin(key+1)); err != nil {
+		return 0, err
+	}
+	pause := time.Since(killed)
+	if err := group.Restart(leader); err != nil {
+		return 0, err
+	}
+	time.Sleep(settleTime)
+	return pause, nil
+}
--- /dev/null
+++ b/internal/bench/commitbench/placements.go
@@ -0,0 +1,124 @@
+package commitbench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
+)
+
+// Sizes of the measurement. The tasks fit the workers at once.
+const (
+	workers        = 900
+	tasksPerJob    = 100
+	jobs           = 300
+	jobsPlain      = 10 // the plain version takes as long for them
+	placementPoll  = 10 * time.Millisecond
+	submitInFlight = 16
+)
+
+func runPlacements(ctx context.Context, out io.Writer, folder string) error {
+	fmt.Fprintf(out, "placements, %d workers, jobs of %d tasks, %d submissions in flight\n", workers, tasksPerJob, submitInFlight)
+	fmt.Fprintf(out, "%-14s %10s %12s\n", "version", "tasks", "placed/s")
+	best := map[string]float64{}
+	for _, v := range variants {
+		count := jobs
+		if v.plain {
+			count = jobsPlain
+		}
+		err := withGroup(ctx, folder, v, cellFile, func(group *localgroup.Group) error {
+			elapsed, err := measurePlacements(ctx, group, count)
+			if err != nil {
+				return err
+			}
+			best[v.name] = float64(count*tasksPerJob) / elapsed.Seconds()
+			fmt.Fprintf(out, "%-14s %10d %12.0f\n", v.name, count*tasksPerJob, best[v.name])
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "group commit over plain: %.1f times\n\n", best[variants[0].name]/best[variants[1].name])
+	return nil
+}
+
+// measurePlacements returns the time from the first submission to the commit
+// of the last placement.
+func measurePlacements(ctx context.Context, group *localgroup.Group, jobs int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	if err := each(workers, func(i int) error { return register(ctx, group, i) }); err != nil {
+		return 0, err
+	}
+	started := time.Now()
+	if err := each(jobs, func(i int) error { return submit(ctx, group, i) }); err != nil {
+		return 0, err
+	}
+	ticker := time.NewTicker(placementPoll)
+	defer ticker.Stop()
+	for {
+		answer, err := group.Client().Read(ctx, state.Query{Status: &state.StatusQuery{}})
+		if err != nil {
+			return 0, err
+		}
+		if answer.Status.Allocations >= jobs*tasksPerJob {
+			return time.Since(started), nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, fmt.Errorf("%d of %d tasks placed: %w", answer.Status.Allocations, jobs*tasksPerJob, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+// each runs n calls, submitInFlight at a time, and returns the first error.
+func each(n int, do func(i int) error) error {
+	failures := make(chan error, submitInFlight)
+	var tasks sync.WaitGroup
+	for first := range submitInFlight {
+		tasks.Go(func() {
+			for i := first; i < n; i += submitInFlight {
+				if err := do(i); err != nil {
+					failures <- err
+					return
+				}
+			}
+		})
+	}
+	tasks.Wait()
+	close(failures)
+	return <-failures
+}
+
+func register(ctx context.Context, group *localgroup.Group, i int) error {
+	domains := []cell.FailureDomain{"r1-a", "r1-b"}
+	worker := cell.Worker{
+		Name: cell.WorkerName(fmt.Sprintf("worker-%04d", i)), Incarnation: 1, Region: "r1", FailureDomain: domains[i%2],
+		Rack: cell.Rack(fmt.Sprintf("rack-%d", i/8)), Pool: "general",
+		Capacity: cell.Resources{MilliCPU: 64_000, MemoryBytes: 128 << 30},
+	}
+	return accepted(group.Client().Propose(ctx, state.Command{RegisterWorker: &state.RegisterWorker{Worker: worker}}))
+}
+
+func submit(ctx context.Context, group *localgroup.Group, i int) error {
+	spec := cell.JobSpec{
+		Name: "batch", Team: "bench", Policy: "batch", Priority: cell.PriorityNormal, Tasks: tasksPerJob,
+		Size: cell.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, RunTime: time.Minute, Command: "run",
+	}
+	key := fmt.Sprintf("job-%d", i)
+	return accepted(group.Client().Propose(ctx, state.Command{SubmitJob: &state.SubmitJob{Key: key, Spec: spec}}))
+}
+
+func accepted(result state.Result, err error) error {
+	if err == nil && result.Refusal != state.RefusalNone {
+		return fmt.Errorf("refused: %s %s", result.Refusal, result.Detail)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/bench/commitbench/run.go
@@ -0,0 +1,79 @@
+package commitbench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
+	"github.com/godwitlink/godwitlink/internal/replica"
+)
+
+// Options of a run.
+type Options struct {
+	Folder   string        // data folders; on the disk that is measured
+	Duration time.Duration // of each measurement of commits
+	Kills    int           // of the leader
+}
+
+// Run measures and prints tables to out.
+func Run(ctx context.Context, out io.Writer, opts Options) error {
+	folder, err := os.MkdirTemp(opts.Folder, "commitbench-")
+	if err != nil {
+		return err
+	}
+	err = errors.Join(
+		runCommits(ctx, out, folder, opts),
+		runPlacements(ctx, out, folder),
+		runFailover(ctx, out, folder, opts),
+	)
+	return errors.Join(err, os.RemoveAll(folder))
+}
+
+// variant is a version of the commit path.
+type variant struct {
+	name  string
+	plain bool
+}
+
+var variants = []variant{{name: "group commit"}, {name: "plain", plain: true}}
+
+func (v variant) tune(o *replica.Options) {
+	if v.plain {
+		o.Plain = true
+		o.Storage.EntriesPerSync = 1
+	}
+}
+
+const groupSize = 3
+
+// withGroup runs a measurement on a group with a cell file in force.
+func withGroup(ctx context.Context, folder string, v variant, file []byte, measure func(*localgroup.Group) error) error {
+	group, err := localgroup.Start(localgroup.Options{Folder: filepath.Join(folder, v.name), Size: groupSize, Tune: v.tune})
+	if err != nil {
+		return err
+	}
+	err = prepare(ctx, group, file)
+	if err == nil {
+		err = measure(group)
+	}
+	return errors.Join(err, group.Close(), os.RemoveAll(filepath.Join(folder, v.name)))
+}
+
+func prepare(ctx context.Context, group *localgroup.Group, file []byte) error {
+	result, err := group.Client().Propose(ctx, state.Command{ApplyFile: &state.ApplyFile{Body: file, From: "bench"}})
+	if err != nil {
+		return err
+	}
+	if result.Refusal != state.RefusalNone {
+		return fmt.Errorf("cell file refused: %s %v", result.Refusal, result.File.Faults)
+	}
+	member := state.Member{Name: benchEntry, Incarnation: 1, Address: "127.0.0.1:1", Region: "r1", FailureDomain: "r1-a"}
+	_, err = group.Client().Propose(ctx, state.Command{JoinMember: &state.JoinMember{Member: member}})
+	return err
+}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -13,7 +13,7 @@
 // proposals holds the commands that wait for their commit.
 type proposals struct {
 	waiting map[uint64]waitingProposal // by index
-	held    []proposeCall              // Options.OneAtATime: those after the first
+	held    []proposeCall              // Options.Plain: not in the log yet
 }
 
 // waitingProposal is a command in the log. It is answered when the entry at
@@ -41,12 +41,17 @@
 	}
 }
 
-// propose hands a caller's command to the log.
+// propose hands a caller's command to the log, or puts it behind those that
+// Options.Plain holds back.
 func (t *task) propose(now time.Time, c proposeCall) {
-	if t.opts.OneAtATime && len(t.proposals.waiting) > 0 {
+	if t.opts.Plain {
 		t.proposals.held = append(t.proposals.held, c)
 		return
 	}
+	t.proposeNow(now, c)
+}
+
+func (t *task) proposeNow(now time.Time, c proposeCall) {
 	t.append(now, c.command, c.encoded, func(got proposed, err error) {
 		if err != nil {
 			c.refuse(err)
@@ -56,13 +61,16 @@
 	})
 }
 
-// proposeHeld goes on with the commands that Options.OneAtATime held back.
-func (t *task) proposeHeld(now time.Time) {
-	for len(t.proposals.held) > 0 && len(t.proposals.waiting) == 0 {
-		next := t.proposals.held[0]
-		t.proposals.held = t.proposals.held[1:]
-		t.propose(now, next)
+// proposeHeld goes on with the commands that Options.Plain held back and
+// reports whether it proposed one.
+func (t *task) proposeHeld(now time.Time) bool {
+	if len(t.proposals.held) == 0 || len(t.proposals.waiting) > 0 {
+		return false
 	}
+	next := t.proposals.held[0]
+	t.proposals.held = t.proposals.held[1:]
+	t.proposeNow(now, next)
+	return true
 }
 
 // append adds a command to the log. finish is called once, by this task.
--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -26,6 +26,7 @@
 	expiring map[cell.WorkerName]cell.Epoch
 	seen     map[cell.EntryName]sighting
 
+	limits      planLimits
 	plans       int  // on the way
 	changed     bool // events since the last plan
 	nextPlan    time.Time
@@ -33,6 +34,13 @@
 	nextAdvance time.Time
 }
 
+// planLimits bounds the plans of a leader.
+type planLimits struct {
+	plans      int // on the way
+	placements int // in one plan
+	interval   time.Duration
+}
+
 // allocationNews is what the leader remembers of an allocation.
 type allocationNews struct {
 	worker  cell.WorkerName
@@ -73,8 +81,12 @@
 		usageAt:     map[cell.WorkerName]time.Time{},
 		expiring:    map[cell.WorkerName]cell.Epoch{},
 		seen:        map[cell.EntryName]sighting{},
+		limits:      planLimits{plans: maxPlans, placements: maxPlacements, interval: planInterval},
 		changed:     true,
 	}
+	if t.opts.Plain {
+		l.limits = planLimits{plans: 1, placements: 1}
+	}
 	t.leading = l
 	for _, event := range t.state.Replay() {
 		l.scheduler.Step(now, event)
@@ -140,7 +152,7 @@
 		return time.Time{}
 	}
 	deadlines := []time.Time{l.nextAdvance, l.granter.NextDeadline()}
-	if l.plans < maxPlans {
+	if l.plans < l.limits.plans {
 		wake := l.planWake
 		if l.changed {
 			wake = l.nextPlan
@@ -156,7 +168,7 @@
 // plan commits what the scheduler decides.
 func (t *task) plan(now time.Time) {
 	l := t.leading
-	if l.plans >= maxPlans || now.Before(l.nextPlan) {
+	if l.plans >= l.limits.plans || now.Before(l.nextPlan) {
 		return
 	}
 	due := !l.planWake.IsZero() && !now.Before(l.planWake)
@@ -164,8 +176,8 @@
 		return
 	}
 	l.changed = false
-	l.nextPlan = now.Add(planInterval)
-	plan := l.scheduler.Plan(now, maxPlacements)
+	l.nextPlan = now.Add(l.limits.interval)
+	plan := l.scheduler.Plan(now, l.limits.placements)
 	l.planWake = l.scheduler.NextWake(now)
 	if len(plan.Placements) == 0 && len(plan.Preemptions) == 0 {
 		return
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -26,10 +26,11 @@
 	SnapshotEveryEntries uint64
 	Seed                 uint64 // of election time-outs
 
-	// OneAtATime proposes the next command only when the one before it is
-	// committed. With storage.Options.EntriesPerSync 1 it is the plain
-	// version that benchmarks compare with.
-	OneAtATime bool
+	// Plain proposes the next command only when the one before it is
+	// committed, and plans one placement at a time. With
+	// storage.Options.EntriesPerSync 1 it is the version without batching
+	// that benchmarks compare with.
+	Plain bool
 }
 
 // Bounds of the task.
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -192,8 +192,10 @@
 		t.handle(now, c)
 	}
 	t.work(now)
-	if err := t.flush(now); err != nil {
-		return err
+	for again := true; again; again = t.proposeHeld(now) {
+		if err := t.flush(now); err != nil {
+			return err
+		}
 	}
 	t.answerFeeds(now)
 	t.takeSnapshot()
@@ -220,7 +222,6 @@
 // work does what is due without a message.
 func (t *task) work(now time.Time) {
 	t.retryDisk(now)
-	t.proposeHeld(now)
 	if t.leading != nil {
 		t.lead(now)
 	}
