--- /dev/null
+++ b/core/replog/export_test.go
@@ -0,0 +1,27 @@
+package replog
+
+import "time"
+
+// View is what the randomised runs inspect after each step.
+type View struct {
+	Leader             bool
+	Term               uint64
+	Base, Commit, Last uint64
+}
+
+// View returns the inspected state.
+func (c *Core) View() View {
+	return View{c.role == RoleLeader, c.hard.Term, c.log.base, c.commit, c.log.last()}
+}
+
+// HoldsLeaseAt reports whether the core takes its leader lease as valid.
+func (c *Core) HoldsLeaseAt(now time.Time) bool { return now.Before(c.leaseEnd()) }
+
+// TermAt returns the term at an index from the base to the end of the log.
+func (c *Core) TermAt(index uint64) uint64 {
+	term, _ := c.log.term(index)
+	return term
+}
+
+// EntryAt returns the entry at an index after the base.
+func (c *Core) EntryAt(index uint64) Entry { return c.log.entries[index-c.log.base-1] }
--- /dev/null
+++ b/core/replog/faults_test.go
@@ -0,0 +1,196 @@
+package replog_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/bench/logsim"
+)
+
+type link struct{ from, to replog.ReplicaID }
+
+// network is the state of the links. Several faults may be in force at once.
+type network struct {
+	loss, duplicate float64
+	extraDelay      time.Duration
+	cut             map[link]int // number of faults that cut the link
+}
+
+func (x *run) delays(m replog.Message) []time.Duration {
+	if x.net.cut[link{m.From, m.To}] > 0 || x.rng.Float64() < x.net.loss {
+		return nil
+	}
+	delays := []time.Duration{x.delay()}
+	if x.rng.Float64() < x.net.duplicate {
+		delays = append(delays, x.delay()+x.between(0, 300*time.Millisecond))
+	}
+	return delays
+}
+
+// delay is random per message, so that messages are also reordered.
+func (x *run) delay() time.Duration {
+	return x.between(time.Millisecond, 5*time.Millisecond) + time.Duration(x.rng.Float64()*float64(x.net.extraDelay))
+}
+
+func (x *run) syncDelay(id replog.ReplicaID) time.Duration {
+	return x.between(100*time.Microsecond, 2*time.Millisecond) + x.syncTime[id]
+}
+
+// fault is one kind of fault. It ends itself after a random time.
+type fault struct {
+	name  string
+	begin func(x *run) (began bool)
+}
+
+var faults = []fault{
+	{"loss", func(x *run) bool {
+		return x.forAWhile(func() { x.net.loss = x.rng.Float64() / 2 }, func() { x.net.loss = 0 })
+	}},
+	{"delay", func(x *run) bool {
+		return x.forAWhile(func() { x.net.extraDelay = x.between(0, 150*time.Millisecond) }, func() { x.net.extraDelay = 0 })
+	}},
+	{"duplicate", func(x *run) bool {
+		return x.forAWhile(func() { x.net.duplicate = x.rng.Float64() }, func() { x.net.duplicate = 0 })
+	}},
+	{"partition", (*run).partition},
+	{"one-way", func(x *run) bool { return x.cut([]link{{x.someID(), x.someID()}}) }},
+	{"pause", func(x *run) bool {
+		x.some().Pause(x.between(20*time.Millisecond, 500*time.Millisecond))
+		return true
+	}},
+	{"crash", (*run).crash},
+	{"slow-disk", func(x *run) bool {
+		id := x.someID()
+		return x.forAWhile(func() { x.syncTime[id] = x.between(0, 100*time.Millisecond) }, func() { delete(x.syncTime, id) })
+	}},
+	{"membership", (*run).changeMembership},
+	{"transfer", func(x *run) bool {
+		leader := x.anyLeader()
+		if leader == nil {
+			return false
+		}
+		leader.Do(func(c *replog.Core, now time.Time) { _ = c.TransferLeadership(now, x.someID()) })
+		return true
+	}},
+	{"disk-loss", (*run).destroy},
+}
+
+func (x *run) nextFault() {
+	x.sim.After(x.between(5*time.Millisecond, 250*time.Millisecond), func() {
+		if x.healing || len(x.enabled) == 0 {
+			return
+		}
+		f := x.enabled[x.rng.IntN(len(x.enabled))]
+		if f.begin(x) {
+			x.counts[f.name]++
+		}
+		x.nextFault()
+	})
+}
+
+func (x *run) forAWhile(begin, end func()) bool {
+	begin()
+	x.sim.After(x.between(20*time.Millisecond, 700*time.Millisecond), func() {
+		if !x.healing {
+			end()
+		}
+	})
+	return true
+}
+
+func (x *run) some() *logsim.Replica {
+	return x.check.replicas[x.rng.IntN(len(x.check.replicas))]
+}
+
+func (x *run) someID() replog.ReplicaID { return x.some().ID }
+
+func (x *run) cut(links []link) bool {
+	return x.forAWhile(func() {
+		for _, l := range links {
+			x.net.cut[l]++
+		}
+	}, func() {
+		for _, l := range links {
+			x.net.cut[l]--
+		}
+	})
+}
+
+// partition cuts a random part of the replicas off from the rest.
+func (x *run) partition() bool {
+	side := map[replog.ReplicaID]bool{}
+	for _, r := range x.check.replicas {
+		side[r.ID] = x.rng.IntN(2) == 0
+	}
+	var links []link
+	for _, a := range x.check.replicas {
+		for _, b := range x.check.replicas {
+			if side[a.ID] != side[b.ID] {
+				links = append(links, link{a.ID, b.ID})
+			}
+		}
+	}
+	return x.cut(links)
+}
+
+// crash stops a replica at any of its writes and starts it again later.
+func (x *run) crash() bool {
+	r := x.some()
+	if r.Core == nil {
+		return false
+	}
+	r.Crash(func(writes int) int { return x.rng.IntN(writes + 1) })
+	x.sim.After(x.between(time.Millisecond, 500*time.Millisecond), func() {
+		if r.Core == nil && r.ID != x.destroyed {
+			r.Start()
+		}
+	})
+	return true
+}
+
+// destroy loses a replica with its disk. It may not come back under its id; a
+// later membership change removes it.
+func (x *run) destroy() bool {
+	r := x.some()
+	if x.destroyed != 0 || r.Core == nil || len(r.Core.Status().Membership.Voters) < 3 {
+		return false
+	}
+	x.destroyed = r.ID
+	r.Crash(func(int) int { return 0 })
+	return true
+}
+
+// changeMembership asks a leader for a random next membership.
+func (x *run) changeMembership() (began bool) {
+	leader := x.anyLeader()
+	if leader == nil {
+		return false
+	}
+	leader.Do(func(c *replog.Core, now time.Time) {
+		began = c.ChangeMembership(now, x.nextMembership(c.Status().Membership)) == nil
+	})
+	return began
+}
+
+const maxReplicas = 8
+
+func (x *run) nextMembership(m replog.Membership) replog.Membership {
+	without := func(ids []replog.ReplicaID, id replog.ReplicaID) []replog.ReplicaID {
+		return slices.DeleteFunc(slices.Clone(ids), func(other replog.ReplicaID) bool { return other == id })
+	}
+	choice := x.rng.IntN(3)
+	switch {
+	case x.destroyed != 0 && m.Contains(x.destroyed):
+		return replog.Membership{Voters: without(m.Voters, x.destroyed), Learners: without(m.Learners, x.destroyed)}
+	case len(m.Learners) > 0 && choice > 0:
+		id := m.Learners[x.rng.IntN(len(m.Learners))]
+		return replog.Membership{Voters: append(slices.Clone(m.Voters), id), Learners: without(m.Learners, id)}
+	case len(m.Voters) > 2 && choice == 0:
+		id := m.Voters[x.rng.IntN(len(m.Voters))]
+		return replog.Membership{Voters: without(m.Voters, id), Learners: m.Learners}
+	case int(x.lastID) < maxReplicas:
+		return replog.Membership{Voters: m.Voters, Learners: append(slices.Clone(m.Learners), x.addReplica(replog.Membership{}))}
+	}
+	return m
+}
--- /dev/null
+++ b/core/replog/invariants_test.go
@@ -0,0 +1,171 @@
+package replog_test
+
+import (
+	"fmt"
+	"hash/maphash"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/bench/logsim"
+)
+
+// Checks of the randomised runs besides those of the core.
+const (
+	checkLease        replog.Check = "single-leader-lease"
+	checkLinearizable replog.Check = "linearizable"
+	checkProgress     replog.Check = "progress-after-heal"
+)
+
+// entryKey identifies an entry; entryValue is what log matching says is the
+// same in every log that has it.
+type entryKey struct{ index, term uint64 }
+type entryValue struct{ previousTerm, hash uint64 }
+
+// commitment is the term of a committed entry and the term of the leader that
+// committed it. Only leaders of later terms must have the entry.
+type commitment struct{ term, by uint64 }
+
+var hashSeed = maphash.MakeSeed()
+
+// checker asserts the invariants after every step of any replica.
+type checker struct {
+	sim       *logsim.Sim
+	replicas  []*logsim.Replica
+	leaders   map[uint64]replog.ReplicaID
+	entries   map[entryKey]entryValue
+	committed []commitment // of the entry at index i+1
+	commits   map[*replog.Core]uint64
+	verified  map[*replog.Core][]uint64 // terms of the entries seen in a log, by index
+	first     string                    // first violation, empty where none
+}
+
+func newChecker() *checker {
+	return &checker{
+		leaders: map[uint64]replog.ReplicaID{}, entries: map[entryKey]entryValue{},
+		commits: map[*replog.Core]uint64{}, verified: map[*replog.Core][]uint64{},
+	}
+}
+
+func (k *checker) violated(check replog.Check, format string, args ...any) {
+	if k.first == "" {
+		k.first = fmt.Sprintf("%s at %v: %s", check, k.sim.Now(), fmt.Sprintf(format, args...))
+	}
+}
+
+func (k *checker) afterStep(r *logsim.Replica) {
+	v := r.Core.View()
+	for check, count := range r.Core.Violations() {
+		k.violated(check, "replica %d counted %d", r.ID, count)
+	}
+	k.checkLog(r, v)
+	k.checkCommit(r, v)
+	if v.Leader {
+		k.checkLeader(r, v)
+	}
+	k.checkLeases()
+}
+
+// checkLog asserts log-matching by induction: an entry of one index and term
+// has the same content and the same entry before it in every log.
+func (k *checker) checkLog(r *logsim.Replica, v replog.View) {
+	seen := k.verified[r.Core]
+	for uint64(len(seen)) <= v.Last {
+		seen = append(seen, 0)
+	}
+	for i := v.Last; i > v.Base && seen[i] != r.Core.TermAt(i); i-- {
+		e := r.Core.EntryAt(i)
+		seen[i] = e.Term
+		value := entryValue{r.Core.TermAt(i - 1), maphash.Bytes(hashSeed, e.Data)}
+		key := entryKey{i, e.Term}
+		if known, ok := k.entries[key]; ok && known != value {
+			k.violated(replog.CheckLogMatching, "replica %d has another entry %v", r.ID, key)
+		}
+		k.entries[key] = value
+	}
+	k.verified[r.Core] = seen[:v.Last+1]
+}
+
+// checkCommit asserts commit-monotonic: the commit index never decreases, and
+// one entry is committed at an index.
+func (k *checker) checkCommit(r *logsim.Replica, v replog.View) {
+	before, known := k.commits[r.Core]
+	if known && v.Commit < before || v.Commit > v.Last {
+		k.violated(replog.CheckCommitMonotonic, "replica %d went from %d to %d", r.ID, before, v.Commit)
+	}
+	k.commits[r.Core] = v.Commit
+	if !known && v.Commit == v.Base {
+		return // starts from its snapshot
+	}
+	for i := max(before+1, v.Base); i > 0 && i <= v.Commit; i++ {
+		k.commit(r, v, i)
+	}
+}
+
+func (k *checker) commit(r *logsim.Replica, v replog.View, index uint64) {
+	term := r.Core.TermAt(index)
+	if index <= uint64(len(k.committed)) {
+		if known := k.committed[index-1].term; known != term {
+			k.violated(replog.CheckCommitMonotonic, "replica %d commits %d of term %d after term %d", r.ID, index, term, known)
+		}
+		return
+	}
+	if index != uint64(len(k.committed))+1 {
+		k.violated(replog.CheckCommitMonotonic, "replica %d commits %d after %d", r.ID, index, len(k.committed))
+		return
+	}
+	k.committed = append(k.committed, commitment{term, v.Term})
+	for _, other := range k.replicas {
+		if other.Core == nil {
+			continue
+		}
+		if o := other.Core.View(); o.Leader {
+			k.checkHas(other, o, index)
+		}
+	}
+}
+
+// checkLeader asserts election-safety and leader-completeness.
+func (k *checker) checkLeader(r *logsim.Replica, v replog.View) {
+	id, known := k.leaders[v.Term]
+	if known && id != r.ID {
+		k.violated(replog.CheckElectionSafety, "replicas %d and %d lead term %d", id, r.ID, v.Term)
+	}
+	if known {
+		return
+	}
+	k.leaders[v.Term] = r.ID
+	for i := range k.committed {
+		k.checkHas(r, v, uint64(i)+1)
+	}
+}
+
+func (k *checker) checkHas(r *logsim.Replica, v replog.View, index uint64) {
+	entry := k.committed[index-1]
+	if index < v.Base || entry.by >= v.Term {
+		return
+	}
+	if index > v.Last || r.Core.TermAt(index) != entry.term {
+		k.violated(replog.CheckLeaderCompleteness, "leader %d of term %d lacks committed entry %d", r.ID, v.Term, index)
+	}
+}
+
+// checkLeases asserts that no two replicas, paused or not, would take their
+// leader lease as valid at this true time.
+func (k *checker) checkLeases() {
+	var holder *logsim.Replica
+	for _, r := range k.replicas {
+		if r.Core == nil || !r.Core.HoldsLeaseAt(r.Local()) {
+			continue
+		}
+		if holder != nil {
+			k.violated(checkLease, "replicas %d and %d", holder.ID, r.ID)
+		}
+		holder = r
+	}
+}
+
+// applied asserts that what a replica applies is what was committed.
+func (k *checker) applied(id replog.ReplicaID, e replog.Entry) {
+	if e.Index > uint64(len(k.committed)) || k.committed[e.Index-1].term != e.Term {
+		k.violated(replog.CheckCommitMonotonic, "replica %d applies %d of term %d", id, e.Index, e.Term)
+	}
+}
--- /dev/null
+++ b/core/replog/register_test.go
@@ -0,0 +1,181 @@
+package replog_test
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/bench/logsim"
+)
+
+// registers is the state machine of the randomised runs: a few registers that
+// are written and read. next asserts that entries are applied in order.
+type registers struct {
+	id     replog.ReplicaID
+	check  *checker
+	next   uint64
+	values map[byte]uint32
+}
+
+type write struct {
+	Key   byte
+	Value uint32
+}
+
+func (m *registers) Apply(e replog.Entry) {
+	if m.next != 0 && e.Index != m.next {
+		m.check.violated(replog.CheckCommitMonotonic, "replica %d applies %d, expected %d", m.id, e.Index, m.next)
+	}
+	m.next = e.Index + 1
+	m.check.applied(m.id, e)
+	if e.Kind != replog.EntryCommand {
+		return
+	}
+	var w write
+	if err := json.Unmarshal(e.Data, &w); err != nil {
+		panic(err)
+	}
+	m.values[w.Key] = w.Value
+}
+
+func (m *registers) Snapshot() []byte {
+	data, err := json.Marshal(m.values)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func (m *registers) Restore(data []byte) {
+	m.next = 0
+	m.values = map[byte]uint32{}
+	if err := json.Unmarshal(data, &m.values); err != nil {
+		panic(err)
+	}
+}
+
+// operation is a read or write of one register as a client saw it.
+type operation struct {
+	read  bool
+	write write
+	call  int64
+	end   int64 // math.MaxInt64 where the outcome is not known
+	drop  bool  // certainly had no effect
+}
+
+// clientTimeout is after how long a client goes on without an answer.
+const clientTimeout = 150 * time.Millisecond
+
+// client issues one operation after another, at any replica that claims to
+// lead.
+func (x *run) client() {
+	x.sim.After(x.between(x.pace, 4*x.pace), func() {
+		if x.healing {
+			return
+		}
+		r := x.anyLeader()
+		if r == nil {
+			x.client()
+			return
+		}
+		continued := false
+		goOn := func() {
+			if !continued {
+				continued = true
+				x.client()
+			}
+		}
+		x.sim.After(clientTimeout, goOn)
+		x.operate(r, goOn)
+	})
+}
+
+func (x *run) operate(r *logsim.Replica, done func()) {
+	x.lastValue++
+	op := &operation{
+		read: x.rng.IntN(2) == 0, call: int64(x.sim.Now()), end: math.MaxInt64,
+		write: write{byte(x.rng.IntN(registerCount)), x.lastValue},
+	}
+	x.history = append(x.history, op)
+	var err error
+	if op.read {
+		err = r.Read(func(ok bool) {
+			op.drop = !ok
+			op.end = int64(x.sim.Now())
+			op.write.Value = r.Machine.(*registers).values[op.write.Key]
+			done()
+		})
+	} else {
+		err = r.Propose(op.write.encode(), func(outcome logsim.Outcome) {
+			op.drop = outcome == logsim.Replaced
+			if outcome == logsim.Committed {
+				op.end = int64(x.sim.Now())
+			}
+			done()
+		})
+	}
+	op.drop = op.drop || err != nil
+}
+
+func (w write) encode() []byte {
+	data, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// historyTimeout bounds the check of one history; no run came near it.
+const historyTimeout = 20 * time.Second
+
+// checkHistory asserts that the history of each register is linearizable.
+//
+// Values are unique. A write of unknown outcome that no read returned may be
+// left out, and one that a read returned took effect before the first such
+// read ended. Both keep the result and the search short.
+func (x *run) checkHistory() {
+	seen := map[uint32]int64{}
+	for _, op := range x.history {
+		if op.read && !op.drop && op.end != math.MaxInt64 {
+			if end, ok := seen[op.write.Value]; !ok || op.end < end {
+				seen[op.write.Value] = op.end
+			}
+		}
+	}
+	var ops []porcupine.Operation
+	for i, op := range x.history {
+		end := op.end
+		if first, ok := seen[op.write.Value]; ok && !op.read {
+			end = min(end, first)
+		}
+		if op.drop || end == math.MaxInt64 {
+			continue
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Input: *op, Call: op.call, Output: op.write.Value, Return: end})
+	}
+	if result := porcupine.CheckOperationsTimeout(registerModel, ops, historyTimeout); result != porcupine.Ok {
+		x.check.violated(checkLinearizable, "history of %d operations is %s", len(ops), result)
+	}
+}
+
+var registerModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make([][]porcupine.Operation, registerCount)
+		for _, op := range history {
+			key := op.Input.(operation).write.Key
+			byKey[key] = append(byKey[key], op)
+		}
+		return byKey
+	},
+	Init: func() any { return uint32(0) },
+	Step: func(state, input, output any) (bool, any) {
+		op := input.(operation)
+		if op.read {
+			return state == output, state
+		}
+		return true, op.write.Value
+	},
+}
--- /dev/null
+++ b/core/replog/soak_test.go
@@ -0,0 +1,203 @@
+package replog_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/bench/logsim"
+)
+
+var (
+	soakSeed = flag.Uint64("soak.seed", 1, "seed of the first randomised run")
+	soakRuns = flag.Int("soak.runs", 250, "number of randomised runs, with consecutive seeds")
+)
+
+const (
+	registerCount  = 3
+	clientCount    = 3
+	faultyTime     = 4 * time.Second // true time with faults, per run
+	healTime       = 6 * time.Second // true time in which a healed group must work again
+	healedKey      = registerCount   // written after the faults, never read
+	soakMaxPending = 50
+)
+
+// run is one randomised run.
+type run struct {
+	rng       *rand.Rand
+	sim       *logsim.Sim
+	check     *checker
+	net       network
+	syncTime  map[replog.ReplicaID]time.Duration // slow disks
+	pace      time.Duration
+	driftPPM  int64
+	enabled   []fault
+	counts    map[string]int
+	history   []*operation
+	lastValue uint32
+	lastID    replog.ReplicaID
+	destroyed replog.ReplicaID // lost its disk and stays away; 0 for none
+	healing   bool
+}
+
+// Guards against every violation of the named checks under several faults at
+// once; each seed can be repeated with -soak.seed=N -soak.runs=1.
+func TestSoak(t *testing.T) {
+	totals, steps, commits, terms, operations := map[string]int{}, 0, 0, 0, 0
+	for i := range *soakRuns {
+		x := newRun(*soakSeed + uint64(i))
+		x.run()
+		if x.check.first != "" {
+			t.Fatalf("violation in run %d (seed %d): %s", i+1, *soakSeed+uint64(i), x.check.first)
+		}
+		steps += x.sim.Steps()
+		commits += len(x.check.committed)
+		terms += len(x.check.leaders)
+		operations += len(x.history)
+		for name, count := range x.counts {
+			totals[name] += count
+		}
+	}
+	fmt.Printf("soak: runs=%d first_seed=%d steps=%d commits=%d leaders=%d operations=%d violations=0\nsoak: faults %v\n",
+		*soakRuns, *soakSeed, steps, commits, terms, operations, totals)
+}
+
+func newRun(seed uint64) *run {
+	x := &run{
+		rng: rand.New(rand.NewPCG(seed, 0)), check: newChecker(),
+		net:      network{cut: map[link]int{}},
+		syncTime: map[replog.ReplicaID]time.Duration{}, counts: map[string]int{},
+	}
+	x.driftPPM = []int64{0, 1000, 50_000}[x.rng.IntN(3)]
+	x.pace = x.between(2*time.Millisecond, 30*time.Millisecond)
+	for _, f := range faults {
+		if x.rng.IntN(3) > 0 {
+			x.enabled = append(x.enabled, f)
+		}
+	}
+	x.sim = logsim.New(logsim.Options{
+		Config: replog.Config{
+			ElectionTimeoutMin: 100 * time.Millisecond, ElectionTimeoutMax: 200 * time.Millisecond,
+			HeartbeatInterval: 25 * time.Millisecond, MaxDriftPPM: x.driftPPM,
+			MaxBatchBytes: 200, MaxInflight: 4, MaxPending: soakMaxPending, Seed: seed,
+		},
+		Delays:        x.delays,
+		SyncTime:      x.syncDelay,
+		SnapshotEvery: uint64(10 + x.rng.IntN(100)),
+		NewMachine: func(id replog.ReplicaID) logsim.Machine {
+			return &registers{id: id, check: x.check, values: map[byte]uint32{}}
+		},
+		AfterStep: x.check.afterStep,
+	})
+	x.check.sim = x.sim
+	return x
+}
+
+func (x *run) run() {
+	var initial replog.Membership
+	for id := 1; id <= []int{1, 3, 3, 5}[x.rng.IntN(4)]; id++ {
+		initial.Voters = append(initial.Voters, replog.ReplicaID(id))
+	}
+	for range initial.Voters {
+		x.addReplica(initial)
+	}
+	for range clientCount {
+		x.client()
+	}
+	x.nextFault()
+	x.sim.RunWhile(faultyTime, x.clean)
+	x.heal()
+	if x.clean() {
+		x.checkHistory()
+	}
+}
+
+func (x *run) clean() bool { return x.check.first == "" }
+
+func (x *run) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(x.rng.Int64N(int64(high-low)))
+}
+
+// addReplica starts a replica whose clock is within the drift bound, often at
+// its limits.
+func (x *run) addReplica(initial replog.Membership) replog.ReplicaID {
+	x.lastID++
+	drift := []float64{-1, 1, 2*x.rng.Float64() - 1}[x.rng.IntN(3)]
+	rate := 1 + drift*float64(x.driftPPM)/1e6
+	// The checker knows the replica before its first step.
+	x.check.replicas = append(x.check.replicas, x.sim.Add(x.lastID, initial, rate))
+	return x.lastID
+}
+
+func (x *run) anyLeader() *logsim.Replica {
+	var leaders []*logsim.Replica
+	for _, r := range x.check.replicas {
+		if r.Core != nil && r.Core.View().Leader {
+			leaders = append(leaders, r)
+		}
+	}
+	if len(leaders) == 0 {
+		return nil
+	}
+	return leaders[x.rng.IntN(len(leaders))]
+}
+
+// heal ends all faults and asserts that the group commits again and that every
+// member catches up.
+func (x *run) heal() {
+	x.healing = true
+	x.net = network{cut: map[link]int{}}
+	clear(x.syncTime)
+	for _, r := range x.check.replicas {
+		if r.Core == nil && r.ID != x.destroyed {
+			r.Start()
+		}
+	}
+	if !x.quorumAlive() {
+		return
+	}
+	deadline, committed := faultyTime+healTime, false
+	for at := faultyTime; at < deadline && x.clean() && !(committed && x.caughtUp()); at += 100 * time.Millisecond {
+		x.sim.RunWhile(at, x.clean)
+		if leader := x.sim.Leader(); leader != nil && !committed {
+			// An error means that the leader is not ready; the next round tries again.
+			_ = leader.Propose(write{Key: healedKey}.encode(), func(o logsim.Outcome) { committed = committed || o == logsim.Committed })
+		}
+	}
+	if x.clean() && !(committed && x.caughtUp()) {
+		x.check.violated(checkProgress, "committed %v, caught up %v", committed, x.caughtUp())
+	}
+}
+
+// quorumAlive reports whether a quorum of every known membership can run. It
+// fails only where a replica was destroyed while others were being removed.
+func (x *run) quorumAlive() bool {
+	for _, r := range x.check.replicas {
+		if r.Core == nil {
+			continue
+		}
+		m := r.Core.Status().Membership
+		if m.IsVoter(x.destroyed) && len(m.Voters)-1 < m.Quorum() {
+			return false
+		}
+	}
+	return true
+}
+
+func (x *run) caughtUp() bool {
+	leader := x.sim.Leader()
+	if leader == nil {
+		return false
+	}
+	status := leader.Core.Status()
+	for _, f := range status.Followers {
+		r := x.sim.Replica(f.ID)
+		if f.ID != x.destroyed && (r == nil || r.Core == nil || r.Core.View().Commit < status.Commit) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/bench/logsim/disk.go
@@ -0,0 +1,74 @@
+package logsim
+
+import (
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+)
+
+// disk is what a replica has synced, and the writes on their way.
+type disk struct {
+	hard     replog.HardState
+	snapshot *replog.Snapshot
+	entries  []replog.Entry
+	pending  []batch
+}
+
+// batch is written and synced as a whole, unless the replica crashes.
+type batch struct {
+	effects replog.Effects
+	// compact is set for a snapshot that the replica made by itself.
+	compact *replog.Snapshot
+}
+
+// writes returns the single writes of a batch in their order.
+func (b batch) writes() []func(d *disk) {
+	var writes []func(d *disk)
+	if hard := b.effects.HardState; hard != nil {
+		writes = append(writes, func(d *disk) { d.hard = *hard })
+	}
+	if s := b.effects.Snapshot; s != nil {
+		writes = append(writes, func(d *disk) { d.snapshot, d.entries = s, nil })
+	}
+	for _, e := range b.effects.Entries {
+		writes = append(writes, func(d *disk) { d.put(e) })
+	}
+	if s := b.compact; s != nil {
+		writes = append(writes, func(d *disk) { d.compactTo(s) })
+	}
+	return writes
+}
+
+// put replaces the entry of this index and all after it.
+func (d *disk) put(e replog.Entry) {
+	at := e.Index - d.base() - 1
+	d.entries = append(d.entries[:at:at], e)
+}
+
+func (d *disk) base() uint64 {
+	if d.snapshot == nil {
+		return 0
+	}
+	return d.snapshot.Index
+}
+
+func (d *disk) compactTo(s *replog.Snapshot) {
+	if s.Index <= d.base() {
+		return
+	}
+	d.entries = slices.Clone(d.entries[s.Index-d.base():])
+	d.snapshot = s
+}
+
+// crash keeps the first writes of those that were not synced and loses the
+// rest.
+func (d *disk) crash(keep func(writes int) int) {
+	var writes []func(d *disk)
+	for _, b := range d.pending {
+		writes = append(writes, b.writes()...)
+	}
+	for _, write := range writes[:keep(len(writes))] {
+		write(d)
+	}
+	d.pending = nil
+}
