Run the replicated state machine against machines and entry processes at random

Change: State.Audit checks all invariants and indexes from scratch. Faults found and corrected: a failure of a gang's task changed queued tasks without an event and was counted once per task; a preempted service whose task ended well was never started again; an operator whose accepted file was superseded was told only that it is old. RefusalTooManyRequests bounds the request records.

--- /dev/null
+++ b/core/state/audit.go
@@ -0,0 +1,157 @@
+package state
+
+import (
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Audit checks every invariant and every index of the whole state from
+// scratch, and returns what is violated. Its cost is linear in the state; it is
+// for randomised runs and for operators' tools, while Apply checks only what a
+// command changed.
+func (s *State) Audit() []Violation {
+	found := s.violations
+	s.violations = nil
+	defer func() { s.violations = found }()
+	s.auditWorkers()
+	s.auditAllocations()
+	s.auditJobs()
+	s.auditTeams()
+	s.auditRequests()
+	return s.violations
+}
+
+func (s *State) auditWorkers() {
+	pools := map[cell.Pool]int{}
+	for _, name := range s.workerNames() {
+		w := s.workers[name]
+		s.checkCapacity(w)
+		var sum cell.Resources
+		for i, a := range w.allocations {
+			sum = sum.Add(a.Size)
+			held := w.current(a.Epoch) || !w.registered && a.OnDisconnect == cell.DisconnectKeep
+			s.check(held, CheckSingleHolder, "allocation %d holds worker %s without its epoch", a.ID, name)
+			ordered := i == 0 || w.allocations[i-1].ID < a.ID
+			s.check(ordered && s.allocations[a.ID] == a && a.Worker == name, CheckIndexes, "allocation %d of worker %s", a.ID, name)
+		}
+		s.check(sum == w.reserved, CheckCapacity, "worker %s has %v reserved, its allocations are %v", name, w.reserved, sum)
+		s.check(w.inPool == w.counted(), CheckIndexes, "worker %s in its pool: %v", name, w.inPool)
+		if w.counted() {
+			pools[w.info.Pool]++
+		}
+	}
+	for pool, count := range s.pools {
+		s.check(pools[pool] == count, CheckIndexes, "pool %s counts %d workers, has %d", pool, count, pools[pool])
+	}
+}
+
+func (s *State) auditAllocations() {
+	holders := map[cell.TaskID]cell.AllocationID{}
+	for _, id := range s.allocationIDs() {
+		a := s.allocations[id]
+		other, twice := holders[a.Task]
+		s.check(!twice, CheckSingleHolder, "task %v has allocations %d and %d", a.Task, other, id)
+		holders[a.Task] = id
+		s.check(s.jobs[a.Task.Job] == a.job && a.task().allocation == id, CheckIndexes, "allocation %d and its task", id)
+		w := s.workers[a.Worker]
+		s.check(w != nil && slices.Contains(w.allocations, a), CheckIndexes, "allocation %d and worker %s", id, a.Worker)
+		s.check(a.task().state == a.expectedState(), CheckIndexes, "allocation %d has a task in state %s", id, a.task().state)
+	}
+}
+
+// expectedState returns the state that the task of an allocation must have.
+func (a *allocation) expectedState() cell.TaskState {
+	switch {
+	case a.stopping:
+		return cell.TaskStopping
+	case a.running:
+		return cell.TaskRunning
+	}
+	return cell.TaskPlaced
+}
+
+func (s *State) auditJobs() {
+	ended := 0
+	for id, j := range s.jobs {
+		s.auditJob(j)
+		if j.state.Terminal() && j.active == 0 {
+			ended++
+			s.check(slices.Contains(s.ended, id), CheckIndexes, "job %d has ended and is not in the list", id)
+		}
+		s.check(s.jobKeys[jobKey{j.spec.Team, j.key}] == id, CheckIndexes, "key of job %d", id)
+	}
+	s.check(ended == len(s.ended) && len(s.jobKeys) == len(s.jobs), CheckIndexes, "lists of jobs")
+}
+
+func (s *State) auditJob(j *job) {
+	counts := map[cell.TaskState]int{}
+	active, open := 0, 0
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		counts[t.state]++
+		if t.allocation != 0 {
+			active++
+		}
+		if !t.state.Terminal() {
+			open++
+		}
+		waits := t.allocation == 0 && !t.state.Terminal()
+		s.check(waits == (t.state == cell.TaskQueued), CheckIndexes, "task %d of job %d in state %s", i, j.id, t.state)
+	}
+	s.check(active == j.active && open == j.open, CheckIndexes, "counters of job %d", j.id)
+	s.check(!j.state.Terminal() || counts[cell.TaskQueued] == 0, CheckIndexes, "job %d has ended with queued tasks", j.id)
+	s.check(j.state.Terminal() || open > 0, CheckIndexes, "job %d has no open tasks and is %s", j.id, j.state)
+	s.check(j.kind != cell.KindService || counts[cell.TaskSucceeded] == 0, CheckIndexes, "service %d has a task that succeeded", j.id)
+	started := counts[cell.TaskPlaced] + counts[cell.TaskRunning]
+	s.check(j.kind != cell.KindGang || started == 0 || counts[cell.TaskQueued] == 0, CheckGang,
+		"gang %d has %d tasks started and %d queued", j.id, started, counts[cell.TaskQueued])
+}
+
+func (s *State) auditTeams() {
+	sums := map[cell.Team]*teamUse{}
+	for name := range s.teams {
+		sums[name] = &teamUse{}
+	}
+	for _, j := range s.jobs {
+		if j.state == cell.JobQueued {
+			sums[j.spec.Team].queuedJobs++
+		}
+	}
+	for _, a := range s.allocations {
+		sum := sums[a.Team]
+		sum.reserved = sum.reserved.Add(a.Size)
+		if a.Priority == cell.PriorityUrgent {
+			sum.urgentMilliCPU += a.Size.MilliCPU
+		}
+	}
+	for name, use := range s.teams {
+		s.check(*use == *sums[name], CheckIndexes, "team %s counts %+v, has %+v", name, *use, *sums[name])
+		if use.reserved.IsZero() {
+			continue
+		}
+		team := s.config.teams[name]
+		within := use.reserved.Fits(team.Quota()) && use.urgentMilliCPU <= team.UrgentMilliCPU()
+		s.check(within, CheckQuota, "team %s holds %+v", name, *use)
+	}
+}
+
+func (s *State) auditRequests() {
+	running, bytes := 0, int64(0)
+	for key, r := range s.requests {
+		if r.state == RequestRunning {
+			running++
+			m, joined := s.members[r.entry]
+			s.check(joined && m.Incarnation == r.incarnation, CheckNonIdempotentOnce, "owner of request %v is not a member", key)
+			s.check(s.owned[r.entry][key] && r.granted == r.attempt, CheckIndexes, "running request %v", key)
+		}
+		if r.answer != nil {
+			bytes += answerSize(r.answer)
+		}
+	}
+	owned := 0
+	for _, keys := range s.owned {
+		owned += len(keys)
+	}
+	s.check(owned == running && bytes == s.answerBytes, CheckIndexes, "indexes of requests")
+}
--- a/core/state/config.go
+++ b/core/state/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
@@ -60,7 +61,7 @@
 		return s.fileResult(FileResult{Faults: faults}, RefusalFileFaults, fmt.Sprintf("the file has %d faults", len(faults)))
 	}
 	if s.config != nil {
-		if refusal, detail := s.checkGeneration(file.Generation); refusal != RefusalNone {
+		if refusal, detail := s.checkGeneration(file.Generation, digest); refusal != RefusalNone {
 			return s.fileResult(FileResult{}, refusal, detail)
 		}
 	}
@@ -77,16 +78,23 @@
 	return s.fileResult(FileResult{Changes: changes}, RefusalNone, "accepted")
 }
 
-func (s *State) checkGeneration(generation cell.Generation) (Refusal, string) {
+// checkGeneration refuses a generation that is not above the one in force. An
+// operator who lost the answer to an accepted file and sends it again is told
+// that it was accepted.
+func (s *State) checkGeneration(generation cell.Generation, digest string) (Refusal, string) {
 	current := s.config.file.Generation
 	switch {
 	case generation == current:
 		return RefusalGenerationUsed, fmt.Sprintf("another file with generation %d is in force, digest %s, submitted by %s",
 			current, s.config.digest, s.config.file.Submitter)
-	case generation < current:
-		return RefusalGenerationOld, fmt.Sprintf("generation %d is in force", current)
+	case generation > current:
+		return RefusalNone, ""
 	}
-	return RefusalNone, ""
+	detail := fmt.Sprintf("generation %d is in force, submitted by %s", current, s.config.file.Submitter)
+	if record := s.configRecord(generation); record != nil && record.Digest == digest {
+		detail = fmt.Sprintf("this file was accepted at %s and superseded: %s", record.At.Format(time.RFC3339), detail)
+	}
+	return RefusalGenerationOld, detail
 }
 
 // fileResult completes a result with the file that is in force.
--- a/core/state/conflicts.go
+++ b/core/state/conflicts.go
@@ -32,6 +32,7 @@
 		c.atLeast(i, "quota_cpus", quota.MilliCPU >= used.MilliCPU, milliCores(quota.MilliCPU), milliCores(used.MilliCPU))
 		c.atLeast(i, "quota_memory", quota.MemoryBytes >= used.MemoryBytes, team.QuotaMemory, strictconf.Bytes(used.MemoryBytes))
 		c.atLeast(i, "quota_accelerators", quota.Accelerators >= used.Accelerators, quota.Accelerators, used.Accelerators)
+		c.atLeast(i, "urgent_cpus", team.UrgentMilliCPU() >= use.urgentMilliCPU, milliCores(team.UrgentMilliCPU()), milliCores(use.urgentMilliCPU))
 	}
 }
 
--- a/core/state/event.go
+++ b/core/state/event.go
@@ -51,7 +51,10 @@
 // TaskStopping says that a worker was told to stop an allocation.
 type TaskStopping struct{ Allocation cell.AllocationID }
 
-// AllocationEnded says that an allocation no longer holds resources.
+// AllocationEnded says that an allocation no longer holds resources. An
+// allocation that was kept on a disconnected worker ends under the former epoch
+// when the worker is back, and a TaskPlaced with the same id and the new epoch
+// follows.
 type AllocationEnded struct {
 	Allocation cell.Allocation
 	Outcome    TaskOutcome // empty where the epoch of the worker ended
--- a/core/state/invariant.go
+++ b/core/state/invariant.go
@@ -15,6 +15,11 @@
 	CheckSingleHolder        Check = "single-lease-holder"
 	CheckGenerationMonotonic Check = "generation-monotonic"
 	CheckNonIdempotentOnce   Check = "non-idempotent-once"
+
+	// These are checked by Audit only.
+	CheckQuota   Check = "reservations-within-quota"
+	CheckGang    Check = "gang-all-or-nothing"
+	CheckIndexes Check = "indexes-consistent"
 )
 
 // Violation is a failed invariant check.
--- a/core/state/job.go
+++ b/core/state/job.go
@@ -116,15 +116,13 @@
 	j.open--
 }
 
-// queueTask makes a task wait for a placement again.
+// queueTask makes a task wait for a placement. A gang waits as a whole.
 func (s *State) queueTask(j *job, index int) {
 	t := &j.tasks[index]
 	t.state = cell.TaskQueued
-	s.emitQueued(j, index)
-}
-
-func (s *State) emitQueued(j *job, index int) {
-	t := &j.tasks[index]
+	if j.kind == cell.KindGang && !j.notBefore.IsZero() {
+		t.notBefore = j.notBefore.UnixMilli()
+	}
 	s.emit(Event{TaskQueued: queuedEvent(j, index, t)})
 }
 
@@ -141,8 +139,8 @@
 // job fails; otherwise the task waits.
 func (s *State) failTask(j *job, index int, detail string) {
 	t := &j.tasks[index]
-	t.attempts++
 	t.detail = shorten(detail)
+	countFailure(j, t)
 	policy := s.config.policies[j.spec.Policy]
 	if t.attempts >= policy.MaxAttempts {
 		s.endTask(j, t, cell.TaskFailed)
@@ -153,6 +151,21 @@
 	s.queueTask(j, index)
 }
 
+// countFailure counts a failure. That of a gang's task counts for the whole
+// gang, because the gang starts again: counted one by one, a gang of n tasks
+// could be started n times as often as the policy allows.
+func countFailure(j *job, failed *task) {
+	if j.kind != cell.KindGang {
+		failed.attempts++
+		return
+	}
+	for i := range j.tasks {
+		if !j.tasks[i].state.Terminal() {
+			j.tasks[i].attempts++
+		}
+	}
+}
+
 // backOff delays a task that failed, twice as long for each failure up to most.
 // The delay holds for the job: a task that fails while another one waits waits
 // at least as long, so that many failing tasks do not retry one by one.
--- /dev/null
+++ b/core/state/jobs_test.go
@@ -0,0 +1,141 @@
+package state_test
+
+import (
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+func (w *world) submit(t *rapid.T) {
+	key := rapid.SampledFrom([]string{"k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7"}).Draw(t, "key")
+	spec := cell.JobSpec{
+		Team:     "a",
+		Policy:   rapid.SampledFrom([]cell.PolicyName{"stop", "keep", "batch", "gang"}).Draw(t, "policy"),
+		Priority: rapid.SampledFrom([]cell.Priority{cell.PriorityUrgent, cell.PriorityNormal}).Draw(t, "priority"),
+		Tasks:    rapid.IntRange(1, 5).Draw(t, "tasks"),
+		Size: cell.Resources{
+			MilliCPU:    rapid.SampledFrom([]int64{500, 1500, 3000, 6000, 9000}).Draw(t, "size"),
+			MemoryBytes: 1 << 30,
+		},
+		RunTime: time.Minute,
+	}
+	result := w.send(t, state.Command{SubmitJob: &state.SubmitJob{Key: key, Spec: spec}})
+	known, repeated := w.submitted[key]
+	if repeated && w.replicas[0].Query(state.Query{Job: &state.JobQuery{Job: known.id}}).Job == nil {
+		repeated = false // past its retention
+	}
+	switch {
+	case repeated && known.spec != spec:
+		w.expect(t, result, state.RefusalKeyReused)
+	case repeated:
+		if result.Job == nil || !result.Job.Repeated || result.Job.ID != known.id {
+			t.Fatalf("repeated submission of job %d: %+v", known.id, result)
+		}
+	case spec.Tasks > 4:
+		w.expect(t, result, state.RefusalTooManyTasks)
+	case spec.Size.MilliCPU > 8000:
+		w.expect(t, result, state.RefusalNeverFits)
+	}
+	w.noteSubmission(key, spec, result)
+}
+
+// noteSubmission follows which job has a key.
+func (w *world) noteSubmission(key string, spec cell.JobSpec, result state.Result) {
+	if result.Refusal == state.RefusalNone && !result.Job.Repeated {
+		w.submitted[key] = submission{id: result.Job.ID, spec: spec}
+	}
+}
+
+func (w *world) expect(t *rapid.T, result state.Result, want state.Refusal) {
+	if result.Refusal != want || result.Detail == "" {
+		t.Fatalf("got %q (%s), want %q with a detail", result.Refusal, result.Detail, want)
+	}
+}
+
+// cancel ends a burst of jobs and compares the answers with what is known of
+// each.
+func (w *world) cancel(t *rapid.T) {
+	for range rapid.IntRange(1, 4).Draw(t, "burst") {
+		id := cell.JobID(rapid.IntRange(1, len(w.submitted)+2).Draw(t, "job"))
+		before := w.replicas[0].Query(state.Query{Job: &state.JobQuery{Job: id}}).Job
+		result := w.send(t, state.Command{CancelJob: &state.CancelJob{Job: id}})
+		switch {
+		case before == nil:
+			w.expect(t, result, state.RefusalUnknownJob)
+		case before.State == cell.JobCancelled:
+			w.expect(t, result, state.RefusalNone)
+		case before.State.Terminal():
+			w.expect(t, result, state.RefusalJobEnded)
+		default:
+			w.expect(t, result, state.RefusalNone)
+			if _, alive := w.mirror.Jobs[id]; alive {
+				t.Fatalf("job %d lives on after its cancellation", id)
+			}
+		}
+	}
+}
+
+// plan places queued tasks, some of them wrongly, and preempts.
+func (w *world) plan(t *rapid.T) {
+	var plan state.CommitPlan
+	workers := sortedKeys(w.mirror.Workers)
+	if len(workers) == 0 {
+		t.Skip("no worker")
+	}
+	for _, task := range w.queued() {
+		if rapid.IntRange(0, 9).Draw(t, "leave out") == 0 {
+			continue
+		}
+		name := rapid.SampledFrom(workers).Draw(t, "worker")
+		p := state.Placement{Task: task, Worker: name, Epoch: w.mirror.Workers[name].Epoch}
+		if rapid.IntRange(0, 9).Draw(t, "stale epoch") == 0 {
+			p.Epoch--
+		}
+		plan.Placements = append(plan.Placements, p)
+	}
+	if ids := sortedKeys(w.mirror.Allocations); len(ids) > 0 && rapid.IntRange(0, 3).Draw(t, "preempt") == 0 {
+		plan.Preemptions = append(plan.Preemptions, rapid.SampledFrom(ids).Draw(t, "preempted"))
+	}
+	before := len(w.mirror.Allocations)
+	result := w.send(t, state.Command{CommitPlan: &plan})
+	w.checkPlan(t, plan, *result.Plan, len(w.mirror.Allocations)-before)
+}
+
+// queued returns the queued tasks by job and index.
+func (w *world) queued() []cell.TaskID {
+	var tasks []cell.TaskID
+	for id := range w.mirror.Queued {
+		tasks = append(tasks, id)
+	}
+	slices.SortFunc(tasks, func(a, b cell.TaskID) int {
+		if a.Job != b.Job {
+			return int(a.Job) - int(b.Job)
+		}
+		return a.Index - b.Index
+	})
+	return tasks
+}
+
+func (w *world) checkPlan(t *rapid.T, plan state.CommitPlan, result state.PlanResult, added int) {
+	accepted := 0
+	for i, p := range plan.Placements {
+		stale := w.epochs[p.Worker] != p.Epoch
+		if (result.Placements[i] == state.RefusalNone) != (result.Allocations[i] != 0) {
+			t.Fatalf("placement %d: %q with allocation %d", i, result.Placements[i], result.Allocations[i])
+		}
+		if result.Placements[i] != state.RefusalNone {
+			continue
+		}
+		accepted++
+		if stale {
+			t.Fatalf("placement %+v has a stale epoch", p)
+		}
+	}
+	if accepted != added {
+		t.Fatalf("%d placements accepted, %d allocations added", accepted, added)
+	}
+}
--- /dev/null
+++ b/core/state/machine_test.go
@@ -0,0 +1,246 @@
+package state_test
+
+import (
+	"pgregory.net/rapid"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// machine is a worker as it really is: what it runs, and whether it may.
+type machine struct {
+	info     cell.Worker
+	up       bool
+	leased   bool
+	epoch    cell.Epoch // as the machine knows it
+	runs     map[cell.AllocationID]cell.Allocation
+	outcomes map[cell.AllocationID]state.TaskOutcome // ended, perhaps not yet reported
+}
+
+func newMachine(info cell.Worker) *machine {
+	m := &machine{info: info}
+	m.stop()
+	return m
+}
+
+func (m *machine) stop() {
+	m.up, m.leased, m.epoch = false, false, 0
+	m.runs = map[cell.AllocationID]cell.Allocation{}
+	m.outcomes = map[cell.AllocationID]state.TaskOutcome{}
+}
+
+// loseLease stops the tasks that do not outlive the lease.
+func (m *machine) loseLease() {
+	m.leased = false
+	for id, a := range m.runs {
+		if a.OnDisconnect == cell.DisconnectStop {
+			delete(m.runs, id)
+		}
+	}
+}
+
+func (w *world) drawMachine(t *rapid.T) *machine {
+	return rapid.SampledFrom(w.machines).Draw(t, "machine")
+}
+
+func (w *world) isRetired(m *machine) bool {
+	for _, name := range w.retired {
+		if name == m.info.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// boot starts a machine that is down, as a new incarnation.
+func (w *world) boot(t *rapid.T) {
+	w.bootMachine(t, w.drawMachine(t))
+}
+
+func (w *world) bootMachine(t *rapid.T, m *machine) {
+	if !m.up {
+		m.up = true
+		m.info.Incarnation++
+	}
+	w.register(t, m)
+}
+
+func (w *world) register(t *rapid.T, m *machine) {
+	c := state.Command{RegisterWorker: &state.RegisterWorker{Worker: m.info}}
+	result := w.send(t, c)
+	w.noteRegistration(c, result)
+	switch result.Refusal {
+	case state.RefusalNone:
+		if result.Worker.Epoch != m.epoch {
+			m.loseLease()
+		}
+		m.epoch, m.leased = result.Worker.Epoch, true
+	case state.RefusalWorkerRetired:
+		if !w.isRetired(m) {
+			t.Fatalf("%s is refused as retired", m.info.Name)
+		}
+	default:
+		t.Fatalf("registration of %+v: %+v", m.info, result)
+	}
+}
+
+// noteRegistration follows the epochs, which only grow.
+func (w *world) noteRegistration(c state.Command, result state.Result) {
+	switch {
+	case c.RegisterWorker != nil && result.Refusal == state.RefusalNone:
+		w.epochs[c.RegisterWorker.Worker.Name] = result.Worker.Epoch
+	case c.ExpireWorker != nil && result.Refusal == state.RefusalNone:
+		w.epochs[c.ExpireWorker.Worker] = 0
+	}
+}
+
+// crash stops a machine, or cuts it off until its lease has run out.
+func (w *world) crash(t *rapid.T) {
+	m := w.drawMachine(t)
+	if rapid.Bool().Draw(t, "cut off only") {
+		m.loseLease()
+		return
+	}
+	m.stop()
+}
+
+// expire ends the epoch of a machine whose lease has run out.
+func (w *world) expire(t *rapid.T) {
+	m := w.drawMachine(t)
+	epoch := w.epochs[m.info.Name]
+	if epoch == 0 || m.up && m.leased && m.epoch == epoch {
+		t.Skip("no lease has run out")
+	}
+	c := state.Command{ExpireWorker: &state.ExpireWorker{Worker: m.info.Name, Epoch: epoch}}
+	result := w.send(t, c)
+	w.noteRegistration(c, result)
+	if result.Refusal != state.RefusalNone {
+		t.Fatalf("expiry of %s: %+v", m.info.Name, result)
+	}
+}
+
+// retire removes a machine for good and says so in a file.
+func (w *world) retire(t *rapid.T) {
+	m := w.drawMachine(t)
+	if m.up || w.isRetired(m) || len(w.retired) == 2 {
+		t.Skip("the machine is on")
+	}
+	w.retired = append(w.retired, m.info.Name)
+	w.submitFile(t, w.generation+1, "first", 16)
+}
+
+// sync is an exchange of a machine with the leader: it reports, then takes its
+// assignments over.
+func (w *world) sync(t *rapid.T) {
+	m := w.drawMachine(t)
+	if !m.up || m.epoch == 0 {
+		t.Skip("the machine is not registered")
+	}
+	w.syncMachine(t, m)
+}
+
+// cycle is an ordinary round of the cell: work arrives, is placed and ends.
+func (w *world) cycle(t *rapid.T) {
+	for _, m := range w.machines {
+		switch {
+		case m.up && m.epoch != 0:
+			w.endSome(t, m)
+			w.syncMachine(t, m)
+		case !m.up && !w.isRetired(m) && rapid.Bool().Draw(t, "boots"):
+			w.bootMachine(t, m)
+		}
+	}
+	w.submit(t)
+	if len(w.mirror.Workers) > 0 {
+		w.plan(t)
+	}
+}
+
+func (w *world) endSome(t *rapid.T, m *machine) {
+	for _, id := range sortedKeys(m.runs) {
+		if rapid.IntRange(0, 2).Draw(t, "goes on") == 0 {
+			m.endTask(t, id)
+		}
+	}
+}
+
+func (w *world) syncMachine(t *rapid.T, m *machine) {
+	w.report(t, m)
+	view := w.replicas[0].Worker(m.info.Name)
+	if !view.Registered || view.Epoch != m.epoch {
+		m.loseLease()
+		return
+	}
+	m.leased = true
+	m.takeOver(view)
+}
+
+func (m *machine) takeOver(view state.WorkerView) {
+	assigned := map[cell.AllocationID]state.Assignment{}
+	for _, assignment := range view.Assignments {
+		assigned[assignment.Allocation.ID] = assignment
+	}
+	for id := range m.runs {
+		if _, kept := assigned[id]; !kept {
+			delete(m.runs, id)
+		}
+	}
+	for id, assignment := range assigned {
+		_, ended := m.outcomes[id]
+		switch {
+		case ended:
+		case assignment.Stop:
+			delete(m.runs, id)
+			m.outcomes[id] = state.ReportStopped
+		default:
+			m.runs[id] = assignment.Allocation
+		}
+	}
+}
+
+func (w *world) report(t *rapid.T, m *machine) {
+	c := state.ReportTasks{Worker: m.info.Name, Epoch: m.epoch}
+	for _, id := range sortedKeys(m.runs) {
+		used := cell.Resources{MilliCPU: 100}
+		c.Reports = append(c.Reports, state.TaskReport{Allocation: id, Outcome: state.ReportRunning, Used: used})
+	}
+	for _, id := range sortedKeys(m.outcomes) {
+		c.Reports = append(c.Reports, state.TaskReport{Allocation: id, Outcome: m.outcomes[id], Detail: "exit 1"})
+	}
+	command := state.Command{ReportTasks: &c}
+	w.expectEpoch(t, command, w.send(t, command))
+}
+
+// end lets a task that runs come to its end.
+func (w *world) end(t *rapid.T) {
+	m := w.drawMachine(t)
+	if len(m.runs) == 0 {
+		t.Skip("nothing runs")
+	}
+	id := rapid.SampledFrom(sortedKeys(m.runs)).Draw(t, "allocation")
+	m.endTask(t, id)
+}
+
+func (m *machine) endTask(t *rapid.T, id cell.AllocationID) {
+	delete(m.runs, id)
+	outcomes := []state.TaskOutcome{state.ReportSucceeded, state.ReportFailed, state.ReportFailed, state.ReportStopped, state.ReportCheckpointed}
+	m.outcomes[id] = rapid.SampledFrom(outcomes).Draw(t, "outcome")
+}
+
+// checkMachines asserts what must hold in the real world.
+func (w *world) checkMachines(t *rapid.T) {
+	runs := map[cell.TaskID]cell.WorkerName{}
+	for _, m := range w.machines {
+		var used cell.Resources
+		for _, a := range m.runs {
+			if other, twice := runs[a.Task]; twice {
+				t.Fatalf("task %v runs on %s and %s", a.Task, other, m.info.Name)
+			}
+			runs[a.Task] = m.info.Name
+			used = used.Add(a.Size)
+		}
+		if !used.Fits(m.info.Capacity) {
+			t.Fatalf("machine %s of %v runs %v", m.info.Name, m.info.Capacity, used)
+		}
+	}
+}
--- /dev/null
+++ b/core/state/mirror_test.go
@@ -0,0 +1,110 @@
+package state_test
+
+import (
+	"fmt"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// mirror follows the events like a scheduler does and refuses events that
+// contradict the ones before.
+type mirror struct {
+	Generation  cell.Generation
+	Jobs        map[cell.JobID]cell.JobSpec
+	Queued      map[cell.TaskID]state.TaskQueued
+	Allocations map[cell.AllocationID]mirrored
+	Workers     map[cell.WorkerName]state.WorkerAdded
+}
+
+type mirrored struct {
+	cell.Allocation
+	Started, Stopping bool
+}
+
+func newMirror(events []state.Event) (*mirror, error) {
+	m := &mirror{
+		Jobs:        map[cell.JobID]cell.JobSpec{},
+		Queued:      map[cell.TaskID]state.TaskQueued{},
+		Allocations: map[cell.AllocationID]mirrored{},
+		Workers:     map[cell.WorkerName]state.WorkerAdded{},
+	}
+	return m, m.follow(events)
+}
+
+func (m *mirror) follow(events []state.Event) error {
+	for _, e := range events {
+		if err := m.step(e); err != nil {
+			return err
+		}
+	}
+	return m.withinCapacity()
+}
+
+func (m *mirror) step(e state.Event) error {
+	switch {
+	case e.ConfigChanged != nil:
+		m.Generation = e.ConfigChanged.Record.Generation
+	case e.JobAdded != nil:
+		m.Jobs[e.JobAdded.ID] = e.JobAdded.Spec
+	case e.JobEnded != nil:
+		delete(m.Jobs, e.JobEnded.ID)
+		for id := range m.Queued {
+			if id.Job == e.JobEnded.ID {
+				delete(m.Queued, id)
+			}
+		}
+	case e.TaskQueued != nil:
+		if _, known := m.Jobs[e.TaskQueued.Task.Job]; !known {
+			return fmt.Errorf("task %v is queued for an ended job", e.TaskQueued.Task)
+		}
+		m.Queued[e.TaskQueued.Task] = *e.TaskQueued
+	case e.TaskPlaced != nil:
+		return m.place(e.TaskPlaced.Allocation)
+	case e.TaskStarted != nil:
+		a := m.Allocations[e.TaskStarted.Allocation]
+		a.Started = true
+		m.Allocations[a.ID] = a
+	case e.TaskStopping != nil:
+		a := m.Allocations[e.TaskStopping.Allocation]
+		a.Stopping = true
+		m.Allocations[a.ID] = a
+	case e.AllocationEnded != nil:
+		if m.Allocations[e.AllocationEnded.Allocation.ID].Allocation != e.AllocationEnded.Allocation {
+			return fmt.Errorf("unknown allocation %+v ends", e.AllocationEnded.Allocation)
+		}
+		delete(m.Allocations, e.AllocationEnded.Allocation.ID)
+	case e.WorkerAdded != nil:
+		m.Workers[e.WorkerAdded.Worker.Name] = *e.WorkerAdded
+	case e.WorkerRemoved != nil:
+		delete(m.Workers, e.WorkerRemoved.Worker)
+	}
+	return nil
+}
+
+func (m *mirror) place(a cell.Allocation) error {
+	for _, other := range m.Allocations {
+		if other.Task == a.Task {
+			return fmt.Errorf("task %v is placed twice: %+v, %+v", a.Task, other.Allocation, a)
+		}
+	}
+	if w, known := m.Workers[a.Worker]; !known || w.Epoch != a.Epoch {
+		return fmt.Errorf("allocation %+v is placed on a worker without that epoch", a)
+	}
+	delete(m.Queued, a.Task)
+	m.Allocations[a.ID] = mirrored{Allocation: a}
+	return nil
+}
+
+func (m *mirror) withinCapacity() error {
+	used := map[cell.WorkerName]cell.Resources{}
+	for _, a := range m.Allocations {
+		used[a.Worker] = used[a.Worker].Add(a.Size)
+	}
+	for name, w := range m.Workers {
+		if !used[name].Fits(w.Worker.Capacity) {
+			return fmt.Errorf("worker %s of %v holds %v", name, w.Worker.Capacity, used[name])
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/state/random_test.go
@@ -0,0 +1,79 @@
+package state_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the length of the randomised runs, unless they are
+// given. The default length of 30 steps is too short for a job to use up its
+// attempts.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.steps": "100", "rapid.nofailfile": "true"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// Guards against a task that runs twice or on a full worker, half a gang, a
+// file that goes back, and replicas that differ, under any order of failures,
+// late and repeated messages.
+func TestRandomisedWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":        w.check,
+			"boot":    w.boot,
+			"crash":   w.crash,
+			"expire":  w.expire,
+			"retire":  w.retire,
+			"sync":    w.sync,
+			"cycle":   w.cycle,
+			"cycle2":  w.cycle,
+			"end":     w.end,
+			"submit":  w.submit,
+			"cancel":  w.cancel,
+			"plan":    w.plan,
+			"file":    w.file,
+			"pass":    w.pass,
+			"restore": w.restore,
+			"resend":  w.resend,
+		})
+	})
+}
+
+// Guards against a non-idempotent request that is run twice, and against a
+// replayed answer or a not-run that is not true, where requests are repeated
+// through several entry processes that pause, die and are removed.
+func TestRandomisedRequests(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for _, e := range w.entries {
+			w.joinEntry(t, e)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":          w.check,
+			"join":      w.join,
+			"leave":     w.leave,
+			"begin":     w.begin,
+			"begin2":    w.begin,
+			"dispatch":  w.dispatch,
+			"dispatch2": w.dispatch,
+			"dispatch3": w.dispatch,
+			"pass":      w.pass,
+			"restore":   w.restore,
+			"resend":    w.resend,
+		})
+	})
+}
--- a/core/state/report.go
+++ b/core/state/report.go
@@ -53,28 +53,31 @@
 	}
 }
 
-// taskSucceeded ends a task. A service runs until it is cancelled, so a task
-// of it that ends by itself is started again like one that failed.
+// taskSucceeded ends a task. A service runs until it is cancelled, so a task of
+// it that ends by itself is started again like one that failed.
 func (s *State) taskSucceeded(a *allocation) {
-	if a.job.kind == cell.KindService && !a.job.state.Terminal() {
+	switch {
+	case a.job.kind != cell.KindService:
+		s.finishTask(a.job, a.Task.Index)
+	case a.stopping:
+		s.loseTask(a)
+	default:
 		s.taskFailed(a, "the task of a service ended by itself")
-		return
 	}
-	s.finishTask(a.job, a.Task.Index)
 }
 
-// taskFailed counts a failure, unless the job has ended and the task was to
-// stop anyway.
+// taskFailed counts a failure, unless the task was told to stop: then the way in
+// which it ended says nothing of the task. A gang is told to stop with its first
+// failure, so each of its starts counts once.
 func (s *State) taskFailed(a *allocation, detail string) {
-	j, t := a.job, a.task()
-	if j.state.Terminal() {
-		t.detail = shorten(detail)
-		s.endTask(j, t, cell.TaskCancelled)
+	if a.stopping {
+		a.task().detail = shorten(detail)
+		s.loseTask(a)
 		return
 	}
 	s.forgiveService(a)
-	s.failTask(j, a.Task.Index, detail)
-	s.stopGang(j, false)
+	s.failTask(a.job, a.Task.Index, detail)
+	s.stopGang(a.job, false)
 }
 
 // forgiveService forgets the former failures of a service's task that ran for
--- a/core/state/request.go
+++ b/core/state/request.go
@@ -49,6 +49,8 @@
 	}
 	r := s.requests[c.Key]
 	switch {
+	case r == nil && len(s.requests) >= MaxRequestRecords:
+		return refuse(RefusalTooManyRequests, "%d requests are recorded, the limit", len(s.requests))
 	case r == nil:
 		r = &request{key: c.Key, digest: c.Digest}
 		s.requests[c.Key] = r
--- /dev/null
+++ b/core/state/requests_test.go
@@ -0,0 +1,140 @@
+package state_test
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// entry is an entry process with the attempts that it may dispatch. It learns
+// of its removal only when it begins or joins.
+type entry struct {
+	name        cell.EntryName
+	incarnation cell.Incarnation
+	held        map[uint64]*attempt
+}
+
+type attempt struct {
+	begin    state.BeginRequest
+	executed bool
+	over     bool // the dispatch window has passed, or the outcome was sent
+}
+
+func (w *world) drawEntry(t *rapid.T) *entry {
+	return rapid.SampledFrom(w.entries).Draw(t, "entry")
+}
+
+// join starts an entry process, or starts it again after a crash. A crash
+// forgets what it held.
+func (w *world) join(t *rapid.T) {
+	w.joinEntry(t, w.drawEntry(t))
+}
+
+func (w *world) joinEntry(t *rapid.T, e *entry) {
+	e.incarnation++
+	e.held = map[uint64]*attempt{}
+	result := w.send(t, state.Command{JoinMember: &state.JoinMember{
+		Member: state.Member{Name: e.name, Incarnation: e.incarnation, Address: "127.0.0.1:1"},
+	}})
+	if result.Refusal != state.RefusalNone {
+		t.Fatalf("join of a new incarnation: %+v", result)
+	}
+}
+
+// leave removes an entry process that the leader has not heard of. It may only
+// be paused, and go on with what it holds.
+func (w *world) leave(t *rapid.T) {
+	e := w.drawEntry(t)
+	w.send(t, state.Command{LeaveMember: &state.LeaveMember{Name: e.name, Incarnation: e.incarnation}})
+}
+
+func (w *world) begin(t *rapid.T) {
+	e := w.drawEntry(t)
+	w.attempts++
+	c := state.BeginRequest{
+		Key:         state.RequestKey{Service: "s", Team: "a", Key: rapid.SampledFrom([]string{"r0", "r1", "r2"}).Draw(t, "request")},
+		Digest:      uint64(rapid.SampledFrom([]int{1, 1, 1, 2}).Draw(t, "digest")),
+		Entry:       e.name,
+		Incarnation: e.incarnation,
+		Attempt:     w.attempts,
+		Retention:   time.Hour,
+	}
+	result := w.send(t, state.Command{BeginRequest: &c})
+	if rapid.Bool().Draw(t, "answer lost") {
+		result = w.send(t, state.Command{BeginRequest: &c})
+	}
+	if result.Request == nil {
+		return
+	}
+	if result.Request.Dispatch {
+		e.held[c.Attempt] = &attempt{begin: c}
+	}
+	w.checkReplay(t, c, *result.Request)
+}
+
+// checkReplay asserts that a replayed answer is that of the attempt that ran.
+func (w *world) checkReplay(t *rapid.T, c state.BeginRequest, r state.RequestResult) {
+	if r.State != state.RequestFinished {
+		return
+	}
+	ran, known := w.executed[c.Key]
+	if !known || r.Dispatch || r.Answer == nil || string(r.Answer.Body) != fmt.Sprint(ran) {
+		t.Fatalf("request %v was run by attempt %d, replayed: %+v", c.Key, ran, r)
+	}
+}
+
+// dispatch executes a request, or finds that no byte of it was accepted.
+func (w *world) dispatch(t *rapid.T) {
+	e := w.drawEntry(t)
+	if len(e.held) == 0 {
+		t.Skip("nothing is held")
+	}
+	a := e.held[rapid.SampledFrom(sortedKeys(e.held)).Draw(t, "attempt")]
+	outcome := state.OutcomeNotRun
+	switch {
+	case a.executed:
+		outcome = rapid.SampledFrom([]state.Outcome{state.OutcomeDone, state.OutcomeUnknown}).Draw(t, "outcome")
+	case !a.over && rapid.Bool().Draw(t, "accepted"):
+		a.executed = true
+		if other, twice := w.executed[a.begin.Key]; twice {
+			t.Fatalf("request %v is run by attempts %d and %d", a.begin.Key, other, a.begin.Attempt)
+		}
+		w.executed[a.begin.Key] = a.begin.Attempt
+		return
+	}
+	a.over = true
+	w.finish(t, a, outcome)
+}
+
+// forget closes the dispatch windows and lets go of the requests whose records
+// are past their retention: their keys are new again.
+func (w *world) forget() {
+	for _, e := range w.entries {
+		for id, a := range e.held {
+			a.over = true
+			if w.replicas[0].Query(state.Query{Request: &state.RequestQuery{Key: a.begin.Key}}).Request == nil {
+				delete(e.held, id)
+			}
+		}
+	}
+	for key := range w.executed {
+		if w.replicas[0].Query(state.Query{Request: &state.RequestQuery{Key: key}}).Request == nil {
+			delete(w.executed, key)
+		}
+	}
+}
+
+func (w *world) finish(t *rapid.T, a *attempt, outcome state.Outcome) {
+	c := state.FinishRequest{Key: a.begin.Key, Entry: a.begin.Entry, Attempt: a.begin.Attempt, Outcome: outcome}
+	if outcome == state.OutcomeDone {
+		c.Answer = &state.StoredAnswer{Status: 200, Body: fmt.Append(nil, a.begin.Attempt)}
+	}
+	result := w.send(t, state.Command{FinishRequest: &c})
+	if outcome == state.OutcomeNotRun && result.Refusal == state.RefusalNone && a.executed {
+		t.Fatalf("attempt %d ran and is recorded as not run", a.begin.Attempt)
+	}
+}
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -40,6 +40,7 @@
 	RefusalUnknownRequest    Refusal = "unknown-request"     // no record of the request
 	RefusalWrongAttempt      Refusal = "wrong-attempt"       // record belongs to another attempt
 	RefusalAttemptFinished   Refusal = "attempt-finished"    // outcome already recorded
+	RefusalTooManyRequests   Refusal = "too-many-requests"   // the limit of request records is reached
 	RefusalUnknownMember     Refusal = "unknown-member"      // entry process is not a member
 	RefusalStillLeased       Refusal = "still-leased"        // lease of the former epoch may still run
 )
--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -13,6 +13,10 @@
 	MaxEndedJobs = 100_000
 	// MaxRequestRetention bounds the retention that a request may ask for.
 	MaxRequestRetention = 30 * 24 * time.Hour
+	// MaxRequestRecords bounds the records of requests. Above it a request is
+	// refused before it is dispatched: dropping a record early would let its
+	// request run twice.
+	MaxRequestRecords = 500_000
 	// MaxAnswerBytes bounds the answers that are kept for replay, together.
 	// The oldest are dropped first; their records stay.
 	MaxAnswerBytes = 256 << 20
--- /dev/null
+++ b/core/state/world_test.go
@@ -0,0 +1,310 @@
+package state_test
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/codec"
+)
+
+// cellFile has a pool of two workers and one of a single larger one, so that
+// capacity, quotas and pools are scarce in short runs.
+const cellFile = `
+generation = %d
+submitter = "%s"
+[cell]
+name = "test"
+max_clock_drift_ppm = 1000
+worker_lease = "15s"
+worker_sync_interval = "2s"
+worker_stop_margin = "500ms"
+stale_after = "15s"
+max_entries = 9
+retired_workers = [%s]
+[[region]]
+name = "north"
+failure_domains = ["north-1"]
+[[pool]]
+name = "small"
+regions = ["north"]
+max_workers = 3
+max_worker_cpus = 4.0
+max_worker_memory = "8GiB"
+max_worker_accelerators = 0
+[[pool]]
+name = "large"
+regions = ["north"]
+max_workers = 1
+max_worker_cpus = 8.0
+max_worker_memory = "8GiB"
+max_worker_accelerators = 0
+%s
+[[team]]
+name = "a"
+share = 0.5
+quota_cpus = %d.0
+quota_memory = "64GiB"
+quota_accelerators = 0
+urgent_cpus = 4.0
+max_queued_jobs = 8
+policies = ["stop", "keep", "batch", "gang"]
+[[service]]
+name = "s"
+path_prefix = "/s/"
+teams = ["a"]
+idempotent_methods = ["GET"]
+announce_interval = "500ms"
+announce_lease = "2s"
+max_queue = 10
+default_deadline = "1s"
+max_deadline = "1s"
+dispatch_window = "1s"
+max_request_bytes = "1KiB"
+replay_max_bytes = "1KiB"
+answer_retention = "1h"
+retry_budget = 0.1
+cross_region_penalty = "1ms"
+panic_threshold = 0.5
+`
+
+const policyTable = `
+[[policy]]
+name = "%s"
+kind = "%s"
+pools = ["small", "large"]
+spread_by = "none"
+preemptible = %v
+on_disconnect = "%s"
+max_tasks = 4
+max_attempts = 3
+backoff_initial = "1s"
+backoff_max = "8s"
+`
+
+func fileBody(generation int, submitter string, quota int, retired []cell.WorkerName) []byte {
+	policies := fmt.Sprintf(policyTable, "stop", "service", true, "stop") +
+		fmt.Sprintf(policyTable, "keep", "service", false, "keep") +
+		fmt.Sprintf(policyTable, "batch", "batch", true, "stop") +
+		fmt.Sprintf(policyTable, "gang", "gang", true, "keep")
+	var names []string
+	for _, name := range retired {
+		names = append(names, fmt.Sprintf("%q", name))
+	}
+	return fmt.Appendf(nil, cellFile, generation, submitter, strings.Join(names, ", "), policies, quota)
+}
+
+// world is a cell in which machines and entry processes exist beside the state.
+// Two replicas apply every command; one of them is restored from a snapshot now
+// and then. Commands that were sent once may arrive again at any time.
+type world struct {
+	replicas [2]*state.State
+	index    uint64
+	now      time.Time
+	mirror   *mirror
+	mail     []state.Command
+
+	generation int // in force
+	body       []byte
+	retired    []cell.WorkerName
+	machines   []*machine
+	epochs     map[cell.WorkerName]cell.Epoch // 0 where ended
+	submitted  map[string]submission
+	entries    []*entry
+	attempts   uint64
+	executed   map[state.RequestKey]uint64 // attempt that ran the request
+}
+
+type submission struct {
+	id   cell.JobID
+	spec cell.JobSpec
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		replicas:  [2]*state.State{state.New(), state.New()},
+		now:       time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		epochs:    map[cell.WorkerName]cell.Epoch{},
+		submitted: map[string]submission{},
+		executed:  map[state.RequestKey]uint64{},
+	}
+	w.mirror, _ = newMirror(nil)
+	for i, cpus := range []int64{4000, 4000, 2000, 8000} {
+		pool := cell.Pool("small")
+		if cpus == 8000 {
+			pool = "large"
+		}
+		w.machines = append(w.machines, newMachine(cell.Worker{
+			Name: cell.WorkerName(fmt.Sprintf("w%d", i)), Region: "north", FailureDomain: "north-1", Pool: pool,
+			Capacity: cell.Resources{MilliCPU: cpus, MemoryBytes: 8 << 30},
+		}))
+	}
+	for _, name := range []cell.EntryName{"e0", "e1", "e2"} {
+		w.entries = append(w.entries, &entry{name: name, held: map[uint64]*attempt{}})
+	}
+	w.submitFile(t, 1, "first", 16)
+	return w
+}
+
+// apply carries out a command on both replicas, through the codec, and compares
+// them.
+func (w *world) apply(t *rapid.T, c state.Command) state.Result {
+	w.index++
+	c.At = w.now
+	data, err := codec.EncodeCommand(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var results [2]state.Result
+	var events [2][]state.Event
+	for i, replica := range w.replicas {
+		decoded, err := codec.DecodeCommand(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		results[i], events[i] = replica.Apply(w.index, decoded)
+	}
+	if !reflect.DeepEqual(results[0], results[1]) || !reflect.DeepEqual(events[0], events[1]) {
+		t.Fatalf("replicas differ after %+v: %+v, %+v", c, results[0], results[1])
+	}
+	if err := w.mirror.follow(events[0]); err != nil {
+		t.Fatalf("events of %+v: %v", c, err)
+	}
+	return results[0]
+}
+
+// send applies a command that may arrive again later.
+func (w *world) send(t *rapid.T, c state.Command) state.Result {
+	if len(w.mail) < 200 {
+		w.mail = append(w.mail, c)
+	}
+	return w.apply(t, c)
+}
+
+// resend delivers an old command again. Its answer reaches nobody.
+func (w *world) resend(t *rapid.T) {
+	if len(w.mail) == 0 {
+		t.Skip("nothing was sent")
+	}
+	c := rapid.SampledFrom(w.mail).Draw(t, "old command")
+	result := w.apply(t, c)
+	w.noteRegistration(c, result)
+	if c.SubmitJob != nil {
+		w.noteSubmission(c.SubmitJob.Key, c.SubmitJob.Spec, result)
+	}
+	w.expectEpoch(t, c, result)
+}
+
+// expectEpoch is the reference for messages that carry an epoch.
+func (w *world) expectEpoch(t *rapid.T, c state.Command, result state.Result) {
+	if c.ReportTasks == nil {
+		return
+	}
+	current := w.epochs[c.ReportTasks.Worker] == c.ReportTasks.Epoch
+	if accepted := result.Refusal == state.RefusalNone; accepted != current {
+		t.Fatalf("report of epoch %d while %d is current: %q", c.ReportTasks.Epoch, w.epochs[c.ReportTasks.Worker], result.Refusal)
+	}
+}
+
+// check asserts the invariants after every step.
+func (w *world) check(t *rapid.T) {
+	for _, replica := range w.replicas {
+		if found := append(replica.Violations(), replica.Audit()...); len(found) > 0 {
+			t.Fatalf("violations: %+v", found)
+		}
+	}
+	if first, second := w.encoded(t, 0), w.encoded(t, 1); !bytes.Equal(first, second) {
+		t.Fatalf("snapshots of the replicas differ:\n%+v\n%+v", w.replicas[0].Snapshot(), w.replicas[1].Snapshot())
+	}
+	replayed, err := newMirror(w.replicas[1].Replay())
+	if err != nil {
+		t.Fatalf("replay: %v", err)
+	}
+	if !reflect.DeepEqual(replayed, w.mirror) {
+		t.Fatalf("replay differs from the events:\n%+v\n%+v", replayed, w.mirror)
+	}
+	w.checkMachines(t)
+}
+
+func (w *world) encoded(t *rapid.T, replica int) []byte {
+	data, err := codec.EncodeSnapshot(w.replicas[replica].Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// restore replaces a replica by its own snapshot.
+func (w *world) restore(t *rapid.T) {
+	snapshot, err := codec.DecodeSnapshot(w.encoded(t, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := state.Restore(snapshot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.replicas[1] = restored
+}
+
+func (w *world) pass(t *rapid.T) {
+	steps := []time.Duration{time.Millisecond, time.Second, 30 * time.Second, 2 * time.Hour, 25 * time.Hour}
+	step := rapid.SampledFrom(steps).Draw(t, "time")
+	w.now = w.now.Add(step)
+	w.apply(t, state.Command{Advance: &state.Advance{}})
+	if step > time.Second {
+		w.forget()
+	}
+}
+
+// file submits a cell file, often with a generation that another operator has
+// used.
+func (w *world) file(t *rapid.T) {
+	generation := max(1, w.generation+rapid.IntRange(-1, 2).Draw(t, "generation step"))
+	submitter := rapid.SampledFrom([]string{"first", "second"}).Draw(t, "submitter")
+	w.submitFile(t, generation, submitter, rapid.SampledFrom([]int{8, 16, 20}).Draw(t, "quota"))
+}
+
+// submitFile applies a file and compares the answer with the rules of section
+// 2.7 of the design.
+func (w *world) submitFile(t *rapid.T, generation int, submitter string, quota int) {
+	body := fileBody(generation, submitter, quota, w.retired)
+	result := w.apply(t, state.Command{ApplyFile: &state.ApplyFile{Body: body}})
+	if result.File == nil {
+		t.Fatalf("answer without a file: %+v", result)
+	}
+	want := state.RefusalNone
+	switch {
+	case bytes.Equal(body, w.body):
+	case generation < w.generation:
+		want = state.RefusalGenerationOld
+	case generation == w.generation:
+		want = state.RefusalGenerationUsed
+	case len(result.File.Faults) > 0:
+		want = state.RefusalFileFaults
+	}
+	if result.Refusal != want || result.File.Repeated != bytes.Equal(body, w.body) {
+		t.Fatalf("generation %d while %d is in force: %+v", generation, w.generation, result)
+	}
+	if want == state.RefusalNone {
+		w.generation, w.body = generation, body
+	}
+	if int(result.File.Generation) != w.generation {
+		t.Fatalf("generation %d in force, expected %d", result.File.Generation, w.generation)
+	}
+}
+
+// sortedKeys returns the keys of a map in order, so that draws are repeatable.
+func sortedKeys[K cmpOrdered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+type cmpOrdered interface {
+	~int | ~uint64 | ~string
+}
