Test every refusal of the state by script and bound what it keeps

Cause: the randomised runs seldom reach a refusal's exact reason or a limit of retention. A restored state is audited and notes violations instead of refusing to start. Refusals of a finish have a detail.

--- a/core/state/config.go
+++ b/core/state/config.go
@@ -58,7 +58,7 @@
 	}
 	file, faults := cellconfig.Parse(c.Body)
 	if len(faults) > 0 {
-		return s.fileResult(FileResult{Faults: faults}, RefusalFileFaults, fmt.Sprintf("the file has %d faults", len(faults)))
+		return s.fileResult(FileResult{Faults: faults}, RefusalFileFaults, fmt.Sprintf("faults in the file: %d", len(faults)))
 	}
 	if s.config != nil {
 		if refusal, detail := s.checkGeneration(file.Generation, digest); refusal != RefusalNone {
@@ -68,7 +68,7 @@
 	next := newConfig(file, digest)
 	if faults := s.conflicts(next, c.Body); len(faults) > 0 {
 		return s.fileResult(FileResult{Faults: faults}, RefusalFileFaults,
-			fmt.Sprintf("the file has %d conflicts with what is in use", len(faults)))
+			fmt.Sprintf("conflicts of the file with what is in use: %d", len(faults)))
 	}
 	var changes []string
 	if s.config != nil {
--- /dev/null
+++ b/core/state/limits_test.go
@@ -0,0 +1,140 @@
+package state_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+// feeder applies commands one after the other at a fixed time.
+type feeder struct {
+	s     *state.State
+	index uint64
+}
+
+func (f *feeder) apply(c state.Command) state.Result {
+	f.index++
+	c.At = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	result, _ := f.s.Apply(f.index, c)
+	return result
+}
+
+// Guards against a state that grows with every accepted file: read-back keeps
+// the last records, and the bodies of the newest of them.
+func TestConfigRecordsAreBounded(t *testing.T) {
+	f := &feeder{s: state.New()}
+	padding := bytes.Repeat([]byte("#"), 900<<10)
+	const large = 6
+	for i := 1; i <= state.MaxConfigRecords+large; i++ {
+		body := fileBody(i, "first", 16, nil)
+		if i > state.MaxConfigRecords {
+			body = append(body, padding...)
+		}
+		if result := f.apply(state.Command{ApplyFile: &state.ApplyFile{Body: body}}); result.Refusal != state.RefusalNone {
+			t.Fatalf("file %d: %+v", i, result)
+		}
+	}
+	records := f.s.Snapshot().Records
+	total := 0
+	for _, record := range records {
+		total += len(record.Body)
+	}
+	if len(records) != state.MaxConfigRecords || total > state.MaxConfigBodyBytes || records[0].Generation != large+1 {
+		t.Errorf("%d records with %d bytes from generation %d", len(records), total, records[0].Generation)
+	}
+	if last := records[len(records)-1]; len(last.Body) == 0 {
+		t.Error("the file in force has no body")
+	}
+	if _, err := state.Restore(f.s.Snapshot()); err != nil {
+		t.Errorf("restore without the old bodies: %v", err)
+	}
+}
+
+// Guards against answers that exhaust memory, and against a request that runs
+// again because its answer was dropped.
+func TestAnswersAreBounded(t *testing.T) {
+	f := &feeder{s: state.New()}
+	f.apply(state.Command{JoinMember: &state.JoinMember{Member: state.Member{Name: "e", Incarnation: 1}}})
+	body := make([]byte, 1<<20)
+	const requests = state.MaxAnswerBytes>>20 + 10
+	begin := func(n int) state.Result {
+		return f.apply(state.Command{BeginRequest: &state.BeginRequest{
+			Key: requestKeyOf(n), Digest: 1, Entry: "e", Incarnation: 1, Attempt: uint64(n + 1), Retention: time.Hour,
+		}})
+	}
+	for n := range requests {
+		begin(n)
+		f.apply(state.Command{FinishRequest: &state.FinishRequest{
+			Key: requestKeyOf(n), Entry: "e", Attempt: uint64(n + 1), Outcome: state.OutcomeDone, Answer: &state.StoredAnswer{Body: body},
+		}})
+	}
+	kept := 0
+	for _, r := range f.s.Snapshot().Requests {
+		if r.Answer != nil {
+			kept++
+		}
+	}
+	if kept != state.MaxAnswerBytes>>20 {
+		t.Errorf("%d answers are kept", kept)
+	}
+	if result := begin(0); result.Request.Dispatch || result.Request.State != state.RequestFinished {
+		t.Errorf("a finished request without its answer: %+v", result.Request)
+	}
+	if found := f.s.Audit(); len(found) > 0 {
+		t.Errorf("violations: %+v", found)
+	}
+}
+
+func requestKeyOf(n int) state.RequestKey {
+	return state.RequestKey{Service: "s", Team: "a", Key: fmt.Sprint(n)}
+}
+
+// Guards against a damaged or foreign snapshot that is taken for a state.
+func TestRestoreRefusesDamage(t *testing.T) {
+	f := &feeder{s: state.New()}
+	f.apply(state.Command{ApplyFile: &state.ApplyFile{Body: fileBody(1, "first", 16, nil)}})
+	f.apply(state.Command{RegisterWorker: &state.RegisterWorker{Worker: cell.Worker{
+		Name: "w", Incarnation: 1, Region: "north", FailureDomain: "north-1", Pool: "small", Capacity: cell.Resources{MilliCPU: 4000},
+	}}})
+	f.apply(state.Command{SubmitJob: &state.SubmitJob{Key: "k", Spec: cell.JobSpec{
+		Team: "a", Policy: "batch", Priority: cell.PriorityNormal, Tasks: 1, Size: cell.Resources{MilliCPU: 1000},
+	}}})
+	f.apply(state.Command{CommitPlan: &state.CommitPlan{Placements: []state.Placement{{Task: cell.TaskID{Job: 1}, Worker: "w", Epoch: 1}}}})
+	f.apply(state.Command{JoinMember: &state.JoinMember{Member: state.Member{Name: "e", Incarnation: 1}}})
+	f.apply(state.Command{BeginRequest: &state.BeginRequest{
+		Key: requestKeyOf(0), Entry: "e", Incarnation: 1, Attempt: 1, Retention: time.Hour,
+	}})
+	damages := map[string]func(*state.Snapshot){
+		"no file":              func(s *state.Snapshot) { s.Records = nil },
+		"file with faults":     func(s *state.Snapshot) { s.Records[0].Body = []byte("generation = 0") },
+		"job twice":            func(s *state.Snapshot) { s.Jobs = append(s.Jobs, s.Jobs[0]) },
+		"job above the last":   func(s *state.Snapshot) { s.NextJob = 0 },
+		"job without policy":   func(s *state.Snapshot) { s.Jobs[0].Spec.Policy = "gone" },
+		"unknown ended job":    func(s *state.Snapshot) { s.EndedJobs = []cell.JobID{7} },
+		"worker twice":         func(s *state.Snapshot) { s.Workers = append(s.Workers, s.Workers[0]) },
+		"epoch above the last": func(s *state.Snapshot) { s.LastEpoch = 0 },
+		"no worker":            func(s *state.Snapshot) { s.Workers = nil },
+		"no task":              func(s *state.Snapshot) { s.Allocations[0].Allocation.Task.Index = 1 },
+		"allocation twice":     func(s *state.Snapshot) { s.Allocations = append(s.Allocations, s.Allocations[0]) },
+		"request twice":        func(s *state.Snapshot) { s.Requests = append(s.Requests, s.Requests[0]) },
+	}
+	for name, damage := range damages {
+		snapshot := f.s.Snapshot()
+		damage(&snapshot)
+		var want *state.SnapshotError
+		if _, err := state.Restore(snapshot); !errors.As(err, &want) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	snapshot := f.s.Snapshot()
+	snapshot.Members = nil
+	restored, err := state.Restore(snapshot)
+	if err != nil || len(restored.Violations()) != 1 {
+		t.Errorf("a request without its owner: %v, %+v", err, restored)
+	}
+}
--- a/core/state/report.go
+++ b/core/state/report.go
@@ -12,7 +12,7 @@
 		return refuse(RefusalUnknownWorker, "worker %q is not registered", c.Worker)
 	}
 	if !w.current(c.Epoch) {
-		return refuse(RefusalStaleEpoch, "epoch %d of worker %s has ended", c.Epoch, c.Worker)
+		return refuse(RefusalStaleEpoch, "epoch %d of worker %s is not current", c.Epoch, c.Worker)
 	}
 	for _, report := range c.Reports {
 		a := s.allocations[report.Allocation]
--- a/core/state/request.go
+++ b/core/state/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -126,11 +127,11 @@
 		return s.finishOther(r, c)
 	case r.state == RequestRunning, r.state == RequestUnknown && c.Outcome == OutcomeDone:
 		s.settle(r, c)
-		return s.requestResult(r, RefusalNone)
+		return requestResult(r, RefusalNone, "")
 	case outcomeState(c.Outcome) == r.state:
-		return s.requestResult(r, RefusalNone)
+		return requestResult(r, RefusalNone, "the outcome was recorded before")
 	}
-	return s.requestResult(r, RefusalAttemptFinished)
+	return requestResult(r, RefusalAttemptFinished, fmt.Sprintf("the outcome is recorded as %s", r.state))
 }
 
 // finishOther answers the finish of an attempt that does not own the record.
@@ -138,11 +139,11 @@
 	if c.Outcome == OutcomeNotRun && slices.Contains(r.released, c.Attempt) {
 		return Result{Detail: "the attempt was recorded as not run before"}
 	}
-	return s.requestResult(r, RefusalWrongAttempt)
+	return requestResult(r, RefusalWrongAttempt, "the record belongs to another attempt")
 }
 
-func (s *State) requestResult(r *request, refusal Refusal) Result {
-	return Result{Refusal: refusal, Request: &RequestResult{State: r.state}}
+func requestResult(r *request, refusal Refusal, detail string) Result {
+	return Result{Refusal: refusal, Detail: detail, Request: &RequestResult{State: r.state}}
 }
 
 func outcomeState(o Outcome) RequestState {
--- a/core/state/restore.go
+++ b/core/state/restore.go
@@ -19,7 +19,10 @@
 	return &SnapshotError{Problem: fmt.Sprintf(format, args...)}
 }
 
-// Restore returns the state of a snapshot. The error is a *SnapshotError.
+// Restore returns the state of a snapshot. The error is a *SnapshotError, where
+// the snapshot has no consistent structure. A state that violates an invariant
+// is restored with the violation noted: a replica that refused to start would
+// make a fault of the program an outage of the cell.
 func Restore(snapshot Snapshot) (*State, error) {
 	s := New()
 	s.index = snapshot.Index
@@ -35,6 +38,7 @@
 			return nil, err
 		}
 	}
+	s.violations = s.Audit()
 	return s, nil
 }
 
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -161,7 +161,7 @@
 		return refuse(RefusalUnknownWorker, "worker %q is not registered", c.Worker)
 	}
 	if !w.current(c.Epoch) {
-		return refuse(RefusalStaleEpoch, "epoch %d of worker %s has ended", c.Epoch, c.Worker)
+		return refuse(RefusalStaleEpoch, "epoch %d of worker %s is not current", c.Epoch, c.Worker)
 	}
 	ending := endStopping
 	if s.config.retired[c.Worker] {
