--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -174,7 +174,7 @@
 // releaseWorker ends the epoch of a worker that has stopped all of its tasks.
 // An allocation that it does not report was never started there.
 func (s *State) releaseWorker(c ReleaseWorker) Result {
-	result := s.reportTasks(ReportTasks{Worker: c.Worker, Epoch: c.Epoch, Reports: c.Reports})
+	result := s.reportTasks(ReportTasks(c))
 	if result.Refusal != RefusalNone {
 		return result
 	}
