Show that the tests with real processes can fail

Cause: the failure tests passed at once, which proves nothing by itself. Planted faults showed two without power: callers moved away before an entry process stopped, and too few fees were in flight when one was killed.

--- a/test/e2e/calls_test.go
+++ b/test/e2e/calls_test.go
@@ -171,14 +171,22 @@
 }
 
 // balancer stands in for the platform's balancer: it sends to entry processes
-// that are ready, in turn.
+// that are ready, in turn. A sticky one has not noticed yet that its entry
+// process is not ready and stays with it until it accepts no connection.
 type balancer struct {
 	cluster *cluster
 	next    int
+	sticky  bool
 }
 
+// refused tells a sticky balancer that its entry process is gone.
+func (b *balancer) refused() { b.sticky = false }
+
 // pick returns a ready entry process; nil where there is none.
 func (b *balancer) pick() *entryProcess {
+	if b.sticky {
+		return b.cluster.entries[b.next%len(b.cluster.entries)]
+	}
 	for range b.cluster.entries {
 		b.next++
 		e := b.cluster.entries[b.next%len(b.cluster.entries)]
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -18,6 +18,10 @@
 // size is how many processes of each kind a run starts.
 type size struct {
 	controls, entries, workers, backends int
+	// backendDelay is how long a backend server takes for a request; 5 ms
+	// where zero. A test that kills a process in the middle of requests needs
+	// them to last.
+	backendDelay time.Duration
 }
 
 // cluster is the processes of one run, each on a loopback address of its own.
@@ -96,7 +100,7 @@
 		c.startWorker(t, i, n.entries)
 	}
 	for i := range n.backends {
-		c.startBackend(t, i, n.entries)
+		c.startBackend(t, i, n)
 	}
 	return c
 }
@@ -211,7 +215,11 @@
 	c.workers = append(c.workers, w)
 }
 
-func (c *cluster) startBackend(t *testing.T, i, entries int) {
+func (c *cluster) startBackend(t *testing.T, i int, n size) {
+	delay := n.backendDelay
+	if delay == 0 {
+		delay = 5 * time.Millisecond
+	}
 	region, domain := c.place(i, c.regions())
 	service := c.file.Services[0]
 	b := &backendProcess{debug: address(kindBackend, i, 9009)}
@@ -230,7 +238,7 @@
 announce_interval = %q
 announce_lease = %q
 [faults]
-delay = "5ms"
+delay = %q
 failure_rate = 0.0
 truncate_rate = 0.0
 reset_rate = 0.0
@@ -239,7 +247,7 @@
 foreign_rate = 0.0
 seed = 1
 `, i+1, region, domain, service.Name, address(kindBackend, i, 9001), b.debug,
-		platformAddresses(i, entries), service.AnnounceInterval, service.AnnounceLease))
+		platformAddresses(i, n.entries), service.AnnounceInterval, service.AnnounceLease, delay))
 	c.backends = append(c.backends, b)
 }
 
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -77,8 +77,10 @@
 // Guards against a fee that runs twice when its caller repeats it through
 // another entry process after the first one died, and against a false not-run.
 func TestEntryKilled(t *testing.T) {
-	c := startCell(t, thinPath, thinSize)
-	load := c.startLoad(t, loadUsers, loadTime, true)
+	slow := thinSize
+	slow.backendDelay = 100 * time.Millisecond
+	c := startCell(t, thinPath, slow)
+	load := c.startLoad(t, 2*loadUsers, loadTime, true)
 	time.Sleep(loadTime / 3)
 	c.entries[1].kill()
 	total := load.wait(t)
--- a/test/e2e/load_test.go
+++ b/test/e2e/load_test.go
@@ -35,7 +35,7 @@
 		submission := c.submission(t, "sleep 50ms", 1)
 		go func() {
 			caller := &caller{
-				cluster: c, balancer: &balancer{cluster: c, next: user}, name: fmt.Sprintf("user-%d", user),
+				cluster: c, balancer: &balancer{cluster: c, next: user, sticky: user%4 < 2}, name: fmt.Sprintf("user-%d", user),
 				submission: submission, repeatBroken: repeatBroken,
 				tally: tally{outcomes: map[string]string{}, jobs: map[string]cell.JobID{}},
 			}
@@ -114,6 +114,7 @@
 		got, err := c.cluster.request(e, method, path, header, body)
 		switch {
 		case err != nil && (neverSent(err) || c.repeatBroken):
+			c.balancer.refused()
 			time.Sleep(loadPause)
 			continue
 		case err != nil:
@@ -146,6 +147,9 @@
 			c.tally.jobs[key] = accepted.ID
 			return
 		}
+		if neverSent(err) {
+			c.balancer.refused()
+		}
 		// Submissions are idempotent by key, so every failure may be repeated.
 		time.Sleep(100 * time.Millisecond)
 	}
