Test the request cores: order, ages, shares, homes, limits, outcomes

Cause: the cores were covered only through the gateway. Faults found and fixed: Expire dropped servers of other services with the same name; a policy change reset what was known of others' load; ten requests at a budget of 0.1 did not allow a retry because of rounding.

--- a/core/admission/budget.go
+++ b/core/admission/budget.go
@@ -4,6 +4,9 @@
 // before them, so that a service with little traffic can retry at all.
 const retryReserve = 10
 
+// roundingSlack makes up for sums of shares that are not exact in binary.
+const roundingSlack = 1e-6
+
 // budget is a bucket of retries that fills with requests.
 type budget struct {
 	share  float64
@@ -19,7 +22,7 @@
 }
 
 func (b *budget) retry() bool {
-	if b.tokens < 1 {
+	if b.tokens < 1-roundingSlack {
 		return false
 	}
 	b.tokens--
--- /dev/null
+++ b/core/admission/example_test.go
@@ -0,0 +1,32 @@
+package admission_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/admission"
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Two requests wait for one place.
+func Example() {
+	now := time.Unix(1_800_000_000, 0)
+	q := admission.New(admission.Options{
+		MaxQueue: 10, Shares: map[cell.Team]float64{"reservas": 1}, RetryBudget: 0.1,
+		Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	q.SetCeiling(1)
+	q.Offer(now, admission.Ticket{ID: 1, Team: "reservas", Deadline: now.Add(time.Second)})
+	q.Offer(now, admission.Ticket{ID: 2, Team: "reservas", Deadline: now.Add(time.Second)})
+	first, _ := q.Next()
+	q.Take(now, first)
+	_, more := q.Next()
+	fmt.Println(first.ID, more)
+	q.Finished(now, admission.Sample{Answered: true, Delay: time.Millisecond})
+	second, _ := q.Next()
+	fmt.Println(second.ID, q.Waiting())
+	// Output:
+	// 1 false
+	// 2 1
+}
--- /dev/null
+++ b/core/membership/registry_test.go
@@ -0,0 +1,119 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func newTestRegistry() *Registry {
+	r := NewRegistry("entry-1", 1)
+	r.SetLeases(map[cell.Service]time.Duration{"turnos": 2 * time.Second})
+	return r
+}
+
+func announcement(incarnation cell.Incarnation, sequence uint64, leaving bool) Announcement {
+	return Announcement{
+		Backend: "b", Incarnation: incarnation, Sequence: sequence, Service: "turnos",
+		Address: "127.0.0.1:1", Region: "r", FailureDomain: "d", Slots: 1, Connections: 1, Leaving: leaving,
+	}
+}
+
+// Guards against messages that arrive out of order: none of an older
+// incarnation, of an older sequence, or after a leave has an effect.
+func TestOrderOfAnnouncements(t *testing.T) {
+	cases := []struct {
+		name        string
+		known, next Sighting
+		want        bool
+	}{
+		{"larger sequence", Sighting{announcement(1, 1, false), at(0)}, Sighting{announcement(1, 2, false), at(0)}, true},
+		{"smaller sequence, younger", Sighting{announcement(1, 2, false), at(0)}, Sighting{announcement(1, 1, false), at(9)}, false},
+		{"same, younger bound", Sighting{announcement(1, 2, false), at(0)}, Sighting{announcement(1, 2, false), at(1)}, true},
+		{"same, older bound", Sighting{announcement(1, 2, false), at(1)}, Sighting{announcement(1, 2, false), at(0)}, false},
+		{"old incarnation", Sighting{announcement(2, 1, false), at(0)}, Sighting{announcement(1, 9, false), at(9)}, false},
+		{"leave of an old incarnation", Sighting{announcement(2, 1, false), at(0)}, Sighting{announcement(1, 9, true), at(9)}, false},
+		{"new incarnation", Sighting{announcement(1, 9, true), at(9)}, Sighting{announcement(2, 1, false), at(0)}, true},
+		{"after a leave", Sighting{announcement(1, 5, true), at(0)}, Sighting{announcement(1, 6, false), at(9)}, false},
+		{"leave that was overtaken", Sighting{announcement(1, 6, false), at(9)}, Sighting{announcement(1, 5, true), at(0)}, true},
+	}
+	for _, c := range cases {
+		if got := c.next.newer(c.known); got != c.want {
+			t.Errorf("%s: newer = %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against ages that trust the network: an announcement is as old as its
+// token, a pulled one as stated plus the time since the pull was sent, and
+// tokens of other entry processes or incarnations are worth nothing.
+func TestAges(t *testing.T) {
+	r := newTestRegistry()
+	token := r.Receive(at(0), announcement(1, 1, false), "entry-1.0.1").Token
+	if got := r.Receive(at(1), announcement(1, 2, false), "entry-2.1.1"); got.Verdict != VerdictNeedsToken {
+		t.Errorf("foreign token: %s", got.Verdict)
+	}
+	r.Receive(at(1500), announcement(1, 3, false), token)
+	if s, _ := r.Sighting("b"); !s.SeenAt.Equal(at(0)) {
+		t.Errorf("delayed announcement seen at %v, want the token's time", s.SeenAt.Sub(start))
+	}
+	r.Pulled(at(2000), at(1800), Aged{Announcement: announcement(1, 4, false), Age: 300 * time.Millisecond})
+	if s, _ := r.Sighting("b"); !s.SeenAt.Equal(at(1500)) {
+		t.Errorf("pulled announcement seen at %v, want 1.5s", s.SeenAt.Sub(start))
+	}
+	if r.Pulled(at(2000), at(2000), Aged{Announcement: announcement(1, 5, false), Age: -time.Second}) {
+		t.Error("a negative age was taken")
+	}
+}
+
+// Guards against a pull that misses an announcement or passes on what was
+// itself pulled, and against records that are kept for ever.
+func TestLogAndExpiry(t *testing.T) {
+	r := newTestRegistry()
+	token := r.Receive(at(0), announcement(1, 1, false), "").Token
+	r.Receive(at(10), announcement(1, 2, false), token)
+	items, cursor := r.Since(at(20), 0, 10)
+	if len(items) != 1 || items[0].Sequence != 2 || cursor != 1 {
+		t.Errorf("first pull: %+v, cursor %d", items, cursor)
+	}
+	r.Pulled(at(30), at(30), Aged{Announcement: announcement(1, 7, false)})
+	if items, cursor = r.Since(at(40), cursor, 10); len(items) != 0 || cursor != 1 {
+		t.Errorf("second pull: %+v, cursor %d", items, cursor)
+	}
+	if got := r.Receive(at(50), Announcement{Backend: "x", Service: "other"}, ""); got.Verdict != VerdictUnknownService {
+		t.Errorf("unknown service: %s", got.Verdict)
+	}
+	r.Expire(at(5000))
+	if _, ok := r.Sighting("b"); !ok {
+		t.Error("record dropped while a delayed message could still refer to it")
+	}
+	r.Expire(at(7000))
+	if _, ok := r.Sighting("b"); ok {
+		t.Error("record kept for ever")
+	}
+}
+
+// Guards against cursors that are used with another incarnation of a peer.
+func TestPeerCursors(t *testing.T) {
+	p := NewPeers("entry-1")
+	p.Set([]state.Member{{Name: "entry-1"}, {Name: "entry-2", Incarnation: 5}})
+	p.Advance("entry-2", 5, 40)
+	p.Advance("entry-2", 4, 90)
+	p.Set([]state.Member{{Name: "entry-2", Incarnation: 4, Address: "old"}})
+	if members := p.Members(); len(members) != 1 || members[0].Incarnation != 5 {
+		t.Errorf("members %+v", members)
+	}
+	if incarnation, cursor := p.Cursor("entry-2"); incarnation != 5 || cursor != 40 {
+		t.Errorf("cursor %d of incarnation %d", cursor, incarnation)
+	}
+	p.Advance("entry-2", 6, 1)
+	if incarnation, cursor := p.Cursor("entry-2"); incarnation != 6 || cursor != 1 {
+		t.Errorf("after a restart: cursor %d of incarnation %d", cursor, incarnation)
+	}
+}
--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -154,16 +154,12 @@
 }
 
 // tooFewUsable reports whether the share of usable servers is below the panic
-// threshold. Servers without a valid announcement count as not usable and are
-// never used.
+// threshold. A server without a valid announcement is not used even then.
 func (q search) tooFewUsable() bool {
-	usable := 0
-	for _, s := range q.group.servers {
-		if q.group.valid(q.now, s) && s.usable(q.now) {
-			usable++
-		}
-	}
-	return float64(usable) < q.group.policy.PanicThreshold*float64(len(q.group.servers))
+	g := q.group
+	g.out = slices.DeleteFunc(g.out, func(s *server) bool { return s.usable(q.now) })
+	usable := len(g.servers) - len(g.out)
+	return float64(usable) < g.policy.PanicThreshold*float64(len(g.servers))
 }
 
 func (q search) refusal() Refusal {
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -23,6 +24,7 @@
 	policy  Policy
 	servers map[cell.BackendName]*server
 	near    [localities][]*server // sorted by name, without leaving ones
+	out     []*server             // those that failures have taken out
 	typical time.Duration         // mean delay of the service, 0 for none
 }
 
@@ -42,7 +44,7 @@
 		}
 		g.policy = policy
 		for _, s := range g.servers {
-			s.update(s.Announcement, policy)
+			s.setLimit(policy)
 		}
 		next[service] = g
 	}
@@ -79,6 +81,9 @@
 		known.update(a, g.policy)
 		return
 	}
+	if known != nil {
+		t.drop(g, a.Backend)
+	}
 	g.servers[a.Backend] = newServer(a, g.policy)
 	t.index(g)
 }
@@ -86,16 +91,23 @@
 // Expire drops the servers whose announcement is older than the lease and
 // returns them.
 func (t *Table) Expire(now time.Time) []cell.BackendName {
-	var gone []cell.BackendName
+	var all []cell.BackendName
 	for _, g := range t.groups {
-		for name, s := range g.servers {
-			if !g.valid(now, s) {
-				gone = append(gone, name)
-			}
-		}
+		gone := g.expired(now)
 		for _, name := range gone {
 			t.drop(g, name)
 		}
+		all = append(all, gone...)
+	}
+	return all
+}
+
+func (g *group) expired(now time.Time) []cell.BackendName {
+	var gone []cell.BackendName
+	for name, s := range g.servers {
+		if !g.valid(now, s) {
+			gone = append(gone, name)
+		}
 	}
 	return gone
 }
@@ -116,6 +128,9 @@
 	delete(s.outstanding, c.ID)
 	g := t.groups[c.Service]
 	s.observe(now, o, g.typical)
+	if !s.usable(now) && !slices.Contains(g.out, s) {
+		g.out = append(g.out, s)
+	}
 	if o.Result == ResultAnswered {
 		g.learn(o.Delay)
 	}
@@ -160,6 +175,8 @@
 }
 
 func (t *Table) drop(g *group, name cell.BackendName) {
+	dropped := g.servers[name]
+	g.out = slices.DeleteFunc(g.out, func(s *server) bool { return s == dropped })
 	delete(g.servers, name)
 	t.index(g)
 }
--- /dev/null
+++ b/core/routing/table_test.go
@@ -0,0 +1,253 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const svc = cell.Service("turnos")
+
+// bench is a table with a clock.
+type bench struct {
+	*Table
+	now time.Time
+}
+
+func newBench() *bench {
+	b := &bench{now: start, Table: NewTable(Options{
+		Name: "entry-0", Region: "north", FailureDomain: "north-1", Random: rand.New(rand.NewPCG(1, 2)),
+	})}
+	b.SetPolicies(map[cell.Service]Policy{svc: {
+		Lease: time.Hour, MaxEntries: 9, CrossRegionPenalty: 20 * time.Millisecond, PanicThreshold: 0.5,
+	}})
+	return b
+}
+
+func (b *bench) server(name, region, domain string) {
+	b.Announce(b.now, Announcement{
+		Service: svc, Backend: cell.BackendName(name), Incarnation: 1, Address: name, Region: cell.Region(region),
+		FailureDomain: cell.FailureDomain(domain), Slots: 8, Connections: 60, SeenAt: b.now,
+	})
+}
+
+// finish dispatches a request to a named server and ends it.
+func (b *bench) finish(name string, result Result, delay time.Duration) {
+	b.nextID++
+	c := Choice{Service: svc, Backend: cell.BackendName(name), Incarnation: 1, ID: b.nextID}
+	b.Started(b.now, c)
+	b.now = b.now.Add(delay)
+	b.Finished(b.now, c, Observation{Result: result, Delay: delay, InFlight: 0})
+}
+
+// shares returns how often each server is picked by 1000 requests of which 20
+// run at once.
+func (b *bench) shares() map[string]int {
+	counts := map[string]int{}
+	var running []Choice
+	for range 1000 {
+		if len(running) == 20 {
+			b.Finished(b.now, running[0], Observation{Result: ResultAbandoned, InFlight: UnknownInFlight})
+			running = running[1:]
+		}
+		c, refusal := b.Pick(b.now, Request{Service: svc})
+		if refusal != RefusalNone {
+			counts[string(refusal)]++
+			continue
+		}
+		b.Started(b.now, c)
+		running = append(running, c)
+		counts[string(c.Backend)]++
+	}
+	return counts
+}
+
+func (b *bench) warm(names ...string) {
+	for range 100 {
+		for _, name := range names {
+			b.finish(name, ResultAnswered, 10*time.Millisecond)
+		}
+	}
+}
+
+// Guards how failures move load: refused connections and failures in a row
+// take a server out, one slow answer does not, slow servers get less, panic
+// uses all, and crossings need a saving.
+func TestShares(t *testing.T) {
+	cases := []struct {
+		name  string
+		setup func(b *bench)
+		want  map[string][2]int // least and most of 1000 picks
+	}{
+		{"refused connection", func(b *bench) { b.finish("a", ResultConnectFailed, 0) },
+			map[string][2]int{"a": {0, 0}}},
+		{"failures in a row", func(b *bench) {
+			for range failuresToRemove {
+				b.finish("a", ResultFailed, 0)
+			}
+		}, map[string][2]int{"a": {0, 0}}},
+		{"one failure", func(b *bench) { b.finish("a", ResultFailed, 0) },
+			map[string][2]int{"a": {1, 1000}}},
+		{"one slow answer", func(b *bench) { b.finish("a", ResultAnswered, 100*time.Millisecond) },
+			map[string][2]int{"a": {50, 1000}}},
+		{"one timeout", func(b *bench) { b.finish("a", ResultTimedOut, 100*time.Millisecond) },
+			map[string][2]int{"a": {50, 1000}}},
+		{"most refuse", func(b *bench) {
+			for _, name := range []string{"a", "b", "c"} {
+				b.finish(name, ResultConnectFailed, 0)
+			}
+		}, map[string][2]int{"a": {1, 1000}, "b": {1, 1000}, "c": {1, 1000}}},
+		{"far only when local ones are slow", func(b *bench) {
+			b.server("far", "south", "south-1")
+			b.warm("far")
+		}, map[string][2]int{"far": {0, 0}}},
+		{"crossing that saves enough", func(b *bench) {
+			b.server("far", "south", "south-1")
+			b.warm("far")
+			for range 100 {
+				for _, name := range []string{"a", "b", "c", "d"} {
+					b.finish(name, ResultAnswered, 200*time.Millisecond)
+				}
+			}
+			b.warm("far")
+		}, map[string][2]int{"far": {290, 1000}}},
+		{"leave", func(b *bench) {
+			b.Announce(b.now, Announcement{Service: svc, Backend: "a", Incarnation: 1, Leaving: true, SeenAt: b.now})
+		}, map[string][2]int{"a": {0, 0}}},
+		{"stalled", func(b *bench) {
+			b.nextID++
+			b.Started(b.now, Choice{Service: svc, Backend: "a", Incarnation: 1, ID: b.nextID})
+			b.now = b.now.Add(time.Second)
+		}, map[string][2]int{"a": {0, 160}}},
+	}
+	for _, c := range cases {
+		b := newBench()
+		names := []string{"a", "b", "c", "d"}
+		for _, name := range names {
+			b.server(name, "north", "north-1")
+		}
+		b.warm(names...)
+		c.setup(b)
+		got := b.shares()
+		for name, bounds := range c.want {
+			if got[name] < bounds[0] || got[name] > bounds[1] {
+				t.Errorf("%s: %s picked %d times of 1000, want %v; all %v", c.name, name, got[name], bounds, got)
+			}
+		}
+	}
+}
+
+// Guards the gradual return: a server that was taken out gets one request at
+// first, and one more with each answer.
+func TestGradualReturn(t *testing.T) {
+	b := newBench()
+	b.server("a", "north", "north-1")
+	b.warm("a")
+	for range failuresToRemove {
+		b.finish("a", ResultFailed, time.Millisecond)
+	}
+	b.now = b.now.Add(removalMin)
+	for want := 1; want <= 4; want++ {
+		var taken []Choice
+		for {
+			c, refusal := b.Pick(b.now, Request{Service: svc})
+			if refusal != RefusalNone {
+				break
+			}
+			b.Started(b.now, c)
+			taken = append(taken, c)
+		}
+		if len(taken) != want {
+			t.Fatalf("%d requests at once in step %d", len(taken), want)
+		}
+		for i, c := range taken {
+			result := ResultAbandoned
+			if i == 0 {
+				result = ResultAnswered
+			}
+			b.Finished(b.now, c, Observation{Result: result, Delay: 10 * time.Millisecond, InFlight: UnknownInFlight})
+		}
+	}
+}
+
+// Guards the bounds of an entry process: its share of the connections, the
+// slots with what others run, and never a server that was tried.
+func TestBounds(t *testing.T) {
+	b := newBench()
+	b.server("a", "north", "north-1")
+	b.warm("a")
+	taken := 0
+	for ; taken < 100; taken++ {
+		c, refusal := b.Pick(b.now, Request{Service: svc})
+		if refusal == RefusalBusy {
+			break
+		}
+		b.Started(b.now, c)
+	}
+	if taken != 60/9 {
+		t.Errorf("%d connections at once, want %d", taken, 60/9)
+	}
+	b = newBench()
+	b.server("a", "north", "north-1")
+	b.warm("a")
+	b.finish("a", ResultRefused, 0)
+	if _, refusal := b.Pick(b.now, Request{Service: svc}); refusal != RefusalBusy {
+		t.Errorf("after a refusal: %q, want busy", refusal)
+	}
+	if _, refusal := b.Pick(b.now, Request{Service: svc, Exclude: []cell.BackendName{"a"}}); refusal != RefusalTried {
+		t.Errorf("tried server: %q", refusal)
+	}
+}
+
+// Guards the homes: entry processes with equal views give each server of their
+// region exactly one home and share the servers evenly.
+func TestHomes(t *testing.T) {
+	var entries []Entry
+	var servers []*server
+	for i := range 9 {
+		entries = append(entries, Entry{Name: cell.EntryName(fmt.Sprintf("e%d", i)), Region: cell.Region(fmt.Sprint(i % 3))})
+	}
+	for i := range 50 {
+		servers = append(servers, &server{Announcement: Announcement{
+			Backend: cell.BackendName(fmt.Sprintf("s%02d", i)), Region: cell.Region(fmt.Sprint(i % 4)),
+		}})
+	}
+	homes := map[*server]int{}
+	for _, e := range entries {
+		own := homesOf(e.Name, entries, servers)
+		if len(own) < 4 || len(own) > 5 {
+			t.Errorf("%s has %d homes", e.Name, len(own))
+		}
+		for s := range own {
+			homes[s]++
+			if s.Region != e.Region {
+				t.Errorf("%s has a home in another region", e.Name)
+			}
+		}
+	}
+	for _, s := range servers {
+		if want := 1; s.Region != "3" && homes[s] != want {
+			t.Errorf("%s has %d homes", s.Backend, homes[s])
+		}
+	}
+}
+
+// Guards against expiry that drops the servers of one service because those of
+// another with the same name have expired.
+func TestExpiryIsPerService(t *testing.T) {
+	b := newBench()
+	b.SetPolicies(map[cell.Service]Policy{
+		"short": {Lease: time.Second, MaxEntries: 1}, "long": {Lease: time.Hour, MaxEntries: 1},
+	})
+	for _, service := range []cell.Service{"short", "long"} {
+		b.Announce(b.now, Announcement{Service: service, Backend: "a", Slots: 1, Connections: 1, SeenAt: b.now})
+	}
+	if gone := b.Expire(b.now.Add(time.Second)); len(gone) != 1 || b.Known("long") != 1 || b.Known("short") != 0 {
+		t.Errorf("expired %v, known %d and %d", gone, b.Known("long"), b.Known("short"))
+	}
+}
