Bound slow callers, refuse at once without a backend server, add proxybench

Cause: a caller that did not read its answer held a slot for ever; requests without any known backend server waited for their deadline. Change: a write bound per request, refusal with no-backend, Connection: close on answers during a planned stop; a benchmark against calling directly and against ReverseProxy; errors that leave a package carry stacks (merry).

--- a/core/admission/limit.go
+++ b/core/admission/limit.go
@@ -55,7 +55,12 @@
 	l.limit = min(l.limit, l.ceiling)
 }
 
+// allows reports whether one more request may be in flight. Without a ceiling
+// no backend server is known, and routing refuses the request with that reason.
 func (l *limiter) allows(inFlight int) bool {
+	if l.ceiling == 0 {
+		return true
+	}
 	return float64(inFlight) < max(l.limit, min(limitFloor, l.ceiling))
 }
 
--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -7,10 +7,11 @@
 	"bytes"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net/netip"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/membership"
 )
@@ -59,27 +60,27 @@
 
 // Errors of DecodeAnnouncement.
 var (
-	ErrTooLarge  = errors.New("backendapi: announcement is too large")
-	ErrMalformed = errors.New("backendapi: announcement is malformed")
+	ErrTooLarge  = merry.Sentinel("backendapi: announcement is too large")
+	ErrMalformed = merry.Sentinel("backendapi: announcement is malformed")
 )
 
 // DecodeAnnouncement reads and checks an announcement.
 func DecodeAnnouncement(body io.Reader) (membership.Announcement, membership.Token, error) {
 	data, err := io.ReadAll(io.LimitReader(body, MaxAnnouncementBytes+1))
 	if err != nil {
-		return membership.Announcement{}, "", fmt.Errorf("%w: %w", ErrMalformed, err)
+		return membership.Announcement{}, "", merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	if len(data) > MaxAnnouncementBytes {
-		return membership.Announcement{}, "", ErrTooLarge
+		return membership.Announcement{}, "", merry.Wrap(ErrTooLarge)
 	}
 	var wire Announcement
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&wire); err != nil {
-		return membership.Announcement{}, "", fmt.Errorf("%w: %w", ErrMalformed, err)
+		return membership.Announcement{}, "", merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return membership.Announcement{}, "", fmt.Errorf("%w: more than one value", ErrMalformed)
+		return membership.Announcement{}, "", merry.Wrap(ErrMalformed, merry.AppendMessage("more than one value"))
 	}
 	a := wire.core()
 	if err := Check(a); err != nil {
@@ -91,10 +92,10 @@
 // Check returns an error where the announcement is malformed.
 func Check(a membership.Announcement) error {
 	if err := a.Check(); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+		return merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
-		return fmt.Errorf("%w: %w", ErrMalformed, err)
+		return merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	return nil
 }
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -48,11 +49,11 @@
 func New(settings Settings, incarnation uint64, logger *eventlog.Logger) (*Server, error) {
 	listener, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
-		return nil, err
+		return nil, merry.Prepend(err, "backendserver: address for requests")
 	}
 	debug, err := net.Listen("tcp", settings.ListenDebug)
 	if err != nil {
-		return nil, errors.Join(err, listener.Close())
+		return nil, merry.Prepend(errors.Join(err, listener.Close()), "backendserver: debug address")
 	}
 	s := &Server{
 		settings:    settings,
--- /dev/null
+++ b/internal/bench/proxybench/proxybench_test.go
@@ -0,0 +1,25 @@
+package proxybench
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against a benchmark that measures failed requests.
+func TestRunWithoutFailures(t *testing.T) {
+	var out strings.Builder
+	settings := Settings{Piece: 50 * time.Millisecond, Rounds: 1, Busy: 4, Quiet: 1, Connections: 10}
+	if err := Run(t.Context(), &out, settings); err != nil {
+		t.Fatal(err)
+	}
+	for _, line := range strings.Split(out.String(), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 8 && fields[3] != "0" {
+			t.Errorf("failed requests: %s", line)
+		}
+	}
+	if !strings.Contains(out.String(), "gateway GET") {
+		t.Errorf("no table: %s", out.String())
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -97,6 +97,7 @@
 		own[name] = values
 	}
 	own.Set(backendapi.HeaderOutcome, string(state.OutcomeDone))
+	c.closeIfDraining()
 	c.w.WriteHeader(status)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,7 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, req *http.Request) {
 	s := g.table.Load()
 	now := g.clock.now()
+	boundWrites(w, ownAnswerTimeout)
 	if ambiguous(req) {
 		w.Header().Set("Connection", "close")
 		g.refuse(w, refused(exchange.ReasonBadRequest, 0, "body is framed in two ways"))
@@ -56,9 +57,22 @@
 		g.refuse(w, err)
 		return
 	}
+	boundWrites(w, decoded.deadline.Sub(now)+ownAnswerTimeout)
 	g.newCall(w, req, decoded, s, now).run()
 }
 
+// ownAnswerTimeout bounds the write of an answer that the gateway makes itself,
+// after the deadline of the request at the latest.
+const ownAnswerTimeout = 2 * time.Second
+
+// boundWrites ends the connection of a caller that does not read its answer:
+// the answer holds a slot of a backend server. The bound is set anew by the
+// next request of the connection.
+func boundWrites(w http.ResponseWriter, d time.Duration) {
+	// Not supported by recorders in tests, which do not block.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d))
+}
+
 // refuse answers a request that was not routed.
 func (g *Gateway) refuse(w http.ResponseWriter, err *refusalError) {
 	g.opts.Metrics.Add(metricRefusals, string(err.reason), 1)
@@ -111,6 +125,7 @@
 		case exchange.Dispatch:
 			effect = c.dispatch()
 		case exchange.Replay:
+			c.closeIfDraining()
 			writeReplay(c.w, e.Answer)
 			c.count(state.OutcomeDone)
 			c.leave()
@@ -233,6 +248,7 @@
 }
 
 func (c *call) writeOwn(e exchange.Conclude) {
+	c.closeIfDraining()
 	answer := ownAnswer{
 		status:     statusOf(e.Reason),
 		body:       refusalBody{Outcome: e.Outcome, Reason: e.Reason},
@@ -244,6 +260,14 @@
 	answer.write(c.w)
 }
 
+// closeIfDraining ends the caller's connection with this answer where the entry
+// process is stopping.
+func (c *call) closeIfDraining() {
+	if c.gateway.table.Load().draining {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 func (c *call) count(outcome state.Outcome) {
 	c.gateway.opts.Metrics.Add(metricRequests, string(outcome), 1)
 	c.gateway.opts.Metrics.Observe(metricDelay, c.gateway.clock.now().Sub(c.arrivedAt))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/cell"
@@ -118,7 +119,7 @@
 	})
 	response := &rpcpb.PullResponse{PeerIncarnation: uint64(g.opts.Incarnation)}
 	if !ok {
-		return nil, context.Canceled
+		return nil, errStopped
 	}
 	select {
 	case answer := <-reply:
@@ -130,10 +131,13 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-g.stopped:
-		return nil, context.Canceled
+		return nil, errStopped
 	}
 }
 
+// errStopped answers a pull when the router task has ended.
+var errStopped = twirp.NewError(twirp.Unavailable, "entry process is stopping")
+
 // pullTask pulls from one entry process until its context ends.
 type pullTask struct {
 	gateway *Gateway
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -86,6 +86,7 @@
 		r.dropUpstream(name)
 	}
 	for service, queue := range r.queues {
+		queue.SetCeiling(r.table.Capacity(service))
 		for _, refused := range queue.Expire(now) {
 			r.refuse(queue, refused)
 		}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -144,7 +144,7 @@
 			t.Errorf("drain within %v cut %d, want %d", wait, got, i)
 		}
 		cancel()
-		if got := <-answers; got.outcome != "done" {
+		if got := <-answers; got.outcome != "done" || !got.closes {
 			t.Errorf("request in flight answered %+v", got)
 		}
 	}
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -171,6 +171,38 @@
 	}
 }
 
+// Guards against a caller that does not read its answer and holds a slot of a
+// backend server for ever.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	c := newCell(t, 1)
+	c.addRaw(func(conn net.Conn) {
+		defer conn.Close()
+		_ = answerOnce(conn, bufio.NewReader(conn), "Content-Length: 50000000\r\n", strings.Repeat("x", 50_000_000))
+	})
+	e := c.entries[0]
+	conn, err := net.Dial("tcp", e.callers.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "GET /turnos/a HTTP/1.1\r\nHost: x\r\nGodwit-Team: reservas\r\nGodwit-Deadline-Ms: 200\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.await("request in flight", func() bool { return e.inFlight() == 1 })
+	c.await("request ended", func() bool { return e.inFlight() == 0 })
+}
+
+// Guards against requests that wait for their deadline where no backend server
+// is known.
+func TestNoBackendIsRefusedAtOnce(t *testing.T) {
+	c := newCell(t, 1)
+	c.await("configuration", func() bool { return c.entries[0].table.Load().generation == 1 })
+	got := c.entries[0].call("POST", "/turnos/a", "x", backendapi.HeaderDeadline, "30000")
+	if got.reason != "no-backend" || got.outcome != "not-run" {
+		t.Errorf("answered %+v", got)
+	}
+}
+
 // Guards the proof that nothing was sent: a write either is counted before the
 // seal or fails.
 func TestSealOrdersWrites(t *testing.T) {
