--- a/core/placement/config.go
+++ b/core/placement/config.go
@@ -76,7 +76,10 @@
 	for _, g := range s.groupList {
 		for _, w := range g.index.workers {
 			w.retired = s.config.retired[w.Name]
-			s.changed(w)
+			if w.retired {
+				s.dropWorkerClaims(w)
+			}
+			s.gained(w)
 		}
 	}
 }
@@ -97,7 +100,7 @@
 	key := scopeKey{policy, region}
 	sc := s.scopes[key]
 	if sc == nil {
-		sc = &scope{region: region}
+		sc = &scope{region: region, byTeam: map[*team]*bucket{}}
 		sc.policy.Name = policy
 		s.scopes[key] = sc
 		s.scopeList = append(s.scopeList, sc)
--- a/core/placement/heap.go
+++ b/core/placement/heap.go
@@ -6,8 +6,10 @@
 
 func (h classHeap) Len() int { return len(h) }
 
-func (h classHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
+func (h classHeap) Less(i, j int) bool { return h[i].precedes(h[j]) }
+
+// precedes orders the classes of one team.
+func (a *class) precedes(b *class) bool {
 	if ra, rb := rank(a.key.priority), rank(b.key.priority); ra != rb {
 		return ra < rb
 	}
@@ -37,11 +39,16 @@
 	return last
 }
 
-// timer is a time at which a task or a gang becomes ready.
+// timer is a time at which a task, a gang or a class becomes ready, or claims
+// are given up. One of job, class,
+// claims and worker is set.
 type timer struct {
-	at    int64 // Unix nanoseconds
-	job   *job
-	index int // of the task that backs off, or settleGang
+	at     int64 // Unix nanoseconds
+	job    *job
+	index  int // of the task that backs off, or settleGang
+	class  *class
+	claims *claimSet
+	worker *worker
 }
 
 type timerHeap []timer
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -4,8 +4,6 @@
 	"container/heap"
 	"slices"
 	"time"
-
-	"github.com/godwitlink/godwitlink/core/cell"
 )
 
 // enqueue lets a task wait in the class of its job. The tasks of a gang wait
@@ -33,7 +31,7 @@
 
 // incomplete reports whether tasks of a gang are still to be queued.
 func (s *Scheduler) incomplete(j *job) bool {
-	if s.scope(j.spec.Policy, j.spec.Region).policy.Kind != cell.KindGang {
+	if !j.gang {
 		return false
 	}
 	return len(j.queued) < j.spec.Tasks-j.done-j.live
@@ -70,6 +68,10 @@
 	if c == nil {
 		return
 	}
+	if j.reservation != nil {
+		s.dropReservation(j.reservation)
+	}
+	c.considered = false
 	if j.prev == nil {
 		c.head = j.next
 	} else {
@@ -101,17 +103,18 @@
 // classOf returns the class in which a job waits.
 func (s *Scheduler) classOf(j *job) *class {
 	sc := s.scope(j.spec.Policy, j.spec.Region)
-	bucket := s.runTimeBucket(j)
+	bucket := s.refreshExpected(j)
 	key := classKey{
 		team: j.spec.Team, policy: j.spec.Policy, region: j.spec.Region,
 		priority: j.spec.Priority, size: j.spec.Size, runTime: bucket,
 	}
-	if sc.policy.Kind == cell.KindGang {
+	if j.gang {
 		key.tasks = j.spec.Tasks
 	}
 	c := s.classes[key]
 	if c == nil {
-		c = &class{key: key, team: j.team, scope: sc, expected: bucketTime(bucket), heapIndex: notReady}
+		c = &class{key: key, team: j.team, scope: sc, heapIndex: notReady}
+		c.expected = bucketTime(bucket)
 		s.classes[key] = c
 	}
 	return c
@@ -120,6 +123,9 @@
 // takeTask removes the first waiting task of a class and returns it.
 func (s *Scheduler) takeTask(c *class) (*job, int) {
 	j := c.head
+	if j.reservation != nil {
+		s.dropReservation(j.reservation)
+	}
 	index := j.queued[0]
 	j.queued = j.queued[1:]
 	if len(j.queued) == 0 {
@@ -170,117 +176,34 @@
 	t.activeIndex = notReady
 }
 
-// park takes a class out until its team uses less.
-func (s *Scheduler) park(c *class, reason Reason) {
-	s.takeReady(c)
-	c.wait = reason
-	c.team.parked.add(c)
-}
-
-// block takes a class out until a worker of its scope gains room.
-func (s *Scheduler) block(c *class, reason Reason) {
-	s.takeReady(c)
-	c.wait = reason
-	sc := c.scope
-	if len(sc.blocked.classes) == 0 {
-		sc.minBlocked = c.key.size
-	}
-	sc.minBlocked = smallest(sc.minBlocked, c.key.size)
-	sc.blocked.add(c)
-}
-
-// unpark makes the parked classes of a team ready again.
-func (s *Scheduler) unpark(t *team) { s.readyAll(&t.parked) }
-
-func (s *Scheduler) readyAll(l *classList) {
-	for len(l.classes) > 0 {
-		c := l.classes[len(l.classes)-1]
-		l.remove(c)
-		s.makeReady(c)
-	}
-}
-
-// changed refreshes the index after a change of a worker and notes the room
-// that it offers, for the classes that wait for some.
-func (s *Scheduler) changed(w *worker) {
-	if w.group == nil {
-		return
-	}
-	w.group.index.place(w)
-}
-
-// gained is changed for a worker that may have more room than before.
-func (s *Scheduler) gained(w *worker) {
-	s.changed(w)
-	if w.group == nil || !w.usable() {
-		return
-	}
-	room := w.available()
-	for _, sc := range w.group.scopes {
-		if len(sc.blocked.classes) > 0 {
-			sc.gain = largest(sc.gain, room)
-			sc.gained = true
-		}
-	}
-}
-
-// wakeGained makes ready the blocked classes that may fit the room gained
-// since the last call.
-func (s *Scheduler) wakeGained() {
-	for _, sc := range s.scopeList {
-		if !sc.gained {
-			continue
-		}
-		gain := sc.gain
-		sc.gain, sc.gained = cell.Resources{}, false
-		if sc.minBlocked.Fits(gain) {
-			s.wake(sc, gain)
-		}
-	}
-}
-
-func (s *Scheduler) wake(sc *scope, gain cell.Resources) {
-	l := &sc.blocked
-	for i := len(l.classes) - 1; i >= 0; i-- {
-		if c := l.classes[i]; c.urgent() || c.key.size.Fits(gain) {
-			l.remove(c)
-			s.makeReady(c)
-		}
-	}
-	sc.refreshMin()
-}
-
-func (sc *scope) refreshMin() {
-	for i, c := range sc.blocked.classes {
-		if i == 0 {
-			sc.minBlocked = c.key.size
-		}
-		sc.minBlocked = smallest(sc.minBlocked, c.key.size)
-	}
-}
-
-// wakeAll makes every waiting class ready, after a change of the rules.
-func (s *Scheduler) wakeAll() {
-	for _, t := range s.teamList {
-		s.unpark(t)
-	}
-	for _, sc := range s.scopeList {
-		s.readyAll(&sc.blocked)
-	}
-}
-
 func (s *Scheduler) startTimer(t timer) { heap.Push(&s.timers, t) }
 
-// runTimers queues the tasks whose backoff is over.
+// runTimers does what is due: queues tasks whose backoff is over, tries paced
+// classes again, gives up claims.
 func (s *Scheduler) runTimers() {
 	for len(s.timers) > 0 && s.timers[0].at <= s.now.UnixNano() {
 		t := heap.Pop(&s.timers).(timer)
-		if t.job != nil && !t.job.ended {
+		switch {
+		case t.claims != nil:
+			s.claimsDue(t.claims)
+		case t.worker != nil:
+			s.workerDue(t.worker)
+		case t.class != nil:
+			s.classDue(t.class)
+		case !t.job.ended:
 			s.taskDue(t.job, t.index)
 		}
 	}
 }
 
+func (s *Scheduler) classDue(c *class) {
+	c.retrying = false
+	if c.bucket != nil && c.list == &c.bucket.waiting {
+		c.list.remove(c)
+		s.makeReady(c)
+	}
+}
+
 func (s *Scheduler) taskDue(j *job, index int) {
 	if index != settleGang {
 		j.backoff--
@@ -291,19 +214,3 @@
 		s.link(j)
 	}
 }
-
-func smallest(a, b cell.Resources) cell.Resources {
-	return cell.Resources{
-		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
-		MemoryBytes:  min(a.MemoryBytes, b.MemoryBytes),
-		Accelerators: min(a.Accelerators, b.Accelerators),
-	}
-}
-
-func largest(a, b cell.Resources) cell.Resources {
-	return cell.Resources{
-		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
-		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
-		Accelerators: max(a.Accelerators, b.Accelerators),
-	}
-}
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -161,7 +161,7 @@
 		return refuse(RefusalUnknownWorker, "worker %q is not registered", c.Worker)
 	}
 	if !w.current(c.Epoch) {
-		return refuse(RefusalStaleEpoch, "epoch %d of worker %s has ended", c.Epoch, c.Worker)
+		return refuse(RefusalStaleEpoch, "epoch %d of worker %s is not current", c.Epoch, c.Worker)
 	}
 	ending := endStopping
 	if s.config.retired[c.Worker] {
@@ -171,6 +171,17 @@
 	return Result{}
 }
 
+// releaseWorker ends the epoch of a worker that has stopped all of its tasks.
+// An allocation that it does not report was never started there.
+func (s *State) releaseWorker(c ReleaseWorker) Result {
+	result := s.reportTasks(ReportTasks(c))
+	if result.Refusal != RefusalNone {
+		return result
+	}
+	s.endEpoch(s.workers[c.Worker], endAll)
+	return result
+}
+
 // ending says which allocations end with an epoch.
 type ending int
 
