Count the age of a confirmation by both clocks; stop the stand-in gracefully

Cause: after a suspension of the VM the gateway's clock is ahead, and a configuration confirmed by time.Now would have looked stale for ever. The stand-in closed its connections as soon as it was idle, which resets a request on its way. Change: confirmedAt is converted; the stand-in refuses for 500 ms more and shuts down. Checked: go test -race of both packages.

--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -31,6 +31,7 @@
 	// leave. Without one, the announcements expire within a lease as well.
 	leaveTimeout = 5 * time.Second
 	headTimeout  = 10 * time.Second
+	refuseFor    = 500 * time.Millisecond
 )
 
 // Server is one incarnation of a stand-in.
@@ -119,11 +120,22 @@
 	select {
 	case <-idle:
 		s.logger.Log(eventLeft)
+		s.shutDown(kill)
 	case <-kill.Done():
 		s.logger.Log(eventCut, zap.Int("cut", s.Counts().InFlight))
 	}
 }
 
+// shutDown refuses requests a little longer, because one may be on its way on an
+// idle connection, and then closes the connections as they become idle.
+func (s *Server) shutDown(kill context.Context) {
+	pause(kill, refuseFor)
+	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
+	defer cancel()
+	// What is left after the timeout is cut by the caller.
+	_ = s.http.Shutdown(ctx)
+}
+
 // Kill cuts all connections and stops serving, as a crash does.
 func (s *Server) Kill() error {
 	return errors.Join(s.http.Close(), s.debug.Close())
--- /dev/null
+++ b/internal/backendserver/worker_test.go
@@ -0,0 +1,73 @@
+package backendserver
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards the counts that other tests rely on: slots are enforced, a refused
+// request is no run, and runs are counted by key.
+func TestWorkerCounts(t *testing.T) {
+	w := newWorker(2, Faults{})
+	fates := []fate{w.begin("k").fate, w.begin("k").fate, w.begin("k").fate}
+	if fates[0] != fateRun || fates[1] != fateRun || fates[2] != fateRefuse {
+		t.Errorf("fates %v with 2 slots", fates)
+	}
+	reply := make(chan int, 1)
+	w.handle(endRun{reply: reply})
+	if left := <-reply; left != 1 {
+		t.Errorf("%d in flight after an end", left)
+	}
+	w.begin("")
+	counts := w.copyCounts()
+	if counts.Runs["k"] != 2 || counts.Total != 3 || counts.Refused != 1 || len(counts.Runs) != 1 {
+		t.Errorf("counts %+v", counts)
+	}
+	idle := make(chan struct{})
+	w.handle(turnAway{idle: idle})
+	if got := w.begin("k").fate; got != fateTurnAway {
+		t.Errorf("fate %v after the leave", got)
+	}
+}
+
+// Guards against fault rates that are not kept.
+func TestFaultRates(t *testing.T) {
+	w := newWorker(10000, Faults{FailureRate: 0.1, ResetRate: 0.2, LateRate: 0.5, LateDelay: time.Second, Seed: 1})
+	got := map[fate]int{}
+	late := 0
+	for range 1000 {
+		ticket := w.begin("")
+		got[ticket.fate]++
+		if ticket.delay > 0 {
+			late++
+		}
+	}
+	for _, c := range []struct{ got, want int }{{got[fateFail], 100}, {got[fateReset], 200}, {late, 500}} {
+		if c.got < c.want-60 || c.got > c.want+60 {
+			t.Errorf("%d, want about %d; all %v", c.got, c.want, got)
+		}
+	}
+}
+
+// Guards against settings that are accepted and then fail at run time.
+func TestSettingsCheck(t *testing.T) {
+	good := Settings{
+		Name: "b", Region: "r", FailureDomain: "d", LogLevel: "info", Service: "s",
+		Listen: "127.0.0.1:1", ListenDebug: "127.0.0.1:2", Entries: []string{"127.0.0.1:3"},
+		Slots: 1, Connections: 1, AnnounceInterval: time.Second, AnnounceLease: time.Second,
+	}
+	if faults := good.Check(); len(faults) != 0 {
+		t.Errorf("good settings: %v", faults)
+	}
+	bad := Settings{Listen: "x", Entries: []string{"y"}, Faults: Faults{LateRate: 2}}
+	text := bad.Check().Error()
+	for _, key := range []string{
+		"name", "region", "failure_domain", "service", "log_level", "listen", "listen_debug",
+		"entries[0]", "slots", "connections", "announce_interval", "announce_lease", "faults.late_rate",
+	} {
+		if !strings.Contains(text, key+":") {
+			t.Errorf("no fault for %s in %s", key, text)
+		}
+	}
+}
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -26,6 +26,14 @@
 	return time.Now().Add(time.Duration(c.suspended.Load()))
 }
 
+// at converts a time that was taken from time.Now. Its age is counted by both
+// clocks, so that a time from before a suspension does not look recent.
+func (c *elapsedClock) at(t time.Time) time.Time {
+	now := time.Now()
+	age := max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+	return c.now().Add(-age)
+}
+
 // advance accounts for a suspension since the last call.
 func (c *elapsedClock) advance() {
 	now := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,10 +91,11 @@
 func (g *Gateway) PeerServer() rpcpb.Peer { return peerServer{gateway: g} }
 
 // SetConfig puts a cell file in force. It is called again with a later
-// confirmedAt whenever the control group has confirmed the same file. An older
-// generation is ignored.
+// confirmedAt whenever the control group has confirmed the same file; that is
+// the time.Now at which the confirming call was sent. An older generation is
+// ignored.
 func (g *Gateway) SetConfig(file cellconfig.File, confirmedAt time.Time) {
-	g.send(setConfig{file: file, confirmedAt: confirmedAt})
+	g.send(setConfig{file: file, confirmedAt: g.clock.at(confirmedAt)})
 }
 
 // SetIncarnation sets the incarnation under which this entry process is a
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -242,4 +242,10 @@
 	if got := c.now().Sub(before); got > 11*time.Minute {
 		t.Errorf("one suspension counted twice: %v", got)
 	}
+	if age := c.now().Sub(c.at(time.Now())); age > time.Minute {
+		t.Errorf("a time of now looks %v old after a suspension", age)
+	}
+	if age := c.now().Sub(c.at(time.Now().Add(-time.Hour))); age < time.Hour-time.Minute {
+		t.Errorf("a time of an hour ago looks %v old", age)
+	}
 }
