Let a refused request wait for its home rather than try a third server

Cause: a retry is first in its queue, so a home server has room for it sooner than another attempt elsewhere takes.

--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -119,7 +119,11 @@
 	if room == 0 {
 		return false
 	}
-	wait := float64(q.group.typical) * float64(q.req.Waiting) / float64(room)
+	ahead := q.req.Waiting
+	if len(q.req.Exclude) > 0 {
+		ahead = 1 // a retry is first in the queue
+	}
+	wait := float64(q.group.typical) * float64(ahead) / float64(room)
 	return wait < homeWaitShare*float64(q.group.typical)
 }
 
