State the load of the stand-in at the time of its answer

Cause: the in-flight number of an answer was taken at the start of its request, so the entry processes saw a load that was one service time older than needed. Change: the worker task is asked when the answer is written. The gateway's view of the services is named inForce, apart from the router's table. Checked: go test -race of both packages.

--- a/internal/backendserver/announcer.go
+++ b/internal/backendserver/announcer.go
@@ -29,7 +29,7 @@
 	lease    time.Duration
 	client   *http.Client
 	logger   *eventlog.Logger
-	counts   func() Counts
+	load     func() int
 	failing  bool
 }
 
@@ -89,7 +89,7 @@
 	a.template.Sequence++
 	message := a.template
 	message.Leaving = leaving
-	message.InFlight = a.counts().InFlight
+	message.InFlight = a.load()
 	message.Token = a.tokenFor(entry)
 	body, err := json.Marshal(message)
 	if err != nil {
--- a/internal/backendserver/handler.go
+++ b/internal/backendserver/handler.go
@@ -32,7 +32,7 @@
 	}
 	// The work goes on where the entry process has gone, as real work does.
 	time.Sleep(t.delay)
-	w.Header().Set(backendapi.HeaderInFlight, strconv.Itoa(max(0, t.inFlight-1)))
+	w.Header().Set(backendapi.HeaderInFlight, strconv.Itoa(max(0, s.load()-1)))
 	s.answer(w, req, t, body)
 }
 
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -166,6 +166,13 @@
 	return <-reply
 }
 
+// load returns the number of requests in flight.
+func (s *Server) load() int {
+	reply := make(chan int, 1)
+	s.messages <- askLoad{reply: reply}
+	return <-reply
+}
+
 func (s *Server) end() {
 	reply := make(chan int, 1)
 	s.messages <- endRun{reply: reply}
@@ -191,6 +198,6 @@
 		lease:    p.AnnounceLease,
 		client:   &http.Client{},
 		logger:   s.logger,
-		counts:   s.Counts,
+		load:     s.load,
 	}
 }
--- a/internal/backendserver/worker.go
+++ b/internal/backendserver/worker.go
@@ -44,6 +44,7 @@
 	}
 	endRun    struct{ reply chan<- int }
 	askCounts struct{ reply chan<- Counts }
+	askLoad   struct{ reply chan<- int }
 	setFaults struct{ faults Faults }
 	turnAway  struct{ idle chan<- struct{} }
 )
@@ -89,6 +90,8 @@
 		w.signalIdle()
 	case askCounts:
 		m.reply <- w.copyCounts()
+	case askLoad:
+		m.reply <- w.counts.InFlight
 	case setFaults:
 		w.faults = m.faults
 	case turnAway:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,7 +35,7 @@
 }
 
 func (g *Gateway) serveCaller(w http.ResponseWriter, req *http.Request) {
-	s := g.table.Load()
+	s := g.inForce.Load()
 	now := g.clock.now()
 	boundWrites(w, ownAnswerTimeout)
 	if ambiguous(req) {
@@ -263,7 +263,7 @@
 // closeIfDraining ends the caller's connection with this answer where the entry
 // process is stopping.
 func (c *call) closeIfDraining() {
-	if c.gateway.table.Load().draining {
+	if c.gateway.inForce.Load().draining {
 		c.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,7 @@
 	opts     Options
 	messages chan message
 	stopped  chan struct{} // closed when the router has ended
-	table    atomic.Pointer[services]
+	inForce  atomic.Pointer[services]
 	clock    *elapsedClock
 	numbers  atomic.Uint64 // of requests and begins of this incarnation
 	member   atomic.Uint64 // incarnation under which the entry process is a member
@@ -69,7 +69,7 @@
 		stopped:  make(chan struct{}),
 		clock:    newElapsedClock(),
 	}
-	g.table.Store(&services{})
+	g.inForce.Store(&services{})
 	g.SetIncarnation(opts.Incarnation)
 	return g
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -50,7 +50,7 @@
 	}
 	c := newCell(t, 1)
 	e := c.entries[0]
-	c.await("configuration", func() bool { return e.table.Load().generation == 1 })
+	c.await("configuration", func() bool { return e.inForce.Load().generation == 1 })
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			got := e.raw(t, test.request)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -46,7 +46,7 @@
 		gateway:  g,
 		ctx:      ctx,
 		random:   random,
-		services: g.table.Load(),
+		services: g.inForce.Load(),
 		registry: membership.NewRegistry(g.opts.Entry, g.opts.Incarnation),
 		table: routing.NewTable(routing.Options{
 			Name:          g.opts.Entry,
@@ -121,7 +121,7 @@
 	next.draining = old.draining
 	changed := m.file.Generation > old.generation
 	r.services = next
-	r.gateway.table.Store(next)
+	r.gateway.inForce.Store(next)
 	if changed {
 		r.reconfigure(now)
 		r.gateway.opts.Logger.Log(eventConfig, zap.Uint64("generation", uint64(m.file.Generation)))
@@ -173,7 +173,7 @@
 	next := *r.services
 	next.draining = true
 	r.services = &next
-	r.gateway.table.Store(&next)
+	r.gateway.inForce.Store(&next)
 	r.idle = m.idle
 	r.signalIdle()
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -135,7 +135,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), wait)
 		cut := make(chan int, 1)
 		go func() { cut <- e.Drain(ctx) }()
-		c.await("draining", func() bool { return e.table.Load().draining })
+		c.await("draining", func() bool { return e.inForce.Load().draining })
 		refused := e.call("POST", "/turnos/b", "x", backendapi.HeaderKey, "other")
 		if refused.outcome != "not-run" || refused.reason != "draining" || !refused.closes {
 			t.Errorf("during the drain answered %+v", refused)
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -196,7 +196,7 @@
 // is known.
 func TestNoBackendIsRefusedAtOnce(t *testing.T) {
 	c := newCell(t, 1)
-	c.await("configuration", func() bool { return c.entries[0].table.Load().generation == 1 })
+	c.await("configuration", func() bool { return c.entries[0].inForce.Load().generation == 1 })
 	got := c.entries[0].call("POST", "/turnos/a", "x", backendapi.HeaderDeadline, "30000")
 	if got.reason != "no-backend" || got.outcome != "not-run" {
 		t.Errorf("answered %+v", got)
