Keep requests at home beside a slow or failing server

Cause: an empty slow home server won over loaded ones by load and then lost to servers elsewhere by delay, so requests left although their home had room; and servers with few answers looked fast by chance and drew all requests from elsewhere. Change: a server of more than twice the typical delay counts as full; a mean below the typical delay does not count; the first answers of a service count equally in its typical delay. A scenario with uneven callers.

--- a/core/routing/server.go
+++ b/core/routing/server.go
@@ -11,6 +11,8 @@
 	// delayWeight is the weight of a new measurement in the mean delay. Larger
 	// weights follow single slow answers, which then count as slow servers.
 	delayWeight = 0.05
+	// muchSlower is how many typical delays make a server a slow one.
+	muchSlower = 2
 	// delayHalfLife is how fast the mean delay of a server without answers
 	// returns to that of its service, so that it is tried again.
 	delayHalfLife = 5 * time.Second
@@ -142,9 +144,19 @@
 }
 
 // score orders servers of one locality: expected delay, more for loaded ones.
+// A mean below the typical delay does not count, because with few answers it is
+// chance: requests that had no room at home all went to the servers that looked
+// fastest, and were refused there. A much slower server counts as full, so that
+// it gets what the others have no room for. It would otherwise win by being
+// empty and then lose to a server elsewhere, which sent requests away from home
+// while there was room.
 func (s *server) score(now time.Time, typical time.Duration) float64 {
 	utilisation := (s.inFlight(now) + 1) / float64(s.Slots)
-	return float64(s.expectedDelay(now, typical)) * utilisation
+	delay := s.expectedDelay(now, typical)
+	if delay > muchSlower*typical {
+		utilisation++
+	}
+	return float64(max(delay, typical)) * utilisation
 }
 
 func (s *server) observe(now time.Time, o Observation, typical time.Duration) {
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -26,6 +26,7 @@
 	near    [localities][]*server // sorted by name, without leaving ones
 	out     []*server             // those that failures have taken out
 	typical time.Duration         // mean delay of the service, 0 for none
+	answers int                   // that typical is made of
 }
 
 // NewTable returns an empty table.
@@ -203,10 +204,10 @@
 	return now.Sub(s.SeenAt) < g.policy.Lease
 }
 
+// learn takes the delay of an answer. The first answers count equally, so that
+// one short answer does not make every server look slow for a while.
 func (g *group) learn(delay time.Duration) {
-	if g.typical == 0 {
-		g.typical = delay
-		return
-	}
-	g.typical += time.Duration(typicalWeight * float64(delay-g.typical))
+	g.answers++
+	weight := max(typicalWeight, 1/float64(g.answers))
+	g.typical += time.Duration(weight * float64(delay-g.typical))
 }
--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -251,3 +251,34 @@
 		t.Errorf("expired %v, known %d and %d", gone, b.Known("long"), b.Known("short"))
 	}
 }
+
+// Guards against requests that leave their home while it has room: an empty
+// slow home server won over loaded ones and then lost to a server elsewhere.
+// Found by routingbench with one server that fails at once.
+func TestSlowHomeDoesNotSendAway(t *testing.T) {
+	b := newBench()
+	b.SetEntries([]Entry{
+		{Name: "entry-0", Region: "north", FailureDomain: "north-1"},
+		{Name: "entry-1", Region: "north", FailureDomain: "north-2"},
+	})
+	for i, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		b.server(name, "north", fmt.Sprintf("north-%d", 1+i%2))
+	}
+	b.warm("a", "b", "c", "d", "e", "f")
+	home := b.groups[svc].near[atHome]
+	if len(home) != 3 {
+		t.Fatalf("%d home servers", len(home))
+	}
+	for range 20 {
+		b.finish(string(home[0].Backend), ResultFailed, 0)
+	}
+	b.warm(string(home[1].Backend), string(home[2].Backend))
+	b.now = b.now.Add(removalMax)
+	for range 10 {
+		c, refusal := b.Pick(b.now, Request{Service: svc, Waiting: 1})
+		if refusal != RefusalNone || (c.Backend != home[1].Backend && c.Backend != home[2].Backend) {
+			t.Fatalf("picked %q (%s), want a home server that is well", c.Backend, refusal)
+		}
+		b.Started(b.now, c)
+	}
+}
--- a/internal/bench/routingbench/report.go
+++ b/internal/bench/routingbench/report.go
@@ -16,6 +16,9 @@
 	overload     = 1.3
 	// regionLoad is ordinary for what is left after one region of three is lost.
 	regionLoad = 0.53
+	// unevenLoad is what a cell with one entry process under double load has
+	// room for.
+	unevenLoad = 0.7
 )
 
 func scenarios() []scenario {
@@ -26,6 +29,7 @@
 		{name: "one server fails at once", load: ordinaryLoad, mode: modeFailing},
 		{name: "one server silent", load: ordinaryLoad, mode: modeSilent},
 		{name: "one region lost", load: regionLoad, lostRegion: true},
+		{name: "one entry process gets twice the load", load: unevenLoad, uneven: true},
 		{name: "full load", load: fullLoad},
 		{name: "load 1.3", load: overload},
 	}
--- a/internal/bench/routingbench/run.go
+++ b/internal/bench/routingbench/run.go
@@ -23,6 +23,7 @@
 	load       float64 // share of the capacity of all servers
 	mode       mode    // of the first server, from the end of the warm-up
 	lostRegion bool    // the first region is cut off from the end of the warm-up
+	uneven     bool    // the first entry process gets twice the load of another
 	queues     bool    // servers queue above their slots, as ordinary ones do
 	order      admission.ShedOrder
 }
@@ -221,8 +222,12 @@
 // liveEntry is the choice of the load balancer in front of the entry
 // processes: any that lives.
 func (r *run) liveEntry() *entry {
+	all := r.entries
+	if r.scenario.uneven {
+		all = append(slices.Clone(all), all[0])
+	}
 	for {
-		e := r.entries[r.random.IntN(len(r.entries))]
+		e := all[r.random.IntN(len(all))]
 		if !e.lost {
 			return e
 		}
