--- a/core/routing/pick.go
+++ b/core/routing/pick.go
@@ -119,7 +119,11 @@
 	if room == 0 {
 		return false
 	}
-	wait := float64(q.group.typical) * float64(q.req.Waiting) / float64(room)
+	ahead := q.req.Waiting
+	if len(q.req.Exclude) > 0 {
+		ahead = 1 // a retry is first in the queue
+	}
+	wait := float64(q.group.typical) * float64(ahead) / float64(room)
 	return wait < homeWaitShare*float64(q.group.typical)
 }
 
@@ -154,16 +158,12 @@
 }
 
 // tooFewUsable reports whether the share of usable servers is below the panic
-// threshold. Servers without a valid announcement count as not usable and are
-// never used.
+// threshold. A server without a valid announcement is not used even then.
 func (q search) tooFewUsable() bool {
-	usable := 0
-	for _, s := range q.group.servers {
-		if q.group.valid(q.now, s) && s.usable(q.now) {
-			usable++
-		}
-	}
-	return float64(usable) < q.group.policy.PanicThreshold*float64(len(q.group.servers))
+	g := q.group
+	g.out = slices.DeleteFunc(g.out, func(s *server) bool { return s.usable(q.now) })
+	usable := len(g.servers) - len(g.out)
+	return float64(usable) < g.policy.PanicThreshold*float64(len(g.servers))
 }
 
 func (q search) refusal() Refusal {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,7 @@
 	opts     Options
 	messages chan message
 	stopped  chan struct{} // closed when the router has ended
-	table    atomic.Pointer[services]
+	inForce  atomic.Pointer[services]
 	clock    *elapsedClock
 	numbers  atomic.Uint64 // of requests and begins of this incarnation
 	member   atomic.Uint64 // incarnation under which the entry process is a member
@@ -69,7 +69,7 @@
 		stopped:  make(chan struct{}),
 		clock:    newElapsedClock(),
 	}
-	g.table.Store(&services{})
+	g.inForce.Store(&services{})
 	g.SetIncarnation(opts.Incarnation)
 	return g
 }
@@ -91,10 +91,11 @@
 func (g *Gateway) PeerServer() rpcpb.Peer { return peerServer{gateway: g} }
 
 // SetConfig puts a cell file in force. It is called again with a later
-// confirmedAt whenever the control group has confirmed the same file. An older
-// generation is ignored.
+// confirmedAt whenever the control group has confirmed the same file; that is
+// the time.Now at which the confirming call was sent. An older generation is
+// ignored.
 func (g *Gateway) SetConfig(file cellconfig.File, confirmedAt time.Time) {
-	g.send(setConfig{file: file, confirmedAt: confirmedAt})
+	g.send(setConfig{file: file, confirmedAt: g.clock.at(confirmedAt)})
 }
 
 // SetIncarnation sets the incarnation under which this entry process is a
