--- /dev/null
+++ b/internal/controlproc/settings_test.go
@@ -0,0 +1,86 @@
+package controlproc
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/internal/settings"
+)
+
+const sound = `name = "control-1"
+region = "quito-norte"
+failure_domain = "quito-norte-1"
+log_level = "info"
+listen_internal = "127.0.0.1:7001"
+listen_metrics = "127.0.0.1:7009"
+replica_id = 1
+data_dir = "/var/lib/godwit"
+election_timeout_min = "400ms"
+election_timeout_max = "800ms"
+heartbeat_interval = "100ms"
+max_clock_drift_ppm = 1000
+snapshot_every_entries = 10000
+
+[[replica]]
+id = 1
+address = "127.0.0.1:7001"
+
+[[replica]]
+id = 2
+address = "127.0.0.1:7002"
+`
+
+func load(t *testing.T, text string) error {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "control.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return settings.Load(file, &Settings{})
+}
+
+// Guards against settings that start a replica which cannot keep its promises,
+// and against a report that stops at the first fault.
+func TestSettingsFaults(t *testing.T) {
+	if err := load(t, sound); err != nil {
+		t.Fatal(err)
+	}
+	changes := map[string]string{
+		`name = "control-1"`:                 `name = ""`,
+		`log_level = "info"`:                 `log_level = "loud"`,
+		`listen_metrics = "127.0.0.1:`:       `listen_metrics = "localhost:`,
+		`replica_id = 1`:                     `replica_id = 9`,
+		`election_timeout_min = "400ms"`:     `election_timeout_min = "250ms"`,
+		`election_timeout_max = "800ms"`:     `election_timeout_max = "250ms"`,
+		`max_clock_drift_ppm = 1000`:         `max_clock_drift_ppm = -1`,
+		`snapshot_every_entries = 10000`:     `snapshot_every_entries = 0`,
+		"id = 2\naddress = \"127.0.0.1:7002": "id = 1\naddress = \"127.0.0.1:7001",
+	}
+	text := sound
+	for from, to := range changes {
+		if !strings.Contains(text, from) {
+			t.Fatalf("no %q in the settings", from)
+		}
+		text = strings.Replace(text, from, to, 1)
+	}
+	err := load(t, text)
+	var faulty *settings.FileError
+	if !errors.As(err, &faulty) {
+		t.Fatalf("error %v, want a FileError", err)
+	}
+	want := []string{
+		"name", "log_level", "listen_metrics", "replica_id", "election_timeout_min", "election_timeout_max",
+		"max_clock_drift_ppm", "snapshot_every_entries", "replica[1].id", "replica[1].address",
+	}
+	for _, key := range want {
+		if !strings.Contains(err.Error(), " "+key+": ") {
+			t.Errorf("no fault of %s in:\n%v", key, err)
+		}
+	}
+	if len(faulty.Faults) != len(want) {
+		t.Errorf("%d faults, want %d:\n%v", len(faulty.Faults), len(want), err)
+	}
+}
--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -135,7 +135,7 @@
 
 // lead does what is due on the leader.
 func (t *task) lead(now time.Time) {
-	if t.status.Role != replog.RoleLeader || t.status.Transferring || t.disk.full {
+	if t.mayNotPropose() {
 		return
 	}
 	t.expireWorkers(now)
@@ -147,10 +147,14 @@
 	t.plan(now)
 }
 
-func (l *leading) nextDeadline(diskFull bool) time.Time {
-	if diskFull {
-		return time.Time{}
-	}
+// mayNotPropose reports whether the leader's own work has to wait: the log
+// would refuse its commands.
+func (t *task) mayNotPropose() bool {
+	return t.status.Role != replog.RoleLeader || t.status.Transferring || t.disk.full
+}
+
+// nextDeadline is when lead has something to do without a message.
+func (l *leading) nextDeadline() time.Time {
 	deadlines := []time.Time{l.nextAdvance, l.granter.NextDeadline()}
 	if l.plans < l.limits.plans {
 		wake := l.planWake
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -240,8 +240,8 @@
 	if len(t.disk.unsynced) < maxUnsynced {
 		deadlines = append(deadlines, t.coreDeadline)
 	}
-	if t.leading != nil {
-		deadlines = append(deadlines, t.leading.nextDeadline(t.disk.full))
+	if t.leading != nil && !t.mayNotPropose() {
+		deadlines = append(deadlines, t.leading.nextDeadline())
 	}
 	if t.stopping != nil {
 		deadlines = append(deadlines, t.stopping.deadline)
