--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -10,6 +10,8 @@
 var (
 	// ErrDiskFull refuses an append. The same append may be repeated.
 	ErrDiskFull = merry.Sentinel("the disk is full")
+	// ErrBusy refuses a snapshot while another one is written.
+	ErrBusy = merry.Sentinel("another snapshot is being written")
 	// ErrLocked says that another process uses the folder.
 	ErrLocked = merry.Sentinel("another process uses the data folder")
 	// ErrFailed ends the task: a write or a sync failed, and the content of
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -11,6 +11,10 @@
 	"github.com/godwitlink/godwitlink/core/walcodec"
 )
 
+// syncBytes bounds what is written between two syncs of a large file, because
+// a sync of the log waits for what the disk is writing.
+const syncBytes = 1 << 20
+
 // createWhole creates a file with the given content under its final name. The
 // file is durable when it returns and open for appending.
 func createWhole(disk Disk, name string, data []byte) (File, error) {
@@ -19,11 +23,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if _, err := file.Write(data); err != nil {
-		return nil, errors.Join(err, file.Close(), disk.Remove(temporary))
-	}
-	if err := file.Sync(); err != nil {
-		return nil, errors.Join(syncError{err}, file.Close())
+	for first := true; first || len(data) > 0; first = false {
+		part := data[:min(len(data), syncBytes)]
+		data = data[len(part):]
+		if _, err := file.Write(part); err != nil {
+			return nil, errors.Join(err, file.Close(), disk.Remove(temporary))
+		}
+		if err := file.Sync(); err != nil {
+			return nil, errors.Join(syncError{err}, file.Close())
+		}
 	}
 	if err := disk.Rename(temporary, name); err != nil {
 		return nil, errors.Join(err, file.Close())
@@ -42,28 +50,56 @@
 	return file.Close()
 }
 
-// serveSnapshot saves a snapshot of the replica's own state. Where the disk is
-// full the log is kept as it is, and nothing is lost.
-func (s *Store) serveSnapshot(snapshot replog.Snapshot) error {
-	err := s.saveSnapshot(snapshot)
-	if err == nil {
-		err = s.log.roll()
-	}
+// savedSnapshot is the answer of the goroutine that writes a snapshot.
+type savedSnapshot struct {
+	index uint64
+	err   error
+}
+
+// serveSnapshot starts to save a snapshot of the replica's own state. It is
+// written beside the log, because appends must not wait for it.
+func (s *Store) serveSnapshot(snapshot replog.Snapshot) {
+	if s.saving {
+		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrBusy}
+		return
+	}
+	s.saving = true
+	go func() { s.saved <- savedSnapshot{index: snapshot.Index, err: s.writeSnapshot(snapshot)} }()
+}
+
+// finishSnapshot removes what a saved snapshot covers. Where the disk is full
+// the log is kept as it is, and nothing is lost.
+func (s *Store) finishSnapshot(saved savedSnapshot) error {
+	s.saving = false
+	err := saved.err
 	if err == nil {
-		err = s.removeCovered(snapshot.Index)
+		err = s.replaceBy(saved.index)
 	}
 	if err != nil && !diskFull(err) {
 		return merry.Wrap(ErrFailed, merry.WithCause(err))
 	}
 	if err != nil {
-		s.opts.Logger.Log(eventSnapshotNot, zap.Uint64("index", snapshot.Index), zap.Error(err))
+		s.opts.Logger.Log(eventSnapshotNot, zap.Uint64("index", saved.index), zap.Error(err))
 		s.opts.Metrics.Add(metricRefusals, "snapshot-disk-full", 1)
 		err = ErrDiskFull
 	}
-	s.completions <- Completion{Snapshot: snapshot.Index, Err: err}
+	s.completions <- Completion{Snapshot: saved.index, Err: err}
 	return nil
 }
 
+func (s *Store) replaceBy(index uint64) error {
+	name := snapshotName(index)
+	if n := len(s.snapshots); n > 0 && s.snapshots[n-1] > name {
+		// A newer one was installed meanwhile.
+		return s.disk.Remove(name)
+	}
+	s.addSnapshot(name)
+	if err := s.log.roll(); err != nil {
+		return err
+	}
+	return s.removeCovered(index)
+}
+
 // serveInstall stores a snapshot of the leader, which replaces the log, and
 // the rest of its append.
 func (s *Store) serveInstall(request Append) error {
@@ -83,9 +119,10 @@
 
 func (s *Store) install(request Append) error {
 	snapshot := *request.Install
-	if err := s.saveSnapshot(snapshot); err != nil {
+	if err := s.writeSnapshot(snapshot); err != nil {
 		return err
 	}
+	s.addSnapshot(snapshotName(snapshot.Index))
 	if err := s.log.roll(); err != nil {
 		return err
 	}
@@ -100,16 +137,22 @@
 	return s.removeCovered(^uint64(0))
 }
 
-func (s *Store) saveSnapshot(snapshot replog.Snapshot) error {
-	name := fmt.Sprintf(snapshotFormat, snapshot.Index)
-	if err := writeWhole(s.disk, name, walcodec.EncodeSnapshot(snapshot)); err != nil {
+func snapshotName(index uint64) string { return fmt.Sprintf(snapshotFormat, index) }
+
+// writeSnapshot makes a snapshot file durable. It uses nothing that the task
+// changes.
+func (s *Store) writeSnapshot(snapshot replog.Snapshot) error {
+	if err := writeWhole(s.disk, snapshotName(snapshot.Index), walcodec.EncodeSnapshot(snapshot)); err != nil {
 		return err
 	}
 	s.opts.Logger.Log(eventSnapshot, zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(snapshot.Data)))
+	return nil
+}
+
+func (s *Store) addSnapshot(name string) {
 	if n := len(s.snapshots); n == 0 || s.snapshots[n-1] != name {
 		s.snapshots = append(s.snapshots, name)
 	}
-	return nil
 }
 
 // removeCovered removes what the newest snapshot replaces: segments up to
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -160,7 +160,7 @@
 		return state, Admit{}
 	}
 	for _, request := range workload() {
-		if err := store.serve([]Request{request}); err != nil {
+		if err := serveOne(store, request); err != nil {
 			if !errors.Is(err, ErrFailed) {
 				t.Fatalf("error %v is not ErrFailed", err)
 			}
@@ -283,6 +283,35 @@
 	}
 }
 
+// Guards against a snapshot of the own state that, finished after a newer one
+// was installed, takes its place.
+func TestInstalledSnapshotOutlivesOlderOne(t *testing.T) {
+	disk := newFakeDisk()
+	store, _, err := Open(testOptions(disk))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := admit(store); err != nil {
+		t.Fatal(err)
+	}
+	saved := savedSnapshot{index: 4, err: store.writeSnapshot(*snapshotAt(4, 1))}
+	requests := []Request{
+		Append{Seq: 1, HardState: &replog.HardState{Term: 2}, Entries: entries(1, 6, 1)},
+		Append{Seq: 2, Install: snapshotAt(30, 2)},
+	}
+	if err := errors.Join(store.serve(requests), store.finishSnapshot(saved)); err != nil {
+		t.Fatal(err)
+	}
+	store.Close()
+	_, recovered, err := Open(testOptions(disk))
+	if err != nil || recovered.Snapshot == nil || recovered.Snapshot.Index != 30 {
+		t.Fatalf("snapshot %+v, error %v, want index 30", recovered.Snapshot, err)
+	}
+	if names := strings.Join(sortedNames(disk.current), " "); strings.Contains(names, snapshotName(4)) {
+		t.Errorf("the older snapshot is left: %s", names)
+	}
+}
+
 // Guards against two processes on one folder, and against a folder that is
 // taken over by another replica id.
 func TestFolderIsHeldByOneReplica(t *testing.T) {
@@ -369,6 +398,14 @@
 	}
 }
 
+// serveOne serves a request to its end as Run does.
+func serveOne(store *Store, request Request) error {
+	if err := store.serve([]Request{request}); err != nil || !store.saving {
+		return err
+	}
+	return store.finishSnapshot(<-store.saved)
+}
+
 // admit lets the replica vote with a folder.
 func admit(store *Store) error {
 	if err := store.serve([]Request{Admit{}}); err != nil {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -51,7 +51,7 @@
 }
 
 // SaveSnapshot stores a snapshot of the replica's own state and removes the
-// segments that it covers.
+// segments that it covers. Appends go on meanwhile. One is taken at a time.
 type SaveSnapshot struct{ Snapshot replog.Snapshot }
 
 // Admit writes the identity file of an empty folder. From then on the replica
@@ -66,7 +66,7 @@
 type Completion struct {
 	Seq      uint64 // of an Append, otherwise 0
 	Snapshot uint64 // index of a SaveSnapshot, otherwise 0
-	Err      error  // nil or ErrDiskFull
+	Err      error  // nil, ErrDiskFull or ErrBusy
 }
 
 // Store is the task that owns a data folder.
@@ -79,7 +79,9 @@
 	nextSeq     uint64
 	full        bool
 	identity    *walcodec.Identity
-	snapshots   []string
+	snapshots   []string // file names, oldest first
+	saving      bool     // a goroutine writes a snapshot
+	saved       chan savedSnapshot
 }
 
 // Open locks and recovers the folder. A damaged folder is left as it is; the
@@ -116,6 +118,7 @@
 		nextSeq:     1,
 		identity:    c.Identity,
 		snapshots:   c.snapshots,
+		saved:       make(chan savedSnapshot, 1),
 	}
 	opts.Logger.Log(eventRecovered, zap.Int("segments", len(c.segments)), zap.Int("entries", len(c.Entries)),
 		zap.Uint64("last_index", c.written.Index), zap.Uint64("term", c.HardState.Term))
@@ -149,14 +152,18 @@
 func (s *Store) Run(ctx context.Context) error {
 	defer s.close()
 	for {
+		var err error
 		select {
 		case <-ctx.Done():
 			return nil
 		case first := <-s.requests:
-			if err := s.serve(s.drain(first)); err != nil {
-				s.opts.Logger.Log(eventFailed, zap.Error(err))
-				return err
-			}
+			err = s.serve(s.drain(first))
+		case saved := <-s.saved:
+			err = s.finishSnapshot(saved)
+		}
+		if err != nil {
+			s.opts.Logger.Log(eventFailed, zap.Error(err))
+			return err
 		}
 	}
 }
@@ -165,6 +172,9 @@
 func (s *Store) Close() { s.close() }
 
 func (s *Store) close() {
+	if s.saving {
+		<-s.saved
+	}
 	s.log.close()
 	if err := s.disk.Unlock(); err != nil {
 		s.opts.Logger.Log(eventFailed, zap.Error(err))
@@ -207,9 +217,7 @@
 				return err
 			}
 			appends = nil
-			if err := s.serveSnapshot(request.Snapshot); err != nil {
-				return err
-			}
+			s.serveSnapshot(request.Snapshot)
 		case Admit:
 			if err := s.serveAdmit(); err != nil {
 				return err
