Keep several requests with log messages on the way to a replica

Cause: with one request at a time a message waits for the round trip of the one before it: with 8 ms one way, commits took 35 ms at the median. Change: up to 10 requests, started at least 2 ms apart; localgroup and commitbench can delay the messages between replicas.

--- a/internal/bench/commitbench/commits.go
+++ b/internal/bench/commitbench/commits.go
@@ -36,7 +36,7 @@
 	fmt.Fprintf(out, "commits, %d replicas on loopback, synced files, %v each\n", groupSize, opts.Duration)
 	fmt.Fprintf(out, "%-14s %10s %12s %10s %10s\n", "version", "in flight", "commits/s", "p50", "p99")
 	best := map[string]float64{}
-	for _, v := range variants {
+	for _, v := range append(slices.Clone(variants), betweenRegions) {
 		err := withGroup(ctx, folder, v, cellFile, func(group *localgroup.Group) error {
 			keys := &atomic.Uint64{}
 			for _, inFlight := range inFlightSteps {
--- a/internal/bench/commitbench/run.go
+++ b/internal/bench/commitbench/run.go
@@ -39,10 +39,14 @@
 type variant struct {
 	name  string
 	plain bool
+	delay time.Duration // one way, between replicas
 }
 
 var variants = []variant{{name: "group commit"}, {name: "plain", plain: true}}
 
+// betweenRegions has the one-way delay of docs/design.md, section 1.5.
+var betweenRegions = variant{name: "across regions", delay: 8 * time.Millisecond}
+
 func (v variant) tune(o *replica.Options) {
 	if v.plain {
 		o.Plain = true
@@ -54,7 +58,7 @@
 
 // withGroup runs a measurement on a group with a cell file in force.
 func withGroup(ctx context.Context, folder string, v variant, file []byte, measure func(*localgroup.Group) error) error {
-	group, err := localgroup.Start(localgroup.Options{Folder: filepath.Join(folder, v.name), Size: groupSize, Tune: v.tune})
+	group, err := localgroup.Start(localgroup.Options{Folder: filepath.Join(folder, v.name), Size: groupSize, Tune: v.tune, Delay: v.delay})
 	if err != nil {
 		return err
 	}
--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -17,6 +18,7 @@
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replica"
 	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 	"github.com/godwitlink/godwitlink/internal/storage"
 )
 
@@ -42,6 +44,9 @@
 	Size   int
 	Logger *eventlog.Logger
 	Tune   func(*replica.Options) // may change the options of each start
+	// Delay holds back every request between replicas and every answer to it,
+	// as a link between regions does.
+	Delay time.Duration
 }
 
 // Group is a set of replicas. It is used by one goroutine.
@@ -142,7 +147,7 @@
 		return errors.Join(err, listener.Close())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), server: &http.Server{Handler: r.Handler()}}
+	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), server: &http.Server{Handler: delayed(r.Handler(), g.opts.Delay)}}
 	go func() { m.ended <- r.Run(ctx) }()
 	go func() {
 		// Kill closes the server; any other end shows in the calls to it.
@@ -152,6 +157,23 @@
 	return nil
 }
 
+// delayed holds back requests between replicas.
+func delayed(handler http.Handler, delay time.Duration) http.Handler {
+	if delay == 0 {
+		return handler
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		between := strings.HasPrefix(r.URL.Path, rpcpb.ReplicationPathPrefix)
+		if between {
+			time.Sleep(delay)
+		}
+		handler.ServeHTTP(w, r)
+		if between {
+			time.Sleep(delay)
+		}
+	})
+}
+
 // Kill ends a replica without a planned stop.
 func (g *Group) Kill(i int) error {
 	m := g.members[i]
--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -25,6 +25,14 @@
 	// round trip between regions (16 ms) and lets a replica that returns from
 	// a pause be reached within a second.
 	logTimeout = time.Second
+	// maxRequests is the number of requests on the way to one replica. With
+	// requestSpacing it covers the round trip between regions (16 ms).
+	maxRequests = 10
+	// requestSpacing is the least time between the starts of two requests of
+	// which the first is not answered. A message then waits for it rather than
+	// for the round trip; without it requests often overtake each other, and
+	// the log has to send again what came out of order.
+	requestSpacing = 2 * time.Millisecond
 	// snapshotTimeout lets 64 MiB pass over a link of 20 Mbit/s.
 	snapshotTimeout = 30 * time.Second
 )
@@ -54,11 +62,12 @@
 	snapshot bool
 }
 
-// lane is a task that sends the messages of its queue to one replica, one
-// request at a time.
+// lane is a task that sends the messages of its queue to one replica.
 type lane struct {
 	peer    Peer
 	queue   chan replog.Message
+	results chan sendResult
+	limit   int // requests on the way
 	timeout time.Duration
 	client  rpcpb.Replication
 	logger  *eventlog.Logger
@@ -71,14 +80,14 @@
 	s := &Sender{lanes: map[laneKey]*lane{}}
 	for _, peer := range opts.Peers {
 		client := rpcpb.NewReplicationProtobufClient(opts.Scheme+"://"+peer.Address, opts.Client)
-		add := func(snapshot bool, queue int, timeout time.Duration) {
+		add := func(snapshot bool, queue, limit int, timeout time.Duration) {
 			s.lanes[laneKey{peer.ID, snapshot}] = &lane{
 				peer: peer, queue: make(chan replog.Message, queue), timeout: timeout,
-				client: client, logger: opts.Logger, metrics: opts.Metrics,
+				limit: limit, results: make(chan sendResult, limit), client: client, logger: opts.Logger, metrics: opts.Metrics,
 			}
 		}
-		add(false, logQueue, logTimeout)
-		add(true, snapshotQueue, snapshotTimeout)
+		add(false, logQueue, maxRequests, logTimeout)
+		add(true, snapshotQueue, 1, snapshotTimeout)
 	}
 	return s
 }
@@ -87,7 +96,7 @@
 // here, as the TLS configuration of the transport.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 4,
+		MaxIdleConnsPerHost: 2 * maxRequests,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}}
@@ -119,13 +128,38 @@
 	}
 }
 
+// sendResult is the end of a request.
+type sendResult struct {
+	request *rpcpb.StepRequest
+	err     error
+}
+
 func (l *lane) run(ctx context.Context) {
+	spacing := time.NewTimer(requestSpacing)
+	defer spacing.Stop()
+	onTheWay, spaced := 0, true
 	for {
+		queue := l.queue
+		if onTheWay >= l.limit || onTheWay > 0 && !spaced {
+			queue = nil
+		}
 		select {
 		case <-ctx.Done():
+			for range onTheWay {
+				<-l.results
+			}
 			return
-		case first := <-l.queue:
-			l.send(ctx, l.batch(first))
+		case first := <-queue:
+			request := l.batch(first)
+			go func() { l.results <- sendResult{request, l.send(ctx, request)} }()
+			onTheWay++
+			spaced = false
+			spacing.Reset(requestSpacing)
+		case result := <-l.results:
+			onTheWay--
+			l.finish(result)
+		case <-spacing.C:
+			spaced = true
 		}
 	}
 }
@@ -148,20 +182,21 @@
 	return request
 }
 
-func (l *lane) send(ctx context.Context, request *rpcpb.StepRequest) {
+func (l *lane) send(ctx context.Context, request *rpcpb.StepRequest) error {
 	timed, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
 	_, err := l.client.Step(timed, request)
-	cancel()
-	if ctx.Err() != nil {
-		return
-	}
-	if err != nil {
-		l.metrics.Add(metricDropped, "request-failed", int64(len(request.Messages)))
-		l.setLost(true, err)
+	return err
+}
+
+func (l *lane) finish(r sendResult) {
+	if r.err != nil {
+		l.metrics.Add(metricDropped, "request-failed", int64(len(r.request.Messages)))
+		l.setLost(true, r.err)
 		return
 	}
-	l.metrics.Add(metricSent, "", int64(len(request.Messages)))
-	l.metrics.Add(metricBytes, "", int64(proto.Size(request)))
+	l.metrics.Add(metricSent, "", int64(len(r.request.Messages)))
+	l.metrics.Add(metricBytes, "", int64(proto.Size(r.request)))
 	l.setLost(false, nil)
 }
 
