Kill replicas at random while callers commit; let a stop wait for room

Cause: no test restarted replicas again and again under load; and a planned stop that found the mailbox full was refused and the process then waited for ever. Change: TestRandomKills checks answered commands, invariants and that all folders hold the same entries and states; Stop waits for room in the mailbox.

--- a/internal/controlproc/process.go
+++ b/internal/controlproc/process.go
@@ -119,14 +119,15 @@
 		return errors.Join(err, <-ended)
 	case <-stop.Done():
 	}
-	return p.stop(kill, ended)
+	return p.stop(kill, cancel, ended)
 }
 
 // stop hands the leadership over, ends the replica and waits for the answers
 // to the calls in flight.
-func (p *process) stop(kill context.Context, ended <-chan error) error {
+func (p *process) stop(kill context.Context, cancel context.CancelFunc, ended <-chan error) error {
 	p.logger.Log(eventStopping)
 	stopErr := p.replica.Stop(kill)
+	cancel()
 	err := <-ended
 	if kill.Err() != nil {
 		p.logger.Log(eventKilled)
--- /dev/null
+++ b/internal/replica/random_test.go
@@ -0,0 +1,189 @@
+package replica_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
+	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+	"github.com/godwitlink/godwitlink/internal/storage"
+)
+
+const (
+	randomSeed  = 7
+	randomKills = 6
+	// electionPause is the wait between calls that find no leader.
+	electionPause = 50 * time.Millisecond
+	// callerStride keeps the keys of the callers apart.
+	callerStride = 1_000_000
+)
+
+// Guards against lost or doubled commands and against replicas that differ:
+// replicas are killed and restarted at random, leaders and followers, while
+// callers commit. Afterwards every answered command must be known, no
+// invariant violated, and all folders must hold the same entries and states.
+func TestRandomKills(t *testing.T) {
+	group := startGroup(t, 3, func(o *replica.Options) { o.SnapshotEveryEntries = 300 })
+	applyFile(t, group, cellFile(t, "turnos.toml"))
+	join(t, group)
+	keepFeeding(t, group)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	answered := make([][]int, 4)
+	for caller := range answered {
+		callers.Go(func() { answered[caller] = commitUntil(t, group, stop, caller*callerStride) })
+	}
+	random := rand.New(rand.NewPCG(randomSeed, 0))
+	for range randomKills {
+		victim := random.IntN(3)
+		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
+		if err := group.Kill(victim); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+		if err := group.Restart(victim); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(stop)
+	callers.Wait()
+	t.Logf("%d commands committed", len(slices.Concat(answered...)))
+	for _, keys := range answered {
+		callers.Go(func() { checkKnown(t, group, keys) })
+	}
+	callers.Wait()
+	compareFolders(t, group)
+	if text := group.Metrics.Text(); strings.Contains(text, "control_violations_total") {
+		t.Errorf("violated invariants:\n%s", text)
+	}
+}
+
+// keepFeeding polls the feed for the entry process of begin until the test
+// ends, so that it stays a member.
+func keepFeeding(t *testing.T, group *localgroup.Group) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-done })
+	go func() {
+		defer close(done)
+		request := &rpcpb.FeedRequest{Entry: "entry-1", EntryIncarnation: 1, MaxWaitMillis: 500}
+		for ctx.Err() == nil {
+			// While there is no leader the poll fails.
+			if response, err := group.Client().Feed(ctx, request); err == nil {
+				request.MembersVersion, request.Generation = response.MembersVersion, 1
+				continue
+			}
+			time.Sleep(electionPause)
+		}
+	}()
+}
+
+// commitUntil commits commands one after the other until told to stop, and
+// returns those that were answered.
+func commitUntil(t *testing.T, group *localgroup.Group, stop <-chan struct{}, first int) []int {
+	var answered []int
+	for i := first; ; i++ {
+		select {
+		case <-stop:
+			return answered
+		default:
+		}
+		if result, err := group.Client().Propose(callContext(t), begin(i, 1)); err != nil || result.Request == nil || !result.Request.Dispatch {
+			t.Errorf("command %d: %+v, error %v", i, result, err)
+			return answered
+		}
+		answered = append(answered, i)
+	}
+}
+
+// checkKnown sends answered commands again, as another attempt.
+func checkKnown(t *testing.T, group *localgroup.Group, keys []int) {
+	for _, i := range keys {
+		result, err := group.Client().Propose(callContext(t), begin(i, 2))
+		if err != nil || result.Request == nil || result.Request.Dispatch {
+			t.Errorf("command %d may be carried out again: %+v, error %v", i, result, err)
+			return
+		}
+	}
+}
+
+// compareFolders stops the group and compares what the replicas have stored up
+// to the index that all have applied.
+func compareFolders(t *testing.T, group *localgroup.Group) {
+	t.Helper()
+	report, err := group.Replica(leaderOf(t, group)).Report(callContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		awaitApplied(t, group, i, report.Applied)
+	}
+	if err := group.Close(); err != nil {
+		t.Fatal(err)
+	}
+	entries := map[uint64]replog.Entry{}
+	states := map[uint64][]byte{}
+	for i := range 3 {
+		disk, err := storage.NewFolder(group.Folder(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		recovered, err := storage.Inspect(disk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		compareReplica(t, i, recovered, report.Applied, entries, states)
+	}
+}
+
+func compareReplica(t *testing.T, i int, recovered storage.Recovered, last uint64, entries map[uint64]replog.Entry, states map[uint64][]byte) {
+	t.Helper()
+	current := state.New()
+	if s := recovered.Snapshot; s != nil {
+		decoded, err := codec.DecodeSnapshot(s.Data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if current, err = state.Restore(decoded); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, entry := range recovered.Entries {
+		if entry.Index > last {
+			break
+		}
+		known, seen := entries[entry.Index]
+		if seen && fmt.Sprint(known) != fmt.Sprint(entry) {
+			t.Fatalf("replica %d differs at entry %d", i+1, entry.Index)
+		}
+		entries[entry.Index] = entry
+		if entry.Kind != replog.EntryCommand {
+			continue
+		}
+		command, err := codec.DecodeCommand(entry.Data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		current.Apply(entry.Index, command)
+	}
+	encoded, err := codec.EncodeSnapshot(current.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := current.Snapshot().Index
+	if known, seen := states[index]; seen && !bytes.Equal(known, encoded) {
+		t.Errorf("replica %d has another state at entry %d", i+1, index)
+	}
+	states[index] = encoded
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,7 +83,16 @@
 // Stop hands leadership over where this replica leads, answers the commands on
 // the way and ends the tasks. It waits until they have ended or ctx ends.
 func (r *Replica) Stop(ctx context.Context) error {
-	_, err := ask(ctx, r, func(reply reply[struct{}]) call { return stopCall{reply} })
+	reply := newReply[struct{}]()
+	select {
+	// Unlike other calls this one waits for room in the mailbox.
+	case r.calls <- stopCall{reply}:
+	case <-r.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	_, err := await(ctx, r, reply)
 	return err
 }
 
@@ -129,12 +138,18 @@
 	default:
 		return none, ErrOverloaded
 	}
+	return await(ctx, r, reply)
+}
+
+// await waits for the answer to a call that the task has in its mailbox.
+func await[T any](ctx context.Context, r *Replica, reply reply[T]) (T, error) {
 	select {
 	case got := <-reply:
 		return got.value, got.err
 	case <-r.done:
 		return lastAnswer(reply)
 	case <-ctx.Done():
+		var none T
 		return none, ctx.Err()
 	}
 }
