--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -113,6 +113,7 @@
 		e := c.addEntry(i)
 		members = append(members, state.Member{
 			Name: e.opts.Entry, Incarnation: e.opts.Incarnation, Address: e.internal.Listener.Addr().String(),
+			Region: e.opts.Region, FailureDomain: e.opts.FailureDomain,
 		})
 	}
 	for _, e := range c.entries {
@@ -234,6 +235,7 @@
 	reason  string
 	body    string
 	header  http.Header
+	closes  bool  // the connection closes after it
 	err     error // of the request or of reading the body
 }
 
@@ -255,7 +257,7 @@
 	data, err := io.ReadAll(resp.Body)
 	return answer{
 		status: resp.StatusCode, outcome: resp.Header.Get(backendapi.HeaderOutcome),
-		reason: resp.Header.Get(backendapi.HeaderReason), body: string(data), header: resp.Header, err: err,
+		reason: resp.Header.Get(backendapi.HeaderReason), body: string(data), header: resp.Header, err: err, closes: resp.Close,
 	}
 }
 
