--- a/test/planted/run-state.sh
+++ b/test/planted/run-state.sh
@@ -30,7 +30,11 @@
 for patch in "$root"/test/planted/state/*.patch; do
   name=$(basename "$patch" .patch)
   copy_tree "$work/$name"
-  patch -s -p1 -d "$work/$name" <"$patch"
+  if ! patch -s -p1 -d "$work/$name" <"$patch" >/dev/null; then
+    echo "$name: the patch does not apply"
+    missed=1
+    continue
+  fi
   (cd "$work/$name" && go vet ./core/state)
   if run_tests "$work/$name" "$work/$name.log"; then
     echo "$name: MISSED"
