Measure the replicated state machine at 50, 900 and 10,000 workers

Cause: capacity planning needs the cost of each command and the memory of each thing that the state keeps. Change: internal/bench/statebench with Run, which prints three tables.

--- /dev/null
+++ b/internal/bench/statebench/measure.go
@@ -0,0 +1,268 @@
+package statebench
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/codec"
+)
+
+const (
+	placementsPerPlan = 500
+	queuedJobs        = 2000
+	requestRecords    = 5000
+	filesApplied      = 10
+	jobsCancelled     = 200
+	workersExpired    = 20
+)
+
+// report is what was measured at one size.
+type report struct {
+	workers, tasks int
+	commands       []*cost
+	snapshot       snapshotCost
+	memory         []memoryCost
+}
+
+// cost is the cost of the commands of one kind.
+type cost struct {
+	kind           string
+	count, bytes   int
+	total, longest time.Duration
+}
+
+// memoryCost is the memory that a number of equal things takes.
+type memoryCost struct {
+	kind     string
+	count    int
+	heap     int64
+	snapshot int
+}
+
+type snapshotCost struct {
+	copied, encoded, decoded, restored time.Duration
+	bytes                              int
+}
+
+// bench fills a state and measures each step.
+type bench struct {
+	s      *state.State
+	index  uint64
+	now    time.Time
+	report report
+	failed error
+}
+
+// measure builds a cell of a number of workers and running tasks.
+func measure(workers, tasks int) (report, error) {
+	b := &bench{s: state.New(), now: time.Unix(0, 0).UTC(), report: report{workers: workers, tasks: tasks}}
+	b.files()
+	b.grow("worker", workers, func() { b.registerWorkers(workers) })
+	b.grow("running task", tasks, func() { b.runTasks(workers, tasks) })
+	b.grow("queued job", queuedJobs, func() { b.submit("submit job, queued", tasks, queuedJobs) })
+	b.grow("request record", requestRecords, b.requests)
+	b.snapshots()
+	b.rest(workers)
+	if found := b.s.Violations(); len(found) > 0 && b.failed == nil {
+		b.failed = merry.Wrap(ErrRun, merry.AppendMessagef("violations: %v", found))
+	}
+	return b.report, b.failed
+}
+
+// apply measures one command and adds it to the costs of its kind.
+func (b *bench) apply(kind string, c state.Command) state.Result {
+	b.index++
+	c.At = b.now
+	data, err := codec.EncodeCommand(c)
+	if err != nil {
+		b.fail(kind, err.Error())
+	}
+	started := time.Now()
+	result, _ := b.s.Apply(b.index, c)
+	took := time.Since(started)
+	if result.Refusal != state.RefusalNone {
+		b.fail(kind, result.Detail)
+	}
+	entry := b.costOf(kind)
+	entry.count++
+	entry.bytes += len(data)
+	entry.total += took
+	entry.longest = max(entry.longest, took)
+	return result
+}
+
+func (b *bench) fail(kind, detail string) {
+	if b.failed == nil {
+		b.failed = merry.Wrap(ErrRun, merry.AppendMessagef("%s: %s", kind, detail))
+	}
+}
+
+func (b *bench) costOf(kind string) *cost {
+	for _, c := range b.report.commands {
+		if c.kind == kind {
+			return c
+		}
+	}
+	c := &cost{kind: kind}
+	b.report.commands = append(b.report.commands, c)
+	return c
+}
+
+// grow measures how much memory a step adds to the state and to its snapshot.
+func (b *bench) grow(kind string, count int, step func()) {
+	heap, encoded := heapBytes(), b.snapshotBytes()
+	step()
+	b.report.memory = append(b.report.memory, memoryCost{
+		kind: kind, count: count, heap: heapBytes() - heap, snapshot: b.snapshotBytes() - encoded,
+	})
+}
+
+// heapBytes returns the live heap. Two collections also free what finalizers
+// and pools held on to.
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+func (b *bench) snapshotBytes() int {
+	data, err := codec.EncodeSnapshot(b.s.Snapshot())
+	if err != nil {
+		b.fail("snapshot", err.Error())
+	}
+	return len(data)
+}
+
+func (b *bench) files() {
+	for generation := 1; generation <= filesApplied; generation++ {
+		b.apply("apply file", state.Command{ApplyFile: &state.ApplyFile{Body: fileBody(generation)}})
+	}
+}
+
+func (b *bench) registerWorkers(workers int) {
+	for i := range workers {
+		b.apply("register worker", state.Command{RegisterWorker: &state.RegisterWorker{Worker: benchWorker(i)}})
+	}
+}
+
+func (b *bench) submit(kind string, first, count int) {
+	for i := first; i < first+count; i++ {
+		b.apply(kind, state.Command{SubmitJob: &state.SubmitJob{Key: fmt.Sprintf("key-%d", i), Spec: benchJob(i)}})
+	}
+}
+
+// runTasks submits jobs of one task each, places them in full plans, and lets
+// the workers report them as running.
+func (b *bench) runTasks(workers, tasks int) {
+	b.submit("submit job", 0, tasks)
+	for first := 0; first < tasks; first += placementsPerPlan {
+		b.place(first, min(placementsPerPlan, tasks-first), workers)
+	}
+	for i := range workers {
+		b.reportRunning(workerName(i))
+	}
+}
+
+func (b *bench) place(first, count, workers int) {
+	plan := state.CommitPlan{Basis: b.index, Placements: make([]state.Placement, count)}
+	for i := range plan.Placements {
+		task := first + i
+		plan.Placements[i] = state.Placement{
+			Task:   cell.TaskID{Job: cell.JobID(task + 1)},
+			Worker: workerName(task % workers),
+			Epoch:  cell.Epoch(task%workers + 1),
+		}
+	}
+	kind := "commit plan"
+	if count == placementsPerPlan {
+		kind = fmt.Sprintf("commit plan of %d", count)
+	}
+	result := b.apply(kind, state.Command{CommitPlan: &plan})
+	for _, refusal := range result.Plan.Placements {
+		if refusal != state.RefusalNone {
+			b.fail(kind, "placement refused: "+string(refusal))
+		}
+	}
+}
+
+// reportRunning reports all allocations of a worker.
+func (b *bench) reportRunning(name cell.WorkerName) {
+	view := b.s.Worker(name)
+	c := state.ReportTasks{Worker: name, Epoch: view.Epoch}
+	for _, assignment := range view.Assignments {
+		c.Reports = append(c.Reports, state.TaskReport{
+			Allocation: assignment.Allocation.ID,
+			Outcome:    state.ReportRunning,
+			Used:       cell.Resources{MilliCPU: taskMilliCPU / 2, MemoryBytes: taskMemory / 2},
+			UsageAge:   time.Second,
+		})
+	}
+	b.apply("report tasks", state.Command{ReportTasks: &c})
+}
+
+// requests begins and finishes non-idempotent requests.
+func (b *bench) requests() {
+	b.apply("join member", state.Command{JoinMember: &state.JoinMember{Member: state.Member{Name: "entry-1", Incarnation: 1}}})
+	for i := range requestRecords {
+		key := state.RequestKey{Service: "bookings", Team: "team-0", Key: fmt.Sprintf("0b9d53e6-6e1b-4c55-9b52-%012d", i)}
+		b.apply("begin request", state.Command{BeginRequest: &state.BeginRequest{
+			Key: key, Digest: uint64(i), Entry: "entry-1", Incarnation: 1, Attempt: uint64(i + 1), Retention: 24 * time.Hour,
+		}})
+		b.apply("finish request", state.Command{FinishRequest: &state.FinishRequest{
+			Key: key, Entry: "entry-1", Attempt: uint64(i + 1), Outcome: state.OutcomeDone,
+			Answer: &state.StoredAnswer{Status: 200, Body: make([]byte, answerBytes)},
+		}})
+	}
+}
+
+func (b *bench) snapshots() {
+	started := time.Now()
+	snapshot := b.s.Snapshot()
+	copied := time.Now()
+	data, err := codec.EncodeSnapshot(snapshot)
+	encoded := time.Now()
+	if err != nil {
+		b.fail("snapshot", err.Error())
+	}
+	read, err := codec.DecodeSnapshot(data)
+	decoded := time.Now()
+	if err != nil {
+		b.fail("snapshot", err.Error())
+	}
+	if _, err = state.Restore(read); err != nil {
+		b.fail("snapshot", err.Error())
+	}
+	b.report.snapshot = snapshotCost{
+		copied:   copied.Sub(started),
+		encoded:  encoded.Sub(copied),
+		decoded:  decoded.Sub(encoded),
+		restored: time.Since(decoded),
+		bytes:    len(data),
+	}
+}
+
+// rest measures the commands that take things away.
+func (b *bench) rest(workers int) {
+	for i := range min(jobsCancelled, b.report.tasks) {
+		b.apply("cancel job", state.Command{CancelJob: &state.CancelJob{Job: cell.JobID(i + 1)}})
+	}
+	for i := range min(workersExpired, workers) {
+		b.apply("expire worker", state.Command{ExpireWorker: &state.ExpireWorker{Worker: workerName(i), Epoch: cell.Epoch(i + 1)}})
+	}
+	b.apply("leave member", state.Command{LeaveMember: &state.LeaveMember{Name: "entry-1", Incarnation: 1}})
+	b.apply("apply file, cell in use", state.Command{ApplyFile: &state.ApplyFile{Body: fileBody(filesApplied + 1)}})
+	b.apply("advance, nothing to drop", state.Command{Advance: &state.Advance{}})
+	b.now = b.now.Add(2 * state.EndedJobRetention)
+	b.apply("advance, all records dropped", state.Command{Advance: &state.Advance{}})
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/bench/statebench/run_test.go
@@ -0,0 +1,24 @@
+package statebench
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a benchmark whose commands the state refuses, which would
+// measure refusals.
+func TestMeasure(t *testing.T) {
+	r, err := measure(20, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	printCommands(&out, []report{r})
+	printSnapshots(&out, []report{r})
+	printMemory(&out, []report{r})
+	for _, want := range []string{"commit plan", "expire worker", "running task", "request record"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the tables have no %q:\n%s", want, out.String())
+		}
+	}
+}
