Keep to the leader when a call of the control client is cancelled

Cause: godwit-bench control showed that one change of configuration took 9.7 s to reach 50 workers. Each entry process cancels its feed call when a worker attaches; the client took the cancellation for a failure of the leader, went on to a follower, and every other call of the process followed it. Renewals were tried once every 2 s. Change: a call that its own caller ended says nothing about the replica; feed and renewal calls are repeated within their deadline; the feed waits 2 s rather than 5; a worker repeats a failed sync after 200 ms. New: internal/bench/ controlbench and godwit-bench.

--- a/cmd/godwit-worker/main.go
+++ b/cmd/godwit-worker/main.go
@@ -27,5 +27,5 @@
 	if err != nil {
 		return err
 	}
-	return workeragent.New(*s, logger).Run(stop, kill)
+	return workeragent.New(*s, workeragent.Hooks{}, logger).Run(stop, kill)
 }
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -11,6 +11,10 @@
 // firstSyncInterval is used until the cell has told its own interval.
 const firstSyncInterval = 500 * time.Millisecond
 
+// retryInterval is the wait before a failed sync is repeated. It is short
+// against the lease, so that a worker tries many entry processes within it.
+const retryInterval = 200 * time.Millisecond
+
 // taskState is the state of a task on this worker.
 type taskState uint8
 
@@ -86,6 +90,9 @@
 func (a *Agent) Synced(now lease.Reading, answer Answer) {
 	a.Tick(now)
 	switch {
+	case answer.Failed:
+		a.nextSync = min(a.nextSync, now.Monotonic+retryInterval)
+		return
 	case answer.Refused:
 		a.refused = true
 		return
--- a/core/agent/agent_test.go
+++ b/core/agent/agent_test.go
@@ -67,6 +67,7 @@
 		Granted:      !d.HasArg("watch") && !d.HasArg("epoch-ended"),
 		EpochEnded:   d.HasArg("epoch-ended"),
 		Refused:      d.HasArg("refused"),
+		Failed:       d.HasArg("failed"),
 		Terms:        lease.Terms{Duration: 10 * time.Second, StopMargin: time.Second},
 		SyncInterval: 2 * time.Second,
 	}
--- a/core/agent/types.go
+++ b/core/agent/types.go
@@ -60,6 +60,7 @@
 
 // Answer is the cell's answer to a Sync.
 type Answer struct {
+	Failed       bool // no answer came; the sync is repeated soon
 	Epoch        cell.Epoch
 	Sequence     uint64
 	Granted      bool
--- /dev/null
+++ b/internal/bench/command/command.go
@@ -0,0 +1,98 @@
+// Package command is the command line of godwit-bench, the experiment tool. Each
+// subcommand prints the tables of one benchmark.
+package command
+
+import (
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/godwitlink/godwitlink/internal/bench/commitbench"
+	"github.com/godwitlink/godwitlink/internal/bench/controlbench"
+	"github.com/godwitlink/godwitlink/internal/bench/placementbench"
+	"github.com/godwitlink/godwitlink/internal/bench/proxybench"
+	"github.com/godwitlink/godwitlink/internal/bench/routingbench"
+	"github.com/godwitlink/godwitlink/internal/bench/statebench"
+)
+
+// Command returns the command line.
+func Command(version string) *cobra.Command {
+	root := &cobra.Command{
+		Use: "godwit-bench", Short: "Measure the parts of godwitlink on this machine", Version: version,
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(commitCommand(), controlCommand(), placementCommand(), proxyCommand(), routingCommand(), stateCommand())
+	return root
+}
+
+func commitCommand() *cobra.Command {
+	o := commitbench.Options{}
+	command := &cobra.Command{
+		Use: "commit", Short: "Commits, placements and failover of three replicas with synced files", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return commitbench.Run(command.Context(), command.OutOrStdout(), o)
+		},
+	}
+	command.Flags().StringVar(&o.Folder, "folder", os.TempDir(), "folder on the disk to measure")
+	command.Flags().DurationVar(&o.Duration, "duration", 2*time.Second, "of each measurement")
+	command.Flags().IntVar(&o.Kills, "kills", 50, "of the leader")
+	return command
+}
+
+func controlCommand() *cobra.Command {
+	o := controlbench.DefaultOptions()
+	command := &cobra.Command{
+		Use: "control", Short: "Cost of control for each worker, and the spread of a cell file", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return controlbench.Run(command.Context(), command.OutOrStdout(), o)
+		},
+	}
+	command.Flags().StringVar(&o.Folder, "folder", os.TempDir(), "folder on the disk to measure")
+	command.Flags().IntSliceVar(&o.Workers, "workers", o.Workers, "sizes of the cell, ascending")
+	command.Flags().DurationVar(&o.Duration, "duration", o.Duration, "of each steady measurement")
+	return command
+}
+
+func placementCommand() *cobra.Command {
+	o := placementbench.DefaultOptions()
+	command := &cobra.Command{
+		Use: "placement", Short: "Decisions of the scheduler at several sizes", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return placementbench.Run(command.OutOrStdout(), o)
+		},
+	}
+	command.Flags().IntSliceVar(&o.Workers, "workers", o.Workers, "sizes of the cell")
+	command.Flags().Uint64Var(&o.Seed, "seed", o.Seed, "of the workload")
+	return command
+}
+
+func proxyCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "proxy", Short: "Cost of passing a request through the gateway", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return proxybench.Run(command.Context(), command.OutOrStdout(), proxybench.DefaultSettings())
+		},
+	}
+}
+
+func routingCommand() *cobra.Command {
+	var seed uint64
+	command := &cobra.Command{
+		Use: "routing", Short: "Waiting time of routing policies on a virtual clock", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return routingbench.Run(command.OutOrStdout(), seed)
+		},
+	}
+	command.Flags().Uint64Var(&seed, "seed", 1, "of the arrivals")
+	return command
+}
+
+func stateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "state", Short: "Cost of commands, snapshots and memory of the replicated state", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return statebench.Run(command.OutOrStdout())
+		},
+	}
+}
--- /dev/null
+++ b/internal/bench/controlbench/cell.go
@@ -0,0 +1,260 @@
+package controlbench
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/agent"
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/strictconf"
+	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
+	"github.com/godwitlink/godwitlink/internal/entry"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/workeragent"
+)
+
+//go:embed cell.toml
+var cellFile string
+
+const (
+	controlReplicas = 5
+	entryProcesses  = 9
+	// tasksPerWorker is 4,900 running tasks on 900 workers, rounded up.
+	tasksPerWorker = 6
+	tasksPerJob    = 1000
+	startTimeout   = 60 * time.Second
+	pollInterval   = 20 * time.Millisecond
+)
+
+// testCell is the processes of one measurement.
+type testCell struct {
+	folder  string
+	group   *localgroup.Group
+	workers int
+	answers chan workerAnswer // newest terms of each worker
+	bytes   atomic.Int64      // on all connections of the workers
+	stops   []context.CancelFunc
+	ended   chan struct{} // one message for each entry process and worker
+	running int
+	down    []context.CancelFunc // of the entry processes
+}
+
+// workerAnswer is what a worker was told.
+type workerAnswer struct {
+	worker int
+	lease  time.Duration
+}
+
+func startCell(ctx context.Context, folder string, workers int) (*testCell, error) {
+	folder, err := os.MkdirTemp(folder, "controlbench-")
+	if err != nil {
+		return nil, err
+	}
+	group, err := localgroup.Start(localgroup.Options{Folder: folder, Size: controlReplicas})
+	if err != nil {
+		return nil, err
+	}
+	c := &testCell{
+		folder: folder, group: group, workers: workers,
+		answers: make(chan workerAnswer, 4*workers),
+		ended:   make(chan struct{}, entryProcesses+workers),
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return c, c.fill(ctx)
+}
+
+// fill applies the file, starts the processes and gives every worker tasks.
+func (c *testCell) fill(ctx context.Context) error {
+	if err := c.apply(ctx, 1, leaseOf(1)); err != nil {
+		return err
+	}
+	platform, err := c.startEntries()
+	if err != nil {
+		return err
+	}
+	for i := range c.workers {
+		c.startWorker(i, platform)
+	}
+	if err := c.waitStatus(ctx, func(s *state.StatusView) bool { return s.Workers == c.workers }); err != nil {
+		return err
+	}
+	tasks := c.workers * tasksPerWorker
+	for first := 0; first < tasks; first += tasksPerJob {
+		spec := cell.JobSpec{
+			Name: "serve", Team: "bench", Policy: "long-running", Priority: cell.PriorityNormal,
+			Tasks: min(tasksPerJob, tasks-first), Size: cell.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30},
+			Command: "serve",
+		}
+		command := state.Command{SubmitJob: &state.SubmitJob{Key: fmt.Sprintf("serve-%d", first), Spec: spec}}
+		result, err := c.group.Client().Propose(ctx, command)
+		if err != nil {
+			return err
+		}
+		if result.Refusal != state.RefusalNone {
+			return fmt.Errorf("job refused: %s %s", result.Refusal, result.Detail)
+		}
+	}
+	return c.waitStatus(ctx, func(s *state.StatusView) bool { return s.Allocations == tasks })
+}
+
+// leaseOf gives each generation another worker lease, so that a worker's grant
+// shows which generation is in force.
+func leaseOf(generation int) time.Duration {
+	return 15*time.Second + time.Duration(generation)*time.Millisecond
+}
+
+func (c *testCell) apply(ctx context.Context, generation int, lease time.Duration) error {
+	body := strings.Replace(cellFile, "generation = 1\n", fmt.Sprintf("generation = %d\n", generation), 1)
+	body = strings.Replace(body, `worker_lease = "15s"`, fmt.Sprintf("worker_lease = %q", lease), 1)
+	command := state.Command{ApplyFile: &state.ApplyFile{Body: []byte(body), From: "controlbench"}}
+	result, err := c.group.Client().Propose(ctx, command)
+	if err == nil && result.Refusal != state.RefusalNone {
+		err = fmt.Errorf("file refused: %s %s %v", result.Refusal, result.Detail, result.File)
+	}
+	return err
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+func (c *testCell) startEntries() ([]string, error) {
+	var controls, platform []string
+	for i := range controlReplicas {
+		controls = append(controls, c.group.Address(i))
+	}
+	for i := range entryProcesses {
+		var addresses [4]string
+		for k := range addresses {
+			address, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			addresses[k] = address
+		}
+		process, err := entry.New(entry.Settings{
+			Name: fmt.Sprintf("entry-%d", i+1), Region: "r1", FailureDomain: "r1-a", LogLevel: "error",
+			ListenCallers: addresses[0], ListenPlatform: addresses[1], ListenInternal: addresses[2], ListenMetrics: addresses[3],
+			ControlAddresses: controls, StopGrace: time.Second,
+		}, eventlog.Nop())
+		if err != nil {
+			return nil, err
+		}
+		platform = append(platform, addresses[1])
+		// A kill without a planned stop: the benchmark has no use for a drain.
+		kill, cancel := context.WithCancel(context.Background())
+		c.stops = append(c.stops, cancel)
+		c.down = append(c.down, cancel)
+		c.running++
+		go func() {
+			// An entry process that fails shows in the workers' answers.
+			_ = process.Run(kill, kill)
+			c.ended <- struct{}{}
+		}()
+	}
+	return platform, nil
+}
+
+func (c *testCell) startWorker(i int, platform []string) {
+	var entries []string
+	for k := range platform {
+		entries = append(entries, platform[(i+k)%len(platform)])
+	}
+	worker := workeragent.New(workeragent.Settings{
+		Name: fmt.Sprintf("worker-%d", i), Region: "r1", FailureDomain: "r1-a", LogLevel: "error",
+		Rack: fmt.Sprintf("rack-%d", i/8), Pool: "general", CPUs: 64, Memory: 128 * strictconf.Bytes(1<<30),
+		Entries: entries, ListenDebug: "127.0.0.1:0",
+	}, workeragent.Hooks{Dial: c.dial, Answered: func(answer agent.Answer) { c.answered(i, answer) }}, eventlog.Nop())
+	kill, cancel := context.WithCancel(context.Background())
+	c.stops = append(c.stops, cancel)
+	c.running++
+	go func() {
+		_ = worker.Run(context.Background(), kill)
+		c.ended <- struct{}{}
+	}()
+}
+
+func (c *testCell) answered(worker int, answer agent.Answer) {
+	if !answer.Granted {
+		return
+	}
+	select {
+	case c.answers <- workerAnswer{worker: worker, lease: answer.Terms.Duration}:
+	default:
+		// Nobody reads at the moment; the next grant says the same.
+	}
+}
+
+func (c *testCell) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, bytes: &c.bytes}, nil
+}
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *testCell) waitStatus(ctx context.Context, done func(*state.StatusView) bool) error {
+	var last *state.StatusView
+	for {
+		answer, err := c.group.Client().Read(ctx, state.Query{Status: &state.StatusQuery{}})
+		if err == nil && answer.Status != nil && done(answer.Status) {
+			return nil
+		}
+		if answer.Status != nil {
+			last = answer.Status
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("the cell did not settle: %+v: %w", last, ctx.Err())
+		}
+	}
+}
+
+func (c *testCell) close() error {
+	for _, stop := range c.stops {
+		stop()
+	}
+	for range c.running {
+		<-c.ended
+	}
+	if err := c.group.Close(); err != nil {
+		return err
+	}
+	return os.RemoveAll(filepath.Clean(c.folder))
+}
--- /dev/null
+++ b/internal/bench/controlbench/run.go
@@ -0,0 +1,223 @@
+package controlbench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Options of a run.
+type Options struct {
+	Folder   string        // data folders; on the disk that is measured
+	Workers  []int         // sizes, ascending
+	Duration time.Duration // of each steady measurement
+	Changes  int           // generations of the burst
+	Rate     int           // changes a second in the burst
+}
+
+// DefaultOptions returns the sizes of docs/design.md, section 1.5.
+func DefaultOptions() Options {
+	return Options{Workers: []int{50, 200, 900}, Duration: 20 * time.Second, Changes: 100, Rate: 10}
+}
+
+// point is one measurement.
+type point struct {
+	workers    int
+	bytes      float64 // a second and worker
+	cpu        float64 // share of a core, whole process
+	memory     float64 // bytes of heap and stacks, whole process
+	single     time.Duration
+	burst      time.Duration
+	afterKills time.Duration
+}
+
+// Run measures each size and prints the points and the fitted slopes.
+func Run(ctx context.Context, out io.Writer, o Options) error {
+	var points []point
+	for _, workers := range o.Workers {
+		p, err := measure(ctx, o, workers)
+		if err != nil {
+			return fmt.Errorf("%d workers: %w", workers, err)
+		}
+		points = append(points, p)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "workers\tbytes/s a worker\tprocess CPU %\tprocess MB\tone change s\tburst s\tchange with 2 control, 2 entry down s\t")
+	for _, p := range points {
+		fmt.Fprintf(table, "%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n", p.workers, p.bytes, 100*p.cpu,
+			p.memory/(1<<20), p.single.Seconds(), p.burst.Seconds(), p.afterKills.Seconds())
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	printFits(out, points)
+	return nil
+}
+
+func measure(ctx context.Context, o Options, workers int) (p point, err error) {
+	p.workers = workers
+	c, err := startCell(ctx, o.Folder, workers)
+	if c != nil {
+		defer func() { err = errors.Join(err, c.close()) }()
+	}
+	if err != nil {
+		return p, err
+	}
+	if err := c.steady(ctx, o.Duration, &p); err != nil {
+		return p, err
+	}
+	return p, c.spread(ctx, o, &p)
+}
+
+// steady measures a cell in which nothing changes.
+func (c *testCell) steady(ctx context.Context, duration time.Duration, p *point) error {
+	bytesBefore, cpuBefore := c.bytes.Load(), processCPU()
+	began := time.Now()
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	seconds := time.Since(began).Seconds()
+	p.bytes = float64(c.bytes.Load()-bytesBefore) / seconds / float64(c.workers)
+	p.cpu = (processCPU() - cpuBefore).Seconds() / seconds
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	p.memory = float64(memory.HeapAlloc + memory.StackInuse)
+	return nil
+}
+
+// spreadLimit bounds the wait for a change; the target is 15 s.
+const spreadLimit = 60 * time.Second
+
+// spread measures the time from the acceptance of a file until every worker
+// that can be reached has a grant under it: one change, a burst, and one
+// change with two control replicas and two entry processes down.
+func (c *testCell) spread(ctx context.Context, o Options, p *point) error {
+	generation := 2
+	var err error
+	if p.single, err = c.change(ctx, generation); err != nil {
+		return err
+	}
+	for range o.Changes - 1 {
+		generation++
+		if err := c.apply(ctx, generation, leaseOf(generation)); err != nil {
+			return err
+		}
+		time.Sleep(time.Second / time.Duration(o.Rate))
+	}
+	generation++
+	if p.burst, err = c.change(ctx, generation); err != nil {
+		return err
+	}
+	if err := c.takeDown(ctx); err != nil {
+		return err
+	}
+	generation++
+	p.afterKills, err = c.change(ctx, generation)
+	return err
+}
+
+// takeDown kills two control replicas, the leader among them, and two entry
+// processes.
+func (c *testCell) takeDown(ctx context.Context) error {
+	leader, err := c.group.Leader(ctx)
+	if err != nil {
+		return err
+	}
+	for _, i := range []int{leader, (leader + 1) % controlReplicas} {
+		if err := c.group.Kill(i); err != nil {
+			return err
+		}
+	}
+	c.down[0]()
+	c.down[1]()
+	return nil
+}
+
+// change applies a file and waits until every worker has a grant under it.
+func (c *testCell) change(ctx context.Context, generation int) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, spreadLimit)
+	defer cancel()
+	began := time.Now()
+	if err := c.apply(ctx, generation, leaseOf(generation)); err != nil {
+		return 0, err
+	}
+	waiting := c.workers
+	seen := make([]bool, c.workers)
+	for waiting > 0 {
+		select {
+		case answer := <-c.answers:
+			if answer.lease == leaseOf(generation) && !seen[answer.worker] {
+				seen[answer.worker] = true
+				waiting--
+			}
+		case <-ctx.Done():
+			return 0, fmt.Errorf("%d of %d workers are without generation %d: %w", waiting, c.workers, generation, ctx.Err())
+		}
+	}
+	return time.Since(began), nil
+}
+
+// processCPU returns the processor time of this process.
+func processCPU() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0 // cannot fail for RUSAGE_SELF
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// printFits prints least-squares lines over the number of workers.
+func printFits(out io.Writer, points []point) {
+	if len(points) < 2 {
+		return
+	}
+	fits := []struct {
+		name, unit string
+		scale      float64
+		value      func(point) float64
+	}{
+		{"processor time", "% of a core", 100, func(p point) float64 { return p.cpu }},
+		{"memory", "KB", 1.0 / 1024, func(p point) float64 { return p.memory }},
+		{"bytes", "bytes/s", 1, func(p point) float64 { return p.bytes * float64(p.workers) }},
+	}
+	for _, fit := range fits {
+		var xs, ys []float64
+		for _, p := range points {
+			xs = append(xs, float64(p.workers))
+			ys = append(ys, fit.value(p)*fit.scale)
+		}
+		intercept, slope, residual := line(xs, ys)
+		fmt.Fprintf(out, "%s: %.4g %s + %.4g %s for each worker, largest residual %.2g %s\n",
+			fit.name, intercept, fit.unit, slope, fit.unit, residual, fit.unit)
+	}
+}
+
+// line fits ys = intercept + slope * xs by least squares and returns the
+// largest distance of a point from the line.
+func line(xs, ys []float64) (intercept, slope, residual float64) {
+	n := float64(len(xs))
+	var sumX, sumY, sumXX, sumXY float64
+	for i := range xs {
+		sumX += xs[i]
+		sumY += ys[i]
+		sumXX += xs[i] * xs[i]
+		sumXY += xs[i] * ys[i]
+	}
+	slope = (n*sumXY - sumX*sumY) / (n*sumXX - sumX*sumX)
+	intercept = (sumY - slope*sumX) / n
+	distances := make([]float64, len(xs))
+	for i := range xs {
+		distances[i] = max(ys[i]-intercept-slope*xs[i], intercept+slope*xs[i]-ys[i])
+	}
+	return intercept, slope, slices.Max(distances)
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -38,8 +38,9 @@
 	firstBackoff = 10 * time.Millisecond
 	maxBackoff   = 200 * time.Millisecond
 	// attemptTimeout bounds one attempt, so that a replica that is cut off
-	// silently does not use up the whole deadline of the call.
-	attemptTimeout = time.Second
+	// silently does not use up the whole deadline of the call. A commit over
+	// 8 ms one way and a slow disk takes well under 100 ms.
+	attemptTimeout = 600 * time.Millisecond
 )
 
 // Client is safe for use by many goroutines; they share no state but send
@@ -67,7 +68,7 @@
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ProposeResponse
-	err = c.untilAnswered(ctx, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
 		return callErr
@@ -89,7 +90,7 @@
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	err = c.untilAnswered(ctx, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
@@ -104,10 +105,11 @@
 	return answer, nil
 }
 
-// Renew sends a batch of worker renewals, once.
+// Renew sends a batch of worker renewals until it is answered or ctx ends. A
+// renewal that is granted twice extends the lease once.
 func (c *Client) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
 	var response *rpcpb.RenewResponse
-	err := c.once(ctx, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Renew(ctx, request)
 		return callErr
@@ -115,11 +117,12 @@
 	return response, err
 }
 
-// Feed polls the feed, once. The wait that the request asks for must fit into
-// ctx.
+// Feed polls the feed until it is answered or ctx ends. The wait that the
+// request asks for must fit into ctx.
 func (c *Client) Feed(ctx context.Context, request *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
+	wait := time.Duration(request.MaxWaitMillis) * time.Millisecond
 	var response *rpcpb.FeedResponse
-	err := c.once(ctx, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, wait+attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Feed(ctx, request)
 		return callErr
@@ -129,21 +132,8 @@
 
 type call func(ctx context.Context, control rpcpb.Control) error
 
-// once makes one call to the replica believed to lead.
-func (c *Client) once(ctx context.Context, do call) error {
-	target, err := c.directory.leader(ctx)
-	if err != nil {
-		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
-	}
-	if err := do(ctx, target.control); err != nil {
-		c.report(target, classify(err))
-		return merry.Wrap(ErrUnavailable, merry.WithCause(err))
-	}
-	return nil
-}
-
 // untilAnswered repeats a call until it is answered or ctx ends.
-func (c *Client) untilAnswered(ctx context.Context, do call) error {
+func (c *Client) untilAnswered(ctx context.Context, timeout time.Duration, do call) error {
 	maybeAccepted := false
 	backoff := firstBackoff
 	for {
@@ -151,15 +141,19 @@
 		if err != nil {
 			return endOfCall(maybeAccepted, err)
 		}
-		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		attempt, cancel := context.WithTimeout(ctx, timeout)
 		err = do(attempt, target.control)
 		cancel()
 		if err == nil {
 			return nil
 		}
 		failure := classify(err)
-		c.report(target, failure)
 		maybeAccepted = maybeAccepted || failure.maybeAccepted
+		if ctx.Err() != nil {
+			// The caller gave up, which says nothing about the replica.
+			return endOfCall(maybeAccepted, err)
+		}
+		c.report(target, failure)
 		if failure.final {
 			return endOfCall(maybeAccepted, err)
 		}
--- /dev/null
+++ b/internal/controlclient/client_test.go
@@ -0,0 +1,122 @@
+package controlclient
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// fakeReplica is a control replica that answers with its error, or with an
+// empty result.
+type fakeReplica struct {
+	rpcpb.Control
+	calls atomic.Int64
+	err   func() error
+}
+
+func (f *fakeReplica) Propose(context.Context, *rpcpb.ProposeRequest) (*rpcpb.ProposeResponse, error) {
+	f.calls.Add(1)
+	if f.err != nil {
+		return nil, f.err()
+	}
+	result, err := codec.EncodeResult(state.Result{})
+	return &rpcpb.ProposeResponse{Result: result}, err
+}
+
+// Feed waits until its caller gives up.
+func (f *fakeReplica) Feed(ctx context.Context, _ *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
+	f.calls.Add(1)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func serve(t *testing.T, replica *fakeReplica) string {
+	t.Helper()
+	server := httptest.NewServer(rpcpb.NewControlServer(replica))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func newClient(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	client := New(addresses, "http", &http.Client{}, metrics.New())
+	go client.Run(t.Context())
+	return client
+}
+
+func notLeader(leader string) func() error {
+	return func() error {
+		return twirp.NewError(twirp.FailedPrecondition, "not the leader").WithMeta(leaderMeta, leader)
+	}
+}
+
+// Guards against a client that leaves the leader because its own caller gave
+// up: each ended feed call made all others look for the leader again, and a
+// change of configuration took 9 s on 50 workers rather than 1 s.
+func TestCancelledCallKeepsTheLeader(t *testing.T) {
+	leader, follower := &fakeReplica{}, &fakeReplica{}
+	client := newClient(t, serve(t, leader), serve(t, follower))
+	for range 5 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, err := client.Feed(ctx, &rpcpb.FeedRequest{MaxWaitMillis: 10_000})
+		cancel()
+		if !errors.Is(err, ErrOutcomeUnknown) {
+			t.Fatalf("cancelled feed: %v", err)
+		}
+	}
+	if leader.calls.Load() != 5 || follower.calls.Load() != 0 {
+		t.Fatalf("calls: leader %d, follower %d", leader.calls.Load(), follower.calls.Load())
+	}
+}
+
+// Guards against a client that does not follow the leader that a replica
+// names, or that reports a command as not accepted although it may have been.
+func TestPropose(t *testing.T) {
+	cases := map[string]struct {
+		err  func(other string) func() error
+		want error
+	}{
+		"follows the named leader": {err: notLeader},
+		"passes over a full replica": {err: func(string) func() error {
+			return func() error { return twirp.NewError(twirp.ResourceExhausted, "overloaded") }
+		}},
+		"gives up on a malformed command": {want: ErrUnavailable, err: func(string) func() error {
+			return func() error { return twirp.NewError(twirp.InvalidArgument, "malformed") }
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			leader, other := &fakeReplica{}, &fakeReplica{}
+			address := serve(t, leader)
+			other.err = c.err(address)
+			client := newClient(t, serve(t, other), address)
+			_, err := client.Propose(t.Context(), state.Command{Advance: &state.Advance{}})
+			if !errors.Is(err, c.want) {
+				t.Fatalf("Propose: %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a lost answer that is reported as not accepted.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	broken := &fakeReplica{err: func() error { return twirp.InternalError("lost") }}
+	client := newClient(t, serve(t, broken))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := client.Propose(ctx, state.Command{Advance: &state.Advance{}}); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Fatalf("Propose: %v", err)
+	}
+}
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	// feedWait is how long the leader holds a feed call without news.
-	feedWait = 5 * time.Second
-	// feedTimeout bounds a feed call; a leader that is cut off silently is
-	// noticed after so long.
-	feedTimeout = feedWait + 2*time.Second
+	// feedWait is how long the leader holds a feed call without news. It is
+	// short against the 15 s within which a file is in force everywhere,
+	// because a leader that is cut off silently is noticed only after it.
+	feedWait = 2 * time.Second
+	// feedTimeout bounds a feed call with its repetitions.
+	feedTimeout = 3 * feedWait
 	// feedPause is the wait after a failed call.
 	feedPause = 100 * time.Millisecond
 	// feedRestartPause collects workers that attach at the same time into one
--- a/internal/entry/relaytask.go
+++ b/internal/entry/relaytask.go
@@ -18,9 +18,10 @@
 	// syncQueue bounds the syncs that wait for the relay task. A sync that
 	// finds it full is refused as overloaded.
 	syncQueue = 1024
-	// renewTimeout bounds a renewal call. It is shorter than the sync interval,
-	// so that a worker's next renewal finds the batch free.
-	renewTimeout = time.Second
+	// renewTimeout bounds a renewal call with its repetitions. It is shorter
+	// than the sync interval, so that a worker's next renewal finds the batch
+	// free, and longer than two attempts, so that it outlasts a dead leader.
+	renewTimeout = 1500 * time.Millisecond
 	// registerTimeout bounds a registration and a departure.
 	registerTimeout = 3 * time.Second
 )
--- a/internal/workeragent/sender.go
+++ b/internal/workeragent/sender.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -37,10 +38,12 @@
 	current     int
 }
 
-func newSender(s Settings, incarnation cell.Incarnation, kind string, logger *eventlog.Logger) *sender {
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newSender(s Settings, incarnation cell.Incarnation, kind string, dial dialFunc, logger *eventlog.Logger) *sender {
 	return &sender{
 		settings: s, incarnation: incarnation, kind: kind, logger: logger,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: dial}},
 	}
 }
 
@@ -50,12 +53,8 @@
 		case <-ctx.Done():
 			return
 		case sync := <-syncs:
-			answer, ok := s.send(ctx, sync)
-			if !ok && sync.Sequence != 0 {
-				continue // the agent renews again by itself
-			}
 			select {
-			case answers <- answer:
+			case answers <- s.send(ctx, sync):
 			case <-ctx.Done():
 				return
 			}
@@ -63,19 +62,28 @@
 	}
 }
 
-// send posts one sync. Where it fails the answer is empty and ok is false.
-func (s *sender) send(ctx context.Context, sync agent.Sync) (answer agent.Answer, ok bool) {
+// send posts one sync. After a failure the next one goes to another entry
+// process.
+func (s *sender) send(ctx context.Context, sync agent.Sync) agent.Answer {
 	synced, err := s.post(ctx, s.message(sync))
 	if err != nil {
 		s.current = (s.current + 1) % len(s.settings.Entries)
 		s.logger.Log(eventSyncFailed, zap.String("kind", s.kind), zap.Error(err))
-		select {
-		case <-time.After(failurePause):
-		case <-ctx.Done():
+		if sync.Sequence == 0 {
+			pause(ctx, failurePause)
 		}
-		return agent.Answer{}, false
+		return agent.Answer{Failed: true, Sequence: sync.Sequence}
+	}
+	return toAnswer(synced)
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return toAnswer(synced), true
 }
 
 func (s *sender) message(sync agent.Sync) api.WorkerSync {
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -38,9 +38,18 @@
 // leaveTimeout bounds a planned stop of the worker.
 const leaveTimeout = 10 * time.Second
 
+// Hooks let a benchmark look at a worker. Nil functions are left out.
+type Hooks struct {
+	// Dial opens connections to entry processes, for counting bytes.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Answered is called by the worker's task for each answer of the cell.
+	Answered func(agent.Answer)
+}
+
 // Worker is the stand-in. Its Run is the task that owns the agent's state.
 type Worker struct {
 	settings Settings
+	hooks    Hooks
 	logger   *eventlog.Logger
 	started  time.Time
 	agent    *agent.Agent
@@ -53,9 +62,10 @@
 }
 
 // New returns a worker that has not started.
-func New(s Settings, logger *eventlog.Logger) *Worker {
+func New(s Settings, hooks Hooks, logger *eventlog.Logger) *Worker {
 	w := &Worker{
 		settings: s,
+		hooks:    hooks,
 		logger:   logger,
 		started:  time.Now(),
 		ended:    make(chan taskEnd, endedQueue),
@@ -98,7 +108,7 @@
 }
 
 func (w *Worker) newSender(kind string) *sender {
-	return newSender(w.settings, cell.Incarnation(w.started.UnixMilli()), kind, w.logger)
+	return newSender(w.settings, cell.Incarnation(w.started.UnixMilli()), kind, w.hooks.Dial, w.logger)
 }
 
 // loop owns the agent: it feeds it messages and carries out its effects.
@@ -142,6 +152,9 @@
 }
 
 func (w *Worker) synced(answer agent.Answer) {
+	if w.hooks.Answered != nil {
+		w.hooks.Answered(answer)
+	}
 	registered, refused := w.agent.Registered(), w.agent.Refused()
 	w.agent.Synced(w.reading(), answer)
 	if !registered && w.agent.Registered() {
