--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -156,6 +156,17 @@
 	underWay bool
 	saving   replog.Snapshot // handed to the storage task
 	index    uint64          // of the last snapshot that was taken or installed
+	// phase delays the first snapshot after a start. It differs between
+	// replicas: copying the state holds a replica up, and commits go on while
+	// that happens to one of them at a time.
+	phase uint64
+}
+
+// snapshotPhases is the number of different phases, for 5 replicas.
+const snapshotPhases = 5
+
+func snapshotPhase(opts Options) uint64 {
+	return opts.SnapshotEveryEntries * (uint64(opts.ID) % snapshotPhases) / snapshotPhases
 }
 
 // takeSnapshot starts a snapshot where enough entries were applied since the
@@ -165,9 +176,11 @@
 		t.snapshots.ready = nil
 		t.saveSnapshot(*ready)
 	}
-	if t.snapshots.underWay || t.disk.full || t.applied < t.snapshots.index+t.opts.SnapshotEveryEntries {
+	due := t.snapshots.index + t.opts.SnapshotEveryEntries + t.snapshots.phase
+	if t.snapshots.underWay || t.disk.full || t.applied < due {
 		return
 	}
+	t.snapshots.phase = 0
 	snapshot, err := t.core.SnapshotAt(t.applied)
 	if err != nil {
 		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(err))
@@ -218,7 +231,6 @@
 	if err := t.restore(snapshot, now); err != nil {
 		return err
 	}
-	t.snapshots.index = snapshot.Index
 	t.proposals.abandon(snapshot.Index)
 	t.opts.Logger.Log(eventInstalled, zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(snapshot.Data)))
 	return nil
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -61,7 +61,7 @@
 		addresses: map[replog.ReplicaID]string{}, recovered: recovered,
 		formed: recovered.Identity != nil && recovered.Identity.Formed,
 		state:  state.New(), logViolations: map[replog.Check]int{},
-		snapshots: snapshotWork{encoded: make(chan encodedSnapshot, 1)},
+		snapshots: snapshotWork{encoded: make(chan encodedSnapshot, 1), phase: snapshotPhase(r.opts)},
 	}
 	t.proposals.waiting = map[uint64]waitingProposal{}
 	t.reads.waiting = map[uint64]readCall{}
@@ -327,7 +327,7 @@
 	if err != nil {
 		return err
 	}
-	t.state, t.applied = restored, snapshot.Index
+	t.state, t.applied, t.snapshots.index = restored, snapshot.Index, snapshot.Index
 	t.violations = 0
 	t.membersIndex = snapshot.Index
 	for _, record := range decoded.Records {
