Split the storage tests by subject and drop an alias

Change: tests of whole folders move to folder_test.go; no test changes. Checked: go test of internal/storage.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -164,6 +163,3 @@
 		return none, ErrStopped
 	}
 }
-
-// httpClient is the client for the questions at the first start.
-type httpClient = *http.Client
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,7 @@
 	opts      Options
 	store     *storage.Store
 	sender    *replication.Sender
-	client    httpClient
+	client    *http.Client // for the questions at the first start
 	steps     chan []replog.Message
 	calls     chan call
 	done      chan struct{}
@@ -54,7 +55,7 @@
 	logViolations    map[replog.Check]int
 }
 
-func newTask(r *Replica, recovered storage.Recovered, client httpClient) (*task, error) {
+func newTask(r *Replica, recovered storage.Recovered, client *http.Client) (*task, error) {
 	t := &task{
 		opts: r.opts, store: r.store, sender: r.sender, client: client,
 		steps: r.steps, calls: r.calls, done: r.done,
--- /dev/null
+++ b/internal/storage/folder_test.go
@@ -0,0 +1,145 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+)
+
+// Guards against two processes on one folder, and against a folder that is
+// taken over by another replica id.
+func TestFolderIsHeldByOneReplica(t *testing.T) {
+	open := func(path string, id replog.ReplicaID) (*Store, error) {
+		disk, err := NewFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		opts := testOptions(disk)
+		opts.Replica = id
+		store, _, err := Open(opts)
+		return store, err
+	}
+	path := t.TempDir()
+	store, err := open(path, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := admit(store); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open(path, 1); !errors.Is(err, ErrLocked) {
+		t.Errorf("second process: error %v, want ErrLocked", err)
+	}
+	store.Close()
+	if _, err := open(path, 2); !errors.Is(err, ErrOtherReplica) {
+		t.Errorf("other replica: error %v, want ErrOtherReplica", err)
+	}
+	store, err = open(path, 1)
+	if err != nil {
+		t.Fatalf("second start: %v", err)
+	}
+	store.Close()
+}
+
+// Guards against a folder that is started although a file of it is damaged or
+// missing. The error must name the file and the offset.
+func TestDamagedFolderIsRefused(t *testing.T) {
+	path := t.TempDir()
+	fill(t, path)
+	segments, err := filepath.Glob(filepath.Join(path, "segment-*"))
+	if err != nil || len(segments) < 3 {
+		t.Fatalf("segments %v, error %v, want at least 3", segments, err)
+	}
+	flip := func(data []byte) []byte { data[len(data)-3] ^= 1; return data }
+	missing := func([]byte) []byte { return nil }
+	cases := map[string]struct {
+		file   string
+		change func([]byte) []byte
+		want   string
+	}{
+		"damaged middle segment": {segments[1], flip, filepath.Base(segments[1]) + ": damaged at offset "},
+		"missing middle segment": {segments[1], missing, "a segment before " + filepath.Base(segments[2]) + " is missing"},
+		"missing first segment":  {segments[0], missing, "the log has a gap"},
+		"damaged identity":       {filepath.Join(path, identityName), flip, "identity: damaged at offset "},
+		"missing identity":       {filepath.Join(path, identityName), missing, "the file identity is missing"},
+	}
+	for name, c := range cases {
+		original, err := os.ReadFile(c.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if changed := c.change(bytes.Clone(original)); changed != nil {
+			err = os.WriteFile(c.file, changed, fileMode)
+		} else {
+			err = os.Remove(c.file)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		disk, err := NewFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Open(testOptions(disk)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q", name, err, c.want)
+		}
+		if err := os.WriteFile(c.file, original, fileMode); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := Inspect(mustFolder(t, path)); err != nil {
+		t.Errorf("restored folder: %v", err)
+	}
+}
+
+// serveOne serves a request to its end as Run does.
+func serveOne(store *Store, request Request) error {
+	if err := store.serve([]Request{request}); err != nil || !store.saving {
+		return err
+	}
+	return store.finishSnapshot(<-store.saved)
+}
+
+// admit lets the replica vote with a folder.
+func admit(store *Store) error {
+	if err := store.serve([]Request{Admit{}}); err != nil {
+		return err
+	}
+	return (<-store.completions).Err
+}
+
+func mustFolder(t *testing.T, path string) Disk {
+	t.Helper()
+	disk, err := NewFolder(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return disk
+}
+
+// fill writes a log of several segments without a snapshot.
+func fill(t *testing.T, path string) {
+	t.Helper()
+	store, _, err := Open(testOptions(mustFolder(t, path)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	if err := admit(store); err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(12) {
+		request := Append{Seq: i + 1, Entries: entries(3*i+1, 3*i+3, 1)}
+		if err := store.serve([]Request{request}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if store.identity == nil || !store.identity.Formed {
+		t.Fatal("the identity does not say that the group was formed")
+	}
+}
