--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -30,6 +31,7 @@
 	// leave. Without one, the announcements expire within a lease as well.
 	leaveTimeout = 5 * time.Second
 	headTimeout  = 10 * time.Second
+	refuseFor    = 500 * time.Millisecond
 )
 
 // Server is one incarnation of a stand-in.
@@ -48,11 +50,11 @@
 func New(settings Settings, incarnation uint64, logger *eventlog.Logger) (*Server, error) {
 	listener, err := net.Listen("tcp", settings.Listen)
 	if err != nil {
-		return nil, err
+		return nil, merry.Prepend(err, "backendserver: address for requests")
 	}
 	debug, err := net.Listen("tcp", settings.ListenDebug)
 	if err != nil {
-		return nil, errors.Join(err, listener.Close())
+		return nil, merry.Prepend(errors.Join(err, listener.Close()), "backendserver: debug address")
 	}
 	s := &Server{
 		settings:    settings,
@@ -118,11 +120,22 @@
 	select {
 	case <-idle:
 		s.logger.Log(eventLeft)
+		s.shutDown(kill)
 	case <-kill.Done():
 		s.logger.Log(eventCut, zap.Int("cut", s.Counts().InFlight))
 	}
 }
 
+// shutDown refuses requests a little longer, because one may be on its way on an
+// idle connection, and then closes the connections as they become idle.
+func (s *Server) shutDown(kill context.Context) {
+	pause(kill, refuseFor)
+	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
+	defer cancel()
+	// What is left after the timeout is cut by the caller.
+	_ = s.http.Shutdown(ctx)
+}
+
 // Kill cuts all connections and stops serving, as a crash does.
 func (s *Server) Kill() error {
 	return errors.Join(s.http.Close(), s.debug.Close())
@@ -153,6 +166,13 @@
 	return <-reply
 }
 
+// load returns the number of requests in flight.
+func (s *Server) load() int {
+	reply := make(chan int, 1)
+	s.messages <- askLoad{reply: reply}
+	return <-reply
+}
+
 func (s *Server) end() {
 	reply := make(chan int, 1)
 	s.messages <- endRun{reply: reply}
@@ -178,6 +198,6 @@
 		lease:    p.AnnounceLease,
 		client:   &http.Client{},
 		logger:   s.logger,
-		counts:   s.Counts,
+		load:     s.load,
 	}
 }
--- a/internal/bench/routingbench/report.go
+++ b/internal/bench/routingbench/report.go
@@ -16,15 +16,20 @@
 	overload     = 1.3
 	// regionLoad is ordinary for what is left after one region of three is lost.
 	regionLoad = 0.53
+	// unevenLoad is what a cell with one entry process under double load has
+	// room for.
+	unevenLoad = 0.7
 )
 
 func scenarios() []scenario {
 	return []scenario{
 		{name: "all well", load: ordinaryLoad},
 		{name: "one server 10 times slower", load: ordinaryLoad, mode: modeSlow},
+		{name: "one server 10 times slower, servers queue above their slots", load: ordinaryLoad, mode: modeSlow, queues: true},
 		{name: "one server fails at once", load: ordinaryLoad, mode: modeFailing},
 		{name: "one server silent", load: ordinaryLoad, mode: modeSilent},
 		{name: "one region lost", load: regionLoad, lostRegion: true},
+		{name: "one entry process gets twice the load", load: unevenLoad, uneven: true},
 		{name: "full load", load: fullLoad},
 		{name: "load 1.3", load: overload},
 	}
@@ -68,7 +73,7 @@
 		}
 		fmt.Fprintf(t, "%s\t%.1f\t%.1f\t%.1f\t%.0f\t%.2f\t%.2f\t%.2f\t%.0f\t\n", m.name,
 			millis(r.percentile(0.5)+hop), millis(r.percentile(0.99)+hop), millis(r.percentile(0.999)+hop),
-			float64(r.answers)/measured.Seconds(),
+			float64(r.answers)/r.length.Seconds(),
 			r.perThousand(r.errors), r.perThousand(r.refused), r.perThousand(r.refusals), r.perThousand(r.crossings))
 	}
 	return t.Flush()
@@ -82,7 +87,7 @@
 		r := newRun(scenario{load: overload, order: order}, methods()[0], seed)
 		r.execute()
 		fmt.Fprintf(t, "%s\t%.1f\t%.1f\t%.0f\t%.2f\t%.2f\t\n", order, millis(r.percentile(0.5)), millis(r.percentile(0.99)),
-			float64(r.answers)/measured.Seconds(), r.perThousand(r.refused), r.perThousand(r.errors))
+			float64(r.answers)/r.length.Seconds(), r.perThousand(r.refused), r.perThousand(r.errors))
 	}
 	return t.Flush()
 }
--- a/internal/bench/routingbench/run.go
+++ b/internal/bench/routingbench/run.go
@@ -23,6 +23,8 @@
 	load       float64 // share of the capacity of all servers
 	mode       mode    // of the first server, from the end of the warm-up
 	lostRegion bool    // the first region is cut off from the end of the warm-up
+	uneven     bool    // the first entry process gets twice the load of another
+	queues     bool    // servers queue above their slots, as ordinary ones do
 	order      admission.ShedOrder
 }
 
@@ -52,14 +54,16 @@
 	refused   int // answered as not run
 	refusals  int // by backend servers
 	crossings int
+	length    time.Duration // after the warm-up
+	warm      time.Duration
 	booked    map[cell.BackendName]int // outstanding of all entry processes
 }
 
 func newRun(s scenario, m method, seed uint64) *run {
-	r := &run{booked: map[cell.BackendName]int{}, random: rand.New(rand.NewPCG(seed, 7)), scenario: s, method: m, start: time.Unix(1_800_000_000, 0)}
+	r := &run{warm: warmUp, length: measured, booked: map[cell.BackendName]int{}, random: rand.New(rand.NewPCG(seed, 7)), scenario: s, method: m, start: time.Unix(1_800_000_000, 0)}
 	r.clock.now = r.start
 	for i := range serverCount {
-		r.servers = append(r.servers, &backend{place: placeOf(i), index: i, name: cell.BackendName(fmt.Sprintf("server-%02d", i))})
+		r.servers = append(r.servers, &backend{place: placeOf(i), queues: s.queues, index: i, name: cell.BackendName(fmt.Sprintf("server-%02d", i))})
 	}
 	for i := range entryCount {
 		r.entries = append(r.entries, r.newEntry(i, seed))
@@ -72,7 +76,7 @@
 	random := rand.New(rand.NewPCG(seed, uint64(i)+100))
 	order := r.scenario.order
 	if order == "" {
-		order = admission.ShedNewest
+		order = admission.ShedOldest
 	}
 	e.queue = admission.New(admission.Options{
 		MaxQueue: maxQueue, Shares: map[cell.Team]float64{team: 1},
@@ -96,15 +100,19 @@
 		Lease: announceLease, MaxEntries: entryCount, CrossRegionPenalty: crossPenalty, PanicThreshold: panicThreshold,
 	}})
 	if !r.method.noHomes {
-		table.SetEntries(entryPlaces())
+		table.SetEntries(r.entryPlaces(e))
 	}
 	return table
 }
 
-func entryPlaces() []routing.Entry {
+// entryPlaces returns the entry processes as e sees them.
+func (r *run) entryPlaces(e *entry) []routing.Entry {
 	var entries []routing.Entry
 	for i := range entryCount {
 		p := placeOf(i)
+		if r.method.ignoreRegions {
+			p = e.place
+		}
 		entries = append(entries, routing.Entry{Name: entryName(i), Region: p.region, FailureDomain: p.domain})
 	}
 	return entries
@@ -132,8 +140,8 @@
 	}
 	// Arrivals begin when the first announcements have spread.
 	r.clock.after(announceInterval+100*time.Millisecond, r.arrival)
-	r.clock.after(warmUp, r.fail)
-	r.clock.run(r.start.Add(warmUp + measured + deadline + time.Second))
+	r.clock.after(r.warm, r.fail)
+	r.clock.run(r.start.Add(r.warm + r.length + deadline + time.Second))
 }
 
 // announce sends an announcement to one entry process, from which the others
@@ -193,7 +201,7 @@
 
 func (r *run) arrival() {
 	elapsed := r.clock.now.Sub(r.start)
-	if elapsed > warmUp+measured {
+	if elapsed > r.warm+r.length {
 		return
 	}
 	rate := r.scenario.load * serverCount * slots / meanService.Seconds()
@@ -203,7 +211,7 @@
 		arrived:  r.clock.now,
 		deadline: r.clock.now.Add(deadline),
 		service:  time.Duration(r.random.ExpFloat64() * float64(meanService)),
-		recorded: elapsed >= warmUp,
+		recorded: elapsed >= r.warm,
 	}
 	if q.recorded {
 		r.arrivals++
@@ -214,8 +222,12 @@
 // liveEntry is the choice of the load balancer in front of the entry
 // processes: any that lives.
 func (r *run) liveEntry() *entry {
+	all := r.entries
+	if r.scenario.uneven {
+		all = append(slices.Clone(all), all[0])
+	}
 	for {
-		e := r.entries[r.random.IntN(len(r.entries))]
+		e := all[r.random.IntN(len(all))]
 		if !e.lost {
 			return e
 		}
