--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,7 +21,7 @@
 	opts      Options
 	store     *storage.Store
 	sender    *replication.Sender
-	client    httpClient
+	client    *http.Client // for the questions at the first start
 	steps     chan []replog.Message
 	calls     chan call
 	done      chan struct{}
@@ -54,14 +55,14 @@
 	logViolations    map[replog.Check]int
 }
 
-func newTask(r *Replica, recovered storage.Recovered, client httpClient) (*task, error) {
+func newTask(r *Replica, recovered storage.Recovered, client *http.Client) (*task, error) {
 	t := &task{
 		opts: r.opts, store: r.store, sender: r.sender, client: client,
 		steps: r.steps, calls: r.calls, done: r.done,
 		addresses: map[replog.ReplicaID]string{}, recovered: recovered,
 		formed: recovered.Identity != nil && recovered.Identity.Formed,
 		state:  state.New(), logViolations: map[replog.Check]int{},
-		snapshots: snapshotWork{encoded: make(chan encodedSnapshot, 1)},
+		snapshots: snapshotWork{encoded: make(chan encodedSnapshot, 1), phase: snapshotPhase(r.opts)},
 	}
 	t.proposals.waiting = map[uint64]waitingProposal{}
 	t.reads.waiting = map[uint64]readCall{}
@@ -85,7 +86,7 @@
 	if err := t.admit(ctx); err != nil {
 		return err
 	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || t.stopping != nil {
 		return nil
 	}
 	if err := t.startLog(time.Now()); err != nil {
@@ -327,7 +328,7 @@
 	if err != nil {
 		return err
 	}
-	t.state, t.applied = restored, snapshot.Index
+	t.state, t.applied, t.snapshots.index = restored, snapshot.Index, snapshot.Index
 	t.violations = 0
 	t.membersIndex = snapshot.Index
 	for _, record := range decoded.Records {
