Order teams by tiers of share, balance groups and compare policies

Change: blocked classes are kept by size and woken in turn; teams below their share go first, others by age with a handicap; packing prefers groups of lower load; only memory is booked above the declared size; single large tasks reserve workers after 10 minutes, gangs after 1 minute; backfill ends with the first expected start. Checked: make lint; go test -race.

--- a/core/placement/config.go
+++ b/core/placement/config.go
@@ -100,7 +100,7 @@
 	key := scopeKey{policy, region}
 	sc := s.scopes[key]
 	if sc == nil {
-		sc = &scope{region: region, byTeam: map[*team]*bucket{}}
+		sc = &scope{region: region, buckets: map[bucketKey]*bucket{}}
 		sc.policy.Name = policy
 		s.scopes[key] = sc
 		s.scopeList = append(s.scopeList, sc)
--- a/core/placement/events.go
+++ b/core/placement/events.go
@@ -149,6 +149,8 @@
 		s.unmarkVictim(a)
 	}
 	if w.group != nil {
+		w.present = false
+		w.count()
 		w.group.index.remove(w)
 		w.group.index.workers = slices.DeleteFunc(w.group.index.workers, func(o *worker) bool { return o == w })
 	}
--- a/core/placement/forecast.go
+++ b/core/placement/forecast.go
@@ -34,6 +34,9 @@
 // chooseSeats finds the workers on which a reservation can start first: in one
 // region where one is large enough.
 func (s *Scheduler) chooseSeats(r *reservation) bool {
+	if !r.class.gang() {
+		return s.chooseSeat(r)
+	}
 	r.seats = nil
 	groups := r.class.scope.groups
 	for i, g := range groups {
@@ -71,6 +74,12 @@
 func (s *Scheduler) forecast(r *reservation, within func(*group) bool) ([]seat, time.Time) {
 	f := forecast{size: r.class.key.size, missing: r.class.together(), shared: r.shared}
 	f.wanted = f.missing * forecastSurplus
+	s.stamp++
+	for _, seat := range r.former {
+		if w := seat.worker; within(w.group) {
+			s.collectWorker(&f, w)
+		}
+	}
 	for _, g := range r.class.scope.groups {
 		if within(g) {
 			s.collect(&f, g)
@@ -117,14 +126,15 @@
 		first = int(uint64(s.now.UnixNano()) % uint64(count))
 	}
 	for i := 0; i < count && !f.enough(); i++ {
-		w := g.index.workers[(first+i)%count]
-		if w.usable() && (w.hold == nil || f.shared) && f.size.Fits(w.Capacity) {
-			s.collectWorker(f, w)
-		}
+		s.collectWorker(f, g.index.workers[(first+i)%count])
 	}
 }
 
 func (s *Scheduler) collectWorker(f *forecast, w *worker) {
+	if !w.usable() || (w.hold != nil && !f.shared) || !f.size.Fits(w.Capacity) || w.stamp == s.stamp {
+		return
+	}
+	w.stamp = s.stamp
 	horizon := s.now.Add(neverEnds)
 	f.workers++
 	w.room, w.seated = w.free().Sub(w.urgentHold), 0
@@ -159,3 +169,63 @@
 	w.seated += n
 	f.seats[w.seatAt].count = w.seated
 }
+
+// chooseSeat finds the worker that has room for a single task first.
+func (s *Scheduler) chooseSeat(r *reservation) bool {
+	size := r.class.key.size
+	r.seats = nil
+	best := s.now.Add(neverEnds).UnixNano()
+	consider := func(w *worker) {
+		if w.hold != nil && !r.shared {
+			return
+		}
+		if at, ok := s.firstRoom(w, size, best); ok {
+			best = at
+			r.seats = []seat{{worker: w, count: 1}}
+		}
+	}
+	for _, seat := range r.former {
+		consider(seat.worker)
+	}
+	for _, g := range r.class.scope.groups {
+		count := len(g.index.workers)
+		for i := range min(count, forecastWorkers) {
+			consider(g.index.workers[(i+int(uint64(s.now.UnixNano())%uint64(count)))%count])
+		}
+	}
+	r.start = time.Unix(0, best)
+	return r.seats != nil
+}
+
+// firstRoom returns when a worker is expected to have room for size, where
+// that is before limit.
+func (s *Scheduler) firstRoom(w *worker, size cell.Resources, limit int64) (int64, bool) {
+	room := w.free().Sub(w.urgentHold)
+	if !w.usable() || !size.Fits(w.Capacity) {
+		return 0, false
+	}
+	if size.Fits(room) {
+		return s.now.UnixNano(), s.now.UnixNano() < limit
+	}
+	s.endings = s.endings[:0]
+	for _, a := range w.allocations {
+		if at := s.expectedEnd(a).UnixNano(); at < limit {
+			s.endings = append(s.endings, ending{at, a})
+			room = room.Add(a.booked)
+		}
+	}
+	if !size.Fits(room) {
+		return 0, false
+	}
+	// The latest ends that the task need not wait for are taken off again.
+	slices.SortFunc(s.endings, func(a, b ending) int { return cmp.Compare(b.at, a.at) })
+	at := s.now.UnixNano()
+	for _, e := range s.endings {
+		room = room.Sub(e.allocation.booked)
+		if !size.Fits(room) {
+			at = e.at
+			break
+		}
+	}
+	return at, true
+}
--- a/core/placement/gang.go
+++ b/core/placement/gang.go
@@ -21,6 +21,7 @@
 		s.block(c, ReasonNoRoom)
 		return false
 	}
+	s.dropReservations(c, func(*reservation) bool { return true })
 	for _, seat := range seats {
 		for range seat.count {
 			_, index := s.takeTask(c)
--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -44,17 +44,14 @@
 }
 
 // estimate is the logarithm of run times, relative to the declared ones, and
-// of the measured use relative to the declared size.
+// of the measured memory relative to the declared size.
 type estimate struct {
 	samples  int
 	mean     float64 // of ln(measured / declared run time)
 	variance float64
-	usage    usageRatio
+	usage    float64 // measured memory / declared, 0 where not measured
 }
 
-// usageRatio is measured use divided by declared size, 0 where not measured.
-type usageRatio struct{ cpu, memory float64 }
-
 func (e *estimate) observe(logRatio float64) {
 	e.samples++
 	rate := max(learnRate, 1/float64(e.samples))
@@ -123,9 +120,8 @@
 // learnUsage takes measured use.
 func (s *Scheduler) learnUsage(a *allocation, used cell.Resources) {
 	for _, key := range a.job.learnKeys() {
-		u := &s.learned.keep(key).usage
-		u.cpu = follow(u.cpu, share(used.MilliCPU, a.size.MilliCPU))
-		u.memory = follow(u.memory, share(used.MemoryBytes, a.size.MemoryBytes))
+		e := s.learned.keep(key)
+		e.usage = follow(e.usage, share(used.MemoryBytes, a.size.MemoryBytes))
 	}
 }
 
@@ -155,27 +151,20 @@
 }
 
 // likelyUse returns what a task is booked at before it is measured: its
-// declared size, or more where such tasks use more.
+// declared size, with more memory where such tasks use more.
 func (s *Scheduler) likelyUse(j *job) cell.Resources {
 	size := j.spec.Size
 	for _, key := range j.learnKeys() {
 		e := s.learned.find(key)
-		if e == nil || e.usage.cpu == 0 {
+		if e == nil || e.usage == 0 {
 			continue
 		}
-		return cell.Resources{
-			MilliCPU:     overused(size.MilliCPU, e.usage.cpu),
-			MemoryBytes:  overused(size.MemoryBytes, e.usage.memory),
-			Accelerators: size.Accelerators,
-		}
+		size.MemoryBytes = int64(float64(size.MemoryBytes) * max(1, min(e.usage, maxOveruse)))
+		return size
 	}
 	return size
 }
 
-func overused(declared int64, ratio float64) int64 {
-	return int64(float64(declared) * max(1, min(ratio, maxOveruse)))
-}
-
 // refreshExpected updates what is expected of a job and returns the bucket of
 // its expected run time.
 func (s *Scheduler) refreshExpected(j *job) int {
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -29,8 +29,9 @@
 	slot       slot
 	next, prev *worker // in the list of its slot
 
-	health health
-	closed bool // by its health
+	health               health
+	closed               bool           // by its health
+	counted, countedUsed cell.Resources // in the load of its group
 
 	stamp  uint64         // last search that looked at the worker
 	room   cell.Resources // in a forecast
@@ -91,8 +92,7 @@
 	seenOn   []*worker     // workers that remember outcomes of the job
 	spread   *spreadCount
 
-	claims      []*claimSet
-	reservation *reservation
+	claims []*claimSet
 
 	next, prev *job // in the list of class
 }
@@ -119,22 +119,23 @@
 // class holds the waiting jobs whose tasks are equal for the scheduler: where
 // one task does not fit, none does.
 type class struct {
-	key        classKey
-	team       *team
-	scope      *scope
-	expected   time.Duration // run time by the bucket; 0 for services
-	head, tail *job
-	heapIndex  int // in team.ready; notReady outside it
-	order      int64
-	wait       Reason     // why it is not ready
-	bucket     *bucket    // where it waits for room
-	triedGain  uint64     // gainCount of its scope when it was tried
-	list       *classList // that holds it while it is not ready
-	at         int        // in list
-	retryAt    time.Time  // earliest next search, where one is expensive
-	retrying   bool       // a timer is set for retryAt
-	skipUntil  time.Time  // no reservation before
-	considered bool       // a reservation was considered for its first job
+	key          classKey
+	team         *team
+	scope        *scope
+	expected     time.Duration // run time by the bucket; 0 for services
+	head, tail   *job
+	heapIndex    int // in team.ready; notReady outside it
+	order        int64
+	wait         Reason     // why it is not ready
+	bucket       *bucket    // where it waits for room
+	triedGain    uint64     // gainCount of its scope when it was tried
+	list         *classList // that holds it while it is not ready
+	at           int        // in list
+	retryAt      time.Time  // earliest next search, where one is expensive
+	retrying     bool       // a timer is set for retryAt
+	skipUntil    time.Time  // no reservation before
+	reservations []*reservation
+	considered   bool // a reservation was considered for its first job
 }
 
 const notReady = -1
@@ -162,9 +163,8 @@
 	region    cell.Region // empty: any
 	known     bool        // the policy is in the file
 	groups    []*group
-	buckets   []*bucket // classes that found no room, by team
-	byTeam    map[*team]*bucket
-	urgent    bucket         // urgent classes that found no room
+	shapes    []*shape // classes that found no room
+	buckets   map[bucketKey]*bucket
 	gain      cell.Resources // most room that a worker has after a change
 	gainCount uint64         // changes so far
 	gained    bool           // gain was not yet offered to all classes
@@ -185,9 +185,14 @@
 	index   index
 	victims [victimKinds]victimList
 	held    int // workers that are reserved for gangs
-	scopes  []*scope
+
+	used, capacity cell.Resources // of the workers that may be used
+	scopes         []*scope
 }
 
+// load is the share of the group's scarcest resource that is used.
+func (g *group) load() float64 { return g.used.DominantShare(g.capacity) }
+
 type groupKey struct {
 	pool   cell.Pool
 	region cell.Region
--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -13,7 +13,7 @@
 
 // DefaultOptions returns the settings that the benchmarks chose.
 func DefaultOptions() Options {
-	return Options{RunTimeWeight: 1}
+	return Options{RunTimeWeight: 0.25}
 }
 
 const (
@@ -22,6 +22,10 @@
 	urgentRetryInterval = 5 * time.Millisecond
 	// upperFactor times the expected run time is exceeded by few tasks.
 	upperFactor = 2
+	// shareHandicap is the waiting time that a use of twice the share costs.
+	shareHandicap = 30 * time.Minute
+	// maxExcess bounds the handicap of teams with a very small share.
+	maxExcess = 16.0
 	// maxHeadStart bounds how much later a shorter job may be submitted and
 	// still overtake a longer one.
 	maxHeadStart = 30 * time.Minute
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -44,12 +44,21 @@
 	return best
 }
 
+// before orders classes of different teams: urgent work, then teams below
+// their share, then the others; within these by age, with a handicap for what
+// a team uses beyond its share. Strict order by the least share served first
+// let the small tasks of many teams take the room that large tasks waited for.
 func before(a, b *class) bool {
 	if a.urgent() != b.urgent() {
 		return a.urgent()
 	}
-	if !a.urgent() && a.team.fairness != b.team.fairness {
-		return a.team.fairness < b.team.fairness
+	if !a.urgent() {
+		if below := a.team.fairness < 1; below != (b.team.fairness < 1) {
+			return below
+		}
+		if ta, tb := a.turn(), b.turn(); ta != tb {
+			return ta < tb
+		}
 	}
 	if a.order != b.order {
 		return a.order < b.order
@@ -57,6 +66,12 @@
 	return a.head.id < b.head.id
 }
 
+// turn is the order of a class with the handicap of its team.
+func (c *class) turn() int64 {
+	excess := min(max(c.team.fairness-1, 0), maxExcess)
+	return c.order + int64(excess*float64(shareHandicap))
+}
+
 // try places the first task of a class, or all tasks of its first gang. It
 // returns false where that was not possible and the class is not ready now.
 func (s *Scheduler) try(plan *state.CommitPlan, c *class) bool {
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -68,9 +68,7 @@
 	if c == nil {
 		return
 	}
-	if j.reservation != nil {
-		s.dropReservation(j.reservation)
-	}
+	s.dropReservations(c, func(r *reservation) bool { return r.job == j })
 	c.considered = false
 	if j.prev == nil {
 		c.head = j.next
@@ -86,6 +84,8 @@
 	if c.head == nil {
 		s.takeReady(c)
 		c.list.remove(c)
+		c.scope.remove(c)
+		s.dropReservations(c, func(*reservation) bool { return true })
 		delete(s.classes, c.key)
 		return
 	}
@@ -98,6 +98,9 @@
 	if c.heapIndex != notReady {
 		heap.Fix(&c.team.ready, c.heapIndex)
 	}
+	if c.bucket != nil {
+		heap.Fix(&c.bucket.waiting, c.at)
+	}
 }
 
 // classOf returns the class in which a job waits.
@@ -123,15 +126,13 @@
 // takeTask removes the first waiting task of a class and returns it.
 func (s *Scheduler) takeTask(c *class) (*job, int) {
 	j := c.head
-	if j.reservation != nil {
-		s.dropReservation(j.reservation)
-	}
 	index := j.queued[0]
 	j.queued = j.queued[1:]
 	if len(j.queued) == 0 {
 		j.queued = nil
 		s.unlink(j)
 	}
+	s.trimReservations(c)
 	return j, index
 }
 
@@ -198,8 +199,8 @@
 
 func (s *Scheduler) classDue(c *class) {
 	c.retrying = false
-	if c.bucket != nil && c.list == &c.bucket.waiting {
-		c.list.remove(c)
+	if c.bucket != nil {
+		c.scope.remove(c)
 		s.makeReady(c)
 	}
 }
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -20,20 +20,28 @@
 	// gangRetryInterval is the least time between two searches for one class
 	// of gangs, which look at many workers each.
 	gangRetryInterval = 50 * time.Millisecond
-	// maxReservations bounds the room that is kept for work to come.
-	maxReservations = 8
-	// singleTaskWait is how long a single task waits for room before workers
-	// are reserved for it. Most find room earlier without idle processors.
-	singleTaskWait = 30 * time.Second
+	// maxGangReservations bounds the room that is kept for gangs.
+	maxGangReservations = 8
+	// One worker of singlesPart, and minSingles at least, is kept for single
+	// large tasks; one class may have classSingles of them.
+	singlesPart  = 64
+	minSingles   = 8
+	classSingles = 8
+	// gangWait and singleTaskWait are how long work waits for room before workers
+	// are reserved for it. Most finds room earlier without idle processors.
+	gangWait       = time.Minute
+	singleTaskWait = 10 * time.Minute
 	// overShareWait is added for teams above their share.
 	overShareWait = 10 * time.Minute
+	// minRenewal is the least time between two forecasts of one reservation.
+	minRenewal = 5 * time.Second
 	// renewFraction of the time to the expected start passes between two
 	// forecasts of one reservation.
-	renewFraction = 8
+	renewFraction = 4
 	// backfillWindow bounds backfill on reserved workers to this many times
 	// the delay that was expected at first, so that run times that are always
 	// underestimated cannot postpone a gang for ever.
-	backfillWindow = 3
+	backfillWindow = 1
 	// infeasibleWait is how long a class is left out that could not start even
 	// without the other reservations. It must not keep others from reserving.
 	infeasibleWait = 30 * time.Second
@@ -47,7 +55,7 @@
 // state. The oldest gangs reserve first; until one of them has got its
 // workers, younger ones of the same groups may not reserve.
 type reservation struct {
-	job     *job
+	job     *job // the gang; nil for a single task
 	class   *class
 	seats   []seat
 	made    time.Time
@@ -55,7 +63,9 @@
 	window  time.Time // end of backfill
 	renewAt time.Time // when start is computed again
 	shared  bool      // only a question: workers held by others count
-	missing int       // workers that do not have their room yet
+	former  []seat    // before it is renewed
+	dropped bool
+	missing int // workers that do not have their room yet
 }
 
 // reviewReservations renews the reservations and makes new ones. One call does
@@ -83,7 +93,7 @@
 // feasible reports whether the first job of a class could start if there were
 // no reservations.
 func (s *Scheduler) feasible(c *class) bool {
-	r := &reservation{job: c.head, class: c, shared: true}
+	r := &reservation{class: c, shared: true}
 	return s.chooseSeats(r)
 }
 
@@ -95,6 +105,7 @@
 		if s.now.Before(r.renewAt) {
 			continue
 		}
+		r.former = r.seats
 		s.releaseHolds(r)
 		if s.chooseSeats(r) {
 			s.addHolds(r)
@@ -109,9 +120,6 @@
 // reserveFirst makes a reservation for the first waiting class that is not
 // behind one that could get none, and reports whether it did so.
 func (s *Scheduler) reserveFirst() bool {
-	if len(s.reservations) >= maxReservations {
-		return false
-	}
 	var locked []*group
 	for _, c := range s.reservable() {
 		if !slices.ContainsFunc(c.scope.groups, func(g *group) bool { return slices.Contains(locked, g) }) {
@@ -129,37 +137,68 @@
 }
 
 // reservable returns the classes that may reserve workers, the longest waiting
-// first, at most maxReservations of them.
+// first, at most maxReservable of them.
 func (s *Scheduler) reservable() []*class {
+	gangs := s.gangReservations()
+	s.gangsFull = gangs >= maxGangReservations
+	s.singlesFull = len(s.reservations)-gangs >= max(minSingles, len(s.workers)/singlesPart)
 	var found []*class
+	if s.gangsFull && s.singlesFull {
+		return nil
+	}
 	for _, sc := range s.scopeList {
-		found = s.addReservable(found, &sc.urgent)
-		for _, b := range sc.buckets {
-			found = s.addReservable(found, b)
+		for _, sh := range sc.shapes {
+			for _, b := range sh.buckets {
+				found = s.addReservable(found, b.waiting[0])
+			}
 		}
 	}
 	return found
 }
 
-func (s *Scheduler) addReservable(found []*class, b *bucket) []*class {
-	for _, c := range b.waiting.classes {
-		if c.head.reservation != nil || s.now.Before(c.skipUntil) || s.reserveAt(c) > s.now.UnixNano() {
-			continue
-		}
-		at, _ := slices.BinarySearchFunc(found, c, s.compareReservable)
-		if at < maxReservations {
-			found = slices.Insert(found, at, c)
-			found = found[:min(len(found), maxReservations)]
+func (s *Scheduler) addReservable(found []*class, c *class) []*class {
+	if !s.mayReserve(c) || s.now.Before(c.skipUntil) || s.reserveAt(c) > s.now.UnixNano() {
+		return found
+	}
+	at, _ := slices.BinarySearchFunc(found, c, s.compareReservable)
+	if at == maxReservable {
+		return found
+	}
+	found = slices.Insert(found, at, c)
+	return found[:min(len(found), maxReservable)]
+}
+
+// maxReservable is the number of classes that one review considers.
+const maxReservable = 8
+
+func (s *Scheduler) gangReservations() int {
+	count := 0
+	for _, r := range s.reservations {
+		if r.job != nil {
+			count++
 		}
 	}
-	return found
+	return count
 }
 
-func (sc *scope) anyBlocked() bool {
-	if len(sc.urgent.waiting.classes) > 0 {
-		return true
+// mayReserve reports whether a class may have another reservation.
+func (s *Scheduler) mayReserve(c *class) bool {
+	if c.gang() {
+		return !s.gangsFull && len(c.reservations) == 0
 	}
-	return slices.ContainsFunc(sc.buckets, func(b *bucket) bool { return len(b.waiting.classes) > 0 })
+	return !s.singlesFull && len(c.reservations) < min(c.waitingAtLeast(), classSingles)
+}
+
+// waitingAtLeast is a lower bound of the waiting tasks of a class.
+func (c *class) waitingAtLeast() int {
+	if c.head == nil {
+		return 0
+	}
+	count := len(c.head.queued)
+	if c.head.next != nil {
+		count += len(c.head.next.queued)
+	}
+	return count
 }
 
 func (s *Scheduler) compareReservable(a, b *class) int {
@@ -172,7 +211,9 @@
 // reserveAt is the time from which a class may reserve, in Unix nanoseconds.
 func (s *Scheduler) reserveAt(c *class) int64 {
 	at := c.head.queuedAt
-	if !c.gang() {
+	if c.gang() {
+		at = at.Add(gangWait)
+	} else {
 		at = at.Add(singleTaskWait)
 	}
 	if c.team.fairness > 1 {
@@ -182,12 +223,15 @@
 }
 
 func (s *Scheduler) makeReservation(c *class) bool {
-	r := &reservation{job: c.head, class: c, made: s.now}
+	r := &reservation{class: c, made: s.now}
+	if c.gang() {
+		r.job = c.head
+	}
 	if !s.chooseSeats(r) {
 		return false
 	}
 	r.window = s.now.Add(backfillWindow * r.start.Sub(s.now))
-	r.job.reservation = r
+	c.reservations = append(c.reservations, r)
 	s.reservations = append(s.reservations, r)
 	s.addHolds(r)
 	return true
@@ -195,14 +239,33 @@
 
 func (s *Scheduler) dropReservation(r *reservation) {
 	s.releaseHolds(r)
-	r.job.reservation = nil
-	s.reservations = slices.DeleteFunc(s.reservations, func(o *reservation) bool { return o == r })
+	r.dropped = true
+	same := func(o *reservation) bool { return o == r }
+	r.class.reservations = slices.DeleteFunc(r.class.reservations, same)
+	s.reservations = slices.DeleteFunc(s.reservations, same)
 	s.reviewSoon = true
 }
 
+// dropReservations drops the reservations of a class that match.
+func (s *Scheduler) dropReservations(c *class, match func(*reservation) bool) {
+	for i := len(c.reservations) - 1; i >= 0; i-- {
+		if r := c.reservations[i]; match(r) {
+			s.dropReservation(r)
+		}
+	}
+}
+
+// trimReservations drops the newest reservation of a class that has fewer
+// tasks left than reservations.
+func (s *Scheduler) trimReservations(c *class) {
+	if n := len(c.reservations); n > 0 && !c.gang() && n > c.waitingAtLeast() {
+		s.dropReservation(c.reservations[n-1])
+	}
+}
+
 func (s *Scheduler) addHolds(r *reservation) {
 	r.missing = len(r.seats)
-	r.renewAt = s.now.Add(max(reviewInterval, r.start.Sub(s.now)/renewFraction))
+	r.renewAt = s.now.Add(max(minRenewal, r.start.Sub(s.now)/renewFraction))
 	for _, seat := range r.seats {
 		w := seat.worker
 		w.hold, w.holdReady = r, false
@@ -246,12 +309,13 @@
 	for len(s.fulfilled) > 0 {
 		r := s.fulfilled[0]
 		s.fulfilled = s.fulfilled[1:]
-		if r.job.reservation != r || r.missing > 0 {
+		if r.dropped || r.missing > 0 {
 			continue
 		}
 		s.dropReservation(r)
-		if c := r.class; c.head == r.job {
+		if c := r.class; c.head != nil && (r.job == nil || r.job == c.head) {
 			c.list.remove(c)
+			c.scope.remove(c)
 			s.makeReady(c)
 			place(c)
 		}
--- a/core/placement/reserve.go
+++ b/core/placement/reserve.go
@@ -77,11 +77,13 @@
 	}
 }
 
-// rebook takes account of measured usage above the declared size. A booking
+// rebook takes account of measured memory above the declared size. Processors
+// are not booked beyond it: the platform throttles what uses more. A booking
 // never goes below the declared size: reports lag, so what looks idle may be
 // in use by the time that another task starts there.
 func (s *Scheduler) rebook(a *allocation, used cell.Resources) {
-	booked := largest(a.size, used)
+	booked := a.size
+	booked.MemoryBytes = max(booked.MemoryBytes, used.MemoryBytes)
 	if booked == a.booked {
 		return
 	}
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -36,10 +36,13 @@
 	fulfilled    []*reservation // have all their workers
 	nextReview   time.Time      // of the reservations; zero where nothing waits
 	reviewSoon   bool           // do not wait for nextReview
+	gangsFull    bool           // no more reservations of gangs
+	singlesFull  bool           // no more reservations of single tasks
 
 	freedTeams    []*team // use less than when their classes were parked
 	stamp         uint64  // of the last search over workers
 	scratch       []*class
+	endings       []ending
 	scratchGroups []*group
 }
 
--- a/core/placement/score.go
+++ b/core/placement/score.go
@@ -13,6 +13,10 @@
 	// because the workers that already have a task of the job come first in
 	// the order of the index.
 	spreadCandidates = 64
+	// balanceWeight is how much of a tight fit is given up for a group with a
+	// lower load: a group that is filled first has no room left for work that
+	// must run in its region, and none for gangs.
+	balanceWeight = 8.0
 	// failureWeight exceeds any leftover.
 	failureWeight = 10.0
 )
@@ -26,14 +30,16 @@
 	return choosePacked(j, sc, size)
 }
 
-// choosePacked returns the worker that the task leaves fullest.
+// choosePacked returns the worker that the task leaves fullest, with groups of
+// low load preferred.
 func choosePacked(j *job, sc *scope, size cell.Resources) *worker {
 	var best *worker
 	bestLeft := 0.0
 	for _, g := range sc.groups {
 		seen := 0
+		load := balanceWeight * g.load()
 		g.fitting(size, func(w *worker) bool {
-			left := leftover(w, size) + failurePenalty(j, w)
+			left := load + leftover(w, size) + failurePenalty(j, w)
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
 			}
--- a/core/placement/waiting.go
+++ b/core/placement/waiting.go
@@ -48,14 +48,6 @@
 	return found
 }
 
-// bucket holds the classes of one team that found no room in one scope.
-type bucket struct {
-	team    *team
-	waiting classList
-	least   cell.Resources // no class is smaller in any dimension
-	tried   uint64         // gain of the scope for which all classes were tried
-}
-
 // park takes a class out until its team uses less.
 func (s *Scheduler) park(c *class, reason Reason) {
 	s.takeReady(c)
@@ -113,12 +105,7 @@
 	s.takeReady(c)
 	c.wait = reason
 	c.triedGain = c.scope.gainCount
-	b := c.scope.bucket(c)
-	if len(b.waiting.classes) == 0 {
-		b.least = c.key.size
-	}
-	b.least = smallest(b.least, c.key.size)
-	b.waiting.add(c)
+	c.scope.add(c)
 	s.pace(c)
 	if s.nextReview.IsZero() {
 		s.nextReview = s.now.Add(reviewInterval)
@@ -129,26 +116,6 @@
 	}
 }
 
-// bucket returns the bucket of a class. Urgent classes have one of their own,
-// for which any gain counts: it may complete what preemption can free.
-func (sc *scope) bucket(c *class) *bucket {
-	if c.bucket != nil {
-		return c.bucket
-	}
-	if c.urgent() {
-		c.bucket = &sc.urgent
-		return c.bucket
-	}
-	b := sc.byTeam[c.team]
-	if b == nil {
-		b = &bucket{team: c.team}
-		sc.byTeam[c.team] = b
-		sc.buckets = append(sc.buckets, b)
-	}
-	c.bucket = b
-	return b
-}
-
 // pace keeps expensive searches for one class apart.
 func (s *Scheduler) pace(c *class) {
 	switch {
@@ -174,6 +141,7 @@
 	}
 	w.closed = !w.health.open(s.now)
 	w.group.index.place(w)
+	w.count()
 	if w.hold != nil {
 		s.checkHold(w)
 	}
@@ -182,6 +150,17 @@
 	}
 }
 
+// count refreshes what the worker contributes to the load of its group.
+func (w *worker) count() {
+	g := w.group
+	g.capacity, g.used = g.capacity.Sub(w.counted), g.used.Sub(w.countedUsed)
+	w.counted, w.countedUsed = cell.Resources{}, cell.Resources{}
+	if w.usable() {
+		w.counted, w.countedUsed = w.Capacity, w.used
+	}
+	g.capacity, g.used = g.capacity.Add(w.counted), g.used.Add(w.countedUsed)
+}
+
 // gained is changed for a worker that may have more room than before, which
 // is noted for the classes that wait for some.
 func (s *Scheduler) gained(w *worker) {
@@ -224,24 +203,66 @@
 		if !sc.gained {
 			continue
 		}
-		count := s.wakeUrgent(sc)
-		if count < wakeLimit {
-			count += s.wakeFitting(sc, wakeLimit-count)
+		found := s.fittingClasses(sc)
+		for _, c := range found {
+			sc.remove(c)
+			s.makeReady(c)
 		}
-		if count < wakeLimit {
+		if len(found) < wakeLimit {
 			sc.gain, sc.gained = cell.Resources{}, false
 		}
-		woken = woken || count > 0
+		woken = woken || len(found) > 0
 	}
 	return woken
 }
 
-func (s *Scheduler) wakeUrgent(sc *scope) int {
-	b := &sc.urgent
-	if len(b.waiting.classes) == 0 {
-		return 0
+// fittingClasses returns the classes to try for the room gained, at most
+// wakeLimit, those whose turn comes first. The slice is valid until the next
+// call.
+func (s *Scheduler) fittingClasses(sc *scope) []*class {
+	found := s.scratch[:0]
+	for _, sh := range sc.shapes {
+		if sh.tried == sc.gainCount || len(sh.buckets) == 0 || !sh.offered(sc) {
+			continue
+		}
+		before := len(found)
+		for _, b := range sh.buckets {
+			found = s.addFitting(found, sc, b)
+		}
+		if len(found) == before {
+			sh.tried = sc.gainCount
+		}
+	}
+	s.scratch = found
+	return found
+}
+
+// offered reports whether the room gained may suit any class of the shape.
+// Urgent classes are offered any gain: it may complete what preemption frees.
+func (sh *shape) offered(sc *scope) bool {
+	return sh.urgent || (sh.least.Fits(sc.gain) && sc.hasRoom(sh.least))
+}
+
+// addFitting adds the first class of a bucket where it may fit. The others of
+// the bucket have the same size and team and are behind it.
+func (s *Scheduler) addFitting(found []*class, sc *scope, b *bucket) []*class {
+	c := b.waiting[0]
+	if !c.urgent() && !c.key.size.Fits(sc.gain) {
+		return found
+	}
+	if len(found) == wakeLimit && !before(c, found[wakeLimit-1]) || !s.mayRetry(c) {
+		return found
+	}
+	if !c.urgent() && !sc.hasRoom(c.key.size) {
+		c.triedGain = sc.gainCount
+		return found
 	}
-	return s.wakeBest(b, wakeLimit, func(c *class) bool { return s.mayRetry(c) })
+	at := len(found)
+	for at > 0 && before(c, found[at-1]) {
+		at--
+	}
+	found = slices.Insert(found, at, c)
+	return found[:min(len(found), wakeLimit)]
 }
 
 // mayRetry reports whether a class has not been tried since the last gain and
@@ -257,45 +278,6 @@
 	return true
 }
 
-// wakeFitting wakes classes for the room gained, of the teams furthest below
-// their share first.
-func (s *Scheduler) wakeFitting(sc *scope, limit int) int {
-	count := 0
-	for count < limit {
-		b := sc.nextBucket()
-		if b == nil {
-			break
-		}
-		if !sc.hasRoom(b.least) {
-			b.tried = sc.gainCount
-			continue
-		}
-		n := s.wakeBest(b, limit-count, func(c *class) bool {
-			return c.key.size.Fits(sc.gain) && s.mayRetry(c)
-		})
-		if n < limit-count {
-			b.tried = sc.gainCount
-		}
-		count += n
-	}
-	return count
-}
-
-// nextBucket returns the bucket of the team furthest below its share that may
-// use the room gained and was not tried since.
-func (sc *scope) nextBucket() *bucket {
-	var best *bucket
-	for _, b := range sc.buckets {
-		if b.tried == sc.gainCount || len(b.waiting.classes) == 0 || !b.least.Fits(sc.gain) {
-			continue
-		}
-		if best == nil || b.team.fairness < best.team.fairness {
-			best = b
-		}
-	}
-	return best
-}
-
 // hasRoom reports whether any worker has size available, or kept for a gang.
 func (sc *scope) hasRoom(size cell.Resources) bool {
 	found := false
@@ -311,34 +293,15 @@
 	return false
 }
 
-func (s *Scheduler) wakeBest(b *bucket, limit int, ok func(*class) bool) int {
-	s.scratch = b.waiting.best(s.scratch[:0], limit, ok)
-	for _, c := range s.scratch {
-		c.list.remove(c)
-		s.makeReady(c)
-	}
-	b.refreshLeast()
-	return len(s.scratch)
-}
-
-func (b *bucket) refreshLeast() {
-	for i, c := range b.waiting.classes {
-		if i == 0 {
-			b.least = c.key.size
-		}
-		b.least = smallest(b.least, c.key.size)
-	}
-}
-
 // wakeAll makes every waiting class ready, after a change of the rules.
 func (s *Scheduler) wakeAll() {
 	for _, t := range s.teamList {
 		s.readyAll(&t.parked)
 	}
 	for _, sc := range s.scopeList {
-		s.readyAll(&sc.urgent.waiting)
-		for _, b := range sc.buckets {
-			s.readyAll(&b.waiting)
+		for _, c := range sc.classes() {
+			sc.remove(c)
+			s.makeReady(c)
 		}
 	}
 }
--- a/internal/bench/fakecell/cell.go
+++ b/internal/bench/fakecell/cell.go
@@ -32,7 +32,9 @@
 	Spec     cell.JobSpec
 	Tasks    []cell.TaskState
 	Attempts []int
-	Live     int // tasks that are not in a terminal state
+	Placed   []cell.AllocationID // last one of each task
+	Live     int                 // tasks that are not in a terminal state
+	Ended    bool                // cancelled; its allocations may still hold room
 }
 
 // Worker is a registered worker and what is reserved on it.
@@ -91,7 +93,7 @@
 func (c *Cell) Submit(spec cell.JobSpec) cell.JobID {
 	c.lastJob++
 	id := c.lastJob
-	j := &Job{Spec: spec, Tasks: make([]cell.TaskState, spec.Tasks), Attempts: make([]int, spec.Tasks), Live: spec.Tasks}
+	j := &Job{Spec: spec, Tasks: make([]cell.TaskState, spec.Tasks), Attempts: make([]int, spec.Tasks), Placed: make([]cell.AllocationID, spec.Tasks), Live: spec.Tasks}
 	c.Jobs[id] = j
 	c.Emit(state.Event{JobAdded: &state.JobAdded{ID: id, Spec: spec}})
 	for i := range j.Tasks {
@@ -110,9 +112,10 @@
 	c.Emit(state.Event{TaskQueued: e})
 }
 
-// Cancel ends a job. Its tasks that run are told to stop.
-func (c *Cell) Cancel(id cell.JobID) {
+// Cancel ends a job. Its tasks that run are told to stop; it returns them.
+func (c *Cell) Cancel(id cell.JobID) []cell.AllocationID {
 	j := c.Jobs[id]
+	j.Ended = true
 	c.Emit(state.Event{JobEnded: &state.JobEnded{ID: id, State: cell.JobCancelled}})
 	for i, s := range j.Tasks {
 		if s == cell.TaskQueued {
@@ -120,11 +123,14 @@
 			j.Live--
 		}
 	}
-	for _, a := range c.Allocations {
-		if a.Task.Job == id {
-			c.stop(a)
+	var told []cell.AllocationID
+	for i, s := range j.Tasks {
+		if s == cell.TaskPlaced {
+			told = append(told, j.Placed[i])
+			c.stop(c.Allocations[j.Placed[i]])
 		}
 	}
+	return told
 }
 
 func (c *Cell) stop(a *cell.Allocation) {
@@ -155,7 +161,7 @@
 	if w == nil || w.Epoch != p.Epoch {
 		return state.RefusalStaleEpoch, 0
 	}
-	if j.Tasks[p.Task.Index] != cell.TaskQueued {
+	if j.Ended || j.Tasks[p.Task.Index] != cell.TaskQueued {
 		return state.RefusalTaskNotQueued, 0
 	}
 	used, team := w.Used.Add(j.Spec.Size), c.teamUse[j.Spec.Team].Add(j.Spec.Size)
@@ -170,6 +176,7 @@
 	w.Used, c.teamUse[j.Spec.Team] = used, team
 	j.Tasks[p.Task.Index] = cell.TaskPlaced
 	c.lastAlloc++
+	j.Placed[p.Task.Index] = c.lastAlloc
 	a := &cell.Allocation{
 		ID: c.lastAlloc, Task: p.Task, Team: j.Spec.Team, Worker: w.Name, Epoch: w.Epoch, Size: j.Spec.Size,
 		OnDisconnect: cell.DisconnectStop, Priority: j.Spec.Priority, Checkpoints: j.Spec.Checkpoints, PlacedAt: now,
@@ -224,15 +231,18 @@
 }
 
 func (c *Cell) settle(now time.Time, j *Job, task cell.TaskID, outcome state.TaskOutcome) {
-	switch outcome {
-	case state.ReportSucceeded:
+	switch {
+	case j.Ended:
+		j.Tasks[task.Index] = cell.TaskCancelled
+		return
+	case outcome == state.ReportSucceeded:
 		j.Tasks[task.Index] = cell.TaskSucceeded
 		j.Live--
 		if j.Live == 0 {
 			delete(c.Jobs, task.Job)
 			c.Emit(state.Event{JobEnded: &state.JobEnded{ID: task.Job, State: cell.JobSucceeded}})
 		}
-	case state.ReportFailed:
+	case outcome == state.ReportFailed:
 		j.Attempts[task.Index]++
 		c.queue(task, false, now.Add(c.backoff))
 	default:
--- /dev/null
+++ b/internal/bench/policybench/run.go
@@ -0,0 +1,78 @@
+package policybench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/placement"
+)
+
+// Options are the flags of the comparison.
+type Options struct {
+	Workers int
+	Teams   int
+	Jobs    int           // in Length
+	Length  time.Duration // of the virtual day
+	Load    float64       // mean demand as a share of the processors
+	Broken  int           // workers that fail every task
+	Seeds   []uint64
+	Only    []string // names of policies; empty for all
+}
+
+// DefaultOptions is the planned size of docs/design.md, section 1.5, with the
+// day and its jobs compressed to a quarter.
+func DefaultOptions() Options {
+	return Options{
+		Workers: 900, Teams: 190, Jobs: 11000 / 4, Length: 6 * time.Hour, Load: 1.0, Seeds: []uint64{1, 2},
+	}
+}
+
+// ErrOptions says that the options make no comparison.
+var ErrOptions = merry.Sentinel("policybench: options out of range")
+
+// policies are the planners that are compared.
+var policies = []struct {
+	name string
+	make func() planner
+}{
+	{"godwitlink", func() planner { return placement.New(placement.DefaultOptions()) }},
+	{"first-fit", func() planner { return newBaseline(false) }},
+	{"best-fit", func() planner { return newBaseline(true) }},
+}
+
+// Run prints one line for each policy and seed to out.
+func Run(out io.Writer, o Options) error {
+	if o.Workers <= 0 || o.Teams <= 0 || o.Jobs <= 0 || o.Length <= 0 {
+		return merry.Wrap(ErrOptions)
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(table, "policy\tseed\turgent p50 s\tp99 s\tservice p50 s\tp99 s\tbatch p50 s\tp99 s\tlow p50 s\tp99 s\tgang p50 s\tp99 s\t")
+	fmt.Fprintln(table, "packing\twaiting\tlowest share\tlost\tstarts\tunstarted\tstarts/s\tbroken rules\t")
+	for _, seed := range o.Seeds {
+		for _, p := range policies {
+			if !o.wants(p.name) {
+				continue
+			}
+			s := newSimulation(o, seed, p.make())
+			s.run()
+			fmt.Fprintf(table, "%s\t%d\t%s\n", p.name, seed, s.report())
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return merry.Prepend(err, "policybench: write table")
+	}
+	return nil
+}
+
+func (o Options) wants(name string) bool {
+	for _, only := range o.Only {
+		if only == name {
+			return true
+		}
+	}
+	return len(o.Only) == 0
+}
--- /dev/null
+++ b/internal/bench/policybench/run_test.go
@@ -0,0 +1,26 @@
+package policybench
+
+import (
+	"io"
+	"testing"
+	"time"
+)
+
+// Guards against policies that break the rules of placement, and against a
+// scheduler that leaves urgent work behind on a cell with broken workers.
+func TestSmallDayKeepsRules(t *testing.T) {
+	o := Options{Workers: 60, Teams: 20, Jobs: 300, Length: 2 * time.Hour, Load: 1, Broken: 2}
+	for _, p := range policies {
+		s := newSimulation(o, 1, p.make())
+		s.run()
+		for _, v := range s.cell.Violations {
+			t.Errorf("%s: %s", p.name, v)
+		}
+		if wait := seconds(s.waits["urgent"], 99); p.name == "godwitlink" && wait > 1.3 {
+			t.Errorf("urgent p99 is %.2f s", wait)
+		}
+	}
+	if err := Run(io.Discard, Options{}); err == nil {
+		t.Error("Run accepts empty options")
+	}
+}
--- /dev/null
+++ b/internal/bench/policybench/simulation.go
@@ -0,0 +1,219 @@
+package policybench
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/bench/fakecell"
+)
+
+const (
+	delivery     = 100 * time.Millisecond // of a command to its worker
+	stopTime     = 400 * time.Millisecond // of a task, with its checkpoint
+	planInterval = 20 * time.Millisecond  // between plans
+	sampleTime   = 20 * time.Second
+	failTime     = 10 * time.Second // of a task on a broken worker
+	usageDelay   = 30 * time.Second // of the report of usage
+	planLimit    = 256
+	maxAttempts  = 5
+	// patience is how long a task waits before it counts as waiting for the
+	// figures of packing and shares.
+	patience = 10 * time.Second
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+type action func()
+
+type occurrence struct {
+	at  time.Time
+	seq int
+	do  action
+}
+
+type occurrences []occurrence
+
+func (o occurrences) Len() int { return len(o) }
+func (o occurrences) Less(i, j int) bool {
+	return o[i].at.Before(o[j].at) || (o[i].at.Equal(o[j].at) && o[i].seq < o[j].seq)
+}
+func (o occurrences) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
+func (o *occurrences) Push(x any)   { *o = append(*o, x.(occurrence)) }
+func (o *occurrences) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
+}
+
+type simulation struct {
+	options Options
+	seed    uint64
+	planner planner
+	cell    *fakecell.Cell
+	now     time.Time
+	next    occurrences
+	seq     int
+	broken  map[cell.WorkerName]bool
+	jobs    map[cell.JobID]*simJob
+	spent   time.Duration // by the planner
+	starts  int
+	figures
+}
+
+type simJob struct {
+	arrival
+	submitted time.Time
+	started   []bool
+}
+
+func newSimulation(o Options, seed uint64, p planner) *simulation {
+	s := &simulation{options: o, seed: seed, planner: p, now: start, broken: map[cell.WorkerName]bool{}, jobs: map[cell.JobID]*simJob{}}
+	s.figures = newFigures(o)
+	l := o.layout()
+	s.cell = fakecell.New(l, func(e state.Event) { s.timed(func() { p.Step(s.now, e) }) })
+	for i, w := range l.Machines(o.Workers, "general", fakecell.Size(workerCores, workerGiB, 0)) {
+		s.cell.AddWorker(w)
+		s.broken[w.Name] = o.Broken > 0 && i%(o.Workers/o.Broken) == 1
+	}
+	for _, a := range o.day(rand.New(rand.NewPCG(seed, 0))) {
+		s.after(a.at, func() { s.submit(a) })
+	}
+	return s
+}
+
+func (s *simulation) timed(f func()) {
+	begin := time.Now()
+	f()
+	s.spent += time.Since(begin)
+}
+
+func (s *simulation) after(d time.Duration, do action) {
+	s.seq++
+	heap.Push(&s.next, occurrence{s.now.Add(d), s.seq, do})
+}
+
+// run ends with the day; what waits then is counted as unstarted.
+func (s *simulation) run() {
+	s.after(sampleTime, s.sample)
+	end := start.Add(s.options.Length)
+	for s.now.Before(end) {
+		wake := s.planner.NextWake(s.now)
+		at := s.next[0].at
+		if !wake.IsZero() && wake.Before(at) {
+			at = wake
+		}
+		if earliest := s.now.Add(planInterval); at.Before(earliest) {
+			at = earliest
+		}
+		s.now = at
+		for len(s.next) > 0 && !s.next[0].at.After(s.now) {
+			heap.Pop(&s.next).(occurrence).do()
+		}
+		s.plan()
+	}
+	s.countUnstarted()
+}
+
+func (s *simulation) submit(a arrival) {
+	id := s.cell.Submit(a.spec)
+	s.jobs[id] = &simJob{arrival: a, submitted: s.now, started: make([]bool, a.spec.Tasks)}
+}
+
+func (s *simulation) plan() {
+	var plan state.CommitPlan
+	s.timed(func() { plan = s.planner.Plan(s.now, planLimit) })
+	result := s.cell.Apply(s.now, plan)
+	s.timed(func() { s.planner.PlanApplied(s.now, plan, result) })
+	for _, id := range result.Allocations {
+		if id != 0 {
+			s.after(delivery, func() { s.start(id) })
+		}
+	}
+	for _, id := range plan.Preemptions {
+		s.after(delivery+stopTime, func() { s.stop(id) })
+	}
+}
+
+func (s *simulation) start(id cell.AllocationID) {
+	a := s.cell.Allocations[id]
+	if a == nil {
+		return
+	}
+	s.cell.Start(id)
+	s.starts++
+	j := s.jobs[a.Task.Job]
+	if !j.started[a.Task.Index] {
+		j.started[a.Task.Index] = true
+		s.waited(j.spec, s.now.Sub(j.submitted))
+	}
+	if s.broken[a.Worker] || j.bad {
+		s.after(failTime, func() { s.fail(id) })
+		return
+	}
+	s.after(usageDelay, func() { s.use(id, j.usage) })
+	if j.spec.Policy != "service" {
+		r := rand.New(rand.NewPCG(s.seed, uint64(a.Task.Job)<<20|uint64(a.Task.Index)))
+		run := float64(j.spec.RunTime) * j.factor * math.Exp(0.2*r.NormFloat64())
+		s.after(time.Duration(run), func() { s.cell.End(s.now, id, state.ReportSucceeded) })
+	}
+}
+
+func (s *simulation) use(id cell.AllocationID, usage float64) {
+	if a := s.cell.Allocations[id]; a != nil {
+		s.cell.Use(id, cell.Resources{
+			MilliCPU:    int64(float64(a.Size.MilliCPU) * usage),
+			MemoryBytes: int64(float64(a.Size.MemoryBytes) * min(usage, 1)),
+		})
+	}
+}
+
+func (s *simulation) fail(id cell.AllocationID) {
+	a := s.cell.Allocations[id]
+	if a == nil {
+		return
+	}
+	s.cell.End(s.now, id, state.ReportFailed)
+	s.failures++
+	if j := s.cell.Jobs[a.Task.Job]; j != nil && j.Attempts[a.Task.Index] >= maxAttempts {
+		s.failedJobs++
+		for _, told := range s.cell.Cancel(a.Task.Job) {
+			s.after(delivery+stopTime, func() { s.cell.End(s.now, told, state.ReportStopped) })
+		}
+	}
+}
+
+func (s *simulation) stop(id cell.AllocationID) {
+	a := s.cell.Allocations[id]
+	if a == nil {
+		return
+	}
+	outcome := state.ReportCheckpointed
+	if !a.Checkpoints {
+		outcome = state.ReportStopped
+		s.lost += s.now.Sub(a.PlacedAt).Seconds() * float64(a.Size.MilliCPU)
+	}
+	s.cell.End(s.now, id, outcome)
+}
+
+// report formats the figures of a run in the order of the table's columns.
+func (s *simulation) report() string {
+	line := ""
+	for _, class := range classes {
+		h := s.waits[class]
+		line += fmt.Sprintf("%.2f\t%.2f\t", seconds(h, 50), seconds(h, 99))
+	}
+	return line + fmt.Sprintf("%.1f%%\t%.0f%%\t%.0f%%\t%.3f%%\t%d\t%d\t%.0f\t%d\t", 100*s.packing/max(s.packed, 1),
+		100*s.packed/max(s.samples, 1), 100*s.lowestShare(), 100*s.lost/max(s.work, 1), s.starts, s.unstarted,
+		float64(s.starts)/s.spent.Seconds(), len(s.cell.Violations))
+}
+
+func seconds(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
+}
