--- a/core/placement/events.go
+++ b/core/placement/events.go
@@ -41,6 +41,9 @@
 	notBefore := time.UnixMilli(e.NotBefore)
 	if e.NotBefore != 0 && notBefore.After(s.now) {
 		j.backoff++
+		if j.gang {
+			s.unlink(j) // its tasks wait for each other
+		}
 		s.startTimer(timer{at: notBefore.UnixNano(), job: j, index: e.Task.Index})
 		return
 	}
--- /dev/null
+++ b/core/placement/export_test.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"fmt"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Audit compares the running sums of the scheduler with what they sum up.
+func (s *Scheduler) Audit() []string {
+	var faults []string
+	check := func(what string, got, want any) {
+		if got != want {
+			faults = append(faults, fmt.Sprintf("%s is %v, want %v", what, got, want))
+		}
+	}
+	usage := map[*team]cell.Resources{}
+	for _, w := range s.workers {
+		var used, leaving, preemptible, urgent, gang cell.Resources
+		for _, a := range w.allocations {
+			used = used.Add(a.booked)
+			usage[a.team] = usage[a.team].Add(a.size)
+			if a.leaving() {
+				leaving = leaving.Add(a.booked)
+			}
+			if a.victim {
+				preemptible = preemptible.Add(a.booked)
+			}
+		}
+		for _, c := range w.claims {
+			urgent = urgent.Add(c.set.size)
+			usage[c.set.job.team] = usage[c.set.job.team].Add(c.set.size)
+		}
+		for _, r := range s.reservations {
+			for _, seat := range r.seats {
+				if seat.worker == w {
+					gang = gang.Add(r.class.key.size.Scale(int64(seat.count)))
+				}
+			}
+		}
+		check(string(w.Name)+" used", w.used, used)
+		check(string(w.Name)+" leaving", w.leaving, leaving)
+		check(string(w.Name)+" preemptible", w.preemptible, preemptible)
+		check(string(w.Name)+" urgent hold", w.urgentHold, urgent)
+		check(string(w.Name)+" gang hold", w.gangHold, gang)
+		check(string(w.Name)+" indexed", w.slot.used, w.usable())
+	}
+	for _, t := range s.teamList {
+		check(string(t.name)+" usage", t.usage, usage[t])
+	}
+	for _, c := range s.classes {
+		states := 0
+		for _, in := range []bool{c.heapIndex != notReady, c.list != nil, c.bucket != nil} {
+			if in {
+				states++
+			}
+		}
+		check(fmt.Sprintf("places of class %v", c.key), states, 1)
+	}
+	return faults
+}
--- a/core/placement/forecast.go
+++ b/core/placement/forecast.go
@@ -72,8 +72,8 @@
 // forecast follows the expected ends of the running work until all tasks of
 // the reservation have room. Workers reserved for others are left out.
 func (s *Scheduler) forecast(r *reservation, within func(*group) bool) ([]seat, time.Time) {
-	f := forecast{size: r.class.key.size, missing: r.class.together(), shared: r.shared}
-	f.wanted = f.missing * forecastSurplus
+	count := r.class.together()
+	f := forecast{size: r.class.key.size, missing: count, wanted: count * forecastSurplus, shared: r.shared}
 	s.stamp++
 	for _, seat := range r.former {
 		if w := seat.worker; within(w.group) {
@@ -85,7 +85,7 @@
 			s.collect(&f, g)
 		}
 	}
-	if f.possible < f.missing {
+	if f.possible < count {
 		return nil, time.Time{}
 	}
 	slices.SortFunc(f.endings, func(a, b ending) int {
--- a/internal/bench/fakecell/cell.go
+++ b/internal/bench/fakecell/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -249,3 +250,34 @@
 		c.queue(task, outcome != "", time.Time{})
 	}
 }
+
+// Replay emits the events that rebuild a scheduler after a change of leader.
+func (c *Cell) Replay(file Layout, emit func(state.Event)) {
+	c.Emit = emit
+	c.Configure(file)
+	for _, name := range slices.Sorted(maps.Keys(c.Workers)) {
+		w := c.Workers[name]
+		emit(state.Event{WorkerAdded: &state.WorkerAdded{Worker: w.Worker, Epoch: w.Epoch}})
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.Jobs)) {
+		if j := c.Jobs[id]; !j.Ended {
+			c.replayJob(id, j)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.Allocations)) {
+		a := c.Allocations[id]
+		emit(state.Event{TaskPlaced: &state.TaskPlaced{Allocation: *a}})
+		if c.Jobs[a.Task.Job].Tasks[a.Task.Index] == cell.TaskStopping {
+			emit(state.Event{TaskStopping: &state.TaskStopping{Allocation: id}})
+		}
+	}
+}
+
+func (c *Cell) replayJob(id cell.JobID, j *Job) {
+	c.Emit(state.Event{JobAdded: &state.JobAdded{ID: id, Spec: j.Spec}})
+	for i, t := range j.Tasks {
+		if t == cell.TaskQueued {
+			c.queue(cell.TaskID{Job: id, Index: i}, false, time.Time{})
+		}
+	}
+}
