Spare failed searches behind reservations and measure a burst of cancellations

Cause: while any worker was reserved, every blocked class counted as having room and was woken in vain; comparing teams computed the same handicap anew. Change: reserved workers count only while they are offered for backfill; room is remembered by size during one pass; empty buckets are reused; the handicap is kept per team. placementbench measures the time of 10,000 cancellations.

--- a/core/placement/blocked.go
+++ b/core/placement/blocked.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/bits"
 
 	"github.com/godwitlink/godwitlink/core/cell"
@@ -84,9 +85,11 @@
 	if b == nil {
 		b = &bucket{key: key, shape: sc.shape(key.shape)}
 		sc.buckets[key] = b
+		sc.empty++
 	}
 	if len(b.waiting) == 0 {
 		b.shape.admit(b)
+		sc.empty--
 	}
 	heap.Push(&b.waiting, c)
 	c.bucket = b
@@ -112,7 +115,11 @@
 	sh.buckets = append(sh.buckets, b)
 }
 
-// remove takes a class out of the blocked ones. Empty buckets are dropped.
+// maxEmptyBuckets is the number of empty buckets that a scope keeps for the
+// next block, which is often of the class that has just been tried.
+const maxEmptyBuckets = 1024
+
+// remove takes a class out of the blocked ones.
 func (sc *scope) remove(c *class) {
 	b := c.bucket
 	if b == nil {
@@ -128,7 +135,15 @@
 	sh.buckets[b.at], last.at = last, b.at
 	sh.buckets[len(sh.buckets)-1] = nil
 	sh.buckets = sh.buckets[:len(sh.buckets)-1]
-	delete(sc.buckets, b.key)
+	sc.empty++
+	if sc.empty > maxEmptyBuckets {
+		sc.dropEmpty()
+	}
+}
+
+func (sc *scope) dropEmpty() {
+	maps.DeleteFunc(sc.buckets, func(_ bucketKey, b *bucket) bool { return len(b.waiting) == 0 })
+	sc.empty = 0
 }
 
 // classes returns all blocked classes.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -53,10 +53,10 @@
 		return a.urgent()
 	}
 	if !a.urgent() {
-		if below := a.team.fairness < 1; below != (b.team.fairness < 1) {
-			return below
+		if a.team.below != b.team.below {
+			return a.team.below
 		}
-		if ta, tb := a.turn(), b.turn(); ta != tb {
+		if ta, tb := a.order+a.team.handicap, b.order+b.team.handicap; ta != tb {
 			return ta < tb
 		}
 	}
@@ -66,12 +66,6 @@
 	return a.head.id < b.head.id
 }
 
-// turn is the order of a class with the handicap of its team.
-func (c *class) turn() int64 {
-	excess := min(max(c.team.fairness-1, 0), maxExcess)
-	return c.order + int64(excess*float64(shareHandicap))
-}
-
 // try places the first task of a class, or all tasks of its first gang. It
 // returns false where that was not possible and the class is not ready now.
 func (s *Scheduler) try(plan *state.CommitPlan, c *class) bool {
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -269,7 +269,6 @@
 	for _, seat := range r.seats {
 		w := seat.worker
 		w.hold, w.holdReady = r, false
-		w.group.held++
 		w.gangHold = r.class.key.size.Scale(int64(seat.count))
 		s.changed(w)
 	}
@@ -279,7 +278,6 @@
 	for _, seat := range r.seats {
 		w := seat.worker
 		w.hold, w.gangHold = nil, cell.Resources{}
-		w.group.held--
 		s.gained(w)
 	}
 	r.seats = nil
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -43,6 +43,7 @@
 	stamp         uint64  // of the last search over workers
 	scratch       []*class
 	endings       []ending
+	roomFor       map[cell.Resources]bool
 	scratchGroups []*group
 }
 
@@ -59,6 +60,7 @@
 		allocations: map[cell.AllocationID]*allocation{},
 		planned:     map[cell.TaskID]*allocation{},
 		learned:     newLearner(),
+		roomFor:     map[cell.Resources]bool{},
 	}
 }
 
--- a/core/placement/waiting.go
+++ b/core/placement/waiting.go
@@ -190,7 +190,7 @@
 	sc.gain = largest(sc.gain, sc.heldGain)
 	sc.gainCount++
 	sc.gained = true
-	sc.heldGain, sc.heldGained = cell.Resources{}, false
+	sc.heldGain, sc.heldGained, sc.heldOffer = cell.Resources{}, false, true
 	sc.backfillAt = s.now.Add(backfillInterval)
 }
 
@@ -209,7 +209,7 @@
 			s.makeReady(c)
 		}
 		if len(found) < wakeLimit {
-			sc.gain, sc.gained = cell.Resources{}, false
+			sc.gain, sc.gained, sc.heldOffer = cell.Resources{}, false, false
 		}
 		woken = woken || len(found) > 0
 	}
@@ -221,6 +221,7 @@
 // call.
 func (s *Scheduler) fittingClasses(sc *scope) []*class {
 	found := s.scratch[:0]
+	clear(s.roomFor)
 	for _, sh := range sc.shapes {
 		if sh.tried == sc.gainCount || len(sh.buckets) == 0 || !sh.offered(sc) {
 			continue
@@ -253,7 +254,7 @@
 	if len(found) == wakeLimit && !before(c, found[wakeLimit-1]) || !s.mayRetry(c) {
 		return found
 	}
-	if !c.urgent() && !sc.hasRoom(c.key.size) {
+	if !c.urgent() && !s.roomForSize(sc, c.key.size) {
 		c.triedGain = sc.gainCount
 		return found
 	}
@@ -278,15 +279,30 @@
 	return true
 }
 
-// hasRoom reports whether any worker has size available, or kept for a gang.
+// roomForSize is hasRoom with a memory that lasts for one call of
+// fittingClasses.
+func (s *Scheduler) roomForSize(sc *scope, size cell.Resources) bool {
+	room, known := s.roomFor[size]
+	if !known {
+		room = sc.hasRoom(size)
+		s.roomFor[size] = room
+	}
+	return room
+}
+
+// hasRoom reports whether any worker has size available. While reserved
+// workers are offered for backfill, they count.
 func (sc *scope) hasRoom(size cell.Resources) bool {
+	if sc.heldOffer && size.Fits(sc.gain) {
+		return true
+	}
 	found := false
 	for _, g := range sc.groups {
 		g.fitting(size, func(*worker) bool {
 			found = true
 			return false
 		})
-		if found || g.held > 0 {
+		if found {
 			return true
 		}
 	}
--- a/internal/bench/placementbench/driver.go
+++ b/internal/bench/placementbench/driver.go
@@ -1,6 +1,7 @@
 package placementbench
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"runtime"
 	"time"
@@ -165,11 +166,13 @@
 func (d *driver) submit(spec cell.JobSpec) {
 	d.queued = append(d.queued, d.cell.Submit(spec))
 	d.waiting += spec.Tasks
-	spec.Name = ""
+	spec.Name, spec.Tasks, spec.Checkpoints = "", 0, false
+	spec.RunTime = time.Duration(bits.Len64(uint64(spec.RunTime)))
 	d.sizes[spec] = true
 }
 
-// classes is the number of different kinds of jobs that were submitted.
+// classes is about the number of classes that the scheduler puts the submitted
+// jobs into: run times count by their powers of two.
 func (d *driver) classes() int { return len(d.sizes) }
 
 // fill submits and places work until the share of processors is in use, or
--- a/internal/bench/placementbench/run.go
+++ b/internal/bench/placementbench/run.go
@@ -5,8 +5,11 @@
 	"io"
 	"runtime"
 	"text/tabwriter"
+	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/cell"
 )
 
 // Options are the flags of the benchmark.
@@ -48,9 +51,39 @@
 	if err := table.Flush(); err != nil {
 		return merry.Prepend(err, "placementbench: write table")
 	}
+	for _, workers := range o.Workers {
+		fmt.Fprintln(out, burst(o, workers))
+	}
 	return nil
 }
 
+// burst measures how long urgent work waits for the scheduler behind a burst
+// of cancellations on a full cell.
+func burst(o Options, workers int) string {
+	const cancellations = 10000
+	d := newDriver(workers, o.Seed)
+	d.fill(1)
+	d.queueUp(queueBacklog, o.Waiting)
+	d.reset()
+	count := min(cancellations, len(d.queued))
+	for range count {
+		d.cancelLast()
+	}
+	urgent := d.smallJob()
+	urgent.Priority = cell.PriorityUrgent
+	d.submit(urgent)
+	job := d.queued[len(d.queued)-1]
+	d.deliver()
+	events := d.spent
+	plans := 0
+	for ; d.cell.Jobs[job].Tasks[0] == cell.TaskQueued && plans < 100; plans++ {
+		d.now = d.now.Add(time.Millisecond)
+		d.plan(256)
+	}
+	return fmt.Sprintf("%d workers, full: %d cancelled jobs and an urgent one took %.1f ms, its placement %d plans and %.1f ms",
+		workers, count, events.Seconds()*1e3, plans, (d.spent-events).Seconds()*1e3)
+}
+
 // queueKind says what waits in a row.
 type queueKind string
 
