--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -44,12 +44,21 @@
 	return best
 }
 
+// before orders classes of different teams: urgent work, then teams below
+// their share, then the others; within these by age, with a handicap for what
+// a team uses beyond its share. Strict order by the least share served first
+// let the small tasks of many teams take the room that large tasks waited for.
 func before(a, b *class) bool {
 	if a.urgent() != b.urgent() {
 		return a.urgent()
 	}
-	if !a.urgent() && a.team.fairness != b.team.fairness {
-		return a.team.fairness < b.team.fairness
+	if !a.urgent() {
+		if a.team.below != b.team.below {
+			return a.team.below
+		}
+		if ta, tb := a.order+a.team.handicap, b.order+b.team.handicap; ta != tb {
+			return ta < tb
+		}
 	}
 	if a.order != b.order {
 		return a.order < b.order
