--- /dev/null
+++ b/internal/bench/logbench/group.go
@@ -0,0 +1,93 @@
+package logbench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/bench/logsim"
+)
+
+// The group of docs/design.md, section 2.2, with the time-outs of section 7.
+const (
+	voters             = 5
+	electionTimeoutMin = 400 * time.Millisecond
+	electionTimeoutMax = 800 * time.Millisecond
+	heartbeatInterval  = 100 * time.Millisecond
+	syncTime           = time.Millisecond // assumed for a write and sync of a VM's disk
+	electionLimit      = 10 * time.Second // a group without a leader for so long is broken
+)
+
+// ErrNoLeader is returned where a group elected no leader.
+var ErrNoLeader = merry.Sentinel("no leader was elected")
+
+// Mode is a configuration of the appends to a follower.
+type Mode struct {
+	Name          string
+	maxBatchBytes int
+	maxInflight   int
+}
+
+// Modes of the comparison.
+var (
+	Pipelined = Mode{Name: "pipelined", maxBatchBytes: 256 << 10, maxInflight: 64}
+	// OneByOne sends one entry per append and has one append in flight.
+	OneByOne = Mode{Name: "one-by-one", maxBatchBytes: 1, maxInflight: 1}
+)
+
+// newGroup starts a group and waits for its leader.
+func newGroup(mode Mode, delay time.Duration, seed uint64) (*logsim.Sim, *logsim.Replica, error) {
+	sim := logsim.New(logsim.Options{
+		Config: replog.Config{
+			ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax,
+			HeartbeatInterval: heartbeatInterval, MaxDriftPPM: 1000,
+			MaxBatchBytes: mode.maxBatchBytes, MaxInflight: mode.maxInflight,
+			MaxPending: 10_000, Seed: seed,
+		},
+		Delays:        func(replog.Message) []time.Duration { return []time.Duration{delay} },
+		SyncTime:      func(replog.ReplicaID) time.Duration { return syncTime },
+		SnapshotEvery: 10_000,
+		NewMachine:    func(replog.ReplicaID) logsim.Machine { return discard{} },
+	})
+	var initial replog.Membership
+	for id := range voters {
+		initial.Voters = append(initial.Voters, replog.ReplicaID(id+1))
+	}
+	for _, id := range initial.Voters {
+		sim.Add(id, initial, 1)
+	}
+	leader, err := awaitLeader(sim)
+	return sim, leader, err
+}
+
+// awaitLeader runs until a leader has committed an entry of its term.
+func awaitLeader(sim *logsim.Sim) (*logsim.Replica, error) {
+	ready := func() bool {
+		leader := sim.Leader()
+		return leader != nil && leader.Core.Status().Ready
+	}
+	sim.RunWhile(sim.Now()+electionLimit, func() bool { return !ready() })
+	if !ready() {
+		return nil, merry.Wrap(ErrNoLeader)
+	}
+	return sim.Leader(), nil
+}
+
+// discard is a state machine that keeps nothing.
+type discard struct{}
+
+func (discard) Apply(replog.Entry) {}
+func (discard) Snapshot() []byte   { return nil }
+func (discard) Restore([]byte)     {}
+
+// percentile returns the value below which the share p of the values lies.
+func percentile(values []time.Duration, p float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[int(p*float64(len(sorted)-1))]
+}
--- /dev/null
+++ b/internal/bench/logbench/logbench_test.go
@@ -0,0 +1,50 @@
+package logbench
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against a log that waits for each append, and against a failover
+// that misses its targets. All times are virtual.
+func TestPipelineAndFailover(t *testing.T) {
+	const delay, inFlight, period = 8 * time.Millisecond, 256, 200 * time.Millisecond
+	pipelined, err := Commits(Pipelined, delay, inFlight, period)
+	if err != nil {
+		t.Fatal(err)
+	}
+	single, err := Commits(OneByOne, delay, inFlight, period)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if pipelined.PerSecond < 10*single.PerSecond || pipelined.P50 > 3*delay {
+		t.Errorf("pipelined %+v, one by one %+v", pipelined, single)
+	}
+	failover, err := Failovers(10)
+	if err != nil || failover.Median >= MedianTarget || failover.Worst >= WorstTarget {
+		t.Errorf("failover %+v, error %v", failover, err)
+	}
+}
+
+var full = flag.Bool("logbench.full", false, "print the full table")
+
+// Guards against a benchmark that cannot be repeated or prints no rows.
+func TestRunIsRepeatable(t *testing.T) {
+	if *full {
+		if err := Run(os.Stdout); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var first, second strings.Builder
+	for _, out := range []*strings.Builder{&first, &second} {
+		if err := run(out, 20*time.Millisecond, 2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if first.String() != second.String() || !strings.Contains(first.String(), Pipelined.Name) {
+		t.Errorf("tables differ:\n%s\n%s", first.String(), second.String())
+	}
+}
--- a/internal/bench/logsim/disk.go
+++ b/internal/bench/logsim/disk.go
@@ -19,6 +19,8 @@
 	effects replog.Effects
 	// compact is set for a snapshot that the replica made by itself.
 	compact *replog.Snapshot
+	// deferred is set where the batch is applied only after its sync.
+	deferred bool
 }
 
 // writes returns the single writes of a batch in their order.
@@ -42,7 +44,10 @@
 // put replaces the entry of this index and all after it.
 func (d *disk) put(e replog.Entry) {
 	at := e.Index - d.base() - 1
-	d.entries = append(d.entries[:at:at], e)
+	if at < uint64(len(d.entries)) {
+		d.entries = d.entries[:at:at]
+	}
+	d.entries = append(d.entries, e)
 }
 
 func (d *disk) base() uint64 {
