End the leader lease when the clock may have stood still

Cause: a suspended VM may stop the monotonic clock. A leader that wakes up then takes its lease as valid although another leader was elected, and could grant worker leases or answer reads. Change: Core.ClockJumped drops the lease and ignores answers to messages sent before; the replica task compares both clocks at each turn. The randomised runs suspend replicas with a clock that stands still.

--- a/core/replog/faults_test.go
+++ b/core/replog/faults_test.go
@@ -68,6 +68,10 @@
 		x.some().Pause(x.between(20*time.Millisecond, 500*time.Millisecond))
 		return true
 	}},
+	{"suspend", func(x *run) bool {
+		x.some().Suspend(x.between(20*time.Millisecond, 500*time.Millisecond))
+		return true
+	}},
 	{"crash", func(x *run) bool { return x.crash(x.some()) }},
 	{"crash-at-write", func(x *run) bool {
 		x.crashAtWrite[x.someID()] = 1 + x.rng.IntN(3)
--- a/core/replog/leader.go
+++ b/core/replog/leader.go
@@ -12,6 +12,9 @@
 	// once. That message may arrive at any later time, so there is no lease
 	// again in this term.
 	leaseVoid bool
+	// leaseFloor is the time of the last ClockJumped. Answers to messages that
+	// were sent before it give no lease.
+	leaseFloor time.Time
 
 	round       uint64 // last read round that was sent
 	roundWanted bool
--- a/core/replog/quorum.go
+++ b/core/replog/quorum.go
@@ -56,4 +56,15 @@
 	return from.Add(c.cfg.ElectionTimeoutMin - drift)
 }
 
+// ClockJumped says that the clock may have stood still before now, for example
+// while a VM was suspended. The leader lease ends at once, because its time ran
+// on elsewhere; answers to messages that are sent from now on give a new one.
+func (c *Core) ClockJumped(now time.Time) {
+	c.now = now
+	c.lead.leaseFloor = now
+	for _, p := range c.lead.peers {
+		p.leasedFrom = time.Time{}
+	}
+}
+
 func (c *Core) holdsLease() bool { return c.now.Before(c.leaseEnd()) }
--- a/core/replog/replicate.go
+++ b/core/replog/replicate.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	p.answeredAt = c.now
-	if sent := c.start.Add(time.Duration(m.SentNanos)); sent.After(p.leasedFrom) {
+	if sent := c.start.Add(time.Duration(m.SentNanos)); sent.After(p.leasedFrom) && !sent.Before(c.lead.leaseFloor) {
 		p.leasedFrom = sent
 	}
 	p.round = max(p.round, m.Context)
--- a/internal/bench/logsim/replica.go
+++ b/internal/bench/logsim/replica.go
@@ -33,6 +33,9 @@
 	membership  replog.Membership // at the first start
 	starts      uint64
 	pausedUntil time.Duration
+	suspended   bool          // its clock stands still, until it runs again
+	suspendedAt time.Duration // true time
+	stoodStill  time.Duration // of the clock, in all
 	timerAt     time.Duration // true time of the earliest timer event
 	deadline    time.Duration
 	disk        disk
@@ -62,6 +65,8 @@
 // Start runs the replica from its disk.
 func (r *Replica) Start() {
 	r.starts++
+	// The new process has a new clock, which has not stood still.
+	r.suspended, r.stoodStill = false, 0
 	cfg := r.sim.opts.Config
 	cfg.ID, cfg.Membership = r.ID, r.membership
 	cfg.Seed = cfg.Seed*31 + r.starts
@@ -100,9 +105,31 @@
 // Pause stops the replica's execution; its clock and its disk go on.
 func (r *Replica) Pause(d time.Duration) { r.pausedUntil = max(r.pausedUntil, r.sim.now+d) }
 
+// Suspend stops the replica's execution and its clock, as the suspension of a
+// VM may do. The replica is told when it runs again.
+func (r *Replica) Suspend(d time.Duration) {
+	r.Pause(d)
+	if !r.suspended {
+		r.suspended, r.suspendedAt = true, r.sim.now
+	}
+}
+
+// Suspended reports whether the replica has not run since Suspend.
+func (r *Replica) Suspended() bool { return r.suspended }
+
+func (r *Replica) wake() {
+	r.suspended = false
+	r.stoodStill += r.sim.now - r.suspendedAt
+	r.Core.ClockJumped(r.Local())
+}
+
 // Local returns the present time by the replica's own clock.
 func (r *Replica) Local() time.Time {
-	return epoch.Add(time.Duration(float64(r.sim.now) * r.Rate))
+	now := r.sim.now
+	if r.suspended {
+		now = r.suspendedAt
+	}
+	return epoch.Add(time.Duration(float64(now-r.stoodStill) * r.Rate))
 }
 
 // Do lets the replica take one input and carries out the effects. While the
@@ -120,6 +147,9 @@
 	if r.Core == nil {
 		return
 	}
+	if r.suspended {
+		r.wake()
+	}
 	r.sim.steps++
 	input(r.Core, r.Local())
 	effects := r.Core.Effects()
@@ -227,7 +257,7 @@
 }
 
 func (r *Replica) setTimer(deadline time.Time) {
-	r.deadline = time.Duration(float64(deadline.Sub(epoch))/r.Rate) + 1
+	r.deadline = time.Duration(float64(deadline.Sub(epoch))/r.Rate) + r.stoodStill + 1
 	if r.timerAt > r.sim.now && r.timerAt <= r.deadline {
 		return
 	}
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -13,6 +13,7 @@
 	eventWaitsForGroup  = eventlog.Declare(1201, zapcore.InfoLevel, "empty data folder, waits for the other initial voters")
 	eventGroupNew       = eventlog.Declare(1202, zapcore.InfoLevel, "no initial voter was in a formed group, the replica may vote")
 	eventGroupFormed    = eventlog.Declare(1203, zapcore.ErrorLevel, "empty data folder but the group was formed before")
+	eventClockJumped    = eventlog.Declare(1218, zapcore.WarnLevel, "clock may have stood still; the leader lease ends")
 	eventRole           = eventlog.Declare(1204, zapcore.InfoLevel, "role changed")
 	eventLeading        = eventlog.Declare(1205, zapcore.InfoLevel, "leadership taken, scheduler and leases rebuilt")
 	eventNotLeading     = eventlog.Declare(1206, zapcore.InfoLevel, "leadership ended")
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -27,6 +27,7 @@
 	done      chan struct{}
 	addresses map[replog.ReplicaID]string
 	recovered storage.Recovered
+	clock     clockWatch
 	formed    bool // an entry of a formed group was stored
 
 	core         *replog.Core
@@ -100,6 +101,10 @@
 			return nil
 		}
 		now := time.Now()
+		if t.clock.jumped(now) {
+			t.opts.Logger.Log(eventClockJumped)
+			t.core.ClockJumped(now)
+		}
 		if err := t.turn(now); err != nil {
 			return err
 		}
