--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -17,8 +17,9 @@
 	// A queue that has not been empty for standingAfter is a standing one: it
 	// delays every request and serves no more of them. It is then bounded by what
 	// is dispatched within standingShare mean delays, as far as MaxQueue allows.
-	standingAfter = 500 * time.Millisecond
-	standingShare = 1.0
+	// docs/decisions/routing.md has the measurement of both.
+	standingAfter = 250 * time.Millisecond
+	standingShare = 0.75
 	// standingMin is the least bound of a standing queue.
 	standingMin = 4
 )
