Let requests pass a retry that waits; follow a changed connection limit

Cause: a retry that may not go to the only free server held up every request behind it; a transport kept the connection limit from before its server had its home here; a host that drops packets counted as slow. Change: all retries and the next new request are candidates; an upstream is replaced when its limit changes; no connection by the deadline takes a server out.

--- a/core/admission/dispatch.go
+++ b/core/admission/dispatch.go
@@ -6,23 +6,22 @@
 	"time"
 )
 
-// Next returns the request to dispatch next, without removing it. It returns
-// false where none waits or the concurrency limit is reached.
-func (q *Queue) Next() (Ticket, bool) {
+// Candidates returns the requests that may be dispatched next, best first,
+// without removing them: the retries and the next new request. A retry may not
+// go to the servers that it has tried, so the others must not wait for it. It
+// returns none where the concurrency limit is reached.
+func (q *Queue) Candidates() []Ticket {
 	if !q.limiter.allows(q.inFlight) {
-		return Ticket{}, false
+		return nil
 	}
-	if len(q.retries) > 0 {
-		return q.retries[0], true
+	candidates := slices.Clone(q.retries)
+	if team := q.nextTeam(); team != nil {
+		candidates = append(candidates, team.tickets[0])
 	}
-	team := q.nextTeam()
-	if team == nil {
-		return Ticket{}, false
-	}
-	return team.tickets[0], true
+	return candidates
 }
 
-// Take removes the request that Next returned and counts it as in flight.
+// Take removes one of the Candidates and counts it as in flight.
 // Finished must follow.
 func (q *Queue) Take(now time.Time, t Ticket) {
 	if !q.Remove(t.ID) {
--- a/core/admission/example_test.go
+++ b/core/admission/example_test.go
@@ -19,14 +19,12 @@
 	q.SetCeiling(1)
 	q.Offer(now, admission.Ticket{ID: 1, Team: "reservas", Deadline: now.Add(time.Second)})
 	q.Offer(now, admission.Ticket{ID: 2, Team: "reservas", Deadline: now.Add(time.Second)})
-	first, _ := q.Next()
+	first := q.Candidates()[0]
 	q.Take(now, first)
-	_, more := q.Next()
-	fmt.Println(first.ID, more)
+	fmt.Println(first.ID, len(q.Candidates()))
 	q.Finished(now, admission.Sample{Answered: true, Delay: time.Millisecond})
-	second, _ := q.Next()
-	fmt.Println(second.ID, q.Waiting())
+	fmt.Println(q.Candidates()[0].ID, q.Waiting())
 	// Output:
-	// 1 false
+	// 1 0
 	// 2 1
 }
--- a/core/admission/queue_test.go
+++ b/core/admission/queue_test.go
@@ -34,10 +34,11 @@
 	counts := map[cell.Team]int{}
 	now := start
 	for range n {
-		t, ok := q.Next()
-		if !ok {
+		candidates := q.Candidates()
+		if len(candidates) == 0 {
 			break
 		}
+		t := candidates[0]
 		now = now.Add(delay)
 		q.Take(now, t)
 		counts[t.Team]++
@@ -125,8 +126,8 @@
 	if granted != retryReserve {
 		t.Errorf("%d retries without requests, want the reserve of %d", granted, retryReserve)
 	}
-	if first, _ := q.Next(); first.ID != 100 {
-		t.Errorf("next is %d, want the first retry", first.ID)
+	if all := q.Candidates(); len(all) != retryReserve+1 || all[0].ID != 100 || all[retryReserve].ID != 1 {
+		t.Errorf("candidates %+v, want the retries and then the new request", all)
 	}
 	fill(q, "a", 1000, 50)
 	granted = 0
--- a/internal/bench/routingbench/entry.go
+++ b/internal/bench/routingbench/entry.go
@@ -95,26 +95,37 @@
 
 func (e *entry) pump() {
 	for {
-		t, ok := e.queue.Next()
-		if !ok {
-			return
+		moved := false
+		for _, t := range e.queue.Candidates() {
+			moved = e.try(t)
+			if moved {
+				break
+			}
 		}
-		r := e.waiting[t.ID]
-		choice, refusal := e.picker.Pick(e.now(), routing.Request{Service: service, Exclude: r.tried, Waiting: e.queue.Waiting()})
-		switch refusal {
-		case routing.RefusalBusy:
+		if !moved {
 			return
-		case routing.RefusalNone:
-			e.queue.Take(e.now(), t)
-			delete(e.waiting, t.ID)
-			e.dispatch(r, choice)
-		default:
-			e.queue.Remove(t.ID)
-			e.refuse(admission.Refused{Ticket: t, Reason: admission.Refusal(refusal)})
 		}
 	}
 }
 
+// try dispatches or refuses a request, and reports false where it has to wait.
+func (e *entry) try(t admission.Ticket) bool {
+	r := e.waiting[t.ID]
+	choice, refusal := e.picker.Pick(e.now(), routing.Request{Service: service, Exclude: r.tried, Waiting: e.queue.Waiting()})
+	switch refusal {
+	case routing.RefusalBusy:
+		return false
+	case routing.RefusalNone:
+		e.queue.Take(e.now(), t)
+		delete(e.waiting, t.ID)
+		e.dispatch(r, choice)
+	default:
+		e.queue.Remove(t.ID)
+		e.refuse(admission.Refused{Ticket: t, Reason: admission.Refusal(refusal)})
+	}
+	return true
+}
+
 // dispatch sends a request, waiting for a connection where all are in use.
 func (e *entry) dispatch(r *request, c routing.Choice) {
 	e.picker.Started(e.now(), c)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -167,6 +167,9 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		end.Reason, result = exchange.ReasonDeadline, routing.ResultTimedOut
+		if !connected {
+			result = routing.ResultConnectFailed // dropped packets, not a slow server
+		}
 	case ctx.Err() != nil, errors.Is(err, errCallerGone):
 		result = routing.ResultAbandoned
 	case !connected:
--- a/internal/gateway/router_requests.go
+++ b/internal/gateway/router_requests.go
@@ -57,27 +57,39 @@
 func (r *router) pump(now time.Time, service cell.Service) {
 	queue := r.queues[service]
 	for {
-		ticket, ok := queue.Next()
-		if !ok {
-			return
+		moved := false
+		for _, ticket := range queue.Candidates() {
+			moved = r.dispatch(now, service, queue, ticket)
+			if moved {
+				break
+			}
 		}
-		waiting := r.waiting[ticket.ID]
-		choice, refusal := r.table.Pick(now, routing.Request{
-			Service: service, Exclude: waiting.exclude, Waiting: queue.Waiting(),
-		})
-		switch refusal {
-		case routing.RefusalBusy:
+		if !moved {
 			return
-		case routing.RefusalNone:
-			queue.Take(now, ticket)
-			r.grant(now, waiting, choice)
-		default:
-			queue.Remove(ticket.ID)
-			r.refuse(queue, admission.Refused{Ticket: ticket, Reason: admission.Refusal(exchange.ReasonNoBackend)})
 		}
 	}
 }
 
+// dispatch grants a request to a backend server or refuses it. It reports false
+// where the request has to wait.
+func (r *router) dispatch(now time.Time, service cell.Service, queue *admission.Queue, ticket admission.Ticket) bool {
+	waiting := r.waiting[ticket.ID]
+	choice, refusal := r.table.Pick(now, routing.Request{
+		Service: service, Exclude: waiting.exclude, Waiting: queue.Waiting(),
+	})
+	switch refusal {
+	case routing.RefusalBusy:
+		return false
+	case routing.RefusalNone:
+		queue.Take(now, ticket)
+		r.grant(now, waiting, choice)
+	default:
+		queue.Remove(ticket.ID)
+		r.refuse(queue, admission.Refused{Ticket: ticket, Reason: admission.Refusal(exchange.ReasonNoBackend)})
+	}
+	return true
+}
+
 func (r *router) grant(now time.Time, waiting admit, choice routing.Choice) {
 	s, _ := r.registry.Sighting(choice.Backend)
 	if s.Leaving && s.Incarnation == choice.Incarnation {
@@ -109,7 +121,7 @@
 // upstreamOf returns the connections to the chosen incarnation.
 func (r *router) upstreamOf(choice routing.Choice) *upstream {
 	known := r.upstreams[choice.Backend]
-	if known != nil && known.incarnation == choice.Incarnation && known.address == choice.Address {
+	if known != nil && known.serves(choice) {
 		return known
 	}
 	r.dropUpstream(choice.Backend)
--- /dev/null
+++ b/internal/gateway/router_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/admission"
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/core/membership"
+	"github.com/godwitlink/godwitlink/core/routing"
+)
+
+// newTestRouter returns a router that knows the named backend servers with one
+// slot each. Its task does not run; messages are applied directly.
+func newTestRouter(t *testing.T, now time.Time, names ...cell.BackendName) *router {
+	r := newRouter(t.Context(), New(Options{Entry: "entry-0", Incarnation: 1, Region: "r", FailureDomain: "d"}))
+	setConfig{file: testFile(), confirmedAt: now}.apply(r, now)
+	for _, name := range names {
+		a := membership.Announcement{
+			Backend: name, Incarnation: 1, Sequence: 1, Service: "turnos", Address: "127.0.0.1:1",
+			Region: "r", FailureDomain: "d", Slots: 1, Connections: 9,
+		}
+		token := r.registry.Receive(now, a, "").Token
+		announce{announcement: a, token: token, reply: make(chan announceReply, 1)}.apply(r, now)
+	}
+	return r
+}
+
+func (r *router) testAdmit(now time.Time, id uint64, retry bool, exclude ...cell.BackendName) <-chan grant {
+	reply := make(chan grant, 1)
+	ticket := admission.Ticket{ID: id, Team: "reservas", Deadline: now.Add(time.Minute), Retry: retry}
+	admit{service: "turnos", ticket: ticket, exclude: exclude, reply: reply}.apply(r, now)
+	return reply
+}
+
+// Guards against a retry that waits for a busy server and holds up the requests
+// behind it, which may go to a server that the retry has tried.
+func TestRetryDoesNotHoldUpOthers(t *testing.T) {
+	now := time.Now()
+	r := newTestRouter(t, now, "a", "b")
+	busy := r.testAdmit(now, 1, false, "a")
+	if got := <-busy; got.choice.Backend != "b" {
+		t.Fatalf("granted %+v", got)
+	}
+	retry := r.testAdmit(now, 2, true, "a")
+	if len(retry) != 0 {
+		t.Fatalf("retry answered %+v, want it to wait for b", <-retry)
+	}
+	select {
+	case got := <-r.testAdmit(now, 3, false):
+		if got.choice.Backend != "a" {
+			t.Errorf("granted %+v", got)
+		}
+	default:
+		t.Error("a new request waits behind the retry although a is free")
+	}
+}
+
+// Guards against requests that wait in the transport because it still has the
+// connection limit from before the server had its home here.
+func TestUpstreamFollowsTheConnectionLimit(t *testing.T) {
+	r := newTestRouter(t, time.Now())
+	c := routing.Choice{Backend: "a", Incarnation: 1, Address: "127.0.0.1:1", Connections: 6}
+	first := r.upstreamOf(c)
+	if r.upstreamOf(c) != first {
+		t.Error("another upstream for the same choice")
+	}
+	c.Connections = 12
+	if got := r.upstreamOf(c); got == first || got.transport.MaxConnsPerHost != 12 {
+		t.Errorf("limit %d after the change to 12", got.transport.MaxConnsPerHost)
+	}
+}
+
+// Guards the answers to a withdrawn request: exactly one grant is sent, whether
+// it was still waiting or not.
+func TestWithdraw(t *testing.T) {
+	now := time.Now()
+	r := newTestRouter(t, now, "a")
+	granted := r.testAdmit(now, 1, false)
+	waits := r.testAdmit(now, 2, false)
+	for _, id := range []uint64{1, 2, 2} {
+		withdraw{service: "turnos", id: id}.apply(r, now)
+	}
+	if got := <-granted; got.reason != exchange.ReasonNone {
+		t.Errorf("granted request got %+v", got)
+	}
+	if got := <-waits; got.reason != exchange.ReasonDeadline || r.queues["turnos"].Waiting() != 0 {
+		t.Errorf("withdrawn request got %+v", got)
+	}
+}
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/routing"
 )
 
 const (
@@ -22,6 +23,7 @@
 type upstream struct {
 	incarnation cell.Incarnation
 	address     string
+	limit       int // connections
 	transport   *http.Transport
 }
 
@@ -32,6 +34,7 @@
 	return &upstream{
 		incarnation: incarnation,
 		address:     address,
+		limit:       limit,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := dialer.DialContext(ctx, network, address)
@@ -50,6 +53,14 @@
 	}
 }
 
+// serves reports whether the connections are to the chosen incarnation. Where
+// the limit of connections has changed, which it does with the home of the
+// server, a new upstream takes over: the transport would make the requests above
+// the old limit wait.
+func (u *upstream) serves(c routing.Choice) bool {
+	return u.incarnation == c.Incarnation && u.address == c.Address && u.limit == c.Connections
+}
+
 // close ends idle connections; those in use end with their request.
 func (u *upstream) close() { u.transport.CloseIdleConnections() }
 
