Test a leader that is cut off while its own messages still arrive

Cause: no test had a leader that hears nothing but is heard, the case in which it could go on answering from an old state.

--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -6,10 +6,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -54,6 +56,7 @@
 	opts    Options
 	voters  []replication.Peer
 	members []*member
+	links   []*link
 	client  *controlclient.Client
 	http    *http.Client
 	Metrics *metrics.Set // of all replicas and the client
@@ -69,6 +72,12 @@
 	ended   chan error
 }
 
+// link is the path of other replicas to one replica. It outlives restarts.
+type link struct {
+	delay time.Duration
+	cut   atomic.Bool
+}
+
 // Start opens the listeners and starts all replicas.
 func Start(opts Options) (*Group, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -85,6 +94,7 @@
 		addresses = append(addresses, listener.Addr().String())
 		g.voters = append(g.voters, replication.Peer{ID: replog.ReplicaID(i + 1), Address: listener.Addr().String()})
 		g.members = append(g.members, &member{})
+		g.links = append(g.links, &link{delay: opts.Delay})
 	}
 	g.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
 	g.client = controlclient.New(addresses, "http", g.http, g.Metrics)
@@ -147,7 +157,7 @@
 		return errors.Join(err, listener.Close())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), server: &http.Server{Handler: delayed(r.Handler(), g.opts.Delay)}}
+	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), server: &http.Server{Handler: g.links[i].wrap(r.Handler())}}
 	go func() { m.ended <- r.Run(ctx) }()
 	go func() {
 		// Kill closes the server; any other end shows in the calls to it.
@@ -157,23 +167,30 @@
 	return nil
 }
 
-// delayed holds back requests between replicas.
-func delayed(handler http.Handler, delay time.Duration) http.Handler {
-	if delay == 0 {
-		return handler
-	}
+// wrap holds back or swallows requests between replicas.
+func (l *link) wrap(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		between := strings.HasPrefix(r.URL.Path, rpcpb.ReplicationPathPrefix)
-		if between {
-			time.Sleep(delay)
+		if !strings.HasPrefix(r.URL.Path, rpcpb.ReplicationPathPrefix) {
+			handler.ServeHTTP(w, r)
+			return
 		}
-		handler.ServeHTTP(w, r)
-		if between {
-			time.Sleep(delay)
+		if l.cut.Load() {
+			// The server notices that the sender has given up only after the
+			// body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
 		}
+		time.Sleep(l.delay)
+		handler.ServeHTTP(w, r)
+		time.Sleep(l.delay)
 	})
 }
 
+// Cut swallows everything that other replicas send to a replica, until it is
+// called with false. What the replica sends still arrives.
+func (g *Group) Cut(i int, cut bool) { g.links[i].cut.Store(cut) }
+
 // Kill ends a replica without a planned stop.
 func (g *Group) Kill(i int) error {
 	m := g.members[i]
