Stop at a committed command that cannot be decoded; fuzz the decoder of log messages

Cause: a replica left out a committed command that its version cannot decode, and its state then differed from that of the others.

--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -53,7 +54,9 @@
 		}
 	}
 	for _, entry := range e.Committed {
-		t.apply(now, entry)
+		if err := t.apply(now, entry); err != nil {
+			return err
+		}
 	}
 	for _, read := range e.Reads {
 		t.finishRead(read)
@@ -236,8 +239,10 @@
 	return nil
 }
 
-// apply carries out a committed entry.
-func (t *task) apply(now time.Time, entry replog.Entry) {
+// apply carries out a committed entry. The leader decoded each command before
+// it proposed it, so one that cannot be decoded is of another version of the
+// program. The replica then stops: left out, it would make the states differ.
+func (t *task) apply(now time.Time, entry replog.Entry) error {
 	t.applied = entry.Index
 	waiting, known := t.proposals.take(entry.Index)
 	if known && waiting.term != entry.Term {
@@ -245,7 +250,7 @@
 		known = false
 	}
 	if entry.Kind != replog.EntryCommand {
-		return
+		return nil
 	}
 	command := waiting.command
 	if !known {
@@ -253,7 +258,7 @@
 		command, err = codec.DecodeCommand(entry.Data)
 		if err != nil {
 			t.opts.Logger.Log(eventBadEntry, zap.Uint64("index", entry.Index), zap.Error(err))
-			return
+			return merry.Wrap(ErrUnknownCommand, merry.WithCause(err), merry.AppendMessagef("entry %d", entry.Index))
 		}
 	}
 	result, events := t.state.Apply(entry.Index, command)
@@ -265,4 +270,5 @@
 	if known {
 		waiting.finish(proposed{result: result, index: entry.Index}, nil)
 	}
+	return nil
 }
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -22,6 +22,9 @@
 	ErrMalformed = merry.Sentinel("malformed call")
 	// ErrStopped refuses calls to a replica that has ended.
 	ErrStopped = merry.Sentinel("the control replica has stopped")
+	// ErrUnknownCommand stops a replica whose log holds a command that this
+	// version of the program cannot decode.
+	ErrUnknownCommand = merry.Sentinel("a committed command cannot be decoded")
 	// ErrMustJoin stops a replica whose folder is empty although the group
 	// has been formed: it may have voted with a folder that was lost.
 	ErrMustJoin = merry.Sentinel("the group was formed before and the data folder is empty: the replica must join under a new id")
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -21,7 +21,7 @@
 	eventDiskFull       = eventlog.Declare(1209, zapcore.ErrorLevel, "commands are refused until the disk has room")
 	eventDiskRoom       = eventlog.Declare(1210, zapcore.InfoLevel, "commands are taken again")
 	eventInstalled      = eventlog.Declare(1211, zapcore.InfoLevel, "snapshot of the leader installed")
-	eventBadEntry       = eventlog.Declare(1212, zapcore.ErrorLevel, "entry of the log cannot be decoded, it has no effect")
+	eventBadEntry       = eventlog.Declare(1212, zapcore.ErrorLevel, "committed command or file cannot be decoded")
 	eventConfig         = eventlog.Declare(1213, zapcore.InfoLevel, "cell file in force")
 	eventExpire         = eventlog.Declare(1214, zapcore.WarnLevel, "lease of a worker has run out")
 	eventMemberGone     = eventlog.Declare(1215, zapcore.WarnLevel, "entry process made no feed call")
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -14,11 +14,15 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
 	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replica"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+	"github.com/godwitlink/godwitlink/internal/storage"
 )
 
 // begin is a command that adds a record of a request: small, and counted by
@@ -151,6 +155,56 @@
 	}
 }
 
+// Guards against states that differ between versions of the program: a replica
+// that cannot decode a committed command must stop and not leave it out.
+func TestUnknownCommandStopsTheReplica(t *testing.T) {
+	group := startGroup(t, 1, nil)
+	applyFile(t, group, cellFile(t, "turnos.toml"))
+	report, err := group.Replica(0).Report(callContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := group.Kill(0); err != nil {
+		t.Fatal(err)
+	}
+	appendEntry(t, group.Folder(0), report.Term, []byte("of a later version"))
+	if err := group.Restart(0); err != nil {
+		t.Fatal(err)
+	}
+	if err := group.Wait(0); !errors.Is(err, replica.ErrUnknownCommand) {
+		t.Errorf("error %v, want ErrUnknownCommand", err)
+	}
+	if err := group.Kill(0); !errors.Is(err, replica.ErrUnknownCommand) {
+		t.Fatal(err)
+	}
+}
+
+// appendEntry adds a command to the log in a folder of replica 1.
+func appendEntry(t *testing.T, folder string, term uint64, data []byte) {
+	t.Helper()
+	disk, err := storage.NewFolder(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store, recovered, err := storage.Open(storage.Options{
+		Disk: disk, Replica: 1, Logger: eventlog.Nop(), Metrics: metrics.New(), SegmentBytes: storage.DefaultSegmentBytes,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- store.Run(ctx) }()
+	last := recovered.Entries[len(recovered.Entries)-1]
+	entry := replog.Entry{Index: last.Index + 1, Term: term, Kind: replog.EntryCommand, Data: data}
+	store.Requests() <- storage.Append{Seq: 1, Entries: []replog.Entry{entry}}
+	written := <-store.Completions()
+	cancel()
+	if err := errors.Join(written.Err, <-ended); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against two operators who both believe that their file of the same
 // generation is in force, and against a resent file that is refused.
 func TestOperatorsRaceWithEqualGenerations(t *testing.T) {
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -131,3 +131,29 @@
 		t.Errorf("metrics without %s:\n%s", want, set.Text())
 	}
 }
+
+// Guards against a decoder that panics on what another process sends, and
+// against a message that changes when it is passed on.
+func FuzzDecodeMessage(f *testing.F) {
+	for _, m := range sampleMessages() {
+		data, err := proto.Marshal(encodeMessage(m))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in := &rpcpb.LogMessage{}
+		if proto.Unmarshal(data, in) != nil {
+			return
+		}
+		m, err := decodeMessage(in)
+		if err != nil {
+			return
+		}
+		again, err := decodeMessage(encodeMessage(m))
+		if err != nil || !reflect.DeepEqual(again, m) {
+			t.Fatalf("got %+v, error %v, want %+v", again, err, m)
+		}
+	})
+}
