Keep half of a worker free while others have less to lose

Cause: the longest waits of batch work were those of tasks of half a worker; best fit alone split the rooms that they need. Change: the score charges a placement that leaves less than half of a worker where there was half, and processors and memory left in different shares; 32 candidates of a group are compared instead of 8; single tasks reserve workers after 30 minutes instead of 10. QuarantineRule selects counting of failures per worker, for comparison.

--- a/core/placement/options.go
+++ b/core/placement/options.go
@@ -9,11 +9,28 @@
 	// is overtaken only by jobs submitted within its expected run time times
 	// the weight, at most maxHeadStart, so long work is not starved.
 	RunTimeWeight float64
+	// Quarantine is the rule by which workers are quarantined.
+	Quarantine QuarantineRule
 }
 
+// QuarantineRule says when a worker is no longer trusted.
+type QuarantineRule string
+
+// Rules of quarantine. The last two are for comparison.
+const (
+	// QuarantineByEvidence weighs each end against the failure rate of the same
+	// job elsewhere and tries the worker with one task at a time.
+	QuarantineByEvidence QuarantineRule = "evidence"
+	// QuarantineByCount stops using a worker for countPause after countLimit
+	// failures.
+	QuarantineByCount QuarantineRule = "count"
+	// QuarantineNever uses every worker.
+	QuarantineNever QuarantineRule = "never"
+)
+
 // DefaultOptions returns the settings that the benchmarks chose.
 func DefaultOptions() Options {
-	return Options{RunTimeWeight: 0.25}
+	return Options{RunTimeWeight: 0.25, Quarantine: QuarantineByEvidence}
 }
 
 const (
--- a/core/placement/quarantine.go
+++ b/core/placement/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
@@ -33,6 +34,9 @@
 	// trialLength is how long a task must run to count as a success while it
 	// still runs.
 	trialLength = time.Minute
+	// countLimit and countPause belong to QuarantineByCount.
+	countLimit = 5
+	countPause = 10 * time.Minute
 	// cellRate is the weight of one end in the failure rate of the cell.
 	cellRate = 0.01
 )
@@ -61,6 +65,18 @@
 	return !h.quarantined || (h.trial == nil && !now.Before(h.until))
 }
 
+// Quarantined returns the workers that are in quarantine, by name.
+func (s *Scheduler) Quarantined() []cell.WorkerName {
+	var names []cell.WorkerName
+	for name, w := range s.workers {
+		if w.health.quarantined {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // observe takes the end of an allocation into account. Only successes and
 // failures count; a worker is not to blame for what it was told to stop.
 func (s *Scheduler) observe(a *allocation, outcome state.TaskOutcome) {
@@ -68,6 +84,10 @@
 	if a.job == nil || (!failed && outcome != state.ReportSucceeded) {
 		return
 	}
+	if s.opts.Quarantine != QuarantineByEvidence {
+		s.countFailures(a.worker, failed)
+		return
+	}
 	rate := s.rateElsewhere(a)
 	s.countOutcome(a, failed)
 	w := a.worker
@@ -81,6 +101,19 @@
 	}
 }
 
+// countFailures is the rule QuarantineByCount.
+func (s *Scheduler) countFailures(w *worker, failed bool) {
+	h := &w.health
+	if s.opts.Quarantine == QuarantineNever || !failed || h.quarantined {
+		return
+	}
+	h.failedJobs++
+	if h.failedJobs >= countLimit {
+		h.quarantined, h.pause = true, countPause
+		s.pauseWorker(w)
+	}
+}
+
 // evidence is the logarithm of the likelihood ratio of one end: broken worker
 // against a good one on which the job fails at rate.
 func evidence(failed bool, rate float64) float64 {
@@ -211,6 +244,11 @@
 	if !h.quarantined {
 		return
 	}
+	if s.opts.Quarantine == QuarantineByCount {
+		*h = health{}
+		s.gained(w)
+		return
+	}
 	if t := h.trial; t != nil && !t.startedAt.IsZero() && s.now.Sub(t.startedAt) >= trialLength {
 		s.trialPassed(w)
 		return
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -30,7 +30,7 @@
 	// gangWait and singleTaskWait are how long work waits for room before workers
 	// are reserved for it. Most finds room earlier without idle processors.
 	gangWait       = time.Minute
-	singleTaskWait = 10 * time.Minute
+	singleTaskWait = 30 * time.Minute
 	// overShareWait is added for teams above their share.
 	overShareWait = 10 * time.Minute
 	// minRenewal is the least time between two forecasts of one reservation.
--- a/core/placement/score.go
+++ b/core/placement/score.go
@@ -8,7 +8,7 @@
 const (
 	// fitCandidates is the number of fitting workers of a group that are
 	// scored for a task that is packed. The index offers the tightest first.
-	fitCandidates = 8
+	fitCandidates = 32
 	// spreadCandidates is the number for a task that is spread. It is larger
 	// because the workers that already have a task of the job come first in
 	// the order of the index.
@@ -17,6 +17,13 @@
 	// lower load: a group that is filled first has no room left for work that
 	// must run in its region, and none for gangs.
 	balanceWeight = 8.0
+	// unevenWeight is the cost of leaving processors and memory in different
+	// shares, of which one is then of little use.
+	unevenWeight = 1.5
+	// halfWeight is the cost of leaving less than half of a worker where there
+	// was half: large tasks wait longest in a full cell. With 900 workers it
+	// cut the p99 wait of batch work by 12 to 62 % (docs/decisions/placement.md).
+	halfWeight = 1.5
 	// failureWeight exceeds any leftover.
 	failureWeight = 10.0
 )
@@ -62,11 +69,22 @@
 	return 0
 }
 
+// breaksHalf reports whether a worker could hold a task of half its size
+// before, and can not any more with left.
+func breaksHalf(w *worker, left cell.Resources) bool {
+	half := cell.Resources{MilliCPU: w.Capacity.MilliCPU / 2, MemoryBytes: w.Capacity.MemoryBytes / 2}
+	return !half.Fits(left) && half.Fits(w.available())
+}
+
 // leftover is what stays available on a worker after a task, as the sum of the
 // shares of its processors and memory. Accelerators left idle weigh as much.
 func leftover(w *worker, size cell.Resources) float64 {
 	left := w.available().Sub(size)
-	sum := share(left.MilliCPU, w.Capacity.MilliCPU) + share(left.MemoryBytes, w.Capacity.MemoryBytes)
+	cpu, memory := share(left.MilliCPU, w.Capacity.MilliCPU), share(left.MemoryBytes, w.Capacity.MemoryBytes)
+	sum := cpu + memory + unevenWeight*max(cpu-memory, memory-cpu)
+	if breaksHalf(w, left) {
+		sum += halfWeight
+	}
 	return sum + share(left.Accelerators, w.Capacity.Accelerators)
 }
 
--- a/internal/bench/policybench/figures.go
+++ b/internal/bench/policybench/figures.go
@@ -20,6 +20,7 @@
 	failures, failedJobs     int
 	unstarted                int
 	shares                   map[cell.Team]*shareSum
+	unused                   float64 // sum of good workers in quarantine over the samples
 	capacity                 cell.Resources
 }
 
@@ -98,6 +99,13 @@
 	}
 	s.work += float64(used.MilliCPU) * sampleTime.Seconds()
 	s.samples++
+	if q, ok := s.planner.(interface{ Quarantined() []cell.WorkerName }); ok {
+		for _, name := range q.Quarantined() {
+			if !s.broken[name] {
+				s.unused++
+			}
+		}
+	}
 	if len(wanted) > 0 {
 		s.packed++
 		s.packing += used.DominantShare(s.capacity)
--- a/internal/bench/policybench/run.go
+++ b/internal/bench/policybench/run.go
@@ -27,6 +27,7 @@
 // day and its jobs compressed to a quarter.
 func DefaultOptions() Options {
 	return Options{
+		Only:    []string{"godwitlink", "first-fit", "best-fit"},
 		Workers: 900, Teams: 190, Jobs: 11000 / 4, Length: 6 * time.Hour, Load: 1.0, Seeds: []uint64{1, 2},
 	}
 }
@@ -40,10 +41,18 @@
 	make func() planner
 }{
 	{"godwitlink", func() planner { return placement.New(placement.DefaultOptions()) }},
+	{"count-quarantine", func() planner { return withQuarantine(placement.QuarantineByCount) }},
+	{"no-quarantine", func() planner { return withQuarantine(placement.QuarantineNever) }},
 	{"first-fit", func() planner { return newBaseline(false) }},
 	{"best-fit", func() planner { return newBaseline(true) }},
 }
 
+func withQuarantine(rule placement.QuarantineRule) planner {
+	o := placement.DefaultOptions()
+	o.Quarantine = rule
+	return placement.New(o)
+}
+
 // Run prints one line for each policy and seed to out.
 func Run(out io.Writer, o Options) error {
 	if o.Workers <= 0 || o.Teams <= 0 || o.Jobs <= 0 || o.Length <= 0 {
@@ -51,7 +60,7 @@
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprint(table, "policy\tseed\turgent p50 s\tp99 s\tservice p50 s\tp99 s\tbatch p50 s\tp99 s\tlow p50 s\tp99 s\tgang p50 s\tp99 s\t")
-	fmt.Fprintln(table, "packing\twaiting\tlowest share\tlost\tstarts\tunstarted\tstarts/s\tbroken rules\t")
+	fmt.Fprintln(table, "packing\twaiting\tlowest share\tlost\tstarts\tunstarted\tstarts/s\tfailures\tfailed jobs\tout of use\tbroken rules\t")
 	for _, seed := range o.Seeds {
 		for _, p := range policies {
 			if !o.wants(p.name) {
--- a/internal/bench/policybench/simulation.go
+++ b/internal/bench/policybench/simulation.go
@@ -209,9 +209,9 @@
 		h := s.waits[class]
 		line += fmt.Sprintf("%.2f\t%.2f\t", seconds(h, 50), seconds(h, 99))
 	}
-	return line + fmt.Sprintf("%.1f%%\t%.0f%%\t%.0f%%\t%.3f%%\t%d\t%d\t%.0f\t%d\t", 100*s.packing/max(s.packed, 1),
+	return line + fmt.Sprintf("%.1f%%\t%.0f%%\t%.0f%%\t%.3f%%\t%d\t%d\t%.0f\t%d\t%d\t%.2f\t%d\t", 100*s.packing/max(s.packed, 1),
 		100*s.packed/max(s.samples, 1), 100*s.lowestShare(), 100*s.lost/max(s.work, 1), s.starts, s.unstarted,
-		float64(s.starts)/s.spent.Seconds(), len(s.cell.Violations))
+		float64(s.starts)/s.spent.Seconds(), s.failures, s.failedJobs, s.unused/max(s.samples, 1), len(s.cell.Violations))
 }
 
 func seconds(h *hdrhistogram.Histogram, quantile float64) float64 {
