Add TLS configurations from files that are reloaded when they change

Cause: certificates are renewed more often than processes are restarted. Change: internal/tlskeys makes configurations for servers, mutual servers and clients. A watch task polls the modification times and publishes the new material through an atomic pointer that the handshakes read; files that cannot be used are reported once and the former certificate stays. Events 6000 to 6002. Checked: make lint; go test -race -count=15.

--- /dev/null
+++ b/internal/tlskeys/keys.go
@@ -0,0 +1,121 @@
+package tlskeys
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// Log events of this package.
+var (
+	eventReloaded = eventlog.Declare(6000, zapcore.InfoLevel, "TLS files changed, the new certificate is in use")
+	eventRefused  = eventlog.Declare(6001, zapcore.ErrorLevel, "TLS files changed and cannot be used, the former certificate stays in use")
+	eventExpiring = eventlog.Declare(6002, zapcore.WarnLevel, "TLS certificate expires soon")
+)
+
+// Metrics of this package.
+var (
+	metricReloads = metrics.Declare("tls_reloads_total", metrics.KindCounter,
+		"readings of changed TLS files, by reason: reloaded or refused")
+	metricExpiry = metrics.Declare("tls_certificate_expiry_seconds", metrics.KindGauge,
+		"time until the certificate in use expires")
+)
+
+// expiryWarning is how long before its end a certificate is reported. A week
+// leaves working days to renew it.
+const expiryWarning = 7 * 24 * time.Hour
+
+// Keys is one identity whose files are watched.
+type Keys struct {
+	files   Files
+	log     *eventlog.Logger
+	metrics *metrics.Set
+	current atomic.Pointer[material] // written by Open and by the watch task only
+	loaded  stamp                    // owned by the watch task
+	refused string                   // owned by the watch task: last reported fault
+	warned  time.Time                // owned by the watch task: end of the reported certificate
+}
+
+// Open reads the files. The error is ErrSettings, ErrUnreadable, ErrPair or
+// ErrAuthorities.
+func Open(files Files, log *eventlog.Logger, set *metrics.Set) (*Keys, error) {
+	if err := files.check(); err != nil {
+		return nil, err
+	}
+	k := &Keys{files: files, log: log, metrics: set, loaded: files.stamp()}
+	m, err := files.load()
+	if err != nil {
+		return nil, err
+	}
+	k.current.Store(m)
+	return k, nil
+}
+
+// Watch looks for changed files at each interval until ctx ends. One task runs
+// it.
+func (k *Keys) Watch(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			k.poll(now)
+			timer.Reset(interval)
+		}
+	}
+}
+
+// poll reads the files again where they have changed. The stamp is taken before
+// the content, so that a change during the reading is seen at the next poll. A
+// refused reading is repeated at every poll, because the certificate and its
+// key are replaced one after the other.
+func (k *Keys) poll(now time.Time) {
+	seen := k.files.stamp()
+	if seen != k.loaded || k.refused != "" {
+		k.reload(seen)
+	}
+	k.watchExpiry(now)
+}
+
+func (k *Keys) reload(seen stamp) {
+	m, err := k.files.load()
+	if err != nil {
+		k.refuse(err)
+		return
+	}
+	k.loaded = seen
+	k.refused = ""
+	k.current.Store(m)
+	k.metrics.Add(metricReloads, "reloaded", 1)
+	k.log.Log(eventReloaded, zap.String("certificate", k.files.Certificate), zap.Time("expires", m.notAfter))
+}
+
+// refuse reports a fault once, and again when it becomes another one.
+func (k *Keys) refuse(err error) {
+	if err.Error() == k.refused {
+		return
+	}
+	k.refused = err.Error()
+	k.metrics.Add(metricReloads, "refused", 1)
+	k.log.Log(eventRefused, zap.String("reason", err.Error()))
+}
+
+func (k *Keys) watchExpiry(now time.Time) {
+	end := k.current.Load().notAfter
+	if end.IsZero() {
+		return
+	}
+	k.metrics.Gauge(metricExpiry, end.Sub(now).Seconds())
+	if end.Sub(now) < expiryWarning && !k.warned.Equal(end) {
+		k.warned = end
+		k.log.Log(eventExpiring, zap.String("certificate", k.files.Certificate), zap.Time("expires", end))
+	}
+}
--- /dev/null
+++ b/internal/tlskeys/keys_test.go
@@ -0,0 +1,297 @@
+package tlskeys
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t           *testing.T
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	serial      int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, key: newKey(t), serial: 1}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	a.certificate = a.sign(template, template, a.key)
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (a *authority) sign(template, parent *x509.Certificate, key *ecdsa.PrivateKey) *x509.Certificate {
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return parsed
+}
+
+// issue writes a certificate for 127.0.0.1, its key and the authority to a new
+// folder.
+func (a *authority) issue(lifetime time.Duration) Files {
+	dir := a.t.TempDir()
+	files := Files{
+		Certificate: filepath.Join(dir, "certificate.pem"), Key: filepath.Join(dir, "key.pem"), Authorities: filepath.Join(dir, "authorities.pem"),
+	}
+	a.write(files, lifetime)
+	return files
+}
+
+// write replaces the files of an identity by a new certificate, and moves their
+// times on, as a later change would.
+func (a *authority) write(files Files, lifetime time.Duration) {
+	a.serial++
+	key := newKey(a.t)
+	certificate := a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(a.serial), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(lifetime),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.certificate, key)
+	encoded, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	writePEM(a.t, files.Certificate, "CERTIFICATE", certificate.Raw, a.serial)
+	writePEM(a.t, files.Key, "EC PRIVATE KEY", encoded, a.serial)
+	writePEM(a.t, files.Authorities, "CERTIFICATE", a.certificate.Raw, a.serial)
+}
+
+func writePEM(t *testing.T, file, kind string, der []byte, change int64) {
+	writeFile(t, file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), change)
+}
+
+func writeFile(t *testing.T, file string, data []byte, change int64) {
+	t.Helper()
+	modified := time.Unix(1_700_000_000+change, 0)
+	if err := errors.Join(os.WriteFile(file, data, 0o600), os.Chtimes(file, modified, modified)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func open(t *testing.T, files Files) *Keys {
+	t.Helper()
+	k, err := Open(files, eventlog.Nop(), metrics.New())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// handshake connects a client to a server over a loopback connection and
+// returns the serial number that the client saw.
+func handshake(t *testing.T, server *tls.Config, client *Keys) (int64, error) {
+	t.Helper()
+	listener, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	done := make(chan error, 1)
+	go func() { done <- greet(listener) }()
+	conn, err := client.DialTLS(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		return 0, errors.Join(err, <-done)
+	}
+	defer conn.Close()
+	// A refused client certificate shows at the first read only.
+	_, err = conn.Read(make([]byte, 1))
+	if err = errors.Join(err, <-done); err != nil {
+		return 0, err
+	}
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// greet serves one connection.
+func greet(listener net.Listener) error {
+	conn, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = conn.Write([]byte("x"))
+	return err
+}
+
+func mutual(t *testing.T, server, client *Keys) (int64, error) {
+	t.Helper()
+	serverConfig, err := server.MutualServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return handshake(t, serverConfig, client)
+}
+
+// Guards against a peer that is accepted without a certificate, with one of
+// another authority, or past its end.
+func TestTrust(t *testing.T) {
+	ours, other := newAuthority(t), newAuthority(t)
+	server := open(t, ours.issue(time.Hour))
+	anonymous := ours.issue(time.Hour)
+	anonymous.Certificate, anonymous.Key = "", ""
+	foreign := other.issue(time.Hour)
+	foreign.Authorities = ours.issue(time.Hour).Authorities
+	cases := map[string]struct {
+		server, client *Keys
+		want           bool
+	}{
+		"same authority":      {server, open(t, ours.issue(time.Hour)), true},
+		"no certificate":      {server, open(t, anonymous), false},
+		"client of another":   {server, open(t, foreign), false},
+		"server of another":   {server, open(t, other.issue(time.Hour)), false},
+		"client past its end": {server, open(t, ours.issue(-time.Minute)), false},
+		"server past its end": {open(t, ours.issue(-time.Minute)), open(t, ours.issue(time.Hour)), false},
+	}
+	for name, c := range cases {
+		if _, err := mutual(t, c.server, c.client); (err == nil) != c.want {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	callers, err := server.Server()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := handshake(t, callers, open(t, anonymous)); err != nil {
+		t.Errorf("a caller without a certificate: %v", err)
+	}
+}
+
+// Guards against a renewed certificate or authority that is not used until the
+// process restarts, and against half-written files that end the service.
+func TestReload(t *testing.T) {
+	old, next := newAuthority(t), newAuthority(t)
+	serverFiles, clientFiles := old.issue(time.Hour), old.issue(time.Hour)
+	var log bytes.Buffer
+	logger, err := eventlog.New(&log, "info", "test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := metrics.New()
+	server, err := Open(serverFiles, logger, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := open(t, clientFiles)
+	expect := func(step string, want int64) {
+		t.Helper()
+		server.poll(time.Now())
+		client.poll(time.Now())
+		if got, err := mutual(t, server, client); err != nil || got != want {
+			t.Errorf("%s: serial %d, want %d: %v", step, got, want, err)
+		}
+	}
+	expect("unchanged", 2)
+	old.write(serverFiles, 2*time.Hour)
+	expect("renewed", 4)
+	key, err := os.ReadFile(serverFiles.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, serverFiles.Key, []byte("half"), 100)
+	expect("half-written key", 4)
+	expect("half-written key, again", 4)
+	writeFile(t, serverFiles.Key, key, 100)
+	expect("key is back", 4)
+	next.serial = 10
+	next.write(serverFiles, 3*time.Hour)
+	next.write(clientFiles, time.Hour)
+	expect("new authority", 11)
+
+	text := set.Text()
+	for _, want := range []string{`tls_reloads_total{reason="refused"} 1`, `tls_reloads_total{reason="reloaded"} 3`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %s in\n%s", want, text)
+		}
+	}
+	if got := strings.Count(log.String(), `"event":6001`); got != 1 {
+		t.Errorf("the fault is logged %d times:\n%s", got, log.String())
+	}
+	if got := strings.Count(log.String(), `"event":6002`); got != 3 {
+		t.Errorf("the near end of 3 certificates is logged %d times:\n%s", got, log.String())
+	}
+}
+
+// Guards against a watch task that does not read the files, or does not end.
+func TestWatch(t *testing.T) {
+	a := newAuthority(t)
+	files := a.issue(time.Hour)
+	k := open(t, files)
+	before := k.current.Load()
+	a.write(files, time.Hour)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		k.Watch(ctx, time.Millisecond)
+		close(ended)
+	}()
+	for k.current.Load() == before {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+}
+
+// Guards against a process that starts with files that it cannot use.
+func TestOpenRefuses(t *testing.T) {
+	a := newAuthority(t)
+	good, other := a.issue(time.Hour), a.issue(time.Hour)
+	cases := map[string]struct {
+		files Files
+		want  error
+	}{
+		"nothing":        {Files{}, ErrSettings},
+		"no key":         {Files{Certificate: good.Certificate}, ErrSettings},
+		"absent":         {Files{Certificate: good.Certificate, Key: good.Key + "x"}, ErrUnreadable},
+		"other key":      {Files{Certificate: good.Certificate, Key: other.Key}, ErrPair},
+		"no authorities": {Files{Authorities: good.Key}, ErrAuthorities},
+	}
+	for name, c := range cases {
+		if _, err := Open(c.files, eventlog.Nop(), metrics.New()); !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", name, err, c.want)
+		}
+	}
+	authorities := open(t, Files{Authorities: good.Authorities})
+	identity := open(t, Files{Certificate: good.Certificate, Key: good.Key})
+	_, server := authorities.Server()
+	_, mutualServer := identity.MutualServer()
+	_, client := identity.Client("127.0.0.1")
+	for name, err := range map[string]error{"server": server, "mutual server": mutualServer, "client": client} {
+		if !errors.Is(err, ErrSettings) {
+			t.Errorf("%s without its files: %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tlskeys/load.go
@@ -0,0 +1,126 @@
+package tlskeys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Errors of this package. Each returned error is one of these with the file
+// and the cause.
+var (
+	ErrSettings    = merry.Sentinel("TLS files are not named completely")
+	ErrUnreadable  = merry.Sentinel("TLS file cannot be read")
+	ErrPair        = merry.Sentinel("TLS certificate and key do not form a pair")
+	ErrAuthorities = merry.Sentinel("TLS authorities file holds no certificate")
+	ErrConnect     = merry.Sentinel("TLS server cannot be reached")
+	ErrPeer        = merry.Sentinel("TLS handshake failed")
+)
+
+// Files names the PEM files of one identity. Certificate and Key come together;
+// they may be empty for a client without an identity. Authorities holds the
+// certificates that peers must be signed by; it may be empty for a server that
+// asks its callers for no certificate.
+type Files struct {
+	Certificate string
+	Key         string
+	Authorities string
+}
+
+// material is what the files hold. It is never changed after it is published.
+type material struct {
+	certificate *tls.Certificate // nil without an identity
+	authorities *x509.CertPool   // nil where no peer is checked
+	notAfter    time.Time        // end of the certificate; zero without one
+}
+
+func (f Files) check() error {
+	if (f.Certificate == "") != (f.Key == "") {
+		return merry.Wrap(ErrSettings, merry.AppendMessage("a certificate and its key come together"))
+	}
+	if f.Certificate == "" && f.Authorities == "" {
+		return merry.Wrap(ErrSettings, merry.AppendMessage("neither a certificate nor authorities are named"))
+	}
+	return nil
+}
+
+// load reads all files.
+func (f Files) load() (*material, error) {
+	m := &material{}
+	if f.Certificate != "" {
+		if err := m.loadPair(f.Certificate, f.Key); err != nil {
+			return nil, err
+		}
+	}
+	if f.Authorities != "" {
+		if err := m.loadAuthorities(f.Authorities); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (m *material) loadPair(certificateFile, keyFile string) error {
+	certificate, err := read(certificateFile)
+	if err != nil {
+		return err
+	}
+	key, err := read(keyFile)
+	if err != nil {
+		return err
+	}
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return merry.Wrap(ErrPair, merry.AppendMessagef("%s and %s: %v", certificateFile, keyFile, err))
+	}
+	m.certificate = &pair
+	m.notAfter = pair.Leaf.NotAfter
+	return nil
+}
+
+func (m *material) loadAuthorities(file string) error {
+	data, err := read(file)
+	if err != nil {
+		return err
+	}
+	m.authorities = x509.NewCertPool()
+	if !m.authorities.AppendCertsFromPEM(data) {
+		return merry.Wrap(ErrAuthorities, merry.AppendMessage(file))
+	}
+	return nil
+}
+
+func read(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, merry.Wrap(ErrUnreadable, merry.AppendMessage(err.Error()))
+	}
+	return data, nil
+}
+
+// stamp tells whether files have changed. The modification time alone misses a
+// second change within the resolution of the file system's clock.
+type stamp [3]fileStamp
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+// stamp reads the stamps of all files. A file that is absent has the zero
+// stamp; load reports it.
+func (f Files) stamp() stamp {
+	var s stamp
+	for i, name := range []string{f.Certificate, f.Key, f.Authorities} {
+		if name == "" {
+			continue
+		}
+		if info, err := os.Stat(name); err == nil {
+			s[i] = fileStamp{modified: info.ModTime(), size: info.Size()}
+		}
+	}
+	return s
+}
