--- a/core/cellconfig/check.go
+++ b/core/cellconfig/check.go
@@ -24,6 +24,8 @@
 	maxQueue         = 1_000_000
 	maxEntries       = 1000
 	maxAttempts      = 1000
+	// maxSubmitterBytes bounds what read-back keeps of a file after its body.
+	maxSubmitterBytes = 128
 )
 
 // maxAnnounceLease is the time in which a backend server that is leaving, or
@@ -40,7 +42,8 @@
 func (c *checker) checkFile() {
 	f := c.file
 	c.require(f.Generation > 0, "generation", "is 0", "at least 1")
-	c.require(f.Submitter != "", "submitter", "is empty", "the name of who submits the file")
+	c.require(f.Submitter != "" && len(f.Submitter) <= maxSubmitterBytes, "submitter", fmt.Sprintf("has %d bytes", len(f.Submitter)),
+		fmt.Sprintf("the name of who submits the file, 1 to %d bytes", maxSubmitterBytes))
 	c.checkCell(f.Cell)
 	c.checkRegions()
 	c.checkPools()
--- a/core/state/config.go
+++ b/core/state/config.go
@@ -116,7 +116,7 @@
 		Generation: next.file.Generation,
 		Digest:     next.digest,
 		Submitter:  next.file.Submitter,
-		From:       c.From,
+		From:       shorten(c.From),
 		At:         s.now,
 		Body:       c.Body,
 	}
--- a/core/state/member.go
+++ b/core/state/member.go
@@ -17,8 +17,8 @@
 // joinMember adds an entry process, or a newer incarnation of it. The records
 // of the former incarnation become unknown.
 func (s *State) joinMember(m Member) Result {
-	if m.Name == "" || len(m.Name) > maxNameBytes || len(m.Address) > maxNameBytes {
-		return refuse(RefusalInvalid, "the name or the address of the entry process is empty or too long")
+	if m.Name == "" || max(len(m.Name), len(m.Address), len(m.Region), len(m.FailureDomain)) > maxNameBytes {
+		return refuse(RefusalInvalid, "a name of the entry process is empty or longer than %d bytes", maxNameBytes)
 	}
 	known, joined := s.members[m.Name]
 	if joined && m.Incarnation < known.Incarnation || s.hasLeft(m.Name, m.Incarnation) {
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -26,6 +26,9 @@
 // loses its nanoseconds, and against an encoding that is not deterministic.
 func TestRoundTrip(t *testing.T) {
 	roundTrip(t, commands, sampleCommand())
+	roundTrip(t, commands, state.Command{At: at, FinishRequest: &state.FinishRequest{Answer: &state.StoredAnswer{
+		Header: []state.HeaderField{{Name: "X-Place", Value: "Ca\xf1ar"}}, Body: []byte{0xff},
+	}}})
 	roundTrip(t, results, state.Result{Refusal: state.RefusalNoRoom, Plan: &state.PlanResult{
 		Placements: []state.Refusal{""}, Allocations: []cell.AllocationID{9},
 	}})
--- a/internal/codec/mode.go
+++ b/internal/codec/mode.go
@@ -19,6 +19,9 @@
 	return mode
 }
 
+// decodeMode returns a strict decoder. It accepts text that is not UTF-8: an
+// answer kept for replay may have such header lines, and a replica that refused
+// a committed command could not go on.
 func decodeMode(elements int) cbor.DecMode {
 	options := cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
@@ -28,7 +31,7 @@
 		IndefLength:       cbor.IndefLengthForbidden,
 		TagsMd:            cbor.TagsForbidden,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8:              cbor.UTF8RejectInvalid,
+		UTF8:              cbor.UTF8DecodeInvalid,
 		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 	}
 	mode, err := options.DecMode()
