Add make soak, planted, bench and capacity; benchmarks of log and policy

Cause: the randomised runs, planted faults and benchmarks had no command of their own. Change: Makefile targets; godwit-bench log and policy; the planted script of the replicated log takes its own patches only.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$' | grep -v '\.twirp\.go$$')
 
-.PHONY: all build test lint demo fuzz
+.PHONY: all build test lint demo fuzz soak planted bench capacity
 
 all: build
 
@@ -30,3 +30,27 @@
 FUZZTIME ?= 10s
 fuzz:
 	./scripts/fuzz.sh $(FUZZTIME)
+
+# Randomised runs of the cores with their invariants. SEED is the first seed of
+# the replicated log and the seed of the others; RUNS is the number of runs.
+SEED ?= 1
+RUNS ?= 1000
+soak:
+	$(GO) test -count=1 -v -run TestSoak ./core/replog -soak.seed=$(SEED) -soak.runs=$(RUNS)
+	$(GO) test -count=1 -v -run TestRandomised ./core/state -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
+	$(GO) test -count=1 -run TestHolderEndsBeforeGranter ./core/lease -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
+
+# Applies each planted fault to a copy of the tree and expects it to be found.
+planted:
+	./test/planted/run-replog.sh
+	./test/planted/run-state.sh
+	./test/planted/run-e2e.sh
+
+# Benchmarks of the cores and of the processes; several minutes.
+bench: build
+	for b in placement policy routing proxy log commit state; do echo "== $$b"; bin/godwit-bench $$b || exit 1; done
+
+# Slopes of the cost of control over the number of workers (docs/CAPACITY.md).
+capacity: build
+	bin/godwit-bench control
+	bin/godwit-bench state
--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -10,7 +10,9 @@
 
 	"github.com/godwitlink/godwitlink/internal/bench/commitbench"
 	"github.com/godwitlink/godwitlink/internal/bench/controlbench"
+	"github.com/godwitlink/godwitlink/internal/bench/logbench"
 	"github.com/godwitlink/godwitlink/internal/bench/placementbench"
+	"github.com/godwitlink/godwitlink/internal/bench/policybench"
 	"github.com/godwitlink/godwitlink/internal/bench/proxybench"
 	"github.com/godwitlink/godwitlink/internal/bench/routingbench"
 	"github.com/godwitlink/godwitlink/internal/bench/statebench"
@@ -22,7 +24,8 @@
 		Use: "godwit-bench", Short: "Measure the parts of godwitlink on this machine", Version: version,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(commitCommand(), controlCommand(), placementCommand(), proxyCommand(), routingCommand(), stateCommand())
+	root.AddCommand(commitCommand(), controlCommand(), logCommand(), placementCommand(), policyCommand(),
+		proxyCommand(), routingCommand(), stateCommand())
 	return root
 }
 
@@ -54,6 +57,27 @@
 	return command
 }
 
+func logCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "log", Short: "Commits and failover of the replicated log on a virtual clock", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return logbench.Run(command.OutOrStdout())
+		},
+	}
+}
+
+func policyCommand() *cobra.Command {
+	o := policybench.DefaultOptions()
+	command := &cobra.Command{
+		Use: "policy", Short: "A synthetic day under several scheduling policies on a virtual clock", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return policybench.Run(command.OutOrStdout(), o)
+		},
+	}
+	command.Flags().StringSliceVar(&o.Only, "only", o.Only, "policies to run; all where empty")
+	return command
+}
+
 func placementCommand() *cobra.Command {
 	o := placementbench.DefaultOptions()
 	command := &cobra.Command{
--- a/test/planted/run.sh
+++ b/test/planted/run-replog.sh
@@ -2,7 +2,7 @@
 # Shows that the randomised runs can fail: applies each planted bug to a copy
 # of the tree and expects a violation within a number of runs.
 #
-# usage: test/planted/run.sh [patch...]   (default: all of test/planted/*/*.patch)
+# usage: test/planted/run-replog.sh [patch...]   (default: all of test/planted/replog)
 #
 # The folder of a patch names the package under core/ whose TestSoak must find
 # it. Exit status 1 where a bug was not found.
@@ -40,7 +40,7 @@
 }
 
 missed=0
-[ $# -gt 0 ] || set -- test/planted/*/*.patch
+[ $# -gt 0 ] || set -- test/planted/replog/*.patch
 for patch in "$@"; do
   find_bug "$patch" || missed=1
 done
