Announce the leave of a real server in the test of shares

Cause: trying the test on a copy that ignores leaves showed that it passed: the leave had another address and made an empty server. Checked: the test now fails without the check of Leaving and passes with it.

--- a/core/routing/table_test.go
+++ b/core/routing/table_test.go
@@ -117,7 +117,9 @@
 			b.warm("far")
 		}, map[string][2]int{"far": {290, 1000}}},
 		{"leave", func(b *bench) {
-			b.Announce(b.now, Announcement{Service: svc, Backend: "a", Incarnation: 1, Leaving: true, SeenAt: b.now})
+			last := b.groups[svc].servers["a"].Announcement
+			last.Leaving = true
+			b.Announce(b.now, last)
 		}, map[string][2]int{"a": {0, 0}}},
 		{"stalled", func(b *bench) {
 			b.nextID++
