Test the bounds in number and round cores without fused arithmetic

Cause: the limits of ended jobs, request records, removed members and released attempts were not tested; a product and a sum in one expression may be fused on some processors, and replicas of different kinds would round a quota differently. Change: a test that fills the state up to each limit; milliCPU uses math.Round.

--- a/core/cellconfig/file.go
+++ b/core/cellconfig/file.go
@@ -1,6 +1,7 @@
 package cellconfig
 
 import (
+	"math"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
@@ -140,4 +141,6 @@
 // milliPerCore converts cores to thousandths of a core.
 const milliPerCore = 1000
 
-func milliCPU(cores float64) int64 { return int64(cores*milliPerCore + 0.5) }
+// milliCPU rounds explicitly: a product and a sum in one expression may be fused
+// on some processors, and replicas must agree on the last digit.
+func milliCPU(cores float64) int64 { return int64(math.Round(cores * milliPerCore)) }
--- /dev/null
+++ b/core/state/bounds_test.go
@@ -0,0 +1,58 @@
+package state
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/cell"
+)
+
+// Guards against lists that grow without a bound within their retention. The
+// state is filled directly, because the bounds are far above what a test can
+// reach by commands.
+func TestNumbersAreBounded(t *testing.T) {
+	s := New()
+	index := uint64(0)
+	apply := func(c Command) Result {
+		index++
+		result, _ := s.Apply(index, c)
+		return result
+	}
+	for i := range MaxEndedJobs + 5 {
+		j := &job{id: cell.JobID(i + 1), key: strconv.Itoa(i), state: cell.JobSucceeded}
+		s.jobs[j.id] = j
+		s.jobKeys[jobKey{key: j.key}] = j.id
+		s.ended = append(s.ended, j.id)
+	}
+	apply(Command{Advance: &Advance{}})
+	if len(s.jobs) != MaxEndedJobs || len(s.jobKeys) != MaxEndedJobs || s.ended[0] != 6 {
+		t.Errorf("%d jobs, %d keys, oldest %d", len(s.jobs), len(s.jobKeys), s.ended[0])
+	}
+
+	for i := range MaxLeftMembers + 5 {
+		name := cell.EntryName(strconv.Itoa(i))
+		apply(Command{JoinMember: &JoinMember{Member: Member{Name: name, Incarnation: 1}}})
+		apply(Command{LeaveMember: &LeaveMember{Name: name, Incarnation: 1}})
+	}
+	if len(s.left) != MaxLeftMembers {
+		t.Errorf("%d removed members are remembered", len(s.left))
+	}
+
+	apply(Command{JoinMember: &JoinMember{Member: Member{Name: "e", Incarnation: 1}}})
+	begin := BeginRequest{Key: RequestKey{Key: "k"}, Entry: "e", Incarnation: 1, Retention: time.Hour}
+	for begin.Attempt = 1; begin.Attempt <= maxReleased+5; begin.Attempt++ {
+		apply(Command{BeginRequest: &begin})
+		apply(Command{FinishRequest: &FinishRequest{Key: begin.Key, Entry: "e", Attempt: begin.Attempt, Outcome: OutcomeNotRun}})
+	}
+	if released := len(s.requests[begin.Key].released); released != maxReleased {
+		t.Errorf("%d attempts are remembered", released)
+	}
+	for i := len(s.requests); i < MaxRequestRecords; i++ {
+		s.requests[RequestKey{Service: "s", Key: strconv.Itoa(i)}] = nil
+	}
+	begin.Key.Key = "one too many"
+	if result := apply(Command{BeginRequest: &begin}); result.Refusal != RefusalTooManyRequests {
+		t.Errorf("a request above the limit: %+v", result)
+	}
+}
