--- a/core/state/fuzz_test.go
+++ b/core/state/fuzz_test.go
@@ -53,11 +53,11 @@
 
 // usedCell returns a cell with a worker, a running task, a queued one and a
 // request.
-func usedCell(f *testing.F) state.Snapshot {
+func usedCell(t testing.TB) state.Snapshot {
 	run := &feeder{s: state.New()}
 	for _, c := range usedCellCommands() {
 		if result := run.apply(c); result.Refusal != state.RefusalNone {
-			f.Fatalf("%+v: %+v", c, result)
+			t.Fatalf("%+v: %+v", c, result)
 		}
 	}
 	return run.s.Snapshot()
--- a/core/state/limits_test.go
+++ b/core/state/limits_test.go
@@ -96,19 +96,6 @@
 
 // Guards against a damaged or foreign snapshot that is taken for a state.
 func TestRestoreRefusesDamage(t *testing.T) {
-	f := &feeder{s: state.New()}
-	f.apply(state.Command{ApplyFile: &state.ApplyFile{Body: fileBody(1, "first", 16, nil)}})
-	f.apply(state.Command{RegisterWorker: &state.RegisterWorker{Worker: cell.Worker{
-		Name: "w", Incarnation: 1, Region: "north", FailureDomain: "north-1", Pool: "small", Capacity: cell.Resources{MilliCPU: 4000},
-	}}})
-	f.apply(state.Command{SubmitJob: &state.SubmitJob{Key: "k", Spec: cell.JobSpec{
-		Team: "a", Policy: "batch", Priority: cell.PriorityNormal, Tasks: 1, Size: cell.Resources{MilliCPU: 1000},
-	}}})
-	f.apply(state.Command{CommitPlan: &state.CommitPlan{Placements: []state.Placement{{Task: cell.TaskID{Job: 1}, Worker: "w", Epoch: 1}}}})
-	f.apply(state.Command{JoinMember: &state.JoinMember{Member: state.Member{Name: "e", Incarnation: 1}}})
-	f.apply(state.Command{BeginRequest: &state.BeginRequest{
-		Key: requestKeyOf(0), Entry: "e", Incarnation: 1, Attempt: 1, Retention: time.Hour,
-	}})
 	damages := map[string]func(*state.Snapshot){
 		"no file":              func(s *state.Snapshot) { s.Records = nil },
 		"file with faults":     func(s *state.Snapshot) { s.Records[0].Body = []byte("generation = 0") },
@@ -119,19 +106,19 @@
 		"worker twice":         func(s *state.Snapshot) { s.Workers = append(s.Workers, s.Workers[0]) },
 		"epoch above the last": func(s *state.Snapshot) { s.LastEpoch = 0 },
 		"no worker":            func(s *state.Snapshot) { s.Workers = nil },
-		"no task":              func(s *state.Snapshot) { s.Allocations[0].Allocation.Task.Index = 1 },
+		"no task":              func(s *state.Snapshot) { s.Allocations[0].Allocation.Task.Index = 2 },
 		"allocation twice":     func(s *state.Snapshot) { s.Allocations = append(s.Allocations, s.Allocations[0]) },
 		"request twice":        func(s *state.Snapshot) { s.Requests = append(s.Requests, s.Requests[0]) },
 	}
 	for name, damage := range damages {
-		snapshot := f.s.Snapshot()
+		snapshot := usedCell(t)
 		damage(&snapshot)
 		var want *state.SnapshotError
 		if _, err := state.Restore(snapshot); !errors.As(err, &want) {
 			t.Errorf("%s: got %v", name, err)
 		}
 	}
-	snapshot := f.s.Snapshot()
+	snapshot := usedCell(t)
 	snapshot.Members = nil
 	restored, err := state.Restore(snapshot)
 	if err != nil || len(restored.Violations()) != 1 {
--- a/core/state/world_test.go
+++ b/core/state/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	_ "embed"
 	"fmt"
 	"maps"
 	"reflect"
@@ -16,90 +17,18 @@
 	"github.com/godwitlink/godwitlink/internal/codec"
 )
 
-// cellFile has a pool of two workers and one of a single larger one, so that
+// cellFile has a pool of three workers and one of a single larger one, so that
 // capacity, quotas and pools are scarce in short runs.
-const cellFile = `
-generation = %d
-submitter = "%s"
-[cell]
-name = "test"
-max_clock_drift_ppm = 1000
-worker_lease = "15s"
-worker_sync_interval = "2s"
-worker_stop_margin = "500ms"
-stale_after = "15s"
-max_entries = 9
-retired_workers = [%s]
-[[region]]
-name = "north"
-failure_domains = ["north-1"]
-[[pool]]
-name = "small"
-regions = ["north"]
-max_workers = 3
-max_worker_cpus = 4.0
-max_worker_memory = "8GiB"
-max_worker_accelerators = 0
-[[pool]]
-name = "large"
-regions = ["north"]
-max_workers = 1
-max_worker_cpus = 8.0
-max_worker_memory = "8GiB"
-max_worker_accelerators = 0
-%s
-[[team]]
-name = "a"
-share = 0.5
-quota_cpus = %d.0
-quota_memory = "64GiB"
-quota_accelerators = 0
-urgent_cpus = 4.0
-max_queued_jobs = 8
-policies = ["stop", "keep", "batch", "gang"]
-[[service]]
-name = "s"
-path_prefix = "/s/"
-teams = ["a"]
-idempotent_methods = ["GET"]
-announce_interval = "500ms"
-announce_lease = "2s"
-max_queue = 10
-default_deadline = "1s"
-max_deadline = "1s"
-dispatch_window = "1s"
-max_request_bytes = "1KiB"
-replay_max_bytes = "1KiB"
-answer_retention = "1h"
-retry_budget = 0.1
-cross_region_penalty = "1ms"
-panic_threshold = 0.5
-`
-
-const policyTable = `
-[[policy]]
-name = "%s"
-kind = "%s"
-pools = ["small", "large"]
-spread_by = "none"
-preemptible = %v
-on_disconnect = "%s"
-max_tasks = 4
-max_attempts = 3
-backoff_initial = "1s"
-backoff_max = "8s"
-`
+//
+//go:embed cell_test.toml
+var cellFile string
 
 func fileBody(generation int, submitter string, quota int, retired []cell.WorkerName) []byte {
-	policies := fmt.Sprintf(policyTable, "stop", "service", true, "stop") +
-		fmt.Sprintf(policyTable, "keep", "service", false, "keep") +
-		fmt.Sprintf(policyTable, "batch", "batch", true, "stop") +
-		fmt.Sprintf(policyTable, "gang", "gang", true, "keep")
 	var names []string
 	for _, name := range retired {
 		names = append(names, fmt.Sprintf("%q", name))
 	}
-	return fmt.Appendf(nil, cellFile, generation, submitter, strings.Join(names, ", "), policies, quota)
+	return fmt.Appendf(nil, cellFile, generation, submitter, strings.Join(names, ", "), quota)
 }
 
 // world is a cell in which machines and entry processes exist beside the state.
