--- a/internal/bench/statebench/run.go
+++ b/internal/bench/statebench/run.go
@@ -15,7 +15,7 @@
 // ErrRun is returned where the state refuses a command of the benchmark.
 var ErrRun = merry.Sentinel("benchmark of the state failed")
 
-// tasksPerWorker is the planned density: 4,900 running tasks on 900 workers.
+// The planned density of tasks (docs/design.md, section 1.5), used at every size.
 const (
 	plannedTasks   = 4900
 	plannedWorkers = 900
