--- a/core/replog/faults_test.go
+++ b/core/replog/faults_test.go
@@ -74,6 +74,7 @@
 		return true
 	}},
 	{"election-crashes", (*run).electionCrashes},
+	{"restarts-near-lost-link", (*run).restartsNearLostLink},
 	{"slow-disk", func(x *run) bool {
 		id := x.someID()
 		return x.forAWhile(func() { x.syncTime[id] = x.between(0, 100*time.Millisecond) }, func() { delete(x.syncTime, id) })
@@ -158,14 +159,16 @@
 		return false
 	}
 	r.Crash(func(writes int) int { return x.rng.IntN(writes + 1) })
-	x.sim.After(x.between(time.Millisecond, x.faultTime), func() {
-		if r.Core == nil && r.ID != x.destroyed {
-			r.Start()
-		}
-	})
+	x.sim.After(x.between(time.Millisecond, x.faultTime), func() { x.restart(r) })
 	return true
 }
 
+func (x *run) restart(r *logsim.Replica) {
+	if r.Core == nil && r.ID != x.destroyed {
+		r.Start()
+	}
+}
+
 // electionCrashes silences a leader and crashes others during their next
 // writes, which an election causes.
 func (x *run) electionCrashes() bool {
@@ -182,12 +185,46 @@
 	return true
 }
 
+// restartsNearLostLink cuts one follower off from the leader, which then asks
+// the others for votes while they restart again and again.
+func (x *run) restartsNearLostLink() bool {
+	leader, lost := x.anyLeader(), x.some()
+	if leader == nil || lost == leader {
+		return false
+	}
+	for _, r := range x.check.replicas {
+		for range restartCount {
+			if r == leader || r == lost {
+				break
+			}
+			x.sim.After(x.between(80*time.Millisecond, 250*time.Millisecond), func() {
+				if x.crash(r) {
+					x.sim.After(time.Millisecond, func() { x.restart(r) })
+				}
+			})
+		}
+	}
+	return x.cut([]link{{leader.ID, lost.ID}, {lost.ID, leader.ID}})
+}
+
+const restartCount = 6
+
 // limitLeader lets a new leader fail after a short time, so that entries of
 // many terms remain uncommitted.
 func (x *run) limitLeader(r *logsim.Replica) {
 	if x.leaderLife == 0 || x.healing {
 		return
 	}
+	if x.rng.IntN(3) == 0 {
+		// Its first entries reach few others.
+		var links []link
+		for _, other := range x.check.replicas {
+			if x.rng.IntN(3) > 0 {
+				links = append(links, link{r.ID, other.ID})
+			}
+		}
+		x.cut(links)
+	}
 	x.sim.After(x.between(0, x.leaderLife), func() {
 		x.counts["leader-fails"]++
 		if x.rng.IntN(3) == 0 {
--- a/core/replog/register_test.go
+++ b/core/replog/register_test.go
@@ -70,11 +70,11 @@
 // clientTimeout is after how long a client goes on without an answer.
 const clientTimeout = 60 * time.Millisecond
 
-// At most maxOpen operations are open at once, where those without an answer
-// after openTimeout do not count. The check of a history takes exponential
+// At most maxOpen reads and writes each are open at a replica, where those
+// without an answer after openTimeout do not count. The check of a history takes exponential
 // time in the number of concurrent operations.
 const (
-	maxOpen     = 8
+	maxOpen     = 2
 	openTimeout = 500 * time.Millisecond
 )
 
@@ -86,26 +86,37 @@
 			return
 		}
 		r := x.anyLeader()
-		if r == nil || x.open >= maxOpen {
+		kind := openKind{read: x.rng.IntN(2) == 0}
+		if r != nil {
+			kind.at = r.ID
+		}
+		if r == nil || x.open[kind] >= maxOpen {
 			x.client()
 			return
 		}
-		x.open++
+		x.open[kind]++
 		goOn := sync.OnceFunc(x.client)
-		close := sync.OnceFunc(func() { x.open-- })
+		finish := sync.OnceFunc(func() { x.open[kind]-- })
 		x.sim.After(clientTimeout, goOn)
-		x.sim.After(openTimeout, close)
-		x.operate(r, func() {
+		x.sim.After(openTimeout, finish)
+		x.operate(r, kind.read, func() {
 			goOn()
-			close()
+			finish()
 		})
 	})
 }
 
-func (x *run) operate(r *logsim.Replica, done func()) {
+// openKind is what open operations are counted by: one replica that does not
+// answer must not keep the clients from the others.
+type openKind struct {
+	at   replog.ReplicaID
+	read bool
+}
+
+func (x *run) operate(r *logsim.Replica, read bool, done func()) {
 	x.lastValue++
 	op := &operation{
-		read: x.rng.IntN(2) == 0, call: int64(x.sim.Now()), end: math.MaxInt64,
+		read: read, call: int64(x.sim.Now()), end: math.MaxInt64,
 		write: write{byte(x.rng.IntN(registerCount)), x.lastValue},
 	}
 	x.history = append(x.history, op)
--- a/core/replog/soak_test.go
+++ b/core/replog/soak_test.go
@@ -39,7 +39,7 @@
 	enabled   []fault
 	counts    map[string]int
 	history   []*operation
-	open      int // operations without an answer yet
+	open      map[openKind]int // operations without an answer yet
 	lastValue uint32
 	lastID    replog.ReplicaID
 	destroyed replog.ReplicaID // lost its disk and stays away; 0 for none
@@ -76,16 +76,22 @@
 		rng: rand.New(rand.NewPCG(seed, 0)), check: newChecker(),
 		net:      network{cut: map[link]int{}},
 		syncTime: map[replog.ReplicaID]time.Duration{}, counts: map[string]int{},
+		open:         map[openKind]int{},
 		crashAtWrite: map[replog.ReplicaID]int{},
 	}
 	x.driftPPM = []int64{0, 1000, 50_000, 150_000}[x.rng.IntN(4)]
 	x.pace = x.between(2*time.Millisecond, 30*time.Millisecond)
+	if x.rng.IntN(4) == 0 {
+		x.pace *= 20 // in a quiet group logs seldom decide an election
+	}
 	x.faultGap = []time.Duration{60, 150, 400}[x.rng.IntN(3)] * time.Millisecond
 	x.faultTime = []time.Duration{60, 200, 600}[x.rng.IntN(3)] * time.Millisecond
 	x.leaderLife = []time.Duration{0, 0, 20, 100}[x.rng.IntN(4)] * time.Millisecond
 	x.check.onLeader = x.limitLeader
+	// Few kinds of faults in some runs: one kind can hide what another shows.
+	share := x.rng.Float64()
 	for _, f := range faults {
-		if x.rng.IntN(3) > 0 {
+		if x.rng.Float64() < share {
 			x.enabled = append(x.enabled, f)
 		}
 	}
@@ -93,7 +99,7 @@
 		Config: replog.Config{
 			ElectionTimeoutMin: 100 * time.Millisecond, ElectionTimeoutMax: 200 * time.Millisecond,
 			HeartbeatInterval: 25 * time.Millisecond, MaxDriftPPM: x.driftPPM,
-			MaxBatchBytes: []int{1, 200, 2000}[x.rng.IntN(3)], MaxInflight: 1 + x.rng.IntN(5),
+			MaxBatchBytes: x.batchBytes(), MaxInflight: []int{1, 4, 16}[x.rng.IntN(3)],
 			MaxPending: soakMaxPending, Seed: seed,
 		},
 		Delays:        x.delays,
@@ -110,7 +116,11 @@
 
 func (x *run) run() {
 	var initial replog.Membership
-	for id := 1; id <= []int{1, 3, 3, 5}[x.rng.IntN(4)]; id++ {
+	voters := []int{1, 3, 3, 5}[x.rng.IntN(4)]
+	if x.leaderLife > 0 {
+		voters = 5 // a commit by counting entries of earlier terms needs 5 to go wrong
+	}
+	for id := 1; id <= voters; id++ {
 		initial.Voters = append(initial.Voters, replog.ReplicaID(id))
 	}
 	for range initial.Voters {
@@ -127,6 +137,15 @@
 	}
 }
 
+// batchBytes is 1, for one entry per append, wherever leaders fail early:
+// entries of several terms then remain partly replicated.
+func (x *run) batchBytes() int {
+	if x.leaderLife > 0 {
+		return 1
+	}
+	return []int{1, 200, 2000}[x.rng.IntN(3)]
+}
+
 func (x *run) clean() bool { return x.check.first == "" }
 
 func (x *run) between(low, high time.Duration) time.Duration {
