Bound waiting read barriers and refuse a hard state behind the log

Cause: a leader without a quorum collected read barriers without a limit, and a disk that lost its hard state but not its entries was accepted, with which a replica could vote twice in a term.

Change: ReadBarrier returns ErrOverloaded at Config.MaxPending; New returns ErrInvalidConfig for an entry above the hard state's term.

--- a/core/replog/core.go
+++ b/core/replog/core.go
@@ -96,6 +96,12 @@
 		c.history = append(c.history, membershipRecord{e.Index, m})
 	}
 	c.log.append(entries...)
+	if c.log.lastTerm() > c.hard.Term {
+		// The disk lost a hard state that was synced before these entries, and
+		// with it a vote.
+		return fmt.Errorf("%w: entry %d of term %d above the hard state's term %d",
+			ErrInvalidConfig, c.log.last(), c.log.lastTerm(), c.hard.Term)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/core/replog/core_test.go
@@ -0,0 +1,123 @@
+package replog_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/bench/logsim"
+)
+
+var testConfig = replog.Config{
+	ElectionTimeoutMin: 400 * time.Millisecond, ElectionTimeoutMax: 800 * time.Millisecond,
+	HeartbeatInterval: 100 * time.Millisecond, MaxDriftPPM: 1000,
+	MaxBatchBytes: 1000, MaxInflight: 8, MaxPending: 600, Seed: 1,
+}
+
+// newTestGroup runs three replicas until their leader is ready. It counts the
+// messages of each type in sent.
+func newTestGroup(t *testing.T, snapshotEvery uint64, sent map[replog.MessageType]int) (*logsim.Sim, *logsim.Replica) {
+	t.Helper()
+	check := newChecker()
+	check.onLeader = func(*logsim.Replica) {}
+	sim := logsim.New(logsim.Options{
+		Config: testConfig,
+		Delays: func(m replog.Message) []time.Duration {
+			sent[m.Type]++
+			return []time.Duration{time.Millisecond}
+		},
+		SyncTime: func(replog.ReplicaID) time.Duration { return time.Millisecond },
+		NewMachine: func(id replog.ReplicaID) logsim.Machine {
+			return &registers{id: id, check: check, values: map[byte]uint32{}}
+		},
+		SnapshotEvery: snapshotEvery, AfterStep: check.afterStep,
+	})
+	check.sim = sim
+	for id := replog.ReplicaID(1); id <= 3; id++ {
+		check.replicas = append(check.replicas, sim.Add(id, replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}}, 1))
+	}
+	t.Cleanup(func() {
+		if check.first != "" {
+			t.Error(check.first)
+		}
+	})
+	sim.RunUntil(time.Second)
+	if leader := sim.Leader(); leader != nil {
+		return sim, leader
+	}
+	t.Fatal("no leader")
+	return nil, nil
+}
+
+// Guards against a replica that cannot catch up after it missed hundreds of
+// entries: from the log, and by snapshot once the log is compacted.
+func TestCatchUp(t *testing.T) {
+	const missed = 500
+	for snapshotEvery, wantSnapshots := range map[uint64]int{0: 0, 100: 1} {
+		sent := map[replog.MessageType]int{}
+		sim, leader := newTestGroup(t, snapshotEvery, sent)
+		follower := sim.Replica(leader.ID%3 + 1)
+		follower.Crash(func(int) int { return 0 })
+		sim.RunUntil(3 * time.Second)
+		for range missed {
+			if err := leader.Propose(write{}.encode(), func(logsim.Outcome) {}); err != nil {
+				t.Fatal(err)
+			}
+			sim.RunUntil(sim.Now() + 5*time.Millisecond)
+		}
+		follower.Start()
+		sim.RunUntil(sim.Now() + 300*time.Millisecond)
+		commit := follower.Core.Status().Commit
+		if commit < missed || sent[replog.MessageSnapshot] != wantSnapshots {
+			t.Errorf("snapshot every %d: commit %d, %d snapshots sent", snapshotEvery, commit, sent[replog.MessageSnapshot])
+		}
+	}
+}
+
+// Guards against refusals that are missing, against reads that wait under a
+// valid lease and against a transfer that waits for an election timeout.
+func TestLeaderCalls(t *testing.T) {
+	sim, leader := newTestGroup(t, 0, map[replog.MessageType]int{})
+	target := leader.ID%3 + 1
+	leader.Do(func(c *replog.Core, now time.Time) {
+		if err := c.ReadBarrier(now, 1<<40); err != nil || len(c.Effects().Reads) != 1 {
+			t.Errorf("no read at once under the lease, error %v", err)
+		}
+		if _, _, err := c.Propose(now, make([][]byte, testConfig.MaxPending+1)); !errors.Is(err, replog.ErrOverloaded) {
+			t.Errorf("proposals above the limit: %v", err)
+		}
+		direct := replog.Membership{Voters: []replog.ReplicaID{1, 2, 3, 4}}
+		if err := c.ChangeMembership(now, direct); !errors.Is(err, replog.ErrInvalidChange) {
+			t.Errorf("voter without a learner stage: %v", err)
+		}
+		if err := c.TransferLeadership(now, target); err != nil {
+			t.Error(err)
+		}
+		if _, _, err := c.Propose(now, [][]byte{nil}); !errors.Is(err, replog.ErrTransferring) || !errors.Is(err, replog.ErrNotLeader) {
+			t.Errorf("proposal during a transfer: %v", err)
+		}
+	})
+	sim.RunUntil(sim.Now() + 50*time.Millisecond)
+	if got := sim.Leader(); got.ID != target || !got.Core.Status().Ready {
+		t.Errorf("leader %d, expected %d", got.ID, target)
+	}
+}
+
+// Guards against a vote of a replica that may have lost its log: it must
+// refuse while its log is empty, unless it founded the group.
+func TestEmptyLogVotes(t *testing.T) {
+	for id, want := range map[replog.ReplicaID]bool{3: true, 4: false} {
+		cfg := testConfig
+		cfg.ID, cfg.Membership = id, replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}}
+		core, err := replog.New(cfg, time.Unix(0, 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		core.Step(time.Unix(1, 0), replog.Message{Type: replog.MessageVote, From: 1, To: id, Term: 1})
+		answers := core.Effects().AfterSync
+		if len(answers) != 1 || answers[0].Reject == want {
+			t.Errorf("replica %d: answers %+v, expected a vote: %v", id, answers, want)
+		}
+	}
+}
--- a/core/replog/errors.go
+++ b/core/replog/errors.go
@@ -13,8 +13,9 @@
 	// takes no more proposals.
 	ErrTransferring = fmt.Errorf("leadership transfer in progress: %w", ErrNotLeader)
 	// ErrOverloaded is returned where Config.MaxPending proposals wait for
-	// their commit. Nothing of the call was proposed.
-	ErrOverloaded = errors.New("too many pending proposals")
+	// their commit, or as many read barriers for a quorum. The call had no
+	// effect.
+	ErrOverloaded = errors.New("too many pending proposals or reads")
 	// ErrNotReady is returned while no entry of the leader's own term is
 	// committed.
 	ErrNotReady = errors.New("no entry of the current term is committed yet")
--- a/core/replog/read.go
+++ b/core/replog/read.go
@@ -14,7 +14,7 @@
 // ReadBarrier asks for an index at which a read is current. The answer comes
 // in Effects.Reads: at once under the leader lease, otherwise after a quorum
 // has confirmed the leadership in a round that started after this call. It
-// returns ErrNotLeader.
+// returns ErrNotLeader, or ErrOverloaded where Config.MaxPending barriers wait.
 func (c *Core) ReadBarrier(now time.Time, id uint64) error {
 	c.advance(now)
 	if c.role != RoleLeader {
@@ -24,6 +24,9 @@
 		c.out.reads = append(c.out.reads, Read{ID: id, Index: c.commit})
 		return nil
 	}
+	if len(c.lead.reads) >= c.cfg.MaxPending {
+		return ErrOverloaded
+	}
 	read := pendingRead{id: id, round: c.lead.round + 1}
 	if c.ownTermCommitted() {
 		read.index = c.commit
