--- a/core/replog/register_test.go
+++ b/core/replog/register_test.go
@@ -71,11 +71,11 @@
 // clientTimeout is after how long a client goes on without an answer.
 const clientTimeout = 60 * time.Millisecond
 
-// At most maxOpen operations are open at once, where those without an answer
-// after openTimeout do not count. The check of a history takes exponential
+// At most maxOpen reads and writes each are open at a replica, where those
+// without an answer after openTimeout do not count. The check of a history takes exponential
 // time in the number of concurrent operations.
 const (
-	maxOpen     = 8
+	maxOpen     = 2
 	openTimeout = 500 * time.Millisecond
 	// maxOpenSuspended is maxOpen of runs with suspended replicas, which hold
 	// operations for longer: with 8 the check of seed 321 took 77 s.
@@ -90,22 +90,31 @@
 			return
 		}
 		r := x.anyLeader()
+<<<<<<< HEAD
 		if r == nil || x.open >= x.maxOpen() {
+=======
+		kind := openKind{read: x.rng.IntN(2) == 0}
+		if r != nil {
+			kind.at = r.ID
+		}
+		if r == nil || x.open[kind] >= maxOpen {
+>>>>>>> replog
 			x.client()
 			return
 		}
-		x.open++
+		x.open[kind]++
 		goOn := sync.OnceFunc(x.client)
-		close := sync.OnceFunc(func() { x.open-- })
+		finish := sync.OnceFunc(func() { x.open[kind]-- })
 		x.sim.After(clientTimeout, goOn)
-		x.sim.After(openTimeout, close)
-		x.operate(r, func() {
+		x.sim.After(openTimeout, finish)
+		x.operate(r, kind.read, func() {
 			goOn()
-			close()
+			finish()
 		})
 	})
 }
 
+<<<<<<< HEAD
 func (x *run) maxOpen() int {
 	if slices.ContainsFunc(x.enabled, func(f fault) bool { return f.name == "suspend" }) {
 		return maxOpenSuspended
@@ -114,9 +123,19 @@
 }
 
 func (x *run) operate(r *logsim.Replica, done func()) {
+=======
+// openKind is what open operations are counted by: one replica that does not
+// answer must not keep the clients from the others.
+type openKind struct {
+	at   replog.ReplicaID
+	read bool
+}
+
+func (x *run) operate(r *logsim.Replica, read bool, done func()) {
+>>>>>>> replog
 	x.lastValue++
 	op := &operation{
-		read: x.rng.IntN(2) == 0, call: int64(x.sim.Now()), end: math.MaxInt64,
+		read: read, call: int64(x.sim.Now()), end: math.MaxInt64,
 		write: write{byte(x.rng.IntN(registerCount)), x.lastValue},
 	}
 	x.history = append(x.history, op)
