Resolve the merge of the soak's clients

Cause: the last merge was committed with conflict markers in core/replog/register_test.go, so that commit does not build its tests.

--- a/core/replog/register_test.go
+++ b/core/replog/register_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -77,9 +76,6 @@
 const (
 	maxOpen     = 2
 	openTimeout = 500 * time.Millisecond
-	// maxOpenSuspended is maxOpen of runs with suspended replicas, which hold
-	// operations for longer: with 8 the check of seed 321 took 77 s.
-	maxOpenSuspended = 3
 )
 
 // client issues one operation after another, at any replica that claims to
@@ -90,15 +86,11 @@
 			return
 		}
 		r := x.anyLeader()
-<<<<<<< HEAD
-		if r == nil || x.open >= x.maxOpen() {
-=======
 		kind := openKind{read: x.rng.IntN(2) == 0}
 		if r != nil {
 			kind.at = r.ID
 		}
 		if r == nil || x.open[kind] >= maxOpen {
->>>>>>> replog
 			x.client()
 			return
 		}
@@ -114,16 +106,6 @@
 	})
 }
 
-<<<<<<< HEAD
-func (x *run) maxOpen() int {
-	if slices.ContainsFunc(x.enabled, func(f fault) bool { return f.name == "suspend" }) {
-		return maxOpenSuspended
-	}
-	return maxOpen
-}
-
-func (x *run) operate(r *logsim.Replica, done func()) {
-=======
 // openKind is what open operations are counted by: one replica that does not
 // answer must not keep the clients from the others.
 type openKind struct {
@@ -132,7 +114,6 @@
 }
 
 func (x *run) operate(r *logsim.Replica, read bool, done func()) {
->>>>>>> replog
 	x.lastValue++
 	op := &operation{
 		read: read, call: int64(x.sim.Now()), end: math.MaxInt64,
