Never tell a repeat under a key that nothing was run

Cause: a repeat that was refused before the record of its key was read (draining, queue full, control group unavailable) was answered not-run about itself, although an earlier request with the key may have run. A caller would take that for the word that the fee was not charged. Change: such refusals are answered unknown; the record still gets not-run for the attempt, so that a repeat may run. Routed requests pass no ServeMux; the gateway learns of all members; framing checks and reason headers hold for the jobs API too (a second reason header had appeared there).

--- a/core/exchange/example_test.go
+++ b/core/exchange/example_test.go
@@ -25,5 +25,5 @@
 	// exchange.Dispatch
 	// {Exclude:[b1] Retry:true}
 	// exchange.Dispatch
-	// {Outcome:done Reason: Abort:false Record:true}
+	// {Outcome:done Reason: Abort:false Record:true Recorded:done}
 }
--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -21,7 +21,8 @@
 type Exchange struct {
 	spec      Spec
 	begunAt   time.Time // when the begin was sent
-	begun     bool      // this exchange owns the record
+	begun     bool      // this exchange owns the record, or may own it
+	granted   bool      // the record gave it the right to dispatch
 	uncertain bool      // an attempt may have reached a backend server's handler
 	attempts  int
 	tried     []cell.BackendName
@@ -66,7 +67,7 @@
 	case b.Refusal != state.RefusalNone:
 		return x.notRun(ReasonControlUnavailable)
 	case b.Request.Dispatch:
-		x.begun = true
+		x.begun, x.granted = true, true
 		return x.enqueue(now)
 	default:
 		return x.repeated(now, b.Request)
@@ -150,14 +151,14 @@
 // Attempted takes the end of a dispatch.
 func (x *Exchange) Attempted(now time.Time, a Attempt) Effect {
 	if a.Reach == ReachAnswered {
-		return Conclude{Outcome: state.OutcomeDone, Record: x.begun}
+		return Conclude{Outcome: state.OutcomeDone, Record: x.begun, Recorded: state.OutcomeDone}
 	}
 	if a.Reach == ReachUncertain {
 		x.uncertain = true
 	}
 	x.last = a.Reason
 	if a.Passed {
-		return Conclude{Outcome: state.OutcomeUnknown, Reason: a.Reason, Abort: true, Record: x.begun}
+		return Conclude{Outcome: state.OutcomeUnknown, Reason: a.Reason, Abort: true, Record: x.begun, Recorded: state.OutcomeUnknown}
 	}
 	if x.attempts < maxAttempts && x.mayRepeat() && x.tooLate(now) == ReasonNone {
 		return x.enqueue(now)
@@ -172,13 +173,21 @@
 // fail concludes without an answer.
 func (x *Exchange) fail(reason Reason) Effect {
 	if x.uncertain {
-		return Conclude{Outcome: state.OutcomeUnknown, Reason: reason, Record: x.begun}
+		return Conclude{Outcome: state.OutcomeUnknown, Reason: reason, Record: x.begun, Recorded: state.OutcomeUnknown}
 	}
 	return x.notRun(reason)
 }
 
+// notRun concludes an exchange that dispatched nothing. Before the record of
+// its key was read, an earlier request with the key may have run: its caller
+// must not take a refusal of the repeat for the word that nothing was run.
+// Another request under a used key is a request of its own.
 func (x *Exchange) notRun(reason Reason) Effect {
-	return Conclude{Outcome: state.OutcomeNotRun, Reason: reason, Record: x.begun}
+	outcome := state.OutcomeNotRun
+	if x.spec.Keyed && !x.granted && reason != ReasonKeyReused {
+		outcome = state.OutcomeUnknown
+	}
+	return Conclude{Outcome: outcome, Reason: reason, Record: x.begun, Recorded: state.OutcomeNotRun}
 }
 
 // Check names a check of docs/design.md, section 9.
--- a/core/exchange/types.go
+++ b/core/exchange/types.go
@@ -105,7 +105,10 @@
 	Outcome state.Outcome
 	Reason  Reason // ReasonNone where the backend server's answer was passed on
 	Abort   bool   // the caller has part of an answer: close its connection
-	Record  bool   // propose the finish record with Outcome
+	Record  bool   // propose the finish record
+	// Recorded is the outcome for the record. It differs from Outcome where
+	// this exchange was not run and does not know of earlier ones with its key.
+	Recorded state.Outcome
 }
 
 func (Begin) effect()    {}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -139,11 +140,20 @@
 	return nil
 }
 
+// callers serves jobs under /v1/ and routes everything else. Routed requests
+// pass no ServeMux, which would redirect paths with dots or double slashes
+// rather than leave them to the backend server.
 func (e *Entry) callers() http.Handler {
-	mux := http.NewServeMux()
-	jobsAPI{responder: responder{e.metrics}, control: e.client}.register(mux)
-	mux.Handle("/", e.gateway.CallerHandler())
-	return mux
+	jobs := http.NewServeMux()
+	jobsAPI{responder: responder{e.metrics}, control: e.client}.register(jobs)
+	routed := e.gateway.CallerHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		if strings.HasPrefix(request.URL.Path, "/v1/") {
+			jobs.ServeHTTP(w, request)
+			return
+		}
+		routed.ServeHTTP(w, request)
+	})
 }
 
 func (e *Entry) operators() http.Handler {
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -194,7 +194,7 @@
 	f.handleConfig(ctx, result)
 	if response.MembersVersion != f.membersVersion {
 		f.membersVersion = response.MembersVersion
-		f.gateway.SetMembers(f.peers(response.Members))
+		f.gateway.SetMembers(membersOf(response.Members))
 	}
 	if len(response.Assignments) > 0 {
 		select {
@@ -241,19 +241,17 @@
 	f.logger.Log(eventConfigInForce, zap.Uint64("generation", uint64(file.Generation)), zap.String("digest", record.Digest))
 }
 
-// peers returns the members other than this process.
-func (f *feed) peers(members []*rpcpb.Member) []state.Member {
-	var peers []state.Member
+// membersOf returns all members, this process included: the gateway divides
+// the backend servers over all of them.
+func membersOf(members []*rpcpb.Member) []state.Member {
+	all := make([]state.Member, 0, len(members))
 	for _, m := range members {
-		if m.Name == string(f.self.Name) {
-			continue
-		}
-		peers = append(peers, state.Member{
+		all = append(all, state.Member{
 			Name: cell.EntryName(m.Name), Incarnation: cell.Incarnation(m.Incarnation), Address: m.Address,
 			Region: cell.Region(m.Region), FailureDomain: cell.FailureDomain(m.FailureDomain),
 		})
 	}
-	return peers
+	return all
 }
 
 // wait waits for d or the end of ctx.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -38,23 +38,18 @@
 	s := g.inForce.Load()
 	now := g.clock.now()
 	boundWrites(w, ownAnswerTimeout)
-	if ambiguous(req) {
-		w.Header().Set("Connection", "close")
-		g.refuse(w, refused(exchange.ReasonBadRequest, 0, "body is framed in two ways"))
-		return
-	}
 	if s.draining {
 		w.Header().Set("Connection", "close")
-		g.refuse(w, refused(exchange.ReasonDraining, 0, "entry process is stopping"))
+		g.refuse(w, req, refused(exchange.ReasonDraining, 0, "entry process is stopping"))
 		return
 	}
 	if s.generation == 0 {
-		g.refuse(w, refused(exchange.ReasonNotReady, 0, "no configuration yet"))
+		g.refuse(w, req, refused(exchange.ReasonNotReady, 0, "no configuration yet"))
 		return
 	}
 	decoded, err := g.decodeRequest(w, req, s, now)
 	if err != nil {
-		g.refuse(w, err)
+		g.refuse(w, req, err)
 		return
 	}
 	boundWrites(w, decoded.deadline.Sub(now)+ownAnswerTimeout)
@@ -73,8 +68,10 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d))
 }
 
-// refuse answers a request that was not routed.
-func (g *Gateway) refuse(w http.ResponseWriter, err *refusalError) {
+// refuse answers a request that was not routed. Where the entry process cannot
+// serve at the moment, nothing is known of earlier requests with the same key,
+// so a repeat is not told that nothing was run.
+func (g *Gateway) refuse(w http.ResponseWriter, req *http.Request, err *refusalError) {
 	g.opts.Metrics.Add(metricRefusals, string(err.reason), 1)
 	status := err.status
 	if status == 0 {
@@ -85,6 +82,9 @@
 		body:   refusalBody{Outcome: state.OutcomeNotRun, Reason: err.reason, Detail: err.detail},
 	}
 	if status == http.StatusServiceUnavailable {
+		if req.Header.Get(backendapi.HeaderKey) != "" {
+			answer.body.Outcome = state.OutcomeUnknown
+		}
 		answer.retryAfter = spreadRetryAfter()
 	}
 	answer.write(w)
@@ -239,7 +239,7 @@
 		g.opts.Metrics.Add(metricRefusals, string(e.Reason), 1)
 	}
 	if e.Record {
-		c.record(e.Outcome)
+		c.record(e.Recorded)
 	} else {
 		defer c.leave()
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -28,7 +28,7 @@
 // gateway. It is to be served on a listener from CallerListener.
 func (g *Gateway) CallerServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           g.framed(handler),
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       keepAliveIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -44,6 +44,22 @@
 	}
 }
 
+// framed passes a request on to a handler unless its body is framed in two
+// ways, and notes that what is answered from now on is the handler's.
+func (g *Gateway) framed(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if conn, ok := req.Context().Value(connKey{}).(*callerConn); ok {
+			conn.handling.Store(true)
+		}
+		if ambiguous(req) {
+			w.Header().Set("Connection", "close")
+			g.refuse(w, req, refused(exchange.ReasonBadRequest, 0, "body is framed in two ways"))
+			return
+		}
+		handler.ServeHTTP(w, req)
+	})
+}
+
 type discard struct{}
 
 // Write implements io.Writer.
@@ -63,8 +79,9 @@
 	open    atomic.Int64
 }
 
-// refusedConnection is sent to a caller above the connection limit.
-const refusedConnection = "HTTP/1.1 503 Service Unavailable\r\nGodwit-Outcome: not-run\r\n" +
+// refusedConnection is sent to a caller above the connection limit. Its request
+// is not read, so nothing is known of earlier ones with the same key.
+const refusedConnection = "HTTP/1.1 503 Service Unavailable\r\nGodwit-Outcome: unknown\r\n" +
 	"Godwit-Reason: overloaded\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 // refuseTimeout bounds the write of refusedConnection.
@@ -193,6 +210,5 @@
 	if !ok {
 		return false
 	}
-	conn.handling.Store(true)
 	return len(req.TransferEncoding) > 0 && framing(conn.framing.Load()) != framingClear
 }
