Pause before a refused placement is planned again

Cause: a refused placement was queued at once, so the next plan would repeat it until the event that the state had already seen arrived; a task that the state does not hold as queued would have been planned for ever. Change: refused placements wait 100 ms; a task that is not queued waits for its TaskQueued. An unknown quarantine rule quarantines nothing.

--- a/core/placement/quarantine.go
+++ b/core/placement/quarantine.go
@@ -104,7 +104,7 @@
 // countFailures is the rule QuarantineByCount.
 func (s *Scheduler) countFailures(w *worker, failed bool) {
 	h := &w.health
-	if s.opts.Quarantine == QuarantineNever || !failed || h.quarantined {
+	if s.opts.Quarantine != QuarantineByCount || !failed || h.quarantined {
 		return
 	}
 	h.failedJobs++
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -128,10 +128,37 @@
 		}
 		s.release(a)
 		if j := a.job; j != nil && !j.ended {
-			s.enqueue(j, p.Task.Index)
+			s.requeue(j, p.Task.Index, refusalOf(result, i))
 		}
 	}
 	for _, id := range plan.Preemptions {
 		s.withdraw(id)
 	}
 }
+
+// refusalOf returns why a placement was refused; the empty refusal where the
+// plan as a whole was not carried out.
+func refusalOf(result state.PlanResult, i int) state.Refusal {
+	if i >= len(result.Placements) {
+		return state.RefusalNone
+	}
+	return result.Placements[i]
+}
+
+// refusalDelay is the time before a refused placement is planned again. The
+// state saw something that is on its way here as an event; planning at once
+// would repeat the refusal until it arrives.
+const refusalDelay = 100 * time.Millisecond
+
+// requeue lets a task wait again after its placement was refused. Where the
+// state says that the task is not queued, a later event will queue it.
+func (s *Scheduler) requeue(j *job, index int, refusal state.Refusal) {
+	switch refusal {
+	case state.RefusalTaskNotQueued, state.RefusalUnknownJob, state.RefusalJobEnded:
+	case state.RefusalNone:
+		s.enqueue(j, index)
+	default:
+		j.backoff++
+		s.startTimer(timer{at: s.now.Add(refusalDelay).UnixNano(), job: j, index: index})
+	}
+}
--- a/core/placement/scheduler_test.go
+++ b/core/placement/scheduler_test.go
@@ -103,6 +103,14 @@
 		plan := r.s.Plan(r.now, 1000)
 		fmt.Fprintf(&r.log, "%d placements lost\n", len(plan.Placements))
 		r.s.PlanApplied(r.now, plan, state.PlanResult{})
+	case "refuse":
+		plan := r.s.Plan(r.now, 1000)
+		result := state.PlanResult{}
+		for range plan.Placements {
+			result.Placements = append(result.Placements, state.Refusal(text(t, d, "reason", "")))
+		}
+		fmt.Fprintf(&r.log, "%d placements refused\n", len(plan.Placements))
+		r.s.PlanApplied(r.now, plan, result)
 	case "end":
 		r.end(t, d)
 	case "start":
