--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -33,7 +33,7 @@
 	shortWait = time.Minute
 	longWait  = 30 * time.Minute
 	// overShareWait is added for teams above their share.
-	overShareWait = 10 * time.Minute
+	overShareWait = 60 * time.Minute
 	// minRenewal is the least time between two forecasts of one reservation.
 	minRenewal = 5 * time.Second
 	// renewFraction of the time to the expected start passes between two
