Refuse more entry processes than max_entries

Cause: connections of a backend server are divided by max_entries, but any number of entry processes could join, so that their sum could exceed the server's. Change: JoinMember is refused with too-many-members, and a file that lowers max_entries below the members is refused. Checked: TestMaxEntries; go test ./core/state.

--- a/core/state/config.go
+++ b/core/state/config.go
@@ -157,6 +157,7 @@
 	c := &conflictCheck{next: next, body: body}
 	c.teams(s)
 	c.jobs(s)
+	c.members(s)
 	c.workers(s)
 	c.faults.Sort()
 	return c.faults
--- a/core/state/conflicts.go
+++ b/core/state/conflicts.go
@@ -52,6 +52,13 @@
 	}
 }
 
+// members checks that the entry processes that have joined may stay.
+func (c *conflictCheck) members(s *State) {
+	if limit := c.next.file.Cell.MaxEntries; limit < len(s.members) {
+		c.report("cell.max_entries", fmt.Sprintf("is %d", limit), fmt.Sprintf("at least %d, as many as have joined", len(s.members)))
+	}
+}
+
 // jobs checks that every policy and team that a job uses is kept. Each name is
 // reported once, with its first job.
 func (c *conflictCheck) jobs(s *State) {
--- a/core/state/limits_test.go
+++ b/core/state/limits_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -125,3 +127,41 @@
 		t.Errorf("a request without its owner: %v, %+v", err, restored)
 	}
 }
+
+// Guards against more entry processes than the connections of backend servers
+// are divided by, both when one joins and when a file lowers the limit.
+func TestMaxEntries(t *testing.T) {
+	s := state.New()
+	index := uint64(0)
+	apply := func(c state.Command) state.Result {
+		index++
+		result, _ := s.Apply(index, c)
+		return result
+	}
+	body := func(generation, limit string) []byte {
+		content, err := os.ReadFile("../../examples/turnos.toml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []byte(strings.NewReplacer("generation = 1\n", "generation = "+generation+"\n", "max_entries = 9", "max_entries = "+limit).Replace(string(content)))
+	}
+	join := func(name cell.EntryName) state.Result {
+		return apply(state.Command{JoinMember: &state.JoinMember{Member: state.Member{Name: name, Incarnation: 1}}})
+	}
+	apply(state.Command{ApplyFile: &state.ApplyFile{Body: body("1", "2")}})
+	for name, want := range map[cell.EntryName]state.Refusal{"a": state.RefusalNone, "b": state.RefusalNone} {
+		if got := join(name); got.Refusal != want {
+			t.Fatalf("join of %s: %+v", name, got)
+		}
+	}
+	if got := join("c"); got.Refusal != state.RefusalTooManyMembers {
+		t.Errorf("a third entry process: %+v", got)
+	}
+	if got := join("a"); got.Refusal != state.RefusalNone {
+		t.Errorf("a repeated join: %+v", got)
+	}
+	lower := apply(state.Command{ApplyFile: &state.ApplyFile{Body: body("2", "1")}})
+	if lower.Refusal != state.RefusalFileFaults || len(lower.File.Faults) != 1 || lower.File.Faults[0].Key != "cell.max_entries" {
+		t.Errorf("a lower limit: %+v", lower)
+	}
+}
--- a/core/state/member.go
+++ b/core/state/member.go
@@ -24,6 +24,10 @@
 	if joined && m.Incarnation < known.Incarnation || s.hasLeft(m.Name, m.Incarnation) {
 		return refuse(RefusalStaleIncarnation, "incarnation %d of entry process %s is superseded or was removed", m.Incarnation, m.Name)
 	}
+	if !joined && s.config != nil && len(s.members) >= s.config.file.Cell.MaxEntries {
+		// The connections of backend servers are divided by max_entries.
+		return refuse(RefusalTooManyMembers, "%d entry processes have joined, as many as max_entries allows", len(s.members))
+	}
 	if joined && m.Incarnation > known.Incarnation {
 		s.abandonRequests(m.Name)
 	}
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -41,6 +41,7 @@
 	RefusalWrongAttempt      Refusal = "wrong-attempt"       // record belongs to another attempt
 	RefusalAttemptFinished   Refusal = "attempt-finished"    // outcome already recorded
 	RefusalTooManyRequests   Refusal = "too-many-requests"   // the limit of request records is reached
+	RefusalTooManyMembers    Refusal = "too-many-members"    // max_entries entry processes have joined
 	RefusalUnknownMember     Refusal = "unknown-member"      // entry process is not a member
 	RefusalStillLeased       Refusal = "still-leased"        // lease of the former epoch may still run
 )
