--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -83,7 +83,8 @@
 	Answer      *StoredAnswer `cbor:",omitempty"`
 }
 
-// Snapshot returns a copy of the state that later commands do not change.
+// Snapshot returns a copy of the state that later commands do not change. Its
+// jobs and requests have no order before Sort.
 func (s *State) Snapshot() Snapshot {
 	return Snapshot{
 		Index:          s.index,
@@ -102,12 +103,20 @@
 	}
 }
 
+// Sort brings the jobs and the requests into their order, which equal states
+// share. It is not part of State.Snapshot, because it takes most of the time
+// there and the owner of a state must not wait for it: sorting belongs to the
+// encoding, which runs elsewhere.
+func (s *Snapshot) Sort() {
+	slices.SortFunc(s.Jobs, func(a, b JobSnapshot) int { return compare(a.ID, b.ID) })
+	slices.SortFunc(s.Requests, func(a, b RequestSnapshot) int { return compareKeys(a.Key, b.Key) })
+}
+
 func (s *State) jobSnapshots() []JobSnapshot {
 	all := make([]JobSnapshot, 0, len(s.jobs))
 	for _, j := range s.jobs {
 		all = append(all, j.snapshot())
 	}
-	slices.SortFunc(all, func(a, b JobSnapshot) int { return compare(a.ID, b.ID) })
 	return all
 }
 
@@ -162,7 +171,6 @@
 			AnswerID: r.answerID, Answer: r.answer,
 		})
 	}
-	slices.SortFunc(all, func(a, b RequestSnapshot) int { return compareKeys(a.Key, b.Key) })
 	return all
 }
 
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -86,9 +86,12 @@
 // DecodeConfigRecord decodes a configuration record.
 func DecodeConfigRecord(data []byte) (state.ConfigRecord, error) { return records.decode(data) }
 
-// EncodeSnapshot encodes a snapshot of the state. Equal states have equal
-// encodings.
-func EncodeSnapshot(s state.Snapshot) ([]byte, error) { return snapshots.encode(s) }
+// EncodeSnapshot encodes a snapshot of the state and sorts its lists, so that
+// equal states have equal encodings.
+func EncodeSnapshot(s state.Snapshot) ([]byte, error) {
+	s.Sort()
+	return snapshots.encode(s)
+}
 
 // DecodeSnapshot decodes a snapshot of the state.
 func DecodeSnapshot(data []byte) (state.Snapshot, error) { return snapshots.decode(data) }
