--- a/core/replog/faults_test.go
+++ b/core/replog/faults_test.go
@@ -186,25 +186,33 @@
 }
 
 // restartsNearLostLink cuts one follower off from the leader, which then asks
-// the others for votes while they restart again and again.
+// the others for votes while they restart again and again. The clients are
+// quiet meanwhile, so that its log is as good as the others'.
 func (x *run) restartsNearLostLink() bool {
 	leader, lost := x.anyLeader(), x.some()
 	if leader == nil || lost == leader {
 		return false
 	}
+	const settle, end = 50 * time.Millisecond, 350 * time.Millisecond
+	x.quietUntil = x.sim.Now() + end
+	x.sim.After(settle, func() {
+		if !x.healing {
+			x.cut([]link{{leader.ID, lost.ID}, {lost.ID, leader.ID}})
+		}
+	})
 	for _, r := range x.check.replicas {
 		for range restartCount {
 			if r == leader || r == lost {
 				break
 			}
-			x.sim.After(x.between(80*time.Millisecond, 250*time.Millisecond), func() {
+			x.sim.After(x.between(settle, end), func() {
 				if x.crash(r) {
 					x.sim.After(time.Millisecond, func() { x.restart(r) })
 				}
 			})
 		}
 	}
-	return x.cut([]link{{leader.ID, lost.ID}, {lost.ID, leader.ID}})
+	return true
 }
 
 const restartCount = 6
--- a/core/replog/register_test.go
+++ b/core/replog/register_test.go
@@ -90,7 +90,7 @@
 		if r != nil {
 			kind.at = r.ID
 		}
-		if r == nil || x.open[kind] >= maxOpen {
+		if r == nil || x.open[kind] >= maxOpen || x.sim.Now() < x.quietUntil {
 			x.client()
 			return
 		}
--- a/core/replog/soak_test.go
+++ b/core/replog/soak_test.go
@@ -45,6 +45,7 @@
 	destroyed replog.ReplicaID // lost its disk and stays away; 0 for none
 	healing   bool
 
+	quietUntil   time.Duration            // no operations before it
 	crashAtWrite map[replog.ReplicaID]int // writes until a crash during a write
 	leaderLife   time.Duration            // longest time until a new leader fails; 0 for no such fault
 }
