Move the faulty network into logsim and measure a leader that is cut off

Cause: the benchmark knew only leaders that die; a leader behind a partition goes on running until its own clock ends its term. The tests had a network of their own.

Change: logsim.Network has loss, duplicates, delays and cuts, used by the randomised runs and by logbench; Failovers takes the way a leader is lost.

--- a/core/replog/core_test.go
+++ b/core/replog/core_test.go
@@ -19,35 +19,27 @@
 // messages of each type in sent.
 func newTestGroup(t *testing.T, snapshotEvery uint64, sent map[replog.MessageType]int) (*logsim.Sim, *logsim.Replica) {
 	t.Helper()
-	check := newChecker()
-	check.onLeader = func(*logsim.Replica) {}
-	sim := logsim.New(logsim.Options{
-		Config: testConfig,
-		Delays: func(m replog.Message) []time.Duration {
+	x := newRun(1, func(o *logsim.Options) {
+		o.Config, o.SnapshotEvery = testConfig, snapshotEvery
+		o.Delays = func(m replog.Message) []time.Duration {
 			sent[m.Type]++
 			return []time.Duration{time.Millisecond}
-		},
-		SyncTime: func(replog.ReplicaID) time.Duration { return time.Millisecond },
-		NewMachine: func(id replog.ReplicaID) logsim.Machine {
-			return &registers{id: id, check: check, values: map[byte]uint32{}}
-		},
-		SnapshotEvery: snapshotEvery, AfterStep: check.afterStep,
+		}
 	})
-	check.sim = sim
-	for id := replog.ReplicaID(1); id <= 3; id++ {
-		check.replicas = append(check.replicas, sim.Add(id, replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}}, 1))
+	x.leaderLife, x.driftPPM = 0, 0
+	for range 3 {
+		x.addReplica(replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}})
 	}
 	t.Cleanup(func() {
-		if check.first != "" {
-			t.Error(check.first)
+		if !x.clean() {
+			t.Error(x.check.first)
 		}
 	})
-	sim.RunUntil(time.Second)
-	if leader := sim.Leader(); leader != nil {
-		return sim, leader
+	x.sim.RunUntil(time.Second)
+	if x.sim.Leader() == nil {
+		t.Fatal("no leader")
 	}
-	t.Fatal("no leader")
-	return nil, nil
+	return x.sim, x.sim.Leader()
 }
 
 // Guards against a replica that cannot catch up after it missed hundreds of
@@ -87,8 +79,7 @@
 		if _, _, err := c.Propose(now, make([][]byte, testConfig.MaxPending+1)); !errors.Is(err, replog.ErrOverloaded) {
 			t.Errorf("proposals above the limit: %v", err)
 		}
-		direct := replog.Membership{Voters: []replog.ReplicaID{1, 2, 3, 4}}
-		if err := c.ChangeMembership(now, direct); !errors.Is(err, replog.ErrInvalidChange) {
+		if err := c.ChangeMembership(now, replog.Membership{Voters: []replog.ReplicaID{1, 2, 3, 4}}); !errors.Is(err, replog.ErrInvalidChange) {
 			t.Errorf("voter without a learner stage: %v", err)
 		}
 		if err := c.TransferLeadership(now, target); err != nil {
--- a/core/replog/example_test.go
+++ b/core/replog/example_test.go
@@ -14,20 +14,13 @@
 	group := map[replog.ReplicaID]*replog.Core{}
 	for id := replog.ReplicaID(1); id <= 3; id++ {
 		core, err := replog.New(replog.Config{
-			ID:                 id,
-			Membership:         replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}},
-			ElectionTimeoutMin: 400 * time.Millisecond,
-			ElectionTimeoutMax: 800 * time.Millisecond,
-			HeartbeatInterval:  100 * time.Millisecond,
-			MaxDriftPPM:        1000,
-			MaxBatchBytes:      64 << 10,
-			MaxInflight:        16,
-			MaxPending:         1000,
-			Seed:               1,
+			ID: id, Membership: replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}},
+			ElectionTimeoutMin: 400 * time.Millisecond, ElectionTimeoutMax: 800 * time.Millisecond,
+			HeartbeatInterval: 100 * time.Millisecond, MaxDriftPPM: 1000,
+			MaxBatchBytes: 64 << 10, MaxInflight: 16, MaxPending: 1000, Seed: 1,
 		}, now)
 		if err != nil {
-			fmt.Println(err)
-			return
+			panic(err)
 		}
 		group[id] = core
 	}
--- a/core/replog/faults_test.go
+++ b/core/replog/faults_test.go
@@ -8,31 +8,6 @@
 	"github.com/godwitlink/godwitlink/internal/bench/logsim"
 )
 
-type link struct{ from, to replog.ReplicaID }
-
-// network is the state of the links. Several faults may be in force at once.
-type network struct {
-	loss, duplicate float64
-	extraDelay      time.Duration
-	cut             map[link]int // number of faults that cut the link
-}
-
-func (x *run) delays(m replog.Message) []time.Duration {
-	if x.net.cut[link{m.From, m.To}] > 0 || x.rng.Float64() < x.net.loss {
-		return nil
-	}
-	delays := []time.Duration{x.delay()}
-	if x.rng.Float64() < x.net.duplicate {
-		delays = append(delays, x.delay()+x.between(0, 400*time.Millisecond))
-	}
-	return delays
-}
-
-// delay is random per message, so that messages are also reordered.
-func (x *run) delay() time.Duration {
-	return x.between(time.Millisecond, 5*time.Millisecond) + time.Duration(x.rng.Float64()*float64(x.net.extraDelay))
-}
-
 func (x *run) syncDelay(id replog.ReplicaID) time.Duration {
 	delay := x.between(100*time.Microsecond, 2*time.Millisecond) + x.syncTime[id]
 	x.crashAtWrite[id]--
@@ -50,19 +25,18 @@
 
 var faults = []fault{
 	{"loss", func(x *run) bool {
-		return x.forAWhile(func() { x.net.loss = x.rng.Float64() / 2 }, func() { x.net.loss = 0 })
+		return x.forAWhile(func() { x.net.Loss = x.rng.Float64() / 2 }, func() { x.net.Loss = 0 })
 	}},
 	{"delay", func(x *run) bool {
-		return x.forAWhile(func() { x.net.extraDelay = x.between(0, 150*time.Millisecond) }, func() { x.net.extraDelay = 0 })
+		return x.forAWhile(func() { x.net.ExtraDelay = x.between(0, 150*time.Millisecond) }, func() { x.net.ExtraDelay = 0 })
 	}},
 	{"duplicate", func(x *run) bool {
-		return x.forAWhile(func() { x.net.duplicate = x.rng.Float64() }, func() { x.net.duplicate = 0 })
+		return x.forAWhile(func() { x.net.Duplicate = x.rng.Float64() }, func() { x.net.Duplicate = 0 })
 	}},
 	{"partition", (*run).partition},
-	{"one-way", func(x *run) bool { return x.cut([]link{{x.someID(), x.someID()}}) }},
+	{"one-way", func(x *run) bool { return x.cut(logsim.BothWays(x.some().ID, x.some().ID)[:1]) }},
 	{"link", func(x *run) bool {
-		a, b := x.someID(), x.someID()
-		return x.cut([]link{{a, b}, {b, a}})
+		return x.cut(logsim.BothWays(x.some().ID, x.some().ID))
 	}},
 	{"pause", func(x *run) bool {
 		x.some().Pause(x.between(20*time.Millisecond, 500*time.Millisecond))
@@ -70,13 +44,13 @@
 	}},
 	{"crash", func(x *run) bool { return x.crash(x.some()) }},
 	{"crash-at-write", func(x *run) bool {
-		x.crashAtWrite[x.someID()] = 1 + x.rng.IntN(3)
+		x.crashAtWrite[x.some().ID] = 1 + x.rng.IntN(3)
 		return true
 	}},
 	{"election-crashes", (*run).electionCrashes},
 	{"restarts-near-lost-link", (*run).restartsNearLostLink},
 	{"slow-disk", func(x *run) bool {
-		id := x.someID()
+		id := x.some().ID
 		return x.forAWhile(func() { x.syncTime[id] = x.between(0, 100*time.Millisecond) }, func() { delete(x.syncTime, id) })
 	}},
 	{"membership", (*run).changeMembership},
@@ -85,7 +59,7 @@
 		if leader == nil {
 			return false
 		}
-		leader.Do(func(c *replog.Core, now time.Time) { _ = c.TransferLeadership(now, x.someID()) })
+		leader.Do(func(c *replog.Core, now time.Time) { _ = c.TransferLeadership(now, x.some().ID) })
 		return true
 	}},
 	{"disk-loss", (*run).destroy},
@@ -122,18 +96,8 @@
 	return x.check.replicas[x.rng.IntN(len(x.check.replicas))]
 }
 
-func (x *run) someID() replog.ReplicaID { return x.some().ID }
-
-func (x *run) cut(links []link) bool {
-	return x.forAWhile(func() {
-		for _, l := range links {
-			x.net.cut[l]++
-		}
-	}, func() {
-		for _, l := range links {
-			x.net.cut[l]--
-		}
-	})
+func (x *run) cut(links []logsim.Link) bool {
+	return x.forAWhile(func() { x.net.Cut(links) }, func() { x.net.Restore(links) })
 }
 
 // partition cuts a random part of the replicas off from the rest.
@@ -142,11 +106,11 @@
 	for _, r := range x.check.replicas {
 		side[r.ID] = x.rng.IntN(2) == 0
 	}
-	var links []link
-	for _, a := range x.check.replicas {
-		for _, b := range x.check.replicas {
+	var links []logsim.Link
+	for i, a := range x.check.replicas {
+		for _, b := range x.check.replicas[:i] {
 			if side[a.ID] != side[b.ID] {
-				links = append(links, link{a.ID, b.ID})
+				links = append(links, logsim.BothWays(a.ID, b.ID)...)
 			}
 		}
 	}
@@ -197,7 +161,7 @@
 	x.quietUntil = x.sim.Now() + end
 	x.sim.After(settle, func() {
 		if !x.healing {
-			x.cut([]link{{leader.ID, lost.ID}, {lost.ID, leader.ID}})
+			x.cut(logsim.BothWays(leader.ID, lost.ID))
 		}
 	})
 	for _, r := range x.check.replicas {
@@ -225,10 +189,10 @@
 	}
 	if x.rng.IntN(3) == 0 {
 		// Its first entries reach few others.
-		var links []link
+		var links []logsim.Link
 		for _, other := range x.check.replicas {
 			if x.rng.IntN(3) > 0 {
-				links = append(links, link{r.ID, other.ID})
+				links = append(links, logsim.BothWays(r.ID, other.ID)[0])
 			}
 		}
 		x.cut(links)
--- a/core/replog/invariants_test.go
+++ b/core/replog/invariants_test.go
@@ -75,8 +75,7 @@
 	for i := v.Last; i > v.Base && seen[i] != r.Core.TermAt(i); i-- {
 		e := r.Core.EntryAt(i)
 		seen[i] = e.Term
-		value := entryValue{r.Core.TermAt(i - 1), maphash.Bytes(hashSeed, e.Data)}
-		key := entryKey{i, e.Term}
+		key, value := entryKey{i, e.Term}, entryValue{r.Core.TermAt(i - 1), maphash.Bytes(hashSeed, e.Data)}
 		if known, ok := k.entries[key]; ok && known != value {
 			k.violated(replog.CheckLogMatching, "replica %d has another entry %v", r.ID, key)
 		}
--- a/core/replog/register_test.go
+++ b/core/replog/register_test.go
@@ -42,13 +42,7 @@
 	m.values[w.Key] = w.Value
 }
 
-func (m *registers) Snapshot() []byte {
-	data, err := json.Marshal(m.values)
-	if err != nil {
-		panic(err)
-	}
-	return data
-}
+func (m *registers) Snapshot() []byte { return mustEncode(m.values) }
 
 func (m *registers) Restore(data []byte) {
 	m.next = 0
@@ -140,8 +134,10 @@
 	op.drop = op.drop || err != nil
 }
 
-func (w write) encode() []byte {
-	data, err := json.Marshal(w)
+func (w write) encode() []byte { return mustEncode(w) }
+
+func mustEncode(v any) []byte {
+	data, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
--- a/core/replog/soak_test.go
+++ b/core/replog/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 	rng       *rand.Rand
 	sim       *logsim.Sim
 	check     *checker
-	net       network
+	net       *logsim.Network
 	syncTime  map[replog.ReplicaID]time.Duration // slow disks
 	pace      time.Duration
 	faultGap  time.Duration // longest time between the begins of two faults
@@ -55,7 +56,7 @@
 func TestSoak(t *testing.T) {
 	totals, steps, commits, terms, operations := map[string]int{}, 0, 0, 0, 0
 	for i := range *soakRuns {
-		x := newRun(*soakSeed + uint64(i))
+		x := newRun(*soakSeed+uint64(i), func(*logsim.Options) {})
 		x.run()
 		if x.check.first != "" {
 			t.Fatalf("violation in run %d (seed %d): %s", i+1, *soakSeed+uint64(i), x.check.first)
@@ -72,14 +73,15 @@
 		*soakRuns, *soakSeed, steps, commits, terms, operations, totals)
 }
 
-func newRun(seed uint64) *run {
+// newRun draws the surroundings of a run from its seed; change adapts them.
+func newRun(seed uint64, change func(*logsim.Options)) *run {
 	x := &run{
 		rng: rand.New(rand.NewPCG(seed, 0)), check: newChecker(),
-		net:      network{cut: map[link]int{}},
 		syncTime: map[replog.ReplicaID]time.Duration{}, counts: map[string]int{},
 		open:         map[openKind]int{},
 		crashAtWrite: map[replog.ReplicaID]int{},
 	}
+	x.net = x.newNetwork()
 	x.driftPPM = []int64{0, 1000, 50_000, 150_000}[x.rng.IntN(4)]
 	x.pace = x.between(2*time.Millisecond, 30*time.Millisecond)
 	if x.rng.IntN(4) == 0 {
@@ -96,21 +98,23 @@
 			x.enabled = append(x.enabled, f)
 		}
 	}
-	x.sim = logsim.New(logsim.Options{
+	opts := logsim.Options{
 		Config: replog.Config{
 			ElectionTimeoutMin: 100 * time.Millisecond, ElectionTimeoutMax: 200 * time.Millisecond,
 			HeartbeatInterval: 25 * time.Millisecond, MaxDriftPPM: x.driftPPM,
 			MaxBatchBytes: x.batchBytes(), MaxInflight: []int{1, 4, 16}[x.rng.IntN(3)],
 			MaxPending: soakMaxPending, Seed: seed,
 		},
-		Delays:        x.delays,
+		Delays:        x.net.Delays,
 		SyncTime:      x.syncDelay,
 		SnapshotEvery: uint64(10 + x.rng.IntN(100)),
 		NewMachine: func(id replog.ReplicaID) logsim.Machine {
 			return &registers{id: id, check: x.check, values: map[byte]uint32{}}
 		},
 		AfterStep: x.check.afterStep,
-	})
+	}
+	change(&opts)
+	x.sim = logsim.New(opts)
 	x.check.sim = x.sim
 	return x
 }
@@ -138,6 +142,12 @@
 	}
 }
 
+func (x *run) newNetwork() *logsim.Network {
+	net := logsim.NewNetwork(x.rng, time.Millisecond, 5*time.Millisecond)
+	net.DuplicateDelay = 400 * time.Millisecond
+	return net
+}
+
 // batchBytes is 1, for one entry per append, wherever leaders fail early:
 // entries of several terms then remain partly replicated.
 func (x *run) batchBytes() int {
@@ -165,12 +175,9 @@
 }
 
 func (x *run) anyLeader() *logsim.Replica {
-	var leaders []*logsim.Replica
-	for _, r := range x.check.replicas {
-		if r.Core != nil && r.Core.View().Leader {
-			leaders = append(leaders, r)
-		}
-	}
+	leaders := slices.DeleteFunc(slices.Clone(x.check.replicas), func(r *logsim.Replica) bool {
+		return r.Core == nil || !r.Core.View().Leader
+	})
 	if len(leaders) == 0 {
 		return nil
 	}
@@ -181,7 +188,7 @@
 // member catches up.
 func (x *run) heal() {
 	x.healing = true
-	x.net = network{cut: map[link]int{}}
+	*x.net = *x.newNetwork()
 	clear(x.syncTime)
 	for _, r := range x.check.replicas {
 		if r.Core == nil && r.ID != x.destroyed {
@@ -208,12 +215,10 @@
 // fails only where a replica was destroyed while others were being removed.
 func (x *run) quorumAlive() bool {
 	for _, r := range x.check.replicas {
-		if r.Core == nil {
-			continue
-		}
-		m := r.Core.Status().Membership
-		if m.IsVoter(x.destroyed) && len(m.Voters)-1 < m.Quorum() {
-			return false
+		if r.Core != nil {
+			if m := r.Core.Status().Membership; m.IsVoter(x.destroyed) && len(m.Voters)-1 < m.Quorum() {
+				return false
+			}
 		}
 	}
 	return true
--- a/internal/bench/logbench/commits.go
+++ b/internal/bench/logbench/commits.go
@@ -18,7 +18,7 @@
 
 // Commits keeps a number of proposals in flight for a while.
 func Commits(mode Mode, delay time.Duration, inFlight int, period time.Duration) (CommitRow, error) {
-	sim, leader, err := newGroup(mode, delay, 1)
+	sim, leader, err := newGroup(mode, newNetwork(delay))
 	if err != nil {
 		return CommitRow{}, err
 	}
--- a/internal/bench/logbench/failover.go
+++ b/internal/bench/logbench/failover.go
@@ -4,6 +4,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/bench/logsim"
 )
 
@@ -24,25 +27,35 @@
 	Median, Worst time.Duration
 }
 
-// Failovers kills the leader a number of times and starts it again after the
-// next commit.
-func Failovers(kills int) (Failover, error) {
-	sim, leader, err := newGroup(Pipelined, failoverDelay, 1)
+// Loss is how a group loses its leader.
+type Loss string
+
+// Ways to lose a leader.
+const (
+	LeaderKilled Loss = "killed"
+	LeaderCutOff Loss = "cut off" // goes on running behind a partition
+)
+
+// Failovers takes the leader away a number of times and gives it back after
+// the next commit elsewhere.
+func Failovers(loss Loss, times int) (Failover, error) {
+	net := newNetwork(failoverDelay)
+	sim, leader, err := newGroup(Pipelined, net)
 	if err != nil {
 		return Failover{}, err
 	}
-	rng := rand.New(rand.NewPCG(1, 0))
+	rng := rand.New(rand.NewPCG(seed, 0))
 	var gaps []time.Duration
-	for range kills {
+	for range times {
 		sim.RunUntil(sim.Now() + settleTime + time.Duration(rng.Int64N(int64(heartbeatInterval))))
-		killed := leader
-		killed.Crash(func(int) int { return 0 })
-		died := sim.Now()
-		if !commitAnywhere(sim) {
-			return Failover{}, ErrNoLeader
+		lostAt := sim.Now()
+		term := leader.Core.Status().Term
+		giveBack := takeAway(loss, net, leader)
+		if !commitAfter(sim, term) {
+			return Failover{}, merry.Wrap(ErrNoLeader)
 		}
-		gaps = append(gaps, sim.Now()-died)
-		killed.Start()
+		gaps = append(gaps, sim.Now()-lostAt)
+		giveBack()
 		if leader, err = awaitLeader(sim); err != nil {
 			return Failover{}, err
 		}
@@ -50,15 +63,29 @@
 	return Failover{Median: percentile(gaps, 0.5), Worst: percentile(gaps, 1)}, nil
 }
 
-// commitAnywhere proposes at any leader until a proposal is committed.
-func commitAnywhere(sim *logsim.Sim) bool {
+func takeAway(loss Loss, net *logsim.Network, leader *logsim.Replica) (giveBack func()) {
+	if loss == LeaderKilled {
+		leader.Crash(func(int) int { return 0 })
+		return leader.Start
+	}
+	var others []replog.ReplicaID
+	for _, f := range leader.Core.Status().Followers {
+		others = append(others, f.ID)
+	}
+	links := logsim.BothWays(leader.ID, others...)
+	net.Cut(links)
+	return func() { net.Restore(links) }
+}
+
+// commitAfter proposes at leaders of later terms until a proposal is committed.
+func commitAfter(sim *logsim.Sim, term uint64) bool {
 	committed := false
 	var attempt func()
 	attempt = func() {
 		if committed {
 			return
 		}
-		if leader := sim.Leader(); leader != nil {
+		if leader := sim.Leader(); leader != nil && leader.Core.Status().Term > term {
 			// A refusal is answered by the next attempt.
 			_ = leader.Propose(nil, func(o logsim.Outcome) { committed = committed || o == logsim.Committed })
 		}
--- a/internal/bench/logbench/group.go
+++ b/internal/bench/logbench/group.go
@@ -1,6 +1,7 @@
 package logbench
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -37,8 +38,16 @@
 	OneByOne = Mode{Name: "one-by-one", maxBatchBytes: 1, maxInflight: 1}
 )
 
+// seed of everything that is random, so that figures can be repeated.
+const seed = 1
+
+// newNetwork returns a network with one fixed delay.
+func newNetwork(delay time.Duration) *logsim.Network {
+	return logsim.NewNetwork(rand.New(rand.NewPCG(seed, 0)), delay, delay)
+}
+
 // newGroup starts a group and waits for its leader.
-func newGroup(mode Mode, delay time.Duration, seed uint64) (*logsim.Sim, *logsim.Replica, error) {
+func newGroup(mode Mode, net *logsim.Network) (*logsim.Sim, *logsim.Replica, error) {
 	sim := logsim.New(logsim.Options{
 		Config: replog.Config{
 			ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax,
@@ -46,7 +55,7 @@
 			MaxBatchBytes: mode.maxBatchBytes, MaxInflight: mode.maxInflight,
 			MaxPending: 10_000, Seed: seed,
 		},
-		Delays:        func(replog.Message) []time.Duration { return []time.Duration{delay} },
+		Delays:        net.Delays,
 		SyncTime:      func(replog.ReplicaID) time.Duration { return syncTime },
 		SnapshotEvery: 10_000,
 		NewMachine:    func(replog.ReplicaID) logsim.Machine { return discard{} },
--- a/internal/bench/logbench/logbench_test.go
+++ b/internal/bench/logbench/logbench_test.go
@@ -23,9 +23,11 @@
 	if pipelined.PerSecond < 10*single.PerSecond || pipelined.P50 > 3*delay {
 		t.Errorf("pipelined %+v, one by one %+v", pipelined, single)
 	}
-	failover, err := Failovers(10)
-	if err != nil || failover.Median >= MedianTarget || failover.Worst >= WorstTarget {
-		t.Errorf("failover %+v, error %v", failover, err)
+	for _, loss := range []Loss{LeaderKilled, LeaderCutOff} {
+		failover, err := Failovers(loss, 10)
+		if err != nil || failover.Median >= MedianTarget || failover.Worst >= WorstTarget {
+			t.Errorf("%s: %+v, error %v", loss, failover, err)
+		}
 	}
 }
 
--- a/internal/bench/logbench/run.go
+++ b/internal/bench/logbench/run.go
@@ -10,14 +10,14 @@
 // Sizes of the published measurement.
 const (
 	measuredTime = 2 * time.Second // virtual time of one row
-	kills        = 50
+	losses       = 50
 )
 
 // Run measures all configurations and prints a table. Its error is that of
 // the writer, or says that a group did not work.
-func Run(out io.Writer) error { return run(out, measuredTime, kills) }
+func Run(out io.Writer) error { return run(out, measuredTime, losses) }
 
-func run(out io.Writer, period time.Duration, kills int) error {
+func run(out io.Writer, period time.Duration, losses int) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	if _, err := fmt.Fprintf(out, "replicated log, %d voters, sync %v, virtual clock, %v per row\n", voters, syncTime, period); err != nil {
 		return err
@@ -37,11 +37,16 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
-	failover, err := Failovers(kills)
-	if err != nil {
-		return err
+	for _, loss := range []Loss{LeaderKilled, LeaderCutOff} {
+		failover, err := Failovers(loss, losses)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "leader %s to next commit, %v one way, %d times: median %v, worst %v (targets %v, %v)\n",
+			loss, failoverDelay, losses, failover.Median, failover.Worst, MedianTarget, WorstTarget)
+		if err != nil {
+			return err
+		}
 	}
-	_, err = fmt.Fprintf(out, "leader death to next commit, %v one way, %d kills: median %v, worst %v (targets %v, %v)\n",
-		failoverDelay, kills, failover.Median, failover.Worst, MedianTarget, WorstTarget)
-	return err
+	return nil
 }
