List the control replicas in the cell file

Cause: replacing a lost control VM needs a declared set of replicas. Change: [cell] has control_replicas, 1 to 7 distinct ids above 0, required. Checked: make lint; go test -race of core/cellconfig, core/state, core/placement, internal/replica and internal/bench pass.

--- a/core/cellconfig/check.go
+++ b/core/cellconfig/check.go
@@ -24,6 +24,9 @@
 	maxQueue         = 1_000_000
 	maxEntries       = 1000
 	maxAttempts      = 1000
+	// maxControlReplicas is the number of VMs that may be dedicated to control
+	// (docs/design.md, section 1.5).
+	maxControlReplicas = 7
 	// maxSubmitterBytes bounds what read-back keeps of a file after its body.
 	maxSubmitterBytes = 128
 )
@@ -65,6 +68,20 @@
 		c.name(fmt.Sprintf("cell.retired_workers[%d]", i), string(worker))
 	}
 	c.distinct("cell.retired_workers", texts(s.RetiredWorkers))
+	c.checkControlReplicas(s.ControlReplicas)
+}
+
+func (c *checker) checkControlReplicas(ids []uint64) {
+	const key = "cell.control_replicas"
+	c.require(len(ids) >= 1 && len(ids) <= maxControlReplicas, key, fmt.Sprintf("has %d ids", len(ids)),
+		fmt.Sprintf("1 to %d ids", maxControlReplicas))
+	seen := map[uint64]bool{}
+	for i, id := range ids {
+		item := fmt.Sprintf("%s[%d]", key, i)
+		c.require(id != 0, item, "is 0", "an id of at least 1")
+		c.require(!seen[id], item, fmt.Sprintf("%d is listed twice", id), "each id once")
+		seen[id] = true
+	}
 }
 
 func (c *checker) checkLease(s Cell) {
--- a/core/cellconfig/file.go
+++ b/core/cellconfig/file.go
@@ -34,6 +34,7 @@
 	StaleAfter         time.Duration     `toml:"stale_after"`
 	MaxEntries         int               `toml:"max_entries"` // entry processes that may share a backend server
 	RetiredWorkers     []cell.WorkerName `toml:"retired_workers"`
+	ControlReplicas    []uint64          `toml:"control_replicas"` // ids; the leader makes the control group equal to them
 	Reason             string            `toml:"reason,optional"`
 }
 
--- a/core/state/world_test.go
+++ b/core/state/world_test.go
@@ -30,6 +30,7 @@
 stale_after = "15s"
 max_entries = 9
 retired_workers = [%s]
+control_replicas = [1, 2, 3]
 [[region]]
 name = "north"
 failure_domains = ["north-1"]
--- a/internal/bench/fakecell/layout.go
+++ b/internal/bench/fakecell/layout.go
@@ -62,7 +62,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "generation = 1\nsubmitter = \"bench\"\n\n[cell]\nname = \"bench\"\nmax_clock_drift_ppm = 1000\n")
 	fmt.Fprintf(&b, "worker_lease = \"15s\"\nworker_sync_interval = \"2s\"\nworker_stop_margin = \"500ms\"\n")
-	fmt.Fprintf(&b, "stale_after = \"15s\"\nmax_entries = 9\nretired_workers = [%s]\n", quoted(l.Retired))
+	fmt.Fprintf(&b, "stale_after = \"15s\"\nmax_entries = 9\nretired_workers = [%s]\ncontrol_replicas = [1, 2, 3]\n", quoted(l.Retired))
 	for _, r := range l.Regions {
 		fmt.Fprintf(&b, "\n[[region]]\nname = %q\nfailure_domains = [%s]\n", r.Name, quoted(r.Domains))
 	}
--- a/internal/bench/statebench/cell.go
+++ b/internal/bench/statebench/cell.go
@@ -35,6 +35,7 @@
 stale_after = "15s"
 max_entries = 9
 retired_workers = []
+control_replicas = [1, 2, 3, 4, 5]
 [[pool]]
 name = "general"
 regions = ["east", "west"]
