--- a/core/walcodec/snapshot.go
+++ b/core/walcodec/snapshot.go
@@ -22,8 +22,16 @@
 type Identity struct {
 	Replica replog.ReplicaID
 	Formed  bool // the replica has stored an entry of a formed group
+	Joined  bool // the folder began empty beside a formed group
 }
 
+// Flags of an identity file.
+const (
+	identityFormed = 1 << iota
+	identityJoined
+	identityFlags // first value out of range
+)
+
 // EncodeSnapshot returns the content of a snapshot file.
 func EncodeSnapshot(s replog.Snapshot) []byte {
 	body := make([]byte, 0, len(s.Data)+64)
@@ -54,11 +62,14 @@
 // EncodeIdentity returns the content of the identity file.
 func EncodeIdentity(id Identity) []byte {
 	body := binary.AppendUvarint(nil, uint64(id.Replica))
-	formed := byte(0)
+	flags := byte(0)
 	if id.Formed {
-		formed = 1
+		flags |= identityFormed
+	}
+	if id.Joined {
+		flags |= identityJoined
 	}
-	return seal(identityMagic, append(body, formed))
+	return seal(identityMagic, append(body, flags))
 }
 
 // DecodeIdentity reads an identity file. The error is a *DamageError.
@@ -69,9 +80,10 @@
 	}
 	r := &reader{rest: body}
 	id := Identity{Replica: replog.ReplicaID(r.uvarint())}
-	formed := r.byte()
-	id.Formed = formed == 1
-	if r.finish() != nil || formed > 1 {
+	flags := r.byte()
+	id.Formed = flags&identityFormed != 0
+	id.Joined = flags&identityJoined != 0
+	if r.finish() != nil || flags >= identityFlags {
 		return Identity{}, &DamageError{Offset: sealBytes, Reason: ErrMalformed.Error()}
 	}
 	return id, nil
--- a/core/walcodec/walcodec_test.go
+++ b/core/walcodec/walcodec_test.go
@@ -138,8 +138,8 @@
 	if err != nil || !reflect.DeepEqual(got, snapshot) {
 		t.Fatalf("snapshot %+v, error %v", got, err)
 	}
-	identity := EncodeIdentity(Identity{Replica: 3, Formed: true})
-	if id, err := DecodeIdentity(identity); err != nil || id != (Identity{Replica: 3, Formed: true}) {
+	identity := EncodeIdentity(Identity{Replica: 3, Formed: true, Joined: true})
+	if id, err := DecodeIdentity(identity); err != nil || id != (Identity{Replica: 3, Formed: true, Joined: true}) {
 		t.Fatalf("identity %+v, error %v", id, err)
 	}
 	for at := range file {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -55,8 +55,9 @@
 type SaveSnapshot struct{ Snapshot replog.Snapshot }
 
 // Admit writes the identity file of an empty folder. From then on the replica
-// may vote with the folder.
-type Admit struct{}
+// may vote with the folder; one that joins a formed group may vote only once
+// it has stored entries of that group.
+type Admit struct{ Joined bool }
 
 func (Append) request()       {}
 func (SaveSnapshot) request() {}
@@ -219,7 +220,7 @@
 			appends = nil
 			s.serveSnapshot(request.Snapshot)
 		case Admit:
-			if err := s.serveAdmit(); err != nil {
+			if err := s.serveAdmit(request); err != nil {
 				return err
 			}
 		}
@@ -227,8 +228,8 @@
 	return s.serveAppends(appends)
 }
 
-func (s *Store) serveAdmit() error {
-	err := s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica})
+func (s *Store) serveAdmit(request Admit) error {
+	err := s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica, Joined: request.Joined})
 	if err != nil && !diskFull(err) {
 		return merry.Wrap(ErrFailed, merry.WithCause(err))
 	}
@@ -310,7 +311,9 @@
 	}
 	for _, request := range appends {
 		if len(request.Entries) > 0 || request.Install != nil {
-			return s.writeIdentity(walcodec.Identity{Replica: s.opts.Replica, Formed: true})
+			formed := *s.identity
+			formed.Formed = true
+			return s.writeIdentity(formed)
 		}
 	}
 	return nil
