Replace control replicas through the cell file

Cause: a replica that lost its disk could not be replaced. Change: replicas announce themselves every second and learn each other's addresses; the leader makes one step a second towards control_replicas; a replica with start = "join" waits until the leader has said that its id is no member and only then writes its identity. Leader steps are logged and counted. The sender takes new and changed addresses while it runs. The settings datum of internal/controlproc lacked the table internal_tls, so its tests failed since; it is complete now.

--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -54,7 +54,7 @@
 // Group is a set of replicas. It is used by one goroutine.
 type Group struct {
 	opts    Options
-	voters  []replication.Peer
+	peers   []replication.Peer // the initial voters, then those of Join
 	members []*member
 	links   []*link
 	client  *controlclient.Client
@@ -84,17 +84,14 @@
 	g := &Group{opts: opts, Metrics: metrics.New(), cancel: cancel, clients: make(chan struct{})}
 	var listeners []net.Listener
 	var addresses []string
-	for i := range opts.Size {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range opts.Size {
+		listener, err := g.listen()
 		if err != nil {
 			cancel()
 			return nil, err
 		}
 		listeners = append(listeners, listener)
 		addresses = append(addresses, listener.Addr().String())
-		g.voters = append(g.voters, replication.Peer{ID: replog.ReplicaID(i + 1), Address: listener.Addr().String()})
-		g.members = append(g.members, &member{})
-		g.links = append(g.links, &link{delay: opts.Delay})
 	}
 	g.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
 	g.client = controlclient.New(addresses, "http", g.http, g.Metrics)
@@ -107,6 +104,29 @@
 	return g, nil
 }
 
+// listen opens the listener of one more replica.
+func (g *Group) listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	g.peers = append(g.peers, replication.Peer{ID: replog.ReplicaID(len(g.peers) + 1), Address: listener.Addr().String()})
+	g.members = append(g.members, &member{})
+	g.links = append(g.links, &link{delay: g.opts.Delay})
+	return listener, nil
+}
+
+// Join starts one more replica, which asks to join the group, and returns its
+// number. Its settings name the initial voters, and theirs do not name it.
+func (g *Group) Join() (int, error) {
+	listener, err := g.listen()
+	if err != nil {
+		return 0, err
+	}
+	i := len(g.peers) - 1
+	return i, g.start(i, listener)
+}
+
 // Client talks to the group. It finds the leader by itself.
 func (g *Group) Client() *controlclient.Client { return g.client }
 
@@ -114,7 +134,7 @@
 func (g *Group) HTTP() *http.Client { return g.http }
 
 // Address is the internal address of a replica.
-func (g *Group) Address(i int) string { return g.voters[i].Address }
+func (g *Group) Address(i int) string { return g.peers[i].Address }
 
 // Folder is the data folder of a replica.
 func (g *Group) Folder(i int) string {
@@ -126,7 +146,7 @@
 
 // Restart starts a replica that was stopped, at its former address.
 func (g *Group) Restart(i int) error {
-	listener, err := net.Listen("tcp", g.voters[i].Address)
+	listener, err := net.Listen("tcp", g.peers[i].Address)
 	if err != nil {
 		return err
 	}
@@ -143,7 +163,7 @@
 		logger = eventlog.Nop()
 	}
 	opts := replica.Options{
-		ID: g.voters[i].ID, Voters: g.voters, Scheme: "http", Logger: logger, Metrics: g.Metrics,
+		ID: g.peers[i].ID, Voters: g.peers[:g.opts.Size], Address: g.peers[i].Address, Join: i >= g.opts.Size, Scheme: "http", Logger: logger, Metrics: g.Metrics,
 		Storage:            storage.Options{Disk: disk, SegmentBytes: storage.DefaultSegmentBytes},
 		ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax,
 		HeartbeatInterval: heartbeatInterval, MaxClockDriftPPM: maxClockDriftPPM,
--- a/internal/controlproc/process.go
+++ b/internal/controlproc/process.go
@@ -72,7 +72,7 @@
 	}
 	now := time.Now()
 	r, err := replica.New(replica.Options{
-		ID: replog.ReplicaID(s.ReplicaID), Voters: s.voters(), Scheme: internal.Scheme(), Client: internal.Client(replication.NewTransport()), Logger: logger, Metrics: set,
+		ID: replog.ReplicaID(s.ReplicaID), Voters: s.voters(), Address: s.ListenInternal, Join: s.Start == StartJoin, Scheme: internal.Scheme(), Client: internal.Client(replication.NewTransport()), Logger: logger, Metrics: set,
 		Storage:            storage.Options{Disk: disk, SegmentBytes: storage.DefaultSegmentBytes},
 		ElectionTimeoutMin: s.ElectionTimeoutMin, ElectionTimeoutMax: s.ElectionTimeoutMax,
 		HeartbeatInterval: s.HeartbeatInterval, MaxClockDriftPPM: s.MaxClockDriftPPM,
--- a/internal/controlproc/settings.go
+++ b/internal/controlproc/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -21,6 +22,7 @@
 	ListenMetrics  string `toml:"listen_metrics"`
 
 	ReplicaID            uint64        `toml:"replica_id"`
+	Start                string        `toml:"start"` // form or join; what an empty data folder does
 	DataDir              string        `toml:"data_dir"`
 	ElectionTimeoutMin   time.Duration `toml:"election_timeout_min"`
 	ElectionTimeoutMax   time.Duration `toml:"election_timeout_max"`
@@ -31,7 +33,13 @@
 	Replicas             []Replica     `toml:"replica"`
 }
 
-// Replica is an initial voter.
+// What a replica with an empty data folder does.
+const (
+	StartForm = "form" // forms the group together with the other initial voters
+	StartJoin = "join" // joins a group that was formed before
+)
+
+// Replica is an initial voter, or with StartJoin a replica of the group.
 type Replica struct {
 	ID      uint64 `toml:"id"`
 	Address string `toml:"address"` // of its listen_internal
@@ -105,10 +113,24 @@
 		}
 		ids[r.ID], addresses[r.Address] = true, true
 	}
-	if !ids[s.ReplicaID] {
-		faults = append(faults, strictconf.Fault{Key: "replica_id", Problem: fmt.Sprintf("is %d", s.ReplicaID), Expected: "the id of one of the tables replica"})
+	return append(faults, s.checkStart(ids)...)
+}
+
+func (s *Settings) checkStart(ids map[uint64]bool) strictconf.Faults {
+	problem := fmt.Sprintf("is %d", s.ReplicaID)
+	switch {
+	case s.Start != StartForm && s.Start != StartJoin:
+		return strictconf.Faults{{Key: "start", Problem: fmt.Sprintf("is %q", s.Start), Expected: "one of form, join"}}
+	case s.Start == StartForm && !ids[s.ReplicaID]:
+		return strictconf.Faults{{Key: "replica_id", Problem: problem, Expected: "the id of one of the tables replica"}}
+	case s.Start == StartJoin && (s.ReplicaID == 0 || ids[s.ReplicaID]):
+		return strictconf.Faults{{Key: "replica_id", Problem: problem, Expected: "an id above 0 that no table replica has and that was never used"}}
+	case s.Start == StartJoin && !announceable(s.ListenInternal):
+		return strictconf.Faults{{Key: "listen_internal", Problem: fmt.Sprintf("is %q", s.ListenInternal), Expected: "an IP and port that the other replicas can reach"}}
+	case s.Start == StartJoin && len(ids) == 0:
+		return strictconf.Faults{{Key: "replica", Problem: "is empty", Expected: "at least one replica of the group"}}
 	}
-	return faults
+	return nil
 }
 
 func (s *Settings) voters() []replication.Peer {
@@ -118,3 +140,10 @@
 	}
 	return peers
 }
+
+// announceable reports whether other replicas can be told to use the address.
+// One that is malformed has a fault of its own.
+func announceable(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	return err != nil || !at.Addr().IsUnspecified() && at.Port() != 0
+}
--- a/internal/controlproc/settings_test.go
+++ b/internal/controlproc/settings_test.go
@@ -17,6 +17,7 @@
 listen_internal = "127.0.0.1:7001"
 listen_metrics = "127.0.0.1:7009"
 replica_id = 1
+start = "form"
 data_dir = "/var/lib/godwit"
 election_timeout_min = "400ms"
 election_timeout_max = "800ms"
@@ -24,6 +25,12 @@
 max_clock_drift_ppm = 1000
 snapshot_every_entries = 10000
 
+[internal_tls]
+mode = "plain"
+certificate = ""
+key = ""
+authorities = ""
+
 [[replica]]
 id = 1
 address = "127.0.0.1:7001"
@@ -89,3 +96,21 @@
 		t.Errorf("%d faults, want %d:\n%v", len(faulty.Faults), len(want), err)
 	}
 }
+
+// Guards against a replica that forms a second group, or asks to join under
+// the id of an initial voter, because of its settings.
+func TestStartSettings(t *testing.T) {
+	for _, test := range []struct{ from, to, fault string }{
+		{`start = "form"`, `start = "join"`, "replica_id"},
+		{`start = "form"`, `start = "vote"`, "start"},
+		{`start = "form"`, ``, "start"},
+		{"replica_id = 1\nstart = \"form\"", "replica_id = 4\nstart = \"join\"", ""},
+		{"replica_id = 1\nstart = \"form\"", "replica_id = 0\nstart = \"join\"", "replica_id"},
+		{"replica_id = 1\nstart = \"form\"", "replica_id = 4\nstart = \"form\"", "replica_id"},
+	} {
+		err := load(t, strings.Replace(sound, test.from, test.to, 1))
+		if test.fault == "" && err != nil || test.fault != "" && (err == nil || !strings.Contains(err.Error(), " "+test.fault+": ")) {
+			t.Errorf("%q: error %v, want a fault of %q", test.to, err, test.fault)
+		}
+	}
+}
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -190,6 +190,11 @@
 		t.snapshots.index = t.applied // tried again after as many entries
 		return
 	}
+	if len(snapshot.Membership.Voters) == 0 {
+		// A joined replica has not yet applied the entry that added it. Others
+		// refuse a snapshot without voters.
+		return
+	}
 	t.snapshots.underWay = true
 	t.snapshots.index = t.applied
 	content := t.state.Snapshot()
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -28,6 +28,9 @@
 	// ErrMustJoin stops a replica whose folder is empty although the group
 	// has been formed: it may have voted with a folder that was lost.
 	ErrMustJoin = merry.Sentinel("the group was formed before and the data folder is empty: the replica must join under a new id")
+	// ErrNotInitial stops a replica whose folder formed its group but whose
+	// settings do not name it as an initial voter.
+	ErrNotInitial = merry.Sentinel("the data folder is of an initial voter, but the settings do not list it as one")
 )
 
 // NotLeaderError refuses a call that only the leader answers. Nothing of the
@@ -109,5 +112,5 @@
 		// A leader without a valid lease, or one that hands over.
 		leader = 0
 	}
-	return &NotLeaderError{Leader: t.addresses[leader]}
+	return &NotLeaderError{Leader: t.peers.addresses[leader]}
 }
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -28,6 +28,14 @@
 	eventMemberGone     = eventlog.Declare(1215, zapcore.WarnLevel, "entry process made no feed call")
 	eventViolation      = eventlog.Declare(1216, zapcore.ErrorLevel, "invariant violated")
 	eventSnapshotFailed = eventlog.Declare(1217, zapcore.ErrorLevel, "snapshot of the state not taken")
+	eventPeerLearned    = eventlog.Declare(1400, zapcore.InfoLevel, "address of a control replica learned")
+	eventNoAddress      = eventlog.Declare(1401, zapcore.WarnLevel, "member of the control group has no known address")
+	eventTooManyPeers   = eventlog.Declare(1402, zapcore.WarnLevel, "too many control replicas announced, one is not remembered")
+	eventStep           = eventlog.Declare(1403, zapcore.InfoLevel, "control group changed by one step")
+	eventStepRefused    = eventlog.Declare(1404, zapcore.InfoLevel, "step of the control group not possible now, tried again")
+	eventAsksToJoin     = eventlog.Declare(1405, zapcore.InfoLevel, "empty data folder, asks the leader whether it may join")
+	eventMayJoin        = eventlog.Declare(1406, zapcore.InfoLevel, "the replica may join, waits to be listed in the cell file")
+	eventIDUsed         = eventlog.Declare(1407, zapcore.ErrorLevel, "empty data folder but the group has a member with this id")
 )
 
 // Metrics.
@@ -40,6 +48,8 @@
 		"commands that the state refused, by reason")
 	metricRetries = metrics.Declare("control_retries_total", metrics.KindCounter,
 		"work of the leader that is tried again, by reason")
+	metricSteps = metrics.Declare("control_group_steps_total", metrics.KindCounter,
+		"steps that changed the control group or its leader, by kind")
 	metricGrants     = metrics.Declare("control_lease_grants_total", metrics.KindCounter, "worker leases granted")
 	metricNoGrants   = metrics.Declare("control_lease_refusals_total", metrics.KindCounter, "worker leases not granted, by reason")
 	metricPlaced     = metrics.Declare("control_placements_total", metrics.KindCounter, "placements committed")
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -29,21 +29,63 @@
 // voter has said that it was never in a formed group. Otherwise the folder may
 // have been lost after the replica had voted with it.
 func (t *task) admit(ctx context.Context) error {
-	if t.recovered.Identity != nil {
+	if t.admitted {
 		return nil
 	}
+	if t.opts.Join {
+		return t.admitJoin(ctx)
+	}
 	t.opts.Logger.Log(eventWaitsForGroup)
 	if err := t.askVoters(ctx); err != nil || ctx.Err() != nil || t.stopping != nil {
 		return err
 	}
 	t.opts.Logger.Log(eventGroupNew)
-	t.store.Requests() <- storage.Admit{}
+	return t.saveIdentity(ctx)
+}
+
+func (t *task) saveIdentity(ctx context.Context) error {
+	t.store.Requests() <- storage.Admit{Joined: t.joined}
 	select {
 	case <-ctx.Done():
 		return nil
-	case admitted := <-t.store.Completions():
-		return admitted.Err
+	case saved := <-t.store.Completions():
+		if saved.Err != nil {
+			return saved.Err
+		}
 	}
+	t.admitted = true
+	t.announce()
+	return nil
+}
+
+// admitJoin waits until the leader has said that the group has no member with
+// this id. A member with it may have voted with a folder that was lost, and a
+// new log under the same id could contradict those votes.
+func (t *task) admitJoin(ctx context.Context) error {
+	t.opts.Logger.Log(eventAsksToJoin)
+	for t.stopping == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case answer := <-t.announcer.Answers():
+			t.learnAll(answer)
+			if !answer.Known.FromLeader {
+				continue
+			}
+			if answer.Known.Member {
+				t.opts.Logger.Log(eventIDUsed, zap.Uint64("replica", uint64(t.opts.ID)))
+				return ErrMustJoin
+			}
+			t.joined = true
+			t.opts.Logger.Log(eventMayJoin)
+			return t.saveIdentity(ctx)
+		case c := <-t.calls:
+			t.answerUnformed(c)
+		case <-t.steps:
+			// A replica that is no member takes no part in the log.
+		}
+	}
+	return nil
 }
 
 func (t *task) askVoters(ctx context.Context) error {
@@ -67,6 +109,8 @@
 			waiting--
 		case c := <-t.calls:
 			t.answerUnformed(c)
+		case answer := <-t.announcer.Answers():
+			t.learnAll(answer)
 		case <-t.steps:
 			// A replica that may not vote takes no part in the log.
 		}
@@ -76,6 +120,8 @@
 
 func (t *task) answerUnformed(c call) {
 	switch c := c.(type) {
+	case announceCall:
+		t.announced(time.Now(), c)
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -143,6 +143,7 @@
 		t.leading.nextAdvance = now.Add(advanceInterval)
 		t.proposeOwn(now, state.Command{Advance: &state.Advance{}}, nil)
 		t.removeSilentMembers(now)
+		t.changeGroup(now)
 	}
 	t.plan(now)
 }
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -71,17 +71,24 @@
 
 type statusCall struct{ reply[Report] }
 
+// announceCall is the announcement of another replica.
+type announceCall struct {
+	reply[replication.Known]
+	from replication.Announcement
+}
+
 // stopCall asks to hand leadership over and to end.
 type stopCall struct{ reply[struct{}] }
 
 // Report is a replica's view of itself and its group.
 type Report struct {
 	replication.Status
-	Role     replog.Role
-	LeaderAt string // address of the leader, or empty
-	Applied  uint64
-	Leading  bool // the scheduler and the lease granter run here
-	LeaseEnd time.Time
+	Role       replog.Role
+	Membership replog.Membership // in force
+	LeaderAt   string            // address of the leader, or empty
+	Applied    uint64
+	Leading    bool // the scheduler and the lease granter run here
+	LeaseEnd   time.Time
 }
 
 // encodedSnapshot is the answer of the goroutine that encodes a snapshot.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -14,7 +14,9 @@
 // Options of a replica.
 type Options struct {
 	ID      replog.ReplicaID
-	Voters  []replication.Peer // initial voters, this replica included
+	Voters  []replication.Peer // initial voters; with Join other replicas of the group
+	Address string             // of this replica, where Voters does not have it
+	Join    bool               // an empty folder joins a formed group; it never forms one
 	Storage storage.Options    // Replica, Logger and Metrics are filled in
 	Scheme  string             // of requests to other replicas
 	Client  *http.Client       // for them; plain text where nil
--- /dev/null
+++ b/internal/replica/replace_test.go
@@ -0,0 +1,158 @@
+package replica_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
+	"github.com/godwitlink/godwitlink/internal/replica"
+)
+
+// applyListed applies the example file with other control replicas.
+func applyListed(t *testing.T, group *localgroup.Group, generation int, listed string) {
+	t.Helper()
+	body := strings.NewReplacer(
+		"generation = 1\n", fmt.Sprintf("generation = %d\n", generation), "control_replicas = [1, 2, 3, 4, 5]", "control_replicas = "+listed,
+	).Replace(string(cellFile(t, "turnos.toml")))
+	if result := applyFile(t, group, []byte(body)); result.Refusal != state.RefusalNone {
+		t.Fatalf("generation %d refused: %s %s", generation, result.Refusal, result.Detail)
+	}
+}
+
+// awaitMembers waits until a replica and its leader agree on the voters, with
+// no learners.
+func awaitMembers(t *testing.T, group *localgroup.Group, i int, voters ...replog.ReplicaID) {
+	t.Helper()
+	ctx := callContext(t)
+	for {
+		report, err := group.Replica(i).Report(ctx)
+		if err != nil {
+			t.Fatalf("replica %d: %v, last %+v", i+1, err, report)
+		}
+		if slices.Equal(report.Membership.Voters, voters) && len(report.Membership.Learners) == 0 {
+			return
+		}
+	}
+}
+
+// Guards against a group that a second loss stops after the first lost replica
+// was replaced, against a new replica without the committed commands, and
+// against a replica that forgets at a restart where the new one listens.
+func TestReplaceReplica(t *testing.T) {
+	for name, snapshotEvery := range map[string]uint64{"from the log": 100_000, "from a snapshot": 60} {
+		t.Run(name, func(t *testing.T) {
+			group := startGroup(t, 3, func(o *replica.Options) { o.SnapshotEveryEntries = snapshotEvery })
+			applyListed(t, group, 1, "[1, 2, 3]")
+			join(t, group)
+			if err := group.Kill(2); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.RemoveAll(group.Folder(2)); err != nil {
+				t.Fatal(err)
+			}
+			if granted := commitMany(t, group, 1, 300); granted != 300 {
+				t.Errorf("%d of 300 commands carried out", granted)
+			}
+			joined, err := group.Join()
+			if err != nil {
+				t.Fatal(err)
+			}
+			applyListed(t, group, 2, "[1, 2, 4]")
+			for _, i := range []int{0, 1, joined} {
+				awaitMembers(t, group, i, 1, 2, 4)
+			}
+			// Replica 2 has the address of replica 4 from announcements only.
+			if err := group.Kill(1); err != nil {
+				t.Fatal(err)
+			}
+			if err := group.Restart(1); err != nil {
+				t.Fatal(err)
+			}
+			leaderOf(t, group)
+			if err := group.Kill(0); err != nil {
+				t.Fatal(err)
+			}
+			if again := commitMany(t, group, 2, 300); again != 0 {
+				t.Errorf("%d requests may be dispatched twice", again)
+			}
+		})
+	}
+}
+
+// Guards against a leader that removes itself while it leads, which would stop
+// the group for an election timeout.
+func TestReplaceLeader(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	applyListed(t, group, 1, "[1, 2, 3]")
+	leader := leaderOf(t, group)
+	joined, err := group.Join()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var voters []replog.ReplicaID
+	for id := range replog.ReplicaID(4) {
+		if id != replog.ReplicaID(leader) {
+			voters = append(voters, id+1)
+		}
+	}
+	applyListed(t, group, 2, strings.ReplaceAll(fmt.Sprint(voters), " ", ", "))
+	awaitMembers(t, group, joined, voters...)
+	if text := group.Metrics.Text(); !strings.Contains(text, `control_group_steps_total{reason="transfer"}`) {
+		t.Errorf("no transfer before the removal of the leader:\n%s", text)
+	}
+}
+
+// Guards against a group that is changed by a listed id without a replica, or
+// by a replica that nobody listed.
+func TestOnlyListedAndAnnouncedReplicasJoin(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	if _, err := group.Join(); err != nil { // replica 4
+		t.Fatal(err)
+	}
+	applyListed(t, group, 1, "[1, 2, 5]")
+	leader := leaderOf(t, group)
+	report, err := group.Replica(leader).Report(callContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The leader commits the passing of time and looks at the group once a
+	// second.
+	awaitApplied(t, group, leader, report.Applied+4)
+	awaitMembers(t, group, leader, 1, 2, 3)
+	if text := group.Metrics.Text(); strings.Contains(text, "control_group_steps_total{") {
+		t.Errorf("the group was changed:\n%s", text)
+	}
+}
+
+// Guards against a replica that lost its folder after it had joined and votes
+// again under the same id.
+func TestJoinedReplicaWithLostFolderIsRefused(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	applyListed(t, group, 1, "[1, 2, 3, 4]")
+	joined, err := group.Join()
+	if err != nil {
+		t.Fatal(err)
+	}
+	awaitMembers(t, group, joined, 1, 2, 3, 4)
+	if err := group.Kill(joined); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.RemoveAll(group.Folder(joined)); err != nil {
+		t.Fatal(err)
+	}
+	if err := group.Restart(joined); err != nil {
+		t.Fatal(err)
+	}
+	if err := group.Wait(joined); !errors.Is(err, replica.ErrMustJoin) {
+		t.Errorf("error %v, want ErrMustJoin", err)
+	}
+	if err := group.Kill(joined); !errors.Is(err, replica.ErrMustJoin) {
+		t.Error(err)
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -13,13 +13,14 @@
 
 // Replica is the handle of a control replica: it passes messages to the tasks.
 type Replica struct {
-	opts   Options
-	store  *storage.Store
-	sender *replication.Sender
-	task   *task
-	steps  chan []replog.Message
-	calls  chan call
-	done   chan struct{} // closed when the replica task has ended
+	opts      Options
+	store     *storage.Store
+	sender    *replication.Sender
+	announcer *replication.Announcer
+	task      *task
+	steps     chan []replog.Message
+	calls     chan call
+	done      chan struct{} // closed when the replica task has ended
 }
 
 // New opens the data folder. Run must be called for the replica to work.
@@ -40,9 +41,10 @@
 		sender: replication.NewSender(replication.SenderOptions{
 			Peers: otherVoters(opts), Scheme: opts.Scheme, Client: client, Logger: opts.Logger, Metrics: opts.Metrics,
 		}),
-		steps: make(chan []replog.Message, stepMailbox),
-		calls: make(chan call, callMailbox),
-		done:  make(chan struct{}),
+		announcer: replication.NewAnnouncer(opts.Scheme, client),
+		steps:     make(chan []replog.Message, stepMailbox),
+		calls:     make(chan call, callMailbox),
+		done:      make(chan struct{}),
 	}
 	r.task, err = newTask(r, recovered, client)
 	if err != nil {
@@ -67,9 +69,10 @@
 func (r *Replica) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, 3)
+	results := make(chan error, 4)
 	go func() { results <- r.store.Run(ctx) }()
 	go func() { r.sender.Run(ctx); results <- nil }()
+	go func() { r.announcer.Run(ctx); results <- nil }()
 	go func() { results <- r.task.run(ctx) }()
 	err := <-results
 	cancel()
@@ -109,6 +112,11 @@
 	return report.Status, err
 }
 
+// Announced implements replication.Receiver.
+func (r *Replica) Announced(ctx context.Context, from replication.Announcement) (replication.Known, error) {
+	return ask(ctx, r, func(reply reply[replication.Known]) call { return announceCall{reply, from} })
+}
+
 // Deliver implements replication.Receiver.
 func (r *Replica) Deliver(ctx context.Context, messages []replog.Message) error {
 	select {
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -25,9 +25,12 @@
 	steps     chan []replog.Message
 	calls     chan call
 	done      chan struct{}
-	addresses map[replog.ReplicaID]string
+	announcer *replication.Announcer
+	peers     peers
 	recovered storage.Recovered
 	clock     clockWatch
+	admitted  bool // the folder has an identity
+	joined    bool // the folder began empty beside a formed group
 	formed    bool // an entry of a formed group was stored
 
 	core         *replog.Core
@@ -58,19 +61,21 @@
 
 func newTask(r *Replica, recovered storage.Recovered, client *http.Client) (*task, error) {
 	t := &task{
-		opts: r.opts, store: r.store, sender: r.sender, client: client,
+		opts: r.opts, store: r.store, sender: r.sender, announcer: r.announcer, client: client,
 		steps: r.steps, calls: r.calls, done: r.done,
-		addresses: map[replog.ReplicaID]string{}, recovered: recovered,
-		formed: recovered.Identity != nil && recovered.Identity.Formed,
-		state:  state.New(), logViolations: map[replog.Check]int{},
+		peers: newPeers(r.opts), recovered: recovered,
+		admitted: recovered.Identity != nil,
+		joined:   recovered.Identity != nil && recovered.Identity.Joined,
+		formed:   recovered.Identity != nil && recovered.Identity.Formed,
+		state:    state.New(), logViolations: map[replog.Check]int{},
 		snapshots: snapshotWork{encoded: make(chan encodedSnapshot, 1), phase: snapshotPhase(r.opts)},
 	}
 	t.proposals.waiting = map[uint64]waitingProposal{}
 	t.reads.waiting = map[uint64]readCall{}
 	t.feeds.waiting = map[cell.EntryName]*waitingFeed{}
 	t.feeds.changed = map[cell.WorkerName]bool{}
-	for _, peer := range r.opts.Voters {
-		t.addresses[peer.ID] = peer.Address
+	if t.admitted && !t.joined && !t.peers.settings[r.opts.ID] {
+		return nil, ErrNotInitial
 	}
 	if recovered.Snapshot != nil {
 		if err := t.restore(*recovered.Snapshot, time.Now()); err != nil {
@@ -84,6 +89,7 @@
 // ctx ends or the replica was asked to stop.
 func (t *task) run(ctx context.Context) error {
 	defer t.end()
+	t.announce()
 	if err := t.admit(ctx); err != nil {
 		return err
 	}
@@ -116,9 +122,14 @@
 }
 
 func (t *task) startLog(now time.Time) error {
+	// A replica that joined knows the membership only from its log. With the
+	// initial voters instead, it could vote with an empty log where the
+	// settings name it as one.
 	var voters []replog.ReplicaID
 	for _, peer := range t.opts.Voters {
-		voters = append(voters, peer.ID)
+		if !t.joined {
+			voters = append(voters, peer.ID)
+		}
 	}
 	core, err := replog.New(replog.Config{
 		ID: t.opts.ID, Membership: replog.Membership{Voters: voters},
@@ -141,6 +152,7 @@
 	steps       []replog.Message
 	calls       []call
 	completions []storage.Completion
+	answers     []replication.Answer
 }
 
 // maxTurn bounds the messages of one kind that are taken before the effects of
@@ -159,6 +171,8 @@
 		t.mail.calls = append(t.mail.calls, c)
 	case completion := <-t.store.Completions():
 		t.mail.completions = append(t.mail.completions, completion)
+	case answer := <-t.announcer.Answers():
+		t.mail.answers = append(t.mail.answers, answer)
 	case encoded := <-t.snapshots.encoded:
 		t.snapshots.ready = &encoded
 	}
@@ -197,6 +211,10 @@
 	for _, c := range calls {
 		t.handle(now, c)
 	}
+	for _, answer := range t.mail.answers {
+		t.learnAll(answer)
+	}
+	t.mail.answers = nil
 	t.work(now)
 	for again := true; again; again = t.proposeHeld(now) {
 		if err := t.flush(now); err != nil {
@@ -218,6 +236,8 @@
 		t.renew(now, c)
 	case feedCall:
 		t.feed(now, c)
+	case announceCall:
+		t.announced(now, c)
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
@@ -272,13 +292,14 @@
 			ID: t.opts.ID, Formed: t.formed,
 			Term: t.status.Term, Commit: t.status.Commit, Leader: t.status.Leader,
 		},
-		Role: t.status.Role, LeaderAt: t.addresses[t.status.Leader], Applied: t.applied,
+		Role: t.status.Role, Membership: t.status.Membership, LeaderAt: t.peers.addresses[t.status.Leader], Applied: t.applied,
 		Leading: t.leading != nil, LeaseEnd: t.status.LeaseEnd,
 	}
 }
 
 // housekeeping updates gauges and counts violated invariants.
 func (t *task) housekeeping() {
+	t.checkAddresses()
 	t.opts.Metrics.Gauge(metricTerm, float64(t.status.Term))
 	t.opts.Metrics.Gauge(metricIndex, float64(t.applied))
 	leader := 0.0
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -31,6 +32,10 @@
 
 func (i inbox) Status(context.Context) (Status, error) { return Status{ID: 2, Formed: true}, nil }
 
+func (i inbox) Announced(_ context.Context, from Announcement) (Known, error) {
+	return Known{Peers: []Peer{from.Peer}, FromLeader: true, Member: from.Joining}, nil
+}
+
 func sampleMessages() []replog.Message {
 	entries := []replog.Entry{
 		{Index: 8, Term: 3, Kind: replog.EntryCommand, Data: []byte("set")},
@@ -157,3 +162,65 @@
 		}
 	})
 }
+
+// Guards against messages that go to the former address of a replica, or
+// nowhere, after it announced another one.
+func TestPeerMoves(t *testing.T) {
+	received := make(inbox, 16)
+	server := testServer(t, received, metrics.New())
+	sender := NewSender(SenderOptions{Scheme: "http", Client: NewClient(), Logger: eventlog.Nop(), Metrics: metrics.New()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); sender.Run(ctx) }()
+	for _, address := range []string{"127.0.0.1:1", strings.TrimPrefix(server.URL, "http://")} {
+		if !sender.SetPeer(Peer{ID: 2, Address: address}) {
+			t.Fatal("the replica was left out")
+		}
+	}
+	// What is sent before the lane has taken the address may get lost, and the
+	// log sends it again.
+	for sent := false; !sent; {
+		sender.Send(sampleMessages()[:1])
+		select {
+		case <-received:
+			sent = true
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	for id := replog.ReplicaID(3); id < 3+MaxPeers-1; id++ {
+		if !sender.SetPeer(Peer{ID: id, Address: "127.0.0.1:1"}) {
+			t.Fatalf("replica %d was left out", id)
+		}
+	}
+	if sender.SetPeer(Peer{ID: 1000, Address: "127.0.0.1:1"}) {
+		t.Errorf("more than %d replicas are remembered", MaxPeers)
+	}
+	cancel()
+	<-done
+}
+
+// Guards against an announcement that is changed on the way, and against
+// addresses that nobody can send to.
+func TestAnnouncements(t *testing.T) {
+	server := testServer(t, make(inbox, 1), metrics.New())
+	announcer := NewAnnouncer("http", NewClient())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); announcer.Run(ctx) }()
+	self := Announcement{Peer: Peer{ID: 4, Address: "127.0.0.1:4"}, Joining: true}
+	announcer.SetTargets(Targets{Self: self, Peers: []Peer{{ID: 2, Address: strings.TrimPrefix(server.URL, "http://")}}})
+	want := Answer{Said: self, Known: Known{Peers: []Peer{self.Peer}, FromLeader: true, Member: true}}
+	if got := <-announcer.Answers(); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	cancel()
+	<-done
+	client := rpcpb.NewReplicationProtobufClient(server.URL, server.Client())
+	for _, bad := range []*rpcpb.AnnounceRequest{
+		{Address: "127.0.0.1:4"}, {ReplicaId: 4}, {ReplicaId: 4, Address: "host:1"}, {ReplicaId: 4, Address: "0.0.0.0:1"}, {ReplicaId: 4, Address: "127.0.0.1:0"},
+	} {
+		if _, err := client.Announce(t.Context(), bad); err == nil {
+			t.Errorf("%v was taken", bad)
+		}
+	}
+}
--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -17,6 +17,12 @@
 
 // Bounds of the queues and requests.
 const (
+	// MaxPeers bounds the replicas that a replica remembers. Ids are never
+	// reused, so a long life with many replacements reaches more than the 7
+	// that may be listed at once.
+	MaxPeers     = 64
+	lanesPerPeer = 2
+
 	logQueue      = 1024 // messages
 	snapshotQueue = 2    // messages; the log repeats a snapshot that got lost
 	// maxBatchBytes closes a batch. One more message may exceed it.
@@ -52,9 +58,12 @@
 	Metrics *metrics.Set
 }
 
-// Sender sends messages to the other replicas.
+// Sender sends messages to the other replicas. Run is called once; Send and
+// SetPeer are called by one task.
 type Sender struct {
-	lanes map[laneKey]*lane
+	opts  SenderOptions
+	lanes map[laneKey]*lane // of the task that calls Send
+	added chan *lane        // to Run; holds the lanes of MaxPeers, so that SetPeer never waits
 }
 
 type laneKey struct {
@@ -65,10 +74,12 @@
 // lane is a task that sends the messages of its queue to one replica.
 type lane struct {
 	peer    Peer
+	moved   chan Peer // a new address; the latest one counts
 	queue   chan replog.Message
 	results chan sendResult
 	limit   int // requests on the way
 	timeout time.Duration
+	connect func(Peer) rpcpb.Replication
 	client  rpcpb.Replication
 	logger  *eventlog.Logger
 	metrics *metrics.Set
@@ -77,21 +88,51 @@
 
 // NewSender returns a sender. Run must be called for it to send.
 func NewSender(opts SenderOptions) *Sender {
-	s := &Sender{lanes: map[laneKey]*lane{}}
+	s := &Sender{opts: opts, lanes: map[laneKey]*lane{}, added: make(chan *lane, lanesPerPeer*MaxPeers)}
 	for _, peer := range opts.Peers {
-		client := rpcpb.NewReplicationProtobufClient(opts.Scheme+"://"+peer.Address, opts.Client)
-		add := func(snapshot bool, queue, limit int, timeout time.Duration) {
-			s.lanes[laneKey{peer.ID, snapshot}] = &lane{
-				peer: peer, queue: make(chan replog.Message, queue), timeout: timeout,
-				limit: limit, results: make(chan sendResult, limit), client: client, logger: opts.Logger, metrics: opts.Metrics,
-			}
-		}
-		add(false, logQueue, maxRequests, logTimeout)
-		add(true, snapshotQueue, 1, snapshotTimeout)
+		s.SetPeer(peer)
 	}
 	return s
 }
 
+// SetPeer adds a replica or changes its address. It does not wait. Above
+// MaxPeers replicas a new one is left out and false is returned.
+func (s *Sender) SetPeer(peer Peer) bool {
+	if l := s.lanes[laneKey{peer.ID, false}]; l != nil {
+		l.move(peer)
+		s.lanes[laneKey{peer.ID, true}].move(peer)
+		return true
+	}
+	if len(s.lanes) >= lanesPerPeer*MaxPeers {
+		return false
+	}
+	s.add(peer, false, logQueue, maxRequests, logTimeout)
+	s.add(peer, true, snapshotQueue, 1, snapshotTimeout)
+	return true
+}
+
+func (s *Sender) add(peer Peer, snapshot bool, queue, limit int, timeout time.Duration) {
+	connect := func(to Peer) rpcpb.Replication {
+		return rpcpb.NewReplicationProtobufClient(s.opts.Scheme+"://"+to.Address, s.opts.Client)
+	}
+	l := &lane{
+		peer: peer, moved: make(chan Peer, 1), queue: make(chan replog.Message, queue), timeout: timeout,
+		limit: limit, results: make(chan sendResult, limit), connect: connect, client: connect(peer),
+		logger: s.opts.Logger, metrics: s.opts.Metrics,
+	}
+	s.lanes[laneKey{peer.ID, snapshot}] = l
+	s.added <- l
+}
+
+// move replaces an address that the lane has not taken yet.
+func (l *lane) move(peer Peer) {
+	select {
+	case <-l.moved:
+	default:
+	}
+	l.moved <- peer
+}
+
 // NewClient returns the HTTP client for requests between replicas. TLS goes in
 // here, as the TLS configuration of the transport.
 func NewClient() *http.Client { return &http.Client{Transport: NewTransport()} }
@@ -108,12 +149,15 @@
 // Run sends until ctx ends.
 func (s *Sender) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
-	for _, l := range s.lanes {
-		tasks.Go(func() { l.run(ctx) })
+	defer tasks.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-s.added:
+			tasks.Go(func() { l.run(ctx) })
+		}
 	}
-	tasks.Wait()
-	// A group of one replica has no lanes.
-	<-ctx.Done()
 }
 
 // Send queues messages without waiting.
@@ -154,7 +198,8 @@
 			return
 		case first := <-queue:
 			request := l.batch(first)
-			go func() { l.results <- sendResult{request, l.send(ctx, request)} }()
+			client := l.client
+			go func() { l.results <- sendResult{request, l.send(ctx, client, request)} }()
 			onTheWay++
 			spaced = false
 			spacing.Reset(requestSpacing)
@@ -163,6 +208,8 @@
 			l.finish(result)
 		case <-spacing.C:
 			spaced = true
+		case l.peer = <-l.moved:
+			l.client = l.connect(l.peer)
 		}
 	}
 }
@@ -185,10 +232,10 @@
 	return request
 }
 
-func (l *lane) send(ctx context.Context, request *rpcpb.StepRequest) error {
+func (l *lane) send(ctx context.Context, client rpcpb.Replication, request *rpcpb.StepRequest) error {
 	timed, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	_, err := l.client.Step(timed, request)
+	_, err := client.Step(timed, request)
 	return err
 }
 
--- a/internal/replication/server.go
+++ b/internal/replication/server.go
@@ -32,6 +32,8 @@
 	// a full mailbox, until ctx ends.
 	Deliver(ctx context.Context, messages []replog.Message) error
 	Status(ctx context.Context) (Status, error)
+	// Announced takes the address of another replica.
+	Announced(ctx context.Context, from Announcement) (Known, error)
 }
 
 // Server serves the twirp service Replication.
@@ -85,3 +87,22 @@
 		CommitIndex: status.Commit, LeaderId: uint64(status.Leader),
 	}, nil
 }
+
+// Announce implements rpcpb.Replication.
+func (s *Server) Announce(ctx context.Context, request *rpcpb.AnnounceRequest) (*rpcpb.AnnounceResponse, error) {
+	peer, ok := decodePeer(request.ReplicaId, request.Address)
+	if !ok {
+		s.metrics.Add(metricDropped, "malformed", 1)
+		s.logger.Log(eventMalformed, zap.Uint64("from", request.ReplicaId), zap.String("address", request.Address))
+		return nil, twirp.InvalidArgumentError("address", "must be IP:port of a replica with an id above 0")
+	}
+	known, err := s.receiver.Announced(ctx, Announcement{Peer: peer, Joining: request.Joining})
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, "the replica does not answer now")
+	}
+	response := &rpcpb.AnnounceResponse{FromLeader: known.FromLeader, Member: known.Member}
+	for _, peer := range known.Peers {
+		response.Replicas = append(response.Replicas, &rpcpb.KnownReplica{Id: uint64(peer.ID), Address: peer.Address})
+	}
+	return response, nil
+}
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -45,6 +45,7 @@
 	*process
 	id       uint64
 	internal string
+	metrics  string
 	settings string // file
 }
 
@@ -147,16 +148,25 @@
 }
 
 func (c *cluster) startControl(t *testing.T, i, total int) {
+	var voters []int
+	for peer := range total {
+		voters = append(voters, peer)
+	}
+	c.launchControl(t, i, "form", voters)
+}
+
+// launchControl starts a control replica whose settings name the given ones.
+func (c *cluster) launchControl(t *testing.T, i int, start string, replicas []int) {
 	region, domain := c.place(i, c.regions())
-	control := &controlProcess{id: uint64(i + 1), internal: address(kindControl, i, 7001)}
+	control := &controlProcess{id: uint64(i + 1), internal: address(kindControl, i, 7001), metrics: address(kindControl, i, 7009)}
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"control-%d\"\nregion = %q\nfailure_domain = %q\nlog_level = \"info\"\n", i+1, region, domain)
-	fmt.Fprintf(&b, "replica_id = %d\ndata_dir = %q\n", control.id, filepath.Join(c.dir, fmt.Sprintf("data-%d", i+1)))
-	fmt.Fprintf(&b, "listen_internal = %q\nlisten_metrics = %q\n", control.internal, address(kindControl, i, 7009))
+	fmt.Fprintf(&b, "replica_id = %d\nstart = %q\ndata_dir = %q\n", control.id, start, filepath.Join(c.dir, fmt.Sprintf("data-%d", i+1)))
+	fmt.Fprintf(&b, "listen_internal = %q\nlisten_metrics = %q\n", control.internal, control.metrics)
 	b.WriteString("election_timeout_min = \"400ms\"\nelection_timeout_max = \"800ms\"\nheartbeat_interval = \"100ms\"\n")
 	b.WriteString("max_clock_drift_ppm = 1000\nsnapshot_every_entries = 10000\n")
 	b.WriteString(c.tlsTable("internal_tls", "mutual"))
-	for peer := range total {
+	for _, peer := range replicas {
 		fmt.Fprintf(&b, "[[replica]]\nid = %d\naddress = %q\n", peer+1, address(kindControl, peer, 7001))
 	}
 	name := fmt.Sprintf("control-%d", i+1)
