Write the benchmarks' report with pictures and CSV files

The benchmarks printed only text tables, so that their figures could not be compared or drawn. Each benchmark package now has Measure, which returns typed figures, and a Print method on them; Run joins both and prints what it did. The subcommand godwit-bench report runs all of them one after the other and writes report.html with embedded pictures and tables, and one CSV file for each benchmark.

--- a/internal/bench/command/command.go
+++ b/internal/bench/command/command.go
@@ -4,6 +4,7 @@
 
 import (
 	"os"
+	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,6 +15,7 @@
 	"github.com/godwitlink/godwitlink/internal/bench/placementbench"
 	"github.com/godwitlink/godwitlink/internal/bench/policybench"
 	"github.com/godwitlink/godwitlink/internal/bench/proxybench"
+	"github.com/godwitlink/godwitlink/internal/bench/report"
 	"github.com/godwitlink/godwitlink/internal/bench/routingbench"
 	"github.com/godwitlink/godwitlink/internal/bench/statebench"
 )
@@ -25,7 +27,7 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	root.AddCommand(commitCommand(), controlCommand(), logCommand(), placementCommand(), policyCommand(),
-		proxyCommand(), routingCommand(), stateCommand())
+		proxyCommand(), reportCommand(), routingCommand(), stateCommand())
 	return root
 }
 
@@ -100,6 +102,22 @@
 	}
 }
 
+func reportCommand() *cobra.Command {
+	o := report.Options{Command: strings.Join(os.Args, " ")}
+	command := &cobra.Command{
+		Use: "report", Short: "Run all benchmarks and write a page with pictures, and CSV files", Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return report.Run(command.Context(), command.OutOrStdout(), o)
+		},
+	}
+	command.Flags().StringVar(&o.Out, "out", "", "folder to write to")
+	command.Flags().StringVar(&o.Folder, "folder", os.TempDir(), "folder on the disk to measure")
+	command.Flags().BoolVar(&o.Quick, "quick", false, "smaller sizes and shorter times, less than a minute")
+	// Fails only for a flag that does not exist.
+	_ = command.MarkFlagRequired("out")
+	return command
+}
+
 func routingCommand() *cobra.Command {
 	var seed uint64
 	command := &cobra.Command{
--- a/internal/bench/commitbench/commits.go
+++ b/internal/bench/commitbench/commits.go
@@ -5,7 +5,6 @@
 	_ "embed"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,26 +25,17 @@
 
 var inFlightSteps = []int{1, 16, 256}
 
-// commitFigures are the results of one measurement.
-type commitFigures struct {
-	perSecond float64
-	p50, p99  time.Duration
-}
-
-func runCommits(ctx context.Context, out io.Writer, folder string, opts Options) error {
-	fmt.Fprintf(out, "commits, %d replicas on loopback, synced files, %v each\n", groupSize, opts.Duration)
-	fmt.Fprintf(out, "%-14s %10s %12s %10s %10s\n", "version", "in flight", "commits/s", "p50", "p99")
-	best := map[string]float64{}
+func (f *Figures) measureCommits(ctx context.Context, folder string) error {
 	for _, v := range append(slices.Clone(variants), betweenRegions) {
 		err := withGroup(ctx, folder, v, cellFile, func(group *localgroup.Group) error {
 			keys := &atomic.Uint64{}
 			for _, inFlight := range inFlightSteps {
-				figures, err := measureCommits(ctx, group, keys, inFlight, opts.Duration)
+				row, err := commitsOf(ctx, group, keys, inFlight, f.Options.Duration)
 				if err != nil {
 					return err
 				}
-				best[v.name] = figures.perSecond
-				fmt.Fprintf(out, "%-14s %10d %12.0f %10s %10s\n", v.name, inFlight, figures.perSecond, short(figures.p50), short(figures.p99))
+				row.Version = v.name
+				f.Commits = append(f.Commits, row)
 			}
 			return nil
 		})
@@ -53,13 +43,11 @@
 			return err
 		}
 	}
-	fmt.Fprintf(out, "group commit over plain at %d in flight: %.1f times\n\n",
-		inFlightSteps[len(inFlightSteps)-1], best[variants[0].name]/best[variants[1].name])
 	return nil
 }
 
-// measureCommits keeps inFlight commands on the way for a while.
-func measureCommits(ctx context.Context, group *localgroup.Group, keys *atomic.Uint64, inFlight int, duration time.Duration) (commitFigures, error) {
+// commitsOf keeps inFlight commands on the way for a while.
+func commitsOf(ctx context.Context, group *localgroup.Group, keys *atomic.Uint64, inFlight int, duration time.Duration) (CommitRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, duration+time.Minute)
 	defer cancel()
 	delays := make([][]time.Duration, inFlight)
@@ -79,10 +67,11 @@
 	elapsed := time.Since(started)
 	all := slices.Concat(delays...)
 	slices.Sort(all)
-	return commitFigures{
-		perSecond: float64(len(all)) / elapsed.Seconds(),
-		p50:       all[len(all)/2],
-		p99:       all[len(all)*99/100],
+	return CommitRow{
+		InFlight:  inFlight,
+		PerSecond: float64(len(all)) / elapsed.Seconds(),
+		P50:       all[len(all)/2],
+		P99:       all[len(all)*99/100],
 	}, errors.Join(failures...)
 }
 
@@ -94,5 +83,3 @@
 		Entry: benchEntry, Incarnation: 1, Attempt: 1, Retention: retention,
 	}}
 }
-
-func short(d time.Duration) string { return d.Round(10 * time.Microsecond).String() }
--- a/internal/bench/commitbench/failover.go
+++ b/internal/bench/commitbench/failover.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"slices"
 	"time"
 
@@ -13,19 +11,16 @@
 // settleTime lets a restarted replica catch up before the next kill.
 const settleTime = 500 * time.Millisecond
 
-func runFailover(ctx context.Context, out io.Writer, folder string, opts Options) error {
-	fmt.Fprintf(out, "time from the kill of the leader to the next commit, %d kills\n", opts.Kills)
+func (f *Figures) measureFailovers(ctx context.Context, folder string) error {
 	return withGroup(ctx, folder, variants[0], cellFile, func(group *localgroup.Group) error {
-		var pauses []time.Duration
-		for kill := range opts.Kills {
+		for kill := range f.Options.Kills {
 			pause, err := measureFailover(ctx, group, uint64(2*kill+1))
 			if err != nil {
 				return err
 			}
-			pauses = append(pauses, pause)
+			f.Pauses = append(f.Pauses, pause)
 		}
-		slices.Sort(pauses)
-		fmt.Fprintf(out, "median %s, worst %s\n\n", short(pauses[len(pauses)/2]), short(pauses[len(pauses)-1]))
+		slices.Sort(f.Pauses)
 		return nil
 	})
 }
--- a/internal/bench/commitbench/placements.go
+++ b/internal/bench/commitbench/placements.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync"
 	"time"
 
@@ -16,41 +15,37 @@
 const (
 	workers        = 900
 	tasksPerJob    = 100
-	jobs           = 300
+	defaultJobs    = 300
 	jobsPlain      = 10 // the plain version takes as long for them
 	placementPoll  = 10 * time.Millisecond
 	submitInFlight = 16
 )
 
-func runPlacements(ctx context.Context, out io.Writer, folder string) error {
-	fmt.Fprintf(out, "placements, %d workers, jobs of %d tasks, %d submissions in flight\n", workers, tasksPerJob, submitInFlight)
-	fmt.Fprintf(out, "%-14s %10s %12s\n", "version", "tasks", "placed/s")
-	best := map[string]float64{}
+func (f *Figures) measurePlacements(ctx context.Context, folder string) error {
 	for _, v := range variants {
-		count := jobs
+		count := f.Options.Jobs
 		if v.plain {
 			count = jobsPlain
 		}
 		err := withGroup(ctx, folder, v, cellFile, func(group *localgroup.Group) error {
-			elapsed, err := measurePlacements(ctx, group, count)
+			elapsed, err := place(ctx, group, count)
 			if err != nil {
 				return err
 			}
-			best[v.name] = float64(count*tasksPerJob) / elapsed.Seconds()
-			fmt.Fprintf(out, "%-14s %10d %12.0f\n", v.name, count*tasksPerJob, best[v.name])
+			tasks := count * tasksPerJob
+			f.Placements = append(f.Placements, PlacementRow{Version: v.name, Tasks: tasks, PerSecond: float64(tasks) / elapsed.Seconds()})
 			return nil
 		})
 		if err != nil {
 			return err
 		}
 	}
-	fmt.Fprintf(out, "group commit over plain: %.1f times\n\n", best[variants[0].name]/best[variants[1].name])
 	return nil
 }
 
-// measurePlacements returns the time from the first submission to the commit
+// place returns the time from the first submission to the commit
 // of the last placement.
-func measurePlacements(ctx context.Context, group *localgroup.Group, jobs int) (time.Duration, error) {
+func place(ctx context.Context, group *localgroup.Group, jobs int) (time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
 	if err := each(workers, func(i int) error { return register(ctx, group, i) }); err != nil {
--- a/internal/bench/commitbench/run.go
+++ b/internal/bench/commitbench/run.go
@@ -19,20 +19,32 @@
 	Folder   string        // data folders; on the disk that is measured
 	Duration time.Duration // of each measurement of commits
 	Kills    int           // of the leader
+	Jobs     int           // to place, of 100 tasks each; 0 for 300
 }
 
 // Run measures and prints tables to out.
 func Run(ctx context.Context, out io.Writer, opts Options) error {
+	f, err := Measure(ctx, opts)
+	return errors.Join(err, f.Print(out))
+}
+
+// Measure measures commits, placements and failovers. With an error it returns
+// the figures that it has.
+func Measure(ctx context.Context, opts Options) (Figures, error) {
+	if opts.Jobs == 0 {
+		opts.Jobs = defaultJobs
+	}
+	f := Figures{Options: opts}
 	folder, err := os.MkdirTemp(opts.Folder, "commitbench-")
 	if err != nil {
-		return err
+		return f, err
 	}
 	err = errors.Join(
-		runCommits(ctx, out, folder, opts),
-		runPlacements(ctx, out, folder),
-		runFailover(ctx, out, folder, opts),
+		f.measureCommits(ctx, folder),
+		f.measurePlacements(ctx, folder),
+		f.measureFailovers(ctx, folder),
 	)
-	return errors.Join(err, os.RemoveAll(folder))
+	return f, errors.Join(err, os.RemoveAll(folder))
 }
 
 // variant is a version of the commit path.
--- a/internal/bench/controlbench/run.go
+++ b/internal/bench/controlbench/run.go
@@ -27,32 +27,50 @@
 	return Options{Workers: []int{50, 200, 900}, Duration: 20 * time.Second, Changes: 100, Rate: 10}
 }
 
-// point is one measurement.
-type point struct {
-	workers    int
-	bytes      float64 // a second and worker
-	cpu        float64 // share of a core, whole process
-	memory     float64 // bytes of heap and stacks, whole process
-	single     time.Duration
-	burst      time.Duration
-	afterKills time.Duration
+// Point is the measurement of one size.
+type Point struct {
+	Workers    int
+	Bytes      float64       // a second and worker
+	CPU        float64       // share of a core, whole process
+	Memory     float64       // bytes of heap and stacks, whole process
+	Single     time.Duration // until a change is in force everywhere
+	Burst      time.Duration // until the last of many changes is
+	AfterKills time.Duration // as Single, with processes down
 }
 
+// Figures are the results of a run, ascending by the number of workers.
+type Figures []Point
+
 // Run measures each size and prints the points and the fitted slopes.
 func Run(ctx context.Context, out io.Writer, o Options) error {
-	var points []point
+	points, err := Measure(ctx, o)
+	if err != nil {
+		return err
+	}
+	return points.Print(out)
+}
+
+// Measure measures each size.
+func Measure(ctx context.Context, o Options) (Figures, error) {
+	var points Figures
 	for _, workers := range o.Workers {
 		p, err := measure(ctx, o, workers)
 		if err != nil {
-			return fmt.Errorf("%d workers: %w", workers, err)
+			return points, fmt.Errorf("%d workers: %w", workers, err)
 		}
 		points = append(points, p)
 	}
+	return points, nil
+}
+
+// Print writes the points and the fitted slopes. Its error is that of the
+// writer.
+func (points Figures) Print(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "workers\tbytes/s a worker\tprocess CPU %\tprocess MB\tone change s\tburst s\tchange with 2 control, 2 entry down s\t")
 	for _, p := range points {
-		fmt.Fprintf(table, "%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n", p.workers, p.bytes, 100*p.cpu,
-			p.memory/(1<<20), p.single.Seconds(), p.burst.Seconds(), p.afterKills.Seconds())
+		fmt.Fprintf(table, "%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n", p.Workers, p.Bytes, 100*p.CPU,
+			p.Memory/(1<<20), p.Single.Seconds(), p.Burst.Seconds(), p.AfterKills.Seconds())
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -61,8 +79,8 @@
 	return nil
 }
 
-func measure(ctx context.Context, o Options, workers int) (p point, err error) {
-	p.workers = workers
+func measure(ctx context.Context, o Options, workers int) (p Point, err error) {
+	p.Workers = workers
 	c, err := startCell(ctx, o.Folder, workers)
 	if c != nil {
 		defer func() { err = errors.Join(err, c.close()) }()
@@ -77,7 +95,7 @@
 }
 
 // steady measures a cell in which nothing changes.
-func (c *testCell) steady(ctx context.Context, duration time.Duration, p *point) error {
+func (c *testCell) steady(ctx context.Context, duration time.Duration, p *Point) error {
 	bytesBefore, cpuBefore := c.bytes.Load(), processCPU()
 	began := time.Now()
 	select {
@@ -86,12 +104,12 @@
 		return ctx.Err()
 	}
 	seconds := time.Since(began).Seconds()
-	p.bytes = float64(c.bytes.Load()-bytesBefore) / seconds / float64(c.workers)
-	p.cpu = (processCPU() - cpuBefore).Seconds() / seconds
+	p.Bytes = float64(c.bytes.Load()-bytesBefore) / seconds / float64(c.workers)
+	p.CPU = (processCPU() - cpuBefore).Seconds() / seconds
 	runtime.GC()
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
-	p.memory = float64(memory.HeapAlloc + memory.StackInuse)
+	p.Memory = float64(memory.HeapAlloc + memory.StackInuse)
 	return nil
 }
 
@@ -101,10 +119,10 @@
 // spread measures the time from the acceptance of a file until every worker
 // that can be reached has a grant under it: one change, a burst, and one
 // change with two control replicas and two entry processes down.
-func (c *testCell) spread(ctx context.Context, o Options, p *point) error {
+func (c *testCell) spread(ctx context.Context, o Options, p *Point) error {
 	generation := 2
 	var err error
-	if p.single, err = c.change(ctx, generation); err != nil {
+	if p.Single, err = c.change(ctx, generation); err != nil {
 		return err
 	}
 	for range o.Changes - 1 {
@@ -115,14 +133,14 @@
 		time.Sleep(time.Second / time.Duration(o.Rate))
 	}
 	generation++
-	if p.burst, err = c.change(ctx, generation); err != nil {
+	if p.Burst, err = c.change(ctx, generation); err != nil {
 		return err
 	}
 	if err := c.takeDown(ctx); err != nil {
 		return err
 	}
 	generation++
-	p.afterKills, err = c.change(ctx, generation)
+	p.AfterKills, err = c.change(ctx, generation)
 	return err
 }
 
@@ -177,23 +195,23 @@
 }
 
 // printFits prints least-squares lines over the number of workers.
-func printFits(out io.Writer, points []point) {
+func printFits(out io.Writer, points Figures) {
 	if len(points) < 2 {
 		return
 	}
 	fits := []struct {
 		name, unit string
 		scale      float64
-		value      func(point) float64
+		value      func(Point) float64
 	}{
-		{"processor time", "% of a core", 100, func(p point) float64 { return p.cpu }},
-		{"memory", "KB", 1.0 / 1024, func(p point) float64 { return p.memory }},
-		{"bytes", "bytes/s", 1, func(p point) float64 { return p.bytes * float64(p.workers) }},
+		{"processor time", "% of a core", 100, func(p Point) float64 { return p.CPU }},
+		{"memory", "KB", 1.0 / 1024, func(p Point) float64 { return p.Memory }},
+		{"bytes", "bytes/s", 1, func(p Point) float64 { return p.Bytes * float64(p.Workers) }},
 	}
 	for _, fit := range fits {
 		var xs, ys []float64
 		for _, p := range points {
-			xs = append(xs, float64(p.workers))
+			xs = append(xs, float64(p.Workers))
 			ys = append(ys, fit.value(p)*fit.scale)
 		}
 		intercept, slope, residual := line(xs, ys)
--- a/internal/bench/placementbench/run.go
+++ b/internal/bench/placementbench/run.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"runtime"
-	"text/tabwriter"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,28 +37,33 @@
 
 // Run measures every row and prints a table to out.
 func Run(out io.Writer, o Options) error {
+	f, err := Measure(o)
+	if err != nil {
+		return err
+	}
+	return f.Print(out)
+}
+
+// Measure measures every row. It returns ErrOptions where there is none.
+func Measure(o Options) (Figures, error) {
 	if o.Decisions <= 0 || len(o.Workers) == 0 || len(o.Fill) == 0 {
-		return merry.Wrap(ErrOptions)
+		return Figures{}, merry.Wrap(ErrOptions)
 	}
 	// The figures are for one core, with the garbage collector on it.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "workers\tstate\twaiting\tclasses\tdecisions/s\tp50 us\tp99 us\tmax us\tallocs/decision\t")
+	var f Figures
 	for _, row := range o.rows() {
-		fmt.Fprintln(table, row.measure(o))
-	}
-	if err := table.Flush(); err != nil {
-		return merry.Prepend(err, "placementbench: write table")
+		f.Rows = append(f.Rows, row.measure(o))
 	}
 	for _, workers := range o.Workers {
-		fmt.Fprintln(out, burst(o, workers))
+		f.Bursts = append(f.Bursts, burst(o, workers))
 	}
-	return nil
+	return f, nil
 }
 
 // burst measures how long urgent work waits for the scheduler behind a burst
 // of cancellations on a full cell.
-func burst(o Options, workers int) string {
+func burst(o Options, workers int) Burst {
 	const cancellations = 10000
 	d := newDriver(workers, o.Seed)
 	d.fill(1)
@@ -80,8 +84,7 @@
 		d.now = d.now.Add(time.Millisecond)
 		d.plan(256)
 	}
-	return fmt.Sprintf("%d workers, full: %d cancelled jobs and an urgent one took %.1f ms, its placement %d plans and %.1f ms",
-		workers, count, events.Seconds()*1e3, plans, (d.spent-events).Seconds()*1e3)
+	return Burst{Workers: workers, Cancelled: count, Events: events, Plans: plans, Placement: d.spent - events}
 }
 
 // queueKind says what waits in a row.
@@ -122,8 +125,8 @@
 	return "full, " + string(r.queue)
 }
 
-// measure runs one row and formats its line.
-func (r row) measure(o Options) string {
+// measure runs one row.
+func (r row) measure(o Options) Row {
 	d := newDriver(r.workers, o.Seed)
 	d.fill(r.fill)
 	d.queueUp(r.queue, o.Waiting)
@@ -132,10 +135,12 @@
 	for d.decisions < o.Decisions {
 		d.turn(r)
 	}
-	h := d.times
-	const micro = 1e3 // nanoseconds
-	return fmt.Sprintf("%d\t%s\t%d\t%d\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t", r.workers, r.label(), waiting, d.classes(),
-		float64(d.decisions)/d.spent.Seconds(),
-		float64(h.ValueAtQuantile(50))/micro, float64(h.ValueAtQuantile(99))/micro, float64(h.Max())/micro,
-		d.allocsPerDecision())
+	return Row{
+		Workers: r.workers, State: r.label(), Waiting: waiting, Classes: d.classes(),
+		PerSecond: float64(d.decisions) / d.spent.Seconds(),
+		P50:       time.Duration(d.times.ValueAtQuantile(50)),
+		P99:       time.Duration(d.times.ValueAtQuantile(99)),
+		Max:       time.Duration(d.times.Max()),
+		Allocs:    d.allocsPerDecision(),
+	}
 }
--- /dev/null
+++ b/internal/bench/policybench/report.go
@@ -0,0 +1,71 @@
+package policybench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Figures are the results of a comparison, one row for each policy and seed.
+type Figures []Row
+
+// Row is the result of one policy on one day.
+type Row struct {
+	Policy      string
+	Seed        uint64
+	Waits       []Wait  // one for each class of work
+	Packing     float64 // share of the cell in use while work waits
+	Waiting     float64 // share of the time in which work waits
+	LowestShare float64 // smallest part of its due that any team got
+	Lost        float64 // share of the work that was done in vain
+	Starts      int
+	Unstarted   int     // tasks
+	StartRate   float64 // starts for each second of the planner's real time
+	Failures    int     // of tasks
+	FailedJobs  int
+	OutOfUse    float64 // good workers in quarantine, mean
+	BrokenRules int     // violations that the fake cell found
+}
+
+// Wait is the time in seconds until a task of a class starts.
+type Wait struct {
+	Class    string
+	P50, P99 float64
+}
+
+func (s *simulation) row(policy string, seed uint64) Row {
+	r := Row{
+		Policy: policy, Seed: seed,
+		Packing: s.packing / max(s.packed, 1), Waiting: s.packed / max(s.samples, 1),
+		LowestShare: s.lowestShare(), Lost: s.lost / max(s.work, 1),
+		Starts: s.starts, Unstarted: s.unstarted, StartRate: float64(s.starts) / s.spent.Seconds(),
+		Failures: s.failures, FailedJobs: s.failedJobs, OutOfUse: s.unused / max(s.samples, 1),
+		BrokenRules: len(s.cell.Violations),
+	}
+	for _, class := range classes {
+		h := s.waits[class]
+		r.Waits = append(r.Waits, Wait{Class: class, P50: seconds(h, 50), P99: seconds(h, 99)})
+	}
+	return r
+}
+
+// Print writes one line for each row. Its error is that of the writer.
+func (f Figures) Print(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(table, "policy\tseed\turgent p50 s\tp99 s\tservice p50 s\tp99 s\tbatch p50 s\tp99 s\tlow p50 s\tp99 s\tgang p50 s\tp99 s\t")
+	fmt.Fprintln(table, "packing\twaiting\tlowest share\tlost\tstarts\tunstarted\tstarts/s\tfailures\tfailed jobs\tout of use\tbroken rules\t")
+	for _, r := range f {
+		fmt.Fprintf(table, "%s\t%d\t", r.Policy, r.Seed)
+		for _, w := range r.Waits {
+			fmt.Fprintf(table, "%.2f\t%.2f\t", w.P50, w.P99)
+		}
+		fmt.Fprintf(table, "%.1f%%\t%.0f%%\t%.0f%%\t%.3f%%\t%d\t%d\t%.0f\t%d\t%d\t%.2f\t%d\t\n", 100*r.Packing, 100*r.Waiting,
+			100*r.LowestShare, 100*r.Lost, r.Starts, r.Unstarted, r.StartRate, r.Failures, r.FailedJobs, r.OutOfUse, r.BrokenRules)
+	}
+	if err := table.Flush(); err != nil {
+		return merry.Prepend(err, "policybench: write table")
+	}
+	return nil
+}
--- a/internal/bench/policybench/run.go
+++ b/internal/bench/policybench/run.go
@@ -1,9 +1,7 @@
 package policybench
 
 import (
-	"fmt"
 	"io"
-	"text/tabwriter"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -55,12 +53,20 @@
 
 // Run prints one line for each policy and seed to out.
 func Run(out io.Writer, o Options) error {
+	f, err := Measure(o)
+	if err != nil {
+		return err
+	}
+	return f.Print(out)
+}
+
+// Measure runs each policy with each seed. It returns ErrOptions where there
+// is nothing to compare.
+func Measure(o Options) (Figures, error) {
 	if o.Workers <= 0 || o.Teams <= 0 || o.Jobs <= 0 || o.Length <= 0 {
-		return merry.Wrap(ErrOptions)
+		return nil, merry.Wrap(ErrOptions)
 	}
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprint(table, "policy\tseed\turgent p50 s\tp99 s\tservice p50 s\tp99 s\tbatch p50 s\tp99 s\tlow p50 s\tp99 s\tgang p50 s\tp99 s\t")
-	fmt.Fprintln(table, "packing\twaiting\tlowest share\tlost\tstarts\tunstarted\tstarts/s\tfailures\tfailed jobs\tout of use\tbroken rules\t")
+	var f Figures
 	for _, seed := range o.Seeds {
 		for _, p := range policies {
 			if !o.wants(p.name) {
@@ -68,13 +74,10 @@
 			}
 			s := newSimulation(o, seed, p.make())
 			s.run()
-			fmt.Fprintf(table, "%s\t%d\t%s\n", p.name, seed, s.report())
+			f = append(f, s.row(p.name, seed))
 		}
 	}
-	if err := table.Flush(); err != nil {
-		return merry.Prepend(err, "policybench: write table")
-	}
-	return nil
+	return f, nil
 }
 
 func (o Options) wants(name string) bool {
--- a/internal/bench/policybench/simulation.go
+++ b/internal/bench/policybench/simulation.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -202,18 +201,6 @@
 	s.cell.End(s.now, id, outcome)
 }
 
-// report formats the figures of a run in the order of the table's columns.
-func (s *simulation) report() string {
-	line := ""
-	for _, class := range classes {
-		h := s.waits[class]
-		line += fmt.Sprintf("%.2f\t%.2f\t", seconds(h, 50), seconds(h, 99))
-	}
-	return line + fmt.Sprintf("%.1f%%\t%.0f%%\t%.0f%%\t%.3f%%\t%d\t%d\t%.0f\t%d\t%d\t%.2f\t%d\t", 100*s.packing/max(s.packed, 1),
-		100*s.packed/max(s.samples, 1), 100*s.lowestShare(), 100*s.lost/max(s.work, 1), s.starts, s.unstarted,
-		float64(s.starts)/s.spent.Seconds(), s.failures, s.failedJobs, s.unused/max(s.samples, 1), len(s.cell.Violations))
-}
-
 func seconds(h *hdrhistogram.Histogram, quantile float64) float64 {
 	return float64(h.ValueAtQuantile(quantile)) / 1000
 }
--- /dev/null
+++ b/internal/bench/proxybench/figures.go
@@ -0,0 +1,63 @@
+package proxybench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// Figures are the results of a run.
+type Figures struct {
+	Settings      Settings
+	Rows          []Row // in the order of the arms
+	PerConnection int64 // bytes for an idle connection, both ends
+}
+
+// Row is the result of one way to reach the backend server.
+type Row struct {
+	Way                string
+	PerSecond          float64 // requests, with Settings.Busy callers
+	Failed             int     // requests
+	P50, P99           time.Duration
+	AddedP50, AddedP99 time.Duration // over the direct way
+}
+
+// Rows of Figures.
+const (
+	rowProxyGet    = 1
+	rowGatewayGet  = 2
+	rowProxyPost   = 3
+	rowGatewayPost = 4
+)
+
+func newFigures(settings Settings, busy, quiet []*arm, perConnection int64) Figures {
+	f := Figures{Settings: settings, PerConnection: perConnection}
+	base := quiet[0]
+	for i, a := range quiet {
+		p50, p99 := a.percentile(0.5), a.percentile(0.99)
+		f.Rows = append(f.Rows, Row{
+			Way: a.name, PerSecond: busy[i].rate(), Failed: busy[i].failed + a.failed, P50: p50, P99: p99,
+			AddedP50: p50 - base.percentile(0.5), AddedP99: p99 - base.percentile(0.99),
+		})
+	}
+	return f
+}
+
+// Print writes the figures as a table. Its error is that of the writer.
+func (f Figures) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "\nrequests/s with %d callers; delay with %d callers, added to that of direct GET\n", f.Settings.Busy, f.Settings.Quiet)
+	fmt.Fprint(t, "way\trequests/s\tfailed\tp50 us\tp99 us\tadded p50 us\tadded p99 us\t\n")
+	for _, r := range f.Rows {
+		fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%d\t%d\t%d\t\n", r.Way, r.PerSecond, r.Failed,
+			r.P50.Microseconds(), r.P99.Microseconds(), r.AddedP50.Microseconds(), r.AddedP99.Microseconds())
+	}
+	if len(f.Rows) > rowGatewayPost {
+		fmt.Fprintf(t, "\ngateway/ReverseProxy, GET: %.2f\tPOST: %.2f\t\n", f.ratio(rowGatewayGet, rowProxyGet), f.ratio(rowGatewayPost, rowProxyPost))
+	}
+	fmt.Fprintf(t, "bytes per idle connection, both ends: %d\t\n", f.PerConnection)
+	return t.Flush()
+}
+
+func (f Figures) ratio(row, base int) float64 { return f.Rows[row].PerSecond / f.Rows[base].PerSecond }
--- a/internal/bench/proxybench/run.go
+++ b/internal/bench/proxybench/run.go
@@ -10,7 +10,6 @@
 	"runtime"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 )
 
@@ -41,11 +40,20 @@
 
 // Run measures all arms and prints a table.
 func Run(ctx context.Context, w io.Writer, settings Settings) error {
+	f, err := Measure(ctx, settings)
+	if err != nil {
+		return err
+	}
+	return f.Print(w)
+}
+
+// Measure measures all arms.
+func Measure(ctx context.Context, settings Settings) (Figures, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s, err := newSetup(ctx)
 	if err != nil {
-		return err
+		return Figures{}, err
 	}
 	defer s.close()
 	busy, quiet := s.arms(), s.arms()
@@ -59,9 +67,9 @@
 	}
 	perConnection, err := s.idleMemory(settings.Connections)
 	if err != nil {
-		return err
+		return Figures{}, err
 	}
-	return report(w, settings, busy, quiet, perConnection)
+	return newFigures(settings, busy, quiet, perConnection), nil
 }
 
 func (s *setup) arms() []*arm {
@@ -179,19 +187,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapInuse + m.StackInuse)
 }
-
-func report(w io.Writer, settings Settings, busy, quiet []*arm, perConnection int64) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "\nrequests/s with %d callers; delay with %d callers, added to that of direct GET\n", settings.Busy, settings.Quiet)
-	fmt.Fprint(t, "way\trequests/s\tfailed\tp50 us\tp99 us\tadded p50 us\tadded p99 us\t\n")
-	base := quiet[0]
-	for i, a := range quiet {
-		p50, p99 := a.percentile(0.5), a.percentile(0.99)
-		fmt.Fprintf(t, "%s\t%.0f\t%d\t%d\t%d\t%d\t%d\t\n", a.name, busy[i].rate(), busy[i].failed+a.failed,
-			p50.Microseconds(), p99.Microseconds(),
-			(p50 - base.percentile(0.5)).Microseconds(), (p99 - base.percentile(0.99)).Microseconds())
-	}
-	fmt.Fprintf(t, "\ngateway/ReverseProxy, GET: %.2f\tPOST: %.2f\t\n", busy[2].rate()/busy[1].rate(), busy[4].rate()/busy[3].rate())
-	fmt.Fprintf(t, "bytes per idle connection, both ends: %d\t\n", perConnection)
-	return t.Flush()
-}
--- a/internal/bench/routingbench/report.go
+++ b/internal/bench/routingbench/report.go
@@ -1,9 +1,7 @@
 package routingbench
 
 import (
-	"fmt"
 	"io"
-	"text/tabwriter"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/admission"
@@ -47,67 +45,55 @@
 	}
 }
 
+// Options are the flags of the comparison.
+type Options struct {
+	Seed   uint64        // of the arrivals
+	WarmUp time.Duration // before the failure and the measurement
+	Length time.Duration // of the measurement
+}
+
+// DefaultOptions returns the lengths of the published comparison.
+func DefaultOptions() Options { return Options{Seed: 1, WarmUp: warmUp, Length: measured} }
+
 // Run runs all scenarios with all methods and prints one table each.
 func Run(w io.Writer, seed uint64) error {
-	for _, s := range scenarios() {
-		if err := printScenario(w, s, seed); err != nil {
-			return err
-		}
-	}
-	if err := printShedOrders(w, seed); err != nil {
-		return err
-	}
-	return printRegions(w, seed)
+	o := DefaultOptions()
+	o.Seed = seed
+	return Measure(o).Print(w)
 }
 
-func printScenario(w io.Writer, s scenario, seed uint64) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "\n%s (load %.2f)\n", s.name, s.load)
-	fmt.Fprint(t, "method\tp50 ms\tp99 ms\tp99.9 ms\tanswers/s\terrors/1000\tnot run/1000\trefusals/1000\tcrossings/1000\t\n")
-	for _, m := range methods() {
-		r := newRun(s, m, seed)
-		r.execute()
-		hop := time.Duration(0)
-		if m.exact {
-			hop = ownerHop
+// Measure runs all scenarios with all methods.
+func Measure(o Options) Figures {
+	var f Figures
+	for _, s := range scenarios() {
+		for _, m := range methods() {
+			f.Scenarios = append(f.Scenarios, o.measure(s, m))
 		}
-		fmt.Fprintf(t, "%s\t%.1f\t%.1f\t%.1f\t%.0f\t%.2f\t%.2f\t%.2f\t%.0f\t\n", m.name,
-			millis(r.percentile(0.5)+hop), millis(r.percentile(0.99)+hop), millis(r.percentile(0.999)+hop),
-			float64(r.answers)/r.length.Seconds(),
-			r.perThousand(r.errors), r.perThousand(r.refused), r.perThousand(r.refusals), r.perThousand(r.crossings))
 	}
-	return t.Flush()
-}
-
-func printShedOrders(w io.Writer, seed uint64) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "\nshed order at load %.2f\n", overload)
-	fmt.Fprint(t, "order\tp50 ms\tp99 ms\tanswers/s\tnot run/1000\terrors/1000\t\n")
 	for _, order := range []admission.ShedOrder{admission.ShedNewest, admission.ShedOldest} {
-		r := newRun(scenario{load: overload, order: order}, methods()[0], seed)
-		r.execute()
-		fmt.Fprintf(t, "%s\t%.1f\t%.1f\t%.0f\t%.2f\t%.2f\t\n", order, millis(r.percentile(0.5)), millis(r.percentile(0.99)),
-			float64(r.answers)/r.length.Seconds(), r.perThousand(r.refused), r.perThousand(r.errors))
+		f.ShedOrders = append(f.ShedOrders, o.measure(scenario{name: string(order), load: overload, order: order}, methods()[0]))
+	}
+	for _, m := range []method{{name: "by region"}, {name: "ignoring regions", ignoreRegions: true}} {
+		f.Regions = append(f.Regions, o.measure(scenario{load: ordinaryLoad}, m))
 	}
-	return t.Flush()
+	return f
 }
 
-// bytesPerRequest is a request and its answer together.
-const bytesPerRequest = 4 << 10
-
-func printRegions(w io.Writer, seed uint64) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "\nbytes across regions (load %.2f, %d bytes a request)\n", ordinaryLoad, bytesPerRequest)
-	fmt.Fprint(t, "routing\tKB/1000 requests\tp50 ms\tp99 ms\t\n")
-	for _, m := range []method{{name: "by region"}, {name: "ignoring regions", ignoreRegions: true}} {
-		r := newRun(scenario{load: ordinaryLoad}, m, seed)
-		r.execute()
-		kilobytes := r.perThousand(r.crossings) * bytesPerRequest / 1000
-		fmt.Fprintf(t, "%s\t%.0f\t%.1f\t%.1f\t\n", m.name, kilobytes, millis(r.percentile(0.5)), millis(r.percentile(0.99)))
+func (o Options) measure(s scenario, m method) Row {
+	r := newRun(s, m, o.Seed)
+	r.warm, r.length = o.WarmUp, o.Length
+	r.execute()
+	hop := time.Duration(0)
+	if m.exact {
+		hop = ownerHop
+	}
+	return Row{
+		Scenario: s.name, Load: s.load, Method: m.name,
+		P50: r.percentile(0.5) + hop, P99: r.percentile(0.99) + hop, P999: r.percentile(0.999) + hop,
+		AnswersPerSecond: float64(r.answers) / r.length.Seconds(),
+		Errors:           r.perThousand(r.errors), NotRun: r.perThousand(r.refused),
+		Refusals: r.perThousand(r.refusals), Crossings: r.perThousand(r.crossings),
 	}
-	return t.Flush()
 }
 
 func (r *run) perThousand(n int) float64 { return 1000 * float64(n) / float64(max(1, r.arrivals)) }
-
-func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/bench/statebench/measure.go
+++ b/internal/bench/statebench/measure.go
@@ -21,32 +21,36 @@
 	workersExpired    = 20
 )
 
-// report is what was measured at one size.
-type report struct {
-	workers, tasks int
-	commands       []*cost
-	snapshot       snapshotCost
-	memory         []memoryCost
+// Report is what was measured at one size.
+type Report struct {
+	Workers, Tasks int
+	Commands       []*Cost
+	Snapshot       SnapshotCost
+	Memory         []MemoryCost
 }
 
-// cost is the cost of the commands of one kind.
-type cost struct {
-	kind           string
-	count, bytes   int
-	total, longest time.Duration
+// Cost is the cost of the commands of one kind.
+type Cost struct {
+	Kind           string
+	Count, Bytes   int // Bytes are those of all commands, encoded
+	Total, Longest time.Duration
 }
 
-// memoryCost is the memory that a number of equal things takes.
-type memoryCost struct {
-	kind     string
-	count    int
-	heap     int64
-	snapshot int
+// Mean returns the mean time of a command.
+func (c *Cost) Mean() time.Duration { return c.Total / time.Duration(max(c.Count, 1)) }
+
+// MemoryCost is the memory in bytes that a number of equal things takes.
+type MemoryCost struct {
+	Kind     string
+	Count    int
+	Heap     int64
+	Snapshot int
 }
 
-type snapshotCost struct {
-	copied, encoded, decoded, restored time.Duration
-	bytes                              int
+// SnapshotCost is the time of the steps of a snapshot and its size.
+type SnapshotCost struct {
+	Copied, Encoded, Decoded, Restored time.Duration
+	Bytes                              int
 }
 
 // bench fills a state and measures each step.
@@ -54,13 +58,13 @@
 	s      *state.State
 	index  uint64
 	now    time.Time
-	report report
+	report Report
 	failed error
 }
 
 // measure builds a cell of a number of workers and running tasks.
-func measure(workers, tasks int) (report, error) {
-	b := &bench{s: state.New(), now: time.Unix(0, 0).UTC(), report: report{workers: workers, tasks: tasks}}
+func measure(workers, tasks int) (Report, error) {
+	b := &bench{s: state.New(), now: time.Unix(0, 0).UTC(), report: Report{Workers: workers, Tasks: tasks}}
 	b.files()
 	b.grow("worker", workers, func() { b.registerWorkers(workers) })
 	b.grow("running task", tasks, func() { b.runTasks(workers, tasks) })
@@ -89,10 +93,10 @@
 		b.fail(kind, result.Detail)
 	}
 	entry := b.costOf(kind)
-	entry.count++
-	entry.bytes += len(data)
-	entry.total += took
-	entry.longest = max(entry.longest, took)
+	entry.Count++
+	entry.Bytes += len(data)
+	entry.Total += took
+	entry.Longest = max(entry.Longest, took)
 	return result
 }
 
@@ -102,14 +106,14 @@
 	}
 }
 
-func (b *bench) costOf(kind string) *cost {
-	for _, c := range b.report.commands {
-		if c.kind == kind {
+func (b *bench) costOf(kind string) *Cost {
+	for _, c := range b.report.Commands {
+		if c.Kind == kind {
 			return c
 		}
 	}
-	c := &cost{kind: kind}
-	b.report.commands = append(b.report.commands, c)
+	c := &Cost{Kind: kind}
+	b.report.Commands = append(b.report.Commands, c)
 	return c
 }
 
@@ -117,8 +121,8 @@
 func (b *bench) grow(kind string, count int, step func()) {
 	heap, encoded := heapBytes(), b.snapshotBytes()
 	step()
-	b.report.memory = append(b.report.memory, memoryCost{
-		kind: kind, count: count, heap: heapBytes() - heap, snapshot: b.snapshotBytes() - encoded,
+	b.report.Memory = append(b.report.Memory, MemoryCost{
+		Kind: kind, Count: count, Heap: heapBytes() - heap, Snapshot: b.snapshotBytes() - encoded,
 	})
 }
 
@@ -239,18 +243,18 @@
 	if _, err = state.Restore(read); err != nil {
 		b.fail("snapshot", err.Error())
 	}
-	b.report.snapshot = snapshotCost{
-		copied:   copied.Sub(started),
-		encoded:  encoded.Sub(copied),
-		decoded:  decoded.Sub(encoded),
-		restored: time.Since(decoded),
-		bytes:    len(data),
+	b.report.Snapshot = SnapshotCost{
+		Copied:   copied.Sub(started),
+		Encoded:  encoded.Sub(copied),
+		Decoded:  decoded.Sub(encoded),
+		Restored: time.Since(decoded),
+		Bytes:    len(data),
 	}
 }
 
 // rest measures the commands that take things away.
 func (b *bench) rest(workers int) {
-	for i := range min(jobsCancelled, b.report.tasks) {
+	for i := range min(jobsCancelled, b.report.Tasks) {
 		b.apply("cancel job", state.Command{CancelJob: &state.CancelJob{Job: cell.JobID(i + 1)}})
 	}
 	for i := range min(workersExpired, workers) {
--- a/internal/bench/statebench/run.go
+++ b/internal/bench/statebench/run.go
@@ -21,20 +21,38 @@
 	plannedWorkers = 900
 )
 
-// sizes are the numbers of workers that are measured: today's, the planned ones
-// and ten times those.
-var sizes = []int{50, 900, 10_000}
+// DefaultSizes returns the numbers of workers that are measured: today's, the
+// planned ones and ten times those.
+func DefaultSizes() []int { return []int{50, 900, 10_000} }
 
 // Run measures all sizes and prints one table for each kind of figure to out.
 func Run(out io.Writer) error {
-	reports := make([]report, 0, len(sizes))
-	for _, workers := range sizes {
-		r, err := measure(workers, workers*plannedTasks/plannedWorkers)
+	reports, err := Measure(DefaultSizes())
+	if err != nil {
+		return err
+	}
+	return reports.Print(out)
+}
+
+// Figures are the results of a run, one for each size.
+type Figures []Report
+
+// Measure measures the state at several numbers of workers.
+func Measure(workers []int) (Figures, error) {
+	reports := make(Figures, 0, len(workers))
+	for _, n := range workers {
+		r, err := measure(n, n*plannedTasks/plannedWorkers)
 		if err != nil {
-			return err
+			return reports, err
 		}
 		reports = append(reports, r)
 	}
+	return reports, nil
+}
+
+// Print writes one table for each kind of figure. It returns ErrRun where the
+// writer fails.
+func (reports Figures) Print(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	printCommands(table, reports)
 	printSnapshots(table, reports)
@@ -51,30 +69,30 @@
 	_, _ = fmt.Fprintf(table, format+"\t\n", args...)
 }
 
-func printCommands(table io.Writer, reports []report) {
+func printCommands(table io.Writer, reports []Report) {
 	row(table, "command\tworkers\ttasks\tcount\tmean us\tmax us\tencoded bytes")
 	for _, r := range reports {
-		for _, c := range r.commands {
-			row(table, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%d", c.kind, r.workers, r.tasks, c.count,
-				micros(c.total)/float64(c.count), micros(c.longest), c.bytes/c.count)
+		for _, c := range r.Commands {
+			row(table, "%s\t%d\t%d\t%d\t%.1f\t%.1f\t%d", c.Kind, r.Workers, r.Tasks, c.Count,
+				micros(c.Total)/float64(c.Count), micros(c.Longest), c.Bytes/c.Count)
 		}
 	}
 }
 
-func printSnapshots(table io.Writer, reports []report) {
+func printSnapshots(table io.Writer, reports []Report) {
 	row(table, "\nsnapshot\tworkers\ttasks\tcopy ms\tencode ms\tdecode ms\trestore ms\tbytes")
 	for _, r := range reports {
-		s := r.snapshot
-		row(table, "\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%d", r.workers, r.tasks, millis(s.copied), millis(s.encoded),
-			millis(s.decoded), millis(s.restored), s.bytes)
+		s := r.Snapshot
+		row(table, "\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%d", r.Workers, r.Tasks, millis(s.Copied), millis(s.Encoded),
+			millis(s.Decoded), millis(s.Restored), s.Bytes)
 	}
 }
 
-func printMemory(table io.Writer, reports []report) {
+func printMemory(table io.Writer, reports []Report) {
 	row(table, "\nmemory of one\tworkers\tcount\theap bytes\tsnapshot bytes")
 	for _, r := range reports {
-		for _, m := range r.memory {
-			row(table, "%s\t%d\t%d\t%d\t%d", m.kind, r.workers, m.count, m.heap/int64(m.count), m.snapshot/m.count)
+		for _, m := range r.Memory {
+			row(table, "%s\t%d\t%d\t%d\t%d", m.Kind, r.Workers, m.Count, m.Heap/int64(m.Count), m.Snapshot/m.Count)
 		}
 	}
 }
--- a/internal/bench/statebench/run_test.go
+++ b/internal/bench/statebench/run_test.go
@@ -13,9 +13,9 @@
 		t.Fatal(err)
 	}
 	var out strings.Builder
-	printCommands(&out, []report{r})
-	printSnapshots(&out, []report{r})
-	printMemory(&out, []report{r})
+	printCommands(&out, []Report{r})
+	printSnapshots(&out, []Report{r})
+	printMemory(&out, []Report{r})
 	for _, want := range []string{"commit plan", "expire worker", "running task", "request record"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("the tables have no %q:\n%s", want, out.String())
