Make the report's pictures legible

Outlined dots, sparse ticks of linear axes and equal values of several methods were hard to read, and the plotting library left a gap above log axes, because it places the y label at the mean of the axis's ends.

--- a/internal/bench/report/axes.go
+++ b/internal/bench/report/axes.go
@@ -22,14 +22,39 @@
 		if axis.Max <= axis.Min {
 			axis.Max = axis.Min + 1
 		}
+		axis.Tick.Marker = linearTicks{}
 		return
 	}
-	const room = 1.25 // beyond the outermost points
+	const room = 1.25      // beyond the outermost points
+	const leastRange = 4.0 // of the axis, so that it has labels
 	axis.Min, axis.Max = low/room, high*room
+	if missing := leastRange / (axis.Max / axis.Min); missing > 1 {
+		axis.Min, axis.Max = axis.Min/math.Sqrt(missing), axis.Max*math.Sqrt(missing)
+	}
 	axis.Scale = plot.LogScale{}
 	axis.Tick.Marker = logTicks{}
 }
 
+// linearTicks labels round values in plain numbers.
+type linearTicks struct{}
+
+// Ticks implements plot.Ticker.
+func (linearTicks) Ticks(low, high float64) []plot.Tick {
+	const least = 4 // ticks over the whole range
+	step := math.Pow(10, math.Floor(math.Log10((high-low)/least)))
+	for _, factor := range []float64{5, 2} {
+		if (high-low)/(factor*step) >= least {
+			step *= factor
+			break
+		}
+	}
+	var ticks []plot.Tick
+	for i := math.Ceil(low / step); i*step <= high; i++ {
+		ticks = append(ticks, plot.Tick{Value: i * step, Label: number(i * step)})
+	}
+	return ticks
+}
+
 // logTicks labels 1, 2 and 5 of each decade, or only 1 over many decades, in
 // plain numbers.
 type logTicks struct{}
--- a/internal/bench/report/charts.go
+++ b/internal/bench/report/charts.go
@@ -97,7 +97,7 @@
 func logCharts(f logbench.Figures) []chart {
 	rate, delay := commitPair("log", "replicated log, virtual clock")
 	for _, r := range f.Rows {
-		name := fmt.Sprintf("%s, %v one way", r.Mode, r.Delay)
+		name := fmt.Sprintf("%s, %d ms one way", r.Mode, r.Delay.Milliseconds())
 		rate.add(name, float64(r.InFlight), r.PerSecond)
 		delay.add(name, float64(r.InFlight), millis(r.P99))
 	}
--- a/internal/bench/report/csv.go
+++ b/internal/bench/report/csv.go
@@ -12,7 +12,7 @@
 	table    string // of the benchmark
 	scenario string
 	variant  string // method, policy, version
-	size     int    // workers or proposals in flight; 0 where it has no meaning
+	size     int    // workers, proposals in flight, or the seed of a policy; 0 for none
 	figure   string
 	unit     string
 	value    float64
