--- a/internal/bench/logbench/run.go
+++ b/internal/bench/logbench/run.go
@@ -18,32 +18,85 @@
 func Run(out io.Writer) error { return run(out, measuredTime, losses) }
 
 func run(out io.Writer, period time.Duration, losses int) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	if _, err := fmt.Fprintf(out, "replicated log, %d voters, sync %v, virtual clock, %v per row\n", voters, syncTime, period); err != nil {
+	f, err := Measure(Options{Period: period, Losses: losses})
+	if err != nil {
 		return err
 	}
-	fmt.Fprintln(table, "one-way\tin flight\tappends\tcommits/s\tp50\tp99\t")
+	return f.Print(out)
+}
+
+// Options are the sizes of a measurement.
+type Options struct {
+	Period time.Duration // virtual time of one row
+	Losses int           // of the leader, of each kind
+}
+
+// DefaultOptions returns the sizes of the published measurement.
+func DefaultOptions() Options { return Options{Period: measuredTime, Losses: losses} }
+
+// Figures are the results of a run.
+type Figures struct {
+	Options   Options
+	Rows      []Row
+	Failovers []LossFailover
+}
+
+// LossFailover is the failover after one kind of loss.
+type LossFailover struct {
+	Loss Loss
+	Failover
+}
+
+// Row is the measurement of one configuration.
+type Row struct {
+	Delay    time.Duration // one way, between replicas
+	InFlight int           // proposals
+	Mode     string
+	CommitRow
+}
+
+// Measure measures all configurations. Its error says that a group did not
+// work.
+func Measure(o Options) (Figures, error) {
+	f := Figures{Options: o}
 	for _, delay := range []time.Duration{0, time.Millisecond, 8 * time.Millisecond} {
 		for _, inFlight := range []int{1, 16, 256} {
 			for _, mode := range []Mode{Pipelined, OneByOne} {
-				row, err := Commits(mode, delay, inFlight, period)
+				row, err := Commits(mode, delay, inFlight, o.Period)
 				if err != nil {
-					return err
+					return f, err
 				}
-				fmt.Fprintf(table, "%v\t%d\t%s\t%.0f\t%v\t%v\t\n", delay, inFlight, mode.Name, row.PerSecond, row.P50, row.P99)
+				f.Rows = append(f.Rows, Row{Delay: delay, InFlight: inFlight, Mode: mode.Name, CommitRow: row})
 			}
 		}
 	}
-	if err := table.Flush(); err != nil {
-		return err
-	}
 	for _, loss := range []Loss{LeaderKilled, LeaderCutOff} {
-		failover, err := Failovers(loss, losses)
+		failover, err := Failovers(loss, o.Losses)
 		if err != nil {
-			return err
+			return f, err
 		}
-		_, err = fmt.Fprintf(out, "leader %s to next commit, %v one way, %d times: median %v, worst %v (targets %v, %v)\n",
-			loss, failoverDelay, losses, failover.Median, failover.Worst, MedianTarget, WorstTarget)
+		f.Failovers = append(f.Failovers, LossFailover{Loss: loss, Failover: failover})
+	}
+	return f, nil
+}
+
+// Print writes the figures as a table and a line. Its error is that of the
+// writer.
+func (f Figures) Print(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	if _, err := fmt.Fprintf(out, "replicated log, %d voters, sync %v, virtual clock, %v per row\n", voters, syncTime, f.Options.Period); err != nil {
+		return err
+	}
+	fmt.Fprintln(table, "one-way\tin flight\tappends\tcommits/s\tp50\tp99\t")
+	for _, r := range f.Rows {
+		fmt.Fprintf(table, "%v\t%d\t%s\t%.0f\t%v\t%v\t\n", r.Delay, r.InFlight, r.Mode, r.PerSecond, r.P50, r.P99)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, failover := range f.Failovers {
+		_, err := fmt.Fprintf(out, "leader %s to next commit, %v one way, %d times: median %v, worst %v (targets %v, %v)\n",
+			failover.Loss, failoverDelay, f.Options.Losses, failover.Median, failover.Worst, MedianTarget, WorstTarget)
 		if err != nil {
 			return err
 		}
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -10,7 +10,9 @@
 	"github.com/godwitlink/godwitlink/internal/metrics"
 
 	// Every package that declares events or metrics.
+	_ "github.com/godwitlink/godwitlink/internal/backendserver"
 	_ "github.com/godwitlink/godwitlink/internal/controlclient"
+	_ "github.com/godwitlink/godwitlink/internal/controlproc"
 	_ "github.com/godwitlink/godwitlink/internal/entry"
 	_ "github.com/godwitlink/godwitlink/internal/replica"
 	_ "github.com/godwitlink/godwitlink/internal/workeragent"
