--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$' | grep -v '\.twirp\.go$$')
 
-.PHONY: all build test lint demo fuzz soak planted bench capacity
+.PHONY: all build test lint demo fuzz soak planted bench capacity report
 
 all: build
 
@@ -50,6 +50,10 @@
 bench: build
 	for b in placement policy routing proxy log commit state; do echo "== $$b"; bin/godwit-bench $$b || exit 1; done
 
+# One HTML page with plots and the raw numbers as CSV files, in out/report.
+report: build
+	bin/godwit-bench report --out out/report
+
 # Slopes of the cost of control over the number of workers (docs/CAPACITY.md).
 capacity: build
 	bin/godwit-bench control
--- a/core/agent/agent.go
+++ b/core/agent/agent.go
@@ -15,6 +15,10 @@
 // against the lease, so that a worker tries many entry processes within it.
 const retryInterval = 200 * time.Millisecond
 
+// refusedInterval is the wait of a worker that is not admitted. Each try is a
+// command in the log, and only a new cell file changes the answer.
+const refusedInterval = 10 * time.Second
+
 // taskState is the state of a task on this worker.
 type taskState uint8
 
@@ -95,6 +99,7 @@
 		return
 	case answer.Refused:
 		a.refused = true
+		a.nextSync = now.Monotonic + refusedInterval
 		return
 	case answer.EpochEnded:
 		a.epochEnded(answer.Epoch)
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -95,6 +97,10 @@
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
 	})
+	if errors.Is(err, ErrOutcomeUnknown) {
+		// A read changes nothing, so its outcome is never in doubt.
+		err = merry.Wrap(ErrUnavailable, merry.AppendMessage(err.Error()))
+	}
 	if err != nil {
 		return state.Answer{}, err
 	}
@@ -199,6 +205,9 @@
 const leaderMeta = "leader"
 
 func classify(err error) failure {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return failure{reason: "refused-connection"}
+	}
 	twirpErr, ok := err.(twirp.Error)
 	if !ok {
 		return failure{reason: "transport", maybeAccepted: true}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -35,6 +35,11 @@
 	return &rpcpb.ProposeResponse{Result: result}, err
 }
 
+// Read fails as Propose does.
+func (f *fakeReplica) Read(context.Context, *rpcpb.ReadRequest) (*rpcpb.ReadResponse, error) {
+	return nil, f.err()
+}
+
 // Feed waits until its caller gives up.
 func (f *fakeReplica) Feed(ctx context.Context, _ *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
 	f.calls.Add(1)
@@ -110,6 +115,27 @@
 	}
 }
 
+// Guards against a read or a command that found no replica running and is
+// reported as perhaps carried out.
+func TestNobodyThere(t *testing.T) {
+	closed := httptest.NewServer(nil)
+	address := strings.TrimPrefix(closed.URL, "http://")
+	closed.Close()
+	client := newClient(t, address)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := client.Propose(ctx, state.Command{Advance: &state.Advance{}}); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("Propose: %v", err)
+	}
+	broken := newClient(t, serve(t, &fakeReplica{err: func() error { return twirp.InternalError("lost") }}))
+	ctx, cancel = context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := broken.Read(ctx, state.Query{Status: &state.StatusQuery{}})
+	if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("Read: %v", err)
+	}
+}
+
 // Guards against a lost answer that is reported as not accepted.
 func TestLostAnswerIsUnknown(t *testing.T) {
 	broken := &fakeReplica{err: func() error { return twirp.InternalError("lost") }}
--- a/internal/tlskeys/config.go
+++ b/internal/tlskeys/config.go
@@ -16,7 +16,9 @@
 	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS12,
-		NextProtos: []string{"h2", "http/1.1"},
+		// The limits on callers' connections hide the TLS connection from
+		// net/http, which then cannot answer HTTP/2.
+		NextProtos: []string{"http/1.1"},
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 			return k.current.Load().certificate, nil
 		},
--- a/test/e2e/tls_test.go
+++ b/test/e2e/tls_test.go
@@ -136,5 +136,16 @@
 			}
 		}
 	}
+	// A caller that prefers HTTP/2 got no answer at all: the listener offered it
+	// although the connection limits hide the TLS connection from net/http.
+	eager := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
+		TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, ForceAttemptHTTP2: true,
+	}}
+	response, err := eager.Get("https://" + c.entries[0].callers + "/nowhere")
+	if err != nil {
+		t.Errorf("a caller with HTTP/2: %v", err)
+	} else {
+		response.Body.Close()
+	}
 	c.stopAll(t)
 }
