Keep request records when a leader's clock is far ahead; share common settings

Cause: records of requests and keys of jobs were dropped by the leader's wall clock. A leader whose clock is a month ahead dropped them all at once, and a repeated fee could run twice. The settings of four programs repeated their four common keys and checks. Change: retention counts the time between two Advances, at most 10 s each; strictconf takes embedded structs and settings.Common is used. Checked: TestClockFarAheadKeepsRecords, which fails with the bound raised; tests of core/state, strictconf, settings users; make lint.

--- a/core/state/bounds_test.go
+++ b/core/state/bounds_test.go
@@ -56,3 +56,39 @@
 		t.Errorf("a request above the limit: %+v", result)
 	}
 }
+
+// Guards against a leader whose wall clock is far ahead: the records that keep
+// requests from running twice must not be dropped at once.
+func TestClockFarAheadKeepsRecords(t *testing.T) {
+	defer func(limit time.Duration) { retentionStepLimit = limit }(retentionStepLimit)
+	retentionStepLimit = MaxRetentionStep
+	s := New()
+	index := uint64(0)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	apply := func(c Command) Result {
+		index++
+		c.At = now
+		result, _ := s.Apply(index, c)
+		return result
+	}
+	apply(Command{Advance: &Advance{}})
+	apply(Command{JoinMember: &JoinMember{Member: Member{Name: "e", Incarnation: 1}}})
+	begin := &BeginRequest{Key: RequestKey{Key: "k"}, Entry: "e", Incarnation: 1, Attempt: 1, Retention: time.Hour}
+	apply(Command{BeginRequest: begin})
+	apply(Command{FinishRequest: &FinishRequest{Key: begin.Key, Entry: "e", Attempt: 1, Outcome: OutcomeDone}})
+	for _, ahead := range []time.Duration{30 * 24 * time.Hour, time.Second, -30 * 24 * time.Hour, time.Second} {
+		now = now.Add(ahead)
+		apply(Command{Advance: &Advance{}})
+	}
+	begin.Attempt = 2
+	if got := apply(Command{BeginRequest: begin}); got.Request == nil || got.Request.Dispatch {
+		t.Errorf("a repeat after the clock was wrong: %+v", got)
+	}
+	for range int(time.Hour/MaxRetentionStep) + 1 {
+		now = now.Add(MaxRetentionStep)
+		apply(Command{Advance: &Advance{}})
+	}
+	if kept := len(s.requests); kept != 0 {
+		t.Errorf("%d records are kept after their retention", kept)
+	}
+}
--- a/core/state/job.go
+++ b/core/state/job.go
@@ -15,7 +15,7 @@
 	kind        cell.PolicyKind // of its policy; it cannot change while the job lives
 	state       cell.JobState
 	submittedAt time.Time
-	endedAt     time.Time
+	endedAt     time.Time // by the clock of retention
 	tasks       []task
 	active      int       // tasks that have an allocation
 	open        int       // tasks that are not in a terminal state
@@ -87,7 +87,7 @@
 // retain starts the retention of a job that has ended and holds nothing.
 func (s *State) retain(j *job) {
 	if j.state.Terminal() && j.active == 0 {
-		j.endedAt = s.now
+		j.endedAt = s.retained
 		s.ended = append(s.ended, j.id)
 	}
 }
--- a/core/state/random_test.go
+++ b/core/state/random_test.go
@@ -4,8 +4,11 @@
 	"flag"
 	"os"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/godwitlink/godwitlink/core/state"
 )
 
 // TestMain fixes the seed and the length of the randomised runs, unless they are
@@ -13,6 +16,7 @@
 // attempts.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	state.SetRetentionStepLimit(30 * 24 * time.Hour)
 	given := map[string]bool{}
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.steps": "100", "rapid.nofailfile": "true"} {
--- a/core/state/request.go
+++ b/core/state/request.go
@@ -22,7 +22,7 @@
 	retention   time.Duration
 	answer      *StoredAnswer
 	answerID    uint64    // log index of the finish; 0 where no answer is kept
-	dropAt      time.Time // zero while the record is running
+	dropAt      time.Time // by the clock of retention; zero while the record is running
 	released    []uint64  // attempts that ended as not run, oldest first
 	granted     uint64    // attempt that may have been dispatched; 0 for none
 }
@@ -179,7 +179,7 @@
 		delete(s.owned, r.entry)
 	}
 	r.state = next
-	r.dropAt = s.now.Add(r.retention)
+	r.dropAt = s.retained.Add(r.retention)
 	heap.Push(&s.dropping, drop{at: r.dropAt, key: r.key})
 }
 
@@ -243,7 +243,7 @@
 // dropRequests drops records past their retention. An entry of the heap that
 // does not match its record belongs to an earlier outcome.
 func (s *State) dropRequests() {
-	for len(s.dropping) > 0 && !s.now.Before(s.dropping[0].at) {
+	for len(s.dropping) > 0 && !s.retained.Before(s.dropping[0].at) {
 		next := heap.Pop(&s.dropping).(drop)
 		r := s.requests[next.key]
 		if r != nil && r.state != RequestRunning && r.dropAt.Equal(next.at) {
--- a/core/state/restore.go
+++ b/core/state/restore.go
@@ -27,6 +27,8 @@
 	s := New()
 	s.index = snapshot.Index
 	s.now = snapshot.Now.UTC()
+	s.retained = snapshot.Retained.UTC()
+	s.lastAdvance = snapshot.LastAdvance.UTC()
 	s.nextJob = snapshot.NextJob
 	s.nextAllocation = snapshot.NextAllocation
 	s.lastEpoch = snapshot.LastEpoch
--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -33,8 +33,28 @@
 	MaxLeftMembers = 1000
 )
 
+// MaxRetentionStep bounds by how much one Advance moves the clock of
+// retention. The leader sends one a second, so the clock keeps up after a pause,
+// while a leader whose wall clock is far ahead cannot drop records of requests
+// at once: their requests could run twice.
+const MaxRetentionStep = 10 * time.Second
+
+// retentionStepLimit is MaxRetentionStep. The randomised tests of this package
+// raise it, because days pass between two of their Advances.
+var retentionStepLimit = MaxRetentionStep
+
+// advanceRetention moves the clock of retention by the time between two
+// Advances. It counts from the zero time and stands still without a leader.
+func (s *State) advanceRetention(at time.Time) {
+	at = at.Round(0).UTC()
+	step := min(max(at.Sub(s.lastAdvance), 0), retentionStepLimit)
+	s.retained = s.retained.Add(step)
+	s.lastAdvance = at
+}
+
 // advance drops what is past its retention.
-func (s *State) advance() {
+func (s *State) advance(at time.Time) {
+	s.advanceRetention(at)
 	s.dropJobs()
 	s.dropRequests()
 	s.dropWorkers()
@@ -45,7 +65,7 @@
 func (s *State) dropJobs() {
 	for len(s.ended) > 0 {
 		j := s.jobs[s.ended[0]]
-		expired := !s.now.Before(j.endedAt.Add(EndedJobRetention))
+		expired := !s.retained.Before(j.endedAt.Add(EndedJobRetention))
 		if !expired && len(s.ended) <= MaxEndedJobs {
 			return
 		}
@@ -58,7 +78,7 @@
 func (s *State) dropWorkers() {
 	for name, w := range s.workers {
 		idle := !w.registered && len(w.allocations) == 0
-		if idle && !s.now.Before(w.endedAt.Add(WorkerRetention)) {
+		if idle && !s.retained.Before(w.endedAt.Add(WorkerRetention)) {
 			delete(s.workers, name)
 		}
 	}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -13,6 +13,8 @@
 type Snapshot struct {
 	Index          uint64
 	Now            time.Time
+	Retained       time.Time // clock of retention
+	LastAdvance    time.Time
 	NextJob        cell.JobID        // last id that was given
 	NextAllocation cell.AllocationID // last id that was given
 	LastEpoch      cell.Epoch
@@ -89,6 +91,8 @@
 	return Snapshot{
 		Index:          s.index,
 		Now:            s.now,
+		Retained:       s.retained,
+		LastAdvance:    s.lastAdvance,
 		NextJob:        s.nextJob,
 		NextAllocation: s.nextAllocation,
 		LastEpoch:      s.lastEpoch,
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -10,8 +10,10 @@
 // task; its methods are not safe for concurrent use. No result, event or
 // snapshot depends on the order of iteration over a map.
 type State struct {
-	index uint64    // log index of the last command
-	now   time.Time // largest time of a command
+	index       uint64    // log index of the last command
+	now         time.Time // largest time of a command
+	retained    time.Time // clock of retention, see advanceRetention
+	lastAdvance time.Time // At of the last Advance
 
 	config  *config        // in force; nil before the first file
 	records []ConfigRecord // accepted files, oldest first
@@ -76,6 +78,9 @@
 // behind that of its predecessor does not move the time back.
 func (s *State) advanceClock(at time.Time) {
 	at = at.Round(0).UTC()
+	if s.lastAdvance.IsZero() {
+		s.lastAdvance = at // the clock of retention starts with the first command
+	}
 	if at.After(s.now) {
 		s.now = at
 	}
@@ -111,7 +116,7 @@
 	case c.LeaveMember != nil:
 		return s.leaveMember(*c.LeaveMember)
 	default:
-		s.advance()
+		s.advance(c.At)
 		return Result{}
 	}
 }
--- a/core/state/worker.go
+++ b/core/state/worker.go
@@ -12,8 +12,8 @@
 type worker struct {
 	info        cell.Worker
 	epoch       cell.Epoch
-	registered  bool // the epoch has not ended
-	endedAt     time.Time
+	registered  bool      // the epoch has not ended
+	endedAt     time.Time // by the clock of retention
 	reserved    cell.Resources
 	allocations []*allocation // by id
 	version     uint64        // log index of the last change
@@ -195,7 +195,7 @@
 	wasRegistered := w.registered
 	if wasRegistered {
 		w.registered = false
-		w.endedAt = s.now
+		w.endedAt = s.retained
 		w.version = s.index
 	}
 	s.endAllocations(w, which)
--- a/core/strictconf/decode.go
+++ b/core/strictconf/decode.go
@@ -60,8 +60,20 @@
 		return
 	}
 	known := map[string]bool{}
+	d.fields(path, n, into, known)
+	d.unknownKeys(path, n, known)
+}
+
+// fields fills the fields of a struct and notes their names in known. An
+// embedded struct without a tag adds its fields to those of the outer one.
+func (d *decoder) fields(path string, n *node, into reflect.Value, known map[string]bool) {
 	for i := range into.NumField() {
-		name, optional, ok := fieldTag(into.Type().Field(i))
+		field := into.Type().Field(i)
+		name, optional, ok := fieldTag(field)
+		if !ok && field.Anonymous && field.Type.Kind() == reflect.Struct {
+			d.fields(path, n, into.Field(i), known)
+			continue
+		}
 		if !ok {
 			continue
 		}
@@ -75,7 +87,6 @@
 		}
 		d.value(join(path, name), child, into.Field(i))
 	}
-	d.unknownKeys(path, n, known)
 }
 
 func (d *decoder) unknownKeys(path string, n *node, known map[string]bool) {
--- a/core/strictconf/doc.go
+++ b/core/strictconf/doc.go
@@ -7,5 +7,6 @@
 // (`toml:"reason,optional"`) lets a field be absent. Supported field types are
 // bool, string, int, int64, uint64, float64, time.Duration (a string with a
 // unit, such as "500ms"), Bytes (a string with a unit, such as "64KiB"), slices
-// of these, structs and slices of structs, and named types of these kinds.
+// of these, structs and slices of structs, and named types of these kinds. The
+// fields of an embedded struct without a tag belong to the outer table.
 package strictconf
--- a/internal/backendserver/settings.go
+++ b/internal/backendserver/settings.go
@@ -10,10 +10,7 @@
 
 // Settings are the settings of a stand-in.
 type Settings struct {
-	Name             string        `toml:"name"`
-	Region           string        `toml:"region"`
-	FailureDomain    string        `toml:"failure_domain"`
-	LogLevel         string        `toml:"log_level"`
+	settings.Common
 	Service          string        `toml:"service"`
 	Listen           string        `toml:"listen"`       // requests
 	ListenDebug      string        `toml:"listen_debug"` // GET /debug/runs
@@ -40,11 +37,8 @@
 
 // Check implements settings.Checker.
 func (s *Settings) Check() strictconf.Faults {
-	faults := settings.CheckNotEmpty("name", s.Name)
-	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
-	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
+	faults := s.Common.Check()
 	faults = append(faults, settings.CheckNotEmpty("service", s.Service)...)
-	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
 	faults = append(faults, settings.CheckAddress("listen", s.Listen)...)
 	faults = append(faults, settings.CheckAddress("listen_debug", s.ListenDebug)...)
 	for i, entry := range s.Entries {
--- a/internal/bench/controlbench/cell.go
+++ b/internal/bench/controlbench/cell.go
@@ -124,6 +124,10 @@
 	return err
 }
 
+func common(name string) settings.Common {
+	return settings.Common{Name: name, Region: "r1", FailureDomain: "r1-a", LogLevel: "error"}
+}
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -149,7 +153,7 @@
 			addresses[k] = address
 		}
 		process, err := entry.New(entry.Settings{
-			Name: fmt.Sprintf("entry-%d", i+1), Region: "r1", FailureDomain: "r1-a", LogLevel: "error",
+			Common:        common(fmt.Sprintf("entry-%d", i+1)),
 			ListenCallers: addresses[0], ListenPlatform: addresses[1], ListenInternal: addresses[2], ListenMetrics: addresses[3],
 			ListenOperators: addresses[4], MaxConnections: 1000,
 			CallersTLS: plain, OperatorsTLS: plain, InternalTLS: plain,
@@ -179,8 +183,8 @@
 		entries = append(entries, platform[(i+k)%len(platform)])
 	}
 	worker := workeragent.New(workeragent.Settings{
-		Name: fmt.Sprintf("worker-%d", i), Region: "r1", FailureDomain: "r1-a", LogLevel: "error",
-		Rack: fmt.Sprintf("rack-%d", i/8), Pool: "general", CPUs: 64, Memory: 128 * strictconf.Bytes(1<<30),
+		Common: common(fmt.Sprintf("worker-%d", i)),
+		Rack:   fmt.Sprintf("rack-%d", i/8), Pool: "general", CPUs: 64, Memory: 128 * strictconf.Bytes(1<<30),
 		Entries: entries, ListenDebug: "127.0.0.1:0",
 	}, workeragent.Hooks{Dial: c.dial, Answered: func(answer agent.Answer) { c.answered(i, answer) }}, eventlog.Nop())
 	kill, cancel := context.WithCancel(context.Background())
--- a/internal/bench/policybench/simulation.go
+++ b/internal/bench/policybench/simulation.go
@@ -22,9 +22,9 @@
 	usageDelay   = 30 * time.Second // of the report of usage
 	planLimit    = 256
 	maxAttempts  = 5
-	// patience is how long a task waits before it counts as waiting for the
+	// waitThreshold is how long a task waits before it counts as waiting for the
 	// figures of packing and shares.
-	patience = 10 * time.Second
+	waitThreshold = 10 * time.Second
 )
 
 var start = time.Unix(1_800_000_000, 0)
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -38,7 +38,7 @@
 	// firstBackoff and maxBackoff bound the wait between two attempts. An
 	// election takes 0.4 to 0.8 s, so the wait stays well below it.
 	firstBackoff = 10 * time.Millisecond
-	maxBackoff   = 200 * time.Millisecond
+	maxBackoff   = 50 * time.Millisecond
 	// attemptTimeout bounds one attempt, so that a replica that is cut off
 	// silently does not use up the whole deadline of the call. A commit over
 	// 8 ms one way and a slow disk takes well under 100 ms.
--- a/internal/controlproc/settings.go
+++ b/internal/controlproc/settings.go
@@ -13,10 +13,7 @@
 
 // Settings of godwit-control (docs/design.md, section 8).
 type Settings struct {
-	Name          string `toml:"name"`
-	Region        string `toml:"region"`
-	FailureDomain string `toml:"failure_domain"`
-	LogLevel      string `toml:"log_level"`
+	settings.Common
 
 	ListenInternal string `toml:"listen_internal"` // twirp
 	ListenMetrics  string `toml:"listen_metrics"`
@@ -56,12 +53,8 @@
 
 // Check implements settings.Checker.
 func (s *Settings) Check() strictconf.Faults {
-	var faults strictconf.Faults
-	faults = append(faults, settings.CheckNotEmpty("name", s.Name)...)
-	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
-	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
+	faults := s.Common.Check()
 	faults = append(faults, settings.CheckNotEmpty("data_dir", s.DataDir)...)
-	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
 	faults = append(faults, settings.CheckAddress("listen_internal", s.ListenInternal)...)
 	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
 	faults = append(faults, s.InternalTLS.Check("internal_tls", settings.TLSPlain, settings.TLSMutual)...)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -10,10 +10,7 @@
 
 // Settings of an entry process (docs/design.md, section 8).
 type Settings struct {
-	Name             string        `toml:"name"`
-	Region           string        `toml:"region"`
-	FailureDomain    string        `toml:"failure_domain"`
-	LogLevel         string        `toml:"log_level"`
+	settings.Common
 	ListenCallers    string        `toml:"listen_callers"`
 	ListenOperators  string        `toml:"listen_operators"`
 	ListenPlatform   string        `toml:"listen_platform"` // workers, backend servers
@@ -30,10 +27,7 @@
 
 // Check implements settings.Checker.
 func (s *Settings) Check() strictconf.Faults {
-	faults := settings.CheckNotEmpty("name", s.Name)
-	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
-	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
-	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
+	faults := s.Common.Check()
 	faults = append(faults, settings.CheckAddress("listen_callers", s.ListenCallers)...)
 	faults = append(faults, settings.CheckAddress("listen_operators", s.ListenOperators)...)
 	faults = append(faults, settings.CheckAddress("listen_platform", s.ListenPlatform)...)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+	"github.com/godwitlink/godwitlink/internal/settings"
 )
 
 // fakeLog is the control group as one replica without a log: the replicated
@@ -178,7 +179,9 @@
 		entries = c.entries
 	}
 	p := backendserver.Settings{
-		Name: fmt.Sprintf("backend-%d", len(c.servers)), Region: "quito-norte", FailureDomain: "quito-norte-1",
+		Common: settings.Common{
+			Name: fmt.Sprintf("backend-%d", len(c.servers)), Region: "quito-norte", FailureDomain: "quito-norte-1",
+		},
 		Service: "turnos", Listen: "127.0.0.1:0", ListenDebug: "127.0.0.1:0", Slots: 8, Connections: 60,
 		AnnounceInterval: 100 * time.Millisecond, AnnounceLease: 2 * time.Second,
 		Faults: faults,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,14 @@
 	LogLevel      string `toml:"log_level"`
 }
 
+// Check returns the faults of the common settings.
+func (c Common) Check() strictconf.Faults {
+	faults := CheckNotEmpty("name", c.Name)
+	faults = append(faults, CheckNotEmpty("region", c.Region)...)
+	faults = append(faults, CheckNotEmpty("failure_domain", c.FailureDomain)...)
+	return append(faults, CheckLogLevel("log_level", c.LogLevel)...)
+}
+
 // CheckAddress returns a fault where address is not an IP address and port.
 func CheckAddress(key, address string) strictconf.Faults {
 	if _, err := netip.ParseAddrPort(address); err != nil {
--- a/internal/workeragent/settings.go
+++ b/internal/workeragent/settings.go
@@ -10,27 +10,21 @@
 
 // Settings of the worker stand-in.
 type Settings struct {
-	Name          string           `toml:"name"`
-	Region        string           `toml:"region"`
-	FailureDomain string           `toml:"failure_domain"`
-	LogLevel      string           `toml:"log_level"`
-	Rack          string           `toml:"rack"`
-	Pool          string           `toml:"pool"`
-	CPUs          float64          `toml:"cpus"` // cores
-	Memory        strictconf.Bytes `toml:"memory"`
-	Accelerators  int64            `toml:"accelerators"`
-	Entries       []string         `toml:"entries"`      // platform addresses of entry processes
-	ListenDebug   string           `toml:"listen_debug"` // answers what ran here, for tests
+	settings.Common
+	Rack         string           `toml:"rack"`
+	Pool         string           `toml:"pool"`
+	CPUs         float64          `toml:"cpus"` // cores
+	Memory       strictconf.Bytes `toml:"memory"`
+	Accelerators int64            `toml:"accelerators"`
+	Entries      []string         `toml:"entries"`      // platform addresses of entry processes
+	ListenDebug  string           `toml:"listen_debug"` // answers what ran here, for tests
 }
 
 // Check implements settings.Checker.
 func (s *Settings) Check() strictconf.Faults {
-	faults := settings.CheckNotEmpty("name", s.Name)
-	faults = append(faults, settings.CheckNotEmpty("region", s.Region)...)
-	faults = append(faults, settings.CheckNotEmpty("failure_domain", s.FailureDomain)...)
+	faults := s.Common.Check()
 	faults = append(faults, settings.CheckNotEmpty("rack", s.Rack)...)
 	faults = append(faults, settings.CheckNotEmpty("pool", s.Pool)...)
-	faults = append(faults, settings.CheckLogLevel("log_level", s.LogLevel)...)
 	faults = append(faults, settings.CheckAddress("listen_debug", s.ListenDebug)...)
 	if s.CPUs <= 0 {
 		faults = append(faults, strictconf.Fault{Key: "cpus", Problem: "is not positive", Expected: "a number of cores"})
