Measure the start of urgent jobs in the control benchmark

Cause: the time from an urgent submission until a worker is told to run it was known on a virtual clock only.

--- a/internal/bench/controlbench/cell.go
+++ b/internal/bench/controlbench/cell.go
@@ -37,15 +37,17 @@
 
 // testCell is the processes of one measurement.
 type testCell struct {
-	folder  string
-	group   *localgroup.Group
-	workers int
-	answers chan workerAnswer // newest terms of each worker
-	bytes   atomic.Int64      // on all connections of the workers
-	stops   []context.CancelFunc
-	ended   chan struct{} // one message for each entry process and worker
-	running int
-	down    []context.CancelFunc // of the entry processes
+	folder      string
+	group       *localgroup.Group
+	workers     int
+	answers     chan workerAnswer // newest terms of each worker
+	bytes       atomic.Int64      // on all connections of the workers
+	assignments chan assignment   // of urgent jobs
+	firstUrgent atomic.Uint64     // lowest id of an urgent job; 0 before there are any
+	stops       []context.CancelFunc
+	ended       chan struct{} // one message for each entry process and worker
+	running     int
+	down        []context.CancelFunc // of the entry processes
 }
 
 // workerAnswer is what a worker was told.
@@ -65,8 +67,9 @@
 	}
 	c := &testCell{
 		folder: folder, group: group, workers: workers,
-		answers: make(chan workerAnswer, 4*workers),
-		ended:   make(chan struct{}, entryProcesses+workers),
+		answers:     make(chan workerAnswer, 4*workers),
+		assignments: make(chan assignment, urgentJobs*urgentJobs),
+		ended:       make(chan struct{}, entryProcesses+workers),
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
@@ -197,6 +200,7 @@
 }
 
 func (c *testCell) answered(worker int, answer agent.Answer) {
+	c.noteAssignments(answer)
 	if !answer.Granted {
 		return
 	}
--- a/internal/bench/controlbench/run.go
+++ b/internal/bench/controlbench/run.go
@@ -36,6 +36,10 @@
 	Single     time.Duration // until a change is in force everywhere
 	Burst      time.Duration // until the last of many changes is
 	AfterKills time.Duration // as Single, with processes down
+
+	// UrgentMedian and UrgentWorst are times from the submission of an urgent job
+	// on a cell that was filled up until its worker is told to run it.
+	UrgentMedian, UrgentWorst time.Duration
 }
 
 // Figures are the results of a run, ascending by the number of workers.
@@ -67,10 +71,11 @@
 // writer.
 func (points Figures) Print(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "workers\tbytes/s a worker\tprocess CPU %\tprocess MB\tone change s\tburst s\tchange with 2 control, 2 entry down s\t")
+	fmt.Fprintln(table, "workers\tbytes/s a worker\tprocess CPU %\tprocess MB\tone change s\tburst s\tchange with 2 control, 2 entry down s\turgent median s\turgent worst s\t")
 	for _, p := range points {
-		fmt.Fprintf(table, "%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t\n", p.Workers, p.Bytes, 100*p.CPU,
-			p.Memory/(1<<20), p.Single.Seconds(), p.Burst.Seconds(), p.AfterKills.Seconds())
+		fmt.Fprintf(table, "%d\t%.0f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t\n", p.Workers, p.Bytes, 100*p.CPU,
+			p.Memory/(1<<20), p.Single.Seconds(), p.Burst.Seconds(), p.AfterKills.Seconds(),
+			p.UrgentMedian.Seconds(), p.UrgentWorst.Seconds())
 	}
 	if err := table.Flush(); err != nil {
 		return err
@@ -91,6 +96,9 @@
 	if err := c.steady(ctx, o.Duration, &p); err != nil {
 		return p, err
 	}
+	if err := c.urgent(ctx, &p); err != nil {
+		return p, err
+	}
 	return p, c.spread(ctx, o, &p)
 }
 
