Share the wait that a context cuts short, and the header names

Cause: the same timer-or-context wait stood in five packages, and three header names in two. Change: internal/pause serves all of them; internal/api takes the header names from internal/backendapi. Behaviour is unchanged.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -8,13 +8,14 @@
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/strictconf"
+	"github.com/godwitlink/godwitlink/internal/backendapi"
 )
 
 // Header names.
 const (
-	HeaderIdempotencyKey = "Idempotency-Key"
-	HeaderOutcome        = "Godwit-Outcome"
-	HeaderReason         = "Godwit-Reason"
+	HeaderIdempotencyKey = backendapi.HeaderKey
+	HeaderOutcome        = backendapi.HeaderOutcome
+	HeaderReason         = backendapi.HeaderReason
 )
 
 // Problem is the body of every answer that is not a success.
--- a/internal/backendserver/announcer.go
+++ b/internal/backendserver/announcer.go
@@ -13,6 +13,7 @@
 	"github.com/godwitlink/godwitlink/core/membership"
 	"github.com/godwitlink/godwitlink/internal/backendapi"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/pause"
 )
 
 // announceTimeout ends an announcement to an entry process that does not
@@ -43,7 +44,7 @@
 func (a *announcer) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		a.round(ctx, false)
-		pause(ctx, a.interval)
+		_ = pause.For(ctx, a.interval)
 	}
 }
 
@@ -51,7 +52,7 @@
 // ends.
 func (a *announcer) leave(ctx context.Context) {
 	for ctx.Err() == nil && !a.round(ctx, true) {
-		pause(ctx, a.interval/4)
+		_ = pause.For(ctx, a.interval/4)
 	}
 }
 
@@ -150,13 +151,3 @@
 	}
 	a.logger.Log(event, zap.String("entry", entry), zap.Error(err))
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/backendserver/server.go
+++ b/internal/backendserver/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitlink/godwitlink/internal/backendapi"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/pause"
 )
 
 // Log events of the stand-in: 5000 to 5099.
@@ -114,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
 	defer cancel()
 	a.leave(ctx)
-	pause(kill, a.lease)
+	_ = pause.For(kill, a.lease)
 	idle := make(chan struct{})
 	s.messages <- turnAway{idle: idle}
 	select {
@@ -129,7 +130,7 @@
 // shutDown refuses requests a little longer, because one may be on its way on an
 // idle connection, and then closes the connections as they become idle.
 func (s *Server) shutDown(kill context.Context) {
-	pause(kill, refuseFor)
+	_ = pause.For(kill, refuseFor)
 	ctx, cancel := context.WithTimeout(kill, leaveTimeout)
 	defer cancel()
 	// What is left after the timeout is cut by the caller.
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -15,6 +15,7 @@
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/pause"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
@@ -163,7 +164,7 @@
 		if failure.final {
 			return endOfCall(maybeAccepted, err)
 		}
-		if err := pause(ctx, backoff); err != nil {
+		if err := pause.For(ctx, backoff); err != nil {
 			return endOfCall(maybeAccepted, err)
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -177,17 +178,6 @@
 	return merry.Wrap(ErrUnavailable, merry.WithCause(cause))
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (c *Client) report(target target, failure failure) {
 	c.metrics.Add(metricRetries, failure.reason, 1)
 	c.directory.failed(target.address, failure.leader)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/gateway"
 	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/pause"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 	"github.com/godwitlink/godwitlink/internal/settings"
 )
@@ -213,7 +214,7 @@
 	for _, server := range e.listeners.servers {
 		server.SetKeepAlivesEnabled(false)
 	}
-	wait(kill, e.settings.ReadinessDelay)
+	_ = pause.For(kill, e.settings.ReadinessDelay)
 	grace, cancel := context.WithTimeout(kill, e.settings.StopGrace)
 	defer cancel()
 	cut := e.gateway.Drain(grace)
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -14,6 +14,7 @@
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/pause"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
@@ -63,7 +64,7 @@
 	var workers []relay.Attached
 	for ctx.Err() == nil {
 		if !f.joined && !f.join(ctx) {
-			wait(ctx, feedPause)
+			_ = pause.For(ctx, feedPause)
 			continue
 		}
 		workers = f.poll(ctx, workers)
@@ -135,7 +136,7 @@
 		f.metrics.Gauge(metricWorkers, float64(len(workers)))
 		cancel()
 		<-results
-		wait(ctx, feedRestartPause)
+		_ = pause.For(ctx, feedRestartPause)
 	case result := <-results:
 		f.handle(ctx, result)
 		workers = updateVersions(workers, result.response)
@@ -181,7 +182,7 @@
 		if ctx.Err() == nil {
 			f.metrics.Add(metricFeedFailures, "", 1)
 			f.logger.Log(eventFeedFailed, zap.Error(result.err))
-			wait(ctx, feedPause)
+			_ = pause.For(ctx, feedPause)
 		}
 		return
 	}
@@ -253,13 +254,3 @@
 	}
 	return all
 }
-
-// wait waits for d or the end of ctx.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/godwitlink/godwitlink/internal/backendserver"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/pause"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 	"github.com/godwitlink/godwitlink/internal/settings"
 )
@@ -37,7 +38,7 @@
 
 // Propose implements RequestLog.
 func (l *fakeLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
-	pause(ctx, l.delay)
+	_ = pause.For(ctx, l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -9,6 +9,7 @@
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/exchange"
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/pause"
 )
 
 const (
@@ -46,7 +47,7 @@
 
 // poll reads the record that another request has begun.
 func (c *call) poll(e exchange.Poll) exchange.Effect {
-	pause(c.req.Context(), e.After)
+	_ = pause.For(c.req.Context(), e.After)
 	if c.abandoned() {
 		return exchange.Conclude{Outcome: state.OutcomeUnknown, Reason: exchange.ReasonKeyRunning}
 	}
@@ -90,7 +91,7 @@
 			g.checkFinish(result, id)
 			return
 		}
-		pause(ctx, wait)
+		_ = pause.For(ctx, wait)
 		if ctx.Err() != nil {
 			g.logUnrecorded(id, err.Error())
 			return
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -12,6 +12,7 @@
 	"github.com/godwitlink/godwitlink/core/routing"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/pause"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
@@ -154,7 +155,7 @@
 		}
 		t.note(err)
 		if err != nil {
-			pause(ctx, pullBackoff)
+			_ = pause.For(ctx, pullBackoff)
 		}
 	}
 }
@@ -257,13 +258,3 @@
 		Age: time.Duration(w.GetAgeMillis()) * time.Millisecond,
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/workeragent/sender.go
+++ b/internal/workeragent/sender.go
@@ -17,6 +17,7 @@
 	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/internal/api"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/pause"
 )
 
 const (
@@ -70,22 +71,13 @@
 		s.current = (s.current + 1) % len(s.settings.Entries)
 		s.logger.Log(eventSyncFailed, zap.String("kind", s.kind), zap.Error(err))
 		if sync.Sequence == 0 {
-			pause(ctx, failurePause)
+			_ = pause.For(ctx, failurePause)
 		}
 		return agent.Answer{Failed: true, Sequence: sync.Sequence}
 	}
 	return toAnswer(synced)
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *sender) message(sync agent.Sync) api.WorkerSync {
 	capacity := s.settings.capacity()
 	message := api.WorkerSync{
