--- /dev/null
+++ b/core/controlgroup/repair.go
@@ -0,0 +1,93 @@
+package controlgroup
+
+import (
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+)
+
+// RepairView is what the leader knows of a group that has no list of its
+// members: replicas announce themselves, and the group keeps Target voters.
+type RepairView struct {
+	View
+	Target int
+	// Replaced are members whose address belongs to another replica now. They
+	// have lost their disk and never come back.
+	Replaced []replog.ReplicaID
+	// Silent are members that have not answered for long enough to be replaced
+	// where another replica is ready.
+	Silent []replog.ReplicaID
+}
+
+// Repair returns the step to take now. A voter that is known to be lost goes
+// first, so that the quorum shrinks before the successor counts. A silent one
+// stays until its successor has caught up: it may come back with its disk.
+func Repair(v RepairView) Step {
+	for _, choose := range []func(RepairView) Step{dropLearner, dropReplaced, promoteReady, dropSilent, admit} {
+		step := choose(v)
+		if step.Kind != StepNone && v.keepsQuorum(step.Next) {
+			return step
+		}
+	}
+	return Step{}
+}
+
+func remove(v RepairView, id replog.ReplicaID) Step {
+	return Step{Kind: StepRemove, Replica: id, Next: without(v.Membership, id)}
+}
+
+func dropLearner(v RepairView) Step {
+	for _, id := range v.Membership.Learners {
+		if slices.Contains(v.Replaced, id) || slices.Contains(v.Silent, id) && !slices.Contains(v.Announced, id) {
+			return remove(v, id)
+		}
+	}
+	return Step{}
+}
+
+func dropReplaced(v RepairView) Step {
+	for _, id := range v.Membership.Voters {
+		if id != v.Self && slices.Contains(v.Replaced, id) {
+			return remove(v, id)
+		}
+	}
+	return Step{}
+}
+
+func promoteReady(v RepairView) Step {
+	if len(v.Membership.Voters) >= v.Target {
+		return Step{}
+	}
+	for _, id := range v.Membership.Learners {
+		if slices.Contains(v.CaughtUp, id) {
+			next := without(v.Membership, id)
+			next.Voters = append(next.Voters, id)
+			return Step{Kind: StepPromote, Replica: id, Next: next}
+		}
+	}
+	return Step{}
+}
+
+func dropSilent(v RepairView) Step {
+	successor := slices.ContainsFunc(v.Membership.Learners, func(id replog.ReplicaID) bool { return slices.Contains(v.CaughtUp, id) })
+	if !successor || len(v.Membership.Voters) < v.Target {
+		return Step{}
+	}
+	for _, id := range v.Membership.Voters {
+		if id != v.Self && slices.Contains(v.Silent, id) {
+			return remove(v, id)
+		}
+	}
+	return Step{}
+}
+
+func admit(v RepairView) Step {
+	for _, id := range v.Announced {
+		if !v.Membership.Contains(id) && !slices.Contains(v.Replaced, id) {
+			next := without(v.Membership, id)
+			next.Learners = append(next.Learners, id)
+			return Step{Kind: StepAdd, Replica: id, Next: next}
+		}
+	}
+	return Step{}
+}
--- /dev/null
+++ b/core/dispatch/names.go
@@ -0,0 +1,10 @@
+package dispatch
+
+var outcomeNames = map[Outcome]string{
+	OutcomeOK: "ok", OutcomeNoAnswer: "no-answer", OutcomeNotSent: "not-sent", OutcomeOtherBoot: "other-boot",
+	OutcomeFenced: "fenced", OutcomeOld: "old", OutcomeLate: "late", OutcomeNoRoom: "no-room",
+	OutcomeBadTicket: "bad-ticket", OutcomeUnhealthy: "unhealthy", OutcomeRefused: "refused",
+}
+
+// String names the outcome in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
--- /dev/null
+++ b/core/dispatch/plan.go
@@ -0,0 +1,238 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// maxAssignsPerPlan bounds one command.
+const maxAssignsPerPlan = 256
+
+// ready is a step that waits for workers.
+type ready struct {
+	job   *job
+	index int
+}
+
+// plan places the steps that wait, in the order of their priority. A step that
+// finds no room does not hold the later ones up.
+func (c *Core) plan() {
+	if !c.mayOrder() {
+		c.changed = true
+		c.nextPlan = c.now.Add(retryCall)
+		return
+	}
+	p := &proposal{}
+	decide := &workload.Decide{}
+	for _, r := range c.waiting() {
+		if len(decide.Assigns) >= maxAssignsPerPlan {
+			c.changed = true
+			break
+		}
+		if assign, ok := c.place(r); ok {
+			decide.Assigns = append(decide.Assigns, assign)
+			size := r.job.Spec.Steps[r.index].Size
+			for _, m := range assign.Members {
+				p.holds = append(p.holds, reservation{m.Worker, size})
+			}
+		}
+	}
+	if len(decide.Assigns) == 0 {
+		return
+	}
+	// The ends go first: they free the room that the assignments may use.
+	n := min(len(c.ends), maxEndsPerProposal)
+	decide.Ends = slices.Clone(c.ends[:n])
+	p.ends = decide.Ends
+	c.ends = c.ends[n:]
+	p.command = workload.Command{Decide: decide}
+	c.propose(p)
+}
+
+// waiting lists the steps with tasks to place, the most urgent first.
+func (c *Core) waiting() []ready {
+	var all []ready
+	for _, j := range c.jobs {
+		for i := range j.steps {
+			if j.steps[i].waiting > 0 && j.Ready(i) {
+				all = append(all, ready{j, i})
+			}
+		}
+	}
+	slices.SortStableFunc(all, func(a, b ready) int { return cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority) })
+	return all
+}
+
+// place chooses workers for a step. Where the step needs tickets and has none,
+// it calls the adviser first.
+func (c *Core) place(r ready) (workload.Assign, bool) {
+	s := &r.job.steps[r.index]
+	spec := &r.job.Spec.Steps[r.index]
+	none := workload.Assign{}
+	if s.asking != 0 || spec.Gang && s.waiting < spec.Tasks {
+		return none, false
+	}
+	if r.job.Queue.Advice != nil && s.granted == nil {
+		c.askFirst(r, s, spec)
+		return none, false
+	}
+	members := c.choose(r, s, spec)
+	if len(members) == 0 || spec.Gang && len(members) < spec.Tasks {
+		if s.blockedSince.IsZero() {
+			s.blockedSince = c.now
+		}
+		return none, false
+	}
+	if r.job.Queue.Advice != nil && !c.ticketsGood(s) {
+		c.renew(r, s, members)
+		return none, false
+	}
+	return c.reserve(r, s, spec, members), true
+}
+
+func (c *Core) askFirst(r ready, s *step, spec *workload.StepSpec) {
+	if c.now.Before(s.askAt) {
+		r.job.sooner(s.askAt)
+		return
+	}
+	c.ask(r.job, r.index, c.nameWorkers(r.job, spec))
+	if s.asking == 0 {
+		r.job.sooner(s.askAt)
+	}
+}
+
+// renew asks for new tickets on the chosen workers and keeps their room until
+// the answer.
+func (c *Core) renew(r ready, s *step, members []workload.Member) {
+	if c.now.Before(s.askAt) {
+		r.job.sooner(s.askAt)
+		return
+	}
+	var named []workload.WorkerID
+	for _, m := range members {
+		if !slices.Contains(named, m.Worker) {
+			named = append(named, m.Worker)
+		}
+	}
+	c.ask(r.job, r.index, named)
+	if s.asking == 0 {
+		r.job.sooner(s.askAt)
+		return
+	}
+	c.holdRoom(s, members, r.job.Spec.Steps[r.index].Size)
+}
+
+func (c *Core) ticketsGood(s *step) bool {
+	return !s.ticketsUntil.IsZero() && c.now.Add(callMargin).Before(s.ticketsUntil)
+}
+
+// reserve takes the chosen workers for the step.
+func (c *Core) reserve(r ready, s *step, spec *workload.StepSpec, members []workload.Member) workload.Assign {
+	for _, m := range members {
+		s.proposed[m.Index] = true
+		w := c.workers[m.Worker]
+		w.reserved = w.reserved.Add(spec.Size)
+	}
+	s.waiting -= len(members)
+	waited := time.Duration(0)
+	if !s.blockedSince.IsZero() {
+		waited = c.now.Sub(s.blockedSince)
+	}
+	s.blockedSince = time.Time{}
+	c.decide(Decision{
+		Kind: DecisionPlaced, Job: r.job.ID, Step: r.index, Count: len(members), Worker: members[0].Worker, Age: waited,
+	})
+	return workload.Assign{Step: workload.StepID{Job: r.job.ID, Step: r.index}, Members: members}
+}
+
+// free is the room of a worker that nothing has or is about to get.
+func (c *Core) free(w *worker) workload.Resources { return c.state.Free(w.ID).Sub(w.reserved) }
+
+// couldRun reports whether an empty worker could take a task of the step.
+func couldRun(w *worker, spec *workload.StepSpec) bool {
+	return spec.Size.Fits(w.Capacity) && (spec.RequiredLabel == "" || slices.Contains(w.Labels, spec.RequiredLabel))
+}
+
+// candidate is a worker that may take tasks of a step, with its room left.
+type candidate struct {
+	worker *worker
+	room   workload.Resources
+	count  int // tasks of the step on it
+	near   bool
+}
+
+// choose picks a worker for each waiting task, as far as there is room.
+func (c *Core) choose(r ready, s *step, spec *workload.StepSpec) []workload.Member {
+	candidates := c.candidates(r, s, spec)
+	var members []workload.Member
+	for index, task := range r.job.Steps[r.index].Tasks {
+		if task.State != workload.TaskPending || task.Open || s.proposed[index] {
+			continue
+		}
+		best := tightest(candidates, spec)
+		if best == nil {
+			break
+		}
+		best.room = best.room.Sub(spec.Size)
+		best.count++
+		members = append(members, workload.Member{Index: index, Worker: best.worker.ID, Boot: best.worker.Boot})
+	}
+	return members
+}
+
+func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec) []*candidate {
+	advised := r.job.Queue.Advice != nil
+	good := c.ticketsGood(s)
+	var all []*candidate
+	for _, id := range c.order {
+		w := c.workers[id]
+		if !c.usable(w) || w.Service != r.job.Queue.Service || !couldRun(w, spec) {
+			continue
+		}
+		if ticket, granted := s.granted[id]; advised && (!granted || good && ticket == "") {
+			continue
+		}
+		found := &candidate{worker: w, room: c.free(w), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+		if !spec.Size.Fits(found.room) {
+			continue
+		}
+		if spec.MaxPerWorker > 0 {
+			found.count = c.countOn(r, id)
+		}
+		all = append(all, found)
+	}
+	return all
+}
+
+// usable reports whether a worker may get anything new.
+func (c *Core) usable(w *worker) bool {
+	return w.adopted && !w.silent && !w.ending && !w.Draining && !w.Gone && !c.now.Before(w.avoid)
+}
+
+func (c *Core) countOn(r ready, id workload.WorkerID) int {
+	count := 0
+	for _, task := range r.job.Steps[r.index].Tasks {
+		if task.Open && task.Worker == id {
+			count++
+		}
+	}
+	return count
+}
+
+// tightest returns the candidate that is left with the least room, so that
+// large tasks find whole workers free. One on the preferred rack goes first.
+func tightest(candidates []*candidate, spec *workload.StepSpec) *candidate {
+	var best *candidate
+	for _, next := range candidates {
+		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker {
+			continue
+		}
+		if best == nil || next.near && !best.near || next.near == best.near && next.room.MilliCPU < best.room.MilliCPU {
+			best = next
+		}
+	}
+	return best
+}
--- a/core/state/audit.go
+++ b/core/state/audit.go
@@ -19,6 +19,9 @@
 	s.auditJobs()
 	s.auditTeams()
 	s.auditRequests()
+	for _, violation := range s.workload.Audit() {
+		s.check(false, CheckCapacity, "%s", violation)
+	}
 	return s.violations
 }
 
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // Command is one change of the state. Exactly one field is set besides At.
@@ -25,6 +26,8 @@
 	JoinMember     *JoinMember     `cbor:",omitempty"`
 	LeaveMember    *LeaveMember    `cbor:",omitempty"`
 	Advance        *Advance        `cbor:",omitempty"`
+
+	Workload *workload.Command `cbor:",omitempty"`
 }
 
 // ApplyFile puts a cell file in force. The file was parsed and checked by the
--- a/core/state/query.go
+++ b/core/state/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // Query is a read of the state. Exactly one field is set.
@@ -15,6 +16,24 @@
 	Request *RequestQuery `cbor:",omitempty"`
 	Members *MembersQuery `cbor:",omitempty"`
 	Explain *ExplainQuery `cbor:",omitempty"`
+
+	StepJob *StepJobQuery `cbor:",omitempty"`
+	Queue   *QueueQuery   `cbor:",omitempty"`
+	Queues  *QueuesQuery  `cbor:",omitempty"`
+}
+
+// StepJobQuery asks for the state of a job of steps.
+type StepJobQuery struct{ ID workload.JobID }
+
+// QueueQuery asks for the number of jobs of a queue that have not started.
+type QueueQuery struct{ Name string }
+
+// QueuesQuery asks for the queue configuration where it is newer than Known.
+type QueuesQuery struct {
+	Known uint64
+	// Caller is the internal address of the asking process where it takes
+	// calls of the leader, otherwise empty.
+	Caller string
 }
 
 // ConfigQuery asks for the file in force (Generation 0) or an earlier one.
@@ -49,6 +68,23 @@
 	Request *RequestResult `cbor:",omitempty"`
 	Members []Member       `cbor:",omitempty"`
 	Explain *ExplainView   `cbor:",omitempty"`
+
+	StepJob *StepJobView `cbor:",omitempty"`
+	Queue   *QueueView   `cbor:",omitempty"`
+	Queues  *QueuesView  `cbor:",omitempty"`
+}
+
+// StepJobView is what a caller sees of a job of steps.
+type StepJobView struct{ State workload.JobState }
+
+// QueueView is what a caller sees of a queue.
+type QueueView struct{ Pending int }
+
+// QueuesView is the queue configuration.
+type QueuesView struct {
+	Version  uint64           // in force; 0 where there is none
+	Config   *workload.Config `cbor:",omitempty"` // nil where not newer than asked
+	Replicas []string         `cbor:",omitempty"` // addresses of the control replicas, added by the replica
 }
 
 // ExplainView says why a job waits, one reason a line.
--- a/core/state/restore.go
+++ b/core/state/restore.go
@@ -7,6 +7,7 @@
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // SnapshotError says why a snapshot is not that of a state.
@@ -34,6 +35,7 @@
 	s.lastEpoch = snapshot.LastEpoch
 	steps := []func(Snapshot) error{
 		s.restoreConfig, s.restoreJobs, s.restoreWorkers, s.restoreAllocations, s.restoreRequests, s.restoreMembers,
+		s.restoreWorkload,
 	}
 	for _, step := range steps {
 		if err := step(snapshot); err != nil {
@@ -44,6 +46,15 @@
 	return s, nil
 }
 
+func (s *State) restoreWorkload(snapshot Snapshot) error {
+	restored, err := workload.Restore(snapshot.Workload)
+	if err != nil {
+		return damaged("%v", err)
+	}
+	s.workload = restored
+	return nil
+}
+
 func (s *State) restoreConfig(snapshot Snapshot) error {
 	s.records = slices.Clone(snapshot.Records)
 	if len(s.records) == 0 {
--- a/core/state/result.go
+++ b/core/state/result.go
@@ -5,6 +5,7 @@
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/strictconf"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // Refusal is a reason code for a command that was not carried out. The empty
@@ -57,6 +58,8 @@
 	Plan    *PlanResult    `cbor:",omitempty"`
 	Worker  *WorkerResult  `cbor:",omitempty"`
 	Request *RequestResult `cbor:",omitempty"`
+
+	Workload *workload.Result `cbor:",omitempty"`
 }
 
 // FileResult answers ApplyFile.
--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -58,8 +58,12 @@
 	s.dropJobs()
 	s.dropRequests()
 	s.dropWorkers()
+	s.workload.Expire(s.retainedFor())
 }
 
+// retainedFor is the clock of retention as a duration since the first command.
+func (s *State) retainedFor() time.Duration { return s.retained.Sub(time.Time{}) }
+
 // dropJobs drops ended jobs. A job whose tasks still hold reservations is not in
 // the list yet.
 func (s *State) dropJobs() {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // Snapshot is the whole state as data. Lists are sorted, so that equal states
@@ -26,6 +27,7 @@
 	Requests       []RequestSnapshot    // by key
 	Members        []Member             // by name
 	Left           []LeaveMember        // oldest first
+	Workload       workload.Snapshot
 }
 
 // JobSnapshot is a job with its tasks.
@@ -104,6 +106,7 @@
 		Requests:       s.requestSnapshots(),
 		Members:        s.memberList(),
 		Left:           s.leftSnapshots(),
+		Workload:       s.workload.Snapshot(),
 	}
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // State is the state of the cell after a prefix of the log. It is owned by one
@@ -36,8 +37,9 @@
 	answers     []storedAt                             // kept answers, oldest first
 	answerBytes int64
 
-	members map[cell.EntryName]Member
-	left    []leftMember // removed incarnations, oldest first
+	members  map[cell.EntryName]Member
+	workload *workload.State
+	left     []leftMember // removed incarnations, oldest first
 
 	violations []Violation
 	events     []Event // of the command that is being applied
@@ -55,6 +57,7 @@
 		requests:    map[RequestKey]*request{},
 		owned:       map[cell.EntryName]map[RequestKey]bool{},
 		members:     map[cell.EntryName]Member{},
+		workload:    workload.New(),
 	}
 }
 
@@ -115,6 +118,9 @@
 		return s.joinMember(c.JoinMember.Member)
 	case c.LeaveMember != nil:
 		return s.leaveMember(*c.LeaveMember)
+	case c.Workload != nil:
+		result := s.workload.Apply(s.now, s.retainedFor(), *c.Workload)
+		return Result{Workload: &result}
 	default:
 		s.advance(c.At)
 		return Result{}
@@ -127,7 +133,7 @@
 	for _, set := range []bool{
 		c.ApplyFile != nil, c.SubmitJob != nil, c.CancelJob != nil, c.CommitPlan != nil,
 		c.RegisterWorker != nil, c.ReportTasks != nil, c.ExpireWorker != nil, c.ReleaseWorker != nil, c.BeginRequest != nil,
-		c.FinishRequest != nil, c.JoinMember != nil, c.LeaveMember != nil, c.Advance != nil,
+		c.FinishRequest != nil, c.JoinMember != nil, c.LeaveMember != nil, c.Advance != nil, c.Workload != nil,
 	} {
 		if set {
 			count++
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // Query answers a read.
@@ -21,10 +23,43 @@
 		return Answer{Request: s.requestView(q.Request.Key)}
 	case q.Members != nil:
 		return Answer{Members: s.memberList()}
+	case q.StepJob != nil:
+		return Answer{StepJob: s.stepJobView(q.StepJob.ID)}
+	case q.Queue != nil:
+		return Answer{Queue: &QueueView{Pending: s.workload.Pending(q.Queue.Name)}}
+	case q.Queues != nil:
+		return Answer{Queues: s.queuesView(q.Queues.Known)}
 	}
 	return Answer{}
 }
 
+// Workload returns the jobs of steps, their workers and queues. The caller must
+// not change it.
+func (s *State) Workload() *workload.State { return s.workload }
+
+// Clocks returns the largest time of a command and the clock of retention.
+func (s *State) Clocks() (now time.Time, retained time.Duration) { return s.now, s.retainedFor() }
+
+func (s *State) stepJobView(id workload.JobID) *StepJobView {
+	job := s.workload.Job(id)
+	if job == nil {
+		return nil
+	}
+	return &StepJobView{State: job.State}
+}
+
+func (s *State) queuesView(known uint64) *QueuesView {
+	config := s.workload.Config()
+	if config == nil {
+		return &QueuesView{}
+	}
+	view := &QueuesView{Version: config.Version}
+	if config.Version > known {
+		view.Config = config
+	}
+	return view
+}
+
 // configRecord returns the newest record of a generation; 0 is the one in
 // force.
 func (s *State) configRecord(generation cell.Generation) *ConfigRecord {
--- /dev/null
+++ b/core/workload/assign.go
@@ -0,0 +1,154 @@
+package workload
+
+import "slices"
+
+// assign opens the runs of an Assign. It checks again what the leader decided,
+// because the state may have moved on since.
+func (s *State) assign(a Assign) AssignResult {
+	result := AssignResult{Members: make([]MemberResult, len(a.Members))}
+	job := s.jobs[a.Step.Job]
+	refusal := s.startable(job, a)
+	gang := refusal == RefusalNone && job.Spec.Steps[a.Step.Step].Gang
+	if gang {
+		refusal = s.checkGang(job, a)
+	}
+	if refusal != RefusalNone {
+		for i := range result.Members {
+			result.Members[i].Refusal = refusal
+		}
+		return result
+	}
+	step := &job.Steps[a.Step.Step]
+	number := nextRun(step)
+	for i, m := range a.Members {
+		if refusal := s.checkMember(job, a.Step, m); refusal != RefusalNone {
+			result.Members[i].Refusal = refusal
+			continue
+		}
+		run := step.Tasks[m.Index].Run + 1
+		if gang {
+			run = number
+		}
+		s.openRun(job, a.Step, m, run)
+		result.Members[i].Run = run
+	}
+	return result
+}
+
+// nextRun returns the number of the next run of a gang.
+func nextRun(step *Step) RunNumber {
+	highest := RunNumber(0)
+	for i := range step.Tasks {
+		highest = max(highest, step.Tasks[i].Run)
+	}
+	return highest + 1
+}
+
+// startable checks what holds for all members.
+func (s *State) startable(job *Job, a Assign) Refusal {
+	if job == nil || a.Step.Step < 0 || a.Step.Step >= len(job.Steps) {
+		return RefusalUnknownJob
+	}
+	if job.State.Ended() {
+		return RefusalJobEnded
+	}
+	if !job.Ready(a.Step.Step) {
+		return RefusalOrder
+	}
+	return RefusalNone
+}
+
+// Ready reports whether every step that a step depends on is done.
+func (j *Job) Ready(step int) bool {
+	return !slices.ContainsFunc(j.Spec.Steps[step].DependsOn, func(before int) bool { return j.Steps[before].Left > 0 })
+}
+
+// checkGang checks the members of a gang together: each task once, and room for
+// all of them.
+func (s *State) checkGang(job *Job, a Assign) Refusal {
+	spec := &job.Spec.Steps[a.Step.Step]
+	if len(a.Members) != spec.Tasks {
+		return RefusalInvalid
+	}
+	named := map[int]bool{}
+	more := map[WorkerID]Resources{}
+	count := map[WorkerID]int{}
+	for _, m := range a.Members {
+		if named[m.Index] {
+			return RefusalInvalid
+		}
+		named[m.Index] = true
+		if refusal := s.checkMember(job, a.Step, m); refusal != RefusalNone {
+			return refusal
+		}
+		w := s.workers[m.Worker]
+		more[m.Worker] = more[m.Worker].Add(spec.Size)
+		count[m.Worker]++
+		if !w.used.Add(more[m.Worker]).Fits(w.Capacity) {
+			return RefusalNoRoom
+		}
+		if spec.MaxPerWorker > 0 && count[m.Worker] > spec.MaxPerWorker {
+			return RefusalLimit
+		}
+	}
+	return RefusalNone
+}
+
+func (s *State) checkMember(job *Job, id StepID, m Member) Refusal {
+	step := &job.Steps[id.Step]
+	spec := &job.Spec.Steps[id.Step]
+	if m.Index < 0 || m.Index >= len(step.Tasks) {
+		return RefusalInvalid
+	}
+	if task := &step.Tasks[m.Index]; task.State != TaskPending || task.Open {
+		return RefusalNotPending
+	}
+	w := s.workers[m.Worker]
+	switch {
+	case w == nil || w.Gone:
+		return RefusalNoWorker
+	case w.Boot != m.Boot:
+		return RefusalStaleBoot
+	case w.Draining:
+		return RefusalDraining
+	case w.Service != job.Queue.Service:
+		return RefusalWrongService
+	case spec.RequiredLabel != "" && !slices.Contains(w.Labels, spec.RequiredLabel):
+		return RefusalLabel
+	case !w.used.Add(spec.Size).Fits(w.Capacity):
+		return RefusalNoRoom
+	case spec.MaxPerWorker > 0 && s.openOn(step, m.Worker) >= spec.MaxPerWorker:
+		return RefusalLimit
+	}
+	return RefusalNone
+}
+
+// openOn counts the open runs of a step on a worker.
+func (s *State) openOn(step *Step, worker WorkerID) int {
+	count := 0
+	for i := range step.Tasks {
+		if step.Tasks[i].Open && step.Tasks[i].Worker == worker {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *State) openRun(job *Job, id StepID, m Member, run RunNumber) {
+	spec := &job.Spec.Steps[id.Step]
+	task := &job.Steps[id.Step].Tasks[m.Index]
+	task.State = TaskOpen
+	task.Open = true
+	task.Run = run
+	task.Worker = m.Worker
+	w := s.workers[m.Worker]
+	w.runs[TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: m.Index}] = run
+	w.used = w.used.Add(spec.Size)
+	if !job.Started {
+		job.Started = true
+		s.pending[job.Queue.Name]--
+	}
+	if job.State == JobQueued {
+		job.State = JobRunning
+	}
+}
--- /dev/null
+++ b/core/workload/snapshot.go
@@ -0,0 +1,79 @@
+package workload
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Snapshot is the whole state as data.
+type Snapshot struct {
+	Config  *Config
+	Jobs    []Job // oldest first
+	Workers []WorkerSnapshot
+}
+
+// WorkerSnapshot is a worker with its open runs.
+type WorkerSnapshot struct {
+	Worker Worker
+	Runs   []OpenRunSnapshot
+}
+
+// OpenRunSnapshot is an open run.
+type OpenRunSnapshot struct {
+	_    struct{} `cbor:",toarray"`
+	Task TaskID
+	Run  RunNumber
+}
+
+// Snapshot copies the state. Job specifications, queues and the configuration
+// are shared: they never change.
+func (s *State) Snapshot() Snapshot {
+	out := Snapshot{Config: s.config}
+	for _, id := range s.order {
+		job := *s.jobs[id]
+		job.Steps = slices.Clone(job.Steps)
+		for i := range job.Steps {
+			job.Steps[i].Tasks = slices.Clone(job.Steps[i].Tasks)
+		}
+		out.Jobs = append(out.Jobs, job)
+	}
+	for _, w := range s.Workers() {
+		snapshot := WorkerSnapshot{Worker: w}
+		for _, run := range s.Runs(w.ID) {
+			snapshot.Runs = append(snapshot.Runs, OpenRunSnapshot{Task: run.Task, Run: run.Run})
+		}
+		out.Workers = append(out.Workers, snapshot)
+	}
+	return out
+}
+
+// Restore returns the state of a snapshot, or an error where an open run
+// belongs to no task.
+func Restore(snapshot Snapshot) (*State, error) {
+	s := New()
+	if snapshot.Config != nil {
+		s.config = snapshot.Config
+		s.indexQueues()
+	}
+	for i := range snapshot.Jobs {
+		job := snapshot.Jobs[i]
+		s.jobs[job.ID] = &job
+		s.order = append(s.order, job.ID)
+		if !job.Started && !job.State.Ended() {
+			s.pending[job.Queue.Name]++
+		}
+	}
+	for _, w := range snapshot.Workers {
+		restored := &workerState{Worker: w.Worker, runs: map[TaskID]RunNumber{}}
+		for _, run := range w.Runs {
+			job, _, task := s.find(run.Task)
+			if task == nil || !task.Open || task.Run != run.Run {
+				return nil, fmt.Errorf("workload snapshot: worker %s has run %d of %v, which is not open", w.Worker.ID, run.Run, run.Task)
+			}
+			restored.runs[run.Task] = run.Run
+			restored.used = restored.used.Add(job.Spec.Steps[run.Task.Step].Size)
+		}
+		s.workers[w.Worker.ID] = restored
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/workload/state.go
@@ -0,0 +1,329 @@
+package workload
+
+import (
+	"slices"
+	"time"
+)
+
+// JobRetention is how long an ended job can be read and its id is known. The
+// platforms known today ask for 120 s; a late copy of a submission arrives
+// within seconds.
+const JobRetention = 10 * time.Minute
+
+// State is the replicated state. It is not safe for concurrent use.
+type State struct {
+	config  *Config
+	queues  map[string]*Queue // by name, of config
+	jobs    map[JobID]*Job
+	order   []JobID        // accepted jobs, oldest first
+	pending map[string]int // accepted jobs of a queue that have not started
+	workers map[WorkerID]*workerState
+}
+
+// New returns the state before the first command.
+func New() *State {
+	return &State{
+		queues: map[string]*Queue{}, jobs: map[JobID]*Job{}, pending: map[string]int{},
+		workers: map[WorkerID]*workerState{},
+	}
+}
+
+// Apply carries out a command. now is the largest time of a command so far,
+// retained the clock of retention.
+func (s *State) Apply(now time.Time, retained time.Duration, c Command) Result {
+	switch {
+	case c.Configure != nil:
+		return s.configure(*c.Configure)
+	case c.Submit != nil:
+		return s.submit(now, *c.Submit)
+	case c.Cancel != nil:
+		return s.cancel(retained, c.Cancel.ID)
+	case c.Register != nil:
+		return s.register(c.Register.Worker)
+	case c.Drain != nil:
+		return s.drain(*c.Drain)
+	case c.Decide != nil:
+		return s.decide(retained, *c.Decide)
+	case c.EndBoot != nil:
+		return s.endBoot(retained, *c.EndBoot)
+	}
+	return Result{Refusal: RefusalInvalid}
+}
+
+// configure puts a configuration in force where its version is the highest. An
+// older or repeated one changes nothing and is not refused: the operator sends
+// again what it got no answer to.
+func (s *State) configure(c Config) Result {
+	if s.config != nil && c.Version <= s.config.Version {
+		return Result{Version: s.config.Version}
+	}
+	s.config = &c
+	s.indexQueues()
+	return Result{Version: c.Version}
+}
+
+func (s *State) indexQueues() {
+	s.queues = map[string]*Queue{}
+	for i := range s.config.Queues {
+		s.queues[s.config.Queues[i].Name] = &s.config.Queues[i]
+	}
+}
+
+func (s *State) submit(now time.Time, c Submit) Result {
+	if job := s.jobs[c.ID]; job != nil {
+		return Result{State: job.State}
+	}
+	if s.config == nil {
+		return Result{Refusal: RefusalNoConfig}
+	}
+	queue := s.queues[c.Spec.Queue]
+	if queue == nil {
+		return Result{Refusal: RefusalNoQueue}
+	}
+	if !c.Spec.valid() {
+		return Result{Refusal: RefusalInvalid}
+	}
+	job := &Job{ID: c.ID, Spec: c.Spec, Queue: *queue, State: JobQueued, AcceptedAt: now}
+	for _, step := range c.Spec.Steps {
+		job.Steps = append(job.Steps, Step{Tasks: make([]Task, step.Tasks), Left: step.Tasks})
+	}
+	s.jobs[c.ID] = job
+	s.order = append(s.order, c.ID)
+	s.pending[queue.Name]++
+	return Result{State: job.State}
+}
+
+// Bounds of a job. A larger one is refused as invalid.
+const (
+	maxSteps = 64
+	maxTasks = 10_000
+)
+
+func (spec JobSpec) valid() bool {
+	if len(spec.Steps) == 0 || len(spec.Steps) > maxSteps {
+		return false
+	}
+	for i, step := range spec.Steps {
+		size := step.Size
+		if step.Tasks < 1 || step.Tasks > maxTasks || size.MilliCPU < 0 || size.MemoryMB < 0 || size.GPUs < 0 {
+			return false
+		}
+		for _, before := range step.DependsOn {
+			if before < 0 || before >= i {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *State) cancel(retained time.Duration, id JobID) Result {
+	job := s.jobs[id]
+	if job == nil {
+		return Result{Refusal: RefusalUnknownJob}
+	}
+	if !job.State.Ended() {
+		s.end(job, JobCancelled, retained)
+	}
+	return Result{State: job.State}
+}
+
+// end moves a job to a final state.
+func (s *State) end(job *Job, state JobState, retained time.Duration) {
+	if !job.Started {
+		s.pending[job.Queue.Name]--
+	}
+	job.State = state
+	job.EndedAt = retained
+}
+
+func (s *State) register(w Worker) Result {
+	known := s.workers[w.ID]
+	if known != nil && (w.Boot < known.Boot || w.Boot == known.Boot && known.Gone) {
+		return Result{Refusal: RefusalStaleBoot}
+	}
+	if known == nil {
+		s.workers[w.ID] = &workerState{Worker: w, runs: map[TaskID]RunNumber{}}
+		return Result{}
+	}
+	if w.Boot > known.Boot {
+		// The former boot has ended, and its runs with it.
+		s.closeAll(known, 0)
+		known.Worker = w
+		return Result{}
+	}
+	w.Draining = w.Draining || known.Draining
+	known.Worker = w
+	return Result{}
+}
+
+func (s *State) drain(c Drain) Result {
+	w := s.workers[c.Worker]
+	if w == nil || w.Boot != c.Boot {
+		return Result{Refusal: RefusalStaleBoot}
+	}
+	w.Draining = true
+	return Result{}
+}
+
+func (s *State) decide(retained time.Duration, c Decide) Result {
+	for _, ending := range c.Ends {
+		s.endRun(retained, ending)
+	}
+	result := Result{}
+	for _, assign := range c.Assigns {
+		result.Assigns = append(result.Assigns, s.assign(assign))
+	}
+	return result
+}
+
+// endRun closes a run. A report on another run than the open one changes
+// nothing: that run was closed before.
+func (s *State) endRun(retained time.Duration, e Ending) {
+	w := s.workers[e.Worker]
+	if w == nil || w.Boot != e.Boot || w.runs[e.Task] != e.Run || e.Run == 0 {
+		return
+	}
+	s.closeRun(retained, w, e.Task, e.How, e.Checkpoint)
+}
+
+// closeRun frees the capacity of a run and moves its task on.
+func (s *State) closeRun(retained time.Duration, w *workerState, id TaskID, how RunEnd, checkpoint string) {
+	number := w.runs[id]
+	delete(w.runs, id)
+	job, step, task := s.find(id)
+	if task == nil {
+		return
+	}
+	spec := &job.Spec.Steps[id.Step]
+	w.used = w.used.Sub(spec.Size)
+	task.Open = false
+	task.Worker = ""
+	if task.State == TaskDone {
+		return
+	}
+	task.State = TaskPending
+	s.keepCheckpoint(step, spec, task, checkpoint)
+	switch how {
+	case EndDone:
+		s.done(job, step, spec, task, retained)
+	case EndFailed:
+		s.failed(job, step, spec, task, number, retained)
+	}
+}
+
+// keepCheckpoint stores the progress of a run. The progress of any member is
+// that of its gang.
+func (s *State) keepCheckpoint(step *Step, spec *StepSpec, task *Task, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	task.Checkpoint = checkpoint
+	if !spec.Gang {
+		return
+	}
+	for i := range step.Tasks {
+		step.Tasks[i].Checkpoint = checkpoint
+	}
+}
+
+// done ends a task. One end of a gang stands for all of its members.
+func (s *State) done(job *Job, step *Step, spec *StepSpec, task *Task, retained time.Duration) {
+	task.State = TaskDone
+	step.Left--
+	if spec.Gang {
+		for i := range step.Tasks {
+			step.Tasks[i].State = TaskDone
+		}
+		step.Left = 0
+	}
+	if job.State.Ended() {
+		return
+	}
+	for i := range job.Steps {
+		if job.Steps[i].Left > 0 {
+			return
+		}
+	}
+	s.end(job, JobCompleted, retained)
+}
+
+func (s *State) failed(job *Job, step *Step, spec *StepSpec, task *Task, number RunNumber, retained time.Duration) {
+	failures := 0
+	if spec.Gang {
+		if step.FailedIn != number {
+			step.FailedIn = number
+			step.Failures++
+		}
+		failures = step.Failures
+	} else {
+		task.Failures++
+		failures = task.Failures
+	}
+	if failures >= job.Queue.MaxAttempts && !job.State.Ended() {
+		s.end(job, JobFailed, retained)
+	}
+}
+
+func (s *State) endBoot(retained time.Duration, c EndBoot) Result {
+	w := s.workers[c.Worker]
+	if w == nil || w.Boot != c.Boot {
+		return Result{Refusal: RefusalStaleBoot}
+	}
+	for _, saved := range c.Checkpoints {
+		if w.runs[saved.Task] != saved.Run || saved.Run == 0 {
+			continue
+		}
+		job, step, task := s.find(saved.Task)
+		if task != nil && task.State != TaskDone {
+			s.keepCheckpoint(step, &job.Spec.Steps[saved.Task.Step], task, saved.Checkpoint)
+		}
+	}
+	s.closeAll(w, retained)
+	if c.Left {
+		w.Gone = true
+	}
+	return Result{}
+}
+
+// closeAll closes the runs of a boot that has ended, in a fixed order.
+func (s *State) closeAll(w *workerState, retained time.Duration) {
+	for _, id := range sortedTasks(w.runs) {
+		s.closeRun(retained, w, id, EndLost, "")
+	}
+}
+
+// find returns the job, step and task of an id, or nil ones.
+func (s *State) find(id TaskID) (*Job, *Step, *Task) {
+	job := s.jobs[id.Job]
+	if job == nil || id.Step >= len(job.Steps) || id.Index >= len(job.Steps[id.Step].Tasks) {
+		return nil, nil, nil
+	}
+	step := &job.Steps[id.Step]
+	return job, step, &step.Tasks[id.Index]
+}
+
+// Expire drops the jobs that ended longer ago than JobRetention.
+func (s *State) Expire(retained time.Duration) {
+	keep := s.order[:0]
+	for _, id := range s.order {
+		job := s.jobs[id]
+		if job.State.Ended() && retained-job.EndedAt >= JobRetention && !job.open() {
+			delete(s.jobs, id)
+			continue
+		}
+		keep = append(keep, id)
+	}
+	clear(s.order[len(keep):])
+	s.order = keep
+}
+
+// open reports whether a run of the job is open.
+func (j *Job) open() bool {
+	for i := range j.Steps {
+		if slices.ContainsFunc(j.Steps[i].Tasks, func(t Task) bool { return t.Open }) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/workload/view.go
@@ -0,0 +1,86 @@
+package workload
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Config returns the configuration in force, or nil. It must not be changed.
+func (s *State) Config() *Config { return s.config }
+
+// Job returns a job, or nil. It must not be changed.
+func (s *State) Job(id JobID) *Job { return s.jobs[id] }
+
+// Jobs calls visit for every known job, oldest first.
+func (s *State) Jobs(visit func(*Job)) {
+	for _, id := range s.order {
+		visit(s.jobs[id])
+	}
+}
+
+// Pending returns the number of accepted jobs of a queue that have not started.
+func (s *State) Pending(queue string) int { return s.pending[queue] }
+
+// Worker returns a registered worker.
+func (s *State) Worker(id WorkerID) (Worker, bool) {
+	w := s.workers[id]
+	if w == nil {
+		return Worker{}, false
+	}
+	return w.Worker, true
+}
+
+// Workers returns the workers by id.
+func (s *State) Workers() []Worker {
+	all := make([]Worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		all = append(all, w.Worker)
+	}
+	slices.SortFunc(all, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Free returns the capacity of a worker that no open run has.
+func (s *State) Free(id WorkerID) Resources {
+	w := s.workers[id]
+	if w == nil {
+		return Resources{}
+	}
+	return w.Capacity.Sub(w.used)
+}
+
+// Runs returns the open runs of a worker, by task.
+func (s *State) Runs(id WorkerID) []OpenRun {
+	w := s.workers[id]
+	if w == nil {
+		return nil
+	}
+	runs := make([]OpenRun, 0, len(w.runs))
+	for _, task := range sortedTasks(w.runs) {
+		runs = append(runs, OpenRun{Task: task, Run: w.runs[task]})
+	}
+	return runs
+}
+
+// OpenRun is an open run of a task.
+type OpenRun struct {
+	Task TaskID
+	Run  RunNumber
+}
+
+func sortedTasks(runs map[TaskID]RunNumber) []TaskID {
+	ids := make([]TaskID, 0, len(runs))
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, CompareTasks)
+	return ids
+}
+
+// CompareTasks orders ids by job, occurrence, step and index.
+func CompareTasks(t, o TaskID) int {
+	return cmp.Or(
+		cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence),
+		cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index),
+	)
+}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -22,6 +22,7 @@
 type waitingProposal struct {
 	term    uint64
 	command state.Command
+	tag     uint64
 	finish  func(proposed, error)
 }
 
@@ -52,7 +53,7 @@
 }
 
 func (t *task) proposeNow(now time.Time, c proposeCall) {
-	t.append(now, c.command, c.encoded, func(got proposed, err error) {
+	t.append(now, c.command, c.encoded, c.tag, func(got proposed, err error) {
 		if err != nil {
 			c.refuse(err)
 			return
@@ -74,7 +75,7 @@
 }
 
 // append adds a command to the log. finish is called once, by this task.
-func (t *task) append(now time.Time, command state.Command, encoded []byte, finish func(proposed, error)) {
+func (t *task) append(now time.Time, command state.Command, encoded []byte, tag uint64, finish func(proposed, error)) {
 	if t.disk.full {
 		finish(proposed{}, ErrDiskFull)
 		return
@@ -89,7 +90,7 @@
 		// the entry did not survive.
 		former.finish(proposed{}, t.notLeader())
 	}
-	t.proposals.waiting[index] = waitingProposal{term: term, command: command, finish: finish}
+	t.proposals.waiting[index] = waitingProposal{term: term, command: command, tag: tag, finish: finish}
 }
 
 // reads are the reads that wait for their barrier.
@@ -124,6 +125,10 @@
 // query answers from the state and adds what only the leader knows.
 func (t *task) query(q state.Query) state.Answer {
 	answer := t.state.Query(q)
+	if answer.Queues != nil {
+		answer.Queues.Replicas = t.replicaAddresses()
+		t.workCaller(q.Queues.Caller)
+	}
 	if t.leading == nil {
 		return answer
 	}
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -272,6 +272,7 @@
 		t.opts.Metrics.Add(metricResults, string(result.Refusal), 1)
 	}
 	t.observe(now, entry.Index, command, result, events)
+	t.workApplied(command, waiting.tag)
 	if known {
 		waiting.finish(proposed{result: result, index: entry.Index}, nil)
 	}
--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -32,6 +32,7 @@
 	nextPlan    time.Time
 	planWake    time.Time // when the scheduler wants to plan without an event
 	nextAdvance time.Time
+	nextRepair  time.Time // zero where the cell file lists the members
 }
 
 // planLimits bounds the plans of a leader.
@@ -103,11 +104,13 @@
 	for _, member := range t.members() {
 		l.seen[member.Name] = sighting{incarnation: member.Incarnation, at: now}
 	}
+	t.workLeads()
 	t.opts.Logger.Log(eventLeading, zap.Uint64("term", l.term), zap.Uint64("applied", t.applied))
 }
 
 func (t *task) stopLeading() {
 	t.leading = nil
+	t.workEnds()
 	t.opts.Logger.Log(eventNotLeading, zap.Uint64("term", t.status.Term))
 }
 
@@ -130,7 +133,7 @@
 		settle(proposed{}, err)
 		return
 	}
-	t.append(now, command, encoded, settle)
+	t.append(now, command, encoded, 0, settle)
 }
 
 // lead does what is due on the leader.
@@ -144,6 +147,11 @@
 		t.proposeOwn(now, state.Command{Advance: &state.Advance{}}, nil)
 		t.removeSilentMembers(now)
 		t.changeGroup(now)
+		t.leading.nextRepair = now.Add(repairInterval)
+	}
+	if t.opts.AutoVoters > 0 && !now.Before(t.leading.nextRepair) {
+		t.leading.nextRepair = now.Add(repairInterval)
+		t.repairGroup(now)
 	}
 	t.plan(now)
 }
@@ -156,7 +164,7 @@
 
 // nextDeadline is when lead has something to do without a message.
 func (l *leading) nextDeadline() time.Time {
-	deadlines := []time.Time{l.nextAdvance, l.granter.NextDeadline()}
+	deadlines := []time.Time{l.nextAdvance, l.nextRepair, l.granter.NextDeadline()}
 	if l.plans < l.limits.plans {
 		wake := l.planWake
 		if l.changed {
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/godwitlink/godwitlink/core/controlgroup"
 	"github.com/godwitlink/godwitlink/core/replog"
 )
@@ -17,28 +15,14 @@
 // changeGroup makes one step that brings the group closer to the list in the
 // file in force. The leader calls it every advanceInterval.
 func (t *task) changeGroup(now time.Time) {
-	if t.file == nil {
+	if t.opts.AutoVoters > 0 {
+		t.repairGroup(now)
 		return
 	}
-	status := t.core.Status()
-	step := controlgroup.Next(t.groupView(now, status))
-	var err error
-	switch step.Kind {
-	case controlgroup.StepNone:
-		return
-	case controlgroup.StepTransfer:
-		err = t.core.TransferLeadership(now, step.Replica)
-	default:
-		err = t.core.ChangeMembership(now, step.Next)
-	}
-	if err != nil {
-		t.opts.Metrics.Add(metricRetries, "membership", 1)
-		t.opts.Logger.Log(eventStepRefused, zap.String("step", string(step.Kind)), zap.Uint64("replica", uint64(step.Replica)), zap.Error(err))
+	if t.file == nil {
 		return
 	}
-	t.opts.Metrics.Add(metricSteps, string(step.Kind), 1)
-	t.opts.Logger.Log(eventStep, zap.String("step", string(step.Kind)), zap.Uint64("replica", uint64(step.Replica)),
-		zap.Any("voters", step.Next.Voters), zap.Any("learners", step.Next.Learners))
+	t.takeStep(now, controlgroup.Next(t.groupView(now, t.core.Status())))
 }
 
 func (t *task) groupView(now time.Time, status replog.Status) controlgroup.View {
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -40,6 +40,7 @@
 	reply[proposed]
 	command state.Command
 	encoded []byte
+	tag     uint64 // of ProposeWork, otherwise 0
 }
 
 // readCall asks for a current read.
@@ -69,6 +70,12 @@
 	config   *state.ConfigRecord // nil where not newer
 }
 
+// localCall asks for what this replica has applied.
+type localCall struct {
+	reply[state.Answer]
+	query state.Query
+}
+
 type statusCall struct{ reply[Report] }
 
 // announceCall is the announcement of another replica.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -30,6 +30,13 @@
 	SnapshotEveryEntries uint64
 	Seed                 uint64 // of election time-outs
 
+	// AutoVoters is the number of voters that a group without a list of its
+	// members keeps; replicas that announce themselves join it. 0 follows the
+	// list in the cell file.
+	AutoVoters int
+	// Work takes what a dispatcher of jobs of steps needs, or is nil.
+	Work chan<- WorkUpdate
+
 	// Plain proposes the next command only when the one before it is
 	// committed, and plans one placement at a time. With
 	// storage.Options.EntriesPerSync 1 it is the version without batching
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -25,14 +25,16 @@
 	settings  map[replog.ReplicaID]bool // their addresses never change
 	addresses map[replog.ReplicaID]string
 	announced map[replog.ReplicaID]time.Time // last announcement
-	missing   map[replog.ReplicaID]int       // housekeeping rounds without an address
+	// firstHeard is the first announcement of a replica.
+	firstHeard map[replog.ReplicaID]time.Time
+	missing    map[replog.ReplicaID]int // housekeeping rounds without an address
 }
 
 func newPeers(opts Options) peers {
 	p := peers{
 		self:     replication.Peer{ID: opts.ID, Address: opts.Address},
 		settings: map[replog.ReplicaID]bool{}, addresses: map[replog.ReplicaID]string{},
-		announced: map[replog.ReplicaID]time.Time{}, missing: map[replog.ReplicaID]int{},
+		announced: map[replog.ReplicaID]time.Time{}, firstHeard: map[replog.ReplicaID]time.Time{}, missing: map[replog.ReplicaID]int{},
 	}
 	for _, peer := range opts.Voters {
 		p.settings[peer.ID] = true
@@ -89,6 +91,9 @@
 func (t *task) announced(now time.Time, c announceCall) {
 	if !c.from.Joining && c.from.ID != t.opts.ID && t.learn(c.from.Peer, true) {
 		t.peers.announced[c.from.ID] = now
+		if _, known := t.peers.firstHeard[c.from.ID]; !known {
+			t.peers.firstHeard[c.from.ID] = now
+		}
 	}
 	c.send(replication.Known{
 		Peers:      t.peers.list(),
--- /dev/null
+++ b/internal/replica/repair.go
@@ -0,0 +1,85 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/controlgroup"
+	"github.com/godwitlink/godwitlink/core/replog"
+)
+
+// Times of the repair of a group without a list of members.
+const (
+	// repairInterval is the time between two steps. A lost replica has to be
+	// replaced within seconds, and a replacement takes four steps.
+	repairInterval = 100 * time.Millisecond
+	// silentAfter is how long a voter may be without an answer before a
+	// replica that has caught up takes its place. A restart takes about a
+	// second.
+	silentAfter = 1500 * time.Millisecond
+)
+
+// repairGroup makes one step towards Options.AutoVoters sound voters.
+func (t *task) repairGroup(now time.Time) {
+	status := t.core.Status()
+	view := controlgroup.RepairView{
+		View:   controlgroup.View{Self: t.opts.ID, Membership: status.Membership, Announced: t.peers.recent(now)},
+		Target: t.opts.AutoVoters, Replaced: t.peers.replaced(),
+	}
+	slices.Sort(view.Announced)
+	for _, follower := range status.Followers {
+		quiet := now.Sub(follower.AnsweredAt)
+		if quiet >= silentAfter {
+			view.Silent = append(view.Silent, follower.ID)
+		}
+		if quiet >= t.opts.ElectionTimeoutMax {
+			continue
+		}
+		view.Answering = append(view.Answering, follower.ID)
+		if follower.Learner && follower.Match > 0 && follower.Match+caughtUpLag >= status.Commit {
+			view.CaughtUp = append(view.CaughtUp, follower.ID)
+		}
+	}
+	t.takeStep(now, controlgroup.Repair(view))
+}
+
+// replaced returns the replicas whose address another one has announced since.
+func (p *peers) replaced() []replog.ReplicaID {
+	newest := map[string]replog.ReplicaID{}
+	for id := range p.announced {
+		address := p.addresses[id]
+		if other, ok := newest[address]; !ok || p.announced[id].After(p.announced[other]) {
+			newest[address] = id
+		}
+	}
+	var lost []replog.ReplicaID
+	for id, address := range p.addresses {
+		if owner, ok := newest[address]; ok && owner != id && id != p.self.ID && p.firstHeard[owner].After(p.announced[id]) {
+			lost = append(lost, id)
+		}
+	}
+	return lost
+}
+
+// takeStep proposes a change of the group, or hands the leadership over.
+func (t *task) takeStep(now time.Time, step controlgroup.Step) {
+	var err error
+	switch step.Kind {
+	case controlgroup.StepNone:
+		return
+	case controlgroup.StepTransfer:
+		err = t.core.TransferLeadership(now, step.Replica)
+	default:
+		err = t.core.ChangeMembership(now, step.Next)
+	}
+	if err != nil {
+		t.opts.Metrics.Add(metricRetries, "membership", 1)
+		t.opts.Logger.Log(eventStepRefused, zap.String("step", string(step.Kind)), zap.Uint64("replica", uint64(step.Replica)), zap.Error(err))
+		return
+	}
+	t.opts.Metrics.Add(metricSteps, string(step.Kind), 1)
+	t.opts.Logger.Log(eventStep, zap.String("step", string(step.Kind)), zap.Uint64("replica", uint64(step.Replica)),
+		zap.Any("voters", step.Next.Voters), zap.Any("learners", step.Next.Learners))
+}
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -51,6 +51,7 @@
 	proposals proposals
 	reads     reads
 	feeds     feeds
+	workFeed  workFeed
 	leading   *leading // nil where this replica does not lead
 	stopping  *stopping
 
@@ -74,6 +75,7 @@
 	t.reads.waiting = map[uint64]readCall{}
 	t.feeds.waiting = map[cell.EntryName]*waitingFeed{}
 	t.feeds.changed = map[cell.WorkerName]bool{}
+	t.workFeed.out = r.opts.Work
 	if t.admitted && !t.joined && !t.peers.settings[r.opts.ID] {
 		return nil, ErrNotInitial
 	}
@@ -162,9 +164,12 @@
 // wait blocks until there is a message or a deadline has passed. Messages are
 // taken here and handled in turn, under a time read after their arrival.
 func (t *task) wait(ctx context.Context, timer *time.Timer) {
+	updates, update := t.workFeed.target()
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
+	case updates <- update:
+		t.workFeed.sent()
 	case messages := <-t.steps:
 		t.mail.steps = append(t.mail.steps, messages...)
 	case c := <-t.calls:
@@ -221,6 +226,7 @@
 			return err
 		}
 	}
+	t.workAuthority()
 	t.answerFeeds(now)
 	t.takeSnapshot()
 	return nil
@@ -230,6 +236,8 @@
 	switch c := c.(type) {
 	case proposeCall:
 		t.propose(now, c)
+	case localCall:
+		c.send(t.query(c.query))
 	case readCall:
 		t.read(now, c)
 	case renewCall:
--- /dev/null
+++ b/internal/replica/workfeed.go
@@ -0,0 +1,154 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/codec"
+)
+
+// WorkUpdate is a message of the replica task to the task that dispatches the
+// jobs of steps. Its fields are handled in their order.
+type WorkUpdate struct {
+	// Lead is set at the beginning of a term that this replica leads.
+	Lead *WorkLead
+	// Ended is set where this replica leads no longer.
+	Ended   bool
+	Applied []AppliedWork
+	// Authority is when the leader lease ends; zero where it did not change.
+	Authority time.Time
+	Callers   []string // processes that asked for the queues
+}
+
+// WorkLead is the state that a new leader begins with.
+type WorkLead struct {
+	Term     uint64
+	Snapshot workload.Snapshot
+}
+
+// AppliedWork is a committed command.
+type AppliedWork struct {
+	At       time.Time
+	Retained time.Duration
+	Command  workload.Command
+	Expire   bool   // the clock of retention moved; there is no command
+	Tag      uint64 // of a ProposeWork of this process, otherwise 0
+}
+
+// workFeed holds the updates that the dispatching task has not taken yet. The
+// replica task never waits for it.
+type workFeed struct {
+	out       chan<- WorkUpdate
+	pending   []WorkUpdate
+	authority time.Time
+}
+
+// target returns the channel and the next update, or nil where there is none.
+func (f *workFeed) target() (chan<- WorkUpdate, WorkUpdate) {
+	if len(f.pending) == 0 {
+		return nil, WorkUpdate{}
+	}
+	return f.out, f.pending[0]
+}
+
+func (f *workFeed) sent() { f.pending = f.pending[1:] }
+
+// last returns the update to add to.
+func (f *workFeed) last() *WorkUpdate {
+	if len(f.pending) == 0 {
+		f.pending = append(f.pending, WorkUpdate{})
+	}
+	return &f.pending[len(f.pending)-1]
+}
+
+func (t *task) workLeads() {
+	if t.workFeed.out == nil {
+		return
+	}
+	t.workFeed.pending = []WorkUpdate{{Lead: &WorkLead{Term: t.status.Term, Snapshot: t.state.Workload().Snapshot()}}}
+	t.workFeed.authority = time.Time{}
+}
+
+func (t *task) workEnds() {
+	if t.workFeed.out != nil {
+		t.workFeed.pending = []WorkUpdate{{Ended: true}}
+	}
+}
+
+func (t *task) workApplied(command state.Command, tag uint64) {
+	if t.workFeed.out == nil || t.leading == nil || command.Workload == nil && command.Advance == nil {
+		return
+	}
+	now, retained := t.state.Clocks()
+	applied := AppliedWork{At: now, Retained: retained, Expire: command.Advance != nil, Tag: tag}
+	if command.Workload != nil {
+		applied.Command = *command.Workload
+	}
+	update := t.workFeed.last()
+	update.Applied = append(update.Applied, applied)
+}
+
+func (t *task) workAuthority() {
+	if t.workFeed.out == nil || t.leading == nil || t.status.LeaseEnd.Equal(t.workFeed.authority) {
+		return
+	}
+	t.workFeed.authority = t.status.LeaseEnd
+	t.workFeed.last().Authority = t.status.LeaseEnd
+}
+
+func (t *task) workCaller(address string) {
+	if t.workFeed.out == nil || t.leading == nil || address == "" {
+		return
+	}
+	update := t.workFeed.last()
+	update.Callers = append(update.Callers, address)
+}
+
+// ProposeWork commits a command of the dispatching task. Calls are taken in
+// their order. tag comes back in the update that has the command; the error
+// says that the command was not taken or that its outcome is not known.
+func (r *Replica) ProposeWork(ctx context.Context, command workload.Command, tag uint64) (wait func() error, err error) {
+	whole := state.Command{At: time.Now(), Workload: &command}
+	encoded, err := codec.EncodeCommand(whole)
+	if err != nil {
+		return nil, err
+	}
+	reply := newReply[proposed]()
+	select {
+	case r.calls <- proposeCall{reply: reply, command: whole, encoded: encoded, tag: tag}:
+	default:
+		return nil, ErrOverloaded
+	}
+	return func() error {
+		_, err := await(ctx, r, reply)
+		return err
+	}, nil
+}
+
+// Local answers a query from what this replica has applied, which may be behind
+// the leader.
+func (r *Replica) Local(ctx context.Context, query state.Query) (state.Answer, error) {
+	return ask(ctx, r, func(reply reply[state.Answer]) call { return localCall{reply, query} })
+}
+
+// LeaderAddress returns the address of the leader, or an empty one.
+func (r *Replica) LeaderAddress(ctx context.Context) (string, error) {
+	report, err := r.Report(ctx)
+	return report.LeaderAt, err
+}
+
+// replicaAddresses lists where the members of the group listen.
+func (t *task) replicaAddresses() []string {
+	var all []string
+	for _, ids := range [][]replog.ReplicaID{t.status.Membership.Voters, t.status.Membership.Learners} {
+		for _, id := range ids {
+			if address := t.peers.addresses[id]; address != "" {
+				all = append(all, address)
+			}
+		}
+	}
+	return all
+}
