--- a/core/state/query.go
+++ b/core/state/query.go
@@ -20,8 +20,12 @@
 	StepJob *StepJobQuery `cbor:",omitempty"`
 	Queue   *QueueQuery   `cbor:",omitempty"`
 	Queues  *QueuesQuery  `cbor:",omitempty"`
+	Called  *CalledQuery  `cbor:",omitempty"`
 }
 
+// CalledQuery asks for a worker that is called by the leader.
+type CalledQuery struct{ Worker workload.WorkerID }
+
 // StepJobQuery asks for the state of a job of steps.
 type StepJobQuery struct{ ID workload.JobID }
 
@@ -69,9 +73,10 @@
 	Members []Member       `cbor:",omitempty"`
 	Explain *ExplainView   `cbor:",omitempty"`
 
-	StepJob *StepJobView `cbor:",omitempty"`
-	Queue   *QueueView   `cbor:",omitempty"`
-	Queues  *QueuesView  `cbor:",omitempty"`
+	StepJob *StepJobView     `cbor:",omitempty"`
+	Queue   *QueueView       `cbor:",omitempty"`
+	Queues  *QueuesView      `cbor:",omitempty"`
+	Called  *workload.Worker `cbor:",omitempty"`
 }
 
 // StepJobView is what a caller sees of a job of steps.
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -29,6 +29,10 @@
 		return Answer{Queue: &QueueView{Pending: s.workload.Pending(q.Queue.Name)}}
 	case q.Queues != nil:
 		return Answer{Queues: s.queuesView(q.Queues.Known)}
+	case q.Called != nil:
+		if w, ok := s.workload.Worker(q.Called.Worker); ok {
+			return Answer{Called: &w}
+		}
 	}
 	return Answer{}
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -137,6 +137,18 @@
 	return response, err
 }
 
+// Learn takes the addresses of the members of the control group over. A list
+// that comes while another one waits is dropped: the next one follows soon.
+func (c *Client) Learn(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	select {
+	case c.directory.learned <- members:
+	default:
+	}
+}
+
 type call func(ctx context.Context, control rpcpb.Control) error
 
 // untilAnswered repeats a call until it is answered or ctx ends.
--- a/internal/controlclient/directory.go
+++ b/internal/controlclient/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
@@ -14,7 +15,9 @@
 	httpClient *http.Client
 	lookups    chan chan target
 	failures   chan failedTarget
+	learned    chan []string
 
+	seeds     []string // addresses of the settings
 	addresses []string // owned by run
 	current   int      // index of the replica believed to lead; owned by run
 	clients   map[string]rpcpb.Control
@@ -41,6 +44,8 @@
 		httpClient: httpClient,
 		lookups:    make(chan chan target),
 		failures:   make(chan failedTarget, failureQueue),
+		learned:    make(chan []string, 1),
+		seeds:      addresses,
 		addresses:  append([]string(nil), addresses...),
 		clients:    map[string]rpcpb.Control{},
 	}
@@ -53,6 +58,8 @@
 			reply <- d.currentTarget()
 		case failure := <-d.failures:
 			d.handleFailure(failure)
+		case addresses := <-d.learned:
+			d.replace(addresses)
 		case <-ctx.Done():
 			return
 		}
@@ -83,6 +90,21 @@
 	d.current = (d.current + 1) % len(d.addresses)
 }
 
+// replace takes the members of the group over as the replicas to call. The
+// addresses of the settings stay behind them: they are of use where every
+// member has been replaced since.
+func (d *directory) replace(members []string) {
+	current := d.addresses[d.current]
+	merged := append([]string(nil), members...)
+	for _, seed := range d.seeds {
+		if !slices.Contains(merged, seed) {
+			merged = append(merged, seed)
+		}
+	}
+	d.addresses = merged
+	d.current = d.indexOf(current)
+}
+
 func (d *directory) indexOf(address string) int {
 	for i, known := range d.addresses {
 		if known == address {
--- /dev/null
+++ b/internal/dispatcher/events.go
@@ -0,0 +1,66 @@
+package dispatcher
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// Log events.
+var (
+	eventTermBegins = eventlog.Declare(4000, zapcore.InfoLevel, "dispatching begins")
+	eventTermEnds   = eventlog.Declare(4001, zapcore.InfoLevel, "dispatching ends")
+	eventProposal   = eventlog.Declare(4002, zapcore.WarnLevel, "a decision was not committed")
+)
+
+// decisionEvents are the log events of the core's decisions.
+var decisionEvents = map[dispatch.DecisionKind]eventlog.Event{
+	dispatch.DecisionAdopted:   eventlog.Declare(4010, zapcore.InfoLevel, "worker answers to this leader"),
+	dispatch.DecisionSilent:    eventlog.Declare(4011, zapcore.WarnLevel, "worker does not answer"),
+	dispatch.DecisionBack:      eventlog.Declare(4012, zapcore.InfoLevel, "worker answers again"),
+	dispatch.DecisionBootEnded: eventlog.Declare(4013, zapcore.WarnLevel, "boot of a worker is given up"),
+	dispatch.DecisionAvoided:   eventlog.Declare(4014, zapcore.WarnLevel, "worker gets nothing new for a while"),
+	dispatch.DecisionPlaced:    eventlog.Declare(4015, zapcore.InfoLevel, "tasks of a step were placed"),
+	dispatch.DecisionRefused:   eventlog.Declare(4016, zapcore.WarnLevel, "a placement was refused"),
+	dispatch.DecisionAsked:     eventlog.Declare(4017, zapcore.InfoLevel, "adviser is asked about a step"),
+	dispatch.DecisionGranted:   eventlog.Declare(4018, zapcore.InfoLevel, "adviser granted workers for a step"),
+	dispatch.DecisionNoAdvice:  eventlog.Declare(4019, zapcore.WarnLevel, "adviser did not answer"),
+	dispatch.DecisionStop:      eventlog.Declare(4020, zapcore.InfoLevel, "run is stopped"),
+	dispatch.DecisionRunEnded:  eventlog.Declare(4021, zapcore.InfoLevel, "run ended without success"),
+	dispatch.DecisionFenced:    eventlog.Declare(4022, zapcore.WarnLevel, "a worker follows a later leader"),
+}
+
+// Metrics.
+var (
+	metricCalls     = metrics.Declare("worker_calls_total", metrics.KindCounter, "calls to workers, by kind and outcome")
+	metricDecisions = metrics.Declare("dispatch_decisions_total", metrics.KindCounter, "decisions of the dispatcher, by kind and reason")
+	metricCall      = metrics.Declare("worker_call_delay_seconds", metrics.KindHistogram, "time until a worker answered a start or a stop")
+	metricAdvice    = metrics.Declare("advice_delay_seconds", metrics.KindHistogram, "time until the adviser answered")
+)
+
+func (t *task) logDecision(d dispatch.Decision) {
+	t.opts.Metrics.Add(metricDecisions, string(d.Kind), 1)
+	fields := make([]zap.Field, 0, 8)
+	if d.Job != "" {
+		fields = append(fields, zap.String("job", string(d.Job)), zap.Int("step", d.Step))
+	}
+	if d.Run != 0 {
+		fields = append(fields, zap.Int("task", d.Task), zap.Uint64("run", uint64(d.Run)))
+	}
+	if d.Worker != "" {
+		fields = append(fields, zap.String("worker", string(d.Worker)))
+	}
+	if d.Count != 0 {
+		fields = append(fields, zap.Int("count", d.Count))
+	}
+	if d.Reason != "" {
+		fields = append(fields, zap.String("reason", d.Reason))
+	}
+	if d.Age != 0 {
+		fields = append(fields, zap.Int64("age_ms", d.Age.Milliseconds()))
+	}
+	t.opts.Logger.Log(decisionEvents[d.Kind], fields...)
+}
--- /dev/null
+++ b/internal/platformproc/control.go
@@ -0,0 +1,143 @@
+package platformproc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/dispatcher"
+	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/storage"
+	"github.com/godwitlink/godwitlink/internal/workapi"
+	"github.com/godwitlink/godwitlink/platform"
+)
+
+// Times and sizes of a control replica.
+const (
+	electionTimeoutMin = 450 * time.Millisecond
+	electionTimeoutMax = 900 * time.Millisecond
+	heartbeatInterval  = 75 * time.Millisecond
+	maxClockDriftPPM   = 20_000 // the platform names 2 percent for workers
+	snapshotEntries    = 20_000
+	segmentBytes       = 4 << 20
+	// diskShare is the part of the disk that the log may use, in percent. The
+	// rest holds snapshots.
+	diskShare = 50
+	// leaseShare is the part of the longest lease that is asked for, in
+	// percent: a worker that is cut off is replaced when its lease is over.
+	leaseShare = 75
+	holdWait   = time.Second
+	// workQueue is the number of updates that the dispatcher may be behind.
+	workQueue = 4
+	// handOverTimeout bounds the wait for another leader at a planned stop.
+	handOverTimeout = 3 * time.Second
+)
+
+// RunControl runs a control replica. stop asks for a planned stop, kill ends it.
+func RunControl(stop, kill context.Context, s *ControlSettings, out io.Writer) error {
+	b, err := newBase(out, s.LogLevel, s.Name)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	self, err := loadNode(s)
+	if err != nil {
+		return err
+	}
+	client := newHTTPClient()
+	updates := make(chan replica.WorkUpdate, workQueue)
+	r, err := newReplica(b, s, self, client, updates)
+	if err != nil {
+		return err
+	}
+	control := controlclient.New(controlAddresses(s), "http", client, b.metrics)
+	calls := platform.NewClient(s.Adviser, b.logger)
+	if err := b.serveControl(s, r, control, calls); err != nil {
+		r.Close()
+		return err
+	}
+	b.watchReload(kill)
+	b.logger.Log(eventStarted, zap.Uint64("replica", self.ID), zap.Bool("joined", self.Joined), zap.Bool("bootstrap", s.Bootstrap))
+
+	running, cancel := context.WithCancel(kill)
+	defer cancel()
+	b.tasks.Go(func() { control.Run(running) })
+	b.tasks.Go(func() {
+		dispatcher.Run(running, dispatcher.Options{
+			Workers: calls, Proposer: r, Logger: b.logger, Metrics: b.metrics, Self: s.ListenInternal,
+			Adviser: &dispatcher.RelayAdviser{Self: s.ListenInternal, Local: calls, Client: client},
+			Lease:   s.WorkerLeaseMax * leaseShare / 100, HoldWait: holdWait, ClockLagPPM: maxClockDriftPPM,
+		}, updates)
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(running) }()
+	select {
+	case err := <-ended:
+		return err
+	case err := <-b.failures:
+		cancel()
+		return errors.Join(err, <-ended)
+	case <-stop.Done():
+	}
+	b.logger.Log(eventStopping)
+	timed, cancelTimed := context.WithTimeout(kill, handOverTimeout)
+	defer cancelTimed()
+	stopErr := r.Stop(timed)
+	cancel()
+	err = <-ended
+	b.tasks.Wait()
+	if errors.Is(stopErr, replica.ErrStopped) || errors.Is(stopErr, context.DeadlineExceeded) {
+		stopErr = nil
+	}
+	return errors.Join(err, stopErr)
+}
+
+// controlAddresses are the replicas that this process knows at its start, its
+// own first.
+func controlAddresses(s *ControlSettings) []string {
+	return append([]string{s.ListenInternal}, internalAddresses(s.Seeds, s.ListenInternal)...)
+}
+
+func newReplica(b *base, s *ControlSettings, self node, client *http.Client, updates chan<- replica.WorkUpdate) (*replica.Replica, error) {
+	disk, err := storage.NewFolder(filepath.Join(s.DataDir, "log"))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return replica.New(replica.Options{
+		ID: replog.ReplicaID(self.ID), Voters: self.peers(s), Address: s.ListenInternal, Join: self.Joined,
+		Scheme: "http", Client: client, Logger: b.logger, Metrics: b.metrics,
+		Storage: storage.Options{
+			Disk: disk, SegmentBytes: segmentBytes, LimitBytes: s.DiskMB << 20 * diskShare / 100,
+		},
+		ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax, HeartbeatInterval: heartbeatInterval,
+		MaxClockDriftPPM: maxClockDriftPPM, SnapshotEveryEntries: snapshotEntries, Seed: uint64(time.Now().UnixNano()),
+		AutoVoters: 2*s.TolerateReplicas + 1, Work: updates,
+	})
+}
+
+func (b *base) serveControl(s *ControlSettings, r *replica.Replica, control *controlclient.Client, calls *platform.Client) error {
+	internal := http.NewServeMux()
+	internal.Handle("/", r.Handler())
+	prefix, relay := dispatcher.NewRelayHandler(calls)
+	internal.Handle(prefix, relay)
+	registry := workapi.NewRegistry(workapi.RegistryOptions{Control: control, Local: r, Logger: b.logger, Metrics: b.metrics})
+	outside, err := platform.NewControl(registry, b.logger, s.ListenControl)
+	if err != nil {
+		return err
+	}
+	if _, err := b.serve(s.ListenInternal, internal); err != nil {
+		return err
+	}
+	if _, err := b.serve(s.ListenControl, outside); err != nil {
+		return err
+	}
+	return b.serveMetrics(s.ListenMetrics)
+}
--- /dev/null
+++ b/internal/platformproc/entry.go
@@ -0,0 +1,122 @@
+package platformproc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/dispatcher"
+	"github.com/godwitlink/godwitlink/internal/pause"
+	"github.com/godwitlink/godwitlink/internal/workapi"
+	"github.com/godwitlink/godwitlink/platform"
+)
+
+// Times of a planned stop of an entry process.
+const (
+	// rotationTime is how long the balancer may send new connections after the
+	// process has said that it is not ready: two checks, one a second.
+	rotationTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace for the end of the process.
+	stopMargin = 500 * time.Millisecond
+)
+
+// RunEntry runs an entry process. stop asks for a planned stop, kill ends it.
+func RunEntry(stop, kill context.Context, s *EntrySettings, out io.Writer) error {
+	b, err := newBase(out, s.LogLevel, s.Name)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	client := newHTTPClient()
+	control := controlclient.New(internalAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
+	gate := workapi.NewGate(workapi.GateOptions{Control: control, Logger: b.logger, Metrics: b.metrics, Caller: s.ListenInternal})
+	e := &entry{base: b, gate: gate}
+	if err := e.listen(s); err != nil {
+		return err
+	}
+	b.watchReload(kill)
+	b.logger.Log(eventStarted)
+	running, cancel := context.WithCancel(kill)
+	defer cancel()
+	b.tasks.Go(func() { control.Run(running) })
+	b.tasks.Go(func() { gate.Run(running) })
+	select {
+	case err := <-b.failures:
+		return err
+	case <-kill.Done():
+		return nil
+	case <-stop.Done():
+	}
+	return e.stop(kill, s.StopGrace)
+}
+
+// entry is a running entry process.
+type entry struct {
+	*base
+	gate     *workapi.Gate
+	clients  *http.Server
+	stopping atomic.Bool
+}
+
+func (e *entry) listen(s *EntrySettings) error {
+	internal := http.NewServeMux()
+	prefix, relay := dispatcher.NewRelayHandler(platform.NewClient(s.Adviser, e.logger))
+	internal.Handle(prefix, relay)
+	if _, err := e.serve(s.ListenInternal, internal); err != nil {
+		return err
+	}
+	if err := e.serveMetrics(s.ListenMetrics); err != nil {
+		return err
+	}
+	var err error
+	e.clients, err = e.serve(s.ListenClients, e.closing(platform.NewClients(e.gate, e.logger)))
+	if err != nil {
+		return err
+	}
+	_, err = e.serve(s.ListenReady, http.HandlerFunc(e.ready))
+	return err
+}
+
+// closing ends connections with their next answer once the process stops, so
+// that clients go on to another one.
+func (e *entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if e.stopping.Load() || !e.gate.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// stop takes the process out of rotation, answers what has arrived, and ends
+// before the grace is over.
+func (e *entry) stop(kill context.Context, grace time.Duration) error {
+	started := time.Now()
+	e.stopping.Store(true)
+	e.logger.Log(eventStopping)
+	if pause.For(kill, min(rotationTime, grace/2)) != nil {
+		return nil
+	}
+	timed, cancel := context.WithTimeout(kill, grace-time.Since(started)-stopMargin)
+	defer cancel()
+	err := e.clients.Shutdown(timed)
+	if errors.Is(err, context.DeadlineExceeded) {
+		e.logger.Log(eventCut, zap.Duration("after", time.Since(started)))
+		return nil
+	}
+	return err
+}
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -134,6 +134,15 @@
 	return ask(ctx, r, func(reply reply[state.Answer]) call { return localCall{reply, query} })
 }
 
+// LocalWorkload returns a worker as this replica knows it.
+func (r *Replica) LocalWorkload(ctx context.Context, id workload.WorkerID) (workload.Worker, bool, error) {
+	answer, err := r.Local(ctx, state.Query{Called: &state.CalledQuery{Worker: id}})
+	if err != nil || answer.Called == nil {
+		return workload.Worker{}, false, err
+	}
+	return *answer.Called, true, nil
+}
+
 // LeaderAddress returns the address of the leader, or an empty one.
 func (r *Replica) LeaderAddress(ctx context.Context) (string, error) {
 	report, err := r.Report(ctx)
--- /dev/null
+++ b/internal/workapi/registry.go
@@ -0,0 +1,130 @@
+package workapi
+
+import (
+	"context"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// Local answers from what a control replica has applied.
+type Local interface {
+	LocalWorkload(ctx context.Context, worker workload.WorkerID) (known workload.Worker, ok bool, err error)
+	LeaderAddress(ctx context.Context) (string, error)
+}
+
+// RegistryOptions are what a Registry needs.
+type RegistryOptions struct {
+	Control *controlclient.Client
+	Local   Local
+	Logger  *eventlog.Logger
+	Metrics *metrics.Set
+}
+
+// Registry takes the reports of workers and the configurations of operators on
+// a control replica. Its methods may be called by many goroutines.
+type Registry struct{ opts RegistryOptions }
+
+// NewRegistry returns a registry.
+func NewRegistry(opts RegistryOptions) *Registry { return &Registry{opts: opts} }
+
+// Report takes what a worker says of itself. It is acknowledged once it is
+// committed; a report that says nothing new needs no commit. leader is the
+// internal address of the leader, where it is known.
+func (r *Registry) Report(ctx context.Context, w workload.Worker) (leader string, outcome Outcome) {
+	known, ok, err := r.opts.Local.LocalWorkload(ctx, w.ID)
+	if err != nil {
+		return "", r.registered(w, OutcomeNotTaken, err)
+	}
+	if leader, err = r.opts.Local.LeaderAddress(ctx); err != nil || leader == "" {
+		return "", r.registered(w, OutcomeNotTaken, err)
+	}
+	if ok && sameWorker(known, w) {
+		r.opts.Metrics.Add(metricRegistry, "unchanged", 1)
+		return leader, OutcomeOK
+	}
+	return leader, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
+}
+
+// sameWorker reports whether a report adds nothing to what is known. A report
+// of an earlier boot adds nothing; a draining worker stays draining.
+func sameWorker(known, said workload.Worker) bool {
+	if said.Boot < known.Boot {
+		return true
+	}
+	if said.Boot > known.Boot || said.Draining && !known.Draining {
+		return false
+	}
+	return known.Address == said.Address && known.Zone == said.Zone && known.Service == said.Service &&
+		known.Capacity == said.Capacity && slices.Equal(known.Labels, said.Labels)
+}
+
+// Leave takes the last report of a worker. Its runs are given up when it no
+// longer answers.
+func (r *Registry) Leave(ctx context.Context, id workload.WorkerID) Outcome {
+	known, ok, err := r.opts.Local.LocalWorkload(ctx, id)
+	if err != nil {
+		return r.registered(workload.Worker{ID: id}, OutcomeNotTaken, err)
+	}
+	if !ok || known.Draining {
+		return OutcomeOK
+	}
+	return r.commit(ctx, known, workload.Command{Drain: &workload.Drain{Worker: id, Boot: known.Boot}})
+}
+
+func (r *Registry) commit(ctx context.Context, w workload.Worker, command workload.Command) Outcome {
+	result, err := r.opts.Control.Propose(ctx, state.Command{Workload: &command})
+	if err != nil {
+		return r.registered(w, ofError(err), err)
+	}
+	// A report of a boot that has ended is acknowledged: there is nothing to do
+	// for it.
+	if result.Workload == nil {
+		return r.registered(w, OutcomeUnknown, controlclient.ErrMalformed)
+	}
+	return r.registered(w, OutcomeOK, nil)
+}
+
+func (r *Registry) registered(w workload.Worker, outcome Outcome, err error) Outcome {
+	r.opts.Metrics.Add(metricRegistry, string(outcome), 1)
+	r.opts.Logger.Log(eventWorker, zap.String("worker", string(w.ID)), zap.Int64("boot", int64(w.Boot)),
+		zap.String("address", w.Address), zap.Bool("draining", w.Draining), zap.String("outcome", string(outcome)), zap.Error(err))
+	return outcome
+}
+
+// Configure puts a configuration in force where its version is the highest.
+func (r *Registry) Configure(ctx context.Context, config workload.Config) Outcome {
+	result, err := r.opts.Control.Propose(ctx, state.Command{Workload: &workload.Command{Configure: &config}})
+	outcome := OutcomeUnknown
+	inForce := uint64(0)
+	switch {
+	case err != nil:
+		outcome = ofError(err)
+	case result.Workload != nil:
+		outcome = ofRefusal(result.Workload.Refusal)
+		inForce = result.Workload.Version
+	}
+	r.opts.Logger.Log(eventConfigured, zap.Uint64("version", config.Version), zap.Uint64("in_force", inForce),
+		zap.String("outcome", string(outcome)), zap.Error(err))
+	return outcome
+}
+
+// Configuration returns the newest configuration, or OutcomeNotTaken where this
+// process cannot be sure which one that is.
+func (r *Registry) Configuration(ctx context.Context) (workload.Config, Outcome) {
+	answer, err := r.opts.Control.Read(ctx, state.Query{Queues: &state.QueuesQuery{}})
+	if err != nil || answer.Queues == nil {
+		r.opts.Logger.Log(eventConfigUnread, zap.Error(err))
+		return workload.Config{}, OutcomeNotTaken
+	}
+	if answer.Queues.Config == nil {
+		return workload.Config{}, OutcomeNoConfig
+	}
+	return *answer.Queues.Config, OutcomeOK
+}
--- /dev/null
+++ b/internal/workapi/routes.go
@@ -0,0 +1,37 @@
+package workapi
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// Routes finds the queue of a request. It never changes.
+type Routes struct {
+	version uint64
+	byHost  map[string][]workload.Queue // longest prefix first
+}
+
+// NewRoutes indexes a configuration.
+func NewRoutes(config workload.Config) *Routes {
+	r := &Routes{version: config.Version, byHost: map[string][]workload.Queue{}}
+	for _, queue := range config.Queues {
+		r.byHost[queue.Host] = append(r.byHost[queue.Host], queue)
+	}
+	for _, queues := range r.byHost {
+		slices.SortFunc(queues, func(a, b workload.Queue) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	return r
+}
+
+// Find returns the queue with the longest prefix of path, and the rest of path.
+func (r *Routes) Find(host, path string) (queue workload.Queue, rest string, ok bool) {
+	for _, queue := range r.byHost[host] {
+		if rest, ok := strings.CutPrefix(path, queue.PathPrefix); ok {
+			return queue, rest, true
+		}
+	}
+	return workload.Queue{}, "", false
+}
