Answer requests on kept connections during a planned stop

Cause: the planned stop of an entry process called SetKeepAlivesEnabled(false), with which net/http closes every idle connection at once, also one on which a request is on its way; TestDemo saw EOF around it in 1 of 4 runs beside load. The drain now ends each connection with its next answer. TestDrainAnswersRequestsOnKeptConnections failed before (unexpected EOF) and passes now. go.mod is tidy and make lint checks it.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 lint:
 	@unformatted=$$(gofmt -l $(SOURCES)); \
 	if [ -n "$$unformatted" ]; then echo "gofmt differs: $$unformatted"; exit 1; fi
+	$(GO) mod tidy -diff
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 	$(GO) run ./tools/shapecheck .
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -14,6 +14,7 @@
 	_ "github.com/godwitlink/godwitlink/internal/controlclient"
 	_ "github.com/godwitlink/godwitlink/internal/controlproc"
 	_ "github.com/godwitlink/godwitlink/internal/entry"
+	_ "github.com/godwitlink/godwitlink/internal/platformproc"
 	_ "github.com/godwitlink/godwitlink/internal/replica"
 	_ "github.com/godwitlink/godwitlink/internal/workeragent"
 )
@@ -22,8 +23,9 @@
 func Logs() string {
 	var b strings.Builder
 	b.WriteString("# Log events\n\n" +
-		"Logs are JSON lines on standard error. Every line has `event`, the number below. Numbers 1000 to 1999 belong to\n" +
-		"the control replica, 2000 to 2999 to the entry process, 3000 to 3999 to its gateway, 5000 to 5999 to the stand-ins.\n" +
+		"Logs are JSON lines, on standard output for the processes of the platform and on standard error for the others. Every line has `event`, the number below. Numbers 1000 to 1999 belong to\n" +
+		"the control replica, 2000 to 2999 to the entry process, 3000 to 3999 to its gateway, 4000 to 4999 to jobs of steps and the\n" +
+		"platform, 5000 to 5999 to the stand-ins.\n" +
 		"Written by `go run ./tools/catalogue`; a test compares it with the code.\n\n" +
 		"| event | level | text |\n| --- | --- | --- |\n")
 	for _, event := range eventlog.Catalogue() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -211,9 +211,7 @@
 func (e *Entry) plannedStop(kill context.Context) {
 	e.logger.Log(eventStopping)
 	e.health.drain(kill)
-	for _, server := range e.listeners.servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+	e.listeners.drain()
 	_ = pause.For(kill, e.settings.ReadinessDelay)
 	grace, cancel := context.WithTimeout(kill, e.settings.StopGrace)
 	defer cancel()
--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 )
 
@@ -26,10 +27,12 @@
 	logger  *eventlog.Logger
 	servers []*http.Server
 	sockets []net.Listener
+	flag    draining.Flag
 }
 
 // add takes a socket and its server. Nothing is served before serve.
 func (l *listeners) add(socket net.Listener, server *http.Server) {
+	server.Handler = l.flag.Wrap(server.Handler)
 	l.sockets = append(l.sockets, socket)
 	l.servers = append(l.servers, server)
 }
@@ -45,6 +48,9 @@
 	}
 }
 
+// drain ends connections with their next answer from now on.
+func (l *listeners) drain() { l.flag.Begin() }
+
 func (l *listeners) serve() {
 	for i := range l.servers {
 		go func() {
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -5,13 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
+	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/pause"
 	"github.com/godwitlink/godwitlink/internal/workapi"
 	"github.com/godwitlink/godwitlink/platform"
@@ -59,9 +59,9 @@
 // entry is a running entry process.
 type entry struct {
 	*base
-	gate     *workapi.Gate
-	clients  *http.Server
-	stopping atomic.Bool
+	gate    *workapi.Gate
+	clients *http.Server
+	drain   draining.Flag
 }
 
 func (e *entry) listen(s *EntrySettings) error {
@@ -75,7 +75,7 @@
 		return err
 	}
 	var err error
-	e.clients, err = e.serve(s.ListenClients, e.closing(platform.NewClients(e.gate, e.logger)))
+	e.clients, err = e.serve(s.ListenClients, e.drain.Wrap(platform.NewClients(e.gate, e.logger)))
 	if err != nil {
 		return err
 	}
@@ -83,19 +83,8 @@
 	return err
 }
 
-// closing ends connections with their next answer once the process stops, so
-// that clients go on to another one.
-func (e *entry) closing(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping.Load() || !e.gate.Ready() {
+	if e.drain.Draining() || !e.gate.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -106,7 +95,7 @@
 // before the grace is over.
 func (e *entry) stop(kill context.Context, grace time.Duration) error {
 	started := time.Now()
-	e.stopping.Store(true)
+	e.drain.Begin()
 	e.logger.Log(eventStopping)
 	if pause.For(kill, min(rotationTime, grace/2)) != nil {
 		return nil
