--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -432,7 +432,7 @@
 		w := s.workers[s.rng.IntN(len(s.workers))]
 		if known, _ := s.log.Worker(w.id); known.Boot == w.boot && w.up && s.rng.IntN(4) == 0 {
 			s.commit(nil, 0, workload.Command{Drain: &workload.Drain{Worker: w.id, Boot: w.boot}})
-			s.after(3*time.Second, func() { s.crash(w) })
+			s.after(3*time.Second, func() { s.leave(w) })
 		}
 	}
 	s.after(s.between(500*time.Millisecond, 3*time.Second), s.trouble)
@@ -444,11 +444,7 @@
 		return
 	}
 	w.up = false
-	lost := w.runs
-	w.runs = map[workload.TaskID]*fakeRun{}
-	for task, r := range lost {
-		s.broken(task, r)
-	}
+	s.lose(w)
 	boot := w.boot + 1
 	s.after(s.between(100*time.Millisecond, 8*time.Second), func() {
 		w.reset(boot, s.now)
@@ -456,6 +452,28 @@
 	})
 }
 
+// lose ends what runs on a worker without a word.
+func (s *sim) lose(w *fakeWorker) {
+	lost := w.runs
+	w.runs = map[workload.TaskID]*fakeRun{}
+	for task, r := range lost {
+		s.broken(task, r)
+	}
+}
+
+// leave takes a worker away for good. Another one comes in its place.
+func (s *sim) leave(w *fakeWorker) {
+	if !w.up {
+		return
+	}
+	w.up = false
+	s.lose(w)
+	fresh := &fakeWorker{id: workload.WorkerID(fmt.Sprint("w", len(s.workers))), capacity: w.capacity, rate: w.rate}
+	fresh.reset(1, s.now)
+	s.workers = append(s.workers, fresh)
+	s.register(fresh)
+}
+
 // replaceLeader ends a term. The next one begins when the leader lease of the
 // former one is over; what was on the way to the log may be lost.
 func (s *sim) replaceLeader() {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -219,11 +219,15 @@
 }
 
 // extend returns the end of the lease to send: Lease from the least time that
-// the worker's clock can show now.
+// the worker's clock can show now. A worker that does not answer gets no longer
+// lease, so that it ends and its runs can be given up.
 func (c *Core) extend(w *worker) int64 {
 	if !w.adopted {
 		return 0
 	}
+	if w.silent {
+		return w.until
+	}
 	w.until = max(w.until, c.clockNow(w)+c.opts.Lease.Milliseconds())
 	return w.until
 }
