Let blocked gangs claim room and renew their tickets ahead

Cause: settlement gangs waited while smaller tasks filled each gap, and held their room idle for the 0.6 s of a renewing advice call. A blocked gang now claims room on the workers that miss the least, at most a quarter of all, and renews its tickets before they run out.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -20,6 +20,8 @@
 	// askMoreInterval is the least time between two calls that name workers
 	// which came since the first one.
 	askMoreInterval = time.Second
+	// slowAdvice is the time of a call from which tickets are renewed ahead.
+	slowAdvice = 100 * time.Millisecond
 	// callerTTL is how long a process counts as able to make calls after it was
 	// last heard: three of its polls.
 	callerTTL = 1200 * time.Millisecond
@@ -229,3 +231,37 @@
 	}
 	return named
 }
+
+// refresh renews the tickets of a blocked step before they run out, where a
+// call takes long: room that waits for tickets would idle meanwhile. It reports
+// whether it called.
+func (c *Core) refresh(r ready, s *step) bool {
+	advice := r.job.Queue.Advice
+	var named []workload.WorkerID
+	last := time.Time{}
+	for _, id := range c.order {
+		known, granted := s.granted[id]
+		if !granted || !c.usable(c.workers[id]) {
+			continue
+		}
+		named = append(named, id)
+		if known.until.After(last) {
+			last = known.until
+		}
+	}
+	expected := advice.Base + time.Duration(len(named))*advice.PerWorker
+	if expected < slowAdvice || len(named) == 0 || len(c.advice) >= len(c.callers)/2 {
+		return false
+	}
+	due := last.Add(-expected - callMargin)
+	if c.now.Before(due) {
+		r.job.sooner(due)
+		return false
+	}
+	if c.now.Before(s.askAt) {
+		r.job.sooner(s.askAt)
+		return false
+	}
+	c.ask(r.job, r.index, named[:min(len(named), maxNamed)])
+	return true
+}
--- /dev/null
+++ b/core/dispatch/claim.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// maxClaimedPercent bounds the room that blocked gangs may keep from less
+// urgent steps. Above it the room that waits for gangs would idle longer than
+// the gangs gain.
+const maxClaimedPercent = 25
+
+// claims is the room that blocked gangs keep from the steps behind them, while
+// one plan is made.
+type claims struct {
+	byWorker map[workload.WorkerID]workload.Resources
+	left     int64 // thousandths of a core that may still be claimed
+}
+
+func (c *Core) newClaims() claims {
+	total := int64(0)
+	for _, id := range c.order {
+		if w := c.workers[id]; c.usable(w) {
+			total += w.Capacity.MilliCPU
+		}
+	}
+	return claims{byWorker: map[workload.WorkerID]workload.Resources{}, left: total * maxClaimedPercent / 100}
+}
+
+// claim keeps room for a gang that is blocked: on the workers that need the
+// least more room to take its tasks. Without it smaller tasks would fill each
+// gap as it opens, and a large gang would wait until the load falls. It reports
+// whether the gang has its room.
+func (c *Core) claim(r ready, s *step, spec *workload.StepSpec) bool {
+	need := int64(spec.Tasks) * spec.Size.MilliCPU
+	if need > c.claims.left {
+		return false
+	}
+	c.claims.left -= need
+	type slot struct {
+		worker  workload.WorkerID
+		deficit int64 // room that is missing for one more task
+	}
+	var slots []slot
+	for _, candidate := range c.candidates(r, s, spec, false, true) {
+		w := candidate.worker
+		room := candidate.room.MilliCPU
+		limit := int(w.Capacity.MilliCPU / max(spec.Size.MilliCPU, 1))
+		if spec.MaxPerWorker > 0 {
+			limit = min(limit, spec.MaxPerWorker)
+		}
+		for n := 1; n <= min(limit, spec.Tasks); n++ {
+			slots = append(slots, slot{w.ID, int64(n)*spec.Size.MilliCPU - room})
+		}
+	}
+	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.deficit, b.deficit) })
+	for _, taken := range slots[:min(len(slots), spec.Tasks)] {
+		c.claims.byWorker[taken.worker] = c.claims.byWorker[taken.worker].Add(spec.Size)
+	}
+	return true
+}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -34,6 +34,7 @@
 	advice     map[uint64]*adviceCall
 	callers    map[string]*caller
 
+	claims   claims // of the plan that is being made
 	nextPlan time.Time
 	changed  bool
 	out      Effects
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -27,6 +27,7 @@
 	}
 	p := &proposal{}
 	decide := &workload.Decide{}
+	c.claims = c.newClaims()
 	for _, r := range c.waiting() {
 		if len(decide.Assigns) >= maxAssignsPerPlan {
 			c.changed = true
@@ -72,12 +73,14 @@
 	s := &r.job.steps[r.index]
 	spec := &r.job.Spec.Steps[r.index]
 	none := workload.Assign{}
-	if s.asking != 0 || spec.Gang && s.waiting < spec.Tasks {
+	if spec.Gang && s.waiting < spec.Tasks {
 		return none, false
 	}
 	advised := r.job.Queue.Advice != nil
 	if advised && s.granted == nil {
-		c.askFirst(r, s, spec)
+		if s.asking == 0 {
+			c.askFirst(r, s, spec)
+		}
 		return none, false
 	}
 	if members := c.choose(r, s, spec, advised); enough(members, spec) {
@@ -86,13 +89,19 @@
 	if s.blockedSince.IsZero() {
 		s.blockedSince = c.now
 	}
-	if !advised {
+	if !advised || s.asking != 0 {
+		if spec.Gang && len(s.held) == 0 {
+			c.claim(r, s, spec)
+		}
 		return none, false
 	}
 	if members := c.choose(r, s, spec, false); enough(members, spec) {
 		c.renew(r, s, members)
 		return none, false
 	}
+	if spec.Gang && c.claim(r, s, spec) && c.refresh(r, s) {
+		return none, false
+	}
 	c.askMore(r, s, spec)
 	return none, false
 }
@@ -190,7 +199,7 @@
 // choose picks a worker for each waiting task, as far as there is room. With
 // tickets only workers with a good ticket count.
 func (c *Core) choose(r ready, s *step, spec *workload.StepSpec, tickets bool) []workload.Member {
-	candidates := c.candidates(r, s, spec, tickets)
+	candidates := c.candidates(r, s, spec, tickets, false)
 	var members []workload.Member
 	for index, task := range r.job.Steps[r.index].Tasks {
 		if task.State != workload.TaskPending || task.Open || s.proposed[index] || c.embargoed(r, index) {
@@ -216,7 +225,9 @@
 	return held
 }
 
-func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec, tickets bool) []*candidate {
+// candidates lists the workers that may take tasks of a step: those with room,
+// or all of them.
+func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec, tickets, full bool) []*candidate {
 	advised := r.job.Queue.Advice != nil
 	var all []*candidate
 	for _, id := range c.order {
@@ -227,8 +238,8 @@
 		if _, granted := s.granted[id]; advised && !granted || tickets && !c.ticketGood(s, id) {
 			continue
 		}
-		found := &candidate{worker: w, room: c.free(w), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
-		if !spec.Size.Fits(found.room) {
+		found := &candidate{worker: w, room: c.free(w).Sub(c.claims.byWorker[id]), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+		if !full && !spec.Size.Fits(found.room) {
 			continue
 		}
 		if spec.MaxPerWorker > 0 {
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -26,7 +26,7 @@
 	electionTimeoutMax = 900 * time.Millisecond
 	heartbeatInterval  = 75 * time.Millisecond
 	maxClockDriftPPM   = 20_000 // the platform names 2 percent for workers
-	snapshotEntries    = 20_000
+	snapshotEntries    = 5_000
 	segmentBytes       = 4 << 20
 	// diskShare is the part of the disk that the log may use, in percent. The
 	// rest holds snapshots.
@@ -43,7 +43,7 @@
 
 // RunControl runs a control replica. stop asks for a planned stop, kill ends it.
 func RunControl(stop, kill context.Context, s *ControlSettings, out io.Writer) error {
-	b, err := newBase(out, s.LogLevel, s.Name)
+	b, err := newBase(out, s.LogLevel, s.Name, s.MemoryMB)
 	if err != nil {
 		return err
 	}
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -28,7 +28,7 @@
 
 // RunEntry runs an entry process. stop asks for a planned stop, kill ends it.
 func RunEntry(stop, kill context.Context, s *EntrySettings, out io.Writer) error {
-	b, err := newBase(out, s.LogLevel, s.Name)
+	b, err := newBase(out, s.LogLevel, s.Name, s.MemoryMB)
 	if err != nil {
 		return err
 	}
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -50,8 +51,13 @@
 	stopLog  func()
 }
 
+// heapShare is the part of the memory that the heap may use before garbage is
+// collected more often, in percent. The rest is for stacks, sockets and files.
+const heapShare = 50
+
 // newBase opens the log on out. close must be called at the end.
-func newBase(out io.Writer, level, name string) (*base, error) {
+func newBase(out io.Writer, level, name string, memoryMB int64) (*base, error) {
+	debug.SetMemoryLimit(memoryMB << 20 * heapShare / 100)
 	async := eventlog.NewAsync(out)
 	logger, err := eventlog.New(async, level, name)
 	if err != nil {
--- a/internal/platformproc/settings.go
+++ b/internal/platformproc/settings.go
@@ -18,6 +18,7 @@
 	ListenInternal string `toml:"listen_internal"` // other processes of the system
 	ListenMetrics  string `toml:"listen_metrics"`
 
+	MemoryMB         int64         `toml:"memory_mb"` // limit of the process
 	Seeds            []string      `toml:"seeds"`     // some replicas; only their IP addresses count
 	Bootstrap        bool          `toml:"bootstrap"` // the group starts for the first time
 	TolerateReplicas int           `toml:"tolerate_replicas"`
@@ -36,6 +37,7 @@
 	ListenInternal string `toml:"listen_internal"`
 	ListenMetrics  string `toml:"listen_metrics"`
 
+	MemoryMB  int64         `toml:"memory_mb"` // limit of the process
 	Seeds     []string      `toml:"seeds"`
 	Adviser   string        `toml:"adviser"`
 	StopGrace time.Duration `toml:"stop_grace"` // from a planned stop to its forced end
@@ -49,6 +51,7 @@
 	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
 	faults = append(faults, settings.CheckNotEmpty("data_dir", s.DataDir)...)
 	faults = append(faults, checkSeeds(s.Seeds)...)
+	faults = append(faults, checkMemory(s.MemoryMB)...)
 	if s.TolerateReplicas < 0 {
 		faults = append(faults, strictconf.Fault{Key: "tolerate_replicas", Problem: fmt.Sprintf("is %d", s.TolerateReplicas), Expected: "0 or more"})
 	}
@@ -66,12 +69,24 @@
 	faults = append(faults, settings.CheckAddress("listen_internal", s.ListenInternal)...)
 	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
 	faults = append(faults, checkSeeds(s.Seeds)...)
+	faults = append(faults, checkMemory(s.MemoryMB)...)
 	if s.StopGrace <= 0 {
 		faults = append(faults, strictconf.Fault{Key: "stop_grace", Problem: fmt.Sprintf("is %v", s.StopGrace), Expected: "a duration above 0"})
 	}
 	return faults
 }
 
+// minMemoryMB is the least memory that a process of the platform runs in: 48 MB
+// were its peak on a quiet day.
+const minMemoryMB = 96
+
+func checkMemory(mb int64) strictconf.Faults {
+	if mb >= minMemoryMB {
+		return nil
+	}
+	return strictconf.Faults{{Key: "memory_mb", Problem: fmt.Sprintf("is %d", mb), Expected: fmt.Sprintf("at least %d", minMemoryMB)}}
+}
+
 func checkSeeds(seeds []string) strictconf.Faults {
 	if len(seeds) == 0 {
 		return strictconf.Faults{{Key: "seeds", Problem: "is empty", Expected: "at least one address"}}
