--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,17 +20,18 @@
 // Guards against smaller, less urgent tasks filling each gap that a blocked
 // gang waits for.
 func TestBlockedGangKeepsRoom(t *testing.T) {
-	gang := workload.StepSpec{Tasks: 2, Size: workload.Resources{MilliCPU: 2000}, Gang: true}
+	gang := workload.StepSpec{Tasks: 3, Size: workload.Resources{MilliCPU: 2000}, Gang: true}
 	small := workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 1500}}
 	commands := []workload.Command{queues(
 		workload.Queue{Name: "gangs", Service: "shop", MaxAttempts: 1},
 		workload.Queue{Name: "batch", Service: "shop", MaxAttempts: 1, Priority: 1},
 	)}
-	for _, id := range []workload.WorkerID{"w0", "w1", "w2", "w3"} {
-		commands = append(commands, workerOf(id, 1))
+	const workers = 8
+	for i := range workers {
+		commands = append(commands, workerOf(workload.WorkerID(fmt.Sprint("w", i)), 1))
 	}
 	// One run of 3,000 on each worker leaves 1,000 free.
-	filler := workload.StepSpec{Tasks: 4, Size: workload.Resources{MilliCPU: 3000}, MaxPerWorker: 1}
+	filler := workload.StepSpec{Tasks: workers, Size: workload.Resources{MilliCPU: 3000}, MaxPerWorker: 1}
 	b := newBench(t, append(commands, jobIn("batch", "filler", filler))...)
 	b.pass(0)
 	b.answerHolds(dispatch.Report{})
@@ -41,18 +43,22 @@
 		b.core.Applied(b.now, b.now, 0, c)
 	}
 	b.pass(10 * time.Millisecond)
-	// A run ends: the gap of 4,000 is kept for the gang's first two tasks.
-	ended := e.Starts[0]
-	b.core.Applied(b.now, b.now, 0, workload.Command{Decide: &workload.Decide{Ends: []workload.Ending{
-		{Worker: ended.Worker, Boot: 1, Task: ended.Task, Run: 1, How: workload.EndDone},
-	}}})
-	e = b.commit(b.pass(10 * time.Millisecond))
+	// The first gap of 4,000 is kept for two tasks of the gang, until the second
+	// one has room for the third.
 	started := map[workload.JobID]int{}
-	for _, start := range e.Starts {
-		started[start.Task.Job]++
+	for _, ended := range e.Starts[:2] {
+		b.core.Applied(b.now, b.now, 0, workload.Command{Decide: &workload.Decide{Ends: []workload.Ending{
+			{Worker: ended.Worker, Boot: 1, Task: ended.Task, Run: 1, How: workload.EndDone},
+		}}})
+		for _, start := range b.commit(b.pass(10 * time.Millisecond)).Starts {
+			started[start.Task.Job]++
+		}
+		if started["small"] > 0 && started["gang"] == 0 {
+			t.Fatal("the small task took the room that the gang waits for")
+		}
 	}
-	if started["gang"] != 2 || started["small"] != 0 {
-		t.Errorf("started %v, want the gang alone", started)
+	if started["gang"] != 3 {
+		t.Errorf("started %v, want the gang", started)
 	}
 }
 
