--- /dev/null
+++ b/internal/eventlog/async_test.go
@@ -0,0 +1,59 @@
+package eventlog
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+var eventTest = Event{Number: 1, Level: zapcore.InfoLevel, Text: "test"}
+
+// Guards against a decision that waits for the reader of the log, and against
+// lines that are lost without a trace.
+func TestAsyncNeverBlocks(t *testing.T) {
+	a := NewAsync(&bytes.Buffer{})
+	for range asyncQueue + 10 {
+		if _, err := a.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := a.dropped.Load(); got != 10 {
+		t.Errorf("%d lines counted as dropped, want 10", got)
+	}
+}
+
+// Guards against the last lines of a process being lost.
+func TestAsyncWritesWhatWaits(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsync(&out)
+	logger, err := New(a, "info", "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Log(eventTest)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	a.Run(ctx, logger)
+	if !strings.Contains(out.String(), `"event":1`) {
+		t.Errorf("written: %q", out.String())
+	}
+}
+
+// Guards against stack traces in the log, which multiply its volume.
+func TestErrorsAreOneLineOfText(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := New(&out, "info", "p")
+	if err != nil {
+		t.Fatal(err)
+	}
+	logger.Log(eventTest, zap.Error(merry.Wrap(errors.New("cause"))))
+	if line := out.String(); !strings.Contains(line, `"error":"cause"`) || strings.Contains(line, "goroutine") || strings.Contains(line, "Verbose") {
+		t.Errorf("line %q", line)
+	}
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -72,5 +72,22 @@
 	if checked == nil {
 		return
 	}
-	checked.Write(append([]zap.Field{zap.Int("event", event.Number)}, fields...)...)
+	line := make([]zap.Field, 0, len(fields)+1)
+	line = append(line, zap.Int("event", event.Number))
+	for _, field := range fields {
+		line = append(line, plainError(field))
+	}
+	checked.Write(line...)
+}
+
+// plainError replaces an error by its text. zap adds the verbose form of errors
+// that have one, which holds a stack trace of a kilobyte.
+func plainError(field zap.Field) zap.Field {
+	if field.Type != zapcore.ErrorType {
+		return field
+	}
+	if err, ok := field.Interface.(error); ok {
+		return zap.String(field.Key, err.Error())
+	}
+	return field
 }
