--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,8 @@
 soak:
 	$(GO) test -count=1 -v -run TestSoak ./core/replog -soak.seed=$(SEED) -soak.runs=$(RUNS)
 	$(GO) test -count=1 -v -run TestRandomised ./core/state -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
+	$(GO) test -count=1 -run TestRandomised ./core/workload -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
+	$(GO) test -count=1 -timeout 30m -run TestSoak ./core/dispatch -soak.seed=$(SEED) -soak.runs=$(RUNS)
 	$(GO) test -count=1 -run TestHolderEndsBeforeGranter ./core/lease -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
 
 # Applies each planted fault to a copy of the tree and expects it to be found.
