Avoid workers that fail in a row; use avoided workers again without an event

A worker whose last three runs, of more than one job, failed gets nothing new for 3 s.

Tried and removed: stopping runs without progress for 1.2 s or three times slower than usual, and avoiding their workers.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -122,6 +122,7 @@
 	c.checkWorkers()
 	c.checkAdvice()
 	c.checkEmbargo()
+	c.checkAvoided()
 	if c.changed && !c.now.Before(c.nextPlan) {
 		c.changed = false
 		c.nextPlan = c.now.Add(planInterval)
@@ -150,6 +151,7 @@
 	}
 	for _, id := range c.order {
 		sooner(c.workers[id].wake)
+		sooner(c.workers[id].avoid)
 	}
 	for _, call := range c.advice {
 		sooner(call.deadline)
--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -78,7 +78,11 @@
 	w.ends = kept
 	report := dispatch.Report{Clock: w.clock(now), Boot: w.boot, Ends: append([]dispatch.ListedEnd(nil), w.ends...)}
 	for task, r := range w.runs {
-		report.Active = append(report.Active, dispatch.ActiveRun{Task: task, Run: r.number})
+		active := dispatch.ActiveRun{Task: task, Run: r.number}
+		if r.endsAt > r.begun {
+			active.Percent = int((now - r.begun) * 100 / (r.endsAt - r.begun))
+		}
+		report.Active = append(report.Active, active)
 	}
 	return report
 }
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -314,6 +314,10 @@
 
 func (s *sim) finishIn(w *fakeWorker, task workload.TaskID, d time.Duration) {
 	r, boot := w.runs[task], w.boot
+	if s.now < troubleEnds && s.rng.IntN(30) == 0 {
+		d = 20 * time.Second // it stands still or crawls
+	}
+	r.endsAt = s.now + d
 	s.after(d, func() {
 		if w.boot == boot && w.up && w.runs[task] == r {
 			w.end(task, r.how)
@@ -396,6 +400,7 @@
 	id := workload.JobID(fmt.Sprint("job-", len(s.jobs)))
 	step := workload.StepSpec{Tasks: 1 + s.rng.IntN(4), Size: workload.Resources{MilliCPU: 200 + s.rng.Int64N(1500)}}
 	step.Gang = s.rng.IntN(3) == 0
+	step.Estimate = time.Second
 	if s.rng.IntN(4) == 0 {
 		step.MaxPerWorker = 2
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -56,7 +56,9 @@
 	runs   map[workload.TaskID]*run
 	// unanswered are the starts that may still be carried out.
 	unanswered map[workload.TaskID]unansweredStart
-	avoid      time.Time // nothing new before
+	failedRuns int            // failed runs since the last good one
+	failedJob  workload.JobID // of the first of them
+	avoid      time.Time      // nothing new before; zero where it is not avoided
 	wake       time.Time
 }
 
@@ -478,6 +480,7 @@
 		return
 	}
 	if !r.reported {
+		c.runEnded(w, end.Task.Job, end.How)
 		c.report(w, end.Task, r, end.How, end.Checkpoint, 0)
 	}
 }
@@ -590,7 +593,7 @@
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLate:
 		r.callAt = c.now.Add(retryCall)
 		if r.tries >= startTries {
-			c.avoidWorker(w, "no-answer")
+			c.avoidWorker(w, "no-answer", avoidUnhealthy)
 			c.stopRun(w, r, "no-answer")
 		}
 	case OutcomeOld:
@@ -606,7 +609,7 @@
 // without an answer could still begin it, so that one is stopped first.
 func (c *Core) startRefused(w *worker, id workload.TaskID, r *run, outcome Outcome) {
 	if outcome == OutcomeUnhealthy || outcome == OutcomeRefused {
-		c.avoidWorker(w, outcome.String())
+		c.avoidWorker(w, outcome.String(), avoidUnhealthy)
 	}
 	if r.tries > 1 {
 		c.stopRun(w, r, outcome.String())
@@ -621,11 +624,6 @@
 	}
 }
 
-func (c *Core) avoidWorker(w *worker, reason string) {
-	w.avoid = c.now.Add(avoidUnhealthy)
-	c.decide(Decision{Kind: DecisionAvoided, Worker: w.ID, Reason: reason, Age: c.age(w)})
-}
-
 func (c *Core) stopRun(w *worker, r *run, reason string) {
 	if r.stop {
 		return
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -179,3 +179,42 @@
 		t.Errorf("after the commit: %+v", e.Holds)
 	}
 }
+
+// Guards against a step that waits for ever for a worker that was avoided: its
+// return is no event of its own (TestSoak, seed 30).
+func TestAvoidedWorkerIsUsedAgain(t *testing.T) {
+	b, starts := placed(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeUnhealthy, 1100)
+	e := b.commit(b.pass(time.Millisecond))
+	if len(e.Starts) != 0 {
+		t.Fatalf("started again at once: %+v", e.Starts)
+	}
+	for range 100 {
+		wait := e.Deadline.Sub(b.now)
+		if e.Deadline.IsZero() {
+			break
+		}
+		if e = b.pass(max(wait, time.Millisecond)); len(e.Proposals) > 0 {
+			return
+		}
+	}
+	t.Error("the task is never placed again")
+}
+
+// Guards against a worker that fails what it starts drawing more and more work
+// because its room is always free.
+func TestFailingWorkerIsAvoided(t *testing.T) {
+	b := newBench(t, workerOf("w", 1), jobOf("a", oneTask), jobOf("b", oneTask), jobOf("c", oneTask))
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	e := b.commit(b.pass(10 * time.Millisecond))
+	var ends []dispatch.ListedEnd
+	for i, start := range e.Starts {
+		b.core.StartAnswered(b.now, start, dispatch.OutcomeOK, 1100)
+		ends = append(ends, dispatch.ListedEnd{Number: uint64(i + 1), Task: start.Task, Run: start.Run, How: workload.EndFailed})
+	}
+	b.answerHolds(dispatch.Report{Ends: ends})
+	if e = b.commit(b.pass(10 * time.Millisecond)); len(e.Starts)+len(e.Proposals) != 0 {
+		t.Errorf("placed again at once: %+v", e)
+	}
+}
