--- /dev/null
+++ b/internal/platformproc/settings_test.go
@@ -0,0 +1,118 @@
+package platformproc
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/internal/settings"
+)
+
+// values are what the platform fills into the templates of the deployment.
+var values = map[string]string{
+	"nodeName": "core-a-1", "region": "r", "zone": "a", "ip": "10.1.0.16", "bootstrap": "true", "dataDir": "/data/c",
+	"portRange.0": "7720", "portRange.1": "7735", "listen.controlPlane": "10.1.0.16:8166",
+	"listen.frontend": "10.1.0.16:8161", "listen.readiness": "10.1.0.16:8167", "advice": "10.200.1.9:8169",
+	"limits.diskMb": "128", "limits.memoryMb": "280", "faultTolerance.machines": "2", "bounds.holdMaxMs": "6000", "bounds.graceS": "6",
+}
+
+func render(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("../../deploy", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := strings.ReplaceAll(string(text), `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.1.0.16:8166","10.2.0.33:8166"`)
+	for key, value := range values {
+		out = strings.ReplaceAll(out, "{{"+key+"}}", value)
+	}
+	if strings.Contains(out, "{{") {
+		t.Fatalf("not rendered: %s", out)
+	}
+	path := filepath.Join(t.TempDir(), "node.conf")
+	if err := os.WriteFile(path, []byte(out), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against a template that renders settings which the process refuses.
+func TestTemplatesRenderValidSettings(t *testing.T) {
+	if err := settings.Load(render(t, "control.toml.tmpl"), &ControlSettings{}); err != nil {
+		t.Error(err)
+	}
+	if err := settings.Load(render(t, "entry.toml.tmpl"), &EntrySettings{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against faults that are found one at a time, or not at all.
+func TestFaultySettings(t *testing.T) {
+	path := render(t, "control.toml.tmpl")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	faulty := strings.NewReplacer(`"10.2.0.33:8166"`, `"nowhere"`, "memory_mb = 280", "memory_mb = 1", `"6000ms"`, `"0s"`).Replace(string(text))
+	if err := os.WriteFile(path, []byte(faulty), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	err = settings.Load(path, &ControlSettings{})
+	for _, key := range []string{"seeds", "memory_mb", "worker_lease_max"} {
+		if err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s is not among the faults: %v", key, err)
+		}
+	}
+}
+
+func controlSettings(t *testing.T, bootstrap bool, ip string) *ControlSettings {
+	return &ControlSettings{
+		Seeds: []string{"10.1.0.16:8166", "10.2.0.33:8166", "10.3.0.39:8166"}, Bootstrap: bootstrap,
+		ListenInternal: ip + ":7720", DataDir: t.TempDir(),
+	}
+}
+
+// Guards against founders that disagree on each other's ids, and against a
+// machine that is no seed founding a group.
+func TestSeedsFoundTheGroup(t *testing.T) {
+	first, err := loadNode(controlSettings(t, true, "10.1.0.16"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := loadNode(controlSettings(t, true, "10.2.0.33"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.Joined || len(first.Founders) != 3 || first.ID == second.ID || first.Founders[1] != second.Founders[1] {
+		t.Errorf("%+v and %+v", first, second)
+	}
+	other, err := loadNode(controlSettings(t, true, "10.9.0.9"))
+	if err != nil || !other.Joined || other.ID < firstJoinedID {
+		t.Errorf("%+v, %v", other, err)
+	}
+}
+
+// Guards against a replica that has lost its disk voting under its old id: it
+// has forgotten what it voted for.
+func TestLostDiskGetsANewIdentity(t *testing.T) {
+	s := controlSettings(t, true, "10.1.0.16")
+	before, err := loadNode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Bootstrap = false
+	if kept, err := loadNode(s); err != nil || kept.ID != before.ID || kept.Joined {
+		t.Errorf("with its disk: %+v, %v", kept, err)
+	}
+	s.DataDir = t.TempDir()
+	after, err := loadNode(s)
+	if err != nil || after.ID == before.ID || !after.Joined {
+		t.Errorf("without: %+v, %v", after, err)
+	}
+	for _, peer := range after.peers(s) {
+		if peer.Address == s.ListenInternal {
+			t.Errorf("its own former identity %d is among its peers", peer.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/workapi/workapi_test.go
@@ -0,0 +1,61 @@
+package workapi
+
+import (
+	"testing"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+)
+
+// Guards against a request that goes to a queue with a shorter prefix, or to
+// one of another host.
+func TestRoutesFindTheLongestPrefix(t *testing.T) {
+	r := NewRoutes(workload.Config{Version: 3, Queues: []workload.Queue{
+		{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "h", PathPrefix: "/a/b/"},
+		{Name: "other", Host: "x", PathPrefix: "/"},
+	}})
+	for path, want := range map[string]string{"/a/1": "short", "/a/b/1": "long", "/c": ""} {
+		queue, rest, ok := r.Find("h", path)
+		if queue.Name != want || ok != (want != "") || ok && rest != "1" {
+			t.Errorf("%s: %q, rest %q", path, queue.Name, rest)
+		}
+	}
+}
+
+// Guards against telling a client that a job has not run where it may have.
+func TestOnlyUnavailableIsNotTaken(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want Outcome
+	}{
+		{merry.Wrap(controlclient.ErrUnavailable), OutcomeNotTaken},
+		{merry.Wrap(controlclient.ErrOutcomeUnknown), OutcomeUnknown},
+		{merry.Wrap(controlclient.ErrMalformed), OutcomeUnknown},
+	} {
+		if got := ofError(c.err); got != c.want {
+			t.Errorf("%v: %s, want %s", c.err, got, c.want)
+		}
+	}
+}
+
+// Guards against a report that says something new being acknowledged without a
+// commit, and against commits for reports that say nothing new.
+func TestSameWorker(t *testing.T) {
+	known := workload.Worker{ID: "w", Boot: 5, Address: "a", Service: "s", Labels: []string{"x"}}
+	same, later, draining, moved := known, known, known, known
+	later.Boot = 6
+	draining.Draining = true
+	moved.Address = "b"
+	earlier := moved
+	earlier.Boot = 4
+	for name, c := range map[string]struct {
+		said workload.Worker
+		want bool
+	}{"same": {same, true}, "earlier boot": {earlier, true}, "later boot": {later, false}, "draining": {draining, false}, "moved": {moved, false}} {
+		if got := sameWorker(known, c.said); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
