--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -255,8 +255,9 @@
 }
 
 func (c *Core) checkWorker(w *worker) {
-	if w.silent && len(w.runs) > 0 && !w.ending && c.leaseOver(w) {
-		c.endBoot(w, "lease", false)
+	if w.silent && !w.ending && (len(w.runs) > 0 || w.Draining) && c.leaseOver(w) {
+		// One that had said that it leaves is not called any more.
+		c.endBoot(w, "lease", w.Draining)
 	}
 	if !c.mayOrder() {
 		c.wakeAt(w, c.now.Add(retryCall))
@@ -272,7 +273,7 @@
 	for _, id := range sortedRuns(w.runs) {
 		c.checkRun(w, id, w.runs[id])
 	}
-	if w.silent && len(w.runs) > 0 && !w.ending {
+	if w.silent && (len(w.runs) > 0 || w.Draining) && !w.ending {
 		c.wakeAt(w, c.now.Add(retryCall))
 	}
 }
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +30,7 @@
 	eventStopped  = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
 	eventReload   = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
 	eventServer   = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
+	eventHTTP     = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
 	eventCut      = eventlog.Declare(4305, zapcore.WarnLevel, "requests were still open at the end of a planned stop")
 )
 
@@ -93,7 +96,7 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(serverLog{b.logger}, "", 0)}
 	b.servers = append(b.servers, server)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -104,6 +107,15 @@
 	return server, nil
 }
 
+// serverLog passes what net/http says of connections to the log.
+type serverLog struct{ logger *eventlog.Logger }
+
+// Write implements io.Writer.
+func (l serverLog) Write(line []byte) (int, error) {
+	l.logger.Log(eventHTTP, zap.String("detail", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // serveMetrics opens the listener for metrics.
 func (b *base) serveMetrics(address string) error {
 	mux := http.NewServeMux()
