--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// hold reserves room for a step while its tickets are renewed.
+// holdRoom reserves room for a step while its tickets are renewed.
 func (c *Core) holdRoom(s *step, members []workload.Member, size workload.Resources) {
 	for _, m := range members {
 		c.workers[m.Worker].reserve(size)
--- /dev/null
+++ b/core/dispatch/hold.go
@@ -0,0 +1,193 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// HoldAnswered takes the answer to a Hold.
+func (c *Core) HoldAnswered(now time.Time, call Call, report Report) {
+	c.advance(now)
+	w := c.workers[call.Worker]
+	if w == nil || w.Boot != call.Boot {
+		return
+	}
+	w.holding = false
+	c.wakeAt(w, c.now)
+	if report.Outcome == OutcomeOK && report.Boot > w.Boot {
+		report.Outcome = OutcomeOtherBoot
+	}
+	if report.Outcome != OutcomeOK {
+		c.holdFailed(w, report.Outcome)
+		return
+	}
+	c.heard(w, report.Clock)
+	first := !w.adopted
+	w.adopted = true
+	if first {
+		c.decide(Decision{Kind: DecisionAdopted, Worker: w.ID, Count: len(w.runs), Age: c.now.Sub(c.started)})
+		c.changed = true
+	}
+	if w.silent {
+		w.silent = false
+		c.changed = true
+		c.decide(Decision{Kind: DecisionBack, Worker: w.ID, Count: len(w.runs)})
+	}
+	w.backoff = 0
+	c.takeRuns(w, report)
+	w.holdAt = c.now
+	if w.listed > w.seen {
+		// The ends are forgotten with the next hold, once they are committed.
+		w.holdAt = c.now.Add(retryHoldMax)
+	}
+	c.changed = c.changed || len(report.Ends) > 0
+}
+
+func (c *Core) heard(w *worker, clock int64) {
+	if clock >= c.clockNow(w) || w.clockAt.IsZero() {
+		w.clock, w.clockAt = clock, c.now
+	}
+}
+
+func (c *Core) holdFailed(w *worker, outcome Outcome) {
+	switch outcome {
+	case OutcomeFenced:
+		c.fence(w)
+		return
+	case OutcomeOtherBoot:
+		if !w.ending {
+			c.endBoot(w, "other-boot", true)
+		}
+	}
+	if !w.silent {
+		w.silent = true
+		c.decide(Decision{Kind: DecisionSilent, Worker: w.ID, Reason: outcome.String(), Count: len(w.runs), Age: c.age(w)})
+	}
+	w.backoff = min(max(2*w.backoff, retryHold), retryHoldMax)
+	w.holdAt = c.now.Add(w.backoff)
+	c.wakeAt(w, w.holdAt)
+}
+
+func (c *Core) fence(w *worker) {
+	if c.fenced {
+		return
+	}
+	c.fenced = true
+	c.decide(Decision{Kind: DecisionFenced, Worker: w.ID})
+}
+
+// takeRuns compares what the worker lists with the open runs.
+func (c *Core) takeRuns(w *worker, report Report) {
+	active := map[workload.TaskID]ActiveRun{}
+	for _, a := range report.Active {
+		active[a.Task] = a
+		c.takeActive(w, a)
+	}
+	for _, end := range report.Ends {
+		c.takeEnd(w, end)
+	}
+	if len(report.Ends) >= maxListedEnds {
+		// More ends follow once these are forgotten; a run that is not listed
+		// may be among them.
+		return
+	}
+	for _, id := range allRuns(w.runs) {
+		r := w.runs[id]
+		if a, there := active[id]; there && a.Run == r.number || r.reported {
+			continue
+		}
+		c.absent(w, id, r)
+	}
+}
+
+func allRuns(runs map[workload.TaskID]*run) []workload.TaskID {
+	ids := make([]workload.TaskID, 0, len(runs))
+	for id := range runs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, workload.CompareTasks)
+	return ids
+}
+
+func (c *Core) takeActive(w *worker, a ActiveRun) {
+	r := w.runs[a.Task]
+	if r == nil {
+		// The state has closed the run: the worker must not go on with it.
+		stray := &run{number: a.Run, unknown: true, confirmed: true, confirmAt: c.now, stop: true, reason: "closed-run"}
+		if job := c.state.Job(a.Task.Job); job != nil && a.Task.Step < len(job.Spec.Steps) {
+			stray.size = job.Spec.Steps[a.Task.Step].Size
+		}
+		w.reserved = w.reserved.Add(stray.size)
+		w.runs[a.Task] = stray
+		return
+	}
+	if r.number != a.Run {
+		// Another run of the task, which the state has closed. It is stopped
+		// with each report until it is gone.
+		if c.mayOrder() {
+			c.out.Stops = append(c.out.Stops, Stop{Call: c.callTo(w), Task: a.Task, Run: a.Run})
+		}
+		return
+	}
+	if !r.confirmed {
+		r.confirmed, r.confirmAt = true, c.now
+	}
+	r.percent = a.Percent
+	if a.Checkpoint != "" {
+		r.checkpoint = a.Checkpoint
+	}
+}
+
+func (c *Core) takeEnd(w *worker, end ListedEnd) {
+	if end.Number <= w.listed {
+		return
+	}
+	w.listed = end.Number
+	r := w.runs[end.Task]
+	if r == nil || r.number != end.Run {
+		return
+	}
+	if r.unknown {
+		c.dropStray(w, end.Task, r)
+		return
+	}
+	if !r.reported {
+		c.runEnded(w, end.Task.Job, end.How)
+		c.report(w, end.Task, r, end.How, end.Checkpoint, 0)
+	}
+}
+
+// report proposes the end of a run.
+func (c *Core) report(w *worker, id workload.TaskID, r *run, how workload.RunEnd, checkpoint string, age time.Duration) {
+	r.reported = true
+	if checkpoint == "" {
+		checkpoint = r.checkpoint
+	}
+	c.ends = append(c.ends, workload.Ending{Worker: w.ID, Boot: w.Boot, Task: id, Run: r.number, How: how, Checkpoint: checkpoint})
+	if how != workload.EndDone {
+		c.decide(Decision{
+			Kind: DecisionRunEnded, Job: id.Job, Step: id.Step, Task: id.Index, Run: r.number, Worker: w.ID,
+			Reason: string(how), Age: age,
+		})
+	}
+}
+
+// absent decides on an open run that the worker does not list.
+func (c *Core) absent(w *worker, id workload.TaskID, r *run) {
+	switch {
+	case r.unknown:
+		if !r.stop || r.stopped {
+			c.dropStray(w, id, r)
+		}
+	case r.confirmed && r.confirmAt.Before(w.sentAt):
+		// It was there when the hold left, and its end is not listed.
+		c.report(w, id, r, workload.EndLost, "", c.now.Sub(r.confirmAt))
+	case !r.own:
+		// An earlier leader's order. From this answer on the worker refuses it.
+		c.report(w, id, r, workload.EndNever, "", c.now.Sub(c.started))
+	case r.stopped && r.stoppedAt.Before(w.sentAt):
+		c.report(w, id, r, workload.EndNever, "", c.now.Sub(r.stoppedAt))
+	}
+}
--- /dev/null
+++ b/core/dispatch/run.go
@@ -0,0 +1,152 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// checkRun sends the start or the stop that is due.
+func (c *Core) checkRun(w *worker, id workload.TaskID, r *run) {
+	if r.calling || r.reported || r.stopped {
+		return
+	}
+	if c.now.Before(r.callAt) {
+		c.wakeAt(w, r.callAt)
+		return
+	}
+	switch {
+	case r.stop:
+		r.calling = true
+		c.decide(Decision{Kind: DecisionStop, Job: id.Job, Step: id.Step, Task: id.Index, Run: r.number, Worker: w.ID, Reason: r.reason})
+		c.out.Stops = append(c.out.Stops, Stop{Call: c.callTo(w), Task: id, Run: r.number})
+	case r.own && !r.confirmed:
+		job := c.state.Job(id.Job)
+		if job == nil {
+			return
+		}
+		if w.Draining {
+			c.withdraw(w, id, r)
+			return
+		}
+		r.calling = true
+		r.tries++
+		c.out.Starts = append(c.out.Starts, Start{
+			Call: c.callTo(w), Task: id, Run: r.number, Until: c.extend(w), Payload: job.Spec.Payload,
+			Checkpoint: job.Steps[id.Step].Tasks[id.Index].Checkpoint, Ticket: r.ticket,
+		})
+	}
+}
+
+// withdraw closes a run on a worker that leaves before the run has begun.
+func (c *Core) withdraw(w *worker, id workload.TaskID, r *run) {
+	if r.tries > 0 {
+		c.stopRun(w, r, "draining")
+		return
+	}
+	c.report(w, id, r, workload.EndNever, "", 0)
+}
+
+// StartAnswered takes the answer to a Start.
+func (c *Core) StartAnswered(now time.Time, start Start, outcome Outcome, clock int64) {
+	c.advance(now)
+	w := c.workers[start.Worker]
+	if w == nil || w.Boot != start.Boot {
+		return
+	}
+	c.wakeAt(w, c.now)
+	if clock > 0 {
+		c.heard(w, clock)
+	}
+	if outcome == OutcomeNoAnswer {
+		c.noteUnanswered(w, start)
+	}
+	r := w.runs[start.Task]
+	if r == nil || r.number != start.Run {
+		return
+	}
+	r.calling = false
+	if r.confirmed || r.reported {
+		return
+	}
+	switch outcome {
+	case OutcomeOK:
+		r.confirmed, r.confirmAt = true, c.now
+	case OutcomeFenced:
+		c.fence(w)
+	case OutcomeOtherBoot:
+		if !w.ending {
+			c.endBoot(w, "other-boot", true)
+		}
+	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLate:
+		r.callAt = c.now.Add(retryCall)
+		if r.tries >= startTries {
+			c.avoidWorker(w, "no-answer", avoidUnhealthy)
+			c.stopRun(w, r, "no-answer")
+		}
+	case OutcomeOld:
+		// It has ended there, or will be listed as ended; if neither, the stop
+		// settles it.
+		c.stopRun(w, r, "old")
+	default:
+		c.startRefused(w, start.Task, r, outcome)
+	}
+}
+
+// startRefused closes a run that the worker has not begun. An earlier try
+// without an answer could still begin it, so that one is stopped first.
+func (c *Core) startRefused(w *worker, id workload.TaskID, r *run, outcome Outcome) {
+	if outcome == OutcomeUnhealthy || outcome == OutcomeRefused {
+		c.avoidWorker(w, outcome.String(), avoidUnhealthy)
+	}
+	if r.tries > 1 {
+		c.stopRun(w, r, outcome.String())
+		return
+	}
+	c.decide(Decision{
+		Kind: DecisionRefused, Job: id.Job, Step: id.Step, Task: id.Index, Run: r.number, Worker: w.ID, Reason: outcome.String(),
+	})
+	c.report(w, id, r, workload.EndNever, "", 0)
+	if outcome == OutcomeBadTicket {
+		c.dropTickets(id.StepOf())
+	}
+}
+
+func (c *Core) stopRun(w *worker, r *run, reason string) {
+	if r.stop {
+		return
+	}
+	r.stop, r.reason = true, reason
+	r.callAt = c.now
+	c.wakeAt(w, c.now)
+}
+
+// StopAnswered takes the answer to a Stop.
+func (c *Core) StopAnswered(now time.Time, stop Stop, outcome Outcome, clock int64) {
+	c.advance(now)
+	w := c.workers[stop.Worker]
+	if w == nil || w.Boot != stop.Boot {
+		return
+	}
+	c.wakeAt(w, c.now)
+	if clock > 0 {
+		c.heard(w, clock)
+	}
+	r := w.runs[stop.Task]
+	if r == nil || r.number != stop.Run {
+		return
+	}
+	r.calling = false
+	switch outcome {
+	case OutcomeOK:
+		r.stopped, r.stoppedAt = true, c.now
+	case OutcomeFenced:
+		c.fence(w)
+	case OutcomeOtherBoot:
+		if !w.ending {
+			c.endBoot(w, "other-boot", true)
+		}
+	default:
+		r.callAt = c.now.Add(retryCall)
+	}
+}
