--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 planted:
 	./test/planted/run-replog.sh
 	./test/planted/run-state.sh
+	./test/planted/run-dispatch.sh
 	./test/planted/run-e2e.sh
 
 # Benchmarks of the cores and of the processes; several minutes.
