--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -45,6 +46,10 @@
 // propose hands a caller's command to the log, or puts it behind those that
 // Options.Plain holds back.
 func (t *task) propose(now time.Time, c proposeCall) {
+	if c.abandoned() {
+		c.refuse(context.Canceled)
+		return
+	}
 	if t.opts.Plain {
 		t.proposals.held = append(t.proposals.held, c)
 		return
@@ -65,6 +70,16 @@
 // proposeHeld goes on with the commands that Options.Plain held back and
 // reports whether it proposed one.
 func (t *task) proposeHeld(now time.Time) bool {
+	// Calls that were given up go first: carried out, they would hold back those
+	// that are still wanted, and under overload nothing would be answered in
+	// time any more.
+	t.proposals.held = slices.DeleteFunc(t.proposals.held, func(c proposeCall) bool {
+		if c.abandoned() {
+			c.refuse(context.Canceled)
+			return true
+		}
+		return false
+	})
 	if len(t.proposals.held) == 0 || len(t.proposals.waiting) > 0 {
 		return false
 	}
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -41,6 +41,19 @@
 	command state.Command
 	encoded []byte
 	tag     uint64 // of ProposeWork, otherwise 0
+	// gone is closed when the caller no longer waits.
+	gone <-chan struct{}
+}
+
+// abandoned reports whether the caller has given up. It sends the command
+// again where it still wants it.
+func (c proposeCall) abandoned() bool {
+	select {
+	case <-c.gone:
+		return true
+	default:
+		return false
+	}
 }
 
 // readCall asks for a current read.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -132,7 +132,9 @@
 // propose commits a command that was stamped by the caller.
 func (r *Replica) propose(ctx context.Context, command state.Command, encoded []byte) (proposed, error) {
 	started := time.Now()
-	got, err := ask(ctx, r, func(reply reply[proposed]) call { return proposeCall{reply: reply, command: command, encoded: encoded} })
+	got, err := ask(ctx, r, func(reply reply[proposed]) call {
+		return proposeCall{reply: reply, command: command, encoded: encoded, gone: ctx.Done()}
+	})
 	if err == nil {
 		r.opts.Metrics.Observe(metricCommit, time.Since(started))
 	}
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -120,7 +120,7 @@
 	}
 	reply := newReply[proposed]()
 	select {
-	case r.calls <- proposeCall{reply: reply, command: whole, encoded: encoded, tag: tag}:
+	case r.calls <- proposeCall{reply: reply, command: whole, encoded: encoded, tag: tag, gone: ctx.Done()}:
 	default:
 		return nil, ErrOverloaded
 	}
