Stop a leader with a listed group from waking without pause

Cause: the time of the next repair step was set also where the cell file lists the members and no repair runs. Once it had passed, the replica task's deadline lay in the past for most of each second and the task spun. Only a group with AutoVoters has that deadline now.

Checked: vet, tests of platform, core/controlgroup, commitbench and the replacement, partition and abandoned-call tests of internal/replica.

--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -146,8 +146,9 @@
 		t.leading.nextAdvance = now.Add(advanceInterval)
 		t.proposeOwn(now, state.Command{Advance: &state.Advance{}}, nil)
 		t.removeSilentMembers(now)
-		t.changeGroup(now)
-		t.leading.nextRepair = now.Add(repairInterval)
+		if t.opts.AutoVoters == 0 {
+			t.changeGroup(now)
+		}
 	}
 	if t.opts.AutoVoters > 0 && !now.Before(t.leading.nextRepair) {
 		t.leading.nextRepair = now.Add(repairInterval)
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -15,21 +15,19 @@
 // changeGroup makes one step that brings the group closer to the list in the
 // file in force. The leader calls it every advanceInterval.
 func (t *task) changeGroup(now time.Time) {
-	if t.opts.AutoVoters > 0 {
-		t.repairGroup(now)
-		return
-	}
 	if t.file == nil {
 		return
 	}
-	t.takeStep(now, controlgroup.Next(t.groupView(now, t.core.Status())))
+	view := t.groupView(now, t.core.Status())
+	for _, id := range t.file.Cell.ControlReplicas {
+		view.Listed = append(view.Listed, replog.ReplicaID(id))
+	}
+	t.takeStep(now, controlgroup.Next(view))
 }
 
+// groupView is what the leader knows of the group, whoever lists its members.
 func (t *task) groupView(now time.Time, status replog.Status) controlgroup.View {
 	view := controlgroup.View{Self: t.opts.ID, Membership: status.Membership, Announced: t.peers.recent(now)}
-	for _, id := range t.file.Cell.ControlReplicas {
-		view.Listed = append(view.Listed, replog.ReplicaID(id))
-	}
 	for _, follower := range status.Followers {
 		if now.Sub(follower.AnsweredAt) >= t.opts.ElectionTimeoutMax {
 			continue
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -25,22 +25,13 @@
 func (t *task) repairGroup(now time.Time) {
 	status := t.core.Status()
 	view := controlgroup.RepairView{
-		View:   controlgroup.View{Self: t.opts.ID, Membership: status.Membership, Announced: t.peers.recent(now)},
-		Target: t.opts.AutoVoters, Replaced: t.peers.replaced(),
+		View: t.groupView(now, status), Target: t.opts.AutoVoters, Replaced: t.peers.replaced(),
 	}
 	slices.Sort(view.Announced)
 	for _, follower := range status.Followers {
-		quiet := now.Sub(follower.AnsweredAt)
-		if quiet >= silentAfter {
+		if now.Sub(follower.AnsweredAt) >= silentAfter {
 			view.Silent = append(view.Silent, follower.ID)
 		}
-		if quiet >= t.opts.ElectionTimeoutMax {
-			continue
-		}
-		view.Answering = append(view.Answering, follower.ID)
-		if follower.Learner && follower.Match > 0 && follower.Match+caughtUpLag >= status.Commit {
-			view.CaughtUp = append(view.CaughtUp, follower.ID)
-		}
 	}
 	t.takeStep(now, controlgroup.Repair(view))
 }
