Answer requests that a planned stop finds while they are read

New connections reach a stopping process until its socket closes, so such requests are common.

Change: draining.Server stops without Shutdown: the socket closes, idle connections close, the others end with their answer, and what is open at the end of the grace is counted and logged (event 2014). Entry processes of the product and of the platform use it.

TestStopAnswersARequestThatIsBeingRead and TestStopClosesIdleConnectionsAndCountsCutOnes fail with Shutdown in Stop (unexpected EOF; 0 cut, want 1) and pass without it, 100 runs under the race detector.

--- /dev/null
+++ b/internal/draining/server_test.go
@@ -0,0 +1,121 @@
+package draining
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// stopLimit bounds the wait for a stop that should end by itself.
+const stopLimit = 10 * time.Second
+
+// startServer serves handler. Each new connection is told to accepted.
+func startServer(t *testing.T, accepted chan<- struct{}, handler http.HandlerFunc) *Server {
+	t.Helper()
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(socket, &http.Server{Handler: handler, ConnState: func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			accepted <- struct{}{}
+		}
+	}}, &Flag{})
+	go func() {
+		if err := s.Serve(); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func write(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a planned stop that reads a request and closes the connection
+// without an answer: http.Server.Shutdown does so with a request whose header
+// is complete only after the shutdown began.
+func TestStopAnswersARequestThatIsBeingRead(t *testing.T) {
+	accepted := make(chan struct{}, 1)
+	s := startServer(t, accepted, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	conn := dial(t, s)
+	write(t, conn, "GET / HTTP/1.1\r\n")
+	<-accepted
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	stopped := make(chan int, 1)
+	go func() { stopped <- s.Stop(ctx) }()
+	<-s.served
+	write(t, conn, "Host: entry\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusNoContent || !response.Close {
+		t.Errorf("status %d, close %v", response.StatusCode, response.Close)
+	}
+	if cut := <-stopped; cut != 0 {
+		t.Errorf("%d connections cut", cut)
+	}
+}
+
+// Guards against a stop that waits for connections without a request, and
+// against one that reports nothing although it cut a request.
+func TestStopClosesIdleConnectionsAndCountsCutOnes(t *testing.T) {
+	release := make(chan struct{})
+	began := make(chan struct{}, 1)
+	s := startServer(t, make(chan struct{}, 2), func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			began <- struct{}{}
+			<-release
+		}
+	})
+	idle := dial(t, s)
+	write(t, idle, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+	answers := bufio.NewReader(idle)
+	response, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	slow := dial(t, s)
+	write(t, slow, "GET /slow HTTP/1.1\r\nHost: entry\r\n\r\n")
+	<-began
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan int, 1)
+	go func() { stopped <- s.Stop(ctx) }()
+	if _, err := answers.ReadByte(); err != io.EOF {
+		t.Errorf("idle connection: %v, want EOF", err)
+	}
+	// The server counts the closed connection after the client has seen its end.
+	for limit := time.Now().Add(stopLimit); s.open.Load() != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d connections open, want 1", s.open.Load())
+		}
+	}
+	cancel()
+	if cut := <-stopped; cut != 1 {
+		t.Errorf("%d connections cut, want 1", cut)
+	}
+	close(release)
+}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -23,6 +23,7 @@
 	eventCut            = eventlog.Declare(2011, zapcore.ErrorLevel, "requests were cut off")
 	eventLeaveFailed    = eventlog.Declare(2012, zapcore.WarnLevel, "leave could not be committed; the control group removes this process by time")
 	eventListenerFailed = eventlog.Declare(2013, zapcore.ErrorLevel, "listener failed")
+	eventConnectionsCut = eventlog.Declare(2014, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
 )
 
 var (
--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -22,19 +21,16 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// listeners are the sockets of this process and the servers on them.
+// listeners are the servers of this process, each on its socket.
 type listeners struct {
 	logger  *eventlog.Logger
-	servers []*http.Server
-	sockets []net.Listener
+	servers []*draining.Server
 	flag    draining.Flag
 }
 
 // add takes a socket and its server. Nothing is served before serve.
 func (l *listeners) add(socket net.Listener, server *http.Server) {
-	server.Handler = l.flag.Wrap(server.Handler)
-	l.sockets = append(l.sockets, socket)
-	l.servers = append(l.servers, server)
+	l.servers = append(l.servers, draining.NewServer(socket, server, &l.flag))
 }
 
 // newServer returns a server with the limits of this process, for other than
@@ -52,32 +48,27 @@
 func (l *listeners) drain() { l.flag.Begin() }
 
 func (l *listeners) serve() {
-	for i := range l.servers {
+	for _, server := range l.servers {
 		go func() {
-			err := l.servers[i].Serve(l.sockets[i])
-			if !errors.Is(err, http.ErrServerClosed) {
-				l.logger.Log(eventListenerFailed, zap.Stringer("address", l.sockets[i].Addr()), zap.Error(err))
+			if err := server.Serve(); err != nil {
+				l.logger.Log(eventListenerFailed, zap.String("address", server.Address()), zap.Error(err))
 			}
 		}()
 	}
 }
 
-// shutdown ends the servers one after the other in the order in which they
+// shutdown stops the servers one after the other in the order in which they
 // were added, each after its calls in flight have ended or ctx is over.
 func (l *listeners) shutdown(ctx context.Context) {
 	for _, server := range l.servers {
-		if err := server.Shutdown(ctx); err != nil {
-			// Calls are still in flight at the end of the grace period.
-			_ = server.Close()
+		if cut := server.Stop(ctx); cut > 0 {
+			l.logger.Log(eventConnectionsCut, zap.String("address", server.Address()), zap.Int("connections", cut))
 		}
 	}
 }
 
 func (l *listeners) close() {
-	for i := range l.servers {
-		// The process ends; there is nobody to tell. A server that was never
-		// started does not know its socket.
-		_ = l.servers[i].Close()
-		_ = l.sockets[i].Close()
+	for _, server := range l.servers {
+		server.Close()
 	}
 }
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -133,10 +133,10 @@
 	if err != nil {
 		return err
 	}
-	if _, err := b.serve(s.ListenInternal, internal); err != nil {
+	if err := b.serve(s.ListenInternal, internal); err != nil {
 		return err
 	}
-	if _, err := b.serve(s.ListenControl, outside); err != nil {
+	if err := b.serve(s.ListenControl, outside); err != nil {
 		return err
 	}
 	return b.serveMetrics(s.ListenMetrics)
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -60,7 +59,7 @@
 type entry struct {
 	*base
 	gate    *workapi.Gate
-	clients *http.Server
+	clients *draining.Server
 	drain   draining.Flag
 }
 
@@ -68,19 +67,18 @@
 	internal := http.NewServeMux()
 	prefix, relay := dispatcher.NewRelayHandler(platform.NewClient(s.Adviser, e.logger))
 	internal.Handle(prefix, relay)
-	if _, err := e.serve(s.ListenInternal, internal); err != nil {
+	if err := e.serve(s.ListenInternal, internal); err != nil {
 		return err
 	}
 	if err := e.serveMetrics(s.ListenMetrics); err != nil {
 		return err
 	}
 	var err error
-	e.clients, err = e.serve(s.ListenClients, e.drain.Wrap(platform.NewClients(e.gate, e.logger)))
+	e.clients, err = e.serveDraining(s.ListenClients, platform.NewClients(e.gate, e.logger), &e.drain)
 	if err != nil {
 		return err
 	}
-	_, err = e.serve(s.ListenReady, http.HandlerFunc(e.ready))
-	return err
+	return e.serve(s.ListenReady, http.HandlerFunc(e.ready))
 }
 
 func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
@@ -102,10 +100,8 @@
 	}
 	timed, cancel := context.WithTimeout(kill, grace-time.Since(started)-stopMargin)
 	defer cancel()
-	err := e.clients.Shutdown(timed)
-	if errors.Is(err, context.DeadlineExceeded) {
-		e.logger.Log(eventCut, zap.Duration("after", time.Since(started)))
-		return nil
+	if cut := e.clients.Stop(timed); cut > 0 {
+		e.logger.Log(eventCut, zap.Int("connections", cut), zap.Duration("after", time.Since(started)))
 	}
-	return err
+	return nil
 }
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
@@ -19,6 +18,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
@@ -31,7 +31,7 @@
 	eventReload   = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
 	eventServer   = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
 	eventHTTP     = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
-	eventCut      = eventlog.Declare(4305, zapcore.WarnLevel, "requests were still open at the end of a planned stop")
+	eventCut      = eventlog.Declare(4305, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
 )
 
 // ErrListen says that an address of the settings cannot be listened on.
@@ -48,7 +48,7 @@
 type base struct {
 	logger   *eventlog.Logger
 	metrics  *metrics.Set
-	servers  []*http.Server
+	servers  []*draining.Server
 	failures chan error
 	tasks    sync.WaitGroup
 	stopLog  func()
@@ -83,23 +83,31 @@
 // close ends the listeners and writes the last log lines.
 func (b *base) close() {
 	for _, server := range b.servers {
-		// The process ends; a connection that was closed already is no fault.
-		_ = server.Close()
+		server.Close()
 	}
 	b.logger.Log(eventStopped)
 	b.stopLog()
 }
 
 // serve opens a listener.
-func (b *base) serve(address string, handler http.Handler) (*http.Server, error) {
+func (b *base) serve(address string, handler http.Handler) error {
+	_, err := b.serveDraining(address, handler, &draining.Flag{})
+	return err
+}
+
+// serveDraining opens a listener whose connections end with their next answer
+// once flag is set.
+func (b *base) serveDraining(address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(serverLog{b.logger}, "", 0)}
+	server := draining.NewServer(listener, &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(serverLog{b.logger}, "", 0),
+	}, flag)
 	b.servers = append(b.servers, server)
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(); err != nil {
 			b.logger.Log(eventServer, zap.String("address", address), zap.Error(err))
 			b.failures <- err
 		}
@@ -120,8 +128,7 @@
 func (b *base) serveMetrics(address string) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", b.metrics)
-	_, err := b.serve(address, mux)
-	return err
+	return b.serve(address, mux)
 }
 
 // watchReload logs SIGHUP until ctx ends. Without a handler it would end the
