Relieve the leader of status reports, polls and small commits; fewer slow advice calls

A blocked gang named up to 350 workers in four calls of a second each, and renewed its tickets also while most of its room was missing.

Change: the leader names a follower for later reports; polls every 500 ms; ends are proposed every 10 ms, plans made every 10 ms; the heap may grow by 300 % below its limit. Slow calls name further workers only where the granted ones can hardly take the step or after 5 s; tickets are renewed ahead where no more than a quarter of the room is missing and three tenths of the callers are busy. A lost call keeps its caller busy.

TestReportsGoToFollowers. Tests of the core step by 20 ms now, because a plan comes 10 ms after the last one at the earliest; what they expect is unchanged.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -20,8 +20,14 @@
 	// askMoreInterval is the least time between two calls that name workers
 	// which came since the first one.
 	askMoreInterval = time.Second
+	// askMoreAfter is how long a step waits for the workers granted first before
+	// a slow call names others: most tasks are over by then.
+	askMoreAfter = 5 * time.Second
 	// slowAdvice is the time of a call from which tickets are renewed ahead.
 	slowAdvice = 100 * time.Millisecond
+	// refreshPercent bounds the calls that renew tickets ahead: above this part
+	// of the callers being busy, first calls go before.
+	refreshPercent = 30
 	// wantedSlots is for how many times its tasks a step asks for room: granted
 	// workers may be full before the answer comes.
 	wantedSlots = 3
@@ -260,7 +266,7 @@
 		}
 	}
 	expected := adviceTime(advice, len(named))
-	if expected < slowAdvice || len(named) == 0 || len(c.advice) >= len(c.callers)/2 {
+	if expected < slowAdvice || len(named) == 0 || len(c.advice) >= len(c.callers)*refreshPercent/100 {
 		return false
 	}
 	due := last.Add(-expected - callMargin)
--- a/core/dispatch/advice_test.go
+++ b/core/dispatch/advice_test.go
@@ -39,7 +39,7 @@
 		b.core.Applied(b.now, b.now, 0, jobIn("slow", workload.JobID(fmt.Sprint("s", i)), oneTask))
 	}
 	busy := map[string]bool{}
-	for _, call := range b.pass(10 * time.Millisecond).Advice {
+	for _, call := range b.pass(planned).Advice {
 		busy[call.Caller] = true
 	}
 	b.core.Applied(b.now, b.now, 0, jobIn("fast", "f", oneTask))
@@ -61,7 +61,7 @@
 		b.answerHolds(dispatch.Report{})
 		step := workload.StepSpec{Tasks: c.tasks, Size: workload.Resources{MilliCPU: 2000}}
 		b.core.Applied(b.now, b.now, 0, jobIn("a", "j", step))
-		calls := b.pass(10 * time.Millisecond).Advice
+		calls := b.pass(planned).Advice
 		if len(calls) != 1 || len(calls[0].Workers) < c.least || len(calls[0].Workers) > c.most {
 			t.Errorf("%d tasks: calls %+v, want one with %d to %d workers", c.tasks, calls, c.least, c.most)
 		}
--- a/core/dispatch/callers.go
+++ b/core/dispatch/callers.go
@@ -9,7 +9,7 @@
 const (
 	// callerTTL is how long a process counts as able to make calls after it was
 	// last heard: three of its polls.
-	callerTTL = 1200 * time.Millisecond
+	callerTTL = 1700 * time.Millisecond
 	// callerPenalty is how long a process gets no call after one was lost.
 	callerPenalty = 2 * time.Second
 	// shortCallersPercent is the part of the callers that make no slow calls:
@@ -87,13 +87,14 @@
 // answered notes the end of a call that was expected to take until due.
 func (k *caller) answered(now, due time.Time, lost bool) {
 	k.calls--
-	if k.calls == 0 {
-		k.busy = now
-	}
 	if lost {
+		// The adviser may still be at work on the call.
 		k.avoid = now.Add(callerPenalty)
 		return
 	}
+	if k.calls == 0 {
+		k.busy = now
+	}
 	sample := max(now.Sub(due), 0)
 	k.overhead += (sample - k.overhead) / overheadWeight
 }
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -12,10 +12,15 @@
 // the gangs gain.
 const maxClaimedPercent = 25
 
+// nearlyThere is the part of a gang's room, one in this many, that may be
+// missing when its tickets are renewed ahead: the room opens while the call
+// lasts.
+const nearlyThere = 4
+
 // claim keeps room for a gang that is blocked: on the workers that need the
 // least more room to take its tasks. Without it smaller tasks would fill each
 // gap as it opens, and a large gang would wait until the load falls. It reports
-// whether the gang has its room.
+// whether the room is there but for a small part.
 func (c *Core) claim(r ready, s *step, spec *workload.StepSpec) bool {
 	need := int64(spec.Tasks) * spec.Size.MilliCPU
 	if need > c.claims {
@@ -39,8 +44,10 @@
 		}
 	}
 	slices.SortStableFunc(slots, func(a, b slot) int { return cmp.Compare(a.deficit, b.deficit) })
+	missing := int64(0)
 	for _, taken := range slots[:min(len(slots), spec.Tasks)] {
 		taken.worker.room = taken.worker.room.Sub(spec.Size)
+		missing += min(max(taken.deficit, 0), spec.Size.MilliCPU)
 	}
-	return true
+	return len(slots) >= spec.Tasks && missing*nearlyThere <= need
 }
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -42,13 +42,19 @@
 	usable   []*worker // in the plan that is being made
 	claims   int64     // thousandths of a core that blocked gangs may still claim in it
 	nextPlan time.Time
+	nextEnds time.Time
 	changed  bool
 	out      Effects
 }
 
-// planInterval is the least time between two plans, so that a plan covers the
-// events of several answers.
-const planInterval = 5 * time.Millisecond
+const (
+	// planInterval is the least time between two plans, so that a plan covers
+	// the events of several answers.
+	planInterval = 10 * time.Millisecond
+	// endsInterval is the least time between two proposals of ends. Each
+	// proposal costs a message to every follower and a write of every disk.
+	endsInterval = 10 * time.Millisecond
+)
 
 // New returns the dispatcher of a new leader. state is owned by the Core from
 // now on; it has every command that earlier leaders committed.
@@ -133,7 +139,9 @@
 		c.changed = false
 		c.plan()
 	}
-	c.proposeEnds()
+	if !c.now.Before(c.nextEnds) {
+		c.proposeEnds()
+	}
 }
 
 // Effects returns what there is to do and starts a new batch.
@@ -165,6 +173,9 @@
 	if c.changed {
 		sooner(c.nextPlan)
 	}
+	if len(c.ends) > 0 {
+		sooner(c.nextEnds)
+	}
 	return first
 }
 
@@ -234,6 +245,9 @@
 const maxEndsPerProposal = 512
 
 func (c *Core) proposeEnds() {
+	if len(c.ends) > 0 {
+		c.nextEnds = c.now.Add(endsInterval)
+	}
 	for len(c.ends) > 0 {
 		n := min(len(c.ends), maxEndsPerProposal)
 		batch := slices.Clone(c.ends[:n])
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -126,7 +126,9 @@
 	if spec.Gang && c.claim(r, s, spec) && c.refresh(r, s) {
 		return none, false
 	}
-	c.askMore(r, s, spec)
+	if c.shouldAskMore(r, s, spec) {
+		c.askMore(r, s, spec)
+	}
 	return none, false
 }
 
@@ -136,6 +138,23 @@
 	return len(members) > 0 && (!spec.Gang || len(members) == spec.Tasks)
 }
 
+// shouldAskMore reports whether a blocked step is to name further workers. A slow
+// call is worth it only where the granted workers could hardly take the step, or
+// where it has waited long for them.
+func (c *Core) shouldAskMore(r ready, s *step, spec *workload.StepSpec) bool {
+	if adviceTime(r.job.Queue.Advice, maxNamed) < slowAdvice || c.now.Sub(s.blockedSince) >= askMoreAfter {
+		return true
+	}
+	c.wakeJob(r.job, s.blockedSince.Add(askMoreAfter))
+	slots := 0
+	for _, w := range c.usable {
+		if _, granted := s.granted[w.ID]; granted {
+			slots += slotsFor(w.Capacity, spec)
+		}
+	}
+	return slots < wantedSlots*spec.Tasks
+}
+
 // askMore names the workers that came since the step was asked about.
 func (c *Core) askMore(r ready, s *step, spec *workload.StepSpec) {
 	if c.now.Before(s.askAt) {
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -9,6 +9,9 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
+// planned is a step of time after which the core plans again.
+const planned = 20 * time.Millisecond
+
 func queues(queues ...workload.Queue) workload.Command {
 	return workload.Command{Configure: &workload.Config{Version: 2, Queues: queues}}
 }
@@ -35,14 +38,14 @@
 	b := newBench(t, append(commands, jobIn("batch", "filler", filler))...)
 	b.pass(0)
 	b.answerHolds(dispatch.Report{})
-	e := b.commit(b.pass(10 * time.Millisecond))
+	e := b.commit(b.pass(planned))
 	for _, start := range e.Starts {
 		b.core.StartAnswered(b.now, start, dispatch.OutcomeOK, 1100)
 	}
 	for _, c := range []workload.Command{jobIn("gangs", "gang", gang), jobIn("batch", "small", small)} {
 		b.core.Applied(b.now, b.now, 0, c)
 	}
-	b.pass(10 * time.Millisecond)
+	b.pass(planned)
 	// The first gap of 4,000 is kept for two tasks of the gang, until the second
 	// one has room for the third.
 	started := map[workload.JobID]int{}
@@ -50,7 +53,7 @@
 		b.core.Applied(b.now, b.now, 0, workload.Command{Decide: &workload.Decide{Ends: []workload.Ending{
 			{Worker: ended.Worker, Boot: 1, Task: ended.Task, Run: 1, How: workload.EndDone},
 		}}})
-		for _, start := range b.commit(b.pass(10 * time.Millisecond)).Starts {
+		for _, start := range b.commit(b.pass(planned)).Starts {
 			started[start.Task.Job]++
 		}
 		if started["small"] > 0 && started["gang"] == 0 {
@@ -74,7 +77,7 @@
 	}
 	b.core.AdviceAnswered(b.now, e.Advice[0].ID, dispatch.Grant{OK: true, TicketTTL: time.Second})
 	b.core.Applied(b.now, b.now, 0, workerOf("w1", 1))
-	b.pass(10 * time.Millisecond)
+	b.pass(planned)
 	b.answerHolds(dispatch.Report{})
 	for range 20 {
 		for _, call := range b.pass(100 * time.Millisecond).Advice {
@@ -94,13 +97,13 @@
 	b.answerHolds(dispatch.Report{})
 	old := map[workload.WorkerID]string{"w0": "old"}
 	b.core.AdviceAnswered(b.now, first.ID, dispatch.Grant{OK: true, Tickets: old, TicketTTL: 100 * time.Millisecond})
-	e := b.pass(10 * time.Millisecond)
+	e := b.pass(planned)
 	if len(e.Proposals) != 0 || len(e.Advice) != 1 {
 		t.Fatalf("with a ticket that runs out: %+v", e)
 	}
 	fresh := map[workload.WorkerID]string{"w0": "fresh"}
 	b.core.AdviceAnswered(b.now, e.Advice[0].ID, dispatch.Grant{OK: true, Tickets: fresh, TicketTTL: time.Second})
-	if e = b.commit(b.pass(10 * time.Millisecond)); len(e.Starts) != 1 || e.Starts[0].Ticket != "fresh" {
+	if e = b.commit(b.pass(planned)); len(e.Starts) != 1 || e.Starts[0].Ticket != "fresh" {
 		t.Errorf("starts %+v", e.Starts)
 	}
 }
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -75,7 +75,7 @@
 	b := newBench(t, workerOf("w", 1), jobOf("j", step))
 	b.pass(0)
 	b.answerHolds(dispatch.Report{})
-	e := b.commit(b.pass(10 * time.Millisecond))
+	e := b.commit(b.pass(planned))
 	if len(e.Starts) != step.Tasks {
 		t.Fatalf("%d starts, want %d", len(e.Starts), step.Tasks)
 	}
@@ -109,7 +109,7 @@
 	b := newBench(t, workerOf("w", 1), jobOf("j", oneTask))
 	b.pass(0)
 	b.answerHolds(dispatch.Report{})
-	e := b.pass(10 * time.Millisecond)
+	e := b.pass(planned)
 	b.core.Applied(b.now, b.now, 0, workload.Command{Drain: &workload.Drain{Worker: "w", Boot: 1}})
 	if after := b.commit(e); len(after.Starts) != 0 {
 		t.Errorf("started %+v", after.Starts)
@@ -207,14 +207,14 @@
 	b := newBench(t, workerOf("w", 1), jobOf("a", oneTask), jobOf("b", oneTask), jobOf("c", oneTask))
 	b.pass(0)
 	b.answerHolds(dispatch.Report{})
-	e := b.commit(b.pass(10 * time.Millisecond))
+	e := b.commit(b.pass(planned))
 	var ends []dispatch.ListedEnd
 	for i, start := range e.Starts {
 		b.core.StartAnswered(b.now, start, dispatch.OutcomeOK, 1100)
 		ends = append(ends, dispatch.ListedEnd{Number: uint64(i + 1), Task: start.Task, Run: start.Run, How: workload.EndFailed})
 	}
 	b.answerHolds(dispatch.Report{Ends: ends})
-	if e = b.commit(b.pass(10 * time.Millisecond)); len(e.Starts)+len(e.Proposals) != 0 {
+	if e = b.commit(b.pass(planned)); len(e.Starts)+len(e.Proposals) != 0 {
 		t.Errorf("placed again at once: %+v", e)
 	}
 }
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -128,7 +128,7 @@
 	internal.Handle("/", r.Handler())
 	prefix, relay := dispatcher.NewRelayHandler(calls)
 	internal.Handle(prefix, relay)
-	registry := workapi.NewRegistry(workapi.RegistryOptions{Control: control, Local: r, Logger: b.logger, Metrics: b.metrics})
+	registry := workapi.NewRegistry(workapi.RegistryOptions{Control: control, Local: r, Self: s.ListenInternal, Logger: b.logger, Metrics: b.metrics})
 	outside, err := platform.NewControl(registry, b.logger, s.ListenControl)
 	if err != nil {
 		return err
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -58,9 +58,14 @@
 // collected more often, in percent. The rest is for stacks, sockets and files.
 const heapShare = 50
 
+// heapGrowth is by how many percent the heap may grow between two collections,
+// below the limit: memory is far cheaper here than processor time.
+const heapGrowth = 300
+
 // newBase opens the log on out. close must be called at the end.
 func newBase(out io.Writer, level, name string, memoryMB int64) (*base, error) {
 	debug.SetMemoryLimit(memoryMB << 20 * heapShare / 100)
+	debug.SetGCPercent(heapGrowth)
 	async := eventlog.NewAsync(out)
 	logger, err := eventlog.New(async, level, name)
 	if err != nil {
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -106,6 +106,7 @@
 	Role       replog.Role
 	Membership replog.Membership // in force
 	LeaderAt   string            // address of the leader, or empty
+	Addresses  []string          // of the members of the group
 	Applied    uint64
 	Leading    bool // the scheduler and the lease granter run here
 	LeaseEnd   time.Time
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -300,7 +300,7 @@
 			ID: t.opts.ID, Formed: t.formed,
 			Term: t.status.Term, Commit: t.status.Commit, Leader: t.status.Leader,
 		},
-		Role: t.status.Role, Membership: t.status.Membership, LeaderAt: t.peers.addresses[t.status.Leader], Applied: t.applied,
+		Role: t.status.Role, Membership: t.status.Membership, LeaderAt: t.peers.addresses[t.status.Leader], Addresses: t.replicaAddresses(), Applied: t.applied,
 		Leading: t.leading != nil, LeaseEnd: t.status.LeaseEnd,
 	}
 }
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -154,10 +154,11 @@
 	return *answer.Called, true, nil
 }
 
-// LeaderAddress returns the address of the leader, or an empty one.
-func (r *Replica) LeaderAddress(ctx context.Context) (string, error) {
+// GroupAddresses returns the address of the leader, or an empty one, and those
+// of all members of the control group.
+func (r *Replica) GroupAddresses(ctx context.Context) (leader string, members []string, err error) {
 	report, err := r.Report(ctx)
-	return report.LeaderAt, err
+	return report.LeaderAt, report.Addresses, err
 }
 
 // replicaAddresses lists where the members of the group listen.
--- a/internal/workapi/gate.go
+++ b/internal/workapi/gate.go
@@ -19,7 +19,7 @@
 const (
 	// pollInterval is the time between two polls. A change has to be in force
 	// within 2.5 s; it also announces this process to the leader as a caller.
-	pollInterval = 250 * time.Millisecond
+	pollInterval = 500 * time.Millisecond
 	pollTimeout  = 1200 * time.Millisecond
 )
 
--- a/internal/workapi/registry.go
+++ b/internal/workapi/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 	"slices"
 
 	"go.uber.org/zap"
@@ -16,13 +17,16 @@
 // Local answers from what a control replica has applied.
 type Local interface {
 	LocalWorkload(ctx context.Context, worker workload.WorkerID) (known workload.Worker, ok bool, err error)
-	LeaderAddress(ctx context.Context) (string, error)
+	// GroupAddresses returns the address of the leader, or an empty one, and
+	// those of all members of the control group.
+	GroupAddresses(ctx context.Context) (leader string, members []string, err error)
 }
 
 // RegistryOptions are what a Registry needs.
 type RegistryOptions struct {
 	Control *controlclient.Client
 	Local   Local
+	Self    string // internal address of this replica
 	Logger  *eventlog.Logger
 	Metrics *metrics.Set
 }
@@ -35,21 +39,45 @@
 func NewRegistry(opts RegistryOptions) *Registry { return &Registry{opts: opts} }
 
 // Report takes what a worker says of itself. It is acknowledged once it is
-// committed; a report that says nothing new needs no commit. leader is the
-// internal address of the leader, where it is known.
-func (r *Registry) Report(ctx context.Context, w workload.Worker) (leader string, outcome Outcome) {
+// committed; a report that says nothing new needs no commit. next is the
+// internal address of the replica that is to take the later ones: one that does
+// not lead, because the leader's processor is the scarcest.
+func (r *Registry) Report(ctx context.Context, w workload.Worker) (next string, outcome Outcome) {
 	known, ok, err := r.opts.Local.LocalWorkload(ctx, w.ID)
 	if err != nil {
 		return "", r.registered(w, OutcomeNotTaken, err)
 	}
-	if leader, err = r.opts.Local.LeaderAddress(ctx); err != nil || leader == "" {
+	leader, members, err := r.opts.Local.GroupAddresses(ctx)
+	if err != nil || leader == "" {
 		return "", r.registered(w, OutcomeNotTaken, err)
 	}
+	next = reportTo(r.opts.Self, leader, members, w.ID)
 	if ok && sameWorker(known, w) {
 		r.opts.Metrics.Add(metricRegistry, "unchanged", 1)
-		return leader, OutcomeOK
+		return next, OutcomeOK
 	}
-	return leader, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
+	return next, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
+}
+
+// reportTo returns the replica that takes the later reports of a worker: this
+// one, unless it leads and there is another.
+func reportTo(self, leader string, members []string, id workload.WorkerID) string {
+	if self != leader {
+		return self
+	}
+	var others []string
+	for _, member := range members {
+		if member != leader {
+			others = append(others, member)
+		}
+	}
+	if len(others) == 0 {
+		return self
+	}
+	h := fnv.New32a()
+	// A hash never fails to write.
+	_, _ = h.Write([]byte(id))
+	return others[h.Sum32()%uint32(len(others))]
 }
 
 // sameWorker reports whether a report adds nothing to what is known. A report
--- a/internal/workapi/workapi_test.go
+++ b/internal/workapi/workapi_test.go
@@ -1,6 +1,7 @@
 package workapi
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/ansel1/merry/v2"
@@ -59,3 +60,22 @@
 		}
 	}
 }
+
+// Guards against all workers reporting to the leader, and against reports that
+// go to a replica that is not there.
+func TestReportsGoToFollowers(t *testing.T) {
+	members := []string{"a:1", "b:1", "c:1"}
+	used := map[string]bool{}
+	for i := range 40 {
+		used[reportTo("a:1", "a:1", members, workload.WorkerID(fmt.Sprint(i)))] = true
+	}
+	if used["a:1"] || !used["b:1"] || !used["c:1"] {
+		t.Errorf("the leader names %v", used)
+	}
+	if got := reportTo("b:1", "a:1", members, "w"); got != "b:1" {
+		t.Errorf("a follower names %q, want itself", got)
+	}
+	if got := reportTo("a:1", "a:1", []string{"a:1"}, "w"); got != "a:1" {
+		t.Errorf("a single replica names %q, want itself", got)
+	}
+}
