Spread first advice calls over the workers; renew all granted ones at once

A step whose tasks are placed one by one renewed one or two tickets a call.

Change: a call notes the room that its step will probably take, and the next ones name others; a first call names workers until they take half as long as the call without them; a renewal for tasks that are placed one by one names all granted workers.

TestStepsNameDifferentWorkers and TestRenewalNamesAllGrantedWorkers failed before.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -32,8 +32,10 @@
 	// workers may be full before the answer comes.
 	wantedSlots = 3
 	// minNamed is the least number of workers that a first call names, where
-	// there are so many.
-	minNamed = 8
+	// there are so many. It names more until they take leastShare of the time
+	// that the call takes without them.
+	minNamed   = 8
+	leastShare = 0.5
 	// firstGrantPercent is the part of the named workers that is taken to be
 	// granted before a queue has had an answer, and the least that is assumed.
 	firstGrantPercent = 40
@@ -45,11 +47,13 @@
 
 // adviceCall is a call on the way.
 type adviceCall struct {
-	step     workload.StepID
-	caller   string
-	named    []workload.WorkerID
-	sentAt   time.Time
-	due      time.Time // when the answer is expected
+	step   workload.StepID
+	caller string
+	named  []workload.WorkerID
+	sentAt time.Time
+	due    time.Time // when the answer is expected
+	// expects is the room that the step will probably take on the named workers.
+	expects  []reservation
 	deadline time.Time
 }
 
@@ -73,9 +77,13 @@
 	s.asking = c.lastAdvice
 	id := workload.StepID{Job: j.ID, Step: index}
 	timeout := from.busy.Sub(c.now) + adviceMargin
-	c.advice[c.lastAdvice] = &adviceCall{
+	call := &adviceCall{
 		step: id, caller: address, named: named, sentAt: c.now, due: from.busy, deadline: c.now.Add(timeout + retryAdvice),
 	}
+	c.advice[c.lastAdvice] = call
+	if s.granted == nil {
+		c.expect(call, &j.Spec.Steps[index])
+	}
 	c.decide(Decision{Kind: DecisionAsked, Job: j.ID, Step: index, Count: len(named), Reason: address})
 	c.out.Advice = append(c.out.Advice, AdviceCall{ID: c.lastAdvice, Caller: address, Step: id, Workers: named, Timeout: timeout})
 }
@@ -88,6 +96,11 @@
 		return
 	}
 	delete(c.advice, id)
+	for _, expected := range call.expects {
+		if w := c.workers[expected.worker]; w != nil {
+			w.expected = w.expected.Sub(expected.size)
+		}
+	}
 	c.changed = true
 	j := c.byID[call.step.Job]
 	if from := c.callers[call.caller]; from != nil {
@@ -198,7 +211,7 @@
 	type option struct {
 		worker *worker
 		usable bool
-		room   workload.Resources
+		room   workload.Resources // that no other step is expected to take
 	}
 	var able []option
 	for _, w := range c.list {
@@ -206,7 +219,7 @@
 			continue
 		}
 		if w.Service == j.Queue.Service && !w.Gone && !w.Draining && couldRun(w, spec) {
-			able = append(able, option{w, c.mayRun(w), c.free(w)})
+			able = append(able, option{w, c.mayRun(w), c.free(w).Sub(w.expected)})
 		}
 	}
 	// Workers that get nothing now come last: their room is of no use.
@@ -219,11 +232,15 @@
 		}
 		return cmp.Compare(b.room.MilliCPU, a.room.MilliCPU)
 	})
+	least := minNamed
+	if advice := j.Queue.Advice; advice.PerWorker > 0 {
+		least = max(least, int(leastShare*float64(advice.Base)/float64(advice.PerWorker)))
+	}
 	wanted := float64(wantedSlots*spec.Tasks) / c.grantedPart(j.Queue.Name)
 	slots := 0.0
 	var named []workload.WorkerID
 	for _, o := range able[:min(len(able), maxNamed)] {
-		if len(named) >= minNamed && slots >= wanted {
+		if len(named) >= least && slots >= wanted {
 			break
 		}
 		named = append(named, o.worker.ID)
@@ -232,6 +249,21 @@
 	return named
 }
 
+// expect notes the room that a step will probably take on the workers that a
+// call names, so that the steps behind it name others.
+func (c *Core) expect(call *adviceCall, spec *workload.StepSpec) {
+	tasks := int64(spec.Tasks)
+	for _, id := range call.named {
+		share := workload.Resources{
+			MilliCPU: spec.Size.MilliCPU * tasks / int64(len(call.named)), MemoryMB: spec.Size.MemoryMB * tasks / int64(len(call.named)),
+			GPUs: spec.Size.GPUs * tasks / int64(len(call.named)),
+		}
+		call.expects = append(call.expects, reservation{id, share})
+		w := c.workers[id]
+		w.expected = w.expected.Add(share)
+	}
+}
+
 // slotsFor is how many tasks of a step fit into room on one worker.
 func slotsFor(room workload.Resources, spec *workload.StepSpec) int {
 	slots := spec.Tasks
--- a/core/dispatch/advice_test.go
+++ b/core/dispatch/advice_test.go
@@ -67,3 +67,47 @@
 		}
 	}
 }
+
+// Guards against steps that all name the same empty workers: the first answer
+// takes their room, and the others have waited for nothing.
+func TestStepsNameDifferentWorkers(t *testing.T) {
+	b := newBench(t, append(workersOf(120), queues(advisedQueue("a", 0, time.Millisecond)))...)
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	for i := range 8 {
+		step := workload.StepSpec{Tasks: 8, Size: workload.Resources{MilliCPU: 4000}}
+		b.core.Applied(b.now, b.now, 0, jobIn("a", workload.JobID(fmt.Sprint("j", i)), step))
+	}
+	named := map[workload.WorkerID]bool{}
+	for _, call := range b.pass(planned).Advice {
+		for _, worker := range call.Workers {
+			named[worker] = true
+		}
+	}
+	if len(named) < 100 {
+		t.Errorf("8 steps name %d of 120 workers", len(named))
+	}
+}
+
+// Guards against a call for each task of a step that waits for room.
+func TestRenewalNamesAllGrantedWorkers(t *testing.T) {
+	plain := workload.Queue{Name: "q", Service: "shop", MaxAttempts: 1}
+	b := newBench(t, append(workersOf(4), queues(advisedQueue("a", 0, time.Millisecond), plain))...)
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	// Three workers are full, so two of the three tasks wait.
+	filler := workload.StepSpec{Tasks: 3, Size: workload.Resources{MilliCPU: 4000}}
+	b.core.Applied(b.now, b.now, 0, jobOf("filler", filler))
+	b.commit(b.pass(planned))
+	b.core.Applied(b.now, b.now, 0, jobIn("a", "j", workload.StepSpec{Tasks: 3, Size: workload.Resources{MilliCPU: 4000}}))
+	first := b.pass(planned).Advice[0]
+	tickets := map[workload.WorkerID]string{}
+	for _, worker := range first.Workers {
+		tickets[worker] = "old"
+	}
+	b.core.AdviceAnswered(b.now, first.ID, dispatch.Grant{OK: true, Tickets: tickets, TicketTTL: 100 * time.Millisecond})
+	calls := b.pass(planned).Advice
+	if len(calls) != 1 || len(calls[0].Workers) != 4 {
+		t.Errorf("calls %+v, want one that names all 4 workers", calls)
+	}
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -179,7 +179,9 @@
 }
 
 // renew asks for new tickets on the chosen workers and keeps their room until
-// the answer.
+// the answer. Where the tasks are placed one by one it names the other granted
+// workers too: the tasks that still wait get their room within the life of the
+// tickets.
 func (c *Core) renew(r ready, s *step, members []workload.Member) {
 	if c.now.Before(s.askAt) {
 		c.wakeJob(r.job, s.askAt)
@@ -191,6 +193,13 @@
 			named = append(named, m.Worker)
 		}
 	}
+	if !r.job.Spec.Steps[r.index].Gang && len(members) < s.waiting {
+		for _, w := range c.usable {
+			if _, granted := s.granted[w.ID]; granted && len(named) < maxNamed && !slices.Contains(named, w.ID) && !c.ticketGood(s, w.ID) {
+				named = append(named, w.ID)
+			}
+		}
+	}
 	c.ask(r.job, r.index, named)
 	if s.asking == 0 {
 		c.wakeJob(r.job, s.askAt)
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -40,6 +40,7 @@
 	workload.Worker
 	reserved workload.Resources // by proposals and advice calls on the way
 	room     workload.Resources // left in the plan that is being made
+	expected workload.Resources // that steps whose first advice call is on the way will probably take
 
 	adopted bool // it has answered a hold of this term
 	silent  bool // the last hold failed
@@ -95,7 +96,7 @@
 	}
 	fresh := &worker{Worker: w, runs: map[workload.TaskID]*run{}, unanswered: map[workload.TaskID]unansweredStart{}, holdAt: c.now}
 	if known != nil {
-		fresh.reserved = known.reserved
+		fresh.reserved, fresh.expected = known.reserved, known.expected
 		for _, r := range known.runs {
 			fresh.reserved = fresh.reserved.Sub(r.size)
 		}
