Place jobs that can still be on time before those that cannot

Change: each job has an objective from its queue and the longest chain of its estimates; within a priority steps that can still meet it go first, and jobs beyond three times their objective go last of all.

TestJobsThatCanBeOnTimeGoFirst failed before.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -65,7 +65,7 @@
 		embargo:   map[workload.TaskID]embargo{},
 		proposals: map[uint64]*proposal{}, advice: map[uint64]*adviceCall{}, callers: map[string]*caller{}, granted: map[string]float64{},
 	}
-	state.Jobs(func(j *workload.Job) { c.track(j) })
+	state.Jobs(func(j *workload.Job) { c.track(j, j.AcceptedAt) })
 	for _, w := range state.Workers() {
 		c.follow(w)
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -10,14 +10,17 @@
 // job is a live job: one that has not ended, in the order of acceptance.
 type job struct {
 	*workload.Job
-	steps []step
-	wake  time.Time // when a step has something to do without an event
+	steps     []step
+	wake      time.Time     // when a step has something to do without an event
+	since     time.Time     // accepted, by this process's clock where it saw it
+	objective time.Duration // from then to the end of the last step
 }
 
 // step is what the leader knows of a step besides its tasks.
 type step struct {
-	proposed []bool // by task: a run is proposed
-	waiting  int    // tasks that are pending and not proposed
+	proposed []bool        // by task: a run is proposed
+	waiting  int           // tasks that are pending and not proposed
+	chain    time.Duration // longest work from here to the end of the job
 
 	// Permission of the adviser. The workers that may run a step never change;
 	// the tickets that prove it run out.
@@ -35,12 +38,13 @@
 	until time.Time
 }
 
-// track follows a job that has not ended.
-func (c *Core) track(j *workload.Job) {
+// track follows a job that has not ended, which was accepted at since.
+func (c *Core) track(j *workload.Job, since time.Time) {
 	if j.State.Ended() {
 		return
 	}
-	live := &job{Job: j, steps: make([]step, len(j.Steps))}
+	live := &job{Job: j, steps: make([]step, len(j.Steps)), since: since}
+	live.plan()
 	for i := range live.steps {
 		live.steps[i].proposed = make([]bool, len(j.Steps[i].Tasks))
 	}
@@ -64,7 +68,7 @@
 
 func (c *Core) submitted(id workload.JobID) {
 	if j := c.state.Job(id); j != nil && c.byID[id] == nil {
-		c.track(j)
+		c.track(j, c.now)
 	}
 }
 
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -35,8 +35,9 @@
 
 // ready is a step that waits for workers.
 type ready struct {
-	job   *job
-	index int
+	job      *job
+	index    int
+	lateness lateness
 }
 
 // plan places the steps that wait, in the order of their priority. A step that
@@ -77,17 +78,26 @@
 	c.propose(p)
 }
 
-// waiting lists the steps with tasks to place, the most urgent first.
+// waiting lists the steps with tasks to place, the most urgent first. Among
+// steps of one priority those that can still meet their objective come before
+// those that cannot: with too much work all would otherwise be late alike. Steps
+// that nobody waits for come last of all.
 func (c *Core) waiting() []ready {
 	var all []ready
 	for _, j := range c.jobs {
 		for i := range j.steps {
 			if j.steps[i].waiting > 0 && j.Ready(i) {
-				all = append(all, ready{j, i})
+				all = append(all, ready{j, i, j.lateness(i, c.now)})
 			}
 		}
 	}
-	slices.SortStableFunc(all, func(a, b ready) int { return cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority) })
+	slices.SortStableFunc(all, func(a, b ready) int {
+		return cmp.Or(
+			cmp.Compare(max(a.lateness, late), max(b.lateness, late)),
+			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
+			cmp.Compare(a.lateness, b.lateness),
+		)
+	})
 	return all
 }
 
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -107,3 +108,46 @@
 		t.Errorf("starts %+v", e.Starts)
 	}
 }
+
+// Guards against an overload in which every job waits its turn and all are
+// late, and against a job that nobody waits for holding up a less urgent one.
+func TestJobsThatCanBeOnTimeGoFirst(t *testing.T) {
+	urgent := workload.Queue{Name: "urgent", Service: "shop", MaxAttempts: 1, SlackFactor: 1.5, TargetLatency: time.Second}
+	batch := urgent
+	batch.Name, batch.Priority, batch.SlackFactor = "batch", 1, 100
+	step := workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 4000}, Estimate: time.Second}
+	for _, c := range []struct {
+		waits time.Duration // of the first job
+		first string
+		order []workload.JobID
+	}{
+		{100 * time.Millisecond, "urgent", []workload.JobID{"first", "second", "batch"}},
+		{2 * time.Second, "urgent", []workload.JobID{"second", "first", "batch"}},
+		{20 * time.Second, "urgent", []workload.JobID{"second", "batch", "first"}},
+	} {
+		b := newBench(t, queues(urgent, batch), workerOf("w", 1), jobIn("batch", "filler", step))
+		b.pass(0)
+		b.answerHolds(dispatch.Report{})
+		e := b.commit(b.pass(planned))
+		b.core.Applied(b.now, b.now, 0, jobIn(c.first, "first", step))
+		b.pass(c.waits)
+		b.answerHolds(dispatch.Report{})
+		for _, next := range []workload.Command{jobIn("urgent", "second", step), jobIn("batch", "batch", step)} {
+			b.core.Applied(b.now, b.now, 0, next)
+		}
+		var got []workload.JobID
+		for range c.order {
+			ended := e.Starts[0]
+			b.core.Applied(b.now, b.now, 0, workload.Command{Decide: &workload.Decide{Ends: []workload.Ending{
+				{Worker: "w", Boot: 1, Task: ended.Task, Run: ended.Run, How: workload.EndDone},
+			}}})
+			if e = b.commit(b.pass(planned)); len(e.Starts) != 1 {
+				t.Fatalf("waiting %v: starts %+v after %v", c.waits, e.Starts, got)
+			}
+			got = append(got, e.Starts[0].Task.Job)
+		}
+		if !slices.Equal(got, c.order) {
+			t.Errorf("after %v the jobs start in the order %v, want %v", c.waits, got, c.order)
+		}
+	}
+}
