Refuse submissions that no replica has taken after 0.7 s, not at their deadline

A dial that timed out also counted as perhaps accepted, so the answer was 504 where 503 is true.

Change: ProposeWithin gives up after its wait where no replica can have taken the command; submissions wait 0.7 s and are refused with the time to come back. A connection that was not opened has carried nothing.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -66,12 +67,19 @@
 // committed or ctx ends. Commands are idempotent, so sending one twice has the
 // effect of once.
 func (c *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
+	return c.ProposeWithin(ctx, command, 0)
+}
+
+// ProposeWithin is Propose, but fails with ErrUnavailable after wait where no
+// replica can have taken the command until then. A wait of 0 lasts until ctx
+// ends.
+func (c *Client) ProposeWithin(ctx context.Context, command state.Command, wait time.Duration) (state.Result, error) {
 	encoded, err := codec.EncodeCommand(command)
 	if err != nil {
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ProposeResponse
-	err = c.untilAnswered(ctx, attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, attemptTimeout, wait, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
 		return callErr
@@ -93,7 +101,7 @@
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	err = c.untilAnswered(ctx, attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, attemptTimeout, 0, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
@@ -116,7 +124,7 @@
 // renewal that is granted twice extends the lease once.
 func (c *Client) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
 	var response *rpcpb.RenewResponse
-	err := c.untilAnswered(ctx, attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, attemptTimeout, 0, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Renew(ctx, request)
 		return callErr
@@ -129,7 +137,7 @@
 func (c *Client) Feed(ctx context.Context, request *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
 	wait := time.Duration(request.MaxWaitMillis) * time.Millisecond
 	var response *rpcpb.FeedResponse
-	err := c.untilAnswered(ctx, wait+attemptTimeout, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, wait+attemptTimeout, 0, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Feed(ctx, request)
 		return callErr
@@ -151,8 +159,10 @@
 
 type call func(ctx context.Context, control rpcpb.Control) error
 
-// untilAnswered repeats a call until it is answered or ctx ends.
-func (c *Client) untilAnswered(ctx context.Context, timeout time.Duration, do call) error {
+// untilAnswered repeats a call until it is answered or ctx ends, or for wait
+// where that is above 0 and no replica can have accepted it.
+func (c *Client) untilAnswered(ctx context.Context, timeout, wait time.Duration, do call) error {
+	started := time.Now()
 	maybeAccepted := false
 	backoff := firstBackoff
 	for {
@@ -173,7 +183,7 @@
 			return endOfCall(maybeAccepted, err)
 		}
 		c.report(target, failure)
-		if failure.final {
+		if failure.final || wait > 0 && !maybeAccepted && time.Since(started) >= wait {
 			return endOfCall(maybeAccepted, err)
 		}
 		if err := pause.For(ctx, backoff); err != nil {
@@ -210,6 +220,11 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return failure{reason: "refused-connection"}
 	}
+	// A connection that was not opened has carried nothing.
+	var opening *net.OpError
+	if errors.As(err, &opening) && opening.Op == "dial" {
+		return failure{reason: "no-connection"}
+	}
 	twirpErr, ok := err.(twirp.Error)
 	if !ok {
 		return failure{reason: "transport", maybeAccepted: true}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -146,3 +149,39 @@
 		t.Fatalf("Propose: %v", err)
 	}
 }
+
+// Guards against a submission that is held until its client gives up although
+// no replica has taken it, and against refusing one as not taken that a replica
+// may have taken.
+func TestProposeWithinGivesUpWhatWasNotTaken(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	command := state.Command{Advance: &state.Advance{}}
+	for name, c := range map[string]struct {
+		err  func() error
+		want error
+		soon bool
+	}{
+		"no leader":   {func() error { return twirp.NewError(twirp.FailedPrecondition, "not the leader") }, ErrUnavailable, true},
+		"lost answer": {func() error { return twirp.InternalError("lost") }, ErrOutcomeUnknown, false},
+	} {
+		client := newClient(t, serve(t, &fakeReplica{err: c.err}))
+		ctx, cancel := context.WithTimeout(t.Context(), 20*wait)
+		_, err := client.ProposeWithin(ctx, command, wait)
+		if !errors.Is(err, c.want) || (ctx.Err() == nil) != c.soon {
+			t.Errorf("%s: %v, context %v", name, err, ctx.Err())
+		}
+		cancel()
+	}
+}
+
+// Guards against calling a command perhaps accepted that met no machine.
+func TestFailedDialIsNotAccepted(t *testing.T) {
+	err := &url.Error{Op: "Post", Err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}}
+	if got := classify(twirp.InternalErrorWith(err)); got.maybeAccepted {
+		t.Errorf("%+v", got)
+	}
+	err.Err = &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}
+	if got := classify(twirp.InternalErrorWith(err)); !got.maybeAccepted {
+		t.Errorf("after a lost answer: %+v", got)
+	}
+}
--- a/internal/workapi/gate.go
+++ b/internal/workapi/gate.go
@@ -21,6 +21,10 @@
 	// within 2.5 s; it also announces this process to the leader as a caller.
 	pollInterval = 500 * time.Millisecond
 	pollTimeout  = 1200 * time.Millisecond
+	// submitWait is how long a submission waits for a leader before it is
+	// refused as not taken: an election takes up to 0.9 s, and a client that
+	// waits for 3 s can send again after the second that it is told.
+	submitWait = 700 * time.Millisecond
 )
 
 // GateOptions are what a Gate needs.
@@ -126,8 +130,7 @@
 	started := time.Now()
 	spec.Queue = route.Queue.Name
 	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}}}
-	result, err := g.propose(ctx, command)
-	outcome := result
+	outcome, err := g.propose(ctx, command, submitWait)
 	took := time.Since(started)
 	g.opts.Metrics.Observe(metricSubmit, took)
 	g.opts.Logger.Log(eventSubmitted, zap.String("job", string(id)), zap.String("queue", route.Queue.Name),
@@ -136,8 +139,8 @@
 }
 
 // propose commits a workload command and returns its outcome.
-func (g *Gate) propose(ctx context.Context, command state.Command) (Outcome, error) {
-	result, err := g.opts.Control.Propose(ctx, command)
+func (g *Gate) propose(ctx context.Context, command state.Command, wait time.Duration) (Outcome, error) {
+	result, err := g.opts.Control.ProposeWithin(ctx, command, wait)
 	switch {
 	case err != nil:
 		return ofError(err), err
@@ -150,7 +153,7 @@
 // Cancel ends a job.
 func (g *Gate) Cancel(ctx context.Context, id workload.JobID) Outcome {
 	started := time.Now()
-	outcome, err := g.propose(ctx, state.Command{Workload: &workload.Command{Cancel: &workload.Cancel{ID: id}}})
+	outcome, err := g.propose(ctx, state.Command{Workload: &workload.Command{Cancel: &workload.Cancel{ID: id}}}, 0)
 	g.opts.Logger.Log(eventCancelled, zap.String("job", string(id)), zap.String("outcome", string(outcome)),
 		zap.Int64("took_ms", time.Since(started).Milliseconds()), zap.Error(err))
 	return g.count("cancel", outcome)
