--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -75,6 +75,7 @@
 
 	running map[string]string // task to worker
 	ended   map[string]bool   // task ended done and the end was noted
+	done    map[string]bool   // task ended done, also on a worker that crashed afterwards
 	broken  []string
 	counts  map[string]int
 }
