Claim less room for blocked gangs; make no slow call that would wait at the adviser

Change: blocked gangs claim 10 % of the room together, the first one alone up to 25 %; a slow call is made only where it begins within 100 ms, so that the most urgent step has the next one. The list of callers is made once a plan.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -25,6 +25,10 @@
 	askMoreAfter = 5 * time.Second
 	// slowAdvice is the time of a call from which tickets are renewed ahead.
 	slowAdvice = 100 * time.Millisecond
+	// maxAdviceWait is how long a slow call may wait for the calls before it. With
+	// more work than the adviser can do, calls would otherwise be answered in the
+	// order in which they came, not by urgency, and their room would idle.
+	maxAdviceWait = 100 * time.Millisecond
 	// refreshPercent bounds the calls that renew tickets ahead: above this part
 	// of the callers being busy, first calls go before.
 	refreshPercent = 30
@@ -62,6 +66,23 @@
 	return advice.Base + time.Duration(named)*advice.PerWorker
 }
 
+// slow reports whether the calls for a queue keep a process busy for long.
+func slow(advice *workload.Advice) bool { return adviceTime(advice, maxNamed) >= slowAdvice }
+
+// mayAsk reports whether the adviser may be called about a step now, and wakes
+// its job when it may be.
+func (c *Core) mayAsk(r ready, s *step) bool {
+	at := s.askAt
+	if slow(r.job.Queue.Advice) && c.slowFreeAt.After(at) {
+		at = c.slowFreeAt
+	}
+	if c.now.Before(at) {
+		c.wakeJob(r.job, at)
+		return false
+	}
+	return true
+}
+
 // ask calls the adviser about a step.
 func (c *Core) ask(j *job, index int, named []workload.WorkerID) {
 	s := &j.steps[index]
@@ -71,6 +92,11 @@
 		s.askAt = c.now.Add(retryAdvice)
 		return
 	}
+	if wait := from.start(c.now).Sub(c.now); expected >= slowAdvice && wait > maxAdviceWait {
+		c.slowFreeAt = c.now.Add(wait - maxAdviceWait)
+		s.askAt = c.slowFreeAt
+		return
+	}
 	from.busy = from.start(c.now).Add(expected)
 	from.calls++
 	c.lastAdvice++
@@ -306,8 +332,7 @@
 		c.wakeJob(r.job, due)
 		return false
 	}
-	if c.now.Before(s.askAt) {
-		c.wakeJob(r.job, s.askAt)
+	if !c.mayAsk(r, s) {
 		return false
 	}
 	c.ask(r.job, r.index, named[:min(len(named), maxNamed)])
--- a/core/dispatch/advice_test.go
+++ b/core/dispatch/advice_test.go
@@ -111,3 +111,44 @@
 		t.Errorf("calls %+v, want one that names all 4 workers", calls)
 	}
 }
+
+// Guards against slow calls that queue at the adviser in the order of their
+// steps' arrival, while a more urgent step waits behind all of them.
+func TestUrgentStepsAreAskedAboutNext(t *testing.T) {
+	slow, urgent := advisedQueue("slow", 1, time.Second), advisedQueue("urgent", 0, time.Second)
+	b := newBench(t, append(workersOf(4), queues(slow, urgent))...)
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	const callers = 9
+	seen := func() {
+		for i := range callers {
+			b.core.SawCaller(b.now, fmt.Sprint("caller", i))
+		}
+	}
+	seen()
+	for i := range 5 * callers {
+		b.core.Applied(b.now, b.now, 0, jobIn("slow", workload.JobID(fmt.Sprint("s", i)), oneTask))
+	}
+	first := b.pass(planned).Advice
+	if len(first) > callers {
+		t.Fatalf("%d calls at once on %d callers", len(first), callers)
+	}
+	b.core.Applied(b.now, b.now, 0, jobIn("urgent", "u", oneTask))
+	for range 60 {
+		seen()
+		next := b.pass(planned).Advice
+		if len(next) > 0 {
+			if next[0].Step.Job != "u" {
+				t.Errorf("the next call is about %v", next[0].Step)
+			}
+			return
+		}
+		if b.now.Sub(epoch) > time.Second {
+			for _, call := range first {
+				b.core.AdviceAnswered(b.now, call.ID, dispatch.Grant{OK: true, TicketTTL: time.Second})
+			}
+			first = nil
+		}
+	}
+	t.Error("no further call")
+}
--- a/core/dispatch/callers.go
+++ b/core/dispatch/callers.go
@@ -48,7 +48,7 @@
 
 // pickCaller returns the process whose answer to a call is expected first.
 func (c *Core) pickCaller(expected time.Duration) (string, *caller) {
-	names := c.liveCallers()
+	names := c.live
 	if expected >= slowAdvice {
 		names = names[len(names)*shortCallersPercent/100:]
 	}
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -7,10 +7,15 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
-// maxClaimedPercent bounds the room that blocked gangs may keep from less
-// urgent steps. Above it the room that waits for gangs would idle longer than
-// the gangs gain.
-const maxClaimedPercent = 25
+const (
+	// maxClaimedPercent bounds the room that blocked gangs may keep from less
+	// urgent steps. With 25 and 50 the room that waits idled longer than the
+	// gangs gained.
+	maxClaimedPercent = 10
+	// maxFirstClaimPercent is the bound for the first blocked gang alone, so that
+	// a large one is not passed over for ever.
+	maxFirstClaimPercent = 25
+)
 
 // nearlyThere is the part of a gang's room, one in this many, that may be
 // missing when its tickets are renewed ahead: the room opens while the call
@@ -23,10 +28,14 @@
 // whether the room is there but for a small part.
 func (c *Core) claim(r ready, s *step, spec *workload.StepSpec) bool {
 	need := int64(spec.Tasks) * spec.Size.MilliCPU
-	if need > c.claims {
+	most := c.total * maxClaimedPercent / 100
+	if c.claimed == 0 {
+		most = c.total * maxFirstClaimPercent / 100
+	}
+	if c.claimed+need > most {
 		return false
 	}
-	c.claims -= need
+	c.claimed += need
 	type slot struct {
 		worker  *worker
 		deficit int64 // room that is missing for one more task
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -39,12 +39,17 @@
 	callers    map[string]*caller
 	granted    map[string]float64 // by queue: mean part of the named workers that is granted
 
-	usable   []*worker // in the plan that is being made
-	claims   int64     // thousandths of a core that blocked gangs may still claim in it
-	nextPlan time.Time
-	nextEnds time.Time
-	changed  bool
-	out      Effects
+	usable []*worker // in the plan that is being made
+	total  int64     // thousandths of a core of the usable workers
+	live   []string  // processes that may be given a call to the adviser
+	// slowFreeAt is when a slow call may be made again; zero where one may be
+	// made now.
+	slowFreeAt time.Time
+	claimed    int64 // of them that blocked gangs claim in the plan
+	nextPlan   time.Time
+	nextEnds   time.Time
+	changed    bool
+	out        Effects
 }
 
 const (
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -21,16 +21,16 @@
 // beginPlan lists the workers that may get runs, with their room.
 func (c *Core) beginPlan() {
 	c.usable = c.usable[:0]
-	total := int64(0)
+	c.total, c.claimed = 0, 0
+	c.live, c.slowFreeAt = c.liveCallers(), time.Time{}
 	for _, w := range c.list {
 		if !c.mayRun(w) {
 			continue
 		}
 		w.room = c.free(w)
 		c.usable = append(c.usable, w)
-		total += w.Capacity.MilliCPU
+		c.total += w.Capacity.MilliCPU
 	}
-	c.claims = total * maxClaimedPercent / 100
 }
 
 // ready is a step that waits for workers.
@@ -152,7 +152,7 @@
 // call is worth it only where the granted workers could hardly take the step, or
 // where it has waited long for them.
 func (c *Core) shouldAskMore(r ready, s *step, spec *workload.StepSpec) bool {
-	if adviceTime(r.job.Queue.Advice, maxNamed) < slowAdvice || c.now.Sub(s.blockedSince) >= askMoreAfter {
+	if !slow(r.job.Queue.Advice) || c.now.Sub(s.blockedSince) >= askMoreAfter {
 		return true
 	}
 	c.wakeJob(r.job, s.blockedSince.Add(askMoreAfter))
@@ -167,8 +167,7 @@
 
 // askMore names the workers that came since the step was asked about.
 func (c *Core) askMore(r ready, s *step, spec *workload.StepSpec) {
-	if c.now.Before(s.askAt) {
-		c.wakeJob(r.job, s.askAt)
+	if !c.mayAsk(r, s) {
 		return
 	}
 	if named := c.nameWorkers(r.job, r.index, spec); len(named) > 0 {
@@ -178,8 +177,7 @@
 }
 
 func (c *Core) askFirst(r ready, s *step, spec *workload.StepSpec) {
-	if c.now.Before(s.askAt) {
-		c.wakeJob(r.job, s.askAt)
+	if !c.mayAsk(r, s) {
 		return
 	}
 	c.ask(r.job, r.index, c.nameWorkers(r.job, r.index, spec))
@@ -193,8 +191,7 @@
 // workers too: the tasks that still wait get their room within the life of the
 // tickets.
 func (c *Core) renew(r ready, s *step, members []workload.Member) {
-	if c.now.Before(s.askAt) {
-		c.wakeJob(r.job, s.askAt)
+	if !c.mayAsk(r, s) {
 		return
 	}
 	var named []workload.WorkerID
--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -147,10 +147,16 @@
 
 // crash ends a worker with all it runs.
 func (f *fleet) crash(w *fleetWorker) {
-	for task := range w.runs {
-		delete(f.running, task)
-	}
+	lost := w.runs
 	w.up, w.runs = false, map[string]*fleetRun{}
+	for task, r := range lost {
+		if f.running[task] == w.id {
+			delete(f.running, task)
+		}
+		if r.spec.Gang > 0 && !r.begun.IsZero() {
+			f.endMembers(task, r, "broken")
+		}
+	}
 	w.wakeWaiters()
 }
 
@@ -223,12 +229,16 @@
 	if r.spec.Gang == 0 || r.begun.IsZero() {
 		return
 	}
-	// The members of a gang end together.
-	step := task[:strings.LastIndexByte(task, '.')]
 	others := "broken"
 	if how == "done" {
 		others = "done"
 	}
+	f.endMembers(task, r, others)
+}
+
+// endMembers ends the other members of a gang run: they end together.
+func (f *fleet) endMembers(task string, r *fleetRun, others string) {
+	step := task[:strings.LastIndexByte(task, '.')]
 	for i := range r.spec.Gang {
 		name := step + "." + strconv.Itoa(i)
 		if other := f.byID[f.running[name]]; other != nil && other.runs[name] != nil && other.runs[name].number == r.number {
