--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$' | grep -v '\.twirp\.go$$')
 
-.PHONY: all build test lint demo fuzz soak planted bench capacity report
+.PHONY: all build test lint demo fuzz soak platform-soak planted bench capacity report
 
 all: build
 
@@ -43,6 +43,11 @@
 	$(GO) test -count=1 -timeout 30m -run TestSoak ./core/dispatch -soak.seed=$(SEED) -soak.runs=$(RUNS)
 	$(GO) test -count=1 -run TestHolderEndsBeforeGranter ./core/lease -rapid.seed=$(SEED) -rapid.checks=$(RUNS)
 
+# Random faults on the platform's programs as separate processes; about 12 s a
+# seed. CI runs one seed.
+platform-soak:
+	$(GO) test -race -count=1 -v -timeout 60m -run TestSoak ./test/platformsoak -soak.seed=$(SEED) -soak.runs=$(RUNS)
+
 # Applies each planted fault to a copy of the tree and expects it to be found.
 planted:
 	./test/planted/run-replog.sh
