--- a/test/planted/run-e2e.sh
+++ b/test/planted/run-e2e.sh
@@ -21,7 +21,7 @@
   [ -n "$name" ] || continue
   tree=$work/$name
   mkdir -p "$tree"
-  tar -C "$root" -cf - go.mod go.sum core internal cmd | tar -C "$tree" -xf -
+  tar -C "$root" -cf - go.mod go.sum core internal cmd platform | tar -C "$tree" -xf -
   patch -s -p1 -d "$tree" <"test/planted/e2e/$name.patch"
   (cd "$tree" && go build -o "$tree/bin/" ./cmd/...)
   if GODWIT_BIN=$tree/bin go test -count=1 -run "^$test\$" ./test/e2e >"$work/$name.log" 2>&1; then
