Keep failed tasks off the worker that failed them; avoid failing workers longer

One worker ended 34 runs as failed in 12 s.

Change: a step avoids workers on which it has failed until it has been blocked for a second. A worker is judged by the evidence of its runs instead of three failures in a row, is avoided for 3, 6, 12, 24 s, and gets one run at a time, none of a gang, until it has done one. A step that failed on several workers is itself the cause and does not count.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -8,42 +8,108 @@
 
 // Limits of the judgement of workers by their runs.
 const (
-	// failuresInRow is the number of failed runs without a good one, of more
-	// than one job, after which a worker gets nothing new for a while. One run
-	// in twenty fails by its own fault, so three in a row are rarely chance.
-	failuresInRow = 3
-	// avoidFailing is how long a failing worker gets nothing new.
-	avoidFailing = 3 * time.Second
+	// failedWeight and doneWeight are the evidence that one run gives for a
+	// worker that fails every second run against one on which only the runs fail
+	// that would fail anywhere, one in twenty: ln(0.5/0.05) and ln(0.95/0.5).
+	failedWeight = 2.3
+	doneWeight   = 0.64
+	// failingWeight is the evidence from which a worker gets nothing new for a
+	// while: three failed runs in a row, which one in 8,000 is by chance.
+	failingWeight = 3 * failedWeight
+	// avoidFailing is how long a failing worker gets nothing new the first time.
+	// It doubles with each time up to avoidFailingMax.
+	avoidFailing    = 3 * time.Second
+	avoidFailingMax = 24 * time.Second
+	// failedElsewhere is on how many workers a step must have failed to count as
+	// the cause itself.
+	failedElsewhere = 2
+	// waitForSound is how long a blocked step waits for workers that are not
+	// suspect.
+	waitForSound = time.Second
+	// maxTimesAvoided bounds the count behind the doubling.
+	maxTimesAvoided = 3
 	// maxAvoidedPercent bounds the workers that are avoided: where more look
 	// sick, the cause is not theirs.
 	maxAvoidedPercent = 30
 )
 
 // runEnded judges a worker by an end that it reported.
-func (c *Core) runEnded(w *worker, job workload.JobID, how workload.RunEnd) {
+func (c *Core) runEnded(w *worker, id workload.TaskID, how workload.RunEnd) {
 	switch how {
 	case workload.EndDone:
-		w.failedRuns = 0
+		w.evidence = max(w.evidence-doneWeight, 0)
+		if w.evidence == 0 {
+			w.timesAvoided = 0
+		}
 	case workload.EndFailed:
-		if w.failedRuns == 0 {
-			w.failedJob = job
+		if id.Job == w.failedJob || c.failedOn(id, w.ID) {
+			return
+		}
+		w.failedJob = id.Job
+		w.evidence = min(w.evidence+failedWeight, failingWeight)
+		if w.evidence < failingWeight {
+			return
 		}
-		w.failedRuns++
-		if w.failedRuns >= failuresInRow && w.failedJob != job {
-			w.failedRuns = 0
-			c.avoidWorker(w, "failing", avoidFailing)
+		if !c.avoidWorker(w, "failing", min(avoidFailing<<w.timesAvoided, avoidFailingMax)) {
+			w.evidence = 0
+			return
 		}
+		w.timesAvoided = min(w.timesAvoided+1, maxTimesAvoided)
+	}
+}
+
+// failedOn notes that a run of a step failed on a worker. It reports whether the
+// step had failed on so many others that the worker is not the cause.
+func (c *Core) failedOn(id workload.TaskID, on workload.WorkerID) bool {
+	j := c.byID[id.Job]
+	if j == nil {
+		return false
+	}
+	s := &j.steps[id.Step]
+	if s.failedOn == nil {
+		s.failedOn = map[workload.WorkerID]bool{}
+	}
+	s.failedOn[on] = true
+	return len(s.failedOn) > failedElsewhere
+}
+
+// selective reports whether a step still waits for workers that are not suspect.
+func (c *Core) selective(j *job, s *step) bool {
+	if s.blockedSince.IsZero() {
+		return true
 	}
+	until := s.blockedSince.Add(waitForSound)
+	if c.now.Before(until) {
+		c.wakeJob(j, until)
+		return true
+	}
+	return false
 }
 
-// avoidWorker keeps new runs from a worker for a while.
-func (c *Core) avoidWorker(w *worker, reason string, d time.Duration) {
+// suspect reports whether a worker is likely to fail a step: the step has failed
+// there, or is a gang and would fail with that one member.
+func (s *step) suspect(w *worker, spec *workload.StepSpec) bool {
+	return s.failedOn[w.ID] || spec.Gang && w.onProbation()
+}
+
+// onProbation reports whether a worker that was avoided as failing has not yet
+// done a run since. It gets one run at a time, so that few tasks pay for the
+// trial.
+func (w *worker) onProbation() bool { return w.evidence >= failingWeight }
+
+// busy reports whether anything runs on a worker or is about to.
+func (w *worker) busy() bool { return len(w.runs) > 0 || w.reserved != workload.Resources{} }
+
+// avoidWorker keeps new runs from a worker for a while. It reports whether it
+// does: not where so many are avoided that the cause is elsewhere.
+func (c *Core) avoidWorker(w *worker, reason string, d time.Duration) bool {
 	if !c.now.Before(w.avoid) && c.manyAvoided() {
-		return
+		return false
 	}
 	w.avoid = c.now.Add(d)
 	c.wakeAt(w, w.avoid)
 	c.decide(Decision{Kind: DecisionAvoided, Worker: w.ID, Reason: reason, Count: len(w.runs), Age: c.age(w)})
+	return true
 }
 
 func (c *Core) manyAvoided() bool {
--- /dev/null
+++ b/core/dispatch/health_test.go
@@ -0,0 +1,89 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// end lists a run as ended on its worker and returns the starts that follow.
+// number is that of the end on the worker.
+func (b *bench) end(start dispatch.Start, number uint64, how workload.RunEnd) []dispatch.Start {
+	b.core.StartAnswered(b.now, start, dispatch.OutcomeOK, 0)
+	open := b.open
+	b.open = nil
+	for _, h := range open {
+		report := dispatch.Report{Clock: b.now.Sub(epoch).Milliseconds() + 1000}
+		if h.Worker == start.Worker {
+			report.Ends = []dispatch.ListedEnd{{Number: number, Task: start.Task, Run: start.Run, How: how}}
+		}
+		b.core.HoldAnswered(b.now, h.Call, report)
+	}
+	e := b.commit(b.pass(planned))
+	return append(e.Starts, b.commit(b.pass(planned)).Starts...)
+}
+
+// Guards against a task that uses up its attempts on the worker that fails it:
+// its room is free first (incident inc-c50b).
+func TestFailedTaskGoesToAnotherWorker(t *testing.T) {
+	b := newBench(t, workerOf("w0", 1), workerOf("w1", 1), jobOf("j", oneTask))
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	first := b.commit(b.pass(planned)).Starts
+	if len(first) != 1 {
+		t.Fatalf("starts %+v", first)
+	}
+	next := b.end(first[0], 1, workload.EndFailed)
+	if len(next) != 1 || next[0].Worker == first[0].Worker {
+		t.Errorf("failed on %s, then starts %+v", first[0].Worker, next)
+	}
+}
+
+// Guards against a task that is never run again because its only worker has
+// failed it once.
+func TestFailedTaskReturnsWhereNoOtherWorkerIs(t *testing.T) {
+	b := newBench(t, workerOf("w0", 1), jobOf("j", oneTask))
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	starts := b.end(b.commit(b.pass(planned)).Starts[0], 1, workload.EndFailed)
+	for range 20 {
+		if len(starts) > 0 {
+			return
+		}
+		starts = b.commit(b.pass(100 * time.Millisecond)).Starts
+		b.answerHolds(dispatch.Report{})
+	}
+	t.Error("not started again within 2 s")
+}
+
+// Guards against a worker that fails whatever it runs getting full of work again
+// after each pause (incident inc-c50b: 34 failed runs in 12 s).
+func TestFailingWorkerIsTriedWithOneRun(t *testing.T) {
+	commands := []workload.Command{workerOf("w", 1)}
+	for i := range 12 {
+		commands = append(commands, jobOf(workload.JobID(fmt.Sprintf("j%02d", i)), oneTask))
+	}
+	b := newBench(t, commands...)
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	running := b.commit(b.pass(planned)).Starts
+	var failed []time.Duration
+	for number := uint64(1); b.now.Before(epoch.Add(20 * time.Second)); {
+		if len(running) == 0 {
+			running = b.commit(b.pass(100 * time.Millisecond)).Starts
+			b.answerHolds(dispatch.Report{})
+			continue
+		}
+		next := b.end(running[0], number, workload.EndFailed)
+		failed = append(failed, b.now.Sub(epoch))
+		number++
+		running = append(running[1:], next...)
+	}
+	// Four tasks fit. Trials follow after 3, 6 and 12 s.
+	if len(failed) > 4+3 {
+		t.Errorf("%d runs failed, at %v", len(failed), failed)
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -154,7 +154,7 @@
 		return
 	}
 	if !r.reported {
-		c.runEnded(w, end.Task.Job, end.How)
+		c.runEnded(w, end.Task, end.How)
 		c.report(w, end.Task, r, end.How, end.Checkpoint, 0)
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -30,6 +30,7 @@
 	askAt        time.Time                  // not before
 	held         []reservation
 	blockedSince time.Time // first plan in which it found no room
+	failedOn     map[workload.WorkerID]bool
 }
 
 // ticket proves that a worker may run a step.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -242,6 +242,9 @@
 func (w *worker) reserve(size workload.Resources) {
 	w.reserved = w.reserved.Add(size)
 	w.room = w.room.Sub(size)
+	if w.onProbation() {
+		w.room = workload.Resources{}
+	}
 }
 
 // free is the room of a worker that nothing has or is about to get.
@@ -294,11 +297,12 @@
 func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec, tickets, full bool) []*candidate {
 	advised := r.job.Queue.Advice != nil
 	var all []*candidate
+	selective := c.selective(r.job, s)
 	for _, w := range c.usable {
 		if !full && !spec.Size.Fits(w.room) {
 			continue
 		}
-		if w.Service != r.job.Queue.Service || !couldRun(w, spec) {
+		if w.Service != r.job.Queue.Service || !couldRun(w, spec) || selective && s.suspect(w, spec) {
 			continue
 		}
 		if _, granted := s.granted[w.ID]; advised && !granted || tickets && !c.ticketGood(s, w.ID) {
@@ -315,7 +319,8 @@
 
 // mayRun reports whether a worker may get anything new.
 func (c *Core) mayRun(w *worker) bool {
-	return w.adopted && !w.silent && !w.ending && !w.Draining && !w.Gone && !c.now.Before(w.avoid)
+	return w.adopted && !w.silent && !w.ending && !w.Draining && !w.Gone && !c.now.Before(w.avoid) &&
+		!(w.onProbation() && w.busy())
 }
 
 func (c *Core) countOn(r ready, id workload.WorkerID) int {
@@ -333,6 +338,9 @@
 func tightest(candidates []*candidate, spec *workload.StepSpec) *candidate {
 	var best *candidate
 	for _, next := range candidates {
+		if next.count > 0 && next.worker.onProbation() {
+			continue
+		}
 		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker {
 			continue
 		}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -59,10 +59,13 @@
 	runs   map[workload.TaskID]*run
 	// unanswered are the starts that may still be carried out.
 	unanswered map[workload.TaskID]unansweredStart
-	failedRuns int            // failed runs since the last good one
-	failedJob  workload.JobID // of the first of them
-	avoid      time.Time      // nothing new before; zero where it is not avoided
-	wake       time.Time
+	evidence   float64        // that runs fail because of the worker, 0 for none
+	failedJob  workload.JobID // of the last run that failed
+	// timesAvoided counts how often it was avoided as failing since the evidence
+	// was last 0.
+	timesAvoided int
+	avoid        time.Time // nothing new before; zero where it is not avoided
+	wake         time.Time
 }
 
 // run is an open run on a worker.
