Bound the first attempt of a call to the control group by 250 ms

After the cut of a leader each client spent 600 ms on it before it asked another replica.

Change: the first attempt may take 250 ms, further ones twice as long up to 600 ms, for a leader that is slow. Commands are idempotent.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -41,10 +41,12 @@
 	// election takes 0.4 to 0.8 s, so the wait stays well below it.
 	firstBackoff = 10 * time.Millisecond
 	maxBackoff   = 50 * time.Millisecond
-	// attemptTimeout bounds one attempt, so that a replica that is cut off
-	// silently does not use up the whole deadline of the call. A commit over
-	// 8 ms one way and a slow disk takes well under 100 ms.
-	attemptTimeout = 600 * time.Millisecond
+	// firstAttempt bounds the first attempt, so that a replica that is cut off
+	// silently does not use up the deadline of the call. A commit over 8 ms one
+	// way and a slow disk takes well under 100 ms. Each further attempt may take
+	// twice as long, up to maxAttempt, for a leader that is slow.
+	firstAttempt = 250 * time.Millisecond
+	maxAttempt   = 600 * time.Millisecond
 )
 
 // Client is safe for use by many goroutines; they share no state but send
@@ -79,7 +81,7 @@
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ProposeResponse
-	err = c.untilAnswered(ctx, attemptTimeout, wait, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, 0, wait, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
 		return callErr
@@ -101,7 +103,7 @@
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	err = c.untilAnswered(ctx, attemptTimeout, 0, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, 0, 0, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
@@ -124,7 +126,7 @@
 // renewal that is granted twice extends the lease once.
 func (c *Client) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
 	var response *rpcpb.RenewResponse
-	err := c.untilAnswered(ctx, attemptTimeout, 0, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, 0, 0, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Renew(ctx, request)
 		return callErr
@@ -137,7 +139,7 @@
 func (c *Client) Feed(ctx context.Context, request *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
 	wait := time.Duration(request.MaxWaitMillis) * time.Millisecond
 	var response *rpcpb.FeedResponse
-	err := c.untilAnswered(ctx, wait+attemptTimeout, 0, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, wait, 0, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Feed(ctx, request)
 		return callErr
@@ -160,17 +162,18 @@
 type call func(ctx context.Context, control rpcpb.Control) error
 
 // untilAnswered repeats a call until it is answered or ctx ends, or for wait
-// where that is above 0 and no replica can have accepted it.
-func (c *Client) untilAnswered(ctx context.Context, timeout, wait time.Duration, do call) error {
+// where that is above 0 and no replica can have accepted it. A replica may take
+// answerAfter longer than usual.
+func (c *Client) untilAnswered(ctx context.Context, answerAfter, wait time.Duration, do call) error {
 	started := time.Now()
 	maybeAccepted := false
-	backoff := firstBackoff
+	backoff, timeout := firstBackoff, firstAttempt
 	for {
 		target, err := c.directory.leader(ctx)
 		if err != nil {
 			return endOfCall(maybeAccepted, err)
 		}
-		attempt, cancel := context.WithTimeout(ctx, timeout)
+		attempt, cancel := context.WithTimeout(ctx, answerAfter+timeout)
 		err = do(attempt, target.control)
 		cancel()
 		if err == nil {
@@ -189,7 +192,7 @@
 		if err := pause.For(ctx, backoff); err != nil {
 			return endOfCall(maybeAccepted, err)
 		}
-		backoff = min(2*backoff, maxBackoff)
+		backoff, timeout = min(2*backoff, maxBackoff), min(2*timeout, maxAttempt)
 	}
 }
 
