Judge runs by their progress; ask sooner for room for blocked gangs

Members on workers that stand still were at 90 percent for five seconds while all others waited at 100; one member that never started kept 30 others waiting for four seconds. A third of the workers takes 1.3 times as long, and most gangs had one of these. With 13,000 cores of gangs waiting, a fifth to a quarter of the 9,300 cores idled: a first call grants 16 workers of 290, further ones were named after 5 s only, and tickets were renewed ahead only with most callers idle.

Change: - A run that has lost more time than it costs to begin again is stopped and its worker avoided; a gang is stopped as a whole, also when a start of a member is given up. - The speed of a worker is learned from the rates of gang members and from the duration of other tasks. Gangs keep off slow workers where they can; other steps leave the fast ones to them unless they would be late. - A blocked gang names further workers after 0.2 s instead of 5 s, and renews its tickets ahead with up to 60 percent of the callers busy instead of 30, naming two workers for each task. Claims after the first take 5 percent instead of 10.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -19,10 +19,10 @@
 	retryAdvice = 100 * time.Millisecond
 	// askMoreInterval is the least time between two calls that name workers
 	// which came since the first one.
-	askMoreInterval = time.Second
-	// askMoreAfter is how long a step waits for the workers granted first before
-	// a slow call names others: most tasks are over by then.
-	askMoreAfter = 5 * time.Second
+	askMoreInterval = 100 * time.Millisecond
+	// askMoreAfter is how long a step waits for room on the workers granted first
+	// before a slow call names others.
+	askMoreAfter = 200 * time.Millisecond
 	// slowAdvice is the time of a call from which tickets are renewed ahead.
 	slowAdvice = 100 * time.Millisecond
 	// maxAdviceWait is how long a slow call may wait for the calls before it. With
@@ -31,7 +31,10 @@
 	maxAdviceWait = 100 * time.Millisecond
 	// refreshPercent bounds the calls that renew tickets ahead: above this part
 	// of the callers being busy, first calls go before.
-	refreshPercent = 30
+	refreshPercent = 60
+	// refreshFactor is how many workers a call that renews tickets ahead names
+	// for each task.
+	refreshFactor = 2
 	// wantedSlots is for how many times its tasks a step asks for room: granted
 	// workers may be full before the answer comes.
 	wantedSlots = 3
@@ -237,6 +240,7 @@
 	type option struct {
 		worker *worker
 		usable bool
+		slow   bool               // and the step is a gang
 		room   workload.Resources // that no other step is expected to take
 	}
 	var able []option
@@ -245,18 +249,12 @@
 			continue
 		}
 		if w.Service == j.Queue.Service && !w.Gone && !w.Draining && couldRun(w, spec) {
-			able = append(able, option{w, c.mayRun(w), c.free(w).Sub(w.expected)})
+			able = append(able, option{w, c.mayRun(w), spec.Gang && c.isSlow(w), c.free(w).Sub(w.expected)})
 		}
 	}
 	// Workers that get nothing now come last: their room is of no use.
 	slices.SortStableFunc(able, func(a, b option) int {
-		switch {
-		case a.usable != b.usable && a.usable:
-			return -1
-		case a.usable != b.usable:
-			return 1
-		}
-		return cmp.Compare(b.room.MilliCPU, a.room.MilliCPU)
+		return cmp.Or(after(!a.usable, !b.usable), after(a.slow, b.slow), cmp.Compare(b.room.MilliCPU, a.room.MilliCPU))
 	})
 	least := minNamed
 	if advice := j.Queue.Advice; advice.PerWorker > 0 {
@@ -275,6 +273,17 @@
 	return named
 }
 
+// after orders what has a property behind what has not.
+func after(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // expect notes the room that a step will probably take on the workers that a
 // call names, so that the steps behind it name others.
 func (c *Core) expect(call *adviceCall, spec *workload.StepSpec) {
@@ -306,35 +315,42 @@
 	return slots
 }
 
-// refresh renews the tickets of a blocked step before they run out, where a
-// call takes long: room that waits for tickets would idle meanwhile. It reports
-// whether it called.
-func (c *Core) refresh(r ready, s *step) bool {
-	advice := r.job.Queue.Advice
-	var named []workload.WorkerID
+// refresh renews the tickets of a blocked gang before they run out, where a call
+// takes long: room that waits for tickets would idle meanwhile. It names the
+// granted workers with the most room.
+func (c *Core) refresh(r ready, s *step, spec *workload.StepSpec) {
+	if len(c.advice) >= len(c.callers)*refreshPercent/100 {
+		return
+	}
+	var able []*worker
 	last := time.Time{}
-	for _, w := range c.list {
+	for _, w := range c.usable {
 		known, granted := s.granted[w.ID]
-		if !granted || !c.mayRun(w) {
+		if !granted {
 			continue
 		}
-		named = append(named, w.ID)
+		able = append(able, w)
 		if known.until.After(last) {
 			last = known.until
 		}
 	}
-	expected := adviceTime(advice, len(named))
-	if expected < slowAdvice || len(named) == 0 || len(c.advice) >= len(c.callers)*refreshPercent/100 {
-		return false
+	slices.SortStableFunc(able, func(a, b *worker) int { return cmp.Compare(b.room.MilliCPU, a.room.MilliCPU) })
+	able = able[:min(len(able), maxNamed, max(refreshFactor*spec.Tasks, minNamed))]
+	expected := adviceTime(r.job.Queue.Advice, len(able))
+	if expected < slowAdvice || len(able) == 0 {
+		return
 	}
 	due := last.Add(-expected - callMargin)
 	if c.now.Before(due) {
 		c.wakeJob(r.job, due)
-		return false
+		return
 	}
 	if !c.mayAsk(r, s) {
-		return false
+		return
 	}
-	c.ask(r.job, r.index, named[:min(len(named), maxNamed)])
-	return true
+	named := make([]workload.WorkerID, 0, len(able))
+	for _, w := range able {
+		named = append(named, w.ID)
+	}
+	c.ask(r.job, r.index, named)
 }
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -11,7 +11,7 @@
 	// maxClaimedPercent bounds the room that blocked gangs may keep from less
 	// urgent steps. With 25 and 50 the room that waits idled longer than the
 	// gangs gained.
-	maxClaimedPercent = 10
+	maxClaimedPercent = 5
 	// maxFirstClaimPercent is the bound for the first blocked gang alone, so that
 	// a large one is not passed over for ever.
 	maxFirstClaimPercent = 25
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -45,6 +45,9 @@
 	// slowFreeAt is when a slow call may be made again; zero where one may be
 	// made now.
 	slowFreeAt time.Time
+	// slowBelow is the speed below which a worker counts as slow.
+	slowBelow  float64
+	nextSpeeds time.Time
 	claimed    int64 // of them that blocked gangs claim in the plan
 	nextPlan   time.Time
 	nextEnds   time.Time
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -16,10 +16,10 @@
 	// failingWeight is the evidence from which a worker gets nothing new for a
 	// while: three failed runs in a row, which one in 8,000 is by chance.
 	failingWeight = 3 * failedWeight
-	// avoidFailing is how long a failing worker gets nothing new the first time.
-	// It doubles with each time up to avoidFailingMax.
-	avoidFailing    = 3 * time.Second
-	avoidFailingMax = 24 * time.Second
+	// avoidFirst is how long a failing worker gets nothing new the first time. It
+	// doubles with each time up to avoidMax.
+	avoidFirst = 3 * time.Second
+	avoidMax   = 24 * time.Second
 	// failedElsewhere is on how many workers a step must have failed to count as
 	// the cause itself.
 	failedElsewhere = 2
@@ -34,9 +34,10 @@
 )
 
 // runEnded judges a worker by an end that it reported.
-func (c *Core) runEnded(w *worker, id workload.TaskID, how workload.RunEnd) {
+func (c *Core) runEnded(w *worker, id workload.TaskID, r *run, how workload.RunEnd) {
 	switch how {
 	case workload.EndDone:
+		c.learnSpeed(w, id, r)
 		w.evidence = max(w.evidence-doneWeight, 0)
 		if w.evidence == 0 {
 			w.timesAvoided = 0
@@ -47,17 +48,22 @@
 		}
 		w.failedJob = id.Job
 		w.evidence = min(w.evidence+failedWeight, failingWeight)
-		if w.evidence < failingWeight {
-			return
-		}
-		if !c.avoidWorker(w, "failing", min(avoidFailing<<w.timesAvoided, avoidFailingMax)) {
-			w.evidence = 0
-			return
+		if w.evidence >= failingWeight {
+			c.avoidFailing(w, "failing")
 		}
-		w.timesAvoided = min(w.timesAvoided+1, maxTimesAvoided)
 	}
 }
 
+// avoidFailing avoids a worker for longer each time. It reports whether it does.
+func (c *Core) avoidFailing(w *worker, reason string) bool {
+	if !c.avoidWorker(w, reason, min(avoidFirst<<w.timesAvoided, avoidMax)) {
+		w.evidence = 0
+		return false
+	}
+	w.timesAvoided = min(w.timesAvoided+1, maxTimesAvoided)
+	return true
+}
+
 // failedOn notes that a run of a step failed on a worker. It reports whether the
 // step had failed on so many others that the worker is not the cause.
 func (c *Core) failedOn(id workload.TaskID, on workload.WorkerID) bool {
@@ -66,11 +72,16 @@
 		return false
 	}
 	s := &j.steps[id.Step]
+	s.keepFrom(on)
+	return len(s.failedOn) > failedElsewhere
+}
+
+// keepFrom keeps a step off a worker as long as there are others.
+func (s *step) keepFrom(worker workload.WorkerID) {
 	if s.failedOn == nil {
 		s.failedOn = map[workload.WorkerID]bool{}
 	}
-	s.failedOn[on] = true
-	return len(s.failedOn) > failedElsewhere
+	s.failedOn[worker] = true
 }
 
 // selective reports whether a step still waits for workers that are not suspect.
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -83,7 +83,7 @@
 	active := map[workload.TaskID]ActiveRun{}
 	for _, a := range report.Active {
 		active[a.Task] = a
-		c.takeActive(w, a)
+		c.takeActive(w, a, report.Clock)
 	}
 	for _, end := range report.Ends {
 		c.takeEnd(w, end)
@@ -111,7 +111,7 @@
 	return ids
 }
 
-func (c *Core) takeActive(w *worker, a ActiveRun) {
+func (c *Core) takeActive(w *worker, a ActiveRun, clock int64) {
 	r := w.runs[a.Task]
 	if r == nil {
 		// The state has closed the run: the worker must not go on with it.
@@ -134,10 +134,10 @@
 	if !r.confirmed {
 		r.confirmed, r.confirmAt = true, c.now
 	}
-	r.percent = a.Percent
 	if a.Checkpoint != "" {
 		r.checkpoint = a.Checkpoint
 	}
+	c.advanced(w, a.Task, r, a.Percent, clock)
 }
 
 func (c *Core) takeEnd(w *worker, end ListedEnd) {
@@ -154,7 +154,7 @@
 		return
 	}
 	if !r.reported {
-		c.runEnded(w, end.Task, end.How)
+		c.runEnded(w, end.Task, r, end.How)
 		c.report(w, end.Task, r, end.How, end.Checkpoint, 0)
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -30,7 +30,9 @@
 	askAt        time.Time                  // not before
 	held         []reservation
 	blockedSince time.Time // first plan in which it found no room
-	failedOn     map[workload.WorkerID]bool
+	// failedOn are the workers on which a run failed or stalled.
+	failedOn map[workload.WorkerID]bool
+	paces    paces
 }
 
 // ticket proves that a worker may run a step.
@@ -149,18 +151,25 @@
 // run being done: they would wait for it until their time is up.
 func (c *Core) stopRest(ended workload.TaskID) {
 	j := c.byID[ended.Job]
-	if j == nil || !j.Spec.Steps[ended.Step].Gang {
+	if j == nil {
 		return
 	}
-	tasks := j.Steps[ended.Step].Tasks
-	if tasks[ended.Index].State == workload.TaskDone || tasks[ended.Index].Open {
+	if task := j.Steps[ended.Step].Tasks[ended.Index]; task.State != workload.TaskDone && !task.Open {
+		c.stopMembers(ended)
+	}
+}
+
+// stopMembers stops the open runs of the gang of a task; without a gang none.
+func (c *Core) stopMembers(of workload.TaskID) {
+	j := c.byID[of.Job]
+	if j == nil || !j.Spec.Steps[of.Step].Gang {
 		return
 	}
-	for i, task := range tasks {
+	for i, task := range j.Steps[of.Step].Tasks {
 		if !task.Open {
 			continue
 		}
-		id := workload.TaskID{Job: ended.Job, Occurrence: ended.Occurrence, Step: ended.Step, Index: i}
+		id := workload.TaskID{Job: of.Job, Occurrence: of.Occurrence, Step: of.Step, Index: i}
 		if w := c.workers[task.Worker]; w != nil && w.runs[id] != nil && !w.runs[id].reported {
 			c.stopRun(w, w.runs[id], "gang-incomplete")
 		}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -31,6 +31,7 @@
 		c.usable = append(c.usable, w)
 		c.total += w.Capacity.MilliCPU
 	}
+	c.learnMedianSpeed()
 }
 
 // ready is a step that waits for workers.
@@ -133,12 +134,15 @@
 		c.renew(r, s, members)
 		return none, false
 	}
-	if spec.Gang && c.claim(r, s, spec) && c.refresh(r, s) {
-		return none, false
+	if spec.Gang {
+		c.claim(r, s, spec)
 	}
 	if c.shouldAskMore(r, s, spec) {
 		c.askMore(r, s, spec)
 	}
+	if spec.Gang && s.asking == 0 {
+		c.refresh(r, s, spec)
+	}
 	return none, false
 }
 
@@ -261,18 +265,38 @@
 	room   workload.Resources
 	count  int // tasks of the step on it
 	near   bool
+	slow   bool
 }
 
 // choose picks a worker for each waiting task, as far as there is room. With
-// tickets only workers with a good ticket count.
+// tickets only workers with a good ticket count. A gang is as slow as its slowest
+// member, so it gets no slow worker where it can do without. Other steps leave
+// the faster workers to gangs, except where they would be late.
 func (c *Core) choose(r ready, s *step, spec *workload.StepSpec, tickets bool) []workload.Member {
 	candidates := c.candidates(r, s, spec, tickets, false)
+	if spec.Gang {
+		fast := slices.DeleteFunc(slices.Clone(candidates), func(k *candidate) bool { return k.slow })
+		if members := c.assign(r, s, spec, fast, false); len(members) == spec.Tasks {
+			return members
+		}
+		return c.assign(r, s, spec, candidates, false)
+	}
+	return c.assign(r, s, spec, candidates, r.job.hurried(r.index, c.now))
+}
+
+// assign gives the waiting tasks of a step to candidates, a copy of each.
+func (c *Core) assign(r ready, s *step, spec *workload.StepSpec, candidates []*candidate, fastFirst bool) []workload.Member {
+	rest := make([]*candidate, len(candidates))
+	for i, from := range candidates {
+		copied := *from
+		rest[i] = &copied
+	}
 	var members []workload.Member
 	for index, task := range r.job.Steps[r.index].Tasks {
 		if task.State != workload.TaskPending || task.Open || s.proposed[index] || c.embargoed(r, index) {
 			continue
 		}
-		best := tightest(candidates, spec)
+		best := tightest(rest, spec, fastFirst)
 		if best == nil {
 			break
 		}
@@ -308,7 +332,7 @@
 		if _, granted := s.granted[w.ID]; advised && !granted || tickets && !c.ticketGood(s, w.ID) {
 			continue
 		}
-		found := &candidate{worker: w, room: w.room, near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+		found := &candidate{worker: w, room: w.room, slow: c.isSlow(w), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
 		if spec.MaxPerWorker > 0 {
 			found.count = c.countOn(r, w.ID)
 		}
@@ -334,8 +358,9 @@
 }
 
 // tightest returns the candidate that is left with the least room, so that
-// large tasks find whole workers free. One on the preferred rack goes first.
-func tightest(candidates []*candidate, spec *workload.StepSpec) *candidate {
+// large tasks find whole workers free. One on the preferred rack goes first, then
+// a slow one, or with fastFirst one that is not.
+func tightest(candidates []*candidate, spec *workload.StepSpec, fastFirst bool) *candidate {
 	var best *candidate
 	for _, next := range candidates {
 		if next.count > 0 && next.worker.onProbation() {
@@ -344,9 +369,19 @@
 		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker {
 			continue
 		}
-		if best == nil || next.near && !best.near || next.near == best.near && next.room.MilliCPU < best.room.MilliCPU {
+		if best == nil || next.goesBefore(best, fastFirst) {
 			best = next
 		}
 	}
 	return best
 }
+
+func (k *candidate) goesBefore(other *candidate, fastFirst bool) bool {
+	switch {
+	case k.near != other.near:
+		return k.near
+	case k.slow != other.slow:
+		return k.slow != fastFirst
+	}
+	return k.room.MilliCPU < other.room.MilliCPU
+}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -83,6 +83,7 @@
 		if r.tries >= startTries {
 			c.avoidWorker(w, "no-answer", avoidUnhealthy)
 			c.stopRun(w, r, "no-answer")
+			c.stopMembers(start.Task)
 		}
 	case OutcomeOld:
 		// It has ended there, or will be listed as ended; if neither, the stop
--- a/core/dispatch/urgency.go
+++ b/core/dispatch/urgency.go
@@ -19,6 +19,9 @@
 	// lateFactor is by how much a job may exceed its objective and still be of
 	// use: the platform's pages name three times.
 	lateFactor = 3
+	// hurriedFactor is for how many times its work a job must have time to be put
+	// on slow workers: these take 1.3 times as long, and the estimate is rough.
+	hurriedFactor = 2
 	// adviceWorkers is the number of workers for which the platform adds a call
 	// for advice to the work of each step.
 	adviceWorkers = 30
@@ -59,3 +62,8 @@
 	}
 	return tooLate
 }
+
+// hurried reports whether a job could be late because of a slow worker.
+func (j *job) hurried(index int, now time.Time) bool {
+	return j.objective > 0 && now.Add(hurriedFactor*j.steps[index].chain).Sub(j.since) > j.objective
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -59,6 +59,7 @@
 	runs   map[workload.TaskID]*run
 	// unanswered are the starts that may still be carried out.
 	unanswered map[workload.TaskID]unansweredStart
+	speed      float64        // of its runs, against others of the same step
 	evidence   float64        // that runs fail because of the worker, 0 for none
 	failedJob  workload.JobID // of the last run that failed
 	// timesAvoided counts how often it was avoided as failing since the evidence
@@ -85,8 +86,10 @@
 	size       workload.Resources // reserved for an unknown run
 	ticket     string
 	checkpoint string
-	percent    int
 	reason     string
+	seen       progress // in the first report that listed it
+	first      progress // when it had advanced for the first time
+	last       progress // in the latest report, below 100 percent
 }
 
 // follow takes a registered worker over from the state.
@@ -97,7 +100,7 @@
 		c.wakeAt(known, c.now)
 		return
 	}
-	fresh := &worker{Worker: w, runs: map[workload.TaskID]*run{}, unanswered: map[workload.TaskID]unansweredStart{}, holdAt: c.now}
+	fresh := &worker{Worker: w, runs: map[workload.TaskID]*run{}, unanswered: map[workload.TaskID]unansweredStart{}, holdAt: c.now, speed: 1}
 	if known != nil {
 		fresh.reserved, fresh.expected = known.reserved, known.expected
 		for _, r := range known.runs {
