Place the smallest of the late gangs first

Late ones were tried in the order of acceptance, and the large ones among them kept tickets and claims without finding room.

Change: late gangs of one priority are ordered by their work. Those on time keep the order of acceptance.

Test: TestOfLateGangsTheSmallestGoesFirst fails without the change.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -81,8 +81,9 @@
 
 // waiting lists the steps with tasks to place, the most urgent first. Among
 // steps of one priority those that can still meet their objective come before
-// those that cannot: with too much work all would otherwise be late alike. Steps
-// that nobody waits for come last of all.
+// those that cannot: with too much work all would otherwise be late alike. Of late
+// gangs the smallest come first, so that more of them end in time to be of use.
+// Steps that nobody waits for come last of all.
 func (c *Core) waiting() []ready {
 	var all []ready
 	for _, j := range c.jobs {
@@ -97,6 +98,7 @@
 			cmp.Compare(max(a.lateness, late), max(b.lateness, late)),
 			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
 			cmp.Compare(a.lateness, b.lateness),
+			cmp.Compare(a.lateWork(), b.lateWork()),
 		)
 	})
 	return all
@@ -385,3 +387,13 @@
 	}
 	return k.room.MilliCPU < other.room.MilliCPU
 }
+
+// lateWork is the work of a gang that is late, in thousandths of a core and
+// milliseconds, 0 for others.
+func (r ready) lateWork() int64 {
+	spec := &r.job.Spec.Steps[r.index]
+	if !spec.Gang || r.lateness == onTime {
+		return 0
+	}
+	return int64(spec.Tasks) * spec.Size.MilliCPU * spec.Estimate.Milliseconds()
+}
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -151,3 +151,34 @@
 		}
 	}
 }
+
+// Guards against large late gangs, which take long to find room, letting all late
+// ones become useless: of those in which nobody has lost interest yet, as many as
+// possible are to be done.
+func TestOfLateGangsTheSmallestGoesFirst(t *testing.T) {
+	urgent := workload.Queue{Name: "urgent", Service: "shop", MaxAttempts: 1, SlackFactor: 1.5, TargetLatency: time.Second}
+	gang := workload.StepSpec{Tasks: 2, Size: workload.Resources{MilliCPU: 2000}, Estimate: time.Second, Gang: true}
+	small := gang
+	small.Size.MilliCPU = 1500
+	filler := workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 4000}, Estimate: time.Minute}
+	for _, c := range []struct {
+		waits time.Duration
+		first workload.JobID
+	}{{100 * time.Millisecond, "large"}, {4 * time.Second, "small"}} {
+		b := newBench(t, queues(urgent), workerOf("w", 1), jobIn("urgent", "filler", filler))
+		b.pass(0)
+		b.answerHolds(dispatch.Report{})
+		running := b.commit(b.pass(planned)).Starts[0]
+		b.core.Applied(b.now, b.now, 0, jobIn("urgent", "large", gang))
+		b.core.Applied(b.now, b.now, 0, jobIn("urgent", "small", small))
+		b.pass(c.waits)
+		b.answerHolds(dispatch.Report{})
+		b.core.Applied(b.now, b.now, 0, workload.Command{Decide: &workload.Decide{Ends: []workload.Ending{
+			{Worker: "w", Boot: 1, Task: running.Task, Run: running.Run, How: workload.EndDone},
+		}}})
+		starts := b.commit(b.pass(planned)).Starts
+		if len(starts) != 2 || starts[0].Task.Job != c.first {
+			t.Errorf("after %v: starts %+v, want those of %s", c.waits, starts, c.first)
+		}
+	}
+}
