--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -167,8 +167,9 @@
 	for _, worker := range named {
 		s.named[worker] = true
 	}
+	s.freshUntil = now.Add(grant.TicketTTL)
 	for worker, value := range grant.Tickets {
-		s.granted[worker] = ticket{value: value, until: now.Add(grant.TicketTTL)}
+		s.granted[worker] = ticket{value: value, until: s.freshUntil}
 	}
 }
 
@@ -319,37 +320,29 @@
 // takes long: room that waits for tickets would idle meanwhile. It names the
 // granted workers with the most room.
 func (c *Core) refresh(r ready, s *step, spec *workload.StepSpec) {
-	if len(c.advice) >= len(c.callers)*refreshPercent/100 {
+	count := min(len(s.granted), maxNamed, max(refreshFactor*spec.Tasks, minNamed))
+	expected := adviceTime(r.job.Queue.Advice, count)
+	if expected < slowAdvice || count == 0 || len(c.advice) >= len(c.callers)*refreshPercent/100 {
 		return
 	}
-	var able []*worker
-	last := time.Time{}
-	for _, w := range c.usable {
-		known, granted := s.granted[w.ID]
-		if !granted {
-			continue
-		}
-		able = append(able, w)
-		if known.until.After(last) {
-			last = known.until
-		}
-	}
-	slices.SortStableFunc(able, func(a, b *worker) int { return cmp.Compare(b.room.MilliCPU, a.room.MilliCPU) })
-	able = able[:min(len(able), maxNamed, max(refreshFactor*spec.Tasks, minNamed))]
-	expected := adviceTime(r.job.Queue.Advice, len(able))
-	if expected < slowAdvice || len(able) == 0 {
-		return
-	}
-	due := last.Add(-expected - callMargin)
-	if c.now.Before(due) {
+	// Each plan comes here for each blocked gang, so the workers are looked at
+	// only when a call is due.
+	if due := s.freshUntil.Add(-expected - callMargin); c.now.Before(due) {
 		c.wakeJob(r.job, due)
 		return
 	}
 	if !c.mayAsk(r, s) {
 		return
 	}
-	named := make([]workload.WorkerID, 0, len(able))
-	for _, w := range able {
+	able := make([]*worker, 0, len(s.granted))
+	for _, w := range c.usable {
+		if _, granted := s.granted[w.ID]; granted {
+			able = append(able, w)
+		}
+	}
+	slices.SortStableFunc(able, func(a, b *worker) int { return cmp.Compare(b.room.MilliCPU, a.room.MilliCPU) })
+	named := make([]workload.WorkerID, 0, count)
+	for _, w := range able[:min(len(able), count)] {
 		named = append(named, w.ID)
 	}
 	c.ask(r.job, r.index, named)
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -45,3 +45,54 @@
 		pass()
 	}
 }
+
+// BenchmarkPlanBlockedGangs measures one plan with gangs that have asked about
+// all workers and wait for room.
+func BenchmarkPlanBlockedGangs(b *testing.B) {
+	const workers, gangs = 350, 70
+	state := workload.New()
+	apply := func(c workload.Command) { state.Apply(epoch, 0, c) }
+	apply(queues(workload.Queue{
+		Name: "q", Service: "shop", MaxAttempts: 1,
+		Advice: &workload.Advice{Base: 430 * time.Millisecond, PerWorker: 6 * time.Millisecond, TicketTTL: 1500 * time.Millisecond},
+	}))
+	id := func(i int) workload.WorkerID { return workload.WorkerID(fmt.Sprintf("w%03d", i)) }
+	for i := range workers {
+		apply(workerOf(id(i), 1))
+	}
+	for i := range gangs {
+		// More than all room, so that they stay blocked.
+		step := workload.StepSpec{Tasks: 200, Size: workload.Resources{MilliCPU: 3000}, Gang: true, Estimate: 5 * time.Second}
+		apply(jobIn("q", workload.JobID(fmt.Sprint("j", i)), step))
+	}
+	core := dispatch.New(dispatch.Options{Token: 1, Lease: lease, HoldWait: time.Second, ClockLagPPM: 20_000, Self: "self"}, state, epoch)
+	now := epoch
+	pass := func() {
+		now = now.Add(20 * time.Millisecond)
+		for i := range 39 {
+			core.SawCaller(now, fmt.Sprint("caller", i))
+		}
+		core.Authority(now, now.Add(time.Minute))
+		core.Applied(now, now, 0, workload.Command{Cancel: &workload.Cancel{ID: "none"}})
+		core.Tick(now)
+		effects := core.Effects()
+		for _, hold := range effects.Holds {
+			core.HoldAnswered(now, hold.Call, dispatch.Report{Clock: now.Sub(epoch).Milliseconds() + 1})
+		}
+		for _, call := range effects.Advice {
+			grant := dispatch.Grant{OK: true, Tickets: map[workload.WorkerID]string{}, TicketTTL: 1500 * time.Millisecond}
+			for i, worker := range call.Workers {
+				if i%3 == 0 {
+					grant.Tickets[worker] = "t"
+				}
+			}
+			core.AdviceAnswered(now, call.ID, grant)
+		}
+	}
+	for range 500 {
+		pass()
+	}
+	for b.Loop() {
+		pass()
+	}
+}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -20,10 +20,13 @@
 
 	workers map[workload.WorkerID]*worker
 	list    []*worker // of workers, sorted by id
-	wakeUps wakeUps   // of workers
-	due     []*worker // reused by dueWorkers
-	jobs    []*job    // live jobs, oldest first
-	byID    map[workload.JobID]*job
+	// registrations counts what became known of workers; a step that has named
+	// all of them names no more until it changes.
+	registrations int
+	wakeUps       wakeUps   // of workers
+	due           []*worker // reused by dueWorkers
+	jobs          []*job    // live jobs, oldest first
+	byID          map[workload.JobID]*job
 	// jobsWake is not after the first wake of a job; zero where there is none.
 	jobsWake time.Time
 	// lossyUntil is when answers of workers no longer count as being lost.
@@ -41,9 +44,11 @@
 	callers    map[string]*caller
 	granted    map[string]float64 // by queue: mean part of the named workers that is granted
 
-	usable []*worker // in the plan that is being made
-	total  int64     // thousandths of a core of the usable workers
-	live   []string  // processes that may be given a call to the adviser
+	usable []*worker   // in the plan that is being made
+	found  []candidate // reused by candidates
+	fast   []candidate // reused by choose
+	total  int64       // thousandths of a core of the usable workers
+	live   []string    // processes that may be given a call to the adviser
 	// slowFreeAt is when a slow call may be made again; zero where one may be
 	// made now.
 	slowFreeAt time.Time
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -26,6 +26,8 @@
 	// the tickets that prove it run out.
 	asking       uint64 // advice call on the way, or 0
 	granted      map[workload.WorkerID]ticket
+	freshUntil   time.Time                  // end of the tickets that were given last
+	namedAll     int                        // number of registrations at which all workers were named
 	named        map[workload.WorkerID]bool // the adviser has answered for them
 	askAt        time.Time                  // not before
 	held         []reservation
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -173,13 +173,16 @@
 
 // askMore names the workers that came since the step was asked about.
 func (c *Core) askMore(r ready, s *step, spec *workload.StepSpec) {
-	if !c.mayAsk(r, s) {
+	if s.namedAll == c.registrations || !c.mayAsk(r, s) {
 		return
 	}
-	if named := c.nameWorkers(r.job, r.index, spec); len(named) > 0 {
-		s.askAt = c.now.Add(askMoreInterval)
-		c.ask(r.job, r.index, named)
+	named := c.nameWorkers(r.job, r.index, spec)
+	if len(named) == 0 {
+		s.namedAll = c.registrations
+		return
 	}
+	s.askAt = c.now.Add(askMoreInterval)
+	c.ask(r.job, r.index, named)
 }
 
 func (c *Core) askFirst(r ready, s *step, spec *workload.StepSpec) {
@@ -276,29 +279,56 @@
 // the faster workers to gangs, except where they would be late.
 func (c *Core) choose(r ready, s *step, spec *workload.StepSpec, tickets bool) []workload.Member {
 	candidates := c.candidates(r, s, spec, tickets, false)
-	if spec.Gang {
-		fast := slices.DeleteFunc(slices.Clone(candidates), func(k *candidate) bool { return k.slow })
-		if members := c.assign(r, s, spec, fast, false); len(members) == spec.Tasks {
-			return members
+	if !spec.Gang {
+		return c.assign(r, s, spec, candidates, r.job.hurried(r.index, c.now))
+	}
+	if !roomForAll(candidates, spec) {
+		return nil
+	}
+	c.fast = c.fast[:0]
+	for _, k := range candidates {
+		if !k.slow {
+			c.fast = append(c.fast, k)
 		}
-		return c.assign(r, s, spec, candidates, false)
 	}
-	return c.assign(r, s, spec, candidates, r.job.hurried(r.index, c.now))
+	if roomForAll(c.fast, spec) {
+		candidates = c.fast
+	}
+	return c.assign(r, s, spec, candidates, false)
 }
 
-// assign gives the waiting tasks of a step to candidates, a copy of each.
-func (c *Core) assign(r ready, s *step, spec *workload.StepSpec, candidates []*candidate, fastFirst bool) []workload.Member {
-	rest := make([]*candidate, len(candidates))
-	for i, from := range candidates {
-		copied := *from
-		rest[i] = &copied
+// roomForAll reports whether all tasks of a step find room on candidates.
+func roomForAll(candidates []candidate, spec *workload.StepSpec) bool {
+	slots := 0
+	for i := range candidates {
+		slots += candidates[i].slots(spec)
+		if slots >= spec.Tasks {
+			return true
+		}
 	}
+	return false
+}
+
+// slots is how many more tasks of a step a candidate may take.
+func (k *candidate) slots(spec *workload.StepSpec) int {
+	slots := slotsFor(k.room, spec)
+	if spec.MaxPerWorker > 0 {
+		slots = min(slots, spec.MaxPerWorker-k.count)
+	}
+	if k.worker.onProbation() {
+		slots = min(slots, 1-k.count)
+	}
+	return max(slots, 0)
+}
+
+// assign gives the waiting tasks of a step to candidates, whose room it uses up.
+func (c *Core) assign(r ready, s *step, spec *workload.StepSpec, candidates []candidate, fastFirst bool) []workload.Member {
 	var members []workload.Member
 	for index, task := range r.job.Steps[r.index].Tasks {
 		if task.State != workload.TaskPending || task.Open || s.proposed[index] || c.embargoed(r, index) {
 			continue
 		}
-		best := tightest(rest, spec, fastFirst)
+		best := tightest(candidates, spec, fastFirst)
 		if best == nil {
 			break
 		}
@@ -319,10 +349,10 @@
 }
 
 // candidates lists the workers that may take tasks of a step: those with room,
-// or all of them.
-func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec, tickets, full bool) []*candidate {
+// or all of them. The list is valid until the next call.
+func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec, tickets, full bool) []candidate {
 	advised := r.job.Queue.Advice != nil
-	var all []*candidate
+	all := c.found[:0]
 	selective := c.selective(r.job, s)
 	for _, w := range c.usable {
 		if !full && !spec.Size.Fits(w.room) {
@@ -334,12 +364,13 @@
 		if _, granted := s.granted[w.ID]; advised && !granted || tickets && !c.ticketGood(s, w.ID) {
 			continue
 		}
-		found := &candidate{worker: w, room: w.room, slow: c.isSlow(w), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+		found := candidate{worker: w, room: w.room, slow: c.isSlow(w), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
 		if spec.MaxPerWorker > 0 {
 			found.count = c.countOn(r, w.ID)
 		}
 		all = append(all, found)
 	}
+	c.found = all
 	return all
 }
 
@@ -362,13 +393,11 @@
 // tightest returns the candidate that is left with the least room, so that
 // large tasks find whole workers free. One on the preferred rack goes first, then
 // a slow one, or with fastFirst one that is not.
-func tightest(candidates []*candidate, spec *workload.StepSpec, fastFirst bool) *candidate {
+func tightest(candidates []candidate, spec *workload.StepSpec, fastFirst bool) *candidate {
 	var best *candidate
-	for _, next := range candidates {
-		if next.count > 0 && next.worker.onProbation() {
-			continue
-		}
-		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker {
+	for i := range candidates {
+		next := &candidates[i]
+		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker || next.count > 0 && next.worker.onProbation() {
 			continue
 		}
 		if best == nil || next.goesBefore(best, fastFirst) {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -105,6 +105,7 @@
 
 // follow takes a registered worker over from the state.
 func (c *Core) follow(w workload.Worker) {
+	c.registrations++
 	known := c.workers[w.ID]
 	if known != nil && known.Boot == w.Boot {
 		known.Worker = w
