Let a blocked step use avoided workers while there is room

Change: a step that has been blocked for a second may use avoided workers while more than 40 percent of the room is free. A step is also woken then; before, it was planned again only with the next event.

Tests: TestAvoidedWorkerServesWhereNoOtherMay fails without the change (nothing runs for 2.1 s). TestFailingWorkerIsTriedWithOneRun now has two full workers beside the failing one, so that room is scarce; its bound is the same.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -250,7 +250,7 @@
 			continue
 		}
 		if w.Service == j.Queue.Service && !w.Gone && !w.Draining && couldRun(w, spec) {
-			able = append(able, option{w, c.mayRun(w), spec.Gang && c.isSlow(w), c.free(w).Sub(w.expected)})
+			able = append(able, option{w, c.mayRun(w) && !c.avoided(w), spec.Gang && c.isSlow(w), c.free(w).Sub(w.expected)})
 		}
 	}
 	// Workers that get nothing now come last: their room is of no use.
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -49,6 +49,7 @@
 	fast   []candidate // reused by choose
 	total  int64       // thousandths of a core of the usable workers
 	live   []string    // processes that may be given a call to the adviser
+	scarce bool        // little room is free in the plan that is being made
 	// slowFreeAt is when a slow call may be made again; zero where one may be
 	// made now.
 	slowFreeAt time.Time
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -85,16 +85,8 @@
 }
 
 // selective reports whether a step still waits for workers that are not suspect.
-func (c *Core) selective(j *job, s *step) bool {
-	if s.blockedSince.IsZero() {
-		return true
-	}
-	until := s.blockedSince.Add(waitForSound)
-	if c.now.Before(until) {
-		c.wakeJob(j, until)
-		return true
-	}
-	return false
+func (c *Core) selective(s *step) bool {
+	return s.blockedSince.IsZero() || c.now.Before(s.blockedSince.Add(waitForSound))
 }
 
 // suspect reports whether a worker is likely to fail a step: the step has failed
@@ -114,7 +106,7 @@
 // avoidWorker keeps new runs from a worker for a while. It reports whether it
 // does: not where so many are avoided that the cause is elsewhere.
 func (c *Core) avoidWorker(w *worker, reason string, d time.Duration) bool {
-	if !c.now.Before(w.avoid) && c.manyAvoided() {
+	if !c.avoided(w) && c.manyAvoided() {
 		return false
 	}
 	w.avoid = c.now.Add(d)
@@ -123,6 +115,11 @@
 	return true
 }
 
+// avoided reports whether a worker is to get nothing new. A step that has waited
+// gets runs there all the same while there is room: the others may not be allowed
+// to run it.
+func (c *Core) avoided(w *worker) bool { return c.now.Before(w.avoid) }
+
 func (c *Core) manyAvoided() bool {
 	avoided, all := 0, 0
 	for _, other := range c.list {
@@ -130,7 +127,7 @@
 			continue
 		}
 		all++
-		if c.now.Before(other.avoid) {
+		if c.avoided(other) {
 			avoided++
 		}
 	}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -18,10 +18,16 @@
 	maxPacedSteps = 400
 )
 
+// scarcePercent is the free part of all room below which steps keep off avoided
+// workers however long they wait. The platform asks for each job to be run that
+// finds room while under half of it is in use.
+const scarcePercent = 40
+
 // beginPlan lists the workers that may get runs, with their room.
 func (c *Core) beginPlan() {
 	c.usable = c.usable[:0]
 	c.total, c.claimed = 0, 0
+	free := int64(0)
 	c.live, c.slowFreeAt = c.liveCallers(), time.Time{}
 	for _, w := range c.list {
 		if !c.mayRun(w) {
@@ -30,7 +36,9 @@
 		w.room = c.free(w)
 		c.usable = append(c.usable, w)
 		c.total += w.Capacity.MilliCPU
+		free += w.room.MilliCPU
 	}
+	c.scarce = free*100 < c.total*scarcePercent
 	c.learnMedianSpeed()
 }
 
@@ -125,6 +133,7 @@
 	}
 	if s.blockedSince.IsZero() {
 		s.blockedSince = c.now
+		c.wakeJob(r.job, c.now.Add(waitForSound))
 	}
 	if !advised || s.asking != 0 {
 		if spec.Gang && len(s.held) == 0 {
@@ -353,12 +362,12 @@
 func (c *Core) candidates(r ready, s *step, spec *workload.StepSpec, tickets, full bool) []candidate {
 	advised := r.job.Queue.Advice != nil
 	all := c.found[:0]
-	selective := c.selective(r.job, s)
+	selective := c.selective(s)
 	for _, w := range c.usable {
 		if !full && !spec.Size.Fits(w.room) {
 			continue
 		}
-		if w.Service != r.job.Queue.Service || !couldRun(w, spec) || selective && s.suspect(w, spec) {
+		if w.Service != r.job.Queue.Service || !couldRun(w, spec) || selective && s.suspect(w, spec) || (selective || c.scarce) && c.avoided(w) {
 			continue
 		}
 		if _, granted := s.granted[w.ID]; advised && !granted || tickets && !c.ticketGood(s, w.ID) {
@@ -376,8 +385,7 @@
 
 // mayRun reports whether a worker may get anything new.
 func (c *Core) mayRun(w *worker) bool {
-	return w.adopted && !w.silent && !w.ending && !w.Draining && !w.Gone && !c.now.Before(w.avoid) &&
-		!(w.onProbation() && w.busy())
+	return w.adopted && !w.silent && !w.ending && !w.Draining && !w.Gone && !(w.onProbation() && w.busy())
 }
 
 func (c *Core) countOn(r ready, id workload.WorkerID) int {
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -137,7 +137,7 @@
 
 // giveUpStalled stops a run that has stalled, and avoids its worker.
 func (c *Core) giveUpStalled(w *worker, id workload.TaskID, r *run, s *step) {
-	if !c.now.Before(w.avoid) {
+	if !c.avoided(w) {
 		w.evidence = failingWeight
 		if !c.avoidFailing(w, "stalled") {
 			return
