Share what the answers of a worker have in common in the dispatcher

Cause (read-through of the change): StartAnswered and StopAnswered began with the same twelve lines and HoldAnswered with most of them, and three callers of endBoot checked first that the end was not proposed yet.

Change: answered does the first, endBoot checks by itself; checkAvoided calls avoided. Comments on askMore and claimed say what they do now. Behaviour is the same.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -17,8 +17,8 @@
 	adviceMargin = 700 * time.Millisecond
 	// retryAdvice is the wait after a call that failed.
 	retryAdvice = 100 * time.Millisecond
-	// askMoreInterval is the least time between two calls that name workers
-	// which came since the first one.
+	// askMoreInterval is the least time between two calls that name further
+	// workers.
 	askMoreInterval = 100 * time.Millisecond
 	// askMoreAfter is how long a step waits for room on the workers granted first
 	// before a slow call names others.
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -56,7 +56,7 @@
 	// slowBelow is the speed below which a worker counts as slow.
 	slowBelow  float64
 	nextSpeeds time.Time
-	claimed    int64 // of them that blocked gangs claim in the plan
+	claimed    int64 // part of total that blocked gangs claim in the plan
 	nextPlan   time.Time
 	nextEnds   time.Time
 	changed    bool
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -138,7 +138,7 @@
 func (c *Core) checkAvoided(w *worker) {
 	switch {
 	case w.avoid.IsZero():
-	case c.now.Before(w.avoid):
+	case c.avoided(w):
 		c.wakeAt(w, w.avoid)
 	default:
 		w.avoid = time.Time{}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -7,15 +7,29 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
-// HoldAnswered takes the answer to a Hold.
-func (c *Core) HoldAnswered(now time.Time, call Call, report Report) {
+// answered takes what any answer of a worker says. It returns the worker, or nil
+// where the call was to another boot. clock is that of the worker, in ms, or 0
+// where the answer does not tell it.
+func (c *Core) answered(now time.Time, call Call, clock int64) *worker {
 	c.advance(now)
 	w := c.workers[call.Worker]
 	if w == nil || w.Boot != call.Boot {
+		return nil
+	}
+	c.wakeAt(w, c.now)
+	if clock > 0 {
+		c.heard(w, clock)
+	}
+	return w
+}
+
+// HoldAnswered takes the answer to a Hold.
+func (c *Core) HoldAnswered(now time.Time, call Call, report Report) {
+	w := c.answered(now, call, 0)
+	if w == nil {
 		return
 	}
 	w.holding = false
-	c.wakeAt(w, c.now)
 	if report.Outcome == OutcomeOK && report.Boot > w.Boot {
 		report.Outcome = OutcomeOtherBoot
 	}
@@ -61,9 +75,7 @@
 		c.fence(w)
 		return
 	case OutcomeOtherBoot:
-		if !w.ending {
-			c.endBoot(w, "other-boot", true)
-		}
+		c.endBoot(w, "other-boot", true)
 	}
 	if !w.silent {
 		w.silent = true
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -180,7 +180,7 @@
 	return slots < wantedSlots*spec.Tasks
 }
 
-// askMore names the workers that came since the step was asked about.
+// askMore names workers that the step has not named before.
 func (c *Core) askMore(r ready, s *step, spec *workload.StepSpec) {
 	if s.namedAll == c.registrations || !c.mayAsk(r, s) {
 		return
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -53,15 +53,10 @@
 
 // StartAnswered takes the answer to a Start.
 func (c *Core) StartAnswered(now time.Time, start Start, outcome Outcome, clock int64) {
-	c.advance(now)
-	w := c.workers[start.Worker]
-	if w == nil || w.Boot != start.Boot {
+	w := c.answered(now, start.Call, clock)
+	if w == nil {
 		return
 	}
-	c.wakeAt(w, c.now)
-	if clock > 0 {
-		c.heard(w, clock)
-	}
 	if outcome == OutcomeNoAnswer {
 		c.noteUnanswered(w, start)
 	}
@@ -79,9 +74,7 @@
 	case OutcomeFenced:
 		c.fence(w)
 	case OutcomeOtherBoot:
-		if !w.ending {
-			c.endBoot(w, "other-boot", true)
-		}
+		c.endBoot(w, "other-boot", true)
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLate:
 		r.callAt = c.now.Add(retryCall)
 		if r.tries >= startTries {
@@ -128,15 +121,10 @@
 
 // StopAnswered takes the answer to a Stop.
 func (c *Core) StopAnswered(now time.Time, stop Stop, outcome Outcome, clock int64) {
-	c.advance(now)
-	w := c.workers[stop.Worker]
-	if w == nil || w.Boot != stop.Boot {
+	w := c.answered(now, stop.Call, clock)
+	if w == nil {
 		return
 	}
-	c.wakeAt(w, c.now)
-	if clock > 0 {
-		c.heard(w, clock)
-	}
 	r := w.runs[stop.Task]
 	if r == nil || r.number != stop.Run {
 		return
@@ -148,9 +136,7 @@
 	case OutcomeFenced:
 		c.fence(w)
 	case OutcomeOtherBoot:
-		if !w.ending {
-			c.endBoot(w, "other-boot", true)
-		}
+		c.endBoot(w, "other-boot", true)
 	default:
 		r.callAt = c.now.Add(retryCall)
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -252,8 +252,11 @@
 	c.out.Holds = append(c.out.Holds, Hold{Call: c.callTo(w), Until: c.extend(w), Seen: w.seen, Wait: wait})
 }
 
-// endBoot proposes the end of a boot, with the progress heard so far.
+// endBoot proposes the end of a boot, once, with the progress heard so far.
 func (c *Core) endBoot(w *worker, reason string, left bool) {
+	if w.ending {
+		return
+	}
 	w.ending = true
 	command := workload.EndBoot{Worker: w.ID, Boot: w.Boot, Left: left}
 	for _, open := range c.state.Runs(w.ID) {
