--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -65,9 +65,9 @@
 // Run runs the client's task until ctx ends.
 func (c *Client) Run(ctx context.Context) { c.directory.run(ctx) }
 
-// Patience says for how long a call goes on without an answer. A wait of 0 lasts
+// WaitLimits say for how long a call goes on without an answer. A limit of 0 lasts
 // until the context ends.
-type Patience struct {
+type WaitLimits struct {
 	NotTaken time.Duration // where no replica can have taken the command
 	Unknown  time.Duration // where one may have
 }
@@ -76,18 +76,18 @@
 // committed or ctx ends. Commands are idempotent, so sending one twice has the
 // effect of once.
 func (c *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
-	return c.ProposeWithin(ctx, command, Patience{})
+	return c.ProposeWithin(ctx, command, WaitLimits{})
 }
 
-// ProposeWithin is Propose, but ends when patience does: with ErrUnavailable or
-// with ErrOutcomeUnknown.
-func (c *Client) ProposeWithin(ctx context.Context, command state.Command, patience Patience) (state.Result, error) {
+// ProposeWithin is Propose, but ends at the limits: with ErrUnavailable or with
+// ErrOutcomeUnknown.
+func (c *Client) ProposeWithin(ctx context.Context, command state.Command, limits WaitLimits) (state.Result, error) {
 	encoded, err := codec.EncodeCommand(command)
 	if err != nil {
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ProposeResponse
-	err = c.untilAnswered(ctx, 0, patience, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, 0, limits, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
 		return callErr
@@ -109,7 +109,7 @@
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	err = c.untilAnswered(ctx, 0, Patience{}, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, 0, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
@@ -132,7 +132,7 @@
 // renewal that is granted twice extends the lease once.
 func (c *Client) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
 	var response *rpcpb.RenewResponse
-	err := c.untilAnswered(ctx, 0, Patience{}, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, 0, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Renew(ctx, request)
 		return callErr
@@ -145,7 +145,7 @@
 func (c *Client) Feed(ctx context.Context, request *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
 	wait := time.Duration(request.MaxWaitMillis) * time.Millisecond
 	var response *rpcpb.FeedResponse
-	err := c.untilAnswered(ctx, wait, Patience{}, func(ctx context.Context, control rpcpb.Control) error {
+	err := c.untilAnswered(ctx, wait, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Feed(ctx, request)
 		return callErr
@@ -167,9 +167,9 @@
 
 type call func(ctx context.Context, control rpcpb.Control) error
 
-// untilAnswered repeats a call until it is answered, ctx ends or patience does. A
+// untilAnswered repeats a call until it is answered, ctx ends or a limit is reached. A
 // replica may take answerAfter longer than usual.
-func (c *Client) untilAnswered(ctx context.Context, answerAfter time.Duration, patience Patience, do call) error {
+func (c *Client) untilAnswered(ctx context.Context, answerAfter time.Duration, limits WaitLimits, do call) error {
 	started := time.Now()
 	maybeAccepted := false
 	backoff, timeout := firstBackoff, firstAttempt
@@ -191,9 +191,9 @@
 			return endOfCall(maybeAccepted, err)
 		}
 		c.report(target, failure)
-		wait := patience.NotTaken
+		wait := limits.NotTaken
 		if maybeAccepted {
-			wait = patience.Unknown
+			wait = limits.Unknown
 		}
 		if failure.final || wait > 0 && time.Since(started) >= wait {
 			return endOfCall(maybeAccepted, err)
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -154,21 +154,21 @@
 
 // Guards against a submission that is held until its client gives up, and
 // against refusing one as not taken that a replica may have taken.
-func TestProposeWithinEndsWithItsPatience(t *testing.T) {
-	patience := Patience{NotTaken: 50 * time.Millisecond, Unknown: 150 * time.Millisecond}
+func TestProposeWithinEndsAtItsLimits(t *testing.T) {
+	limits := WaitLimits{NotTaken: 50 * time.Millisecond, Unknown: 150 * time.Millisecond}
 	command := state.Command{Advance: &state.Advance{}}
 	for name, c := range map[string]struct {
 		err   func() error
 		want  error
 		least time.Duration
 	}{
-		"no leader":   {func() error { return twirp.NewError(twirp.FailedPrecondition, "not the leader") }, ErrUnavailable, patience.NotTaken},
-		"lost answer": {func() error { return twirp.InternalError("lost") }, ErrOutcomeUnknown, patience.Unknown},
+		"no leader":   {func() error { return twirp.NewError(twirp.FailedPrecondition, "not the leader") }, ErrUnavailable, limits.NotTaken},
+		"lost answer": {func() error { return twirp.InternalError("lost") }, ErrOutcomeUnknown, limits.Unknown},
 	} {
 		client := newClient(t, serve(t, &fakeReplica{err: c.err}))
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		started := time.Now()
-		_, err := client.ProposeWithin(ctx, command, patience)
+		_, err := client.ProposeWithin(ctx, command, limits)
 		if !errors.Is(err, c.want) || ctx.Err() != nil || time.Since(started) < c.least {
 			t.Errorf("%s: %v after %v, context %v", name, err, time.Since(started), ctx.Err())
 		}
--- a/internal/controlclient/directory.go
+++ b/internal/controlclient/directory.go
@@ -86,8 +86,9 @@
 
 // handleFailure moves on to the named leader, or to the next replica that has not
 // just given no answer. A leader that is named is called although it gave none
-// before: replicas name only one that they have just heard. Failures of a replica that is no longer the
-// current one are ignored, so that many calls failing at once move on only once.
+// before: replicas name only one that they have just heard. Failures of a replica
+// that is no longer the current one are ignored, so that many calls failing at
+// once move on only once.
 func (d *directory) handleFailure(now time.Time, failure failedTarget) {
 	if failure.silent {
 		d.silent[failure.address] = now.Add(silentFor)
--- a/internal/workapi/gate.go
+++ b/internal/workapi/gate.go
@@ -31,8 +31,8 @@
 	submitUnknownWait = 1200 * time.Millisecond
 )
 
-// submitPatience is for submissions, cancels go on until their deadline.
-var submitPatience = controlclient.Patience{NotTaken: submitWait, Unknown: submitUnknownWait}
+// submitLimits are for submissions; cancels go on until their deadline.
+var submitLimits = controlclient.WaitLimits{NotTaken: submitWait, Unknown: submitUnknownWait}
 
 // GateOptions are what a Gate needs.
 type GateOptions struct {
@@ -137,7 +137,7 @@
 	started := time.Now()
 	spec.Queue = route.Queue.Name
 	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}}}
-	outcome, err := g.propose(ctx, command, submitPatience)
+	outcome, err := g.propose(ctx, command, submitLimits)
 	took := time.Since(started)
 	g.opts.Metrics.Observe(metricSubmit, took)
 	g.opts.Logger.Log(eventSubmitted, zap.String("job", string(id)), zap.String("queue", route.Queue.Name),
@@ -146,8 +146,8 @@
 }
 
 // propose commits a workload command and returns its outcome.
-func (g *Gate) propose(ctx context.Context, command state.Command, patience controlclient.Patience) (Outcome, error) {
-	result, err := g.opts.Control.ProposeWithin(ctx, command, patience)
+func (g *Gate) propose(ctx context.Context, command state.Command, limits controlclient.WaitLimits) (Outcome, error) {
+	result, err := g.opts.Control.ProposeWithin(ctx, command, limits)
 	switch {
 	case err != nil:
 		return ofError(err), err
@@ -160,7 +160,7 @@
 // Cancel ends a job.
 func (g *Gate) Cancel(ctx context.Context, id workload.JobID) Outcome {
 	started := time.Now()
-	outcome, err := g.propose(ctx, state.Command{Workload: &workload.Command{Cancel: &workload.Cancel{ID: id}}}, controlclient.Patience{})
+	outcome, err := g.propose(ctx, state.Command{Workload: &workload.Command{Cancel: &workload.Cancel{ID: id}}}, controlclient.WaitLimits{})
 	g.opts.Logger.Log(eventCancelled, zap.String("job", string(id)), zap.String("outcome", string(outcome)),
 		zap.Int64("took_ms", time.Since(started).Milliseconds()), zap.Error(err))
 	return g.count("cancel", outcome)
