Run the planted faults of both cores with one script

Cause: run-dispatch.sh was a copy of run-state.sh with other packages.

Change: run-core.sh takes the folder. `make planted` runs the same cases.

--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,8 @@
 # Applies each planted fault to a copy of the tree and expects it to be found.
 planted:
 	./test/planted/run-replog.sh
-	./test/planted/run-state.sh
-	./test/planted/run-dispatch.sh
+	./test/planted/run-core.sh state
+	./test/planted/run-core.sh dispatch
 	./test/planted/run-e2e.sh
 
 # Benchmarks of the cores and of the processes; several minutes.
--- /dev/null
+++ b/test/planted/run-core.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Plants each known bug of a folder in a temporary copy of the tree and expects
+# the tests of the packages that it belongs to to fail. A bug that is not found
+# means that the tests have lost their power.
+#
+# usage: test/planted/run-core.sh state|dispatch
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+folder=${1:-}
+case "$folder" in
+state)
+  packages=(./core/state)
+  flags=(-run TestRandomised -rapid.shrinktime=1s)
+  finding='failed after .*'
+  ;;
+dispatch)
+  packages=(./core/workload ./core/dispatch)
+  flags=(-timeout 5m)
+  finding='.*(seed [0-9]+:|_test.go:).*'
+  ;;
+*)
+  echo "usage: $0 state|dispatch" >&2
+  exit 2
+  ;;
+esac
+
+root=$PWD
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# copy_tree DIR copies what the tests need.
+copy_tree() {
+  mkdir -p "$1"
+  tar -C "$root" -cf - go.mod go.sum core internal examples | tar -C "$1" -xf -
+}
+
+# run_tests DIR LOG
+run_tests() {
+  (cd "$1" && go test -count=1 "${packages[@]}" "${flags[@]}") >"$2" 2>&1
+}
+
+copy_tree "$work/clean"
+if ! run_tests "$work/clean" "$work/clean.log"; then
+  echo "the tests fail without a planted bug" >&2
+  tail -20 "$work/clean.log" >&2
+  exit 1
+fi
+echo "clean: the tests pass"
+
+missed=0
+for patch in "$root"/test/planted/"$folder"/*.patch; do
+  name=$(basename "$patch" .patch)
+  copy_tree "$work/$name"
+  if ! patch -s -p1 -d "$work/$name" <"$patch" >/dev/null; then
+    echo "$name: the patch does not apply"
+    missed=1
+    continue
+  fi
+  (cd "$work/$name" && go vet "${packages[@]}")
+  if run_tests "$work/$name" "$work/$name.log"; then
+    echo "$name: MISSED"
+    missed=1
+  else
+    echo "$name: found: $(grep -m1 -oE "$finding" "$work/$name.log" | cut -c1-160)"
+  fi
+done
+exit "$missed"
