Log what a data folder holds at each recovery, also a failed one

The logs could not tell a record that was lost from a segment that was lost or cut: a failed start logged its error only, and a full disk named the file by the name under which it was opened. 1000 and the new 1007 list each segment with its bytes and last index, 1002 names the segment in use.

--- a/internal/storage/events.go
+++ b/internal/storage/events.go
@@ -16,6 +16,7 @@
 	eventSnapshot    = eventlog.Declare(1004, zapcore.InfoLevel, "snapshot saved")
 	eventSnapshotNot = eventlog.Declare(1005, zapcore.WarnLevel, "snapshot not saved, the log is kept")
 	eventFailed      = eventlog.Declare(1006, zapcore.ErrorLevel, "data folder cannot be written, the process ends")
+	eventDamaged     = eventlog.Declare(1007, zapcore.ErrorLevel, "data folder cannot be recovered")
 )
 
 // Metrics.
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/walcodec"
@@ -51,7 +52,23 @@
 	reset   *walcodec.Position // to be recorded before the next entries
 }
 
-// readFolder reads and checks all files. It changes nothing.
+// fields describe the folder in a log event. After an error they hold what was
+// read before it.
+func (c *content) fields() []zap.Field {
+	var files []string
+	for _, segment := range c.segments {
+		files = append(files, fmt.Sprintf("%x:%d:%d", segment.number, segment.size, segment.maxIndex))
+	}
+	return []zap.Field{
+		zap.Int("segments", len(c.segments)), zap.Int("entries", len(c.Entries)),
+		zap.Uint64("last_index", c.written.Index), zap.Uint64("term", c.HardState.Term),
+		zap.Strings("segment_bytes_last", files), zap.Strings("snapshots", c.snapshots),
+		zap.Bool("torn", c.Torn), zap.Bool("identity", c.Identity != nil),
+	}
+}
+
+// readFolder reads and checks all files. It changes nothing. After an error
+// the content holds what was read before it.
 func readFolder(disk Disk) (content, error) {
 	names, err := disk.List()
 	if err != nil {
@@ -71,15 +88,16 @@
 		}
 	}
 	if err := c.readIdentity(disk); err != nil {
-		return content{}, err
+		return c, err
 	}
 	if c.Identity == nil && len(segments)+len(c.snapshots) > 0 {
-		return content{}, merry.Prependf(ErrIncomplete, "the file %s is missing", identityName)
+		return c, merry.Prependf(ErrIncomplete, "the file %s is missing", identityName)
 	}
 	if err := c.readSnapshot(disk); err != nil {
-		return content{}, err
+		return c, err
 	}
-	return c, c.readLog(disk, segments)
+	err = c.readLog(disk, segments)
+	return c, err
 }
 
 func (c *content) readIdentity(disk Disk) error {
@@ -125,13 +143,12 @@
 			return merry.Prependf(ErrIncomplete, "a segment before %s is missing", name)
 		}
 		info, err := c.readSegment(disk, name, i == len(names)-1, &log)
+		c.segments = append(c.segments, info)
+		c.HardState, c.written = log.HardState, log.Last()
 		if err != nil {
 			return err
 		}
-		c.segments = append(c.segments, info)
 	}
-	c.HardState = log.HardState
-	c.written = log.Last()
 	position := walcodec.Position{}
 	if c.Snapshot != nil {
 		position = walcodec.Position{Index: c.Snapshot.Index, Term: c.Snapshot.Term}
@@ -153,10 +170,10 @@
 		return segmentInfo{}, merry.Wrap(ErrFailed, merry.WithCause(err))
 	}
 	segment, err := walcodec.ScanSegment(data, last)
+	info := segmentInfo{number: segment.Header.Number, size: segment.Size}
 	if err != nil {
-		return segmentInfo{}, damage(name, err)
+		return info, damage(name, err)
 	}
-	info := segmentInfo{number: segment.Header.Number, size: segment.Size}
 	if want := fmt.Sprintf(segmentFormat, info.number); name != want {
 		return info, damage(name, &walcodec.DamageError{Reason: "the segment in it belongs to " + want})
 	}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -102,6 +102,7 @@
 func open(opts Options) (*Store, Recovered, error) {
 	c, err := readFolder(opts.Disk)
 	if err != nil {
+		opts.Logger.Log(eventDamaged, append(c.fields(), zap.Error(err))...)
 		return nil, Recovered{}, err
 	}
 	if c.Identity != nil && c.Identity.Replica != opts.Replica {
@@ -121,8 +122,7 @@
 		snapshots:   c.snapshots,
 		saved:       make(chan savedSnapshot, 1),
 	}
-	opts.Logger.Log(eventRecovered, zap.Int("segments", len(c.segments)), zap.Int("entries", len(c.Entries)),
-		zap.Uint64("last_index", c.written.Index), zap.Uint64("term", c.HardState.Term))
+	opts.Logger.Log(eventRecovered, c.fields()...)
 	return store, c.Recovered, nil
 }
 
@@ -297,7 +297,7 @@
 	}
 	s.full = full
 	if full {
-		s.opts.Logger.Log(eventDiskFull, zap.Error(err))
+		s.opts.Logger.Log(eventDiskFull, zap.String("segment", segmentName(s.log.current.number)), zap.Error(err))
 		return
 	}
 	s.opts.Logger.Log(eventDiskRoom)
