Sync what recovery has read before it counts as held

Cause: a process that is killed between the write of a record and its sync leaves the record in the page cache. The next start read it, reported its entries, term and vote as held, and went on in a new segment, so that nothing synced the old one any more. The next loss of power took the record; the folder was then damaged for ever, or, before another write, a vote forgotten.

Change: a start syncs every segment and the folder after its repairs and before anything relies on them. A cut torn record is synced by the same step.

The death of a store in its start is now one of the cases of the existing test of stops at every operation.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -30,6 +30,7 @@
 	Truncate(name string, size int64) error
 	Rename(from, to string) error
 	Remove(name string) error
+	SyncFile(name string) error
 	SyncFolder() error
 }
 
@@ -108,28 +109,25 @@
 	if err != nil {
 		return err
 	}
-	if err := file.Truncate(size); err != nil {
-		return errors.Join(err, file.Close())
-	}
-	if err := file.Sync(); err != nil {
-		return errors.Join(err, file.Close())
-	}
-	return file.Close()
+	return errors.Join(file.Truncate(size), file.Close())
 }
 
 func (f *folder) Rename(from, to string) error { return os.Rename(f.join(from), f.join(to)) }
 
 func (f *folder) Remove(name string) error { return os.Remove(f.join(name)) }
 
-func (f *folder) SyncFolder() error {
-	dir, err := os.Open(f.path)
+func (f *folder) SyncFile(name string) error { return syncPath(f.join(name)) }
+
+func (f *folder) SyncFolder() error { return syncPath(f.path) }
+
+// syncPath syncs what any process has written to a file, or the names in a
+// folder.
+func syncPath(path string) error {
+	file, err := os.Open(path)
 	if err != nil {
 		return err
 	}
-	if err := dir.Sync(); err != nil {
-		return errors.Join(err, dir.Close())
-	}
-	return dir.Close()
+	return errors.Join(file.Sync(), file.Close())
 }
 
 // diskFull reports whether err says that the file system has no room left.
--- a/internal/storage/fakedisk_test.go
+++ b/internal/storage/fakedisk_test.go
@@ -150,6 +150,15 @@
 	return nil
 }
 
+func (d *fakeDisk) SyncFile(name string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	file := d.current[name]
+	file.synced = append([]byte(nil), file.data...)
+	return nil
+}
+
 func (d *fakeDisk) SyncFolder() error {
 	if err := d.step(); err != nil {
 		return err
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -186,11 +186,14 @@
 // the request that was not, or nil where the workload came to its end.
 func runUntilDeath(t *testing.T, disk *fakeDisk) (model, Request) {
 	t.Helper()
+	state := model{}
 	store, _, err := Open(testOptions(disk))
+	if errors.Is(err, ErrFailed) {
+		return state, Admit{}
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
-	state := model{}
 	if err := admit(store); err != nil {
 		return state, Admit{}
 	}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -108,7 +108,11 @@
 	if c.Identity != nil && c.Identity.Replica != opts.Replica {
 		return nil, Recovered{}, merry.Appendf(ErrOtherReplica, "replica %d, not %d", c.Identity.Replica, opts.Replica)
 	}
-	if err := repair(opts, c); err != nil {
+	err = repair(opts, c)
+	if err == nil {
+		err = makeDurable(opts.Disk, c)
+	}
+	if err != nil {
 		return nil, Recovered{}, merry.Wrap(ErrFailed, merry.WithCause(err))
 	}
 	store := &Store{
@@ -142,6 +146,18 @@
 	return opts.Disk.Truncate(segmentName(last.number), last.size)
 }
 
+// makeDurable syncs what was recovered, before the replica counts it as held.
+// A process that was killed between a write and its sync leaves records and
+// names that reading cannot tell from synced ones.
+func makeDurable(disk Disk, c content) error {
+	for _, segment := range c.segments {
+		if err := disk.SyncFile(segmentName(segment.number)); err != nil {
+			return err
+		}
+	}
+	return disk.SyncFolder()
+}
+
 // Requests is the mailbox of the task.
 func (s *Store) Requests() chan<- Request { return s.requests }
 
