Pass over segments whose removal was lost in part

A loss of power before the folder is synced can bring back an older segment than one that stays missing. The next start found a gap in the numbers and ended with 'a segment before ... is missing', at every start.

Change: recovery begins after the last gap. The leftover files are removed before the folder is synced.

--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -43,6 +43,7 @@
 type content struct {
 	Recovered
 	segments  []segmentInfo
+	leftover  []string // segments that were removed, but whose names came back
 	temporary []string
 	snapshots []string // file names, oldest first
 	// written is the end of the log as the records state it. It differs from
@@ -63,7 +64,7 @@
 		zap.Int("segments", len(c.segments)), zap.Int("entries", len(c.Entries)),
 		zap.Uint64("last_index", c.written.Index), zap.Uint64("term", c.HardState.Term),
 		zap.Strings("segment_bytes_last", files), zap.Strings("snapshots", c.snapshots),
-		zap.Bool("torn", c.Torn), zap.Bool("identity", c.Identity != nil),
+		zap.Strings("leftover", c.leftover), zap.Bool("torn", c.Torn), zap.Bool("identity", c.Identity != nil),
 	}
 }
 
@@ -137,11 +138,9 @@
 }
 
 func (c *content) readLog(disk Disk, names []string) error {
+	c.leftover, names = splitAtGap(names)
 	log := walcodec.Log{}
 	for i, name := range names {
-		if i > 0 && name != segmentName(c.segments[i-1].number+1) {
-			return merry.Prependf(ErrIncomplete, "a segment before %s is missing", name)
-		}
 		info, err := c.readSegment(disk, name, i == len(names)-1, &log)
 		c.segments = append(c.segments, info)
 		c.HardState, c.written = log.HardState, log.Last()
@@ -154,6 +153,9 @@
 		position = walcodec.Position{Index: c.Snapshot.Index, Term: c.Snapshot.Term}
 	}
 	kept, err := log.Attach(position)
+	if err != nil && len(c.leftover) > 0 {
+		return merry.Prependf(ErrIncomplete, "a segment before %s is missing", names[0])
+	}
 	if err != nil {
 		return merry.Prepend(ErrIncomplete, err.Error())
 	}
@@ -164,6 +166,28 @@
 	return nil
 }
 
+// splitAtGap returns the segments before the last gap in the numbers, and those
+// after it. The removals of covered segments become durable independently, so
+// a loss of power may bring back an older one than is still missing. Whether
+// the rest is enough shows when it is attached to the snapshot.
+func splitAtGap(names []string) (before, after []string) {
+	for i := len(names) - 1; i > 0; i-- {
+		if names[i] != nextSegmentName(names[i-1]) {
+			return names[:i], names[i:]
+		}
+	}
+	return nil, names
+}
+
+// nextSegmentName returns "" where name is not that of a segment.
+func nextSegmentName(name string) string {
+	var number uint64
+	if _, err := fmt.Sscanf(name, segmentFormat, &number); err != nil {
+		return ""
+	}
+	return segmentName(number + 1)
+}
+
 func (c *content) readSegment(disk Disk, name string, last bool, log *walcodec.Log) (segmentInfo, error) {
 	data, err := disk.Read(name)
 	if err != nil {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -130,10 +131,10 @@
 	return store, c.Recovered, nil
 }
 
-// repair cuts a torn record and removes what an interrupted start or snapshot
-// has left.
+// repair cuts a torn record and removes what an interrupted start, snapshot or
+// removal has left.
 func repair(opts Options, c content) error {
-	for _, name := range c.temporary {
+	for _, name := range slices.Concat(c.temporary, c.leftover) {
 		if err := opts.Disk.Remove(name); err != nil {
 			return err
 		}
