Sync the parent of a data folder

os.MkdirAll makes a folder that a loss of power may take again, with everything below it, until the parent is synced. A control replica would then find its identity beside an empty log, which it must not vote with.

No fault can be injected below the file system here, so this has no test of its own; the tests of storage, replica, controlproc and inspect pass.

--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -49,11 +49,16 @@
 	lock *os.File
 }
 
-// NewFolder returns the Disk of a folder, which is created where absent.
+// NewFolder returns the Disk of a folder, which is created where absent. The
+// parent is synced in any case, because a process that was killed may have
+// created the folder without it.
 func NewFolder(path string) (Disk, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, err
 	}
+	if err := syncPath(filepath.Dir(path)); err != nil {
+		return nil, err
+	}
 	return &folder{path: path}, nil
 }
 
