--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -16,6 +16,7 @@
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replica"
@@ -154,7 +155,7 @@
 }
 
 func (g *Group) start(i int, listener net.Listener) error {
-	disk, err := storage.NewFolder(g.Folder(i))
+	disk, err := diskio.NewFolder(g.Folder(i))
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
--- a/internal/controlproc/process.go
+++ b/internal/controlproc/process.go
@@ -13,6 +13,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/endpoint"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
@@ -66,7 +67,7 @@
 		return err
 	}
 	go internal.Watch(kill)
-	disk, err := storage.NewFolder(s.DataDir)
+	disk, err := diskio.NewFolder(s.DataDir)
 	if err != nil {
 		return merry.Wrap(err)
 	}
--- a/internal/controlproc/process_test.go
+++ b/internal/controlproc/process_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"github.com/godwitlink/godwitlink/internal/storage"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 )
 
 func testSettings(t *testing.T, folder string) *Settings {
@@ -52,7 +52,7 @@
 // Guards against a process that starts on a folder in use.
 func TestFolderInUse(t *testing.T) {
 	folder := t.TempDir()
-	disk, err := storage.NewFolder(folder)
+	disk, err := diskio.NewFolder(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -60,7 +60,7 @@
 		t.Fatal(err)
 	}
 	err = Run(t.Context(), t.Context(), testSettings(t, folder), io.Discard)
-	if !errors.Is(err, storage.ErrLocked) {
+	if !errors.Is(err, diskio.ErrLocked) {
 		t.Errorf("error %v, want ErrLocked", err)
 	}
 	if err := disk.Unlock(); err != nil {
--- /dev/null
+++ b/internal/diskio/faultdisk/faultdisk.go
@@ -0,0 +1,259 @@
+// Package faultdisk is a disk in memory for tests that loses what was not
+// synced, as a machine does that loses power.
+package faultdisk
+
+import (
+	"errors"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/godwitlink/godwitlink/internal/diskio"
+)
+
+// ErrDead is the error of every operation after the machine has stopped.
+var ErrDead = errors.New("the machine has stopped")
+
+// Disk is one folder. Names live in current until SyncFolder copies them to
+// durable; bytes count as durable up to the synced length of their file. The
+// mutex stands for the kernel: a store writes snapshots beside its log.
+type Disk struct {
+	mutex   sync.Mutex
+	current map[string]*file
+	durable map[string]*file
+	locked  bool
+	ops     int
+	fail    map[int]error
+	dieAt   int
+	refuse  error
+}
+
+type file struct {
+	disk   *Disk
+	data   []byte
+	synced []byte
+}
+
+// New returns an empty disk.
+func New() *Disk {
+	return &Disk{current: map[string]*file{}, durable: map[string]*file{}, fail: map[int]error{}}
+}
+
+// Ops returns the number of operations that changed the disk so far.
+func (d *Disk) Ops() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.ops
+}
+
+// FailAt lets the operation with a number fail, counted as by Ops.
+func (d *Disk) FailAt(op int, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.fail[op] = err
+}
+
+// DieAt lets every operation from a number on fail with ErrDead.
+func (d *Disk) DieAt(op int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.dieAt = op
+}
+
+// Die lets every operation from now on fail with ErrDead.
+func (d *Disk) Die() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.dieAt = d.ops + 1
+}
+
+// RefuseWrites lets writes and new files fail with err until it is called with
+// nil, as a full disk does.
+func (d *Disk) RefuseWrites(err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.refuse = err
+}
+
+// AfterPowerLoss returns the disk as the next start finds it: of the unsynced
+// bytes of each file a random part was written, and each unsynced change of a
+// name is kept or lost independently.
+func (d *Disk) AfterPowerLoss(random *rand.Rand) *Disk {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	names := maps.Clone(d.durable)
+	maps.Copy(names, d.current)
+	next := New()
+	for _, name := range sortedNames(names) {
+		found := d.durable[name]
+		if random.IntN(2) == 0 {
+			found = d.current[name]
+		}
+		if found == nil {
+			continue
+		}
+		data := slices.Clone(found.synced)
+		if extra := len(found.data) - len(data); extra > 0 {
+			data = append(data, found.data[len(data):len(data)+random.IntN(extra+1)]...)
+		}
+		next.current[name] = &file{disk: next, data: data, synced: data}
+	}
+	next.durable = maps.Clone(next.current)
+	return next
+}
+
+// AfterKill returns the disk as the next process finds it while the machine
+// runs on: everything written is there, and what was not synced still is not.
+func (d *Disk) AfterKill() *Disk {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	next := New()
+	copies := map[*file]*file{}
+	copyNames := func(to, from map[string]*file) {
+		for name, found := range from {
+			if copies[found] == nil {
+				copies[found] = &file{disk: next, data: slices.Clone(found.data), synced: slices.Clone(found.synced)}
+			}
+			to[name] = copies[found]
+		}
+	}
+	copyNames(next.current, d.current)
+	copyNames(next.durable, d.durable)
+	return next
+}
+
+func sortedNames(files map[string]*file) []string {
+	return slices.Sorted(maps.Keys(files))
+}
+
+func (d *Disk) step() error {
+	d.ops++
+	if d.dieAt > 0 && d.ops >= d.dieAt {
+		return ErrDead
+	}
+	return d.fail[d.ops]
+}
+
+// write is step for an operation that needs room.
+func (d *Disk) write() error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	return d.refuse
+}
+
+// Lock implements diskio.Disk.
+func (d *Disk) Lock() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.locked {
+		return diskio.ErrLocked
+	}
+	d.locked = true
+	return nil
+}
+
+// Unlock implements diskio.Disk.
+func (d *Disk) Unlock() error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.locked = false
+	return nil
+}
+
+// List implements diskio.Disk.
+func (d *Disk) List() ([]string, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return sortedNames(d.current), nil
+}
+
+// Read implements diskio.Disk.
+func (d *Disk) Read(name string) ([]byte, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	found, ok := d.current[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(found.data), nil
+}
+
+// Create implements diskio.Disk.
+func (d *Disk) Create(name string) (diskio.File, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if err := d.write(); err != nil {
+		return nil, err
+	}
+	made := &file{disk: d}
+	d.current[name] = made
+	return made, nil
+}
+
+// change carries out an operation on the names or a file of the disk.
+func (d *Disk) change(operation func()) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if err := d.step(); err != nil {
+		return err
+	}
+	operation()
+	return nil
+}
+
+// Truncate implements diskio.Disk.
+func (d *Disk) Truncate(name string, size int64) error {
+	return d.change(func() { d.current[name].data = d.current[name].data[:size] })
+}
+
+// Rename implements diskio.Disk.
+func (d *Disk) Rename(from, to string) error {
+	return d.change(func() {
+		d.current[to] = d.current[from]
+		delete(d.current, from)
+	})
+}
+
+// Remove implements diskio.Disk.
+func (d *Disk) Remove(name string) error {
+	return d.change(func() { delete(d.current, name) })
+}
+
+// SyncFile implements diskio.Disk.
+func (d *Disk) SyncFile(name string) error {
+	return d.change(func() { d.current[name].synced = slices.Clone(d.current[name].data) })
+}
+
+// SyncFolder implements diskio.Disk.
+func (d *Disk) SyncFolder() error {
+	return d.change(func() { d.durable = maps.Clone(d.current) })
+}
+
+// Write implements diskio.File. An interrupted write leaves a part behind.
+func (f *file) Write(data []byte) (int, error) {
+	f.disk.mutex.Lock()
+	defer f.disk.mutex.Unlock()
+	err := f.disk.write()
+	n := len(data)
+	if err != nil {
+		n /= 2
+	}
+	f.data = append(f.data, data[:n]...)
+	return n, err
+}
+
+// Sync implements diskio.File.
+func (f *file) Sync() error {
+	return f.disk.change(func() { f.synced = slices.Clone(f.data) })
+}
+
+// Truncate implements diskio.File.
+func (f *file) Truncate(size int64) error {
+	return f.disk.change(func() { f.data = f.data[:size] })
+}
+
+// Close implements diskio.File.
+func (f *file) Close() error { return nil }
--- a/internal/storage/disk.go
+++ b/internal/diskio/folder.go
@@ -1,39 +1,13 @@
-package storage
+package diskio
 
 import (
 	"errors"
-	"io/fs"
 	"os"
 	"path/filepath"
 
 	"golang.org/x/sys/unix"
 )
 
-// File is an open file of the data folder.
-type File interface {
-	Write(data []byte) (int, error) // appends
-	Sync() error
-	Truncate(size int64) error
-	Close() error
-}
-
-// Disk is the file operations that the task needs, on one folder. Names have
-// no path.
-type Disk interface {
-	// Lock keeps other processes out of the folder until Unlock. It returns
-	// ErrLocked where another process holds it.
-	Lock() error
-	Unlock() error
-	List() ([]string, error)
-	Read(name string) ([]byte, error) // fs.ErrNotExist where absent
-	Create(name string) (File, error) // empty, for appending
-	Truncate(name string, size int64) error
-	Rename(from, to string) error
-	Remove(name string) error
-	SyncFile(name string) error
-	SyncFolder() error
-}
-
 // Permissions of the data folder and its files: commands may hold the answers
 // of callers.
 const (
@@ -134,14 +108,3 @@
 	}
 	return errors.Join(file.Sync(), file.Close())
 }
-
-// diskFull reports whether err says that the file system has no room left.
-func diskFull(err error) bool {
-	var unknown syncError
-	if errors.As(err, &unknown) {
-		return false
-	}
-	return errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) || errors.Is(err, ErrDiskFull)
-}
-
-func notExist(err error) bool { return errors.Is(err, fs.ErrNotExist) }
--- a/internal/inspect/inspect.go
+++ b/internal/inspect/inspect.go
@@ -12,6 +12,7 @@
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/storage"
 )
 
@@ -76,7 +77,7 @@
 	if _, err := os.Stat(folder); err != nil {
 		return content{}, merry.Wrap(err)
 	}
-	disk, err := storage.NewFolder(folder)
+	disk, err := diskio.NewFolder(folder)
 	if err != nil {
 		return content{}, merry.Wrap(err)
 	}
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
 	"github.com/godwitlink/godwitlink/internal/replica"
 	"github.com/godwitlink/godwitlink/internal/storage"
@@ -107,7 +108,7 @@
 }
 
 func newReplica(b *base, s *ControlSettings, self node, client *http.Client, updates chan<- replica.WorkUpdate) (*replica.Replica, error) {
-	disk, err := storage.NewFolder(filepath.Join(s.DataDir, "log"))
+	disk, err := diskio.NewFolder(filepath.Join(s.DataDir, "log"))
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -18,6 +18,7 @@
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
 	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replica"
@@ -182,7 +183,7 @@
 // appendEntry adds a command to the log in a folder of replica 1.
 func appendEntry(t *testing.T, folder string, term uint64, data []byte) {
 	t.Helper()
-	disk, err := storage.NewFolder(folder)
+	disk, err := diskio.NewFolder(folder)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -15,6 +15,7 @@
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
 	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/replica"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 	"github.com/godwitlink/godwitlink/internal/storage"
@@ -135,7 +136,7 @@
 	entries := map[uint64]replog.Entry{}
 	states := map[uint64][]byte{}
 	for i := range 3 {
-		disk, err := storage.NewFolder(group.Folder(i))
+		disk, err := diskio.NewFolder(group.Folder(i))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -1,9 +1,12 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/godwitlink/godwitlink/internal/diskio"
 )
 
 // Errors of the data folder.
@@ -12,8 +15,6 @@
 	ErrDiskFull = merry.Sentinel("the disk is full")
 	// ErrBusy refuses a snapshot while another one is written.
 	ErrBusy = merry.Sentinel("another snapshot is being written")
-	// ErrLocked says that another process uses the folder.
-	ErrLocked = merry.Sentinel("another process uses the data folder")
 	// ErrFailed ends the task: a write or a sync failed, and the content of
 	// the folder is unknown until it is recovered by the next start.
 	ErrFailed = merry.Sentinel("the data folder cannot be written")
@@ -34,3 +35,7 @@
 func (e *DamageError) Error() string {
 	return fmt.Sprintf("%s: damaged at offset %d: %s", e.File, e.Offset, e.Reason)
 }
+
+// diskFull reports whether err says that there is no room left, on the disk or
+// below Options.LimitBytes.
+func diskFull(err error) bool { return diskio.IsFull(err) || errors.Is(err, ErrDiskFull) }
--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -9,13 +9,17 @@
 	"testing"
 
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 )
 
+// testFileMode is that of files which a test damages.
+const testFileMode = 0o600
+
 // Guards against two processes on one folder, and against a folder that is
 // taken over by another replica id.
 func TestFolderIsHeldByOneReplica(t *testing.T) {
 	open := func(path string, id replog.ReplicaID) (*Store, error) {
-		disk, err := NewFolder(path)
+		disk, err := diskio.NewFolder(path)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -32,8 +36,8 @@
 	if err := admit(store); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := open(path, 1); !errors.Is(err, ErrLocked) {
-		t.Errorf("second process: error %v, want ErrLocked", err)
+	if _, err := open(path, 1); !errors.Is(err, diskio.ErrLocked) {
+		t.Errorf("second process: error %v, want diskio.ErrLocked", err)
 	}
 	store.Close()
 	if _, err := open(path, 2); !errors.Is(err, ErrOtherReplica) {
@@ -74,21 +78,21 @@
 			t.Fatal(err)
 		}
 		if changed := c.change(bytes.Clone(original)); changed != nil {
-			err = os.WriteFile(c.file, changed, fileMode)
+			err = os.WriteFile(c.file, changed, testFileMode)
 		} else {
 			err = os.Remove(c.file)
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
-		disk, err := NewFolder(path)
+		disk, err := diskio.NewFolder(path)
 		if err != nil {
 			t.Fatal(err)
 		}
 		if _, _, err := Open(testOptions(disk)); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: error %v, want %q", name, err, c.want)
 		}
-		if err := os.WriteFile(c.file, original, fileMode); err != nil {
+		if err := os.WriteFile(c.file, original, testFileMode); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -113,9 +117,9 @@
 	return (<-store.completions).Err
 }
 
-func mustFolder(t *testing.T, path string) Disk {
+func mustFolder(t *testing.T, path string) diskio.Disk {
 	t.Helper()
-	disk, err := NewFolder(path)
+	disk, err := diskio.NewFolder(path)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"sort"
 	"strings"
 
@@ -11,6 +12,7 @@
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/walcodec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 )
 
 // Names of the files in a data folder.
@@ -18,7 +20,6 @@
 	identityName   = "identity"
 	segmentFormat  = "segment-%016x.wal"
 	snapshotFormat = "snapshot-%016x.snap"
-	temporaryEnd   = ".tmp"
 )
 
 // Recovered is the content of a data folder.
@@ -70,7 +71,7 @@
 
 // readFolder reads and checks all files. It changes nothing. After an error
 // the content holds what was read before it.
-func readFolder(disk Disk) (content, error) {
+func readFolder(disk diskio.Disk) (content, error) {
 	names, err := disk.List()
 	if err != nil {
 		return content{}, merry.Wrap(ErrFailed, merry.WithCause(err))
@@ -80,7 +81,7 @@
 	var segments []string
 	for _, name := range names {
 		switch {
-		case strings.HasSuffix(name, temporaryEnd):
+		case strings.HasSuffix(name, diskio.TemporarySuffix):
 			c.temporary = append(c.temporary, name)
 		case strings.HasPrefix(name, "segment-"):
 			segments = append(segments, name)
@@ -101,9 +102,9 @@
 	return c, err
 }
 
-func (c *content) readIdentity(disk Disk) error {
+func (c *content) readIdentity(disk diskio.Disk) error {
 	data, err := disk.Read(identityName)
-	if notExist(err) {
+	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
 	if err != nil {
@@ -117,7 +118,7 @@
 	return nil
 }
 
-func (c *content) readSnapshot(disk Disk) error {
+func (c *content) readSnapshot(disk diskio.Disk) error {
 	if len(c.snapshots) == 0 {
 		return nil
 	}
@@ -137,7 +138,7 @@
 	return nil
 }
 
-func (c *content) readLog(disk Disk, names []string) error {
+func (c *content) readLog(disk diskio.Disk, names []string) error {
 	c.leftover, names = splitAtGap(names)
 	log := walcodec.Log{}
 	for i, name := range names {
@@ -188,7 +189,7 @@
 	return segmentName(number + 1)
 }
 
-func (c *content) readSegment(disk Disk, name string, last bool, log *walcodec.Log) (segmentInfo, error) {
+func (c *content) readSegment(disk diskio.Disk, name string, last bool, log *walcodec.Log) (segmentInfo, error) {
 	data, err := disk.Read(name)
 	if err != nil {
 		return segmentInfo{}, merry.Wrap(ErrFailed, merry.WithCause(err))
@@ -224,7 +225,7 @@
 
 // Inspect reads a data folder without changing it. The folder must not be in
 // use.
-func Inspect(disk Disk) (Recovered, error) {
+func Inspect(disk diskio.Disk) (Recovered, error) {
 	if err := disk.Lock(); err != nil {
 		return Recovered{}, merry.Wrap(err)
 	}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
@@ -9,47 +8,9 @@
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/walcodec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 )
 
-// syncBytes bounds what is written between two syncs of a large file, because
-// a sync of the log waits for what the disk is writing.
-const syncBytes = 1 << 20
-
-// createWhole creates a file with the given content under its final name. The
-// file is durable when it returns and open for appending.
-func createWhole(disk Disk, name string, data []byte) (File, error) {
-	temporary := name + temporaryEnd
-	file, err := disk.Create(temporary)
-	if err != nil {
-		return nil, err
-	}
-	for first := true; first || len(data) > 0; first = false {
-		part := data[:min(len(data), syncBytes)]
-		data = data[len(part):]
-		if _, err := file.Write(part); err != nil {
-			return nil, errors.Join(err, file.Close(), disk.Remove(temporary))
-		}
-		if err := file.Sync(); err != nil {
-			return nil, errors.Join(syncError{err}, file.Close())
-		}
-	}
-	if err := disk.Rename(temporary, name); err != nil {
-		return nil, errors.Join(err, file.Close())
-	}
-	if err := disk.SyncFolder(); err != nil {
-		return nil, errors.Join(syncError{err}, file.Close())
-	}
-	return file, nil
-}
-
-func writeWhole(disk Disk, name string, data []byte) error {
-	file, err := createWhole(disk, name, data)
-	if err != nil {
-		return err
-	}
-	return file.Close()
-}
-
 // savedSnapshot is the answer of the goroutine that writes a snapshot.
 type savedSnapshot struct {
 	index uint64
@@ -142,7 +103,7 @@
 // writeSnapshot makes a snapshot file durable. It uses nothing that the task
 // changes.
 func (s *Store) writeSnapshot(snapshot replog.Snapshot) error {
-	if err := writeWhole(s.disk, snapshotName(snapshot.Index), walcodec.EncodeSnapshot(snapshot)); err != nil {
+	if err := diskio.WriteFile(s.disk, snapshotName(snapshot.Index), walcodec.EncodeSnapshot(snapshot)); err != nil {
 		return err
 	}
 	s.opts.Logger.Log(eventSnapshot, zap.Uint64("index", snapshot.Index), zap.Int("bytes", len(snapshot.Data)))
@@ -172,7 +133,7 @@
 
 func (s *Store) syncFolder() error {
 	if err := s.disk.SyncFolder(); err != nil {
-		return syncError{err}
+		return diskio.SyncError{Cause: err}
 	}
 	return nil
 }
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/diskio"
+	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
@@ -18,7 +20,7 @@
 // testSegmentBytes makes a workload of a few dozen appends roll over often.
 const testSegmentBytes = 300
 
-func testOptions(disk Disk) Options {
+func testOptions(disk diskio.Disk) Options {
 	return Options{Disk: disk, Replica: 1, Logger: eventlog.Nop(), Metrics: metrics.New(), SegmentBytes: testSegmentBytes}
 }
 
@@ -124,14 +126,14 @@
 func TestRecoversFromStopAtEveryOperation(t *testing.T) {
 	for seed := range uint64(32) {
 		for dieAt := 1; ; dieAt++ {
-			disk := newFakeDisk()
-			disk.dieAt = dieAt
+			disk := faultdisk.New()
+			disk.DieAt(dieAt)
 			before, pending := runUntilDeath(t, disk)
 			if pending == nil {
 				break
 			}
 			random := rand.New(rand.NewPCG(testSeed, seed))
-			store, recovered, err := Open(testOptions(disk.afterPowerLoss(random)))
+			store, recovered, err := Open(testOptions(disk.AfterPowerLoss(random)))
 			if err != nil {
 				t.Fatalf("stop at %d, seed %d: %v", dieAt, seed, err)
 			}
@@ -149,12 +151,12 @@
 func TestRecoveredStateSurvivesPowerLoss(t *testing.T) {
 	for seed := range uint64(32) {
 		for dieAt := 1; ; dieAt++ {
-			disk := newFakeDisk()
-			disk.dieAt = dieAt
+			disk := faultdisk.New()
+			disk.DieAt(dieAt)
 			if _, pending := runUntilDeath(t, disk); pending == nil {
 				break
 			}
-			killed := disk.afterKill()
+			killed := disk.AfterKill()
 			store, recovered, err := Open(testOptions(killed))
 			if err != nil {
 				t.Fatalf("kill at %d, seed %d: %v", dieAt, seed, err)
@@ -162,15 +164,15 @@
 			state := recoveredModel(recovered)
 			random := rand.New(rand.NewPCG(testSeed, seed))
 			at := fmt.Sprintf("kill at %d, seed %d, loss of power after the start", dieAt, seed)
-			checkRecovers(t, at, killed.afterPowerLoss(random), state)
+			checkRecovers(t, at, killed.AfterPowerLoss(random), state)
 			state = appendNext(t, store, state)
 			at = fmt.Sprintf("kill at %d, seed %d, loss of power after an append", dieAt, seed)
-			checkRecovers(t, at, killed.afterPowerLoss(random), state)
+			checkRecovers(t, at, killed.AfterPowerLoss(random), state)
 		}
 	}
 }
 
-func checkRecovers(t *testing.T, at string, disk *fakeDisk, want model) {
+func checkRecovers(t *testing.T, at string, disk *faultdisk.Disk, want model) {
 	t.Helper()
 	_, recovered, err := Open(testOptions(disk))
 	if err != nil {
@@ -184,7 +186,7 @@
 
 // runUntilDeath runs the workload and returns the state that was answered and
 // the request that was not, or nil where the workload came to its end.
-func runUntilDeath(t *testing.T, disk *fakeDisk) (model, Request) {
+func runUntilDeath(t *testing.T, disk *faultdisk.Disk) (model, Request) {
 	t.Helper()
 	state := model{}
 	store, _, err := Open(testOptions(disk))
@@ -215,7 +217,7 @@
 	t.Helper()
 	state = appendNext(t, store, state)
 	store.Close()
-	checkRecovers(t, "after the restart", store.disk.(*fakeDisk), state)
+	checkRecovers(t, "after the restart", store.disk.(*faultdisk.Disk), state)
 }
 
 // appendNext appends to a store that may vote and returns its state.
@@ -236,7 +238,7 @@
 // content is unknown, and against taking such a failure for a full disk.
 func TestFailedSyncIsFatal(t *testing.T) {
 	for _, cause := range []error{syscall.EIO, syscall.ENOSPC} {
-		disk := newFakeDisk()
+		disk := faultdisk.New()
 		store, _, err := Open(testOptions(disk))
 		if err != nil {
 			t.Fatal(err)
@@ -244,7 +246,7 @@
 		if err := store.serve([]Request{Append{Seq: 1, HardState: &replog.HardState{Term: 1}}}); err != nil {
 			t.Fatal(err)
 		}
-		disk.fail[disk.ops+2] = cause // after the write of the record
+		disk.FailAt(disk.Ops()+2, cause) // after the write of the record
 		err = store.serve([]Request{Append{Seq: 2, HardState: &replog.HardState{Term: 2}}})
 		if !errors.Is(err, ErrFailed) {
 			t.Errorf("%v: error %v, want ErrFailed", cause, err)
@@ -255,7 +257,7 @@
 // Guards against a full disk that stops the process, loses an answered append
 // or takes a later append before the refused one.
 func TestFullDiskRefusesUntilRoom(t *testing.T) {
-	disk := newFakeDisk()
+	disk := faultdisk.New()
 	store, _, err := Open(testOptions(disk))
 	if err != nil {
 		t.Fatal(err)
@@ -276,7 +278,7 @@
 	if err := serve(first); err != nil {
 		t.Fatal(err)
 	}
-	disk.fail[disk.ops+1] = syscall.ENOSPC
+	disk.FailAt(disk.Ops()+1, syscall.ENOSPC)
 	if err := serve(second); !errors.Is(err, ErrDiskFull) {
 		t.Fatalf("error %v, want ErrDiskFull", err)
 	}
@@ -298,7 +300,7 @@
 // Guards against a limit that is not checked, and against a bound of entries
 // for each sync that drops entries.
 func TestOptionsOfWriting(t *testing.T) {
-	disk := newFakeDisk()
+	disk := faultdisk.New()
 	opts := testOptions(disk)
 	opts.EntriesPerSync = 1
 	opts.LimitBytes = 600
@@ -325,7 +327,7 @@
 // Guards against a snapshot of the own state that, finished after a newer one
 // was installed, takes its place.
 func TestInstalledSnapshotOutlivesOlderOne(t *testing.T) {
-	disk := newFakeDisk()
+	disk := faultdisk.New()
 	store, _, err := Open(testOptions(disk))
 	if err != nil {
 		t.Fatal(err)
@@ -346,7 +348,16 @@
 	if err != nil || recovered.Snapshot == nil || recovered.Snapshot.Index != 30 {
 		t.Fatalf("snapshot %+v, error %v, want index 30", recovered.Snapshot, err)
 	}
-	if names := strings.Join(sortedNames(disk.current), " "); strings.Contains(names, snapshotName(4)) {
+	if names := strings.Join(listNames(t, disk), " "); strings.Contains(names, snapshotName(4)) {
 		t.Errorf("the older snapshot is left: %s", names)
 	}
 }
+
+func listNames(t *testing.T, disk diskio.Disk) []string {
+	t.Helper()
+	names, err := disk.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -11,6 +11,7 @@
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/walcodec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
@@ -22,7 +23,7 @@
 
 // Options of a Store.
 type Options struct {
-	Disk    Disk
+	Disk    diskio.Disk
 	Replica replog.ReplicaID
 	Logger  *eventlog.Logger
 	Metrics *metrics.Set
@@ -74,7 +75,7 @@
 // Store is the task that owns a data folder.
 type Store struct {
 	opts        Options
-	disk        Disk
+	disk        diskio.Disk
 	requests    chan Request
 	completions chan Completion
 	log         writer
@@ -150,7 +151,7 @@
 // makeDurable syncs what was recovered, before the replica counts it as held.
 // A process that was killed between a write and its sync leaves records and
 // names that reading cannot tell from synced ones.
-func makeDurable(disk Disk, c content) error {
+func makeDurable(disk diskio.Disk, c content) error {
 	for _, segment := range c.segments {
 		if err := disk.SyncFile(segmentName(segment.number)); err != nil {
 			return err
@@ -337,7 +338,7 @@
 }
 
 func (s *Store) writeIdentity(identity walcodec.Identity) error {
-	if err := writeWhole(s.disk, identityName, walcodec.EncodeIdentity(identity)); err != nil {
+	if err := diskio.WriteFile(s.disk, identityName, walcodec.EncodeIdentity(identity)); err != nil {
 		return err
 	}
 	s.identity = &identity
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/walcodec"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
 
@@ -17,10 +18,10 @@
 
 // writer appends records to the last segment.
 type writer struct {
-	disk      Disk
+	disk      diskio.Disk
 	metrics   *metrics.Set
 	options   Options
-	active    File // nil until the first write
+	active    diskio.File // nil until the first write
 	salt      uint64
 	current   segmentInfo // of the active segment
 	closed    []segmentInfo
@@ -105,7 +106,7 @@
 		return errors.Join(err, w.cut(err))
 	}
 	if err := w.active.Sync(); err != nil {
-		return syncError{err}
+		return diskio.SyncError{Cause: err}
 	}
 	w.current.size += int64(len(w.record))
 	w.metrics.Add(metricSyncs, "", 1)
@@ -113,18 +114,12 @@
 	return nil
 }
 
-// syncError hides the cause of a failed sync from diskFull: after it the
-// content of the file is unknown, whatever the cause.
-type syncError struct{ cause error }
-
-func (e syncError) Error() string { return "sync: " + e.cause.Error() }
-
 func (w *writer) cut(cause error) error {
 	if !diskFull(cause) {
 		return nil
 	}
 	if err := w.active.Truncate(w.current.size); err != nil {
-		return syncError{err}
+		return diskio.SyncError{Cause: err}
 	}
 	return nil
 }
@@ -161,7 +156,7 @@
 	first := walcodec.Batch{Base: &w.last, HardState: &w.hardState}
 	data := walcodec.AppendSegmentHeader(nil, walcodec.SegmentHeader{Number: w.next, Salt: salt})
 	data = walcodec.AppendRecord(data, salt, int64(len(data)), walcodec.AppendBatch(nil, first))
-	file, err := createWhole(w.disk, segmentName(w.next), data)
+	file, err := diskio.CreateFile(w.disk, segmentName(w.next), data)
 	if err != nil {
 		return err
 	}
