Sync the cut of a write that a full disk has refused

Cause: a full disk may take a part of a record. The part was cut without a sync.

Change: the cut is synced. The fake disk now undoes unsynced cuts, tears writes at either end and loses all unsynced changes of files at some losses of power.

--- a/internal/diskio/faultdisk/faultdisk.go
+++ b/internal/diskio/faultdisk/faultdisk.go
@@ -17,8 +17,8 @@
 var ErrDead = errors.New("the machine has stopped")
 
 // Disk is one folder. Names live in current until SyncFolder copies them to
-// durable; bytes count as durable up to the synced length of their file. The
-// mutex stands for the kernel: a store writes snapshots beside its log.
+// durable; the changes of a file since its last sync are kept apart. The mutex
+// stands for the kernel: a store writes snapshots beside its log.
 type Disk struct {
 	mutex   sync.Mutex
 	current map[string]*file
@@ -34,6 +34,13 @@
 	disk   *Disk
 	data   []byte
 	synced []byte
+	since  []change // after the last sync
+}
+
+// change is a write at an offset, or a cut at it where data is nil.
+type change struct {
+	at   int
+	data []byte
 }
 
 // New returns an empty disk.
@@ -77,15 +84,17 @@
 	d.refuse = err
 }
 
-// AfterPowerLoss returns the disk as the next start finds it: of the unsynced
-// bytes of each file a random part was written, and each unsynced change of a
-// name is kept or lost independently.
+// AfterPowerLoss returns the disk as the next start finds it. Each change of a
+// name or a file since the last sync is kept, lost or, where it is a write,
+// torn, independently of the others; at some losses all changes of files are
+// lost.
 func (d *Disk) AfterPowerLoss(random *rand.Rand) *Disk {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	names := maps.Clone(d.durable)
 	maps.Copy(names, d.current)
 	next := New()
+	allLost := random.IntN(4) == 0
 	for _, name := range sortedNames(names) {
 		found := d.durable[name]
 		if random.IntN(2) == 0 {
@@ -95,15 +104,42 @@
 			continue
 		}
 		data := slices.Clone(found.synced)
-		if extra := len(found.data) - len(data); extra > 0 {
-			data = append(data, found.data[len(data):len(data)+random.IntN(extra+1)]...)
+		for _, c := range found.since {
+			if !allLost {
+				data = c.survive(data, random)
+			}
 		}
-		next.current[name] = &file{disk: next, data: data, synced: data}
+		next.current[name] = &file{disk: next, data: data, synced: slices.Clone(data)}
 	}
 	next.durable = maps.Clone(next.current)
 	return next
 }
 
+// survive returns what a loss of power leaves of a change: nothing, all of it,
+// or of a write only its front or its end.
+func (c change) survive(data []byte, random *rand.Rand) []byte {
+	fate := random.IntN(4)
+	switch {
+	case fate == 0:
+		return data
+	case c.data == nil:
+		return data[:min(c.at, len(data))]
+	}
+	from, to := 0, len(c.data)
+	switch {
+	case to == 0:
+	case fate == 1:
+		to = random.IntN(to)
+	case fate == 2:
+		from = random.IntN(to)
+	}
+	if missing := c.at + to - len(data); missing > 0 {
+		data = append(data, make([]byte, missing)...)
+	}
+	copy(data[c.at+from:], c.data[from:to])
+	return data
+}
+
 // AfterKill returns the disk as the next process finds it while the machine
 // runs on: everything written is there, and what was not synced still is not.
 func (d *Disk) AfterKill() *Disk {
@@ -114,7 +150,9 @@
 	copyNames := func(to, from map[string]*file) {
 		for name, found := range from {
 			if copies[found] == nil {
-				copies[found] = &file{disk: next, data: slices.Clone(found.data), synced: slices.Clone(found.synced)}
+				copies[found] = &file{
+					disk: next, data: slices.Clone(found.data), synced: slices.Clone(found.synced), since: slices.Clone(found.since),
+				}
 			}
 			to[name] = copies[found]
 		}
@@ -193,8 +231,8 @@
 	return made, nil
 }
 
-// change carries out an operation on the names or a file of the disk.
-func (d *Disk) change(operation func()) error {
+// perform carries out an operation on the names or a file of the disk.
+func (d *Disk) perform(operation func()) error {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if err := d.step(); err != nil {
@@ -206,12 +244,12 @@
 
 // Truncate implements diskio.Disk.
 func (d *Disk) Truncate(name string, size int64) error {
-	return d.change(func() { d.current[name].data = d.current[name].data[:size] })
+	return d.perform(func() { d.current[name].truncate(size) })
 }
 
 // Rename implements diskio.Disk.
 func (d *Disk) Rename(from, to string) error {
-	return d.change(func() {
+	return d.perform(func() {
 		d.current[to] = d.current[from]
 		delete(d.current, from)
 	})
@@ -219,17 +257,17 @@
 
 // Remove implements diskio.Disk.
 func (d *Disk) Remove(name string) error {
-	return d.change(func() { delete(d.current, name) })
+	return d.perform(func() { delete(d.current, name) })
 }
 
 // SyncFile implements diskio.Disk.
 func (d *Disk) SyncFile(name string) error {
-	return d.change(func() { d.current[name].synced = slices.Clone(d.current[name].data) })
+	return d.perform(func() { d.current[name].sync() })
 }
 
 // SyncFolder implements diskio.Disk.
 func (d *Disk) SyncFolder() error {
-	return d.change(func() { d.durable = maps.Clone(d.current) })
+	return d.perform(func() { d.durable = maps.Clone(d.current) })
 }
 
 // Write implements diskio.File. An interrupted write leaves a part behind.
@@ -241,19 +279,29 @@
 	if err != nil {
 		n /= 2
 	}
+	if n > 0 {
+		f.since = append(f.since, change{at: len(f.data), data: slices.Clone(data[:n])})
+	}
 	f.data = append(f.data, data[:n]...)
 	return n, err
 }
 
 // Sync implements diskio.File.
 func (f *file) Sync() error {
-	return f.disk.change(func() { f.synced = slices.Clone(f.data) })
+	return f.disk.perform(f.sync)
 }
 
 // Truncate implements diskio.File.
 func (f *file) Truncate(size int64) error {
-	return f.disk.change(func() { f.data = f.data[:size] })
+	return f.disk.perform(func() { f.truncate(size) })
 }
 
 // Close implements diskio.File.
 func (f *file) Close() error { return nil }
+
+func (f *file) sync() { f.synced, f.since = slices.Clone(f.data), nil }
+
+func (f *file) truncate(size int64) {
+	f.since = append(f.since, change{at: int(size)})
+	f.data = f.data[:size]
+}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -297,6 +297,41 @@
 	}
 }
 
+// Guards against a part of a refused write that comes back after a loss of
+// power, behind which another segment stands by then.
+func TestCutOfRefusedWriteIsDurable(t *testing.T) {
+	for seed := range uint64(100) {
+		disk := faultdisk.New()
+		store, _, err := Open(testOptions(disk))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := admit(store); err != nil {
+			t.Fatal(err)
+		}
+		serve := func(request Request) error {
+			t.Helper()
+			if err := serveOne(store, request); err != nil {
+				t.Fatal(err)
+			}
+			return (<-store.completions).Err
+		}
+		second := Append{Seq: 2, Entries: entries(5, 9, 1)}
+		if err := serve(Append{Seq: 1, HardState: &replog.HardState{Term: 1}, Entries: entries(1, 4, 1)}); err != nil {
+			t.Fatal(err)
+		}
+		disk.FailAt(disk.Ops()+1, syscall.ENOSPC)
+		if err := serve(second); !errors.Is(err, ErrDiskFull) {
+			t.Fatalf("error %v, want ErrDiskFull", err)
+		}
+		if err := errors.Join(serve(SaveSnapshot{*snapshotAt(3, 1)}), serve(second)); err != nil {
+			t.Fatal(err)
+		}
+		want := model{hardState: replog.HardState{Term: 1}, snapshot: 3, entries: entries(4, 9, 1)}
+		checkRecovers(t, fmt.Sprintf("seed %d", seed), disk.AfterPowerLoss(rand.New(rand.NewPCG(testSeed, seed))), want)
+	}
+}
+
 // Guards against a limit that is not checked, and against a bound of entries
 // for each sync that drops entries.
 func TestOptionsOfWriting(t *testing.T) {
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -114,11 +114,13 @@
 	return nil
 }
 
+// cut removes what a refused write has left. It is durable when it returns,
+// because the next record may go to another segment.
 func (w *writer) cut(cause error) error {
 	if !diskFull(cause) {
 		return nil
 	}
-	if err := w.active.Truncate(w.current.size); err != nil {
+	if err := errors.Join(w.active.Truncate(w.current.size), w.active.Sync()); err != nil {
 		return diskio.SyncError{Cause: err}
 	}
 	return nil
