--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -78,8 +78,15 @@
 	return nil
 }
 
+// install writes the hard state before the snapshot, because a replica cannot
+// start with a snapshot of a later term.
 func (s *Store) install(request Append) error {
 	snapshot := *request.Install
+	if request.HardState != nil {
+		if err := s.log.writeBatch(walcodec.Batch{HardState: request.HardState}); err != nil {
+			return err
+		}
+	}
 	if err := s.writeSnapshot(snapshot); err != nil {
 		return err
 	}
@@ -91,8 +98,10 @@
 	if err := s.log.writeBatch(walcodec.Batch{Reset: reset}); err != nil {
 		return err
 	}
-	if err := s.log.write([]Append{{HardState: request.HardState, Entries: request.Entries}}); err != nil {
-		return err
+	if len(request.Entries) > 0 {
+		if err := s.log.write([]Append{{Entries: request.Entries}}); err != nil {
+			return err
+		}
 	}
 	// Everything before the reset is replaced, whatever its index.
 	return s.removeCovered(^uint64(0))
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/diskio"
@@ -52,7 +53,7 @@
 		Append{HardState: &replog.HardState{Term: 3}, Install: snapshotAt(30, 3), Entries: entries(31, 33, 3)},
 		Append{Entries: entries(34, 38, 3)},
 		SaveSnapshot{*snapshotAt(36, 3)},
-		Append{Entries: entries(37, 37, 4)},
+		Append{HardState: &replog.HardState{Term: 4}, Entries: entries(37, 37, 4)},
 	}
 	seq := uint64(0)
 	for i, request := range requests {
@@ -109,13 +110,42 @@
 	return m
 }
 
+// Guards against a folder that recovers but whose log no replica can start
+// with, at every start.
+func TestRecoveredLogStarts(t *testing.T) {
+	for dieAt := 1; ; dieAt++ {
+		disk := faultdisk.New()
+		disk.DieAt(dieAt)
+		if _, pending := runUntilDeath(t, disk); pending == nil {
+			return
+		}
+		_, recovered, err := Open(testOptions(disk.AfterKill()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = replog.New(replog.Config{
+			ID: 1, Membership: replog.Membership{Voters: []replog.ReplicaID{1}}, ElectionTimeoutMin: time.Second,
+			ElectionTimeoutMax: 2 * time.Second, HeartbeatInterval: 100 * time.Millisecond, MaxBatchBytes: 1 << 20, MaxInflight: 1, MaxPending: 1,
+			HardState: recovered.HardState, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
+		}, time.Unix(0, 0))
+		if err != nil {
+			t.Errorf("stop at %d: %v", dieAt, err)
+		}
+	}
+}
+
 // allowed returns the states in which the folder may be found where request
 // was under way when the machine stopped.
 func allowed(before model, request Request) []string {
 	states := []string{before.String(), before.apply(request).String()}
 	if install, ok := request.(Append); ok && install.Install != nil {
-		between := model{hardState: before.hardState, snapshot: install.Install.Index}
-		states = append(states, between.String())
+		// The hard state is written first: a log may hold no term above it.
+		voted := before
+		if install.HardState != nil {
+			voted.hardState = *install.HardState
+		}
+		installed := model{hardState: voted.hardState, snapshot: install.Install.Index}
+		states = append(states, voted.String(), installed.String())
 	}
 	return states
 }
