--- a/core/walcodec/log.go
+++ b/core/walcodec/log.go
@@ -15,6 +15,7 @@
 type Log struct {
 	HardState replog.HardState
 	base      Position // entry before the first of entries
+	start     uint64   // index of the base of the first segment or of the last reset
 	entries   []replog.Entry
 	started   bool
 	floor     uint64 // index of the last reset; nothing at or below it changes
@@ -40,7 +41,7 @@
 		}
 	}
 	if b.Reset != nil {
-		l.base, l.entries, l.floor = *b.Reset, nil, b.Reset.Index
+		l.base, l.entries, l.floor, l.start = *b.Reset, nil, b.Reset.Index, b.Reset.Index
 	}
 	if b.HardState != nil {
 		l.HardState = *b.HardState
@@ -57,7 +58,7 @@
 // every later one.
 func (l *Log) startSegment(base Position) error {
 	if !l.started {
-		l.base, l.started = base, true
+		l.base, l.started, l.start = base, true, base.Index
 		return nil
 	}
 	if last := l.Last(); base != last {
@@ -88,9 +89,9 @@
 // installed over another log, and kept is false. The error wraps ErrGap where
 // entries between the snapshot and the log are missing.
 func (l *Log) Attach(snapshot Position) (kept bool, err error) {
-	if l.base.Index > snapshot.Index {
+	if l.start > snapshot.Index {
 		return false, fmt.Errorf("%w: the log starts after entry %d, the snapshot ends at entry %d",
-			ErrGap, l.base.Index, snapshot.Index)
+			ErrGap, l.start, snapshot.Index)
 	}
 	if l.term(snapshot.Index) != snapshot.Term || l.Last().Index < snapshot.Index {
 		l.base, l.entries = snapshot, nil
--- a/core/walcodec/walcodec_test.go
+++ b/core/walcodec/walcodec_test.go
@@ -119,7 +119,7 @@
 		"before start": {at: Position{4, 1}, gap: true},
 	}
 	for name, c := range cases {
-		log := Log{base: Position{5, 1}, entries: []replog.Entry{{Index: 6, Term: 1}, {Index: 7, Term: 1}, {Index: 8, Term: 1}}}
+		log := Log{base: Position{5, 1}, start: 5, entries: []replog.Entry{{Index: 6, Term: 1}, {Index: 7, Term: 1}, {Index: 8, Term: 1}}}
 		kept, err := log.Attach(c.at)
 		if kept != c.kept || errors.Is(err, ErrGap) != c.gap || (!c.gap && len(log.Entries()) != c.left) {
 			t.Errorf("%s: kept %v, %d left, error %v", name, kept, len(log.Entries()), err)
@@ -127,6 +127,24 @@
 	}
 }
 
+// Guards against a needed segment that is missing and passes as a log that a
+// snapshot has replaced: entries that replace those of the missing segment
+// lower the base to the snapshot.
+func TestLogWithoutNeededSegmentIsRefused(t *testing.T) {
+	log := Log{}
+	for _, batch := range []Batch{
+		{Base: &Position{Index: 40, Term: 3}, HardState: &replog.HardState{Term: 4}},
+		{Entries: []replog.Entry{{Index: 37, Term: 4}}},
+	} {
+		if err := log.Apply(batch); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if kept, err := log.Attach(Position{Index: 36, Term: 3}); !errors.Is(err, ErrGap) {
+		t.Errorf("kept %v, error %v, want ErrGap", kept, err)
+	}
+}
+
 // Guards against files that are taken although a byte of them differs.
 func TestSealedFiles(t *testing.T) {
 	snapshot := replog.Snapshot{
