--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -102,21 +102,11 @@
 }
 
 func open(opts Options) (*Store, Recovered, error) {
-	c, err := readFolder(opts.Disk)
+	c, err := recoverFolder(opts)
 	if err != nil {
 		opts.Logger.Log(eventDamaged, append(c.fields(), zap.Error(err))...)
 		return nil, Recovered{}, err
 	}
-	if c.Identity != nil && c.Identity.Replica != opts.Replica {
-		return nil, Recovered{}, merry.Appendf(ErrOtherReplica, "replica %d, not %d", c.Identity.Replica, opts.Replica)
-	}
-	err = repair(opts, c)
-	if err == nil {
-		err = makeDurable(opts.Disk, c)
-	}
-	if err != nil {
-		return nil, Recovered{}, merry.Wrap(ErrFailed, merry.WithCause(err))
-	}
 	store := &Store{
 		opts:        opts,
 		disk:        opts.Disk,
@@ -132,6 +122,25 @@
 	return store, c.Recovered, nil
 }
 
+// recoverFolder reads a folder, repairs it and makes it durable. After an error
+// the content holds what was read.
+func recoverFolder(opts Options) (content, error) {
+	c, err := readFolder(opts.Disk)
+	if err != nil {
+		return c, err
+	}
+	if c.Identity != nil && c.Identity.Replica != opts.Replica {
+		return c, merry.Appendf(ErrOtherReplica, "replica %d, not %d", c.Identity.Replica, opts.Replica)
+	}
+	if err := repair(opts, c); err != nil {
+		return c, merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	if err := makeDurable(opts.Disk, c); err != nil {
+		return c, merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	return c, nil
+}
+
 // repair cuts a torn record and removes what an interrupted start, snapshot or
 // removal has left.
 func repair(opts Options, c content) error {
