Wait for room on the disk before the identity of a replica is stored

Cause: a replica that met a full disk when it stored its identity ended. The other founders had its answer and formed the group without it; at each later start the folder was empty beside a formed group, which ends with ErrMustJoin.

The replica has never voted, so it may be as late as a slow start.

Evidence: TestFounderWaitsForRoomOnItsDisk failed before ('the disk is full') and passes now.

--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/diskio"
+	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replica"
@@ -156,6 +158,25 @@
 	}
 }
 
+// Guards against a founder that ends because its disk is full before it has
+// stored its identity: the others form the group, and no later start may vote.
+func TestFounderWaitsForRoomOnItsDisk(t *testing.T) {
+	disk := faultdisk.New()
+	disk.RefuseWrites(syscall.ENOSPC)
+	group := startGroup(t, 3, func(o *replica.Options) {
+		if o.ID == 3 {
+			o.Storage.Disk = disk
+		}
+	})
+	applyFile(t, group, cellFile(t, "turnos.toml"))
+	report, err := group.Replica(leaderOf(t, group)).Report(callContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk.RefuseWrites(nil)
+	awaitApplied(t, group, 2, report.Applied)
+}
+
 // Guards against states that differ between versions of the program: a replica
 // that cannot decode a committed command must stop and not leave it out.
 func TestUnknownCommandStopsTheReplica(t *testing.T) {
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,21 +44,53 @@
 	return t.saveIdentity(ctx)
 }
 
+// saveIdentity stores the identity, again and again while the disk is full. A
+// replica that ended instead would leave an id that the others know and a
+// folder that it may never vote with.
 func (t *task) saveIdentity(ctx context.Context) error {
-	t.store.Requests() <- storage.Admit{Joined: t.joined}
-	select {
-	case <-ctx.Done():
-		return nil
-	case saved := <-t.store.Completions():
-		if saved.Err != nil {
-			return saved.Err
+	for t.stopping == nil {
+		t.store.Requests() <- storage.Admit{Joined: t.joined}
+		select {
+		case <-ctx.Done():
+			return nil
+		case saved := <-t.store.Completions():
+			if saved.Err == nil {
+				t.admitted = true
+				t.setDiskFull(false)
+				t.announce()
+				return nil
+			}
+			if !errors.Is(saved.Err, storage.ErrDiskFull) {
+				return saved.Err
+			}
 		}
+		t.setDiskFull(true)
+		t.opts.Metrics.Add(metricRetries, "disk-full", 1)
+		t.awaitRoom(ctx)
 	}
-	t.admitted = true
-	t.announce()
 	return nil
 }
 
+// awaitRoom answers calls until it is time to write to a full disk again.
+func (t *task) awaitRoom(ctx context.Context) {
+	timer := time.NewTimer(diskRetryInterval)
+	defer timer.Stop()
+	for t.stopping == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case c := <-t.calls:
+			t.answerUnformed(c)
+		case answer := <-t.announcer.Answers():
+			t.learnAll(answer)
+		case <-t.steps:
+			// A replica without an identity takes no part in the log.
+		}
+	}
+}
+
 // admitJoin waits until the leader has said that the group has no member with
 // this id. A member with it may have voted with a folder that was lost, and a
 // new log under the same id could contradict those votes.
