Hand the leadership over where the leader's disk is full or slow

What callers saw: while the disk of the leader was full every submission was refused, for as long as the disk was full; while it hung, the leader went on until too many writes waited, and a new one was elected 2.4 s later.

Cause: only a planned stop handed the leadership over. Commands need no sync of the leader to commit, but the leader took none while its own disk refused.

Change: a leader whose disk has refused a write, or has not synced one for 0.5 s, offers the leadership to the follower with the longest log that has stored that write.

TestLeaderWithABadDiskHandsOver/full failed before (30 s without a leader); its case of a hanging disk passed before too, after an election.

--- a/internal/diskio/faultdisk/faultdisk.go
+++ b/internal/diskio/faultdisk/faultdisk.go
@@ -28,6 +28,7 @@
 	fail    map[int]error
 	dieAt   int
 	refuse  error
+	hung    chan struct{} // closed when the disk answers again; nil where it does
 }
 
 type file struct {
@@ -84,6 +85,31 @@
 	d.refuse = err
 }
 
+// Hang keeps every operation that changes the disk waiting until it is called
+// with false.
+func (d *Disk) Hang(hang bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	switch {
+	case hang && d.hung == nil:
+		d.hung = make(chan struct{})
+	case !hang && d.hung != nil:
+		close(d.hung)
+		d.hung = nil
+	}
+}
+
+// begin locks the disk once it answers.
+func (d *Disk) begin() {
+	d.mutex.Lock()
+	for d.hung != nil {
+		hung := d.hung
+		d.mutex.Unlock()
+		<-hung
+		d.mutex.Lock()
+	}
+}
+
 // AfterPowerLoss returns the disk as the next start finds it. Each change of a
 // name or a file since the last sync is kept, lost or, where it is a write,
 // torn, independently of the others; at some losses all changes of files are
@@ -221,7 +247,7 @@
 
 // Create implements diskio.Disk.
 func (d *Disk) Create(name string) (diskio.File, error) {
-	d.mutex.Lock()
+	d.begin()
 	defer d.mutex.Unlock()
 	if err := d.write(); err != nil {
 		return nil, err
@@ -233,7 +259,7 @@
 
 // perform carries out an operation on the names or a file of the disk.
 func (d *Disk) perform(operation func()) error {
-	d.mutex.Lock()
+	d.begin()
 	defer d.mutex.Unlock()
 	if err := d.step(); err != nil {
 		return err
@@ -272,7 +298,7 @@
 
 // Write implements diskio.File. An interrupted write leaves a part behind.
 func (f *file) Write(data []byte) (int, error) {
-	f.disk.mutex.Lock()
+	f.disk.begin()
 	defer f.disk.mutex.Unlock()
 	err := f.disk.write()
 	n := len(data)
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -25,6 +25,7 @@
 type unsynced struct {
 	request   storage.Append
 	mark      uint64
+	since     time.Time
 	afterSync []replog.Message
 }
 
@@ -47,7 +48,7 @@
 
 func (t *task) carryOut(now time.Time, e replog.Effects) error {
 	t.sender.Send(e.Messages)
-	t.persist(e)
+	t.persist(now, e)
 	if e.Snapshot != nil {
 		if err := t.install(*e.Snapshot, now); err != nil {
 			return err
@@ -64,7 +65,7 @@
 	return nil
 }
 
-func (t *task) persist(e replog.Effects) {
+func (t *task) persist(now time.Time, e replog.Effects) {
 	if e.HardState == nil && e.Snapshot == nil && len(e.Entries) == 0 {
 		t.sendAfterSync(e.AfterSync)
 		return
@@ -72,7 +73,7 @@
 	t.formed = t.formed || e.Snapshot != nil || len(e.Entries) > 0
 	t.disk.seq++
 	request := storage.Append{Seq: t.disk.seq, HardState: e.HardState, Install: e.Snapshot, Entries: e.Entries}
-	t.disk.unsynced = append(t.disk.unsynced, unsynced{request: request, mark: e.Mark, afterSync: e.AfterSync})
+	t.disk.unsynced = append(t.disk.unsynced, unsynced{request: request, mark: e.Mark, since: now, afterSync: e.AfterSync})
 	if !t.disk.full {
 		t.submit(request)
 	}
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -48,7 +48,8 @@
 		"commands that the state refused, by reason")
 	metricRetries = metrics.Declare("control_retries_total", metrics.KindCounter,
 		"work of the leader that is tried again, by reason")
-	metricSteps = metrics.Declare("control_group_steps_total", metrics.KindCounter,
+	metricHandOvers = metrics.Declare("control_hand_overs_total", metrics.KindCounter, "offers of the leadership to another replica by reason")
+	metricSteps     = metrics.Declare("control_group_steps_total", metrics.KindCounter,
 		"steps that changed the control group or its leader, by kind")
 	metricGrants     = metrics.Declare("control_lease_grants_total", metrics.KindCounter, "worker leases granted")
 	metricNoGrants   = metrics.Declare("control_lease_refusals_total", metrics.KindCounter, "worker leases not granted, by reason")
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -367,3 +367,36 @@
 		t.Errorf("stop: %v", err)
 	}
 }
+
+// Guards against a group that takes no commands while only the disk of its
+// leader is full or hangs.
+func TestLeaderWithABadDiskHandsOver(t *testing.T) {
+	for name, impair := range map[string]func(*faultdisk.Disk){
+		"full":    func(d *faultdisk.Disk) { d.RefuseWrites(syscall.ENOSPC) },
+		"hanging": func(d *faultdisk.Disk) { d.Hang(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			disks := map[replog.ReplicaID]*faultdisk.Disk{1: faultdisk.New(), 2: faultdisk.New(), 3: faultdisk.New()}
+			group := startGroup(t, 3, func(o *replica.Options) { o.Storage.Disk = disks[o.ID] })
+			applyFile(t, group, cellFile(t, "turnos.toml"))
+			join(t, group)
+			former := leaderOf(t, group)
+			bad := disks[replog.ReplicaID(former+1)]
+			impair(bad)
+			defer func() {
+				bad.RefuseWrites(nil)
+				bad.Hang(false)
+			}()
+			for ctx := callContext(t); leaderOf(t, group) == former; {
+				// The command that meets the disk may be refused.
+				_, err := group.Client().Propose(ctx, begin(0, 1))
+				if ctx.Err() != nil {
+					t.Fatalf("replica %d still leads: %v", former+1, err)
+				}
+			}
+			if granted := commitMany(t, group, 2, 50); granted < 49 {
+				t.Errorf("%d of 49 commands carried out", granted)
+			}
+		})
+	}
+}
--- a/internal/replica/stop.go
+++ b/internal/replica/stop.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/godwitlink/godwitlink/core/replog"
 )
 
@@ -35,24 +33,3 @@
 	alone := len(t.status.Membership.Voters) == 1
 	return len(t.proposals.waiting) == 0 && (t.status.Role != replog.RoleLeader || alone)
 }
-
-// handOver offers the leadership to the follower whose log is longest. An
-// offer that nobody took up is made again.
-func (t *task) handOver(now time.Time) {
-	if t.status.Role != replog.RoleLeader || t.status.Transferring {
-		return
-	}
-	var best replog.FollowerStatus
-	for _, follower := range t.status.Followers {
-		alive := now.Sub(follower.AnsweredAt) < t.opts.ElectionTimeoutMin
-		if alive && !follower.Learner && follower.Match >= best.Match {
-			best = follower
-		}
-	}
-	if best.ID == 0 {
-		return
-	}
-	if err := t.core.TransferLeadership(now, best.ID); err == nil {
-		t.opts.Logger.Log(eventTransfer, zap.Uint64("to", uint64(best.ID)))
-	}
-}
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -259,9 +259,7 @@
 	if t.leading != nil {
 		t.lead(now)
 	}
-	if t.stopping != nil {
-		t.handOver(now)
-	}
+	t.considerHandOver(now)
 	if !now.Before(t.nextHousekeeping) {
 		t.nextHousekeeping = now.Add(housekeepingInterval)
 		t.housekeeping()
