Replace a control replica of the platform whose log cannot be continued

The group was one replica short although it could have replaced it like one that lost its disk.

Cause: a damaged, incomplete or foreign log, an emptied folder and a lost node.toml ended the process, which waits for an operator. On the users' platform there is none for this.

Change: the replica stores a new identity and joins with an empty folder. The former id never votes again, as after a lost disk, so no vote and no acknowledgement of it counts twice; without a group that has a quorum it waits. The damaged folder is kept unchanged, at most one, within the disk's room (4307 to 4310, storage_damaged_folders). A file of another format version is not damage, and an error of input or output may pass: both still end the process. node.toml is written by internal/diskio, and its folder is synced before what was read counts.

--- a/core/walcodec/record.go
+++ b/core/walcodec/record.go
@@ -30,6 +30,9 @@
 type DamageError struct {
 	Offset int64 // of the damaged record or field, from the start of the file
 	Reason string
+	// OtherVersion is set where the format is unknown rather than damaged:
+	// another version of the program may have written the file.
+	OtherVersion bool
 }
 
 // Error formats the damage without the name of the file.
@@ -69,7 +72,7 @@
 		return SegmentHeader{}, &DamageError{Reason: "checksum of the segment header differs"}
 	}
 	if version := binary.LittleEndian.Uint32(data[8:]); version != FormatVersion {
-		return SegmentHeader{}, &DamageError{Reason: fmt.Sprintf("format version %d is not %d", version, FormatVersion)}
+		return SegmentHeader{}, &DamageError{Reason: fmt.Sprintf("format version %d is not %d", version, FormatVersion), OtherVersion: true}
 	}
 	return SegmentHeader{
 		Number: binary.LittleEndian.Uint64(data[12:]),
--- a/core/walcodec/segment.go
+++ b/core/walcodec/segment.go
@@ -29,7 +29,8 @@
 		}
 		batch, err := DecodeBatch(payload)
 		if err != nil {
-			return segment, &DamageError{Offset: segment.Size, Reason: err.Error()}
+			// The checksum agrees, so these are the bytes that were written.
+			return segment, &DamageError{Offset: segment.Size, Reason: err.Error(), OtherVersion: true}
 		}
 		segment.Batches = append(segment.Batches, batch)
 		segment.Size += RecordHeaderBytes + int64(len(payload))
--- a/core/walcodec/snapshot.go
+++ b/core/walcodec/snapshot.go
@@ -54,7 +54,7 @@
 	s.Membership = membership
 	s.Data = r.bytes()
 	if err := errors.Join(err, r.finish()); err != nil {
-		return replog.Snapshot{}, &DamageError{Offset: sealBytes, Reason: err.Error()}
+		return replog.Snapshot{}, &DamageError{Offset: sealBytes, Reason: err.Error(), OtherVersion: true}
 	}
 	return s, nil
 }
@@ -84,7 +84,7 @@
 	id.Formed = flags&identityFormed != 0
 	id.Joined = flags&identityJoined != 0
 	if r.finish() != nil || flags >= identityFlags {
-		return Identity{}, &DamageError{Offset: sealBytes, Reason: ErrMalformed.Error()}
+		return Identity{}, &DamageError{Offset: sealBytes, Reason: ErrMalformed.Error(), OtherVersion: true}
 	}
 	return id, nil
 }
@@ -103,7 +103,7 @@
 		return nil, &DamageError{Reason: "the header is cut off or of another kind"}
 	}
 	if version := binary.LittleEndian.Uint32(data[8:]); version != FormatVersion {
-		return nil, &DamageError{Offset: 8, Reason: "unknown format version"}
+		return nil, &DamageError{Offset: 8, Reason: "unknown format version", OtherVersion: true}
 	}
 	body := data[sealBytes:]
 	if binary.LittleEndian.Uint64(data[12:]) != uint64(len(body)) {
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -29,9 +29,6 @@
 	maxClockDriftPPM   = 20_000 // the platform names 2 percent for workers
 	snapshotEntries    = 5_000
 	segmentBytes       = 4 << 20
-	// diskShare is the part of the disk that the log may use, in percent. The
-	// rest holds snapshots.
-	diskShare = 50
 	// leaseShare is the part of the longest lease that is asked for, in
 	// percent: a worker that is cut off is replaced when its lease is over.
 	leaseShare = 75
@@ -49,13 +46,14 @@
 		return err
 	}
 	defer b.close()
-	self, err := loadNode(s)
+	data := dataDir{settings: s, logger: b.logger, metrics: b.metrics}
+	self, err := data.load()
 	if err != nil {
 		return err
 	}
 	client := newHTTPClient()
 	updates := make(chan replica.WorkUpdate, workQueue)
-	r, err := newReplica(b, s, self, client, updates)
+	r, self, err := openReplica(b, data, self, client, updates)
 	if err != nil {
 		return err
 	}
@@ -82,7 +80,7 @@
 	go func() { ended <- r.Run(running) }()
 	select {
 	case err := <-ended:
-		return err
+		return data.replaceEmptied(self, err)
 	case err := <-b.failures:
 		cancel()
 		return errors.Join(err, <-ended)
@@ -107,8 +105,28 @@
 	return append([]string{s.ListenInternal}, internalAddresses(s.Seeds, s.ListenInternal)...)
 }
 
-func newReplica(b *base, s *ControlSettings, self node, client *http.Client, updates chan<- replica.WorkUpdate) (*replica.Replica, error) {
-	disk, err := diskio.NewFolder(filepath.Join(s.DataDir, "log"))
+// openReplica opens the log, or where it is damaged an empty one under a new
+// identity, with which the replica joins its group.
+func openReplica(b *base, data dataDir, self node, client *http.Client, updates chan<- replica.WorkUpdate) (*replica.Replica, node, error) {
+	r, err := newReplica(b, data, self, client, updates)
+	if !mustReplace(err) {
+		return r, self, err
+	}
+	self, err = data.replace(self, err)
+	if err != nil {
+		return nil, self, err
+	}
+	r, err = newReplica(b, data, self, client, updates)
+	return r, self, err
+}
+
+func newReplica(b *base, data dataDir, self node, client *http.Client, updates chan<- replica.WorkUpdate) (*replica.Replica, error) {
+	s := data.settings
+	limit, err := data.makeRoom(self)
+	if err != nil {
+		return nil, err
+	}
+	disk, err := diskio.NewFolder(filepath.Join(s.DataDir, self.logFolder()))
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
@@ -116,7 +134,7 @@
 		ID: replog.ReplicaID(self.ID), Voters: self.peers(s), Address: s.ListenInternal, Join: self.Joined,
 		Scheme: "http", Client: client, Logger: b.logger, Metrics: b.metrics,
 		Storage: storage.Options{
-			Disk: disk, SegmentBytes: segmentBytes, LimitBytes: s.DiskMB << 20 * diskShare / 100,
+			Disk: disk, SegmentBytes: segmentBytes, LimitBytes: limit,
 		},
 		ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax, HeartbeatInterval: heartbeatInterval,
 		MaxClockDriftPPM: maxClockDriftPPM, SnapshotEveryEntries: snapshotEntries, Seed: uint64(time.Now().UnixNano()),
--- /dev/null
+++ b/internal/platformproc/group_test.go
@@ -0,0 +1,334 @@
+package platformproc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/settings"
+)
+
+const (
+	groupSize = 3
+	// groupLimit ends a test that hangs; it asserts nothing.
+	groupLimit = 30 * time.Second
+)
+
+// testGroup is control replicas as RunControl runs them, on loopback addresses.
+type testGroup struct {
+	t       *testing.T
+	members []*testMember
+	client  *controlclient.Client
+}
+
+type testMember struct {
+	settings *ControlSettings
+	log      *lockedBuffer
+	kill     context.CancelFunc
+	ended    chan error
+}
+
+// lockedBuffer is the log of a replica.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// lines returns the log lines with an event number.
+func (b *lockedBuffer) lines(event int) []map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found []map[string]any
+	for line := range bytes.Lines(b.text.Bytes()) {
+		var decoded map[string]any
+		decoder := json.NewDecoder(bytes.NewReader(line))
+		decoder.UseNumber() // ids have more digits than a float64
+		if decoder.Decode(&decoded) == nil && fmt.Sprint(decoded["event"]) == fmt.Sprint(event) {
+			found = append(found, decoded)
+		}
+	}
+	return found
+}
+
+func startTestGroup(t *testing.T) *testGroup {
+	g := &testGroup{t: t}
+	dir := t.TempDir()
+	var seeds, internal []string
+	for i := range groupSize {
+		// The second octet keeps test processes beside this one apart.
+		ip := fmt.Sprintf("127.%d.9.%d", 1+os.Getpid()%250, i+1)
+		seeds = append(seeds, ip+":7001")
+		internal = append(internal, ip+":7002")
+		g.members = append(g.members, &testMember{log: &lockedBuffer{}, settings: &ControlSettings{
+			Common:        settings.Common{Name: fmt.Sprint("control-", i), Region: "r", FailureDomain: "z", LogLevel: "info"},
+			ListenControl: ip + ":7001", ListenInternal: ip + ":7002", ListenMetrics: ip + ":7003",
+			MemoryMB: 280, Bootstrap: true, TolerateReplicas: 1, DataDir: filepath.Join(dir, fmt.Sprint(i)), DiskMB: 128,
+			WorkerLeaseMax: 6 * time.Second,
+		}})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &http.Client{}
+	g.client = controlclient.New(internal, "http", client, metrics.New())
+	go g.client.Run(ctx)
+	for i, m := range g.members {
+		m.settings.Seeds = seeds
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range g.members {
+			g.kill(i)
+		}
+		cancel()
+		client.CloseIdleConnections()
+		if t.Failed() {
+			for _, m := range g.members {
+				t.Logf("%s:\n%s", m.settings.Name, m.log.text.String())
+			}
+		}
+	})
+	return g
+}
+
+func (g *testGroup) start(i int) {
+	m := g.members[i]
+	ctx, kill := context.WithCancel(context.Background())
+	m.kill, m.ended = kill, make(chan error, 1)
+	go func() { m.ended <- RunControl(context.Background(), ctx, m.settings, m.log) }()
+}
+
+// kill ends a replica without a planned stop and returns its error.
+func (g *testGroup) kill(i int) error {
+	m := g.members[i]
+	m.kill()
+	err := <-m.ended
+	m.ended <- err
+	return err
+}
+
+// commit sends n commands as an attempt and returns how many of them were not
+// known before.
+func (g *testGroup) commit(attempt, n int) int {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(g.t.Context(), groupLimit)
+	defer cancel()
+	member := state.Member{Name: "entry-1", Incarnation: 1, Address: "127.0.0.1:1", Region: "r", FailureDomain: "z"}
+	if result, err := g.client.Propose(ctx, state.Command{JoinMember: &state.JoinMember{Member: member}}); err != nil || result.Refusal != state.RefusalNone {
+		g.t.Fatalf("join: %+v, error %v", result, err)
+	}
+	unknown := 0
+	for i := range n {
+		result, err := g.client.Propose(ctx, state.Command{BeginRequest: &state.BeginRequest{
+			Key:   state.RequestKey{Service: "s", Team: "t", Key: fmt.Sprint("key-", i)},
+			Entry: "entry-1", Incarnation: 1, Attempt: uint64(attempt), Retention: time.Hour,
+		}})
+		if err != nil || result.Request == nil {
+			g.t.Fatalf("command %d: %+v, error %v", i, result, err)
+		}
+		if result.Request.Dispatch {
+			unknown++
+		}
+	}
+	return unknown
+}
+
+// await polls until done, which is told what to say in the failure.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(groupLimit); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s is still not so after %v", what, groupLimit)
+		}
+	}
+}
+
+// id is the replica id in node.toml.
+func (m *testMember) id(t *testing.T) uint64 {
+	t.Helper()
+	known, err := readNode(m.settings.DataDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return known.ID
+}
+
+// changedTo reports whether a leader has made exactly these voters the members.
+func (g *testGroup) changedTo(voters []uint64) bool {
+	want := fmt.Sprint(voters)
+	for _, m := range g.members {
+		for _, line := range m.log.lines(1403) {
+			learners, _ := line["learners"].([]any)
+			if fmt.Sprint(line["voters"]) == want && len(learners) == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// content returns the files of a folder and what is in them.
+func content(t *testing.T, dir string) map[string]string {
+	t.Helper()
+	files := map[string]string{}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, entry := range entries {
+		data, err := os.ReadFile(filepath.Join(dir, entry.Name()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files[entry.Name()] = string(data)
+	}
+	return files
+}
+
+func segmentsIn(t *testing.T, dir string) []string {
+	t.Helper()
+	found, err := filepath.Glob(filepath.Join(dir, "segment-*.wal"))
+	if err != nil || len(found) < 2 {
+		t.Fatalf("segments %v, error %v; want two or more", found, err)
+	}
+	return found
+}
+
+func flipByte(t *testing.T, file string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data[len(data)/2] ^= 1
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a replica whose data folder was damaged and that ends at
+// every start, and against one that goes on under its former id with a log
+// that has forgotten entries or votes.
+func TestDamagedReplicaIsReplaced(t *testing.T) {
+	const commands = 150
+	for name, c := range map[string]struct {
+		damage func(t *testing.T, dataDir string)
+		empty  bool // nothing is left to keep
+	}{
+		"flipped byte": {damage: func(t *testing.T, dir string) { flipByte(t, segmentsIn(t, filepath.Join(dir, "log"))[0]) }},
+		"missing segment": {damage: func(t *testing.T, dir string) {
+			if err := os.Remove(segmentsIn(t, filepath.Join(dir, "log"))[0]); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		"log of another id": {damage: func(t *testing.T, dir string) { flipIDIn(t, filepath.Join(dir, nodeFile)) }},
+		"unreadable node.toml": {damage: func(t *testing.T, dir string) {
+			if err := os.WriteFile(filepath.Join(dir, nodeFile), []byte("id = \x00"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		"missing node.toml": {damage: func(t *testing.T, dir string) {
+			if err := os.Remove(filepath.Join(dir, nodeFile)); err != nil {
+				t.Fatal(err)
+			}
+		}},
+		"emptied folder": {empty: true, damage: func(t *testing.T, dir string) {
+			for file := range content(t, filepath.Join(dir, "log")) {
+				if err := os.Remove(filepath.Join(dir, "log", file)); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startTestGroup(t)
+			if unknown := g.commit(1, commands); unknown != commands {
+				t.Fatalf("%d of %d commands are new", unknown, commands)
+			}
+			const victim = 1
+			m := g.members[victim]
+			// A second start begins a second segment.
+			g.kill(victim)
+			g.start(victim)
+			g.commit(2, commands)
+			log := filepath.Join(m.settings.DataDir, "log")
+			await(t, "second segment", func() bool {
+				found, err := filepath.Glob(filepath.Join(log, "segment-*.wal"))
+				return err == nil && len(found) >= 2
+			})
+			g.kill(victim)
+			former := m.id(t)
+			c.damage(t, m.settings.DataDir)
+			before := content(t, log)
+
+			g.start(victim)
+			if c.empty {
+				// The replica learns only from the group that its log is lost.
+				if err := <-m.ended; !errors.Is(err, replica.ErrMustJoin) {
+					t.Fatalf("error %v, want ErrMustJoin", err)
+				}
+				g.start(victim)
+			}
+			await(t, "start under another id", func() bool { return len(m.log.lines(1406)) > 0 })
+			now := m.id(t)
+			if now == former || now < firstJoinedID {
+				t.Errorf("id %d after %d, want a new one of a replica that joins", now, former)
+			}
+			voters := []uint64{g.members[0].id(t), g.members[2].id(t), now}
+			slices.Sort(voters)
+			await(t, fmt.Sprintf("group of %v", voters), func() bool { return g.changedTo(voters) })
+
+			// A quorum is now the new replica and one other.
+			g.kill(0)
+			if unknown := g.commit(3, commands); unknown != 0 {
+				t.Errorf("%d acknowledged commands are not known", unknown)
+			}
+			if c.empty {
+				return
+			}
+			after := content(t, log)
+			for file, data := range before {
+				if after[file] != data {
+					t.Errorf("%s in the damaged folder has changed", file)
+				}
+			}
+			if lines := m.log.lines(4308); len(lines) == 0 || lines[0]["folder"] != "log" || lines[0]["cause"] == "" {
+				t.Errorf("events of the kept folder: %v", lines)
+			}
+			g.kill(victim)
+			g.start(victim)
+			await(t, "event of the kept folder at the next start", func() bool { return len(m.log.lines(4308)) >= 2 })
+		})
+	}
+}
+
+// flipIDIn changes the id in node.toml.
+func flipIDIn(t *testing.T, file string) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := bytes.Index(data, []byte("id = ")) + len("id = ")
+	data[at+3] ^= 1
+	if err := os.WriteFile(file, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/platformproc/node.go
+++ b/internal/platformproc/node.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io/fs"
-	"math/rand/v2"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -13,19 +12,34 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/replication"
 )
 
 // ErrNode says that the file with the identity of a replica cannot be used.
 var ErrNode = merry.Sentinel("identity of the replica cannot be used")
 
+// errNodeLost says that node.toml is missing or was not written so.
+var errNodeLost = merry.Sentinel("identity of the replica is lost")
+
 // node is the identity of a control replica. It lives as long as its disk: a
-// replica that has lost the disk gets another one, because it has forgotten
-// what it voted for.
+// replica that has lost the disk or a part of the log gets another one, because
+// it has forgotten what it voted for.
 type node struct {
 	ID       uint64    `toml:"id"`
-	Joined   bool      `toml:"joined"`   // it did not found the group
-	Founders []founder `toml:"founders"` // of the group; empty where Joined
+	Joined   bool      `toml:"joined"`        // it did not found the group
+	Founders []founder `toml:"founders"`      // of the group; empty where Joined
+	Log      string    `toml:"log,omitempty"` // folder of the log; firstLog where empty
+	// Damaged is the log of a former identity, whose folder is kept for a look
+	// until it is deleted.
+	Damaged *damagedLog `toml:"damaged,omitempty"`
+}
+
+// damagedLog is a log that was given up. Nothing is read from it.
+type damagedLog struct {
+	Folder string `toml:"folder"`
+	ID     uint64 `toml:"id"` // of the replica; 0 where it is not known
+	Cause  string `toml:"cause"`
 }
 
 type founder struct {
@@ -34,35 +48,61 @@
 }
 
 const (
-	nodeFile   = "node.toml"
-	folderMode = 0o700
-	fileMode   = 0o600
+	nodeFile = "node.toml"
 	// firstJoinedID is above every id that is derived from an IPv4 address.
 	firstJoinedID = 1 << 32
 	// maxJoinedID keeps ids positive as signed numbers.
 	maxJoinedID = 1 << 62
 )
 
-// loadNode reads the identity, or makes one where the disk is empty.
-func loadNode(s *ControlSettings) (node, error) {
-	if err := os.MkdirAll(s.DataDir, folderMode); err != nil {
-		return node{}, merry.Wrap(ErrNode, merry.WithCause(err))
-	}
-	data, err := os.ReadFile(filepath.Join(s.DataDir, nodeFile))
+// readNode reads the identity. The error is errNodeLost, which wraps the cause,
+// where there is none that can be used; other errors may pass.
+func readNode(dir string) (node, error) {
+	data, err := os.ReadFile(filepath.Join(dir, nodeFile))
 	if errors.Is(err, fs.ErrNotExist) {
-		made := newNode(s)
-		return made, writeNode(s.DataDir, made)
+		return node{}, merry.Wrap(errNodeLost, merry.WithCause(err))
 	}
 	if err != nil {
 		return node{}, merry.Wrap(ErrNode, merry.WithCause(err))
 	}
 	var known node
-	if err := toml.Unmarshal(data, &known); err != nil || known.ID == 0 {
-		return node{}, merry.Wrap(ErrNode, merry.WithCause(err), merry.AppendMessage(nodeFile))
+	if err := toml.Unmarshal(data, &known); err != nil {
+		return node{}, merry.Wrap(errNodeLost, merry.WithCause(err), merry.AppendMessage(nodeFile))
+	}
+	if !known.usable() {
+		return node{}, merry.Append(errNodeLost, "a value is out of range")
 	}
 	return known, nil
 }
 
+// usable reports whether the values can be those of an identity.
+func (n node) usable() bool {
+	_, log := folderNumber(n.logFolder())
+	if n.Damaged != nil {
+		number, ok := folderNumber(n.Damaged.Folder)
+		log = log && ok && number < n.logNumber()
+	}
+	return n.ID != 0 && log
+}
+
+// logFolder is the name of the folder with the log.
+func (n node) logFolder() string {
+	if n.Log == "" {
+		return firstLog
+	}
+	return n.Log
+}
+
+// logNumber is the number of the folder with the log, 0 where there is no
+// identity.
+func (n node) logNumber() int {
+	if n.ID == 0 {
+		return 0
+	}
+	number, _ := folderNumber(n.logFolder())
+	return number
+}
+
 // newNode makes an identity. At the very first start the seeds found the group;
 // their ids follow from their addresses, so that they agree without a word.
 func newNode(s *ControlSettings) node {
@@ -74,7 +114,7 @@
 			}
 		}
 	}
-	return node{ID: firstJoinedID + rand.Uint64N(maxJoinedID-firstJoinedID), Joined: true}
+	return node{ID: newJoinedID(), Joined: true}
 }
 
 func foundersOf(addresses []string) []founder {
@@ -108,33 +148,14 @@
 	if err != nil {
 		return merry.Wrap(ErrNode, merry.WithCause(err))
 	}
-	if err := writeSynced(dir, nodeFile, data); err != nil {
-		return merry.Wrap(ErrNode, merry.WithCause(err))
-	}
-	return nil
-}
-
-func writeSynced(dir, name string, data []byte) error {
-	temporary := filepath.Join(dir, name+".tmp")
-	file, err := os.OpenFile(temporary, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return err
-	}
-	_, err = file.Write(data)
+	disk, err := diskio.NewFolder(dir)
 	if err == nil {
-		err = file.Sync()
-	}
-	if err := errors.Join(err, file.Close()); err != nil {
-		return err
+		err = diskio.WriteFile(disk, nodeFile, data)
 	}
-	if err := os.Rename(temporary, filepath.Join(dir, name)); err != nil {
-		return err
-	}
-	folder, err := os.Open(dir)
 	if err != nil {
-		return err
+		return merry.Wrap(ErrNode, merry.WithCause(err))
 	}
-	return errors.Join(folder.Sync(), folder.Close())
+	return nil
 }
 
 // peers returns the replicas that a replica starts with: the founders, or for
--- a/internal/platformproc/settings_test.go
+++ b/internal/platformproc/settings_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/settings"
 )
 
@@ -73,6 +75,14 @@
 	}
 }
 
+func loadNode(s *ControlSettings) (node, error) {
+	return testDataDir(s).load()
+}
+
+func testDataDir(s *ControlSettings) dataDir {
+	return dataDir{settings: s, logger: eventlog.Nop(), metrics: metrics.New()}
+}
+
 // Guards against founders that disagree on each other's ids, and against a
 // machine that is no seed founding a group.
 func TestSeedsFoundTheGroup(t *testing.T) {
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -29,6 +29,9 @@
 	File   string
 	Offset int64
 	Reason string
+	// OtherVersion is set where another version of the program may have
+	// written the file: its checksums agree, or its format is unknown.
+	OtherVersion bool
 }
 
 // Error names the file and the offset.
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -220,7 +220,7 @@
 	if !errors.As(err, &found) {
 		return merry.Wrap(&DamageError{File: name, Reason: err.Error()})
 	}
-	return merry.Wrap(&DamageError{File: name, Offset: found.Offset, Reason: found.Reason})
+	return merry.Wrap(&DamageError{File: name, Offset: found.Offset, Reason: found.Reason, OtherVersion: found.OtherVersion})
 }
 
 // Inspect reads a data folder without changing it. The folder must not be in
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -143,6 +145,40 @@
 	<-p.exited
 }
 
+// leastDamaged is the size of a segment below which it is not damaged. A byte
+// in the first half of a larger one is not in its last record, which may count
+// as torn.
+const leastDamaged = 16 << 10
+
+// damage flips a byte of the log of a control process that does not run, and
+// reports whether there was a segment for it.
+func (s *system) damage(p *process, random *rand.Rand) bool {
+	// The folder in use has the longest or largest name: log, log-2, log-3.
+	folders, err := filepath.Glob(filepath.Join(s.dir, p.name, "log*"))
+	if err != nil || len(folders) == 0 {
+		return false
+	}
+	segments, err := filepath.Glob(filepath.Join(slices.Max(folders), "segment-*.wal"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, file := range segments {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		if len(data) < leastDamaged {
+			continue
+		}
+		data[random.IntN(len(data)/2)] ^= 1
+		if err := os.WriteFile(file, data, 0o600); err != nil {
+			s.t.Fatal(err)
+		}
+		return true
+	}
+	return false
+}
+
 // terminate asks for a planned stop. The process is killed where it takes longer
 // than limit.
 func (p *process) terminate(limit time.Duration) {
