Wake a blocked step when it may use suspect workers

What callers saw: tasks whose run had failed waited for the next event of the system although workers had room.

Cause: a job has one wake-up. A blocked step set its own only when it became blocked; where an earlier wake-up of the job came in between, it took the place of this one and nothing planned the step again at the end of the second for which it keeps off suspect workers.

Change: a selective step sets its wake-up at each plan.

--- a/core/dispatch/health_test.go
+++ b/core/dispatch/health_test.go
@@ -70,6 +70,24 @@
 	t.Error("not started again within 2 s")
 }
 
+// Guards against a blocked step that is not planned again when it may use suspect
+// workers, because the job was woken for an earlier cause in between. Nothing
+// else happens in the system.
+func TestBlockedStepIsPlannedAgainAfterAnEarlierWakeUp(t *testing.T) {
+	b := newBench(t, workerOf("w0", 1), jobOf("j", oneTask))
+	b.pass(0) // blocked without a worker, to be woken a second from now
+	b.answerHolds(dispatch.Report{})
+	starts := b.end(b.starts(planned)[0], 1, workload.EndFailed)
+	for range 200 {
+		if len(starts) > 0 {
+			return
+		}
+		starts = b.starts(10 * time.Millisecond)
+		b.answerHolds(dispatch.Report{})
+	}
+	t.Error("not started again within 2 s")
+}
+
 // Guards against a worker that fails whatever it runs getting full of work again
 // after each pause (incident inc-c50b: 34 failed runs in 12 s).
 func TestFailingWorkerIsTriedWithOneRun(t *testing.T) {
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -133,7 +133,10 @@
 	}
 	if s.blockedSince.IsZero() {
 		s.blockedSince = c.now
-		c.wakeJob(r.job, c.now.Add(waitForSound))
+	}
+	if c.selective(s) {
+		// A job has one wake-up: an earlier one takes the place of this.
+		c.wakeJob(r.job, s.blockedSince.Add(waitForSound))
 	}
 	if !advised || s.asking != 0 {
 		if spec.Gang && len(s.held) == 0 {
