Keep the last attempt of a task off workers with failed runs

Cause: a step keeps off the workers on which it has failed itself, but the second and last attempt went to workers that had failed runs of other jobs a moment before and were not avoided yet.

Change: until it has been blocked for a second, a step whose next failure ends the job keeps off every worker with evidence of failure.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -90,9 +90,25 @@
 }
 
 // suspect reports whether a worker is likely to fail a step: the step has failed
-// there, or is a gang and would fail with that one member.
-func (s *step) suspect(w *worker, spec *workload.StepSpec) bool {
-	return s.failedOn[w.ID] || spec.Gang && w.onProbation()
+// there, or would fail with that one run, as a gang or with its last attempt, and
+// the worker fails the runs of other jobs too.
+func (s *step) suspect(w *worker, spec *workload.StepSpec, last bool) bool {
+	return s.failedOn[w.ID] || spec.Gang && w.onProbation() || last && w.evidence > 0
+}
+
+// lastAttempt reports whether the job fails with the next failed run of a task
+// that waits.
+func (r ready) lastAttempt(s *step) bool {
+	last := r.job.Queue.MaxAttempts - 1
+	if r.job.Spec.Steps[r.index].Gang {
+		return r.job.Steps[r.index].Failures >= last
+	}
+	for i, task := range r.job.Steps[r.index].Tasks {
+		if task.Failures >= last && task.State == workload.TaskPending && !task.Open && !s.proposed[i] {
+			return true
+		}
+	}
+	return false
 }
 
 // onProbation reports whether a worker that was avoided as failing has not yet
--- a/core/dispatch/health_test.go
+++ b/core/dispatch/health_test.go
@@ -156,3 +156,59 @@
 		running = append(running[1:], next...)
 	}
 }
+
+// twoAttempts is a queue whose jobs fail with the second failed run of a task.
+var twoAttempts = workload.Queue{Name: "q", Service: "shop", MaxAttempts: 2}
+
+// Guards against a job that fails because the last attempt of a task is made on
+// a worker that fails the runs of other jobs too.
+func TestLastAttemptKeepsOffWorkersWithFailedRuns(t *testing.T) {
+	whole := workload.Resources{MilliCPU: 4000}
+	for name, step := range map[string]workload.StepSpec{
+		"single": {Tasks: 1, Size: whole},
+		"gang":   {Tasks: 1, Size: whole, Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, queues(twoAttempts), workerOf("w0", 1), workerOf("w1", 1), workerOf("w2", 1), workerOf("w3", 1),
+				jobOf("a", step), jobOf("b", step))
+			b.pass(0)
+			b.answerHolds(dispatch.Report{})
+			first := b.starts(planned)
+			if len(first) != 2 {
+				t.Fatalf("starts %+v", first)
+			}
+			again := b.end(first[0], 1, workload.EndFailed)
+			if len(again) != 1 {
+				t.Fatalf("after the failure on %s: starts %+v", first[0].Worker, again)
+			}
+			b.core.StartAnswered(b.now, again[0], dispatch.OutcomeOK, 0)
+			last := b.end(first[1], 1, workload.EndFailed)
+			if len(last) != 1 || last[0].Worker == first[0].Worker || last[0].Worker == first[1].Worker {
+				t.Errorf("failed on %s and %s, then starts %+v", first[0].Worker, first[1].Worker, last)
+			}
+		})
+	}
+}
+
+// Guards against a last attempt that is never made because every worker has
+// failed runs.
+func TestLastAttemptIsMadeWhereAllWorkersHaveFailedRuns(t *testing.T) {
+	step := workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 4000}}
+	b := newBench(t, queues(twoAttempts), workerOf("w0", 1), workerOf("w1", 1), jobOf("a", step), jobOf("b", step))
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	first := b.starts(planned)
+	if len(first) != 2 {
+		t.Fatalf("starts %+v", first)
+	}
+	starts := b.end(first[0], 1, workload.EndFailed)
+	starts = append(starts, b.end(first[1], 1, workload.EndFailed)...)
+	for range 20 {
+		if len(starts) == 2 {
+			return
+		}
+		starts = append(starts, b.starts(100*time.Millisecond)...)
+		b.answerHolds(dispatch.Report{})
+	}
+	t.Errorf("within 2 s only starts %+v", starts)
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -366,11 +366,12 @@
 	advised := r.job.Queue.Advice != nil
 	all := c.found[:0]
 	selective := c.selective(s)
+	last := selective && r.lastAttempt(s)
 	for _, w := range c.usable {
 		if !full && !spec.Size.Fits(w.room) {
 			continue
 		}
-		if w.Service != r.job.Queue.Service || !couldRun(w, spec) || selective && s.suspect(w, spec) || (selective || c.scarce) && c.avoided(w) {
+		if w.Service != r.job.Queue.Service || !couldRun(w, spec) || selective && s.suspect(w, spec, last) || (selective || c.scarce) && c.avoided(w) {
 			continue
 		}
 		if _, granted := s.granted[w.ID]; advised && !granted || tickets && !c.ticketGood(s, w.ID) {
