Refuse submissions that had no connection to any replica as not taken

What callers saw: without a quorum most submissions ended with 504, after which a client cannot try again safely, although no machine had received them.

Cause: an attempt that ended while its connection was still being opened returned the error of its deadline, not that of the dialer, and counted as perhaps accepted.

Change: an attempt counts as perhaps accepted only where it had a connection (httptrace.GotConn).

Evidence: TestCallWithoutAConnectionIsNotAccepted failed before ('outcome of the proposal is unknown' after 60 s). TestFailedDialIsNotAccepted now says of each error whether there was a connection; its cases are the same.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -5,8 +5,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -179,12 +180,15 @@
 			return endOfCall(maybeAccepted, err)
 		}
 		attempt, cancel := context.WithTimeout(ctx, answerAfter+timeout)
-		err = do(attempt, target.control)
+		var connected atomic.Bool
+		err = do(httptrace.WithClientTrace(attempt, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		}), target.control)
 		cancel()
 		if err == nil {
 			return nil
 		}
-		failure := classify(err)
+		failure := classify(err, connected.Load())
 		maybeAccepted = maybeAccepted || failure.maybeAccepted
 		if ctx.Err() != nil {
 			// The caller gave up, which says nothing about the replica.
@@ -229,13 +233,13 @@
 // leaderMeta is the twirp error metadata key with the leader's address.
 const leaderMeta = "leader"
 
-func classify(err error) failure {
+// classify tells what an error means. A call that had no connection has reached
+// no replica: its error is that of the dialer, or that the time was over.
+func classify(err error, connected bool) failure {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return failure{reason: "refused-connection"}
 	}
-	// A connection that was not opened has carried nothing.
-	var opening *net.OpError
-	if errors.As(err, &opening) && opening.Op == "dial" {
+	if !connected {
 		return failure{reason: "no-connection", silent: true}
 	}
 	twirpErr, ok := err.(twirp.Error)
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -179,15 +179,31 @@
 // Guards against calling a command perhaps accepted that met no machine.
 func TestFailedDialIsNotAccepted(t *testing.T) {
 	err := &url.Error{Op: "Post", Err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}}
-	if got := classify(twirp.InternalErrorWith(err)); got.maybeAccepted {
+	if got := classify(twirp.InternalErrorWith(err), false); got.maybeAccepted {
 		t.Errorf("%+v", got)
 	}
 	err.Err = &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}
-	if got := classify(twirp.InternalErrorWith(err)); !got.maybeAccepted {
+	if got := classify(twirp.InternalErrorWith(err), true); !got.maybeAccepted {
 		t.Errorf("after a lost answer: %+v", got)
 	}
 }
 
+// Guards against a command that is reported as perhaps accepted although every
+// attempt ended before it had a connection, as with machines without power.
+func TestCallWithoutAConnectionIsNotAccepted(t *testing.T) {
+	dialing := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	client := New([]string{"127.0.0.1:1", "127.0.0.1:2"}, "http", &http.Client{Transport: dialing}, metrics.New())
+	go client.Run(t.Context())
+	limits := WaitLimits{NotTaken: firstAttempt, Unknown: time.Minute}
+	_, err := client.ProposeWithin(t.Context(), state.Command{Advance: &state.Advance{}}, limits)
+	if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("Propose: %v", err)
+	}
+}
+
 // Guards against calls that return to a silent replica while others answer: after
 // a cut, submissions took up to 1.8 s although a leader was elected within 0.9 s.
 func TestSilentReplicaIsPassedOver(t *testing.T) {
