--- /dev/null
+++ b/internal/storage/refused_test.go
@@ -0,0 +1,75 @@
+package storage
+
+import (
+	"errors"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
+)
+
+// startsWith returns the error of a replica that starts with a recovered log.
+func startsWith(r Recovered) error {
+	_, err := replog.New(replog.Config{
+		ID: 1, Membership: replog.Membership{Voters: []replog.ReplicaID{1}}, ElectionTimeoutMin: time.Second,
+		ElectionTimeoutMax: 2 * time.Second, HeartbeatInterval: 100 * time.Millisecond, MaxBatchBytes: 1 << 20, MaxInflight: 1, MaxPending: 1,
+		HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries,
+	}, time.Unix(0, 0))
+	return err
+}
+
+// Guards against a snapshot of a later term than the stored hard state, with
+// which the replica ends at every start: it was sent before the refusal of the
+// append in front of it was known.
+func TestSnapshotBehindARefusedAppend(t *testing.T) {
+	for name, refuse := range map[string]func(*Options, *faultdisk.Disk){
+		"limit": func(o *Options, _ *faultdisk.Disk) {},
+		"disk":  func(_ *Options, d *faultdisk.Disk) { d.FailAt(d.Ops()+1, syscall.ENOSPC) },
+	} {
+		disk := faultdisk.New()
+		opts := testOptions(disk)
+		opts.SegmentBytes = 1 << 20
+		if name == "limit" {
+			opts.LimitBytes = 400
+		}
+		store, _, err := Open(opts)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := admit(store); err != nil {
+			t.Fatal(err)
+		}
+		if err := store.serve([]Request{Append{Seq: 1, HardState: &replog.HardState{Term: 1, Vote: 1}, Entries: entries(1, 4, 1)}}); err != nil {
+			t.Fatal(err)
+		}
+		if c := <-store.completions; c.Err != nil {
+			t.Fatal(c.Err)
+		}
+		refuse(&opts, disk)
+		err = store.serve([]Request{
+			Append{Seq: 2, HardState: &replog.HardState{Term: 2, Vote: 3}, Entries: entries(5, 14, 2)},
+			SaveSnapshot{*snapshotAt(8, 2)},
+		})
+		if err == nil && store.saving {
+			err = store.finishSnapshot(<-store.saved)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := <-store.completions
+		second := <-store.completions
+		t.Logf("%s: append %v, snapshot %v", name, first.Err, second.Err)
+		if !errors.Is(first.Err, ErrDiskFull) {
+			t.Fatalf("append: %v, want ErrDiskFull", first.Err)
+		}
+		_, recovered, err := Open(testOptions(disk.AfterKill()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := startsWith(recovered); err != nil {
+			t.Errorf("%s: hard state %+v, snapshot %d of term %d: %v", name, recovered.HardState, recovered.Snapshot.Index, recovered.Snapshot.Term, err)
+		}
+	}
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -18,8 +18,15 @@
 }
 
 // serveSnapshot starts to save a snapshot of the replica's own state. It is
-// written beside the log, because appends must not wait for it.
+// written beside the log, because appends must not wait for it. One of a later
+// term than the stored hard state is refused, because a replica cannot start with
+// it: the append with that term was refused by a full disk.
 func (s *Store) serveSnapshot(snapshot replog.Snapshot) {
+	if snapshot.Term > s.log.hardState.Term {
+		s.opts.Metrics.Add(metricRefusals, "snapshot-disk-full", 1)
+		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrDiskFull}
+		return
+	}
 	if s.saving {
 		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrBusy}
 		return
