--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -86,11 +86,12 @@
 }
 
 // install writes the hard state before the snapshot, because a replica cannot
-// start with a snapshot of a later term.
+// start with a snapshot of a later term. The limit of the log does not hold for
+// the records that replace it.
 func (s *Store) install(request Append) error {
 	snapshot := *request.Install
 	if request.HardState != nil {
-		if err := s.log.writeBatch(walcodec.Batch{HardState: request.HardState}); err != nil {
+		if err := s.log.writeWithin(noLimit, walcodec.Batch{HardState: request.HardState}); err != nil {
 			return err
 		}
 	}
@@ -102,16 +103,17 @@
 		return err
 	}
 	reset := &walcodec.Position{Index: snapshot.Index, Term: snapshot.Term}
-	if err := s.log.writeBatch(walcodec.Batch{Reset: reset}); err != nil {
+	if err := s.log.writeWithin(noLimit, walcodec.Batch{Reset: reset}); err != nil {
+		return err
+	}
+	// Everything before the reset is replaced, whatever its index.
+	if err := s.removeCovered(^uint64(0)); err != nil {
 		return err
 	}
 	if len(request.Entries) > 0 {
-		if err := s.log.write([]Append{{Entries: request.Entries}}); err != nil {
-			return err
-		}
+		return s.log.write([]Append{{Entries: request.Entries}})
 	}
-	// Everything before the reset is replaced, whatever its index.
-	return s.removeCovered(^uint64(0))
+	return nil
 }
 
 func snapshotName(index uint64) string { return fmt.Sprintf(snapshotFormat, index) }
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -16,6 +16,9 @@
 // walcodec.MaxRecordBytes, because the last entry of a group may exceed it.
 const maxGroupBytes = 16 << 20
 
+// noLimit as the limit of the log's size allows every record.
+const noLimit = 0
+
 // writer appends records to the last segment.
 type writer struct {
 	disk      diskio.Disk
@@ -79,6 +82,12 @@
 }
 
 func (w *writer) writeBatch(batch walcodec.Batch) error {
+	return w.writeWithin(w.options.LimitBytes, batch)
+}
+
+// writeWithin makes a batch durable. It returns ErrDiskFull where the log would
+// be larger than limit in bytes.
+func (w *writer) writeWithin(limit int64, batch walcodec.Batch) error {
 	if w.active == nil || w.current.size > w.options.SegmentBytes {
 		if err := w.roll(); err != nil {
 			return err
@@ -89,15 +98,15 @@
 	}
 	w.payload = walcodec.AppendBatch(w.payload[:0], batch)
 	w.record = walcodec.AppendRecord(w.record[:0], w.salt, w.current.size, w.payload)
-	if err := w.appendRecord(); err != nil {
+	if err := w.appendRecord(limit); err != nil {
 		return err
 	}
 	w.written(batch)
 	return nil
 }
 
-func (w *writer) appendRecord() error {
-	if limit := w.options.LimitBytes; limit > 0 && w.total()+int64(len(w.record)) > limit {
+func (w *writer) appendRecord(limit int64) error {
+	if limit != noLimit && w.total()+int64(len(w.record)) > limit {
 		return ErrDiskFull
 	}
 	if _, err := w.active.Write(w.record); err != nil {
