Let a founder without a log learn of its group from replaced founders

Cause: a founder whose log folder was lost asks the other founders whether the group was formed and took only answers under the ids of the founders. Once all of them had been replaced under other ids it waited for ever, and the group stayed one replica short.

Change: an answer that the group is formed counts from any replica at the address of a founder. It can only keep a replica from voting.

Evidence: TestLostLogAfterReplacements/lost log failed before ('has not joined after 30s') and passes now.

--- /dev/null
+++ b/internal/platformproc/lostdisk_test.go
@@ -0,0 +1,72 @@
+package platformproc
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/replica"
+)
+
+// Guards against a replica without a log that waits for ever for founders which
+// have other ids by now, so that the group never has its full size again.
+func TestLostLogAfterReplacements(t *testing.T) {
+	for name, lose := range map[string]func(s *ControlSettings) error{
+		// As the platform restarts a machine whose disk was lost.
+		"lost disk": func(s *ControlSettings) error { s.Bootstrap = false; return os.RemoveAll(s.DataDir) },
+		"lost log":  func(s *ControlSettings) error { return os.RemoveAll(filepath.Join(s.DataDir, "log")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startTestGroup(t)
+			g.commit(1, 50)
+			for victim := range 2 {
+				replaceDamaged(t, g, victim)
+			}
+			const lost = 2
+			m := g.members[lost]
+			g.kill(lost)
+			if err := lose(m.settings); err != nil {
+				t.Fatal(err)
+			}
+			before := len(m.log.lines(1406))
+			g.start(lost)
+			for end := time.Now().Add(groupLimit); len(m.log.lines(1406)) == before; {
+				select {
+				case err := <-m.ended:
+					if !errors.Is(err, replica.ErrMustJoin) {
+						t.Fatal(err)
+					}
+					g.start(lost)
+				case <-time.After(20 * time.Millisecond):
+				}
+				if time.Now().After(end) {
+					t.Fatalf("the replica has not joined after %v; its id is %d", groupLimit, m.id(t))
+				}
+			}
+		})
+	}
+}
+
+// replaceDamaged damages the log of a replica and waits until another id has
+// its place.
+func replaceDamaged(t *testing.T, g *testGroup, victim int) {
+	t.Helper()
+	m := g.members[victim]
+	g.kill(victim)
+	g.start(victim)
+	g.commit(2, 50)
+	g.kill(victim)
+	found, err := filepath.Glob(filepath.Join(m.settings.DataDir, "log", "segment-*.wal"))
+	if err != nil || len(found) == 0 {
+		t.Fatalf("segments %v, error %v", found, err)
+	}
+	flipByte(t, found[0])
+	g.start(victim)
+	await(t, "start under another id", func() bool { return len(m.log.lines(1406)) > 0 })
+	voters := []uint64{g.members[0].id(t), g.members[1].id(t), g.members[2].id(t)}
+	slices.Sort(voters)
+	await(t, "group after the replacement", func() bool { return g.changedTo(voters) })
+}
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// askVoter repeats the question until it is answered by the right replica.
+// askVoter repeats the question until it is answered by the right replica, or by
+// one that has taken its place in the formed group.
 func askVoter(ctx context.Context, client rpcpb.Replication, peer replication.Peer, answers chan<- founding) {
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
@@ -172,7 +173,7 @@
 		timed, cancel := context.WithTimeout(ctx, askTimeout)
 		status, err := client.Status(timed, &rpcpb.StatusRequest{})
 		cancel()
-		if err == nil && status.ReplicaId == uint64(peer.ID) {
+		if err == nil && (status.Formed || status.ReplicaId == uint64(peer.ID)) {
 			answers <- founding{peer: peer, formed: status.Formed}
 			return
 		}
