Keep the leadership where all disks are equally slow

Cause: the age of the oldest append includes the sync under way before it, so 0.5 s were reached with syncs of half of that.

Change: the time counts from the last completed append. A disk that hangs completes none and is noticed after 0.5 s as before.

--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -16,6 +16,7 @@
 type diskQueue struct {
 	seq      uint64 // of the last append
 	unsynced []unsynced
+	syncedAt time.Time // of the last completed append
 	inStore  int       // requests without a completion
 	full     bool      // an append was refused; new commands are refused
 	retryAt  time.Time // when to repeat the refused appends; zero for never
@@ -120,6 +121,7 @@
 
 // synced takes the completion of the oldest append: they come in order.
 func (t *task) synced(now time.Time) {
+	t.disk.syncedAt = now
 	first := t.disk.unsynced[0]
 	t.disk.unsynced = t.disk.unsynced[1:]
 	t.core.Persisted(now, first.mark)
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -8,9 +8,9 @@
 	"github.com/godwitlink/godwitlink/core/replog"
 )
 
-// slowDiskAfter is the age of a write without its sync from which a leader
-// looks for a follower with a faster disk. A disk that takes 9 ms for a sync
-// stays below it at thirty times that.
+// slowDiskAfter is for how long the disk of a leader may complete no append that
+// waits before it looks for a follower with a faster disk. A disk that takes 9 ms
+// for a sync stays below it at thirty times that.
 const slowDiskAfter = 500 * time.Millisecond
 
 // Reasons of a handover, in logs and metrics.
@@ -65,10 +65,16 @@
 	return 0
 }
 
-// slowAt is when the oldest append has waited too long for its sync, or zero.
+// slowAt is when the oldest append has waited too long for its sync, or zero. The
+// time in which the disk completed those before it does not count: with disks that
+// are all equally slow no follower is better off.
 func (d *diskQueue) slowAt() time.Time {
 	if len(d.unsynced) == 0 {
 		return time.Time{}
 	}
-	return d.unsynced[0].since.Add(slowDiskAfter)
+	start := d.unsynced[0].since
+	if d.syncedAt.After(start) {
+		start = d.syncedAt
+	}
+	return start.Add(slowDiskAfter)
 }
--- /dev/null
+++ b/internal/replica/slowdisk_test.go
@@ -0,0 +1,84 @@
+package replica_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/internal/diskio"
+	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
+	"github.com/godwitlink/godwitlink/internal/replica"
+)
+
+// slowDisk delays the syncs of files once slow is set.
+type slowDisk struct {
+	diskio.Disk
+	slow  *atomic.Bool
+	delay time.Duration
+}
+
+type slowFile struct {
+	diskio.File
+	disk slowDisk
+}
+
+func (d slowDisk) Create(name string) (diskio.File, error) {
+	file, err := d.Disk.Create(name)
+	return slowFile{file, d}, err
+}
+
+func (f slowFile) Sync() error {
+	if f.disk.slow.Load() {
+		time.Sleep(f.disk.delay)
+	}
+	return f.File.Sync()
+}
+
+// Guards against a leadership that goes round in circles, and stops commands
+// each time, where the disks of all replicas are equally slow and no follower
+// is better off.
+func TestEquallySlowDisksKeepTheLeader(t *testing.T) {
+	var slow atomic.Bool
+	group := startGroup(t, 3, func(o *replica.Options) {
+		o.Storage.Disk = slowDisk{faultdisk.New(), &slow, 300 * time.Millisecond}
+	})
+	applyFile(t, group, cellFile(t, "turnos.toml"))
+	join(t, group)
+	before, err := group.Replica(leaderOf(t, group)).Report(callContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+	defer cancel()
+	var done atomic.Int64
+	var tasks sync.WaitGroup
+	for worker := range 8 {
+		tasks.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				if _, err := group.Client().Propose(ctx, begin(worker*1000+i, 1)); err == nil {
+					done.Add(1)
+				}
+			}
+		})
+	}
+	tasks.Wait()
+	slow.Store(false)
+	after, err := group.Replica(leaderOf(t, group)).Report(callContext(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	handOvers := ""
+	for line := range strings.Lines(group.Metrics.Text()) {
+		if strings.Contains(line, "hand") {
+			handOvers += line
+		}
+	}
+	t.Logf("%d commands, terms %d to %d, %s", done.Load(), before.Term, after.Term, handOvers)
+	if strings.Contains(handOvers, "disk-slow") {
+		t.Errorf("the leadership was handed over between equally slow disks")
+	}
+}
