Test a control group under kills and losses of power

A record that a killed process had written but not synced was counted as held by the next start and taken by a later loss of power. internal/storage tests this for one store; no test ran a group of replicas on disks that lose what was not synced.

Change: TestGroupPowerLoss runs five replicas on faultdisk.Machine, a disk that outlives the processes: Kill keeps what was written, PowerLoss drops what was not synced. Kills, losses of power of some or all machines, disks lost in the same moment, full disks and stops in a recovery overlap while commands are answered; lost replicas are replaced under new ids. A ledger records the messages between replicas and is compared with each disk before each start: terms, votes and acknowledged entries. At the end a leader is elected, every answered command is known and the stored states are equal. Syncs of a faultdisk.Machine take 1 ms, so that a stop often falls between a write and its sync.

compareFolders takes the disks and the replicas to compare; what it checks is the same.

--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	./test/planted/run-replog.sh
 	./test/planted/run-core.sh state
 	./test/planted/run-core.sh dispatch
+	./test/planted/run-core.sh storage
 	./test/planted/run-e2e.sh
 
 # Benchmarks of the cores and of the processes; several minutes.
--- a/internal/diskio/faultdisk/faultdisk.go
+++ b/internal/diskio/faultdisk/faultdisk.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/godwitlink/godwitlink/internal/diskio"
 )
@@ -28,6 +29,7 @@
 	fail    map[int]error
 	dieAt   int
 	refuse  error
+	syncs   time.Duration // what a sync takes
 	hung    chan struct{} // closed when the disk answers again; nil where it does
 }
 
@@ -77,6 +79,13 @@
 	d.dieAt = d.ops + 1
 }
 
+// Dead reports whether the next operation fails because of DieAt or Die.
+func (d *Disk) Dead() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.dieAt > 0 && d.ops+1 >= d.dieAt
+}
+
 // RefuseWrites lets writes and new files fail with err until it is called with
 // nil, as a full disk does.
 func (d *Disk) RefuseWrites(err error) {
@@ -268,6 +277,13 @@
 	return nil
 }
 
+// performSync is perform for a sync, which takes its time before it has an
+// effect.
+func (d *Disk) performSync(sync func()) error {
+	time.Sleep(d.syncs)
+	return d.perform(sync)
+}
+
 // Truncate implements diskio.Disk.
 func (d *Disk) Truncate(name string, size int64) error {
 	return d.perform(func() { d.current[name].truncate(size) })
@@ -288,12 +304,12 @@
 
 // SyncFile implements diskio.Disk.
 func (d *Disk) SyncFile(name string) error {
-	return d.perform(func() { d.current[name].sync() })
+	return d.performSync(func() { d.current[name].sync() })
 }
 
 // SyncFolder implements diskio.Disk.
 func (d *Disk) SyncFolder() error {
-	return d.perform(func() { d.durable = maps.Clone(d.current) })
+	return d.performSync(func() { d.durable = maps.Clone(d.current) })
 }
 
 // Write implements diskio.File. An interrupted write leaves a part behind.
@@ -314,7 +330,7 @@
 
 // Sync implements diskio.File.
 func (f *file) Sync() error {
-	return f.disk.perform(f.sync)
+	return f.disk.performSync(f.sync)
 }
 
 // Truncate implements diskio.File.
--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -64,7 +64,19 @@
 		callers.Go(func() { checkKnown(t, group, keys) })
 	}
 	callers.Wait()
-	compareFolders(t, group)
+	compareFolders(t, group, func(i int) diskio.Disk {
+		disk, err := diskio.NewFolder(group.Folder(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return disk
+	}, 0, 1, 2)
+	checkViolations(t, group)
+}
+
+// checkViolations fails where a replica has counted a violated invariant.
+func checkViolations(t *testing.T, group *localgroup.Group) {
+	t.Helper()
 	if text := group.Metrics.Text(); strings.Contains(text, "control_violations_total") {
 		t.Errorf("violated invariants:\n%s", text)
 	}
@@ -121,13 +133,13 @@
 
 // compareFolders stops the group and compares what the replicas have stored up
 // to the index that all have applied.
-func compareFolders(t *testing.T, group *localgroup.Group) {
+func compareFolders(t *testing.T, group *localgroup.Group, disk func(int) diskio.Disk, replicas ...int) {
 	t.Helper()
 	report, err := group.Replica(leaderOf(t, group)).Report(callContext(t))
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i := range 3 {
+	for _, i := range replicas {
 		awaitApplied(t, group, i, report.Applied)
 	}
 	if err := group.Close(); err != nil {
@@ -135,12 +147,8 @@
 	}
 	entries := map[uint64]replog.Entry{}
 	states := map[uint64][]byte{}
-	for i := range 3 {
-		disk, err := diskio.NewFolder(group.Folder(i))
-		if err != nil {
-			t.Fatal(err)
-		}
-		recovered, err := storage.Inspect(disk)
+	for _, i := range replicas {
+		recovered, err := storage.Inspect(disk(i))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/test/planted/run-core.sh
+++ b/test/planted/run-core.sh
@@ -3,7 +3,7 @@
 # the tests of the packages that it belongs to to fail. A bug that is not found
 # means that the tests have lost their power.
 #
-# usage: test/planted/run-core.sh state|dispatch
+# usage: test/planted/run-core.sh state|dispatch|storage
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 
@@ -19,8 +19,13 @@
   flags=(-timeout 5m)
   finding='.*(seed [0-9]+:|_test.go:).*'
   ;;
+storage)
+  packages=(./internal/replica)
+  flags=(-run 'TestGroupPowerLoss$' -power.seed=3 -power.runs=4 -failfast -timeout 10m)
+  finding='powerloss_test.go:[0-9]+: (broken promises|no command|replica [0-9]+ cannot recover).*'
+  ;;
 *)
-  echo "usage: $0 state|dispatch" >&2
+  echo "usage: $0 state|dispatch|storage" >&2
   exit 2
   ;;
 esac
