Compare the voters of a test group as a set

Cause: TestLostLogAfterReplacements waited for a change to the voters in the order of their ids, but the log line names them in the order in which they joined.

Change: changedTo compares sets.

--- a/internal/platformproc/group_test.go
+++ b/internal/platformproc/group_test.go
@@ -170,13 +170,24 @@
 	return known.ID
 }
 
-// changedTo reports whether a leader has made exactly these voters the members.
+// changedTo reports whether a leader has made exactly these voters, in any order,
+// the members.
 func (g *testGroup) changedTo(voters []uint64) bool {
-	want := fmt.Sprint(voters)
+	var want []string
+	for _, id := range voters {
+		want = append(want, fmt.Sprint(id))
+	}
+	slices.Sort(want)
 	for _, m := range g.members {
 		for _, line := range m.log.lines(1403) {
 			learners, _ := line["learners"].([]any)
-			if fmt.Sprint(line["voters"]) == want && len(learners) == 0 {
+			listed, _ := line["voters"].([]any)
+			var got []string
+			for _, id := range listed {
+				got = append(got, fmt.Sprint(id))
+			}
+			slices.Sort(got)
+			if slices.Equal(got, want) && len(learners) == 0 {
 				return true
 			}
 		}
@@ -292,7 +303,6 @@
 				t.Errorf("id %d after %d, want a new one of a replica that joins", now, former)
 			}
 			voters := []uint64{g.members[0].id(t), g.members[2].id(t), now}
-			slices.Sort(voters)
 			await(t, fmt.Sprintf("group of %v", voters), func() bool { return g.changedTo(voters) })
 
 			// A quorum is now the new replica and one other.
--- a/internal/platformproc/lostdisk_test.go
+++ b/internal/platformproc/lostdisk_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"os"
 	"path/filepath"
-	"slices"
 	"testing"
 	"time"
 
@@ -67,6 +66,5 @@
 	g.start(victim)
 	await(t, "start under another id", func() bool { return len(m.log.lines(1406)) > 0 })
 	voters := []uint64{g.members[0].id(t), g.members[1].id(t), g.members[2].id(t)}
-	slices.Sort(voters)
 	await(t, "group after the replacement", func() bool { return g.changedTo(voters) })
 }
