--- a/internal/storage/folder_test.go
+++ b/internal/storage/folder_test.go
@@ -117,6 +117,28 @@
 	return (<-store.completions).Err
 }
 
+// openAdmitted opens a folder and lets the replica vote with it.
+func openAdmitted(t *testing.T, opts Options) *Store {
+	t.Helper()
+	store, _, err := Open(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := admit(store); err != nil {
+		t.Fatal(err)
+	}
+	return store
+}
+
+// answer serves a request to its end and returns what the replica is told.
+func answer(t *testing.T, store *Store, request Request) error {
+	t.Helper()
+	if err := serveOne(store, request); err != nil {
+		t.Fatal(err)
+	}
+	return (<-store.completions).Err
+}
+
 func mustFolder(t *testing.T, path string) diskio.Disk {
 	t.Helper()
 	disk, err := diskio.NewFolder(path)
@@ -129,14 +151,8 @@
 // fill writes a log of several segments without a snapshot.
 func fill(t *testing.T, path string) {
 	t.Helper()
-	store, _, err := Open(testOptions(mustFolder(t, path)))
-	if err != nil {
-		t.Fatal(err)
-	}
+	store := openAdmitted(t, testOptions(mustFolder(t, path)))
 	defer store.Close()
-	if err := admit(store); err != nil {
-		t.Fatal(err)
-	}
 	for i := range uint64(12) {
 		request := Append{Seq: i + 1, Entries: entries(3*i+1, 3*i+3, 1)}
 		if err := store.serve([]Request{request}); err != nil {
--- a/internal/storage/limit_test.go
+++ b/internal/storage/limit_test.go
@@ -13,34 +13,22 @@
 	disk := faultdisk.New()
 	opts := testOptions(disk)
 	opts.LimitBytes = 1000
-	store, _, err := Open(opts)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := admit(store); err != nil {
-		t.Fatal(err)
-	}
-	serve := func(store *Store, request Append) error {
-		if err := store.serve([]Request{request}); err != nil {
-			t.Fatal(err)
-		}
-		return (<-store.completions).Err
-	}
+	store := openAdmitted(t, opts)
 	seq := uint64(1)
 	for ; ; seq++ {
-		if err := serve(store, Append{Seq: seq, HardState: &replog.HardState{Term: 1}, Entries: entries(seq, seq, 1)}); err != nil {
+		if err := answer(t, store, Append{Seq: seq, HardState: &replog.HardState{Term: 1}, Entries: entries(seq, seq, 1)}); err != nil {
 			break
 		}
 	}
 	// The process starts again, so the refused append is gone.
 	store.Close()
 	opts.Disk = disk.AfterKill()
-	store, _, err = Open(opts)
+	store, _, err := Open(opts)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for try := 0; try == 0 || try < 3 && err != nil; try++ {
-		err = serve(store, Append{Seq: 1, HardState: &replog.HardState{Term: 2}, Install: snapshotAt(100, 2)})
+		err = answer(t, store, Append{Seq: 1, HardState: &replog.HardState{Term: 2}, Install: snapshotAt(100, 2)})
 		t.Logf("try %d: %v, log of %d bytes", try, err, store.log.total())
 	}
 	if err != nil {
--- a/internal/storage/refused_test.go
+++ b/internal/storage/refused_test.go
@@ -34,21 +34,12 @@
 		if name == "limit" {
 			opts.LimitBytes = 400
 		}
-		store, _, err := Open(opts)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := admit(store); err != nil {
+		store := openAdmitted(t, opts)
+		if err := answer(t, store, Append{Seq: 1, HardState: &replog.HardState{Term: 1, Vote: 1}, Entries: entries(1, 4, 1)}); err != nil {
 			t.Fatal(err)
 		}
-		if err := store.serve([]Request{Append{Seq: 1, HardState: &replog.HardState{Term: 1, Vote: 1}, Entries: entries(1, 4, 1)}}); err != nil {
-			t.Fatal(err)
-		}
-		if c := <-store.completions; c.Err != nil {
-			t.Fatal(c.Err)
-		}
 		refuse(&opts, disk)
-		err = store.serve([]Request{
+		err := store.serve([]Request{
 			Append{Seq: 2, HardState: &replog.HardState{Term: 2, Vote: 3}, Entries: entries(5, 14, 2)},
 			SaveSnapshot{*snapshotAt(8, 2)},
 		})
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/diskio"
@@ -123,12 +122,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, err = replog.New(replog.Config{
-			ID: 1, Membership: replog.Membership{Voters: []replog.ReplicaID{1}}, ElectionTimeoutMin: time.Second,
-			ElectionTimeoutMax: 2 * time.Second, HeartbeatInterval: 100 * time.Millisecond, MaxBatchBytes: 1 << 20, MaxInflight: 1, MaxPending: 1,
-			HardState: recovered.HardState, Snapshot: recovered.Snapshot, Entries: recovered.Entries,
-		}, time.Unix(0, 0))
-		if err != nil {
+		if err := startsWith(recovered); err != nil {
 			t.Errorf("stop at %d: %v", dieAt, err)
 		}
 	}
@@ -327,35 +321,22 @@
 // or takes a later append before the refused one.
 func TestFullDiskRefusesUntilRoom(t *testing.T) {
 	disk := faultdisk.New()
-	store, _, err := Open(testOptions(disk))
-	if err != nil {
-		t.Fatal(err)
-	}
-	serve := func(request Append) error {
-		t.Helper()
-		if err := store.serve([]Request{request}); err != nil {
-			t.Fatal(err)
-		}
-		return (<-store.completions).Err
-	}
-	if err := admit(store); err != nil {
-		t.Fatal(err)
-	}
+	store := openAdmitted(t, testOptions(disk))
 	first := Append{Seq: 1, Entries: entries(1, 2, 1)}
 	second := Append{Seq: 2, Entries: entries(3, 4, 1)}
 	third := Append{Seq: 3, Entries: entries(5, 6, 1)}
-	if err := serve(first); err != nil {
+	if err := answer(t, store, first); err != nil {
 		t.Fatal(err)
 	}
 	disk.FailAt(disk.Ops()+1, syscall.ENOSPC)
-	if err := serve(second); !errors.Is(err, ErrDiskFull) {
+	if err := answer(t, store, second); !errors.Is(err, ErrDiskFull) {
 		t.Fatalf("error %v, want ErrDiskFull", err)
 	}
-	if err := serve(third); !errors.Is(err, ErrDiskFull) {
+	if err := answer(t, store, third); !errors.Is(err, ErrDiskFull) {
 		t.Fatalf("append after a refused one: error %v, want ErrDiskFull", err)
 	}
 	for _, request := range []Append{second, third} {
-		if err := serve(request); err != nil {
+		if err := answer(t, store, request); err != nil {
 			t.Fatalf("append %d with room again: %v", request.Seq, err)
 		}
 	}
@@ -371,29 +352,16 @@
 func TestCutOfRefusedWriteIsDurable(t *testing.T) {
 	for seed := range uint64(100) {
 		disk := faultdisk.New()
-		store, _, err := Open(testOptions(disk))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := admit(store); err != nil {
-			t.Fatal(err)
-		}
-		serve := func(request Request) error {
-			t.Helper()
-			if err := serveOne(store, request); err != nil {
-				t.Fatal(err)
-			}
-			return (<-store.completions).Err
-		}
+		store := openAdmitted(t, testOptions(disk))
 		second := Append{Seq: 2, Entries: entries(5, 9, 1)}
-		if err := serve(Append{Seq: 1, HardState: &replog.HardState{Term: 1}, Entries: entries(1, 4, 1)}); err != nil {
+		if err := answer(t, store, Append{Seq: 1, HardState: &replog.HardState{Term: 1}, Entries: entries(1, 4, 1)}); err != nil {
 			t.Fatal(err)
 		}
 		disk.FailAt(disk.Ops()+1, syscall.ENOSPC)
-		if err := serve(second); !errors.Is(err, ErrDiskFull) {
+		if err := answer(t, store, second); !errors.Is(err, ErrDiskFull) {
 			t.Fatalf("error %v, want ErrDiskFull", err)
 		}
-		if err := errors.Join(serve(SaveSnapshot{*snapshotAt(3, 1)}), serve(second)); err != nil {
+		if err := errors.Join(answer(t, store, SaveSnapshot{*snapshotAt(3, 1)}), answer(t, store, second)); err != nil {
 			t.Fatal(err)
 		}
 		want := model{hardState: replog.HardState{Term: 1}, snapshot: 3, entries: entries(4, 9, 1)}
@@ -408,13 +376,7 @@
 	opts := testOptions(disk)
 	opts.EntriesPerSync = 1
 	opts.LimitBytes = 600
-	store, _, err := Open(opts)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := admit(store); err != nil {
-		t.Fatal(err)
-	}
+	store := openAdmitted(t, opts)
 	if err := store.serve([]Request{Append{Seq: 1, Entries: entries(1, 5, 1)}, Append{Seq: 2, Entries: entries(6, 60, 1)}}); err != nil {
 		t.Fatal(err)
 	}
@@ -432,13 +394,7 @@
 // was installed, takes its place.
 func TestInstalledSnapshotOutlivesOlderOne(t *testing.T) {
 	disk := faultdisk.New()
-	store, _, err := Open(testOptions(disk))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := admit(store); err != nil {
-		t.Fatal(err)
-	}
+	store := openAdmitted(t, testOptions(disk))
 	saved := savedSnapshot{index: 4, err: store.writeSnapshot(*snapshotAt(4, 1))}
 	requests := []Request{
 		Append{Seq: 1, HardState: &replog.HardState{Term: 2}, Entries: entries(1, 6, 1)},
