Log why a call to the control group ended and how much of its answer came

Change: the error of a call names the last attempt: address, bytes of the answer that had come, and what ended it.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -6,8 +6,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -179,16 +177,15 @@
 		if err != nil {
 			return endOfCall(maybeAccepted, err)
 		}
-		attempt, cancel := context.WithTimeout(ctx, answerAfter+timeout)
-		var connected atomic.Bool
-		err = do(httptrace.WithClientTrace(attempt, &httptrace.ClientTrace{
-			GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-		}), target.control)
+		attemptCtx, cancel := context.WithTimeout(ctx, answerAfter+timeout)
+		var seen attempt
+		err = do(seen.trace(attemptCtx), target.control)
 		cancel()
 		if err == nil {
 			return nil
 		}
-		failure := classify(err, connected.Load())
+		failure := classify(err, seen.connected.Load())
+		err = merry.Prependf(err, "%s, %d bytes of the answer received", target.address, seen.received.Load())
 		maybeAccepted = maybeAccepted || failure.maybeAccepted
 		if ctx.Err() != nil {
 			// The caller gave up, which says nothing about the replica.
@@ -209,11 +206,12 @@
 	}
 }
 
+// endOfCall names the cause of the last attempt in the message, for the log.
 func endOfCall(maybeAccepted bool, cause error) error {
 	if maybeAccepted {
-		return merry.Wrap(ErrOutcomeUnknown, merry.WithCause(cause))
+		return merry.Wrap(ErrOutcomeUnknown, merry.WithCause(cause), merry.AppendMessage(cause.Error()))
 	}
-	return merry.Wrap(ErrUnavailable, merry.WithCause(cause))
+	return merry.Wrap(ErrUnavailable, merry.WithCause(cause), merry.AppendMessage(cause.Error()))
 }
 
 func (c *Client) report(target target, failure failure) {
--- a/internal/controlclient/directory.go
+++ b/internal/controlclient/directory.go
@@ -78,7 +78,7 @@
 	address := d.addresses[d.current]
 	control := d.clients[address]
 	if control == nil {
-		control = rpcpb.NewControlProtobufClient(d.scheme+"://"+address, d.httpClient)
+		control = rpcpb.NewControlProtobufClient(d.scheme+"://"+address, observer{d.httpClient})
 		d.clients[address] = control
 	}
 	return target{address: address, control: control}
