Let an answer that is still arriving end: bound the silence of a call, not its time

Cause: each attempt of a call to the control group ended after 0.25 to 0.6 s and each poll of an entry process after 1.2 s. The answer with the configuration, which held the operator's document as well, takes longer on a link of 2 Mbit/s. So it was begun again for ever, no entry process ever had a configuration after its restart, and the attempts filled the link for submissions. The same held for a large command on its way to the leader.

Change: an attempt ends after that time without a byte of the answer; a poll begins no attempt after 1.2 s but does not cut one off; a request is given the time that its size takes on the slowest link; entry processes read the configuration without the document.

Evidence: TestAnswerThatIsStillArrivingIsNotCutOff failed before (81,804 bytes of 512,000 received when the last of 20 s of attempts was cut), TestLargeCommandPassesASlowLink fails without the time for the request, and TestDocumentIsReadOnRequestOnly does not build before. Why it works: what an attempt has received is progress, and only a replica that sends nothing is passed over.

--- a/core/state/query.go
+++ b/core/state/query.go
@@ -35,6 +35,9 @@
 // QueuesQuery asks for the queue configuration where it is newer than Known.
 type QueuesQuery struct {
 	Known uint64
+	// Document asks for the configuration as the operator sent it, too. It is as
+	// large as the rest, so entry processes do without.
+	Document bool `cbor:",omitempty"`
 	// Caller is the internal address of the asking process where it takes
 	// calls of the leader, otherwise empty.
 	Caller string
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -28,7 +28,7 @@
 	case q.Queue != nil:
 		return Answer{Queue: &QueueView{Pending: s.workload.Pending(q.Queue.Name)}}
 	case q.Queues != nil:
-		return Answer{Queues: s.queuesView(q.Queues.Known)}
+		return Answer{Queues: s.queuesView(*q.Queues)}
 	case q.Called != nil:
 		if w, ok := s.workload.Worker(q.Called.Worker); ok {
 			return Answer{Called: &w}
@@ -52,14 +52,18 @@
 	return &StepJobView{State: job.State}
 }
 
-func (s *State) queuesView(known uint64) *QueuesView {
+func (s *State) queuesView(q QueuesQuery) *QueuesView {
 	config := s.workload.Config()
 	if config == nil {
 		return &QueuesView{}
 	}
 	view := &QueuesView{Version: config.Version}
-	if config.Version > known {
-		view.Config = config
+	if config.Version > q.Known {
+		asked := *config
+		if !q.Document {
+			asked.Document = nil
+		}
+		view.Config = &asked
 	}
 	return view
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -40,14 +40,20 @@
 	// election takes 0.4 to 0.8 s, so the wait stays well below it.
 	firstBackoff = 10 * time.Millisecond
 	maxBackoff   = 50 * time.Millisecond
-	// firstAttempt bounds the first attempt, so that a replica that is cut off
-	// silently does not use up the deadline of the call. A commit over 8 ms one
-	// way and a slow disk takes well under 100 ms. Each further attempt may take
-	// twice as long, up to maxAttempt, for a leader that is slow.
+	// firstAttempt bounds the silence of the first attempt, so that a replica that
+	// is cut off silently does not use up the deadline of the call. A commit over
+	// 8 ms one way and a slow disk takes well under 100 ms. Each further attempt may
+	// wait twice as long, up to maxAttempt, for a leader that is slow.
 	firstAttempt = 250 * time.Millisecond
 	maxAttempt   = 600 * time.Millisecond
 )
 
+// slowestLink is the least rate of a link in bytes per second: 2 Mbit/s.
+const slowestLink = 250_000
+
+// sendTime is how long a request of n bytes may be on its way.
+func sendTime(n int) time.Duration { return time.Duration(n) * time.Second / slowestLink }
+
 // Client is safe for use by many goroutines; they share no state but send
 // messages to the directory task.
 type Client struct {
@@ -86,7 +92,7 @@
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ProposeResponse
-	err = c.untilAnswered(ctx, 0, limits, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, sendTime(len(encoded)), limits, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
 		return callErr
@@ -103,12 +109,17 @@
 
 // Read answers a query from the leader's current state.
 func (c *Client) Read(ctx context.Context, query state.Query) (state.Answer, error) {
+	return c.ReadWithin(ctx, query, WaitLimits{})
+}
+
+// ReadWithin is Read, but begins no attempt after the limits.
+func (c *Client) ReadWithin(ctx context.Context, query state.Query, limits WaitLimits) (state.Answer, error) {
 	encoded, err := codec.EncodeQuery(query)
 	if err != nil {
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	err = c.untilAnswered(ctx, 0, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
+	err = c.untilAnswered(ctx, 0, limits, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
@@ -177,10 +188,9 @@
 		if err != nil {
 			return endOfCall(maybeAccepted, err)
 		}
-		attemptCtx, cancel := context.WithTimeout(ctx, answerAfter+timeout)
-		var seen attempt
-		err = do(seen.trace(attemptCtx), target.control)
-		cancel()
+		seen, attemptCtx, end := newAttempt(ctx, answerAfter, timeout)
+		err = do(attemptCtx, target.control)
+		end()
 		if err == nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/controlclient/slowlink_test.go
@@ -0,0 +1,126 @@
+package controlclient
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+)
+
+// linkBytes and linkTime are a link of 2 Mbit/s.
+const (
+	linkBytes = 4 << 10
+	linkTime  = 16 * time.Millisecond
+)
+
+// slowListener accepts connections whose answers pass a slow link, and stop
+// after a number of bytes where stopAfter is above 0.
+type slowListener struct {
+	net.Listener
+	stopAfter int
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &slowConn{Conn: conn, left: l.stopAfter, stops: l.stopAfter > 0}, nil
+}
+
+type slowConn struct {
+	net.Conn
+	left  int
+	stops bool
+}
+
+func (c *slowConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data[:min(len(data), linkBytes)])
+	time.Sleep(linkTime * time.Duration(n) / linkBytes)
+	return n, err
+}
+
+func (c *slowConn) Write(data []byte) (int, error) {
+	written := 0
+	for part := range slices.Chunk(data, linkBytes) {
+		if c.stops {
+			if c.left -= len(part); c.left < 0 {
+				return len(data), nil // lost on the way
+			}
+		}
+		time.Sleep(linkTime)
+		n, err := c.Conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// largeReplica answers reads with a configuration of several hundred queues.
+type largeReplica struct{ rpcpb.Control }
+
+// Propose answers like fakeReplica.
+func (largeReplica) Propose(ctx context.Context, request *rpcpb.ProposeRequest) (*rpcpb.ProposeResponse, error) {
+	return new(fakeReplica).Propose(ctx, request)
+}
+
+func (largeReplica) Read(context.Context, *rpcpb.ReadRequest) (*rpcpb.ReadResponse, error) {
+	config := &workload.Config{Version: 6, Document: bytes.Repeat([]byte("route"), 100<<10)}
+	answer, err := codec.EncodeAnswer(state.Answer{Queues: &state.QueuesView{Version: 6, Config: config}})
+	return &rpcpb.ReadResponse{Answer: answer}, err
+}
+
+func serveSlowly(t *testing.T, stopAfter int) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(rpcpb.NewControlServer(largeReplica{}))
+	server.Listener = slowListener{server.Listener, stopAfter}
+	server.Start()
+	t.Cleanup(server.CloseClientConnections)
+	return server.Listener.Addr().String()
+}
+
+// Guards against an answer that needs longer than an attempt may take and is
+// begun again for ever (incident inc1): the attempts filled the link, and no
+// entry process had a configuration.
+func TestAnswerThatIsStillArrivingIsNotCutOff(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	limits := WaitLimits{NotTaken: time.Second, Unknown: time.Second}
+	answer, err := newClient(t, serveSlowly(t, 0)).ReadWithin(ctx, state.Query{Queues: &state.QueuesQuery{}}, limits)
+	if err != nil || answer.Queues == nil || len(answer.Queues.Config.Document) != 500<<10 {
+		t.Errorf("answer %v, error %v", answer.Queues != nil, err)
+	}
+}
+
+// Guards against a command that needs longer on its way than an attempt may take
+// and is sent again for ever.
+func TestLargeCommandPassesASlowLink(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	config := &workload.Config{Version: 6, Document: make([]byte, 500<<10)}
+	_, err := newClient(t, serveSlowly(t, 0)).Propose(ctx, state.Command{Workload: &workload.Command{Configure: config}})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a call that waits for the rest of an answer from a replica that
+// was cut off while it answered.
+func TestAnswerThatStopsArrivingIsGivenUp(t *testing.T) {
+	client := newClient(t, serveSlowly(t, 64<<10))
+	_, err := client.ReadWithin(t.Context(), state.Query{Queues: &state.QueuesQuery{}}, WaitLimits{NotTaken: time.Second, Unknown: time.Second})
+	if !errors.Is(err, ErrUnavailable) {
+		t.Errorf("error %v, want ErrUnavailable", err)
+	}
+}
--- a/internal/workapi/gate.go
+++ b/internal/workapi/gate.go
@@ -20,7 +20,9 @@
 	// pollInterval is the time between two polls. A change has to be in force
 	// within 2.5 s; it also announces this process to the leader as a caller.
 	pollInterval = 500 * time.Millisecond
-	pollTimeout  = 1200 * time.Millisecond
+	// pollWait is how long a poll looks for a leader that answers. An answer that
+	// has begun may take longer.
+	pollWait = 1200 * time.Millisecond
 	// submitWait is how long a submission waits for a leader before it is
 	// refused as not taken: an election takes up to 0.9 s, and a client that
 	// waits for 3 s can send again after the second that it is told.
@@ -31,6 +33,8 @@
 	submitUnknownWait = 1200 * time.Millisecond
 )
 
+var pollLimits = controlclient.WaitLimits{NotTaken: pollWait, Unknown: pollWait}
+
 // submitLimits are for submissions; cancels go on until their deadline.
 var submitLimits = controlclient.WaitLimits{NotTaken: submitWait, Unknown: submitUnknownWait}
 
@@ -87,10 +91,8 @@
 }
 
 func (g *Gate) poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
 	query := state.Query{Queues: &state.QueuesQuery{Known: g.version(), Caller: g.opts.Caller}}
-	answer, err := g.opts.Control.Read(ctx, query)
+	answer, err := g.opts.Control.ReadWithin(ctx, query, pollLimits)
 	if err != nil {
 		return err
 	}
--- a/internal/workapi/registry.go
+++ b/internal/workapi/registry.go
@@ -146,7 +146,7 @@
 // Configuration returns the newest configuration, or OutcomeNotTaken where this
 // process cannot be sure which one that is.
 func (r *Registry) Configuration(ctx context.Context) (workload.Config, Outcome) {
-	answer, err := r.opts.Control.Read(ctx, state.Query{Queues: &state.QueuesQuery{}})
+	answer, err := r.opts.Control.Read(ctx, state.Query{Queues: &state.QueuesQuery{Document: true}})
 	if err != nil || answer.Queues == nil {
 		r.opts.Logger.Log(eventConfigUnread, zap.Error(err))
 		return workload.Config{}, OutcomeNotTaken
