Give a request to another replica the time that its size takes

A request with log messages ended after 1 s whatever its size, and an entry may have several MiB. Over a link on which it takes longer it is sent again for ever and never committed.

--- a/internal/controlclient/slowlink_test.go
+++ b/internal/controlclient/slowlink_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
 	"net/http/httptest"
-	"slices"
 	"testing"
 	"time"
 
@@ -14,59 +12,9 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
+	"github.com/godwitlink/godwitlink/internal/slowlink"
 )
 
-// linkBytes and linkTime are a link of 2 Mbit/s.
-const (
-	linkBytes = 4 << 10
-	linkTime  = 16 * time.Millisecond
-)
-
-// slowListener accepts connections whose answers pass a slow link, and stop
-// after a number of bytes where stopAfter is above 0.
-type slowListener struct {
-	net.Listener
-	stopAfter int
-}
-
-func (l slowListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &slowConn{Conn: conn, left: l.stopAfter, stops: l.stopAfter > 0}, nil
-}
-
-type slowConn struct {
-	net.Conn
-	left  int
-	stops bool
-}
-
-func (c *slowConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data[:min(len(data), linkBytes)])
-	time.Sleep(linkTime * time.Duration(n) / linkBytes)
-	return n, err
-}
-
-func (c *slowConn) Write(data []byte) (int, error) {
-	written := 0
-	for part := range slices.Chunk(data, linkBytes) {
-		if c.stops {
-			if c.left -= len(part); c.left < 0 {
-				return len(data), nil // lost on the way
-			}
-		}
-		time.Sleep(linkTime)
-		n, err := c.Conn.Write(part)
-		written += n
-		if err != nil {
-			return written, err
-		}
-	}
-	return written, nil
-}
-
 // largeReplica answers reads with a configuration of several hundred queues.
 type largeReplica struct{ rpcpb.Control }
 
@@ -84,7 +32,7 @@
 func serveSlowly(t *testing.T, stopAfter int) string {
 	t.Helper()
 	server := httptest.NewUnstartedServer(rpcpb.NewControlServer(largeReplica{}))
-	server.Listener = slowListener{server.Listener, stopAfter}
+	server.Listener = slowlink.Listener{Listener: server.Listener, Rate: slowestLink, StopAfter: stopAfter}
 	server.Start()
 	t.Cleanup(server.CloseClientConnections)
 	return server.Listener.Addr().String()
--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -27,10 +27,13 @@
 	snapshotQueue = 2    // messages; the log repeats a snapshot that got lost
 	// maxBatchBytes closes a batch. One more message may exceed it.
 	maxBatchBytes = 4 << 20
-	// logTimeout bounds a request with log messages. It is far above the
-	// round trip between regions (16 ms) and lets a replica that returns from
-	// a pause be reached within a second.
+	// logTimeout bounds a request with log messages, beside the time that it is
+	// on its way. It is far above the round trip between regions (16 ms) and lets
+	// a replica that returns from a pause be reached within a second.
 	logTimeout = time.Second
+	// slowestLink is the least rate between control replicas in bytes per second:
+	// 20 Mbit/s.
+	slowestLink = 2_500_000
 	// maxRequests is the number of requests on the way to one replica. With
 	// requestSpacing it covers the round trip between regions (16 ms).
 	maxRequests = 10
@@ -39,7 +42,8 @@
 	// for the round trip; without it requests often overtake each other, and
 	// the log has to send again what came out of order.
 	requestSpacing = 2 * time.Millisecond
-	// snapshotTimeout lets 64 MiB pass over a link of 20 Mbit/s.
+	// snapshotTimeout is logTimeout for a snapshot, which the receiver also writes
+	// to its disk.
 	snapshotTimeout = 30 * time.Second
 )
 
@@ -233,7 +237,8 @@
 }
 
 func (l *lane) send(ctx context.Context, client rpcpb.Replication, request *rpcpb.StepRequest) error {
-	timed, cancel := context.WithTimeout(ctx, l.timeout)
+	onTheWay := time.Duration(proto.Size(request)) * time.Second / slowestLink
+	timed, cancel := context.WithTimeout(ctx, l.timeout+onTheWay)
 	defer cancel()
 	_, err := client.Step(timed, request)
 	return err
