Repeat stops to a worker that does not answer with growing waits

Cause: a stop without an answer was sent again after 50 ms, however often.

Change: the wait doubles from 50 ms to 1 s, and a worker that answers again gets its stops at once.

Evidence: TestStopsToASilentWorkerBackOff counted 60 stops in 3 s before and passes now.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -47,6 +47,7 @@
 	if w.silent {
 		w.silent = false
 		c.changed = true
+		c.repeatStops(w)
 		if w.backoff == 0 {
 			// Only the one answer was lost.
 			c.lossyUntil = c.now.Add(lossyTime)
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -138,6 +138,16 @@
 	case OutcomeOtherBoot:
 		c.endBoot(w, "other-boot", true)
 	default:
-		r.callAt = c.now.Add(retryCall)
+		r.stopWait = min(max(2*r.stopWait, retryCall), retryStopMax)
+		r.callAt = c.now.Add(r.stopWait)
+	}
+}
+
+// repeatStops sends the stops at once that a worker has not answered.
+func (c *Core) repeatStops(w *worker) {
+	for _, r := range w.runs {
+		if r.stop && r.stopWait > 0 {
+			r.stopWait, r.callAt = 0, c.now
+		}
 	}
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -15,8 +15,11 @@
 	retryHold    = 250 * time.Millisecond
 	retryHoldMax = time.Second
 	// retryCall is the wait before a start or a stop without an answer is sent
-	// again. The call itself has waited for its own timeout by then.
-	retryCall = 50 * time.Millisecond
+	// again. The call itself has waited for its own timeout by then. For a stop it
+	// doubles up to retryStopMax: a worker that has gone refuses each connection
+	// until its lease is over.
+	retryCall    = 50 * time.Millisecond
+	retryStopMax = time.Second
 	// startTries is how often a start is sent before the run is given up.
 	startTries = 3
 	// firstStartTimeout bounds the first try of a start, startTimeout the others.
@@ -88,9 +91,10 @@
 	confirmAt  time.Time
 	calling    bool // a start or stop is on the way
 	tries      int
-	callAt     time.Time // next call
-	stop       bool      // to be stopped
-	stopped    bool      // the worker has taken the stop
+	callAt     time.Time     // next call
+	stop       bool          // to be stopped
+	stopWait   time.Duration // before the next stop
+	stopped    bool          // the worker has taken the stop
 	stoppedAt  time.Time
 	reported   bool               // its end is proposed
 	unknown    bool               // the state has no such run: it is only stopped
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -240,3 +240,32 @@
 		t.Fatalf("later: holds %+v", e.Holds)
 	}
 }
+
+// Guards against a stop that is sent to a silent worker with every turn, and
+// against one that waits when the worker is back.
+func TestStopsToASilentWorkerBackOff(t *testing.T) {
+	step := workload.StepSpec{Tasks: 1, Size: wholeWorker}
+	b, runs := running(t, 1, step)
+	b.core.Applied(b.now, b.now, 0, workload.Command{Cancel: &workload.Cancel{ID: "j"}})
+	sent := 0
+	pass := func() {
+		for _, stop := range b.pass(10 * time.Millisecond).Stops {
+			sent++
+			b.core.StopAnswered(b.now, stop, dispatch.OutcomeNotSent, 0)
+		}
+	}
+	for range 300 {
+		pass()
+		b.answerHolds(dispatch.Report{Outcome: dispatch.OutcomeNotSent})
+	}
+	if sent < 3 || sent > 8 {
+		t.Errorf("%d stops in 3 s, want a few", sent)
+	}
+	for len(b.open) == 0 {
+		pass()
+	}
+	b.listing(runs, func(dispatch.Start) int { return 50 })
+	if stops := b.pass(time.Millisecond).Stops; len(stops) != 1 {
+		t.Errorf("stops after the worker is back: %+v, want one", stops)
+	}
+}
