Keep the leadership where no other replica can be elected

Cause: a leader whose disk is full or hangs offered the leadership to any follower that had stored the oldest entry that waits for its disk. Where the other disks that work are no quorum, for example with a full disk and another voter down in a group of three, nobody can be elected: the vote of the former leader waits for its disk too.

Change: for the sake of its disk a leader hands over only once the oldest waiting entry is committed. The leader has not stored that entry, so a commit proves that the others are a quorum. A planned stop hands over as before.

Checked: TestLeaderStaysWithoutAQuorumOfOtherDisks fails for both kinds of disk without the change (no read is answered within 5 s) and passes with it; -race -count=3 together with TestLeaderWithABadDiskHandsOver, TestEquallySlowDisksKeepTheLeader, TestPlannedStopLosesNothing and TestFullDiskRefusesCommandsAndServesReads.

--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -27,6 +27,9 @@
 	case t.status.Role != replog.RoleLeader || t.status.Transferring:
 	case t.stopping != nil:
 		t.handOver(now, handOverStop, 0)
+	case t.status.Commit < t.disk.firstUnsynced():
+		// The other disks that work are no quorum either, so nobody else could be
+		// elected, and the reads would stop too.
 	case t.disk.full:
 		t.handOver(now, handOverFullDisk, t.disk.firstUnsynced())
 	case !t.disk.slowAt().IsZero() && !now.Before(t.disk.slowAt()):
