Hand over for a slow disk only where others are faster

Cause: a leader handed over when its oldest append had waited 0.5 s for its sync and any follower had stored it. With disks that are all slow, at a time that differs from sync to sync, some follower always has. Each vote then waits for such a sync too, so that one handover led to many elections.

Change: the 0.5 s count from the commit of the append, which shows that a quorum of other disks was faster, and twice the time that they took is added. With fast followers that is next to nothing; with slow ones it is more than a sync of the leader's own disk takes.

Checked: TestUnevenlySlowDisksKeepTheLeader, five replicas, 200 to 600 ms a sync, 15 s.

--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -24,10 +24,11 @@
 
 // unsynced is an append and what follows its sync.
 type unsynced struct {
-	request   storage.Append
-	mark      uint64
-	since     time.Time
-	afterSync []replog.Message
+	request     storage.Append
+	mark        uint64
+	since       time.Time
+	committedAt time.Time // by other replicas; zero before
+	afterSync   []replog.Message
 }
 
 // flush carries out the effects of the log until there are none. While too
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -8,10 +8,14 @@
 	"github.com/godwitlink/godwitlink/core/replog"
 )
 
-// slowDiskAfter is for how long the disk of a leader may complete no append that
-// waits before it looks for a follower with a faster disk. A disk that takes 9 ms
-// for a sync stays below it at thirty times that.
-const slowDiskAfter = 500 * time.Millisecond
+const (
+	// slowDiskAfter is for how long the disk of a leader may take longer than those
+	// of a quorum of others before it looks for a follower with a faster disk.
+	slowDiskAfter = 500 * time.Millisecond
+	// slowDiskFactor adds to it what the others took, as a multiple. Where all disks
+	// take 200 to 600 ms, one sync is often over slowDiskAfter.
+	slowDiskFactor = 2
+)
 
 // Reasons of a handover, in logs and metrics.
 const (
@@ -23,6 +27,7 @@
 // considerHandOver offers the leadership to another replica where this one
 // stops, or where its disk keeps commands waiting that others have stored.
 func (t *task) considerHandOver(now time.Time) {
+	t.disk.committed(now, t.status.Commit)
 	switch {
 	case t.status.Role != replog.RoleLeader || t.status.Transferring:
 	case t.stopping != nil:
@@ -68,16 +73,31 @@
 	return 0
 }
 
-// slowAt is when the oldest append has waited too long for its sync, or zero. The
-// time in which the disk completed those before it does not count: with disks that
-// are all equally slow no follower is better off.
+// committed notes when the other replicas have committed an append without this
+// disk.
+func (d *diskQueue) committed(now time.Time, commit uint64) {
+	for i := range d.unsynced {
+		waiting := &d.unsynced[i]
+		if n := len(waiting.request.Entries); n > 0 && waiting.request.Entries[n-1].Index > commit {
+			return
+		}
+		if waiting.committedAt.IsZero() {
+			waiting.committedAt = now
+		}
+	}
+}
+
+// slowAt is when the oldest append has waited too long for its sync after its
+// commit, or zero. The time in which the disk completed those before it does not
+// count, and with disks that are all slow no follower is better off.
 func (d *diskQueue) slowAt() time.Time {
-	if len(d.unsynced) == 0 {
+	if len(d.unsynced) == 0 || d.unsynced[0].committedAt.IsZero() {
 		return time.Time{}
 	}
-	start := d.unsynced[0].since
+	first := d.unsynced[0]
+	start := first.committedAt
 	if d.syncedAt.After(start) {
 		start = d.syncedAt
 	}
-	return start.Add(slowDiskAfter)
+	return start.Add(slowDiskAfter + slowDiskFactor*first.committedAt.Sub(first.since))
 }
--- a/internal/replica/slowdisk_test.go
+++ b/internal/replica/slowdisk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,11 +14,12 @@
 	"github.com/godwitlink/godwitlink/internal/replica"
 )
 
-// slowDisk delays the syncs of files once slow is set.
+// slowDisk delays the syncs of files once slow is set, each by another time from
+// delay to delay + spread.
 type slowDisk struct {
 	diskio.Disk
-	slow  *atomic.Bool
-	delay time.Duration
+	slow          *atomic.Bool
+	delay, spread time.Duration
 }
 
 type slowFile struct {
@@ -32,7 +34,7 @@
 
 func (f slowFile) Sync() error {
 	if f.disk.slow.Load() {
-		time.Sleep(f.disk.delay)
+		time.Sleep(f.disk.delay + rand.N(f.disk.spread+1))
 	}
 	return f.File.Sync()
 }
@@ -41,9 +43,19 @@
 // each time, where the disks of all replicas are equally slow and no follower
 // is better off.
 func TestEquallySlowDisksKeepTheLeader(t *testing.T) {
+	expectNoHandOver(t, 3, 300*time.Millisecond, 0)
+}
+
+// Guards against the same where all disks are slow and take turns at being the slowest.
+func TestUnevenlySlowDisksKeepTheLeader(t *testing.T) {
+	expectNoHandOver(t, 5, 200*time.Millisecond, 400*time.Millisecond)
+}
+
+func expectNoHandOver(t *testing.T, replicas int, delay, spread time.Duration) {
+	t.Helper()
 	var slow atomic.Bool
-	group := startGroup(t, 3, func(o *replica.Options) {
-		o.Storage.Disk = slowDisk{faultdisk.New(), &slow, 300 * time.Millisecond}
+	group := startGroup(t, replicas, func(o *replica.Options) {
+		o.Storage.Disk = slowDisk{faultdisk.New(), &slow, delay, spread}
 	})
 	applyFile(t, group, cellFile(t, "turnos.toml"))
 	join(t, group)
@@ -79,6 +91,6 @@
 	}
 	t.Logf("%d commands, terms %d to %d, %s", done.Load(), before.Term, after.Term, handOvers)
 	if strings.Contains(handOvers, "disk-slow") {
-		t.Errorf("the leadership was handed over between equally slow disks")
+		t.Errorf("the leadership was handed over although all disks are slow")
 	}
 }
