Do not repeat the durable part of a refused group

Cause: a group of appends above 16 MiB is written as several records. Where a full disk refused a later record, the whole group was refused, and the replica repeated all of it. An append at the end of a durable record may have replaced entries of those before it, so that the log was shorter by then; the first append, written again, stood behind a gap. The folder could not be recovered any more.

Change: the store remembers the last append that is durable and leaves it out of the repeat. What it answers is the same: all of a group that does not fit is refused.

Checked: TestDurablePartOfARefusedGroupIsNotRepeated fails without the change ('the log has a gap: entry 4 follows entry 2') and passes with it.

--- a/internal/storage/refused_test.go
+++ b/internal/storage/refused_test.go
@@ -73,3 +73,51 @@
 		}
 	}
 }
+
+// Guards against a gap in the log after a full disk has refused the later part of a large group.
+func TestDurablePartOfARefusedGroupIsNotRepeated(t *testing.T) {
+	disk := faultdisk.New()
+	opts := testOptions(disk)
+	opts.SegmentBytes, opts.EntriesPerSync = 1<<20, 1
+	store, _, err := Open(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	group := []Append{
+		{Seq: 1, HardState: &replog.HardState{Term: 1}, Entries: entries(1, 3, 1)},
+		{Seq: 2, Entries: entries(4, 4, 1)},
+		{Seq: 3, HardState: &replog.HardState{Term: 2}, Entries: entries(2, 3, 2)},
+	}
+	serve := func(appends ...Append) (refused []Append) {
+		t.Helper()
+		var requests []Request
+		for _, request := range appends {
+			requests = append(requests, request)
+		}
+		if err := store.serve(requests); err != nil {
+			t.Fatal(err)
+		}
+		for _, request := range appends {
+			if c := <-store.completions; c.Err != nil {
+				refused = append(refused, request)
+			}
+		}
+		return refused
+	}
+	if err := admit(store); err != nil {
+		t.Fatal(err)
+	}
+	if refused := serve(group[0]); len(refused) > 0 {
+		t.Fatal("the first append is refused")
+	}
+	disk.FailAt(disk.Ops()+5, syscall.ENOSPC) // the write of the second entry of append 3
+	refused := serve(group[1:]...)
+	if len(refused) == 0 {
+		t.Fatal("nothing is refused")
+	}
+	if again := serve(refused...); len(again) > 0 {
+		t.Fatalf("%d appends are refused with room again", len(again))
+	}
+	want := model{hardState: replog.HardState{Term: 2}, entries: append(entries(1, 1, 1), entries(2, 3, 2)...)}
+	checkRecovers(t, "after the repeat", disk.AfterKill(), want)
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -110,10 +110,11 @@
 	if err := s.removeCovered(^uint64(0)); err != nil {
 		return err
 	}
-	if len(request.Entries) > 0 {
-		return s.log.write([]Append{{Entries: request.Entries}})
+	if len(request.Entries) == 0 {
+		return nil
 	}
-	return nil
+	_, err := s.log.write([]Append{{Entries: request.Entries}})
+	return err
 }
 
 func snapshotName(index uint64) string { return fmt.Sprintf(snapshotFormat, index) }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -80,6 +80,7 @@
 	completions chan Completion
 	log         writer
 	nextSeq     uint64
+	durableSeq  uint64 // of the last durable append, which may have been refused with later ones
 	full        bool
 	identity    *walcodec.Identity
 	snapshots   []string // file names, oldest first
@@ -275,7 +276,7 @@
 	started := time.Now()
 	err := s.markFormed(accepted)
 	if err == nil {
-		err = s.log.write(accepted)
+		err = s.writeMissing(accepted)
 	}
 	if err != nil && !diskFull(err) {
 		return merry.Wrap(ErrFailed, merry.WithCause(err))
@@ -285,6 +286,23 @@
 	return nil
 }
 
+// writeMissing writes the appends that are not durable. One that was refused
+// together with later ones may be, and those may have replaced its entries: written
+// again, it would leave a gap in the log.
+func (s *Store) writeMissing(appends []Append) error {
+	for len(appends) > 0 && appends[0].Seq <= s.durableSeq {
+		appends = appends[1:]
+	}
+	if len(appends) == 0 {
+		return nil
+	}
+	durable, err := s.log.write(appends)
+	if durable > 0 {
+		s.durableSeq = appends[durable-1].Seq
+	}
+	return err
+}
+
 // inOrder returns the appends that continue the last one and refuses the rest,
 // which follow a refused one.
 func (s *Store) inOrder(appends []Append) []Append {
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -49,36 +49,44 @@
 
 func segmentName(number uint64) string { return fmt.Sprintf(segmentFormat, number) }
 
-// write makes a group durable. An error of a full disk leaves the log as it
-// was before the record that did not fit.
-func (w *writer) write(group []Append) error {
+// write makes a group durable and returns how many of its appends are. An error of
+// a full disk leaves the log as it was before the record that did not fit.
+func (w *writer) write(group []Append) (durable int, err error) {
 	for _, batch := range batches(group, w.options.EntriesPerSync) {
-		if err := w.writeBatch(batch); err != nil {
-			return err
+		if err := w.writeBatch(batch.Batch); err != nil {
+			return durable, err
 		}
+		durable = batch.appends
 	}
-	return nil
+	return durable, nil
+}
+
+// groupBatch is a batch and the number of appends of the group that end in it or
+// in one before it.
+type groupBatch struct {
+	walcodec.Batch
+	appends int
 }
 
 // batches joins the appends of a group to as few batches as the bounds allow.
-func batches(group []Append, maxEntries int) []walcodec.Batch {
-	var all []walcodec.Batch
+func batches(group []Append, maxEntries int) []groupBatch {
+	var all []groupBatch
 	batch := walcodec.Batch{}
 	size := 0
-	for _, request := range group {
+	for i, request := range group {
 		if request.HardState != nil {
 			batch.HardState = request.HardState
 		}
 		for _, entry := range request.Entries {
 			if size >= maxGroupBytes || (maxEntries > 0 && len(batch.Entries) >= maxEntries) {
-				all = append(all, batch)
+				all = append(all, groupBatch{batch, i})
 				batch, size = walcodec.Batch{}, 0
 			}
 			batch.Entries = append(batch.Entries, entry)
 			size += len(entry.Data)
 		}
 	}
-	return append(all, batch)
+	return append(all, groupBatch{batch, len(group)})
 }
 
 func (w *writer) writeBatch(batch walcodec.Batch) error {
