--- a/internal/storage/refused_test.go
+++ b/internal/storage/refused_test.go
@@ -70,10 +70,7 @@
 	disk := faultdisk.New()
 	opts := testOptions(disk)
 	opts.SegmentBytes, opts.EntriesPerSync = 1<<20, 1
-	store, _, err := Open(opts)
-	if err != nil {
-		t.Fatal(err)
-	}
+	store := openAdmitted(t, opts)
 	group := []Append{
 		{Seq: 1, HardState: &replog.HardState{Term: 1}, Entries: entries(1, 3, 1)},
 		{Seq: 2, Entries: entries(4, 4, 1)},
@@ -95,9 +92,6 @@
 		}
 		return refused
 	}
-	if err := admit(store); err != nil {
-		t.Fatal(err)
-	}
 	if refused := serve(group[0]); len(refused) > 0 {
 		t.Fatal("the first append is refused")
 	}
