Answer the connections that wait to be accepted at a planned stop

Cause: a stop closed the socket, and the kernel resets the connections that it has opened and the process has not accepted yet. Clients have sent requests on them; a busy process accepts late, and every connection ends with its next answer during a drain, so that clients open many.

--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // Server serves HTTP on one socket and stops without dropping a request that
@@ -15,7 +16,7 @@
 // was read after the shutdown began, without an answer.
 type Server struct {
 	http   *http.Server
-	socket net.Listener
+	socket *acceptor
 	flag   *Flag
 	open   atomic.Int64
 	closed chan struct{} // signalled when a connection closes
@@ -26,7 +27,7 @@
 // answer once flag is set.
 func NewServer(socket net.Listener, server *http.Server, flag *Flag) *Server {
 	s := &Server{
-		http: server, socket: socket, flag: flag,
+		http: server, socket: newAcceptor(socket), flag: flag,
 		closed: make(chan struct{}, 1), served: make(chan struct{}),
 	}
 	server.Handler = flag.Wrap(server.Handler)
@@ -67,11 +68,14 @@
 	return err
 }
 
-// Stop accepts no more connections, closes the idle ones and waits until the
-// others have been answered. It returns the number of connections that were
+// Stop accepts the connections that wait and no more, closes the idle ones and
+// waits until the others have been answered. It returns the number of connections that were
 // still open when ctx ended. Serve must have been called.
 func (s *Server) Stop(ctx context.Context) (cut int) {
 	s.flag.Begin()
+	if s.socket.stop(time.Now()) {
+		<-s.served
+	}
 	// The socket is not used again; it may have failed before.
 	_ = s.socket.Close()
 	<-s.served
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -20,6 +20,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startServerOn(t, socket, accepted, handler)
+}
+
+func startServerOn(t *testing.T, socket net.Listener, accepted chan<- struct{}, handler http.HandlerFunc) *Server {
+	t.Helper()
 	s := NewServer(socket, &http.Server{Handler: handler, ConnState: func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			accepted <- struct{}{}
@@ -79,6 +84,56 @@
 	}
 }
 
+// heldListener accepts nothing before release is closed, like a busy process.
+type heldListener struct {
+	*net.TCPListener
+	release chan struct{}
+}
+
+func (l heldListener) Accept() (net.Conn, error) {
+	<-l.release
+	return l.TCPListener.Accept()
+}
+
+// Guards against a planned stop that resets a connection which the kernel has
+// opened and the process has not accepted yet, although the client has sent its
+// request on it.
+func TestStopAnswersAConnectionThatWaitsToBeAccepted(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := heldListener{socket.(*net.TCPListener), make(chan struct{})}
+	s := startServerOn(t, held, make(chan struct{}, 4), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	var waiting []net.Conn
+	for range 4 {
+		conn := dial(t, s)
+		write(t, conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+		waiting = append(waiting, conn)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	stopped := make(chan int, 1)
+	go func() { stopped <- s.Stop(ctx) }()
+	for !s.flag.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	close(held.release)
+	for _, conn := range waiting {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusNoContent || !response.Close {
+			t.Errorf("status %d, close %v", response.StatusCode, response.Close)
+		}
+	}
+	if cut := <-stopped; cut != 0 {
+		t.Errorf("%d connections cut", cut)
+	}
+}
+
 // Guards against a stop that waits for connections without a request, and
 // against one that reports nothing although it cut a request.
 func TestStopClosesIdleConnectionsAndCountsCutOnes(t *testing.T) {
