Leave time for a busy machine in the tests of slow links

The link slept 1,024 times for 1.6 ms, each longer on a busy machine, and the bound of the request left 60 percent.

Change: 50 sleeps a second, links of twice the least rate and larger messages.

--- a/internal/controlclient/slowlink_test.go
+++ b/internal/controlclient/slowlink_test.go
@@ -24,7 +24,7 @@
 }
 
 func (largeReplica) Read(context.Context, *rpcpb.ReadRequest) (*rpcpb.ReadResponse, error) {
-	config := &workload.Config{Version: 6, Document: bytes.Repeat([]byte("route"), 100<<10)}
+	config := &workload.Config{Version: 6, Document: bytes.Repeat([]byte("route"), 200<<10)}
 	answer, err := codec.EncodeAnswer(state.Answer{Queues: &state.QueuesView{Version: 6, Config: config}})
 	return &rpcpb.ReadResponse{Answer: answer}, err
 }
@@ -32,7 +32,7 @@
 func serveSlowly(t *testing.T, stopAfter int) string {
 	t.Helper()
 	server := httptest.NewUnstartedServer(rpcpb.NewControlServer(largeReplica{}))
-	server.Listener = slowlink.Listener{Listener: server.Listener, Rate: slowestLink, StopAfter: stopAfter}
+	server.Listener = slowlink.Listener{Listener: server.Listener, Rate: 2 * slowestLink, StopAfter: stopAfter}
 	server.Start()
 	t.Cleanup(server.CloseClientConnections)
 	return server.Listener.Addr().String()
@@ -46,7 +46,7 @@
 	defer cancel()
 	limits := WaitLimits{NotTaken: time.Second, Unknown: time.Second}
 	answer, err := newClient(t, serveSlowly(t, 0)).ReadWithin(ctx, state.Query{Queues: &state.QueuesQuery{}}, limits)
-	if err != nil || answer.Queues == nil || len(answer.Queues.Config.Document) != 500<<10 {
+	if err != nil || answer.Queues == nil || len(answer.Queues.Config.Document) != 1000<<10 {
 		t.Errorf("answer %v, error %v", answer.Queues != nil, err)
 	}
 }
--- a/internal/replication/slowlink_test.go
+++ b/internal/replication/slowlink_test.go
@@ -18,18 +18,19 @@
 	received := make(inbox, 1)
 	server := testServer(t, received, metrics.New())
 	client := NewClient()
-	client.Transport.(*http.Transport).DialContext = slowlink.Dial(slowestLink)
+	// Twice the least rate leaves time for a machine that is busy.
+	client.Transport.(*http.Transport).DialContext = slowlink.Dial(2 * slowestLink)
 	peer := Peer{ID: 2, Address: server.Listener.Addr().String()}
 	sender := NewSender(SenderOptions{Scheme: "http", Client: client, Peers: []Peer{peer}, Logger: eventlog.Nop(), Metrics: metrics.New()})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); sender.Run(ctx) }()
 	defer func() { cancel(); <-done }()
-	entry := replog.Entry{Index: 8, Term: 4, Kind: replog.EntryCommand, Data: make([]byte, 4<<20)}
+	entry := replog.Entry{Index: 8, Term: 4, Kind: replog.EntryCommand, Data: make([]byte, 12<<20)}
 	sender.Send([]replog.Message{{Type: replog.MessageAppend, From: 1, To: 2, Term: 4, LogTerm: 3, LogIndex: 7, Entries: []replog.Entry{entry}}})
 	select {
 	case <-received:
-	case <-time.After(10 * time.Second):
+	case <-time.After(20 * time.Second):
 		t.Error("the entry did not arrive")
 	}
 }
--- a/internal/slowlink/slowlink.go
+++ b/internal/slowlink/slowlink.go
@@ -9,8 +9,9 @@
 	"time"
 )
 
-// chunk is how many bytes pass at once.
-const chunk = 4 << 10
+// chunks is how often bytes pass in a second. More would need shorter sleeps than
+// a busy machine keeps to.
+const chunks = 50
 
 // Listener accepts connections with a rate in bytes per second. Where StopAfter
 // is above 0, what a connection writes after so many bytes is lost on the way.
@@ -48,11 +49,13 @@
 	written int
 }
 
+func (c *conn) chunk() int { return c.link.Rate / chunks }
+
 func (c *conn) pass(n int) { time.Sleep(time.Duration(n) * time.Second / time.Duration(c.link.Rate)) }
 
 // Read implements net.Conn.
 func (c *conn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data[:min(len(data), chunk)])
+	n, err := c.Conn.Read(data[:min(len(data), c.chunk())])
 	c.pass(n)
 	return n, err
 }
@@ -60,7 +63,7 @@
 // Write implements net.Conn.
 func (c *conn) Write(data []byte) (int, error) {
 	written := 0
-	for part := range slices.Chunk(data, chunk) {
+	for part := range slices.Chunk(data, c.chunk()) {
 		c.written += len(part)
 		if c.link.StopAfter > 0 && c.written > c.link.StopAfter {
 			return len(data), nil
