--- a/internal/platformproc/lostdisk_test.go
+++ b/internal/platformproc/lostdisk_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -68,3 +69,21 @@
 	voters := []uint64{g.members[0].id(t), g.members[1].id(t), g.members[2].id(t)}
 	await(t, "group after the replacement", func() bool { return g.changedTo(voters) })
 }
+
+// Guards against a group that never forms because a founder lost its disk before
+// the others had heard from it: they wait for its former id, and it waits for a
+// leader.
+func TestFounderLostBeforeFormation(t *testing.T) {
+	g := startTestGroup(t)
+	const lost = 2
+	m := g.members[lost]
+	g.kill(lost)
+	if err := os.RemoveAll(m.settings.DataDir); err != nil {
+		t.Fatal(err)
+	}
+	m.settings.Bootstrap = false
+	g.start(lost)
+	await(t, "leader", func() bool {
+		return slices.ContainsFunc(g.members, func(m *testMember) bool { return len(m.log.lines(1205)) > 0 })
+	})
+}
