--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -39,6 +39,8 @@
 	return s
 }
 
+func answerNothing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
+
 func dial(t *testing.T, s *Server) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", s.Address())
@@ -61,7 +63,7 @@
 // is complete only after the shutdown began.
 func TestStopAnswersARequestThatIsBeingRead(t *testing.T) {
 	accepted := make(chan struct{}, 1)
-	s := startServer(t, accepted, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	s := startServer(t, accepted, answerNothing)
 	conn := dial(t, s)
 	write(t, conn, "GET / HTTP/1.1\r\n")
 	<-accepted
@@ -71,6 +73,15 @@
 	go func() { stopped <- s.Stop(ctx) }()
 	<-s.served
 	write(t, conn, "Host: entry\r\n\r\n")
+	expectLastAnswer(t, conn)
+	if cut := <-stopped; cut != 0 {
+		t.Errorf("%d connections cut", cut)
+	}
+}
+
+// expectLastAnswer reads an answer after which the connection ends.
+func expectLastAnswer(t *testing.T, conn net.Conn) {
+	t.Helper()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
@@ -79,9 +90,6 @@
 	if response.StatusCode != http.StatusNoContent || !response.Close {
 		t.Errorf("status %d, close %v", response.StatusCode, response.Close)
 	}
-	if cut := <-stopped; cut != 0 {
-		t.Errorf("%d connections cut", cut)
-	}
 }
 
 // heldListener accepts nothing before release is closed, like a busy process.
@@ -104,7 +112,7 @@
 		t.Fatal(err)
 	}
 	held := heldListener{socket.(*net.TCPListener), make(chan struct{})}
-	s := startServerOn(t, held, make(chan struct{}, 4), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	s := startServerOn(t, held, make(chan struct{}, 4), answerNothing)
 	var waiting []net.Conn
 	for range 4 {
 		conn := dial(t, s)
@@ -120,14 +128,7 @@
 	}
 	close(held.release)
 	for _, conn := range waiting {
-		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil {
-			t.Fatalf("no answer: %v", err)
-		}
-		response.Body.Close()
-		if response.StatusCode != http.StatusNoContent || !response.Close {
-			t.Errorf("status %d, close %v", response.StatusCode, response.Close)
-		}
+		expectLastAnswer(t, conn)
 	}
 	if cut := <-stopped; cut != 0 {
 		t.Errorf("%d connections cut", cut)
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -368,10 +368,10 @@
 	}
 }
 
-// Guards against a group that takes no commands while only the disk of its
-// leader is full or hangs.
-func TestLeaderWithABadDiskHandsOver(t *testing.T) {
-	for name, impair := range map[string]func(*faultdisk.Disk){
+// onBadDisks runs a test for each fault of a disk, on a group of three. impair
+// brings the fault about on the disk of the leader; it ends with the test.
+func onBadDisks(t *testing.T, test func(t *testing.T, group *localgroup.Group, leader int, impair func())) {
+	for name, fault := range map[string]func(*faultdisk.Disk){
 		"full":    func(d *faultdisk.Disk) { d.RefuseWrites(syscall.ENOSPC) },
 		"hanging": func(d *faultdisk.Disk) { d.Hang(true) },
 	} {
@@ -380,23 +380,31 @@
 			group := startGroup(t, 3, func(o *replica.Options) { o.Storage.Disk = disks[o.ID] })
 			applyFile(t, group, cellFile(t, "turnos.toml"))
 			join(t, group)
-			former := leaderOf(t, group)
-			bad := disks[replog.ReplicaID(former+1)]
-			impair(bad)
+			leader := leaderOf(t, group)
+			bad := disks[replog.ReplicaID(leader+1)]
 			defer func() {
 				bad.RefuseWrites(nil)
 				bad.Hang(false)
 			}()
-			for ctx := callContext(t); leaderOf(t, group) == former; {
-				// The command that meets the disk may be refused.
-				_, err := group.Client().Propose(ctx, begin(0, 1))
-				if ctx.Err() != nil {
-					t.Fatalf("replica %d still leads: %v", former+1, err)
-				}
-			}
-			if granted := commitMany(t, group, 2, 50); granted < 49 {
-				t.Errorf("%d of 49 commands carried out", granted)
-			}
+			test(t, group, leader, func() { fault(bad) })
 		})
 	}
 }
+
+// Guards against a group that takes no commands while only the disk of its
+// leader is full or hangs.
+func TestLeaderWithABadDiskHandsOver(t *testing.T) {
+	onBadDisks(t, func(t *testing.T, group *localgroup.Group, former int, impair func()) {
+		impair()
+		for ctx := callContext(t); leaderOf(t, group) == former; {
+			// The command that meets the disk may be refused.
+			_, err := group.Client().Propose(ctx, begin(0, 1))
+			if ctx.Err() != nil {
+				t.Fatalf("replica %d still leads: %v", former+1, err)
+			}
+		}
+		if granted := commitMany(t, group, 2, 50); granted < 49 {
+			t.Errorf("%d of 49 commands carried out", granted)
+		}
+	})
+}
