Test stores with groups of requests that a full disk refuses

Cause: the tests of several lives of a folder serve one request at a time.

After the first start of each life it checks what was answered, what is found without having been sent, and that a replica starts with it. cutRecovery and model.last are shared with the other tests.

--- /dev/null
+++ b/internal/storage/grouped_test.go
@@ -0,0 +1,329 @@
+package storage
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
+)
+
+var (
+	groupedSeed = flag.Uint64("grouped.seed", 0, "first seed of TestRefusedGroupsLoseNothing")
+	groupedRuns = flag.Uint64("grouped.runs", 800, "number of runs of TestRefusedGroupsLoseNothing, with consecutive seeds")
+)
+
+// Guards against a folder that no start can read, or that has lost or invented entries, after a full disk
+// has refused groups of requests. Each life of the folder ends with a kill or a loss of power.
+func TestRefusedGroupsLoseNothing(t *testing.T) {
+	const lives = 12
+	for seed := *groupedSeed; seed < *groupedSeed+*groupedRuns; seed++ {
+		random := rand.New(rand.NewPCG(testSeed, seed))
+		disk := faultdisk.New()
+		client := newGroupClient(openAdmitted(t, testOptions(disk)), disk, Recovered{}, random)
+		for life := range lives {
+			at := fmt.Sprintf("seed %d, life %d", seed, life)
+			disk = cutRecovery(t, at, nextDisk(disk, random), random)
+			store, recovered, err := Open(groupedOptions(disk, random))
+			if err != nil {
+				t.Fatalf("%s: %v; files %v", at, err, listNames(t, disk))
+			}
+			if store.identity == nil {
+				t.Fatalf("%s: the identity is gone", at)
+			}
+			if err := errors.Join(startsWith(recovered), client.checkKept(recovered)); err != nil {
+				t.Fatalf("%s: %v", at, err)
+			}
+			disk.DieAt(disk.Ops() + 1 + random.IntN(150))
+			client = newGroupClient(store, disk, recovered, random)
+			if err := client.live(); err != nil && !errors.Is(err, ErrFailed) {
+				t.Fatalf("%s: %v", at, err)
+			}
+		}
+	}
+}
+
+func groupedOptions(disk *faultdisk.Disk, random *rand.Rand) Options {
+	opts := testOptions(disk)
+	opts.EntriesPerSync = random.IntN(4)
+	opts.SegmentBytes = []int64{1, testSegmentBytes, testSegmentBytes, 2000}[random.IntN(4)]
+	if random.IntN(4) == 0 {
+		opts.LimitBytes = 500 + random.Int64N(3000)
+	}
+	return opts
+}
+
+// groupClient uses a store as the replica task does: it sends appends before earlier ones are answered,
+// repeats refused ones in their order, and has one snapshot saved at a time.
+type groupClient struct {
+	random    *rand.Rand
+	disk      *faultdisk.Disk
+	store     *Store
+	states    []model // the log before the first append of this life and after each
+	answered  int     // appends
+	unsynced  []Append
+	mailbox   []Request
+	inStore   int // requests without a completion
+	full      bool
+	commit    uint64
+	snapshots []replog.Snapshot // recovered, taken and installed
+	saving    bool
+	saved     *savedSnapshot // written, while the store has not finished it
+}
+
+func newGroupClient(store *Store, disk *faultdisk.Disk, recovered Recovered, random *rand.Rand) *groupClient {
+	c := &groupClient{random: random, disk: disk, store: store, states: []model{recoveredModel(recovered)}}
+	if recovered.Snapshot != nil {
+		c.commit, c.snapshots = recovered.Snapshot.Index, []replog.Snapshot{*recovered.Snapshot}
+	}
+	return c
+}
+
+// live uses the store until the disk dies, or for 400 steps.
+func (c *groupClient) live() error {
+	defer c.takeCompletions()
+	for range 400 {
+		if err := c.step(); err != nil {
+			return err
+		}
+		if c.random.IntN(2) == 0 {
+			c.takeCompletions()
+		}
+	}
+	return nil
+}
+
+func (c *groupClient) step() error {
+	switch c.random.IntN(10) {
+	case 0, 1, 2:
+		c.sendAppend()
+	case 3:
+		if last := c.state().last(); last > c.commit {
+			c.commit += 1 + c.random.Uint64N(last-c.commit)
+		}
+	case 4:
+		c.takeSnapshot()
+	case 5:
+		return c.finishSnapshot()
+	case 6:
+		c.repeatRefused()
+	case 7:
+		c.changeRoom()
+	default:
+		return c.serve()
+	}
+	return nil
+}
+
+func (c *groupClient) state() model { return c.states[len(c.states)-1] }
+
+func (c *groupClient) submit(request Request) {
+	c.inStore++
+	c.mailbox = append(c.mailbox, request)
+}
+
+func (c *groupClient) sendAppend() {
+	if len(c.unsynced) >= 20 {
+		return
+	}
+	request := c.nextAppend()
+	request.Seq = uint64(len(c.states))
+	if request.Install != nil {
+		c.commit, c.snapshots = request.Install.Index, append(c.snapshots, *request.Install)
+	}
+	c.states = append(c.states, c.state().apply(request))
+	c.unsynced = append(c.unsynced, request)
+	if !c.full {
+		c.submit(request)
+	}
+}
+
+func (c *groupClient) nextAppend() Append {
+	last, stored := c.state().last(), c.state().hardState
+	term := max(stored.Term, 1)
+	request := Append{Entries: c.entriesFrom(last+1, term)}
+	switch c.random.IntN(12) {
+	case 0:
+		index := c.commit + 1 + c.random.Uint64N(20)
+		// A leader sends no snapshot of entries of its own term that the follower has.
+		if index <= last || c.random.IntN(2) == 0 {
+			term++
+		}
+		request = Append{Install: snapshotAt(index, term), Entries: entries(index+1, index+c.random.Uint64N(3), term)}
+	case 1:
+		return Append{HardState: &replog.HardState{Term: term + 1, Vote: replog.ReplicaID(1 + c.random.IntN(5))}}
+	case 2, 3, 4, 5:
+		term++
+		request = Append{Entries: c.entriesFrom(c.commit+1+c.random.Uint64N(last-c.commit+1), term)}
+	}
+	if term != stored.Term {
+		request.HardState = &replog.HardState{Term: term}
+	}
+	return request
+}
+
+func (c *groupClient) entriesFrom(first, term uint64) []replog.Entry {
+	return entries(first, first+c.random.Uint64N(5), term)
+}
+
+func (c *groupClient) takeSnapshot() {
+	entry, exists := c.state().entry(c.commit)
+	if c.full || c.saving || !exists {
+		return
+	}
+	if n := len(c.snapshots); n > 0 && c.snapshots[n-1].Index >= c.commit {
+		return
+	}
+	taken := *snapshotAt(entry.Index, entry.Term)
+	c.saving, c.snapshots = true, append(c.snapshots, taken)
+	c.submit(SaveSnapshot{taken})
+}
+
+// finishSnapshot hands a written snapshot to the store, which may have served other requests meanwhile.
+func (c *groupClient) finishSnapshot() error {
+	if c.saved == nil {
+		return nil
+	}
+	saved := *c.saved
+	c.saved = nil
+	return c.store.finishSnapshot(saved)
+}
+
+func (c *groupClient) repeatRefused() {
+	if !c.full || c.inStore > 0 {
+		return
+	}
+	for _, request := range c.unsynced {
+		c.submit(request)
+	}
+}
+
+func (c *groupClient) changeRoom() {
+	switch c.random.IntN(6) {
+	case 0, 1, 2:
+		c.disk.FailAt(c.disk.Ops()+1+c.random.IntN(12), syscall.ENOSPC)
+	case 3:
+		c.disk.RefuseWrites(syscall.ENOSPC)
+	default:
+		c.disk.RefuseWrites(nil)
+	}
+}
+
+// serve lets the store serve a group. A snapshot ends it, because its file is written beside what follows
+// and a run must not depend on the order.
+func (c *groupClient) serve() error {
+	size := min(1+c.random.IntN(8), len(c.mailbox))
+	isSnapshot := func(request Request) bool { _, is := request.(SaveSnapshot); return is }
+	if i := slices.IndexFunc(c.mailbox[:size], isSnapshot); i >= 0 {
+		size = i + 1
+	}
+	group := c.mailbox[:size]
+	c.mailbox = c.mailbox[size:]
+	err := c.store.serve(group)
+	if c.store.saving && c.saved == nil {
+		saved := <-c.store.saved
+		c.saved = &saved
+	}
+	return err
+}
+
+func (c *groupClient) takeCompletions() {
+	for len(c.store.completions) > 0 {
+		completion := <-c.store.completions
+		c.inStore--
+		switch {
+		case completion.Snapshot != 0:
+			c.saving = false
+		case completion.Err != nil:
+			c.full = true
+		default:
+			c.answered++
+			c.unsynced = c.unsynced[1:]
+			c.full = c.full && len(c.unsynced) > 0
+		}
+	}
+}
+
+// checkKept returns what a start has not found of the answered state, or has found although no append
+// had it. Of the appends that were not answered any part may be there.
+func (c *groupClient) checkKept(recovered Recovered) error {
+	got, possible := recoveredModel(recovered), c.states[c.answered:]
+	if !slices.ContainsFunc(possible, func(m model) bool { return m.hardState == got.hardState }) {
+		return fmt.Errorf("hard state %v, answered %v", got.hardState, possible[0].hardState)
+	}
+	if err := c.checkSnapshot(recovered.Snapshot); err != nil {
+		return err
+	}
+	if err := checkNotInvented(got, possible); err != nil {
+		return err
+	}
+	return checkNotLost(recovered, possible)
+}
+
+func (c *groupClient) checkSnapshot(found *replog.Snapshot) error {
+	if found == nil {
+		found = &replog.Snapshot{}
+	}
+	if answered := c.states[c.answered].snapshot; found.Index < answered {
+		return fmt.Errorf("snapshot %d, answered %d", found.Index, answered)
+	}
+	isFound := func(s replog.Snapshot) bool {
+		return s.Index == found.Index && s.Term == found.Term && bytes.Equal(s.Data, found.Data)
+	}
+	if found.Index > 0 && !slices.ContainsFunc(c.snapshots, isFound) {
+		return fmt.Errorf("snapshot %d of term %d, which was never sent", found.Index, found.Term)
+	}
+	return nil
+}
+
+func checkNotInvented(got model, possible []model) error {
+	for i, entry := range got.entries {
+		if index := got.snapshot + 1 + uint64(i); entry.Index != index {
+			return fmt.Errorf("entry %d at the place of %d", entry.Index, index)
+		}
+		if !slices.ContainsFunc(possible, func(m model) bool { return m.holds(entry) }) {
+			return fmt.Errorf("entry %d is %q, which is in no state since the answered one", entry.Index, entry.Data)
+		}
+	}
+	return nil
+}
+
+// checkNotLost looks for the entries of the first possible state, the answered one. A later one
+// replaces all entries from its first, so nothing behind an entry that is replaced counts.
+func checkNotLost(recovered Recovered, possible []model) error {
+	got, answered := recoveredModel(recovered), possible[0]
+	if covered, exists := answered.entry(got.snapshot); exists && covered.Term != recovered.Snapshot.Term {
+		return nil
+	}
+	for _, entry := range answered.entries {
+		switch {
+		case entry.Index <= got.snapshot:
+		case entry.Index > got.last():
+			if !slices.ContainsFunc(possible, func(m model) bool { return m.last() < entry.Index }) {
+				return fmt.Errorf("entry %d was answered; snapshot %d, last entry %d", entry.Index, got.snapshot, got.last())
+			}
+		case !got.holds(entry):
+			return nil
+		}
+	}
+	return nil
+}
+
+// entry returns the entry with an index, where it is not covered by the snapshot.
+func (m model) entry(index uint64) (replog.Entry, bool) {
+	if index <= m.snapshot || index > m.last() {
+		return replog.Entry{}, false
+	}
+	return m.entries[index-m.snapshot-1], true
+}
+
+func (m model) holds(entry replog.Entry) bool {
+	own, exists := m.entry(entry.Index)
+	return exists && own.Term == entry.Term && bytes.Equal(own.Data, entry.Data)
+}
--- a/internal/storage/lives_test.go
+++ b/internal/storage/lives_test.go
@@ -26,13 +26,7 @@
 		admitted := false
 		for life := range lives {
 			at := fmt.Sprintf("seed %d, life %d", seed, life)
-			if random.IntN(3) == 0 {
-				disk.DieAt(1 + random.IntN(8))
-				if _, _, err := Open(testOptions(disk)); err != nil && !errors.Is(err, ErrFailed) {
-					t.Fatalf("%s, recovery that is cut: %v", at, err)
-				}
-				disk = nextDisk(disk, random)
-			}
+			disk = cutRecovery(t, at, disk, random)
 			store, recovered, err := Open(testOptions(disk))
 			if err != nil {
 				t.Fatalf("%s: %v; files %v", at, err, listNames(t, disk))
@@ -67,6 +61,19 @@
 	}
 }
 
+// cutRecovery lets the disk die in a recovery before a third of the starts.
+func cutRecovery(t *testing.T, at string, disk *faultdisk.Disk, random *rand.Rand) *faultdisk.Disk {
+	t.Helper()
+	if random.IntN(3) > 0 {
+		return disk
+	}
+	disk.DieAt(1 + random.IntN(8))
+	if _, _, err := Open(testOptions(disk)); err != nil && !errors.Is(err, ErrFailed) {
+		t.Fatalf("%s, recovery that is cut: %v", at, err)
+	}
+	return nextDisk(disk, random)
+}
+
 func nextDisk(disk *faultdisk.Disk, random *rand.Rand) *faultdisk.Disk {
 	if random.IntN(2) == 0 {
 		return disk.AfterKill()
@@ -117,7 +124,7 @@
 }
 
 func nextRequest(state model, seq uint64, random *rand.Rand) Request {
-	last := state.snapshot + uint64(len(state.entries))
+	last := state.last()
 	term := max(state.hardState.Term, 1)
 	switch random.IntN(10) {
 	case 0:
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -92,6 +92,8 @@
 	return m
 }
 
+func (m model) last() uint64 { return m.snapshot + uint64(len(m.entries)) }
+
 func (m model) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%v snapshot %d:", m.hardState, m.snapshot)
@@ -289,7 +291,7 @@
 	if store.identity == nil {
 		return state
 	}
-	next := state.snapshot + uint64(len(state.entries)) + 1
+	next := state.last() + 1
 	request := Append{Seq: 1, HardState: &replog.HardState{Term: 9}, Entries: entries(next, next+2, 9)}
 	if err := store.serve([]Request{request}); err != nil {
 		t.Fatal(err)
