--- a/internal/storage/refused_test.go
+++ b/internal/storage/refused_test.go
@@ -106,3 +106,24 @@
 	want := model{hardState: replog.HardState{Term: 2}, entries: append(entries(1, 1, 1), entries(2, 3, 2)...)}
 	checkRecovers(t, "after the repeat", disk.AfterKill(), want)
 }
+
+// Guards against a repeated install that removes its own file as an older one.
+func TestRepeatedInstallKeepsItsSnapshot(t *testing.T) {
+	disk := faultdisk.New()
+	store := openAdmitted(t, testOptions(disk))
+	if err := answer(t, store, Append{Seq: 1, HardState: &replog.HardState{Term: 1}, Entries: entries(1, 2, 1)}); err != nil {
+		t.Fatal(err)
+	}
+	install := Append{Seq: 2, Install: snapshotAt(46, 1), Entries: entries(47, 48, 1)}
+	for _, request := range []Request{install, SaveSnapshot{*snapshotAt(47, 1)}} {
+		disk.FailAt(disk.Ops()+6, syscall.ENOSPC) // the new segment behind the five operations of the file
+		if err := answer(t, store, request); !errors.Is(err, ErrDiskFull) {
+			t.Fatalf("error %v, want ErrDiskFull", err)
+		}
+	}
+	if err := answer(t, store, install); err != nil {
+		t.Fatal(err)
+	}
+	want := model{hardState: replog.HardState{Term: 1}, snapshot: 46, entries: entries(47, 48, 1)}
+	checkRecovers(t, "after the repeat", disk.AfterKill(), want)
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
@@ -129,10 +130,12 @@
 	return nil
 }
 
+// addSnapshot makes a snapshot the newest one. A refused install that is repeated
+// may find its file before that of a later snapshot: named twice, it would be
+// removed as an older one.
 func (s *Store) addSnapshot(name string) {
-	if n := len(s.snapshots); n == 0 || s.snapshots[n-1] != name {
-		s.snapshots = append(s.snapshots, name)
-	}
+	s.snapshots = slices.DeleteFunc(s.snapshots, func(stored string) bool { return stored == name })
+	s.snapshots = append(s.snapshots, name)
 }
 
 // removeCovered removes what the newest snapshot replaces: segments up to
