Form the group without a founder that lost its disk before

Cause: at the first start a founder waits until each other founder has answered under its id. One that loses its disk in the first second comes back under another id and waits for a leader; the others waited for its former id, and the group never formed.

Change: at the first start of the system, when no replica can have voted before, any replica at the address of a founder may answer. The group forms without the lost one and replaces it as always. A later start asks as before.

--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -131,7 +131,7 @@
 		return nil, merry.Wrap(err)
 	}
 	return replica.New(replica.Options{
-		ID: replog.ReplicaID(self.ID), Voters: self.peers(s), Address: s.ListenInternal, Join: self.Joined,
+		ID: replog.ReplicaID(self.ID), Voters: self.peers(s), Address: s.ListenInternal, Join: self.Joined, FirstStart: s.Bootstrap,
 		Scheme: "http", Client: client, Logger: b.logger, Metrics: b.metrics,
 		Storage: storage.Options{
 			Disk: disk, SegmentBytes: segmentBytes, LimitBytes: limit,
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -128,7 +128,7 @@
 	answers := make(chan founding, len(others))
 	for _, peer := range others {
 		client := rpcpb.NewReplicationProtobufClient(t.opts.Scheme+"://"+peer.Address, t.client)
-		go askVoter(ctx, client, peer, answers)
+		go askVoter(ctx, client, peer, t.opts.FirstStart, answers)
 	}
 	for waiting := len(others); waiting > 0 && t.stopping == nil; {
 		select {
@@ -165,15 +165,17 @@
 }
 
 // askVoter repeats the question until it is answered by the right replica, or by
-// one that has taken its place in the formed group.
-func askVoter(ctx context.Context, client rpcpb.Replication, peer replication.Peer, answers chan<- founding) {
+// one that has taken its place in the formed group. At the first start of the
+// system any replica there may answer: one that has lost its disk meanwhile comes
+// back under another id, and this replica cannot have voted before.
+func askVoter(ctx context.Context, client rpcpb.Replication, peer replication.Peer, firstStart bool, answers chan<- founding) {
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
 	for {
 		timed, cancel := context.WithTimeout(ctx, askTimeout)
 		status, err := client.Status(timed, &rpcpb.StatusRequest{})
 		cancel()
-		if err == nil && (status.Formed || status.ReplicaId == uint64(peer.ID)) {
+		if err == nil && (status.Formed || firstStart || status.ReplicaId == uint64(peer.ID)) {
 			answers <- founding{peer: peer, formed: status.Formed}
 			return
 		}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -17,11 +17,14 @@
 	Voters  []replication.Peer // initial voters; with Join other replicas of the group
 	Address string             // of this replica, where Voters does not have it
 	Join    bool               // an empty folder joins a formed group; it never forms one
-	Storage storage.Options    // Replica, Logger and Metrics are filled in
-	Scheme  string             // of requests to other replicas
-	Client  *http.Client       // for them; plain text where nil
-	Logger  *eventlog.Logger
-	Metrics *metrics.Set
+	// FirstStart says that the whole system starts for the first time, so that an
+	// empty folder is not one that was lost.
+	FirstStart bool
+	Storage    storage.Options // Replica, Logger and Metrics are filled in
+	Scheme     string          // of requests to other replicas
+	Client     *http.Client    // for them; plain text where nil
+	Logger     *eventlog.Logger
+	Metrics    *metrics.Set
 
 	ElectionTimeoutMin   time.Duration
 	ElectionTimeoutMax   time.Duration
