--- a/internal/controlclient/attempt.go
+++ b/internal/controlclient/attempt.go
@@ -14,8 +14,8 @@
 var errSilent = errors.New("no byte has passed in time")
 
 // attempt is one call to a replica. It ends after a time without a byte of the
-// answer, not after a time in all: a large answer over a slow link
-// would be begun again for ever, and its attempts would fill the link.
+// answer, not after a time in all: a large answer over a slow link would be begun
+// again for ever, and its attempts would fill the link.
 type attempt struct {
 	timeout   time.Duration
 	timer     *time.Timer
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -177,8 +177,8 @@
 
 type call func(ctx context.Context, control rpcpb.Control) error
 
-// untilAnswered repeats a call until it is answered, ctx ends or a limit is reached. A
-// replica may take answerAfter longer than usual.
+// untilAnswered repeats a call until it is answered, ctx ends or a limit is
+// reached. A replica may take answerAfter longer than usual to begin its answer.
 func (c *Client) untilAnswered(ctx context.Context, answerAfter time.Duration, limits WaitLimits, do call) error {
 	started := time.Now()
 	maybeAccepted := false
--- a/internal/storage/grouped_test.go
+++ b/internal/storage/grouped_test.go
@@ -19,8 +19,8 @@
 	groupedRuns = flag.Uint64("grouped.runs", 800, "number of runs of TestRefusedGroupsLoseNothing, with consecutive seeds")
 )
 
-// Guards against a folder that no start can read, or that has lost or invented entries, after a full disk
-// has refused groups of requests. Each life of the folder ends with a kill or a loss of power.
+// Guards against a folder that no start can read, or that has lost or invented
+// entries, after a full disk has refused groups of requests.
 func TestRefusedGroupsLoseNothing(t *testing.T) {
 	const lives = 12
 	for seed := *groupedSeed; seed < *groupedSeed+*groupedRuns; seed++ {
@@ -59,8 +59,9 @@
 	return opts
 }
 
-// groupClient uses a store as the replica task does: it sends appends before earlier ones are answered,
-// repeats refused ones in their order, and has one snapshot saved at a time.
+// groupClient uses a store as the replica task does: it sends appends before
+// earlier ones are answered, repeats refused ones in their order, and has one
+// snapshot saved at a time. Each of its lives ends with a kill or a loss of power.
 type groupClient struct {
 	random    *rand.Rand
 	disk      *faultdisk.Disk
