Give each test group a loopback network of its own

Cause: replicas of a local group listened on ephemeral ports of 127.0.0.1. While one was down, an outgoing connection of any process could take its port as the source port, and the replica could not listen again.

Change: a group claims a random network 127.x.y and port with a listener that it keeps open, and its replicas listen on 127.x.y.1 and up. Outgoing connections to loopback come from 127.0.0.1. The port is below the ephemeral ones.

The failure of TestGroupPowerLoss itself was not reproduced. The whole package was not run.

--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -55,6 +55,7 @@
 // Group is a set of replicas. It is used by one goroutine.
 type Group struct {
 	opts    Options
+	network *network
 	peers   []replication.Peer // the initial voters, then those of Join
 	members []*member
 	links   []*link
@@ -81,15 +82,19 @@
 
 // Start opens the listeners and starts all replicas.
 func Start(opts Options) (*Group, error) {
+	network, err := claimNetwork()
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Group{opts: opts, Metrics: metrics.New(), cancel: cancel, clients: make(chan struct{})}
+	g := &Group{opts: opts, network: network, Metrics: metrics.New(), cancel: cancel, clients: make(chan struct{})}
 	var listeners []net.Listener
 	var addresses []string
 	for range opts.Size {
 		listener, err := g.listen()
 		if err != nil {
 			cancel()
-			return nil, err
+			return nil, errors.Join(err, network.release())
 		}
 		listeners = append(listeners, listener)
 		addresses = append(addresses, listener.Addr().String())
@@ -107,7 +112,7 @@
 
 // listen opens the listener of one more replica.
 func (g *Group) listen() (net.Listener, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", g.network.address(len(g.peers)+1))
 	if err != nil {
 		return nil, err
 	}
@@ -273,5 +278,5 @@
 	}
 	g.cancel()
 	<-g.clients
-	return err
+	return errors.Join(err, g.network.release())
 }
