Close a socket at once after its queue at a planned stop

Clients that do not notice the drain never stop coming, so the wait for a quiet queue of ended at its limit of 0.2 s, with connections in the queue.

Change: what waits is accepted until nothing does, and the socket is closed with the next call. The error of a request of the test says on which connection it went.

What is left are connections that are opened between the last accept and the close; a socket filter that drops new ones is not supported on this kernel.

--- a/internal/draining/acceptor.go
+++ b/internal/draining/acceptor.go
@@ -5,68 +5,98 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
-)
 
-// Times of the end of accepting.
-const (
-	// acceptTail is how long no connection must have come before the socket is
-	// closed. A connection that waits is accepted at once, so it only covers the
-	// scheduling of the process.
-	acceptTail = 10 * time.Millisecond
-	// acceptLimit ends it where connections go on coming: clients are told to go
-	// elsewhere well before.
-	acceptLimit = 200 * time.Millisecond
+	"golang.org/x/sys/unix"
 )
 
-// acceptor is a listener that accepts what waits in its queue before it ends.
+// acceptor is a listener that accepts what waits in its queue before it closes.
 // Closing a socket resets the connections in its queue, on which clients may have
 // sent a request.
 type acceptor struct {
 	net.Listener
-	deadlines deadlines
-	stopping  atomic.Bool
-	stopAt    time.Time // set before stopping
+	socket   rawSocket // nil where the listener is of another kind
+	stopping atomic.Bool
+	// Of the goroutine that calls Accept.
+	closed bool
+	queue  []net.Conn // that waited when the socket was closed
 }
 
-type deadlines interface{ SetDeadline(time.Time) error }
+type rawSocket interface {
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
 
-func newAcceptor(socket net.Listener) *acceptor {
-	a := &acceptor{Listener: socket}
-	a.deadlines, _ = socket.(deadlines)
-	return a
+func newAcceptor(listener net.Listener) *acceptor {
+	socket, _ := listener.(rawSocket)
+	return &acceptor{Listener: listener, socket: socket}
 }
 
-// stop lets Accept end once the queue is empty. It reports false for a socket
-// without deadlines, which has to be closed.
+// stop lets Accept close the socket and end. It reports false for a listener that
+// has to be closed instead.
 func (a *acceptor) stop(now time.Time) bool {
-	if a.deadlines == nil {
+	if a.socket == nil {
 		return false
 	}
-	a.stopAt = now.Add(acceptLimit)
 	a.stopping.Store(true)
-	return a.deadlines.SetDeadline(now) == nil
+	return a.socket.SetDeadline(now) == nil
 }
 
-// Accept implements net.Listener. It returns net.ErrClosed after stop.
+// Accept implements net.Listener. After stop it returns the connections that
+// waited, and then net.ErrClosed.
 func (a *acceptor) Accept() (net.Conn, error) {
-	// The first time-out may be that of stop, which ends a wait but does not look
-	// into the queue.
-	for empty := 0; empty < 2; {
-		if a.stopping.Load() {
-			now := time.Now()
-			if now.After(a.stopAt) {
-				break
-			}
-			if err := a.deadlines.SetDeadline(now.Add(acceptTail)); err != nil {
-				return nil, err
-			}
-		}
+	if !a.stopping.Load() {
 		conn, err := a.Listener.Accept()
 		if !a.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
-		empty++
 	}
-	return nil, net.ErrClosed
+	if !a.closed {
+		a.closed = true
+		if err := a.closeAfterQueue(); err != nil {
+			return nil, err
+		}
+	}
+	if len(a.queue) == 0 {
+		return nil, net.ErrClosed
+	}
+	next := a.queue[0]
+	a.queue = a.queue[1:]
+	return next, nil
+}
+
+// closeAfterQueue accepts what waits and closes the socket at once, without the
+// wait of Listener.Accept for the next connection: clients that are not told to go
+// elsewhere never stop coming.
+func (a *acceptor) closeAfterQueue() error {
+	raw, err := a.socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var accepted []int
+	err = raw.Control(func(socket uintptr) {
+		for {
+			fd, _, err := unix.Accept4(int(socket), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			switch {
+			case err == nil:
+				accepted = append(accepted, fd)
+			case !errors.Is(err, unix.EINTR) && !errors.Is(err, unix.ECONNABORTED):
+				return // the queue is empty, or the process has no descriptor left
+			}
+		}
+	})
+	err = errors.Join(err, a.Listener.Close())
+	for _, fd := range accepted {
+		file := os.NewFile(uintptr(fd), "accepted")
+		conn, connErr := net.FileConn(file)
+		err = errors.Join(err, connErr, file.Close())
+		if connErr == nil {
+			a.queue = append(a.queue, conn)
+		}
+	}
+	if len(a.queue) > 0 {
+		return nil
+	}
+	return err
 }
--- a/test/e2e/calls_test.go
+++ b/test/e2e/calls_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"syscall"
 	"testing"
 	"time"
@@ -36,9 +37,15 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	var conn httptrace.GotConnInfo
+	var sentAt time.Time
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { conn, sentAt = info, time.Now() },
+	}))
 	response, err := c.http.Do(request)
 	if err != nil {
-		return answer{}, err
+		return answer{}, fmt.Errorf("%w (connection reused: %v, idle for %v, sent at %s, failed %v later)",
+			err, conn.Reused, conn.IdleTime, sentAt.Format("05.000"), time.Since(sentAt))
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
