--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -139,6 +139,7 @@
 	r := w.runs[a.Task]
 	if r == nil {
 		// The state has closed the run: the worker must not go on with it.
+		c.foundStray(w, a)
 		stray := &run{number: a.Run, unknown: true, confirmed: true, confirmAt: c.now, stop: true, reason: "closed-run"}
 		if job := c.state.Job(a.Task.Job); job != nil && a.Task.Step < len(job.Spec.Steps) {
 			stray.size = job.Spec.Steps[a.Task.Step].Size
@@ -150,6 +151,7 @@
 	if r.number != a.Run {
 		// Another run of the task, which the state has closed. It is stopped
 		// with each report until it is gone.
+		c.foundStray(w, a)
 		if c.mayOrder() {
 			c.out.Stops = append(c.out.Stops, Stop{Call: c.callTo(w), Task: a.Task, Run: a.Run})
 		}
@@ -164,6 +166,18 @@
 	c.advanced(w, a.Task, r, a.Percent, clock)
 }
 
+// foundStray notes a run that the state has closed. Where another run of its
+// task is open, the task may be running twice.
+func (c *Core) foundStray(w *worker, a ActiveRun) {
+	d := Decision{
+		Kind: DecisionStray, Job: a.Task.Job, Step: a.Task.Step, Task: a.Task.Index, Run: a.Run, Worker: w.ID, Boot: w.Boot,
+	}
+	if task := c.state.Task(a.Task); task != nil && task.Open && task.Run != a.Run {
+		d.Kind, d.Other = DecisionOverlap, task.Run
+	}
+	c.decide(d)
+}
+
 func (c *Core) takeEnd(w *worker, end ListedEnd) {
 	if end.Number <= w.listed {
 		return
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -59,6 +59,10 @@
 	}
 	if outcome == OutcomeNoAnswer {
 		c.noteUnanswered(w, start)
+		c.decide(Decision{
+			Kind: DecisionInDoubt, Job: start.Task.Job, Step: start.Task.Step, Task: start.Task.Index, Run: start.Run,
+			Worker: w.ID, Boot: w.Boot, Reason: outcome.String(),
+		})
 	}
 	r := w.runs[start.Task]
 	if r == nil || r.number != start.Run {
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -141,6 +141,8 @@
 	Task   int
 	Run    workload.RunNumber
 	Worker workload.WorkerID
+	Boot   workload.Boot
+	Other  workload.RunNumber // the task's open run, where another one was found
 	Count  int
 	Reason string
 	Age    time.Duration // of the input that decided
@@ -164,4 +166,7 @@
 	DecisionStop      DecisionKind = "run-stopped"
 	DecisionRunEnded  DecisionKind = "run-ended"
 	DecisionFenced    DecisionKind = "leader-fenced"
+	DecisionInDoubt   DecisionKind = "start-in-doubt"
+	DecisionStray     DecisionKind = "closed-run-found"
+	DecisionOverlap   DecisionKind = "runs-overlap"
 )
--- a/core/workload/view.go
+++ b/core/workload/view.go
@@ -11,6 +11,12 @@
 // Job returns a job, or nil. It must not be changed.
 func (s *State) Job(id JobID) *Job { return s.jobs[id] }
 
+// Task returns a task, or nil. It must not be changed.
+func (s *State) Task(id TaskID) *Task {
+	_, _, task := s.find(id)
+	return task
+}
+
 // Jobs calls visit for every known job, oldest first.
 func (s *State) Jobs(visit func(*Job)) {
 	for _, id := range s.order {
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -31,6 +31,9 @@
 	dispatch.DecisionStop:      eventlog.Declare(4020, zapcore.InfoLevel, "run is stopped"),
 	dispatch.DecisionRunEnded:  eventlog.Declare(4021, zapcore.InfoLevel, "run ended without success"),
 	dispatch.DecisionFenced:    eventlog.Declare(4022, zapcore.WarnLevel, "a worker follows a later leader"),
+	dispatch.DecisionInDoubt:   eventlog.Declare(4023, zapcore.InfoLevel, "a start got no answer and may still be carried out"),
+	dispatch.DecisionStray:     eventlog.Declare(4024, zapcore.WarnLevel, "worker runs what the state has closed"),
+	dispatch.DecisionOverlap:   eventlog.Declare(4025, zapcore.ErrorLevel, "worker runs what the state has closed while another run of the task is open"),
 }
 
 // Metrics.
@@ -43,7 +46,7 @@
 
 func (t *task) logDecision(d dispatch.Decision) {
 	t.opts.Metrics.Add(metricDecisions, string(d.Kind), 1)
-	fields := make([]zap.Field, 0, 8)
+	fields := make([]zap.Field, 0, 10)
 	if d.Job != "" {
 		fields = append(fields, zap.String("job", string(d.Job)), zap.Int("step", d.Step))
 	}
@@ -53,6 +56,12 @@
 	if d.Worker != "" {
 		fields = append(fields, zap.String("worker", string(d.Worker)))
 	}
+	if d.Boot != 0 {
+		fields = append(fields, zap.Int64("boot", int64(d.Boot)))
+	}
+	if d.Other != 0 {
+		fields = append(fields, zap.Uint64("open_run", uint64(d.Other)))
+	}
 	if d.Count != 0 {
 		fields = append(fields, zap.Int("count", d.Count))
 	}
