Send no orders to a boot whose end is proposed

Cause: the answer ends the boot but sets no time for the next stop. Orders to a boot whose end is proposed are now held back, and go on where the proposal fails.

Checked: TestNoOrdersToABootThatHasEnded, which counted 20 stops in 20 ms before and counts one now; the tests of core/dispatch.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -240,6 +240,7 @@
 	if ended := p.command.EndBoot; ended != nil {
 		if w := c.workers[ended.Worker]; w != nil {
 			w.ending = false
+			c.wakeAt(w, c.now)
 		}
 	}
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -237,8 +237,10 @@
 			c.hold(w)
 		}
 	}
-	for _, id := range sortedRuns(w.runs) {
-		c.checkRun(w, id, w.runs[id])
+	if !w.ending {
+		for _, id := range sortedRuns(w.runs) {
+			c.checkRun(w, id, w.runs[id])
+		}
 	}
 	if w.silent && (len(w.runs) > 0 || w.Draining) && !w.ending {
 		c.wakeAt(w, c.now.Add(retryCall))
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -269,3 +269,27 @@
 		t.Errorf("stops after the worker is back: %+v, want one", stops)
 	}
 }
+
+// Guards against orders that are repeated at once, until its end is committed, to a boot that has ended.
+func TestNoOrdersToABootThatHasEnded(t *testing.T) {
+	b, starts := placed(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	b.core.Applied(b.now, b.now, 0, workload.Command{Cancel: &workload.Cancel{ID: "j"}})
+	sent := 0
+	var proposed []dispatch.Proposal
+	for range 20 {
+		e := b.pass(time.Millisecond)
+		proposed = append(proposed, e.Proposals...)
+		for _, stop := range e.Stops {
+			sent++
+			b.core.StopAnswered(b.now, stop, dispatch.OutcomeOtherBoot, 0)
+		}
+	}
+	if sent != 1 || len(proposed) != 1 {
+		t.Fatalf("%d stops and %d proposals in 20 ms, want 1 and 1", sent, len(proposed))
+	}
+	b.core.ProposalFailed(b.now, proposed[0].ID)
+	if e := b.pass(time.Millisecond); len(e.Stops) != 1 {
+		t.Errorf("after the proposal failed: stops %+v, want one", e.Stops)
+	}
+}
