Place a gang on workers on probation once it has waited

A gang that finds room for all of its tasks only with several of them on one worker waited for ever where that worker was on probation: such a worker gets one run at a time until it has done one, and with no other work nothing proves it sound.

A worker on probation still gets one run at a time of other steps, and none of a gang until the gang has waited 1 s.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -113,7 +113,8 @@
 
 // onProbation reports whether a worker that was avoided as failing has not yet
 // done a run since. It gets one run at a time, so that few tasks pay for the
-// trial.
+// trial; but a gang that has waited gets all that it needs, because nothing else
+// may come to prove the worker sound.
 func (w *worker) onProbation() bool { return w.evidence >= failingWeight }
 
 // busy reports whether anything runs on a worker or is about to.
--- a/core/dispatch/health_test.go
+++ b/core/dispatch/health_test.go
@@ -212,3 +212,36 @@
 	}
 	t.Errorf("within 2 s only starts %+v", starts)
 }
+
+// Guards against a gang that waits for ever because a worker on probation gets one task at a time (TestSoak, seeds 3326 and 5275).
+func TestGangUsesAWorkerOnProbation(t *testing.T) {
+	failing := []workload.JobID{"a", "b", "c", "d"}
+	commands := []workload.Command{workerOf("w", 1)}
+	for _, id := range failing {
+		commands = append(commands, jobOf(id, oneTask))
+	}
+	b := newBench(t, commands...)
+	b.pass(0)
+	b.answerHolds(dispatch.Report{})
+	var ends []dispatch.ListedEnd
+	for i, start := range b.starts(planned) {
+		b.core.StartAnswered(b.now, start, dispatch.OutcomeOK, 1100)
+		ends = append(ends, dispatch.ListedEnd{Number: uint64(i + 1), Task: start.Task, Run: start.Run, How: workload.EndFailed})
+	}
+	b.answerHolds(dispatch.Report{Ends: ends})
+	for _, id := range failing {
+		b.core.Applied(b.now, b.now, 0, workload.Command{Cancel: &workload.Cancel{ID: id}})
+	}
+	gang := workload.StepSpec{Tasks: 2, Size: workload.Resources{MilliCPU: 1000}, Gang: true}
+	b.core.Applied(b.now, b.now, 0, jobOf("gang", gang))
+	for range 200 {
+		if starts := b.starts(100 * time.Millisecond); len(starts) > 0 {
+			if len(starts) != gang.Tasks {
+				t.Errorf("starts %+v, want %d", starts, gang.Tasks)
+			}
+			return
+		}
+		b.answerHolds(dispatch.Report{})
+	}
+	t.Error("the gang is not placed within 20 s")
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -283,6 +283,7 @@
 	count  int // tasks of the step on it
 	near   bool
 	slow   bool
+	single bool // it gets one run at a time
 }
 
 // choose picks a worker for each waiting task, as far as there is room. With
@@ -327,7 +328,7 @@
 	if spec.MaxPerWorker > 0 {
 		slots = min(slots, spec.MaxPerWorker-k.count)
 	}
-	if k.worker.onProbation() {
+	if k.single {
 		slots = min(slots, 1-k.count)
 	}
 	return max(slots, 0)
@@ -371,7 +372,7 @@
 		if _, granted := s.granted[w.ID]; advised && !granted || tickets && !c.ticketGood(s, w.ID) {
 			continue
 		}
-		found := candidate{worker: w, room: w.room, slow: c.isSlow(w), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+		found := candidate{worker: w, room: w.room, slow: c.isSlow(w), single: w.onProbation() && (selective || !spec.Gang), near: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
 		if spec.MaxPerWorker > 0 {
 			found.count = c.countOn(r, w.ID)
 		}
@@ -403,7 +404,7 @@
 	var best *candidate
 	for i := range candidates {
 		next := &candidates[i]
-		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker || next.count > 0 && next.worker.onProbation() {
+		if !spec.Size.Fits(next.room) || spec.MaxPerWorker > 0 && next.count >= spec.MaxPerWorker || next.count > 0 && next.single {
 			continue
 		}
 		if best == nil || next.goesBefore(best, fastFirst) {
