--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -103,10 +103,11 @@
 		w.extend(s.Until, now)
 		return dispatch.OutcomeOK, false
 	}
-	if s.Until <= w.clock(now) {
+	// A later call may have prolonged the lease: the order itself may be late.
+	w.extend(s.Until, now)
+	if w.until <= w.clock(now) {
 		return dispatch.OutcomeLate, false
 	}
-	w.extend(s.Until, now)
 	if w.closed[s.Task] >= s.Run {
 		return dispatch.OutcomeOld, false
 	}
