Count a job whose runs never began as waiting

Cause: a job counts as begun when its first run is assigned. A start that is never answered is stopped and its run closed as never begun, but the job went on counting as begun.

Now a job whose runs have all ended as never begun waits again, and is shown as queued.

Checked: TestJobWhoseRunsNeverBeganIsPending, which failed before.

--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -203,6 +203,11 @@
 	spec := &job.Spec.Steps[id.Step]
 	w.used = w.used.Sub(spec.Size)
 	task.Open = false
+	if how == EndNever {
+		s.neverBegan(job)
+	} else {
+		job.Begun = true
+	}
 	if task.State == TaskDone {
 		return
 	}
@@ -216,6 +221,16 @@
 	}
 }
 
+// neverBegan follows the close of a run that never began: a job of which nothing
+// else has begun waits again.
+func (s *State) neverBegan(job *Job) {
+	if job.Begun || job.State.Ended() || job.open() {
+		return
+	}
+	job.Started, job.State = false, JobQueued
+	s.pending[job.Queue.Name]++
+}
+
 // keepCheckpoint stores the progress of a run. The progress of any member is
 // that of its gang.
 func (s *State) keepCheckpoint(step *Step, spec *StepSpec, task *Task, checkpoint string) {
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -176,7 +176,8 @@
 	Spec       JobSpec
 	Queue      Queue // as it was when the job was accepted
 	State      JobState
-	Started    bool // a run was opened
+	Started    bool // a run is open or has begun
+	Begun      bool // a run has ended that had begun
 	Steps      []Step
 	AcceptedAt time.Time
 	EndedAt    time.Duration // by the clock of retention
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -259,3 +259,29 @@
 	}
 	return workload.Command{Decide: &workload.Decide{Assigns: []workload.Assign{assign}}}
 }
+
+// Guards against counting a job as begun whose runs never began: callers were told of under half of the jobs that wait (MIXED).
+func TestJobWhoseRunsNeverBeganIsPending(t *testing.T) {
+	w := newWorld(t, register("w", 1, 4000), submit("j", tasks(2, 1000)))
+	step := workload.StepID{Job: "j"}
+	task := func(index int) workload.TaskID { return workload.TaskID{Job: "j", Index: index} }
+	expect := func(state workload.JobState, pending int) {
+		t.Helper()
+		if got := w.state.Job("j").State; got != state || w.state.Pending("batch") != pending {
+			t.Errorf("%s with %d pending, want %s with %d", got, w.state.Pending("batch"), state, pending)
+		}
+	}
+	w.assign(step, workload.Member{Index: 0, Worker: "w", Boot: 1}, workload.Member{Index: 1, Worker: "w", Boot: 1})
+	expect(workload.JobRunning, 0)
+	w.end("w", task(0), 1, workload.EndNever)
+	expect(workload.JobRunning, 0)
+	w.end("w", task(1), 1, workload.EndNever)
+	expect(workload.JobQueued, 1)
+	w.assign(step, workload.Member{Index: 0, Worker: "w", Boot: 1})
+	w.end("w", task(0), 2, workload.EndStopped)
+	w.assign(step, workload.Member{Index: 1, Worker: "w", Boot: 1})
+	w.end("w", task(1), 2, workload.EndNever)
+	expect(workload.JobRunning, 0)
+	w.apply(workload.Command{Cancel: &workload.Cancel{ID: "j"}})
+	expect(workload.JobCancelled, 0)
+}
