Soak workers that lose answers and reject starts

A worker now carries out half of the starts without an answer and rejects the others, for up to 1.5 s at a time.

--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -60,6 +60,7 @@
 	sequence    int
 	waiters     []chan struct{}
 	faulty      bool // leaves calls without an answer
+	rejecting   bool // carries out half of the starts without an answer, and rejects the others
 }
 
 // fleet owns the state of all stand-in workers. Handlers pass closures to its
@@ -276,6 +277,13 @@
 		var waiter chan struct{}
 		f.do(func() {
 			silent = !w.up || w.faulty
+			if start := r.URL.Path == "/godwitlink/run-start"; w.rejecting && start && !silent {
+				if status = http.StatusServiceUnavailable; rand.IntN(2) == 0 {
+					f.serve(w, r, m)
+					silent = true
+				}
+				return
+			}
 			late = w.faulty && w.up && r.URL.Path == "/godwitlink/run-start"
 			if silent {
 				return
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -162,7 +162,7 @@
 func (in *injector) one() {
 	s := in.system
 	name := ""
-	switch in.random.IntN(10) {
+	switch in.random.IntN(11) {
 	case 0, 1:
 		name = in.disturb(in.pick(s.controls, toleratedControls))
 	case 2:
@@ -201,6 +201,11 @@
 			// It may be overtaken or find nobody; the last one is checked.
 			_ = s.configure(version, 2*time.Second)
 		}()
+	case 10:
+		name = "worker rejecting"
+		w := in.worker()
+		in.fleet.do(func() { w.rejecting = true })
+		in.later(1500*time.Millisecond, func() { in.fleet.do(func() { w.rejecting = false }) })
 	}
 	if name != "" {
 		in.done[name]++
