Rely on the token where an earlier leader's start is refused

A new leader told each worker to refuse the last run of every task of the live jobs that the worker has or had, which is a call for each. A boot that has answered a call of this leader rejects the starts of earlier ones for their lower token, so its answer is enough; only starts of this leader are refused one by one on a later boot.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -145,7 +145,7 @@
 	if r == nil {
 		// The state has closed the run: the worker must not go on with it.
 		c.foundStray(w, a)
-		c.noteLate(w, a.Task, a.Run, c.started)
+		c.noteFormer(w, a.Task, a.Run)
 		stray := &run{number: a.Run, unknown: true, confirmed: true, confirmAt: c.now, stop: true, reason: "closed-run"}
 		if job := c.state.Job(a.Task.Job); job != nil && a.Task.Step < len(job.Spec.Steps) {
 			stray.size = job.Spec.Steps[a.Task.Step].Size
--- a/core/dispatch/latestart.go
+++ b/core/dispatch/latestart.go
@@ -17,33 +17,39 @@
 	worker *worker
 	run    workload.RunNumber
 	at     time.Time // it was not sent later
+	// former says that an earlier leader sent it. A boot that has answered this
+	// leader rejects it for its token.
+	former bool
 }
 
 // lateStarts are the starts that may still be carried out.
 type lateStarts map[workload.TaskID][]lateStart
 
-// noteLate remembers that a worker may still carry out a start that was sent at
-// a time at the latest.
-func (c *Core) noteLate(w *worker, id workload.TaskID, number workload.RunNumber, at time.Time) {
-	if c.now.Sub(at) >= lateOrder {
-		return
-	}
-	known := c.late[id]
-	for i := range known {
-		if start := &known[i]; start.worker.ID == w.ID {
-			start.run, start.at = max(start.run, number), later(start.at, at)
-			return
-		}
+// noteLate remembers that a worker may still carry out a start of this leader,
+// which has been sent by now.
+func (c *Core) noteLate(w *worker, id workload.TaskID, number workload.RunNumber) {
+	c.addLate(id, lateStart{worker: w, run: number, at: c.now})
+}
+
+// noteFormer remembers that a worker may still carry out a start of an earlier
+// leader: it has been sent before this one began.
+func (c *Core) noteFormer(w *worker, id workload.TaskID, number workload.RunNumber) {
+	start := lateStart{worker: w, run: number, at: c.started, former: true}
+	if _, known := c.lateOn(w, id); !known && c.now.Sub(start.at) < lateOrder {
+		c.addLate(id, start)
 	}
-	c.late[id] = append(known, lateStart{w, number, at})
-	w.late[id] = true
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// addLate takes the place of an earlier start of the task on the same worker.
+func (c *Core) addLate(id workload.TaskID, start lateStart) {
+	start.worker.late[id] = true
+	for i, known := range c.late[id] {
+		if known.worker.ID == start.worker.ID {
+			c.late[id][i] = start
+			return
+		}
 	}
-	return b
+	c.late[id] = append(c.late[id], start)
 }
 
 // lateOn returns the start of a task that a worker may still carry out.
@@ -94,11 +100,11 @@
 	for id, r := range w.runs {
 		switch {
 		case r.starting:
-			c.noteLate(w, id, r.number, c.now)
+			c.noteLate(w, id, r.number)
 		case w.restarted && r.own && r.confirmed && !r.listed && !r.confirmAt.Before(w.provenAt):
 			// The later boot may have taken it, as it was answered after the last
 			// proof that the former one was there.
-			c.noteLate(w, id, r.number, c.now)
+			c.noteLate(w, id, r.number)
 		}
 	}
 }
@@ -115,13 +121,14 @@
 	}
 }
 
-// refuseLate makes a worker refuse the late starts that it does not know of.
+// refuseLate makes a worker refuse the late starts of this leader that it may
+// not know of.
 func (c *Core) refuseLate(w *worker) {
 	if w.Gone {
 		return
 	}
 	for id := range w.late {
-		if start, known := c.lateOn(w, id); known && w.runs[id] == nil {
+		if start, known := c.lateOn(w, id); known && !start.former && w.runs[id] == nil {
 			w.runs[id] = &run{number: start.run, unknown: true, stop: true, reason: "late-start"}
 		}
 	}
@@ -152,14 +159,11 @@
 		for i := range j.Steps {
 			for k, task := range j.Steps[i].Tasks {
 				if w := c.workers[task.Worker]; w != nil {
-					c.noteLate(w, workload.TaskID{Job: j.ID, Step: i, Index: k}, task.Run, c.started)
+					c.noteFormer(w, workload.TaskID{Job: j.ID, Step: i, Index: k}, task.Run)
 				}
 			}
 		}
 	}
-	for _, w := range c.list {
-		c.refuseLate(w)
-	}
 }
 
 // answersAt takes a worker as the only one at its address: what is still on its
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -58,7 +58,7 @@
 		return
 	}
 	if outcome == OutcomeNoAnswer {
-		c.noteLate(w, start.Task, start.Run, c.now)
+		c.noteLate(w, start.Task, start.Run)
 		c.decide(Decision{
 			Kind: DecisionInDoubt, Job: start.Task.Job, Step: start.Task.Step, Task: start.Task.Index, Run: start.Run,
 			Worker: w.ID, Boot: w.Boot, Reason: outcome.String(),
