--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -11,6 +11,8 @@
 //   - A worker is told to forget an end only after the end was committed.
 //   - The runs of a boot are given up only when the worker's lease has run out
 //     by the slowest clock that the worker may have, or another boot answered.
+//   - A task is placed only where each worker that may still carry out an
+//     earlier start of it surely refuses that start.
 //   - Every call carries the leader's term as fencing token. A worker that has
 //     answered one call of this term does nothing for an earlier leader.
 package dispatch
