Deregister the boot that a message names, not the present one

Seen by operators: a worker that has been started again under its id gets no new work although it says that it is ready, until it is started once more. Its runs go on, so nothing else shows the cause.

Cause: Registry.Leave took no boot. It drained the boot that was known when the message arrived, so a late copy of the last report of a former boot drained the boot after it. Draining is never taken back.

A message that names no boot still stands for the one that is known: refusing it would keep a worker in use that is leaving.

--- a/internal/workapi/registry.go
+++ b/internal/workapi/registry.go
@@ -93,17 +93,26 @@
 		slices.Equal(known.Labels, said.Labels)
 }
 
-// Leave takes the last report of a worker. Its runs are given up when it no
-// longer answers.
-func (r *Registry) Leave(ctx context.Context, id workload.WorkerID) Outcome {
+// Leave takes the last report of a boot of a worker. Its runs are given up when
+// it no longer answers. The report may be late, and a later boot goes on. Boot 0
+// names none and stands for the one that is known: refusing it would keep a
+// worker in use that is leaving.
+func (r *Registry) Leave(ctx context.Context, id workload.WorkerID, boot workload.Boot) Outcome {
 	known, ok, err := r.opts.Local.LocalWorkload(ctx, id)
 	if err != nil {
-		return r.registered(workload.Worker{ID: id}, OutcomeNotTaken, err)
+		return r.registered(workload.Worker{ID: id, Boot: boot}, OutcomeNotTaken, err)
 	}
-	if !ok || known.Draining {
+	if boot == 0 {
+		boot = known.Boot
+	}
+	leaving := workload.Worker{ID: id, Boot: boot, Address: known.Address, Draining: true}
+	switch {
+	case !ok || boot == known.Boot && known.Draining:
 		return OutcomeOK
+	case boot < known.Boot:
+		return r.registered(leaving, OutcomeOK, nil)
 	}
-	return r.commit(ctx, known, workload.Command{Drain: &workload.Drain{Worker: id, Boot: known.Boot}})
+	return r.commit(ctx, leaving, workload.Command{Drain: &workload.Drain{Worker: id, Boot: boot}})
 }
 
 func (r *Registry) commit(ctx context.Context, w workload.Worker, command workload.Command) Outcome {
