Acknowledge a departure only where it cannot concern a later registration

Callers would see: a worker deregisters, gets its 200 and goes, and is still given new runs until its lease is given up.

Cause: Registry.Leave answered from what its own replica had applied. A replica that is behind the leader (most reports go to followers) did not know the worker yet, took "not known here" for "never registered", and acknowledged the departure without a commit. A message without a boot was taken for one of the former boot in the same way.

Now only what was applied of this boot or of a later one ends the call at the replica, because that cannot be taken back. Otherwise the command goes to the log, where the state decides, and a boot that the message does not name is read at the leader.

--- a/internal/workapi/registry.go
+++ b/internal/workapi/registry.go
@@ -95,10 +95,13 @@
 
 // Leave takes the last report of a boot of a worker. Its runs are given up when
 // it no longer answers. The report may be late, and a later boot goes on. Boot 0
-// names none and stands for the one that is known: refusing it would keep a
-// worker in use that is leaving.
+// names none and stands for the one that the leader knows: refusing it would keep
+// a worker in use that is leaving.
+//
+// Only what this replica has applied of this boot or a later one ends the call
+// here. A worker that it does not know may have registered at the leader.
 func (r *Registry) Leave(ctx context.Context, id workload.WorkerID, boot workload.Boot) Outcome {
-	known, ok, err := r.opts.Local.LocalWorkload(ctx, id)
+	known, ok, err := r.called(ctx, id, boot == 0)
 	if err != nil {
 		return r.registered(workload.Worker{ID: id, Boot: boot}, OutcomeNotTaken, err)
 	}
@@ -107,14 +110,27 @@
 	}
 	leaving := workload.Worker{ID: id, Boot: boot, Address: known.Address, Draining: true}
 	switch {
-	case !ok || boot == known.Boot && known.Draining:
+	case ok && boot == known.Boot && known.Draining:
 		return OutcomeOK
-	case boot < known.Boot:
+	case ok && boot < known.Boot:
 		return r.registered(leaving, OutcomeOK, nil)
 	}
 	return r.commit(ctx, leaving, workload.Command{Drain: &workload.Drain{Worker: id, Boot: boot}})
 }
 
+// called returns a worker as this replica has applied it, or as the leader knows
+// it.
+func (r *Registry) called(ctx context.Context, id workload.WorkerID, current bool) (known workload.Worker, ok bool, err error) {
+	if !current {
+		return r.opts.Local.LocalWorkload(ctx, id)
+	}
+	answer, err := r.opts.Control.Read(ctx, state.Query{Called: &state.CalledQuery{Worker: id}})
+	if err != nil || answer.Called == nil {
+		return workload.Worker{}, false, err
+	}
+	return *answer.Called, true, nil
+}
+
 func (r *Registry) commit(ctx context.Context, w workload.Worker, command workload.Command) Outcome {
 	result, err := r.opts.Control.Propose(ctx, state.Command{Workload: &command})
 	if err != nil {
