Do not let the refusal of a second copy stand for the first

Callers would see: a submission answered 503 (no configuration) or 429 (queue full), both of which promise that the job never runs, and the job runs. An operator would see a file refused with outcome not-run that was in force for a moment before another operator's.

Cause: ProposeWithin sends a command again after an attempt without an answer and returned the result of the last copy alone. The client already knew that an attempt may have been accepted, but used that only where no attempt was answered.

Evidence: TestRefusalAfterALostAnswerIsUnknown failed before the change in both cases of a lost answer: the refusal was returned without an error.

Such a refusal is now ErrOutcomeUnknown, which every caller handles: jobs, files and submissions answer 504, keyed requests unknown and their record is finished, workers and entry processes send again. A refusal after attempts that cannot have been accepted stays a refusal.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -13,6 +13,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/pause"
@@ -79,7 +80,9 @@
 
 // Propose sends a command to the leader, again after each failure, until it is
 // committed or ctx ends. Commands are idempotent, so sending one twice has the
-// effect of once.
+// effect of once. A refusal in the result speaks for every copy that was sent: a
+// copy that is refused after one whose answer was lost gives ErrOutcomeUnknown,
+// because the earlier copy may have been or may still be carried out.
 func (c *Client) Propose(ctx context.Context, command state.Command) (state.Result, error) {
 	return c.ProposeWithin(ctx, command, WaitLimits{})
 }
@@ -92,7 +95,7 @@
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ProposeResponse
-	err = c.untilAnswered(ctx, sendTime(len(encoded)), limits, func(ctx context.Context, control rpcpb.Control) error {
+	earlier, err := c.untilAnswered(ctx, sendTime(len(encoded)), limits, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Propose(ctx, &rpcpb.ProposeRequest{Command: encoded})
 		return callErr
@@ -104,9 +107,21 @@
 	if err != nil {
 		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
+	if refusal := refusalOf(result); earlier && refusal != "" {
+		return state.Result{}, merry.Wrap(ErrOutcomeUnknown,
+			merry.AppendMessagef("a copy was refused with %s after one without an answer", refusal))
+	}
 	return result, nil
 }
 
+// refusalOf names the refusal in a result; it is empty where there is none.
+func refusalOf(result state.Result) string {
+	if result.Workload != nil && result.Workload.Refusal != workload.RefusalNone {
+		return string(result.Workload.Refusal)
+	}
+	return string(result.Refusal)
+}
+
 // Read answers a query from the leader's current state.
 func (c *Client) Read(ctx context.Context, query state.Query) (state.Answer, error) {
 	return c.ReadWithin(ctx, query, WaitLimits{})
@@ -119,7 +134,7 @@
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	err = c.untilAnswered(ctx, 0, limits, func(ctx context.Context, control rpcpb.Control) error {
+	_, err = c.untilAnswered(ctx, 0, limits, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
@@ -142,7 +157,7 @@
 // renewal that is granted twice extends the lease once.
 func (c *Client) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
 	var response *rpcpb.RenewResponse
-	err := c.untilAnswered(ctx, 0, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
+	_, err := c.untilAnswered(ctx, 0, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Renew(ctx, request)
 		return callErr
@@ -155,7 +170,7 @@
 func (c *Client) Feed(ctx context.Context, request *rpcpb.FeedRequest) (*rpcpb.FeedResponse, error) {
 	wait := time.Duration(request.MaxWaitMillis) * time.Millisecond
 	var response *rpcpb.FeedResponse
-	err := c.untilAnswered(ctx, wait, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
+	_, err := c.untilAnswered(ctx, wait, WaitLimits{}, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Feed(ctx, request)
 		return callErr
@@ -179,27 +194,28 @@
 
 // untilAnswered repeats a call until it is answered, ctx ends or a limit is
 // reached. A replica may take answerAfter longer than usual to begin its answer.
-func (c *Client) untilAnswered(ctx context.Context, answerAfter time.Duration, limits WaitLimits, do call) error {
+// maybeAccepted reports whether an attempt without an answer may have been
+// accepted, also where a later one was answered.
+func (c *Client) untilAnswered(ctx context.Context, answerAfter time.Duration, limits WaitLimits, do call) (maybeAccepted bool, err error) {
 	started := time.Now()
-	maybeAccepted := false
 	backoff, timeout := firstBackoff, firstAttempt
 	for {
 		target, err := c.directory.leader(ctx)
 		if err != nil {
-			return endOfCall(maybeAccepted, err)
+			return maybeAccepted, endOfCall(maybeAccepted, err)
 		}
 		seen, attemptCtx, end := newAttempt(ctx, answerAfter, timeout)
 		err = do(attemptCtx, target.control)
 		end()
 		if err == nil {
-			return nil
+			return maybeAccepted, nil
 		}
 		failure := classify(err, seen.connected.Load())
 		err = merry.Prependf(err, "%s, %d bytes of the answer received", target.address, seen.received.Load())
 		maybeAccepted = maybeAccepted || failure.maybeAccepted
 		if ctx.Err() != nil {
 			// The caller gave up, which says nothing about the replica.
-			return endOfCall(maybeAccepted, err)
+			return maybeAccepted, endOfCall(maybeAccepted, err)
 		}
 		c.report(target, failure)
 		wait := limits.NotTaken
@@ -207,10 +223,10 @@
 			wait = limits.Unknown
 		}
 		if failure.final || wait > 0 && time.Since(started) >= wait {
-			return endOfCall(maybeAccepted, err)
+			return maybeAccepted, endOfCall(maybeAccepted, err)
 		}
 		if err := pause.For(ctx, backoff); err != nil {
-			return endOfCall(maybeAccepted, err)
+			return maybeAccepted, endOfCall(maybeAccepted, err)
 		}
 		backoff, timeout = min(2*backoff, maxBackoff), min(2*timeout, maxAttempt)
 	}
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/url"
 	"os"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,17 +17,19 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
-// fakeReplica is a control replica that answers with its error, or with an
-// empty result.
+// fakeReplica is a control replica that answers with its error, or with its
+// result.
 type fakeReplica struct {
 	rpcpb.Control
-	calls atomic.Int64
-	err   func() error
+	calls  atomic.Int64
+	err    func() error
+	result state.Result
 }
 
 func (f *fakeReplica) Propose(context.Context, *rpcpb.ProposeRequest) (*rpcpb.ProposeResponse, error) {
@@ -36,7 +39,7 @@
 			return nil, err
 		}
 	}
-	result, err := codec.EncodeResult(state.Result{})
+	result, err := codec.EncodeResult(f.result)
 	return &rpcpb.ProposeResponse{Result: result}, err
 }
 
@@ -152,6 +155,38 @@
 	}
 }
 
+// Guards against a refusal that stands for a command of which an earlier copy may still be committed, and against doubt where there is none.
+func TestRefusalAfterALostAnswerIsUnknown(t *testing.T) {
+	cell := state.Result{Refusal: state.RefusalQueueFull}
+	work := state.Result{Workload: &workload.Result{Refusal: workload.RefusalNoConfig}}
+	for name, c := range map[string]struct {
+		first  error // of the first attempt
+		result state.Result
+		want   error
+	}{
+		"cell refusal after a lost answer": {twirp.InternalError("lost"), cell, ErrOutcomeUnknown},
+		"work refusal after a lost answer": {twirp.InternalError("lost"), work, ErrOutcomeUnknown},
+		"success after a lost answer":      {twirp.InternalError("lost"), state.Result{}, nil},
+		"refusal after a full replica":     {twirp.NewError(twirp.ResourceExhausted, "overloaded"), cell, nil},
+		"refusal at once":                  {nil, work, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replica := &fakeReplica{result: c.result}
+			replica.err = func() error {
+				if replica.calls.Load() == 1 {
+					return c.first
+				}
+				return nil
+			}
+			client := newClient(t, serve(t, replica))
+			got, err := client.Propose(t.Context(), state.Command{Advance: &state.Advance{}})
+			if !errors.Is(err, c.want) || err == nil && !reflect.DeepEqual(got, c.result) {
+				t.Errorf("Propose: %+v, %v; want %+v, %v", got, err, c.result, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a submission that is held until its client gives up, and
 // against refusing one as not taken that a replica may have taken.
 func TestProposeWithinEndsAtItsLimits(t *testing.T) {
