Report a command whose result cannot be read as unknown

Callers would see, while replicas and entry processes of two versions run side by side: a submission or a cell file answered 400 bad-request that was committed and takes effect.

Cause: ProposeWithin returned ErrMalformed both for a command that could not be encoded, which was never sent, and for a result that could not be decoded, which says that the command is committed. The entry process answers ErrMalformed as a fault of the request.

Evidence: TestUnreadableResultIsUnknown failed before the change with "malformed control message: result: message has an unknown format version".

An unreadable result is now ErrOutcomeUnknown, so that the answer is 504 and says that sending again is safe. ErrMalformed is left for what was not sent and for reads, which change nothing.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -28,8 +28,8 @@
 	// ErrOutcomeUnknown says that a proposal may or may not have been
 	// committed. The caller may send it again: commands are idempotent.
 	ErrOutcomeUnknown = merry.Sentinel("outcome of the proposal is unknown")
-	// ErrMalformed says that a command could not be encoded or an answer not
-	// be decoded.
+	// ErrMalformed says that a command could not be encoded, so that it was not
+	// sent, or the answer to a read not be decoded.
 	ErrMalformed = merry.Sentinel("malformed control message")
 )
 
@@ -105,7 +105,8 @@
 	}
 	result, err := codec.DecodeResult(response.Result)
 	if err != nil {
-		return state.Result{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
+		// The command is committed; a replica of another version says how it ended.
+		return state.Result{}, endOfCall(true, err)
 	}
 	if refusal := refusalOf(result); earlier && refusal != "" {
 		return state.Result{}, merry.Wrap(ErrOutcomeUnknown,
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -30,6 +30,7 @@
 	calls  atomic.Int64
 	err    func() error
 	result state.Result
+	broken bool // its results cannot be decoded
 }
 
 func (f *fakeReplica) Propose(context.Context, *rpcpb.ProposeRequest) (*rpcpb.ProposeResponse, error) {
@@ -39,6 +40,9 @@
 			return nil, err
 		}
 	}
+	if f.broken {
+		return &rpcpb.ProposeResponse{Result: []byte{0xff}}, nil
+	}
 	result, err := codec.EncodeResult(f.result)
 	return &rpcpb.ProposeResponse{Result: result}, err
 }
@@ -187,6 +191,15 @@
 	}
 }
 
+// Guards against reporting a command as malformed that was committed and whose result cannot be read.
+func TestUnreadableResultIsUnknown(t *testing.T) {
+	client := newClient(t, serve(t, &fakeReplica{broken: true}))
+	_, err := client.Propose(t.Context(), state.Command{Advance: &state.Advance{}})
+	if !errors.Is(err, ErrOutcomeUnknown) || errors.Is(err, ErrMalformed) {
+		t.Errorf("Propose: %v", err)
+	}
+}
+
 // Guards against a submission that is held until its client gives up, and
 // against refusing one as not taken that a replica may have taken.
 func TestProposeWithinEndsAtItsLimits(t *testing.T) {
