Answer a refused repeat of a keyed request with unknown, whatever the reason

Callers would see: a booking that ran is repeated under its key, because its answer was lost, and the repeat is answered not-run. The caller books again under a new key, and a household is charged twice.

Cause: a request that is refused before it is routed was answered unknown only where its status is 503. A repeat whose deadline has passed or whose body was cut off (504, 408, 400), and one that the configuration in force no longer admits although an earlier one did (404, 413, team), was answered not-run, although nothing had been read about its key.

Every refusal of a request with a well-formed key now says unknown; status and reason code stay, so a caller still learns what to correct.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -68,9 +68,10 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d))
 }
 
-// refuse answers a request that was not routed. Where the entry process cannot
-// serve at the moment, nothing is known of earlier requests with the same key,
-// so a repeat is not told that nothing was run.
+// refuse answers a request that was not routed. The record of its key was not
+// read, so a repeat is not told that nothing was run: an earlier request with
+// the key may have been in time, complete, or valid under an earlier
+// configuration.
 func (g *Gateway) refuse(w http.ResponseWriter, req *http.Request, err *refusalError) {
 	g.opts.Metrics.Add(metricRefusals, string(err.reason), 1)
 	status := err.status
@@ -81,10 +82,10 @@
 		status: status,
 		body:   refusalBody{Outcome: state.OutcomeNotRun, Reason: err.reason, Detail: err.detail},
 	}
+	if _, keyed := keyOf(req); keyed {
+		answer.body.Outcome = state.OutcomeUnknown
+	}
 	if status == http.StatusServiceUnavailable {
-		if req.Header.Get(backendapi.HeaderKey) != "" {
-			answer.body.Outcome = state.OutcomeUnknown
-		}
 		answer.retryAfter = spreadRetryAfter()
 	}
 	answer.write(w)
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -99,17 +99,27 @@
 }
 
 func (d *routed) takeKey(req *http.Request) *refusalError {
-	values := req.Header[backendapi.HeaderKey]
-	if len(values) == 0 {
+	if len(req.Header[backendapi.HeaderKey]) == 0 {
 		return nil
 	}
-	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
+	key, ok := keyOf(req)
+	if !ok {
 		return refused(exchange.ReasonBadRequest, 0, fmt.Sprintf("Idempotency-Key is not one value of 1 to %d bytes", maxKeyBytes))
 	}
-	d.key = values[0]
+	d.key = key
 	return nil
 }
 
+// keyOf returns the key of a request. A request with a malformed key has none:
+// no request with it is ever accepted.
+func keyOf(req *http.Request) (key string, ok bool) {
+	values := req.Header[backendapi.HeaderKey]
+	if len(values) != 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
+		return "", false
+	}
+	return values[0], true
+}
+
 func deadlineOf(req *http.Request, service cellconfig.Service) (time.Duration, *refusalError) {
 	values := req.Header[backendapi.HeaderDeadline]
 	if len(values) == 0 {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/internal/backendapi"
 	"github.com/godwitlink/godwitlink/internal/backendserver"
 )
@@ -176,3 +179,48 @@
 		t.Error("the older generation is not counted")
 	}
 }
+
+// Guards against not-run for a repeat of a request that ran, where the repeat is refused before its record was read.
+func TestRefusedRepeatIsNotNotRun(t *testing.T) {
+	c := newCell(t, 1)
+	server := c.addServer(noFaults)
+	c.awaitBackends(1)
+	e := c.entries[0]
+	if got := e.call("POST", "/turnos/a", "washer", backendapi.HeaderKey, "k"); got.outcome != "done" {
+		t.Fatalf("first request answered %+v", got)
+	}
+	const head = "POST /turnos/a HTTP/1.1\r\nHost: x\r\nGodwit-Team: reservas\r\nIdempotency-Key: k\r\nConnection: close\r\n"
+	raw := map[string]string{
+		"body that stops": head + "Godwit-Deadline-Ms: 100\r\nContent-Length: 6\r\n\r\nwas",
+		"body that ends":  head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+		"framed two ways": head + "Transfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n0\r\n\r\n",
+		"deadline passed": head + "Godwit-Deadline-Ms: 0\r\nContent-Length: 6\r\n\r\nwasher",
+		"deadline a word": head + "Godwit-Deadline-Ms: soon\r\nContent-Length: 6\r\n\r\nwasher",
+	}
+	for name, request := range raw {
+		if got := e.raw(t, request); !strings.Contains(got, "Godwit-Outcome: unknown\r\n") {
+			t.Errorf("%s: answered %.300q", name, got)
+		}
+	}
+	next := c.file
+	for _, change := range []struct {
+		name, reason string
+		edit         func(service *cellconfig.Service)
+	}{
+		{"smaller limit", "too-large", func(s *cellconfig.Service) { s.MaxRequestBytes = 3 }},
+		{"other team", "bad-request", func(s *cellconfig.Service) { s.Teams = []cell.Team{"other"} }},
+		{"other prefix", "no-service", func(s *cellconfig.Service) { s.PathPrefix = "/moved/" }},
+	} {
+		next.Generation++
+		next.Services = slices.Clone(c.file.Services)
+		change.edit(&next.Services[0])
+		e.SetConfig(next, time.Now())
+		c.await("configuration", func() bool { return e.inForce.Load().generation == next.Generation })
+		if got := e.call("POST", "/turnos/a", "washer", backendapi.HeaderKey, "k"); got.outcome != "unknown" || got.reason != change.reason {
+			t.Errorf("%s: answered %+v", change.name, got)
+		}
+	}
+	if runs := server.Counts().Runs["k"]; runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
