Keep late messages of a former boot away from the present one in the relay

Seen by a worker that was started again while its entry process stood still: its first renewal is answered with the end of its epoch, so it stops all tasks that it has just been given and registers once more; a late registration of the former boot makes it wait 10 s as not admitted.

Cause: the relay keeps one description for each worker name and let every message replace it, also one of an earlier incarnation. The renewal of the present boot that waits for the next batch (50 ms) then went to the leader under the former incarnation and was refused. The end of a departure removed the entry by name alone, and with it a later boot that had attached meanwhile: its requests were never answered.

A message of an earlier incarnation than the one attached is answered at once, as ended or as stale, and changes nothing. A departure removes only the incarnation that left. The script command `sync` states incarnations for this; the other scripts state none and are unchanged.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -48,6 +48,10 @@
 
 // Sync takes a message of a worker agent.
 func (r *Relay) Sync(now time.Time, sync Sync) {
+	if w := r.workers[sync.Worker.Name]; w != nil && sync.Worker.Incarnation < w.description.Incarnation {
+		r.refuseFormer(sync)
+		return
+	}
 	w := r.attach(now, sync)
 	switch {
 	case sync.Sequence == 0:
@@ -56,7 +60,8 @@
 		r.register(w, sync)
 	case sync.Leaving:
 		r.effects.Depart = append(r.effects.Depart, Departure{
-			Waiter: sync.Waiter, Worker: sync.Worker.Name, Epoch: sync.Epoch, Reports: sync.Reports,
+			Waiter: sync.Waiter, Worker: sync.Worker.Name, Incarnation: sync.Worker.Incarnation,
+			Epoch: sync.Epoch, Reports: sync.Reports,
 		})
 	default:
 		r.setEpoch(w, sync.Epoch)
@@ -64,6 +69,17 @@
 	}
 }
 
+// refuseFormer answers a message of an incarnation that a later one has followed
+// here. It may be late, and passed on it would renew, register or end the later
+// one's epoch.
+func (r *Relay) refuseFormer(sync Sync) {
+	answer := Answer{Waiter: sync.Waiter, Status: StatusEpochEnded, Epoch: sync.Epoch}
+	if sync.Epoch == 0 {
+		answer.Status, answer.Refusal = StatusRefused, state.RefusalStaleIncarnation
+	}
+	r.effects.Answers = append(r.effects.Answers, answer)
+}
+
 func (r *Relay) attach(now time.Time, sync Sync) *worker {
 	w := r.workers[sync.Worker.Name]
 	if w == nil {
@@ -217,12 +233,22 @@
 	if ok {
 		answer.Status = StatusEpochEnded
 		answer.Epoch = departure.Epoch
-		delete(r.workers, departure.Worker)
-		r.effects.AttachedChanged = true
+		r.detach(departure)
 	}
 	r.effects.Answers = append(r.effects.Answers, answer)
 }
 
+// detach forgets a worker that has left, unless a later incarnation of it has
+// attached meanwhile.
+func (r *Relay) detach(departure Departure) {
+	w := r.workers[departure.Worker]
+	if w == nil || w.description.Incarnation != departure.Incarnation {
+		return
+	}
+	delete(r.workers, departure.Worker)
+	r.effects.AttachedChanged = true
+}
+
 // Assigned takes the complete assignments of a worker from the feed.
 func (r *Relay) Assigned(now time.Time, view state.WorkerView) {
 	w := r.workers[view.Name]
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -14,8 +14,8 @@
 )
 
 // Guards against two batches under way, grants passed for another renewal,
-// watches that miss a change, assignments that go back, and waiters that are
-// never answered.
+// watches that miss a change, assignments that go back, waiters that are never
+// answered, and late messages of a former boot that act on the present one.
 func TestRelay(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		w := &relayWorld{relay: New(), now: time.Unix(0, 0)}
@@ -34,8 +34,9 @@
 
 func (w *relayWorld) run(t *testing.T, d *datadriven.TestData) {
 	var name string
-	var epoch, sequence, version uint64
+	var incarnation, epoch, sequence, version uint64
 	d.MaybeScanArgs(t, "worker", &name)
+	d.MaybeScanArgs(t, "boot", &incarnation)
 	d.MaybeScanArgs(t, "epoch", &epoch)
 	d.MaybeScanArgs(t, "sequence", &sequence)
 	d.MaybeScanArgs(t, "version", &version)
@@ -43,7 +44,8 @@
 	case "sync":
 		w.waiter++
 		w.relay.Sync(w.now, Sync{
-			Waiter: w.waiter, Worker: cell.Worker{Name: cell.WorkerName(name)}, Epoch: cell.Epoch(epoch),
+			Waiter: w.waiter, Epoch: cell.Epoch(epoch),
+			Worker:   cell.Worker{Name: cell.WorkerName(name), Incarnation: cell.Incarnation(incarnation)},
 			Sequence: sequence, Version: version, MaxWait: 5 * time.Second, Leaving: d.HasArg("leaving"),
 		})
 	case "registered":
@@ -63,7 +65,9 @@
 		view := state.WorkerView{Name: cell.WorkerName(name), Epoch: cell.Epoch(epoch), Version: version}
 		w.relay.Assigned(w.now, view)
 	case "departed":
-		w.relay.Departed(Departure{Waiter: w.waiter, Worker: cell.WorkerName(name)}, !d.HasArg("failed"))
+		w.relay.Departed(Departure{
+			Waiter: w.waiter, Worker: cell.WorkerName(name), Incarnation: cell.Incarnation(incarnation),
+		}, !d.HasArg("failed"))
 	case "wait":
 		var text string
 		d.ScanArgs(t, "for", &text)
@@ -78,6 +82,14 @@
 	}
 }
 
+// boot names an incarnation that the script states.
+func boot(incarnation cell.Incarnation) string {
+	if incarnation == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" boot=%d", incarnation)
+}
+
 func (w *relayWorld) effects() string {
 	var b strings.Builder
 	effects := w.relay.Effects()
@@ -89,10 +101,10 @@
 		b.WriteString("\n")
 	}
 	for _, worker := range effects.Register {
-		fmt.Fprintf(&b, "register %s\n", worker.Name)
+		fmt.Fprintf(&b, "register %s%s\n", worker.Name, boot(worker.Incarnation))
 	}
 	for _, renewal := range effects.Renewals {
-		fmt.Fprintf(&b, "renew %s epoch=%d sequence=%d\n", renewal.Worker, renewal.Epoch, renewal.Sequence)
+		fmt.Fprintf(&b, "renew %s%s epoch=%d sequence=%d\n", renewal.Worker, boot(renewal.Incarnation), renewal.Epoch, renewal.Sequence)
 	}
 	for _, departure := range effects.Depart {
 		fmt.Fprintf(&b, "depart %s epoch=%d\n", departure.Worker, departure.Epoch)
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -52,10 +52,11 @@
 
 // Departure asks to commit the last reports of a worker and to end its epoch.
 type Departure struct {
-	Waiter  WaiterID
-	Worker  cell.WorkerName
-	Epoch   cell.Epoch
-	Reports []state.TaskReport
+	Waiter      WaiterID
+	Worker      cell.WorkerName
+	Incarnation cell.Incarnation
+	Epoch       cell.Epoch
+	Reports     []state.TaskReport
 }
 
 // Status says how a sync was answered.
