Answer a command whose entry was replaced, but not for good, as unknown

Callers would see: a command refused as "not the leader", which promises that nothing was carried out, that is committed by a later leader. It takes two changes of leader while the call lasts, so it was not seen.

Cause: where a replica that leads again gives an index that it gave in an earlier term, it answered the former command as not carried out. The entry is gone from this log, but a follower may still hold it, and the new entry is not committed yet.

It is still answered as not carried out where an entry of another term is committed at its index, which is for good.

--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -19,7 +19,8 @@
 
 // waitingProposal is a command in the log. It is answered when the entry at
 // its index is committed: with the result where the term agrees, otherwise it
-// was replaced and never ran. Losing the leadership by itself says neither.
+// was replaced and never ran. Losing the leadership by itself says neither, nor
+// does another entry at its index that is not committed.
 type waitingProposal struct {
 	term    uint64
 	command state.Command
@@ -102,8 +103,9 @@
 	}
 	if former, replaced := t.proposals.take(index); replaced {
 		// The index was given before, by this replica in an earlier term, and
-		// the entry did not survive.
-		former.finish(proposed{}, t.notLeader())
+		// the entry is no longer in this log. A follower that kept it may still
+		// be elected and commit it, as long as no other entry is committed here.
+		former.finish(proposed{}, ErrOutcomeUnknown)
 	}
 	t.proposals.waiting[index] = waitingProposal{term: term, command: command, tag: tag, finish: finish}
 }
