Do not answer a boot with the outcome of a former boot's registration

Seen by a worker that is started again while its registration is on its way: it is told that it is not admitted and waits for 10 s, or its first renewal goes out under the epoch of its former boot and is refused.

Cause: the outcome of a registration named the worker only. The relay gave it to whatever message of the worker waited by then.

The outcome names the incarnation that was registered. Where another one waits, that one is registered by a command of its own.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -147,7 +147,8 @@
 }
 
 // Registered takes the outcome of a registration. An admitted worker's first
-// renewal goes out with the next batch, under its new epoch.
+// renewal goes out with the next batch, under its new epoch. An incarnation that
+// has followed meanwhile is registered by itself.
 func (r *Relay) Registered(now time.Time, registration Registration) {
 	w := r.workers[registration.Worker]
 	if w == nil {
@@ -155,10 +156,15 @@
 	}
 	w.registering = false
 	sync := w.renewal
-	w.renewal = nil
 	if sync == nil {
 		return
 	}
+	if registration.Incarnation != w.description.Incarnation {
+		w.registering = true
+		r.effects.Register = append(r.effects.Register, w.description)
+		return
+	}
+	w.renewal = nil
 	switch {
 	case registration.Failed:
 		r.answer(w, *sync, StatusUnavailable)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -49,7 +49,10 @@
 			Sequence: sequence, Version: version, MaxWait: 5 * time.Second, Leaving: d.HasArg("leaving"),
 		})
 	case "registered":
-		registration := Registration{Worker: cell.WorkerName(name), Epoch: cell.Epoch(epoch), Failed: d.HasArg("failed")}
+		registration := Registration{
+			Worker: cell.WorkerName(name), Incarnation: cell.Incarnation(incarnation),
+			Epoch: cell.Epoch(epoch), Failed: d.HasArg("failed"),
+		}
 		if d.HasArg("refused") {
 			registration.Refusal = state.RefusalWorkerNotAdmitted
 		}
--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -44,10 +44,11 @@
 // Registration is the outcome of a registration. Refusal is set where the
 // worker was not admitted; Failed where nothing is known.
 type Registration struct {
-	Worker  cell.WorkerName
-	Epoch   cell.Epoch
-	Refusal state.Refusal
-	Failed  bool
+	Worker      cell.WorkerName
+	Incarnation cell.Incarnation
+	Epoch       cell.Epoch
+	Refusal     state.Refusal
+	Failed      bool
 }
 
 // Departure asks to commit the last reports of a worker and to end its epoch.
--- a/internal/entry/relaytask.go
+++ b/internal/entry/relaytask.go
@@ -153,7 +153,7 @@
 	call, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	result, err := t.client.Propose(call, state.Command{RegisterWorker: &state.RegisterWorker{Worker: worker}})
-	registration := relay.Registration{Worker: worker.Name, Refusal: result.Refusal}
+	registration := relay.Registration{Worker: worker.Name, Incarnation: worker.Incarnation, Refusal: result.Refusal}
 	switch {
 	case err != nil || temporary(result.Refusal):
 		registration.Failed = true
