Report a cell file whose answer was lost as unknown in godwitctl

Seen by operators: godwitctl exits with 4 (no entry process answered) or 3 (refused) for a file that is in force, because the first entry process took it and its answer was lost. Scripts take both for "nothing has changed".

Cause: the command tries the entry processes in turn and reported the outcome of the last one alone, and it did not tell a connection that was never opened from one that broke after the file was sent.

Evidence: four cases of TestFileWithALostAnswerIsUnknown failed before the change: with exit status 4 where the only entry process, or one after it that was down or unavailable, followed a lost answer, and with 3 where a 409 did.

A file of which a copy was sent without an answer now ends with exit status 5 (outcome unknown, apply the same file again) unless a later entry process accepts it; the message keeps what was answered last. Checks and reads change nothing and are reported as before.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/ansel1/merry/v2"
 
@@ -38,6 +39,12 @@
 	ExitNotYet      = 6 // not in force everywhere within the time given
 )
 
+// Paths of files at an entry process.
+const (
+	applyPath = "/v1/config" // the only call that changes something
+	checkPath = "/v1/config/check"
+)
+
 // maxAnswerBytes bounds an answer: a file of 1 MiB and its frame.
 const maxAnswerBytes = 4 << 20
 
@@ -74,21 +81,37 @@
 	return target == ErrRefused
 }
 
-// call sends the request to the entry processes in turn until one answers.
+// call sends the request to the entry processes in turn until one answers. A
+// file of which a copy was sent without an answer may be in force, whatever the
+// later entry processes say of theirs.
 func (c *client) call(ctx context.Context, method, path string, body []byte, into any) error {
 	var last error
+	lost := false
 	for _, entry := range c.entries {
-		err := c.callOne(ctx, entry, method, path, body, into)
+		last = c.callOne(ctx, entry, method, path, body, into)
 		var transport *transportError
-		if !errors.As(err, &transport) {
-			return err
+		if !errors.As(last, &transport) {
+			break
 		}
-		last = err
+		lost = lost || transport.sent && path == applyPath
 	}
-	return merry.Wrap(ErrUnreachable, merry.WithCause(last))
+	var transport *transportError
+	var refused *refusal
+	switch {
+	case lost && (errors.As(last, &transport) || errors.As(last, &refused)):
+		return merry.Wrap(ErrUnknownOutcome, merry.AppendMessage(last.Error()))
+	case errors.As(last, &transport):
+		return merry.Wrap(ErrUnreachable, merry.WithCause(last))
+	}
+	return last
 }
 
-type transportError struct{ cause error }
+// transportError says that an entry process did not take the request, or gave no
+// whole answer.
+type transportError struct {
+	cause error
+	sent  bool // the request may have been taken
+}
 
 func (e *transportError) Error() string { return e.cause.Error() }
 func (e *transportError) Unwrap() error { return e.cause }
@@ -98,14 +121,18 @@
 	if err != nil {
 		return err
 	}
+	connected := false // set in this goroutine, before anything is sent
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	}))
 	response, err := c.http.Do(request)
 	if err != nil {
-		return &transportError{err}
+		return &transportError{cause: err, sent: connected}
 	}
 	defer response.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return &transportError{err}
+		return &transportError{cause: err, sent: true}
 	}
 	if response.StatusCode != http.StatusOK {
 		refused := &refusal{status: response.StatusCode}
@@ -113,7 +140,7 @@
 			refused.problem.Reason = string(content)
 		}
 		if response.StatusCode == http.StatusServiceUnavailable {
-			return &transportError{refused}
+			return &transportError{cause: refused}
 		}
 		return refused
 	}
--- /dev/null
+++ b/internal/ctl/client_test.go
@@ -0,0 +1,61 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/godwitlink/godwitlink/internal/api"
+)
+
+// answered returns the address of an entry process with one answer to all calls.
+func answered(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against calling a file refused or unsent of which a copy with a lost answer may be in force.
+func TestFileWithALostAnswerIsUnknown(t *testing.T) {
+	lost := answered(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	refuse := func(status int) string {
+		return answered(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_ = json.NewEncoder(w).Encode(api.Problem{Reason: "refused"})
+		})
+	}
+	accept := answered(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{}`)) })
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	nobody := strings.TrimPrefix(closed.URL, "http://")
+	for name, c := range map[string]struct {
+		path    string
+		entries []string
+		want    error
+	}{
+		"lost":                      {applyPath, []string{lost}, ErrUnknownOutcome},
+		"lost, then nobody":         {applyPath, []string{lost, nobody}, ErrUnknownOutcome},
+		"lost, then refused":        {applyPath, []string{lost, refuse(http.StatusConflict)}, ErrUnknownOutcome},
+		"lost, then unavailable":    {applyPath, []string{lost, refuse(http.StatusServiceUnavailable)}, ErrUnknownOutcome},
+		"lost, then accepted":       {applyPath, []string{lost, accept}, nil},
+		"nobody":                    {applyPath, []string{nobody}, ErrUnreachable},
+		"unavailable":               {applyPath, []string{refuse(http.StatusServiceUnavailable)}, ErrUnreachable},
+		"nobody, then refused":      {applyPath, []string{nobody, refuse(http.StatusConflict)}, ErrRefused},
+		"unavailable, then refused": {applyPath, []string{refuse(http.StatusServiceUnavailable), refuse(http.StatusConflict)}, ErrRefused},
+		"unknown at the entry":      {applyPath, []string{refuse(http.StatusGatewayTimeout)}, ErrUnknownOutcome},
+		"check with a lost answer":  {checkPath, []string{lost}, ErrUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := &client{scheme: "http", entries: c.entries, http: &http.Client{}}
+			err := client.call(context.Background(), http.MethodPost, c.path, []byte("generation = 1"), &api.FileAccepted{})
+			if !errors.Is(err, c.want) || c.want != nil && ExitStatus(err) != ExitStatus(c.want) {
+				t.Errorf("%v with exit status %d, want %v", err, ExitStatus(err), c.want)
+			}
+		})
+	}
+}
--- a/internal/ctl/subcommands.go
+++ b/internal/ctl/subcommands.go
@@ -23,7 +23,7 @@
 		RunE: func(command *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(command.Context(), o.timeout)
 			defer cancel()
-			accepted, c, err := o.submit(ctx, "/v1/config", args[0])
+			accepted, c, err := o.submit(ctx, applyPath, args[0])
 			if err != nil {
 				return err
 			}
@@ -99,7 +99,7 @@
 			if !offline {
 				ctx, cancel := context.WithTimeout(command.Context(), o.timeout)
 				defer cancel()
-				if accepted, _, err = o.submit(ctx, "/v1/config/check", args[0]); err != nil {
+				if accepted, _, err = o.submit(ctx, checkPath, args[0]); err != nil {
 					return err
 				}
 			}
