Test the gateway's requests against resets and X-Idempotency-Key too

http.Transport sends a request again on a reused connection that breaks where it takes the request for replayable: any method with the header Idempotency-Key or X-Idempotency-Key, which callers' requests bring along. The gateway prevents it with a body that cannot be rewound; the test had neither connections that are reset after the whole request was read nor the second header. No fault was found: all eight cases pass.

--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -65,11 +65,19 @@
 // usually idempotent and for any request without a body that has an
 // Idempotency-Key.
 func TestNoSilentRetryOnReusedConnection(t *testing.T) {
-	cases := []struct{ name, method, body, key string }{
-		{"keyed without body", "POST", "", "k"},
-		{"keyed with body", "POST", "washer", "k"},
-		{"without key", "DELETE", "", ""},
-		{"options", "OPTIONS", "", ""},
+	cases := []struct {
+		name, method, body string
+		headers            []string
+		resets             bool // the connection is reset, not closed
+	}{
+		{"keyed without body", "POST", "", []string{backendapi.HeaderKey, "k"}, false},
+		{"keyed with body", "POST", "washer", []string{backendapi.HeaderKey, "k"}, false},
+		{"without key", "DELETE", "", nil, false},
+		{"options", "OPTIONS", "", nil, false},
+		{"keyed, reset", "POST", "washer", []string{backendapi.HeaderKey, "k"}, true},
+		{"keyed without body, reset", "POST", "", []string{backendapi.HeaderKey, "k"}, true},
+		{"other key header", "POST", "", []string{"X-Idempotency-Key", "k"}, false},
+		{"other key header, reset", "PUT", "washer", []string{"X-Idempotency-Key", "k"}, true},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -83,19 +91,21 @@
 				if answerOnce(conn, reader, "Content-Length: 2\r\n", "ok") != nil {
 					return
 				}
-				if _, err := http.ReadRequest(reader); err == nil {
-					second.Add(1)
+				req, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				second.Add(1)
+				_, _ = reader.Discard(int(max(req.ContentLength, 0)))
+				if test.resets {
+					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
 			})
 			e := c.entries[0]
 			if got := e.call("GET", "/turnos/warm", ""); got.status != 200 {
 				t.Fatalf("first request answered %+v", got)
 			}
-			headers := []string{}
-			if test.key != "" {
-				headers = []string{backendapi.HeaderKey, test.key}
-			}
-			got := e.call(test.method, "/turnos/a", test.body, headers...)
+			got := e.call(test.method, "/turnos/a", test.body, test.headers...)
 			if got.outcome != "unknown" || got.reason != "broken-answer" {
 				t.Errorf("answered %+v", got)
 			}
