Test commands on kept connections that break after the request was read

No fault was found: net/http sends no second copy of such a request, which has neither an idempotent method nor a key, and the client reports the outcome as unknown, for a connection that is closed and for one that is reset.

--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -200,6 +201,52 @@
 	}
 }
 
+// Guards against calling a command not accepted that was read whole on a kept connection which then broke, because later attempts find nobody.
+func TestBrokenKeptConnectionIsUnknown(t *testing.T) {
+	for _, resets := range []bool{false, true} {
+		replica := &fakeReplica{}
+		var opened, broken atomic.Int64
+		var server *httptest.Server
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if replica.calls.Load() == 0 {
+				rpcpb.NewControlServer(replica).ServeHTTP(w, r)
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Error(err)
+			}
+			broken.Add(1)
+			server.Listener.Close()
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if resets {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		server.Start()
+		t.Cleanup(server.Close)
+		client := newClient(t, strings.TrimPrefix(server.URL, "http://"))
+		command := state.Command{Advance: &state.Advance{}}
+		if _, err := client.Propose(t.Context(), command); err != nil {
+			t.Fatal(err)
+		}
+		limits := WaitLimits{NotTaken: time.Millisecond, Unknown: 100 * time.Millisecond}
+		_, err := client.ProposeWithin(t.Context(), command, limits)
+		if !errors.Is(err, ErrOutcomeUnknown) || opened.Load() != 1 || broken.Load() != 1 {
+			t.Errorf("reset %v: %v; sent %d times on %d connections, want 1 and 1", resets, err, broken.Load(), opened.Load())
+		}
+	}
+}
+
 // Guards against a submission that is held until its client gives up, and
 // against refusing one as not taken that a replica may have taken.
 func TestProposeWithinEndsAtItsLimits(t *testing.T) {
