Answer a job submission that found no leader with unknown

Callers would see: a job is accepted and its answer lost; the submission is sent again under its key and answered 503 with outcome not-run. A caller that takes that for the word that the job never runs submits it under a new key, and it runs twice.

Cause: the entry process answered not-run where this copy of the submission was not taken. The key stands for all copies, and it was not looked up. Routed requests already say unknown in this case (design.md, section 2.4).

Evidence: the case "no leader" of TestOutcomesOfSubmissions failed before the change with outcome not-run.

The outcome is now unknown; the status, the reason and Retry-After stay. Refusals by the state machine stay not-run, because it looks the key up first, and so do cancels, which have no key.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -67,13 +67,18 @@
 	case errors.Is(err, controlclient.ErrMalformed):
 		r.refuse(w, http.StatusBadRequest, api.Problem{Reason: reasonBadRequest, Detail: err.Error()})
 	default:
-		w.Header().Set(api.HeaderOutcome, string(state.OutcomeNotRun))
-		r.refuse(w, http.StatusServiceUnavailable, api.Problem{
-			Reason: reasonUnavailable, Detail: "no leader of the control group answered",
-		})
+		r.refuseUnavailable(w, state.OutcomeNotRun)
 	}
 }
 
+// refuseUnavailable answers a call that no leader took.
+func (r responder) refuseUnavailable(w http.ResponseWriter, outcome state.Outcome) {
+	w.Header().Set(api.HeaderOutcome, string(outcome))
+	r.refuse(w, http.StatusServiceUnavailable, api.Problem{
+		Reason: reasonUnavailable, Detail: "no leader of the control group answered",
+	})
+}
+
 // refuseResult answers a command that the state machine refused.
 func (r responder) refuseResult(w http.ResponseWriter, result state.Result) {
 	problem := api.Problem{Reason: string(result.Refusal), Detail: result.Detail}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/core/strictconf"
 	"github.com/godwitlink/godwitlink/internal/api"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
 )
 
 // controlGroup is what the handlers need of the control group.
@@ -51,6 +53,12 @@
 	ctx, cancel := context.WithTimeout(request.Context(), callTimeout)
 	defer cancel()
 	result, err := a.control.Propose(ctx, state.Command{SubmitJob: &state.SubmitJob{Key: key, Spec: spec}})
+	if errors.Is(err, controlclient.ErrUnavailable) {
+		// This copy was not taken, but the key was not looked up either: an
+		// earlier submission with it may have been accepted.
+		a.refuseUnavailable(w, state.OutcomeUnknown)
+		return
+	}
 	a.answerJob(w, http.StatusAccepted, result, err)
 }
 
