--- a/core/relay/types.go
+++ b/core/relay/types.go
@@ -44,18 +44,20 @@
 // Registration is the outcome of a registration. Refusal is set where the
 // worker was not admitted; Failed where nothing is known.
 type Registration struct {
-	Worker  cell.WorkerName
-	Epoch   cell.Epoch
-	Refusal state.Refusal
-	Failed  bool
+	Worker      cell.WorkerName
+	Incarnation cell.Incarnation
+	Epoch       cell.Epoch
+	Refusal     state.Refusal
+	Failed      bool
 }
 
 // Departure asks to commit the last reports of a worker and to end its epoch.
 type Departure struct {
-	Waiter  WaiterID
-	Worker  cell.WorkerName
-	Epoch   cell.Epoch
-	Reports []state.TaskReport
+	Waiter      WaiterID
+	Worker      cell.WorkerName
+	Incarnation cell.Incarnation
+	Epoch       cell.Epoch
+	Reports     []state.TaskReport
 }
 
 // Status says how a sync was answered.
--- a/internal/controlclient/client_test.go
+++ b/internal/controlclient/client_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"os"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,17 +18,20 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
-// fakeReplica is a control replica that answers with its error, or with an
-// empty result.
+// fakeReplica is a control replica that answers with its error, or with its
+// result.
 type fakeReplica struct {
 	rpcpb.Control
-	calls atomic.Int64
-	err   func() error
+	calls  atomic.Int64
+	err    func() error
+	result state.Result
+	broken bool // its results cannot be decoded
 }
 
 func (f *fakeReplica) Propose(context.Context, *rpcpb.ProposeRequest) (*rpcpb.ProposeResponse, error) {
@@ -36,7 +41,10 @@
 			return nil, err
 		}
 	}
-	result, err := codec.EncodeResult(state.Result{})
+	if f.broken {
+		return &rpcpb.ProposeResponse{Result: []byte{0xff}}, nil
+	}
+	result, err := codec.EncodeResult(f.result)
 	return &rpcpb.ProposeResponse{Result: result}, err
 }
 
@@ -152,6 +160,93 @@
 	}
 }
 
+// Guards against a refusal that stands for a command of which an earlier copy may still be committed, and against doubt where there is none.
+func TestRefusalAfterALostAnswerIsUnknown(t *testing.T) {
+	cell := state.Result{Refusal: state.RefusalQueueFull}
+	work := state.Result{Workload: &workload.Result{Refusal: workload.RefusalNoConfig}}
+	for name, c := range map[string]struct {
+		first  error // of the first attempt
+		result state.Result
+		want   error
+	}{
+		"cell refusal after a lost answer": {twirp.InternalError("lost"), cell, ErrOutcomeUnknown},
+		"work refusal after a lost answer": {twirp.InternalError("lost"), work, ErrOutcomeUnknown},
+		"success after a lost answer":      {twirp.InternalError("lost"), state.Result{}, nil},
+		"refusal after a full replica":     {twirp.NewError(twirp.ResourceExhausted, "overloaded"), cell, nil},
+		"refusal at once":                  {nil, work, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replica := &fakeReplica{result: c.result}
+			replica.err = func() error {
+				if replica.calls.Load() == 1 {
+					return c.first
+				}
+				return nil
+			}
+			client := newClient(t, serve(t, replica))
+			got, err := client.Propose(t.Context(), state.Command{Advance: &state.Advance{}})
+			if !errors.Is(err, c.want) || err == nil && !reflect.DeepEqual(got, c.result) {
+				t.Errorf("Propose: %+v, %v; want %+v, %v", got, err, c.result, c.want)
+			}
+		})
+	}
+}
+
+// Guards against reporting a command as malformed that was committed and whose result cannot be read.
+func TestUnreadableResultIsUnknown(t *testing.T) {
+	client := newClient(t, serve(t, &fakeReplica{broken: true}))
+	_, err := client.Propose(t.Context(), state.Command{Advance: &state.Advance{}})
+	if !errors.Is(err, ErrOutcomeUnknown) || errors.Is(err, ErrMalformed) {
+		t.Errorf("Propose: %v", err)
+	}
+}
+
+// Guards against calling a command not accepted that was read whole on a kept connection which then broke, because later attempts find nobody.
+func TestBrokenKeptConnectionIsUnknown(t *testing.T) {
+	for _, resets := range []bool{false, true} {
+		replica := &fakeReplica{}
+		var opened, broken atomic.Int64
+		var server *httptest.Server
+		server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if replica.calls.Load() == 0 {
+				rpcpb.NewControlServer(replica).ServeHTTP(w, r)
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				t.Error(err)
+			}
+			broken.Add(1)
+			server.Listener.Close()
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if resets {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			_ = conn.Close()
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				opened.Add(1)
+			}
+		}
+		server.Start()
+		t.Cleanup(server.Close)
+		client := newClient(t, strings.TrimPrefix(server.URL, "http://"))
+		command := state.Command{Advance: &state.Advance{}}
+		if _, err := client.Propose(t.Context(), command); err != nil {
+			t.Fatal(err)
+		}
+		limits := WaitLimits{NotTaken: time.Millisecond, Unknown: 100 * time.Millisecond}
+		_, err := client.ProposeWithin(t.Context(), command, limits)
+		if !errors.Is(err, ErrOutcomeUnknown) || opened.Load() != 1 || broken.Load() != 1 {
+			t.Errorf("reset %v: %v; sent %d times on %d connections, want 1 and 1", resets, err, broken.Load(), opened.Load())
+		}
+	}
+}
+
 // Guards against a submission that is held until its client gives up, and
 // against refusing one as not taken that a replica may have taken.
 func TestProposeWithinEndsAtItsLimits(t *testing.T) {
