Count the end of a closed run where no other run of its task is open

A run that was closed without a report of its end may have been done all the same: on a worker that was silent until its lease was over, or by a start that was carried out late.

Where the run is the last one of its task and no other is open, the state now takes the end, and the worker is told to forget it after that commit.

Checked: TestEndOfAClosedRunCountsWhereNoOtherIsOpen and TestRunThatWasDoneBeforeItsBootWasGivenUp, which failed before.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -38,16 +38,22 @@
 	closed map[workload.TaskID]workload.RunNumber
 	ends   []dispatch.ListedEnd
 	lastN  uint64
+	lapsed uint64 // ends up to this number were listed when the lease ran out
+	// noted are the tasks whose end as done was taken note of, also on former
+	// boots. One that was listed when the lease ran out does not count, nor one
+	// that a late hold for a former boot has made the worker forget: it was never
+	// listed to anybody (seeds 40007 and 41001).
+	noted map[workload.TaskID]bool
 }
 
 func (w *fakeWorker) reset(boot workload.Boot, now time.Duration) {
 	w.boot, w.bornAt, w.up = boot, now, true
-	w.token, w.until, w.lastN = 0, 0, 0
+	w.token, w.until, w.lastN, w.lapsed = 0, 0, 0, 0
 	w.runs = map[workload.TaskID]*fakeRun{}
 	w.closed = map[workload.TaskID]workload.RunNumber{}
 	w.ends = nil
 	if w.endedAt == nil {
-		w.endedAt = map[workload.Boot]time.Duration{}
+		w.endedAt, w.noted = map[workload.Boot]time.Duration{}, map[workload.TaskID]bool{}
 	}
 }
 
@@ -78,8 +84,11 @@
 	w.extend(h.Until, now)
 	kept := w.ends[:0]
 	for _, end := range w.ends {
-		if end.Number > h.Seen {
+		switch {
+		case end.Number > h.Seen:
 			kept = append(kept, end)
+		case end.How == workload.EndDone && end.Number > w.lapsed && h.Boot == w.boot:
+			w.noted[end.Task] = true
 		}
 	}
 	w.ends = kept
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -191,11 +191,8 @@
 	}
 	w.listed = end.Number
 	r := w.runs[end.Task]
-	if r == nil || r.number != end.Run {
-		return
-	}
-	if r.unknown {
-		c.dropStray(w, end.Task, r)
+	if r == nil || r.unknown || r.number != end.Run {
+		c.takeClosedEnd(w, r, end)
 		return
 	}
 	if !r.reported {
@@ -204,6 +201,25 @@
 	}
 }
 
+// takeClosedEnd takes the end of a run that the state has closed. Where it still
+// counts, it is forgotten by the worker only after its commit.
+func (c *Core) takeClosedEnd(w *worker, r *run, end ListedEnd) {
+	if r != nil && (r.number != end.Run || r.reported) {
+		return
+	}
+	task := c.state.Task(end.Task)
+	switch {
+	case task != nil && task.CountsEnd(end.Run, end.How):
+		if r == nil {
+			r = &run{number: end.Run, unknown: true}
+			w.runs[end.Task] = r
+		}
+		c.report(w, end.Task, r, end.How, end.Checkpoint, 0)
+	case r != nil:
+		c.dropRun(w, end.Task, r)
+	}
+}
+
 // report proposes the end of a run.
 func (c *Core) report(w *worker, id workload.TaskID, r *run, how workload.RunEnd, checkpoint string, age time.Duration) {
 	r.reported = true
@@ -224,7 +240,7 @@
 	switch {
 	case r.unknown:
 		if r.stopped && r.stoppedAt.Before(w.sentAt) {
-			c.dropStray(w, id, r)
+			c.dropRun(w, id, r)
 		}
 	case r.confirmed && r.confirmAt.Before(w.sentAt):
 		// It was there when the hold left, and its end is not listed.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -136,8 +136,8 @@
 func (c *Core) decided(d workload.Decide, result workload.Result) {
 	for _, end := range d.Ends {
 		if w := c.workers[end.Worker]; w != nil && w.Boot == end.Boot {
-			if r := w.runs[end.Task]; r != nil && r.number == end.Run && !r.unknown {
-				delete(w.runs, end.Task)
+			if r := w.runs[end.Task]; r != nil && r.number == end.Run && (!r.unknown || r.reported) {
+				c.dropRun(w, end.Task, r)
 			}
 			c.advanceSeen(w)
 		}
--- a/core/dispatch/latestart.go
+++ b/core/dispatch/latestart.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// dropStray forgets a run that the state had closed and that has ended.
-func (c *Core) dropStray(w *worker, id workload.TaskID, r *run) {
+// dropRun forgets a run that the state has closed and that has ended.
+func (c *Core) dropRun(w *worker, id workload.TaskID, r *run) {
 	delete(w.runs, id)
 	w.reserved = w.reserved.Sub(r.size)
 	c.changed = true
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -291,10 +291,18 @@
 	if st.Boot != w.boot {
 		// An order for a former boot, carried out late. Nobody can prevent it
 		// where the worker has not been told to refuse it yet.
-		w.runs[st.Task].stray, w.runs[st.Task].meantUntil = true, w.endedAt[st.Boot]
-		s.finishIn(w, st.Task, time.Minute)
+		r := w.runs[st.Task]
+		r.stray, r.meantUntil, r.how = true, w.endedAt[st.Boot], workload.EndDone
+		if !job.Spec.Steps[st.Task.Step].Gang {
+			s.finishIn(w, st.Task, s.between(100*time.Millisecond, 2*time.Second))
+		}
 		return
 	}
+	for _, other := range s.workers {
+		if other.noted[st.Task] {
+			s.fail("%v run %d starts on %s after its end on %s was noted", st.Task, st.Run, w.id, other.id)
+		}
+	}
 	if step.Tasks[st.Task.Index].State == workload.TaskDone {
 		s.fail("%v run %d starts on %s boot %d, meant for boot %d, after it was done", st.Task, st.Run, w.id, w.boot, st.Boot)
 	}
@@ -516,6 +524,7 @@
 			continue
 		}
 		if w.until > 0 && w.clock(s.now) > w.until {
+			w.lapsed = w.lastN
 			for _, task := range tasksOf(w) {
 				w.end(task, workload.EndLapsed)
 			}
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -293,3 +293,29 @@
 		t.Errorf("after the proposal failed: stops %+v, want one", e.Stops)
 	}
 }
+
+// Guards against a task that starts again although its run, closed while the worker was silent, was done.
+func TestRunThatWasDoneBeforeItsBootWasGivenUp(t *testing.T) {
+	b, starts := placed(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	for closed := false; !closed; {
+		e := b.pass(50 * time.Millisecond)
+		b.answerHolds(dispatch.Report{Outcome: dispatch.OutcomeNotSent})
+		closed = len(e.Proposals) > 0
+		b.commit(e)
+	}
+	back := dispatch.Report{Ends: []dispatch.ListedEnd{{Number: 1, Task: starts[0].Task, Run: 1, How: workload.EndDone}}}
+	for range 50 {
+		b.answerHolds(back)
+		e := b.commit(b.pass(planned))
+		if len(e.Starts) > 0 {
+			t.Fatalf("started again: %+v", e.Starts)
+		}
+		for _, hold := range e.Holds {
+			if hold.Seen > 0 {
+				return
+			}
+		}
+	}
+	t.Error("the end is never taken note of")
+}
--- a/core/workload/assign.go
+++ b/core/workload/assign.go
@@ -144,11 +144,5 @@
 	w := s.workers[m.Worker]
 	w.runs[TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: m.Index}] = run
 	w.used = w.used.Add(spec.Size)
-	if !job.Started {
-		job.Started = true
-		s.pending[job.Queue.Name]--
-	}
-	if job.State == JobQueued {
-		job.State = JobRunning
-	}
+	s.begin(job)
 }
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -182,19 +182,38 @@
 	return result
 }
 
-// endRun closes a run. A report on another run than the open one changes
-// nothing: that run was closed before.
+// endRun closes a run, or takes the end of one that was closed before.
 func (s *State) endRun(retained time.Duration, e Ending) {
 	w := s.workers[e.Worker]
-	if w == nil || w.Boot != e.Boot || w.runs[e.Task] != e.Run || e.Run == 0 {
+	if w == nil || w.Boot != e.Boot || e.Run == 0 {
+		return
+	}
+	if w.runs[e.Task] != e.Run {
+		s.endClosed(retained, e)
 		return
 	}
 	s.closeRun(retained, w, e.Task, e.How, e.Checkpoint)
 }
 
+// endClosed takes the end of a run that was closed without a report of its end.
+// It counts where the run was the last one of its task and no other is open.
+func (s *State) endClosed(retained time.Duration, e Ending) {
+	job, step, task := s.find(e.Task)
+	if task == nil || !task.CountsEnd(e.Run, e.How) {
+		return
+	}
+	job.Begun = true
+	s.begin(job)
+	s.settle(job, step, e.Task, e.How, retained)
+}
+
+// CountsEnd reports whether the end of a closed run of the task counts.
+func (t *Task) CountsEnd(number RunNumber, how RunEnd) bool {
+	return (how == EndDone || how == EndFailed) && t.State == TaskPending && t.Run == number
+}
+
 // closeRun frees the capacity of a run and moves its task on.
 func (s *State) closeRun(retained time.Duration, w *workerState, id TaskID, how RunEnd, checkpoint string) {
-	number := w.runs[id]
 	delete(w.runs, id)
 	job, step, task := s.find(id)
 	if task == nil {
@@ -213,12 +232,30 @@
 	}
 	task.State = TaskPending
 	s.keepCheckpoint(step, spec, task, checkpoint)
+	s.settle(job, step, id, how, retained)
+}
+
+// settle counts the end of the last run of a task.
+func (s *State) settle(job *Job, step *Step, id TaskID, how RunEnd, retained time.Duration) {
+	spec, task := &job.Spec.Steps[id.Step], &step.Tasks[id.Index]
 	switch how {
 	case EndDone:
 		s.done(job, step, spec, task, retained)
 	case EndFailed:
-		s.failed(job, step, spec, task, number, retained)
+		s.failed(job, step, spec, task, task.Run, retained)
+	}
+}
+
+// begin counts a job as begun.
+func (s *State) begin(job *Job) {
+	if job.State.Ended() {
+		return
+	}
+	if !job.Started {
+		job.Started = true
+		s.pending[job.Queue.Name]--
 	}
+	job.State = JobRunning
 }
 
 // neverBegan follows the close of a run that never began: a job of which nothing
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Guards against a task that starts again after its closed run was reported as done (TWICE) or failed (BUDGET).
+func TestEndOfAClosedRunCountsWhereNoOtherIsOpen(t *testing.T) {
+	task, member := workload.TaskID{Job: "j"}, workload.Member{Worker: "w", Boot: 1}
+	for how, want := range map[workload.RunEnd]workload.JobState{workload.EndDone: workload.JobCompleted, workload.EndFailed: workload.JobFailed} {
+		w := newWorld(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+		w.assign(task.StepOf(), member)
+		w.end("w", task, 1, workload.EndFailed)
+		w.assign(task.StepOf(), member)
+		w.end("w", task, 2, workload.EndNever)
+		w.end("w", task, 1, workload.EndDone)
+		if got := w.jobState("j"); got.Ended() {
+			t.Fatalf("after the end of an earlier run: %s", got)
+		}
+		w.end("w", task, 2, how)
+		if got := w.jobState("j"); got != want || w.state.Pending("batch") != 0 {
+			t.Errorf("%s: job is %s with %d pending, want %s with 0", how, got, w.state.Pending("batch"), want)
+		}
+	}
+}
+
 // Guards against an old report of a worker undoing what a later one said.
 func TestOldReportsOfWorkers(t *testing.T) {
 	w := newWorld(t, register("w", 5, 10))
