Wait for a killed replica's listener in the local group

TestRestartWhileItsPortIsASourcePort failed with 'bind: address already in use' when it restarted a replica.

Cause, from a trace of the failure: the killed replica's own listener was still open. The group starts Serve in a goroutine; http.Server.Close closes only listeners that Serve has registered, so a replica killed before its goroutine ran kept the address until Serve started and gave up. The trace shows the listener in state LISTEN, no socket on all addresses, and Serve starting after Kill had returned. The product is not involved.

Change: Kill and Stop wait until Serve has returned, which closes the listener.

--- a/internal/bench/localgroup/group.go
+++ b/internal/bench/localgroup/group.go
@@ -72,6 +72,7 @@
 	server  *http.Server
 	cancel  context.CancelFunc
 	ended   chan error
+	served  chan struct{} // closed when the listener is closed
 }
 
 // link is the path of other replicas to one replica. It outlives restarts.
@@ -183,9 +184,10 @@
 		return errors.Join(err, listener.Close())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), server: &http.Server{Handler: g.links[i].wrap(r.Handler())}}
+	m := &member{replica: r, cancel: cancel, ended: make(chan error, 1), served: make(chan struct{}), server: &http.Server{Handler: g.links[i].wrap(r.Handler())}}
 	go func() { m.ended <- r.Run(ctx) }()
 	go func() {
+		defer close(m.served)
 		// Kill closes the server; any other end shows in the calls to it.
 		_ = m.server.Serve(listener)
 	}()
@@ -223,7 +225,9 @@
 	g.members[i] = &member{}
 	closeErr := m.server.Close()
 	m.cancel()
-	return errors.Join(closeErr, <-m.ended)
+	err := errors.Join(closeErr, <-m.ended)
+	m.awaitClosedListener()
+	return err
 }
 
 // Stop ends a replica by a planned stop.
@@ -232,9 +236,15 @@
 	g.members[i] = &member{}
 	err := errors.Join(m.replica.Stop(ctx), <-m.ended)
 	m.cancel()
-	return errors.Join(err, m.server.Shutdown(ctx))
+	err = errors.Join(err, m.server.Shutdown(ctx))
+	m.awaitClosedListener()
+	return err
 }
 
+// awaitClosedListener waits for Serve of a server that was closed or shut down. A
+// server that had not begun to serve closes its listener only in Serve.
+func (m *member) awaitClosedListener() { <-m.served }
+
 // Wait returns the result of a replica that ended by itself.
 func (g *Group) Wait(i int) error {
 	m := g.members[i]
--- a/internal/bench/localgroup/group_test.go
+++ b/internal/bench/localgroup/group_test.go
@@ -9,6 +9,9 @@
 // dialTimeout ends a test that hangs; it asserts nothing.
 const dialTimeout = 5 * time.Second
 
+// killsAtOnce is enough for at least one kill to come before the server serves.
+const killsAtOnce = 100
+
 func startGroup(t *testing.T, size int) *Group {
 	t.Helper()
 	group, err := Start(Options{Folder: t.TempDir(), Size: size})
@@ -75,3 +78,16 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a replica that still listens after a kill right after its start.
+func TestKillRightAfterStartClosesTheListener(t *testing.T) {
+	group := startGroup(t, 1)
+	for range killsAtOnce {
+		if err := group.Kill(0); err != nil {
+			t.Fatal(err)
+		}
+		if err := group.Restart(0); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
