Accept waiting callers at a planned stop of an entry process

The callers' listener, which limits connections, and TLS listeners hide it, so these were closed with their queue.

Change: a draining server takes the bare socket and the layers on it (TLS, limit of connections) apart. A wrapped listener no longer compiles as a socket.

--- a/internal/draining/acceptor.go
+++ b/internal/draining/acceptor.go
@@ -15,39 +15,48 @@
 // Closing a socket resets the connections in its queue, on which clients may have
 // sent a request.
 type acceptor struct {
-	net.Listener
-	socket   rawSocket // nil where the listener is of another kind
+	Socket
 	stopping atomic.Bool
 	// Of the goroutine that calls Accept.
 	closed bool
 	queue  []net.Conn // that waited when the socket was closed
 }
 
-type rawSocket interface {
+// Socket is a listening socket without layers on it, such as *net.TCPListener.
+type Socket interface {
+	net.Listener
 	syscall.Conn
 	SetDeadline(t time.Time) error
 }
 
-func newAcceptor(listener net.Listener) *acceptor {
-	socket, _ := listener.(rawSocket)
-	return &acceptor{Listener: listener, socket: socket}
+// Listen opens a socket on an address, IP:port.
+func Listen(address string) (*net.TCPListener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenTCP("tcp", resolved)
 }
 
-// stop lets Accept close the socket and end. It reports false for a listener that
-// has to be closed instead.
+// Layer puts TLS or a limit of connections on a listener. The errors of Accept
+// must pass through it.
+type Layer func(net.Listener) net.Listener
+
+// Plain is the layer that changes nothing.
+func Plain(listener net.Listener) net.Listener { return listener }
+
+// stop lets Accept close the socket and end. It reports false for a socket that
+// has to be closed instead, because it has failed.
 func (a *acceptor) stop(now time.Time) bool {
-	if a.socket == nil {
-		return false
-	}
 	a.stopping.Store(true)
-	return a.socket.SetDeadline(now) == nil
+	return a.SetDeadline(now) == nil
 }
 
 // Accept implements net.Listener. After stop it returns the connections that
 // waited, and then net.ErrClosed.
 func (a *acceptor) Accept() (net.Conn, error) {
 	if !a.stopping.Load() {
-		conn, err := a.Listener.Accept()
+		conn, err := a.Socket.Accept()
 		if !a.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
@@ -70,7 +79,7 @@
 // wait of Listener.Accept for the next connection: clients that are not told to go
 // elsewhere never stop coming.
 func (a *acceptor) closeAfterQueue() error {
-	raw, err := a.socket.SyscallConn()
+	raw, err := a.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -86,7 +95,7 @@
 			}
 		}
 	})
-	err = errors.Join(err, a.Listener.Close())
+	err = errors.Join(err, a.Socket.Close())
 	for _, fd := range accepted {
 		file := os.NewFile(uintptr(fd), "accepted")
 		conn, connErr := net.FileConn(file)
--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -15,21 +15,24 @@
 // http.Server.Shutdown is no substitute: it closes a connection whose request
 // was read after the shutdown began, without an answer.
 type Server struct {
-	http   *http.Server
-	socket *acceptor
-	flag   *Flag
-	open   atomic.Int64
-	closed chan struct{} // signalled when a connection closes
-	served chan struct{} // closed when no more connections are accepted
+	http    *http.Server
+	socket  *acceptor
+	layered net.Listener // the socket under its layer
+	flag    *Flag
+	open    atomic.Int64
+	closed  chan struct{} // signalled when a connection closes
+	served  chan struct{} // closed when no more connections are accepted
 }
 
-// NewServer returns a server for a socket. Its connections end with their next
-// answer once flag is set.
-func NewServer(socket net.Listener, server *http.Server, flag *Flag) *Server {
+// NewServer returns a server for a socket. Connections pass through layer, which is
+// apart from the socket because a stop needs what a wrapped listener hides. They end
+// with their next answer once flag is set.
+func NewServer(socket Socket, layer Layer, server *http.Server, flag *Flag) *Server {
 	s := &Server{
-		http: server, socket: newAcceptor(socket), flag: flag,
+		http: server, socket: &acceptor{Socket: socket}, flag: flag,
 		closed: make(chan struct{}, 1), served: make(chan struct{}),
 	}
+	s.layered = layer(s.socket)
 	server.Handler = flag.Wrap(server.Handler)
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -61,7 +64,7 @@
 // gives an error.
 func (s *Server) Serve() error {
 	defer close(s.served)
-	err := s.http.Serve(s.socket)
+	err := s.http.Serve(s.layered)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -16,16 +16,16 @@
 // startServer serves handler. Each new connection is told to accepted.
 func startServer(t *testing.T, accepted chan<- struct{}, handler http.HandlerFunc) *Server {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	return startServerOn(t, socket, accepted, handler)
 }
 
-func startServerOn(t *testing.T, socket net.Listener, accepted chan<- struct{}, handler http.HandlerFunc) *Server {
+func startServerOn(t *testing.T, socket Socket, accepted chan<- struct{}, handler http.HandlerFunc) *Server {
 	t.Helper()
-	s := NewServer(socket, &http.Server{Handler: handler, ConnState: func(_ net.Conn, state http.ConnState) {
+	s := NewServer(socket, Plain, &http.Server{Handler: handler, ConnState: func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
 			accepted <- struct{}{}
 		}
@@ -107,11 +107,11 @@
 // opened and the process has not accepted yet, although the client has sent its
 // request on it.
 func TestStopAnswersAConnectionThatWaitsToBeAccepted(t *testing.T) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	held := heldListener{socket.(*net.TCPListener), make(chan struct{})}
+	held := heldListener{socket, make(chan struct{})}
 	s := startServerOn(t, held, make(chan struct{}, 4), answerNothing)
 	var waiting []net.Conn
 	for range 4 {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -12,6 +12,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/settings"
@@ -58,18 +59,28 @@
 
 // Listen opens a listener.
 func (e *Endpoint) Listen(address string) (net.Listener, error) {
+	socket, layer, err := e.ListenLayered(address)
+	if err != nil {
+		return nil, err
+	}
+	return layer(socket), nil
+}
+
+// ListenLayered opens a socket and returns the endpoint's protection apart from it,
+// for a draining.Server.
+func (e *Endpoint) ListenLayered(address string) (*net.TCPListener, draining.Layer, error) {
 	config, err := e.serverConfig()
 	if err != nil {
-		return nil, merry.Wrap(ErrKeys, merry.WithCause(err))
+		return nil, nil, merry.Wrap(ErrKeys, merry.WithCause(err))
 	}
-	socket, err := net.Listen("tcp", address)
+	socket, err := draining.Listen(address)
 	if err != nil {
-		return nil, merry.Wrap(ErrListen, merry.WithCause(err))
+		return nil, nil, merry.Wrap(ErrListen, merry.WithCause(err))
 	}
 	if config == nil {
-		return socket, nil
+		return socket, draining.Plain, nil
 	}
-	return tls.NewListener(socket, config), nil
+	return socket, func(l net.Listener) net.Listener { return tls.NewListener(l, config) }, nil
 }
 
 func (e *Endpoint) serverConfig() (*tls.Config, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -116,12 +117,14 @@
 // listen opens the sockets, callers first: a planned stop closes them in this
 // order.
 func (e *Entry) listen() error {
-	callers, err := e.endpoints.callers.Listen(e.settings.ListenCallers)
+	callers, protect, err := e.endpoints.callers.ListenLayered(e.settings.ListenCallers)
 	if err != nil {
 		return err
 	}
-	limited := e.gateway.CallerListener(callers, e.settings.MaxConnections)
-	e.listeners.add(limited, e.gateway.CallerServer(e.callers()))
+	limit := func(l net.Listener) net.Listener {
+		return e.gateway.CallerListener(protect(l), e.settings.MaxConnections)
+	}
+	e.listeners.add(callers, limit, e.gateway.CallerServer(e.callers()))
 	for _, l := range []struct {
 		endpoint *endpoint.Endpoint
 		address  string
@@ -132,11 +135,11 @@
 		{e.endpoints.internal, e.settings.ListenInternal, rpcpb.NewPeerServer(e.gateway.PeerServer())},
 		{e.endpoints.plain, e.settings.ListenMetrics, e.operations()},
 	} {
-		socket, err := l.endpoint.Listen(l.address)
+		socket, layer, err := l.endpoint.ListenLayered(l.address)
 		if err != nil {
 			return err
 		}
-		e.listeners.add(socket, newServer(l.handler))
+		e.listeners.add(socket, layer, newServer(l.handler))
 	}
 	return nil
 }
--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -28,9 +27,9 @@
 	flag    draining.Flag
 }
 
-// add takes a socket and its server. Nothing is served before serve.
-func (l *listeners) add(socket net.Listener, server *http.Server) {
-	l.servers = append(l.servers, draining.NewServer(socket, server, &l.flag))
+// add takes a socket, its layer and its server. Nothing is served before serve.
+func (l *listeners) add(socket draining.Socket, layer draining.Layer, server *http.Server) {
+	l.servers = append(l.servers, draining.NewServer(socket, layer, server, &l.flag))
 }
 
 // newServer returns a server with the limits of this process, for other than
--- a/internal/entry/listeners_test.go
+++ b/internal/entry/listeners_test.go
@@ -2,24 +2,79 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
+	"github.com/godwitlink/godwitlink/internal/gateway"
 )
 
+const (
+	// stopLimit bounds the wait for a stop that should end by itself.
+	stopLimit = 10 * time.Second
+	// waitingCallers is the number of connections that nobody has accepted yet.
+	waitingCallers = 16
+)
+
+// Guards against a planned stop that resets callers' connections which wait to be
+// accepted, because the limit of connections hides the socket from the stop.
+func TestStopAnswersCallersThatWaitToBeAccepted(t *testing.T) {
+	l := &listeners{logger: eventlog.Nop()}
+	socket, err := draining.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := gateway.New(gateway.Options{})
+	limit := func(l net.Listener) net.Listener { return g.CallerListener(l, waitingCallers) }
+	l.add(socket, limit, g.CallerServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if _, err := io.WriteString(w, "answer"); err != nil {
+			t.Error(err)
+		}
+	})))
+	defer l.close()
+	var waiting []net.Conn
+	for range waitingCallers {
+		conn, err := net.Dial("tcp", socket.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		waiting = append(waiting, conn)
+	}
+	l.serve()
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	l.shutdown(ctx)
+	for _, conn := range waiting {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			t.Errorf("status %d", response.StatusCode)
+		}
+	}
+}
+
 // Guards against a planned stop that closes a kept connection while its next
 // request is on the way: the caller then sees EOF and cannot know whether the
 // request ran.
 func TestDrainAnswersRequestsOnKeptConnections(t *testing.T) {
 	l := &listeners{logger: eventlog.Nop()}
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := draining.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.add(socket, newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	l.add(socket, draining.Plain, newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if _, err := io.WriteString(w, "answer"); err != nil {
 			t.Error(err)
 		}
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -103,11 +103,11 @@
 // serveDraining opens a listener whose connections end with their next answer
 // once flag is set.
 func (b *base) serveDraining(address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
-	listener, err := net.Listen("tcp", address)
+	socket, err := draining.Listen(address)
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
-	server := draining.NewServer(listener, &http.Server{
+	server := draining.NewServer(socket, draining.Plain, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(serverLog{b.logger}, "", 0),
 	}, flag)
 	b.servers = append(b.servers, server)
