Refuse new connections before a planned stop closes a socket

Cause: closing a listening socket resets connections whose handshake is under way and those that are opened after the last accept. Clients that do not notice the drain never stop coming, so there is always such a moment.

Change: the stop binds the socket to an interface that does not exist (SO_BINDTOIFINDEX). The kernel then refuses new connections at once; handshakes under way go on and are accepted for 50 ms more before the socket is closed. It needs no privileges since Linux 5.7. Where the option is refused, the stop goes on as before and logs event 2015 or 4311.

TestStopResetsNoConnectionThatIsBeingOpened fails without the change.

--- a/internal/draining/acceptor.go
+++ b/internal/draining/acceptor.go
@@ -2,21 +2,28 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// noInterface is the index of no network interface: the kernel counts from 1.
+	noInterface = math.MaxInt32
+	// handshakeTime is how long a handshake under way may take once new ones are
+	// refused: three of the longest round trips, which take 16 ms.
+	handshakeTime = 50 * time.Millisecond
+)
+
 // acceptor is a listener that accepts what waits in its queue before it closes.
 // Closing a socket resets the connections in its queue, on which clients may have
-// sent a request.
+// sent a request, and those whose handshake is under way.
 type acceptor struct {
 	Socket
-	stopping atomic.Bool
 	// Of the goroutine that calls Accept.
 	closed bool
 	queue  []net.Conn // that waited when the socket was closed
@@ -45,23 +52,33 @@
 // Plain is the layer that changes nothing.
 func Plain(listener net.Listener) net.Listener { return listener }
 
-// stop lets Accept close the socket and end. It reports false for a socket that
-// has to be closed instead, because it has failed.
-func (a *acceptor) stop(now time.Time) bool {
-	a.stopping.Store(true)
-	return a.SetDeadline(now) == nil
+// refuseNew makes the kernel refuse new connections as if nobody listened, by
+// binding the socket to an interface that does not exist. Handshakes under way go
+// on. Linux allows it without privileges since 5.7.
+func (a *acceptor) refuseNew() error {
+	raw, err := a.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var refused error
+	err = raw.Control(func(socket uintptr) {
+		refused = unix.SetsockoptInt(int(socket), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
+	})
+	return errors.Join(err, refused)
 }
 
-// Accept implements net.Listener. After stop it returns the connections that
-// waited, and then net.ErrClosed.
+// stop lets Accept close the socket at end. It reports false for a socket that has
+// to be closed instead, because it has failed.
+func (a *acceptor) stop(end time.Time) bool { return a.SetDeadline(end) == nil }
+
+// Accept implements net.Listener. Once the time given to stop has come it returns
+// the connections that wait, and then net.ErrClosed.
 func (a *acceptor) Accept() (net.Conn, error) {
-	if !a.stopping.Load() {
+	if !a.closed {
 		conn, err := a.Socket.Accept()
-		if !a.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
-	}
-	if !a.closed {
 		a.closed = true
 		if err := a.closeAfterQueue(); err != nil {
 			return nil, err
@@ -76,7 +93,7 @@
 }
 
 // closeAfterQueue accepts what waits and closes the socket at once, without the
-// wait of Listener.Accept for the next connection: clients that are not told to go
+// wait of Socket.Accept for the next connection: clients that are not told to go
 // elsewhere never stop coming.
 func (a *acceptor) closeAfterQueue() error {
 	raw, err := a.SyscallConn()
--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -71,13 +71,24 @@
 	return err
 }
 
-// Stop accepts the connections that wait and no more, closes the idle ones and
-// waits until the others have been answered. It returns the number of connections that were
-// still open when ctx ended. Serve must have been called.
-func (s *Server) Stop(ctx context.Context) (cut int) {
+// Stop refuses new connections, accepts those that are open or being opened,
+// closes the idle ones and waits until the others have been answered. It returns
+// the number of connections that were still open when ctx ended. An error says that
+// the kernel cannot refuse new connections before the socket is closed, so that
+// some may have been reset; the stop is complete all the same. Serve must have been
+// called.
+func (s *Server) Stop(ctx context.Context) (cut int, err error) {
 	s.flag.Begin()
-	if s.socket.stop(time.Now()) {
-		<-s.served
+	end := time.Now()
+	err = s.socket.refuseNew()
+	if err == nil {
+		end = end.Add(handshakeTime)
+	}
+	if s.socket.stop(end) {
+		select {
+		case <-s.served:
+		case <-ctx.Done():
+		}
 	}
 	// The socket is not used again; it may have failed before.
 	_ = s.socket.Close()
@@ -90,10 +101,10 @@
 		case <-ctx.Done():
 			cut = int(s.open.Load())
 			s.Close()
-			return cut
+			return cut, err
 		}
 	}
-	return 0
+	return 0, err
 }
 
 // Close ends all connections at once.
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -39,6 +42,21 @@
 	return s
 }
 
+// stopResult is what Stop returned.
+type stopResult struct {
+	cut int
+	err error
+}
+
+func stopInBackground(ctx context.Context, s *Server) <-chan stopResult {
+	stopped := make(chan stopResult, 1)
+	go func() {
+		cut, err := s.Stop(ctx)
+		stopped <- stopResult{cut, err}
+	}()
+	return stopped
+}
+
 func answerNothing(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
 
 func dial(t *testing.T, s *Server) net.Conn {
@@ -69,13 +87,12 @@
 	<-accepted
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	stopped := make(chan int, 1)
-	go func() { stopped <- s.Stop(ctx) }()
+	stopped := stopInBackground(ctx, s)
 	<-s.served
 	write(t, conn, "Host: entry\r\n\r\n")
 	expectLastAnswer(t, conn)
-	if cut := <-stopped; cut != 0 {
-		t.Errorf("%d connections cut", cut)
+	if end := <-stopped; end.cut != 0 || end.err != nil {
+		t.Errorf("%d connections cut, %v", end.cut, end.err)
 	}
 }
 
@@ -112,6 +129,41 @@
 		t.Fatal(err)
 	}
 	held := heldListener{socket, make(chan struct{})}
+	if err := stopWithWaiting(t, held, held.release); err != nil {
+		t.Error(err)
+	}
+}
+
+// optionless is a socket on which a system call filter refuses options.
+type optionless struct {
+	heldListener
+	asked *atomic.Bool
+}
+
+func (o optionless) SyscallConn() (syscall.RawConn, error) {
+	if !o.asked.Swap(true) {
+		return nil, syscall.EPERM
+	}
+	return o.heldListener.SyscallConn()
+}
+
+// Guards against a planned stop that drops waiting connections, or says nothing, where the kernel refuses the option.
+func TestStopAnswersWaitingConnectionsWithoutTheOption(t *testing.T) {
+	socket, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := optionless{heldListener{socket, make(chan struct{})}, &atomic.Bool{}}
+	if err := stopWithWaiting(t, held, held.release); !errors.Is(err, syscall.EPERM) {
+		t.Errorf("the stop gave %v, want %v", err, syscall.EPERM)
+	}
+}
+
+// stopWithWaiting stops a server on a socket that accepts nothing before release is
+// closed, expects the connections that wait then to be answered, and returns the
+// error of the stop.
+func stopWithWaiting(t *testing.T, held Socket, release chan struct{}) error {
+	t.Helper()
 	s := startServerOn(t, held, make(chan struct{}, 4), answerNothing)
 	var waiting []net.Conn
 	for range 4 {
@@ -121,18 +173,19 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	stopped := make(chan int, 1)
-	go func() { stopped <- s.Stop(ctx) }()
+	stopped := stopInBackground(ctx, s)
 	for !s.flag.Draining() {
 		time.Sleep(time.Millisecond)
 	}
-	close(held.release)
+	close(release)
 	for _, conn := range waiting {
 		expectLastAnswer(t, conn)
 	}
-	if cut := <-stopped; cut != 0 {
-		t.Errorf("%d connections cut", cut)
+	end := <-stopped
+	if end.cut != 0 {
+		t.Errorf("%d connections cut", end.cut)
 	}
+	return end.err
 }
 
 // Guards against a stop that waits for connections without a request, and
@@ -158,8 +211,7 @@
 	write(t, slow, "GET /slow HTTP/1.1\r\nHost: entry\r\n\r\n")
 	<-began
 	ctx, cancel := context.WithCancel(context.Background())
-	stopped := make(chan int, 1)
-	go func() { stopped <- s.Stop(ctx) }()
+	stopped := stopInBackground(ctx, s)
 	if _, err := answers.ReadByte(); err != io.EOF {
 		t.Errorf("idle connection: %v, want EOF", err)
 	}
@@ -170,8 +222,8 @@
 		}
 	}
 	cancel()
-	if cut := <-stopped; cut != 1 {
-		t.Errorf("%d connections cut, want 1", cut)
+	if end := <-stopped; end.cut != 1 || end.err != nil {
+		t.Errorf("%d connections cut, want 1, %v", end.cut, end.err)
 	}
 	close(release)
 }
--- /dev/null
+++ b/internal/draining/stops_test.go
@@ -0,0 +1,139 @@
+package draining
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// stopsUnderLoad is enough for a close that resets what is being opened to
+	// reset at least one connection.
+	stopsUnderLoad = 60
+	// openingClients open connections one after the other until they are refused.
+	openingClients = 8
+	// answersBeforeStop lets the clients reach their pace before the stop begins.
+	answersBeforeStop = 5 * openingClients
+)
+
+// Guards against a planned stop that resets connections which clients open while the socket is closed.
+func TestStopResetsNoConnectionThatIsBeingOpened(t *testing.T) {
+	answers, resets := 0, 0
+	for range stopsUnderLoad {
+		answered, failed := stopUnderNewConnections(t)
+		answers += answered
+		resets += len(failed)
+		for _, err := range failed {
+			t.Log(err)
+		}
+	}
+	if resets > 0 {
+		t.Errorf("%d connections failed in %d stops, %d requests answered", resets, stopsUnderLoad, answers)
+	}
+}
+
+// stopUnderNewConnections stops a server and returns the requests that were
+// answered, and the errors of those that were neither answered nor refused.
+func stopUnderNewConnections(t *testing.T) (answered int, failed []error) {
+	t.Helper()
+	socket, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(socket, Plain, &http.Server{Handler: http.HandlerFunc(answerNothing)}, &Flag{})
+	go func() {
+		if err := s.Serve(); err != nil {
+			t.Error(err)
+		}
+	}()
+	var clients sync.WaitGroup
+	var answers atomic.Int64
+	errs := make(chan error, openingClients)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: stopLimit}
+	ready := make(chan struct{})
+	for range openingClients {
+		clients.Go(func() {
+			for {
+				response, err := client.Get("http://" + s.Address())
+				if err != nil {
+					errs <- err
+					return
+				}
+				response.Body.Close()
+				if answers.Add(1) == answersBeforeStop {
+					close(ready)
+				}
+			}
+		})
+	}
+	<-ready
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	if cut, err := s.Stop(ctx); cut != 0 || err != nil {
+		t.Errorf("%d connections cut, %v", cut, err)
+	}
+	clients.Wait()
+	close(errs)
+	for err := range errs {
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			failed = append(failed, err)
+		}
+	}
+	return int(answers.Load()), failed
+}
+
+// deferSeconds is how long the kernel keeps a handshake open that waits for data.
+const deferSeconds = 60
+
+// Guards against a refusal of new connections that also ends handshakes under way.
+func TestRefuseNewKeepsHandshakesUnderWay(t *testing.T) {
+	socket, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// With this option a handshake ends only with the first data.
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_DEFER_ACCEPT, deferSeconds)
+	})
+	if err := errors.Join(err, optionErr); err != nil {
+		t.Fatal(err)
+	}
+	underWay, err := net.Dial("tcp", socket.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer underWay.Close()
+	a := &acceptor{Socket: socket}
+	if err := a.refuseNew(); err != nil {
+		t.Fatal(err)
+	}
+	if late, err := net.Dial("tcp", socket.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("new connection %v, error %v, want %v", late, err, syscall.ECONNREFUSED)
+	}
+	write(t, underWay, "x")
+	if !a.stop(time.Now().Add(stopLimit)) {
+		t.Fatal("the socket takes no deadline")
+	}
+	conn, err := a.Accept()
+	if err != nil {
+		t.Fatalf("the handshake under way was not accepted: %v", err)
+	}
+	defer conn.Close()
+	if n, err := conn.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -24,6 +24,7 @@
 	eventLeaveFailed    = eventlog.Declare(2012, zapcore.WarnLevel, "leave could not be committed; the control group removes this process by time")
 	eventListenerFailed = eventlog.Declare(2013, zapcore.ErrorLevel, "listener failed")
 	eventConnectionsCut = eventlog.Declare(2014, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
+	eventNotRefused     = eventlog.Declare(2015, zapcore.WarnLevel, "new connections could not be refused before the socket was closed; some may have been reset")
 )
 
 var (
--- a/internal/entry/listeners.go
+++ b/internal/entry/listeners.go
@@ -60,7 +60,11 @@
 // were added, each after its calls in flight have ended or ctx is over.
 func (l *listeners) shutdown(ctx context.Context) {
 	for _, server := range l.servers {
-		if cut := server.Stop(ctx); cut > 0 {
+		cut, err := server.Stop(ctx)
+		if err != nil {
+			l.logger.Log(eventNotRefused, zap.String("address", server.Address()), zap.Error(err))
+		}
+		if cut > 0 {
 			l.logger.Log(eventConnectionsCut, zap.String("address", server.Address()), zap.Int("connections", cut))
 		}
 	}
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -100,7 +100,11 @@
 	}
 	timed, cancel := context.WithTimeout(kill, grace-time.Since(started)-stopMargin)
 	defer cancel()
-	if cut := e.clients.Stop(timed); cut > 0 {
+	cut, err := e.clients.Stop(timed)
+	if err != nil {
+		e.logger.Log(eventNotRefused, zap.Error(err))
+	}
+	if cut > 0 {
 		e.logger.Log(eventCut, zap.Int("connections", cut), zap.Duration("after", time.Since(started)))
 	}
 	return nil
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -25,13 +25,14 @@
 
 // Log events.
 var (
-	eventStarted  = eventlog.Declare(4300, zapcore.InfoLevel, "process started")
-	eventStopping = eventlog.Declare(4301, zapcore.InfoLevel, "planned stop begins")
-	eventStopped  = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
-	eventReload   = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
-	eventServer   = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
-	eventHTTP     = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
-	eventCut      = eventlog.Declare(4305, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
+	eventStarted    = eventlog.Declare(4300, zapcore.InfoLevel, "process started")
+	eventStopping   = eventlog.Declare(4301, zapcore.InfoLevel, "planned stop begins")
+	eventStopped    = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
+	eventReload     = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
+	eventServer     = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
+	eventHTTP       = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
+	eventNotRefused = eventlog.Declare(4311, zapcore.WarnLevel, "new connections could not be refused before the socket was closed; some may have been reset")
+	eventCut        = eventlog.Declare(4305, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
 )
 
 // ErrListen says that an address of the settings cannot be listened on.
