--- a/internal/draining/acceptor.go
+++ b/internal/draining/acceptor.go
@@ -2,57 +2,83 @@
 
 import (
 	"errors"
+	"math"
 	"net"
 	"os"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+const (
+	// noInterface is the index of no network interface: the kernel counts from 1.
+	noInterface = math.MaxInt32
+	// handshakeTime is how long a handshake under way may take once new ones are
+	// refused: three of the longest round trips, which take 16 ms.
+	handshakeTime = 50 * time.Millisecond
+)
+
 // acceptor is a listener that accepts what waits in its queue before it closes.
 // Closing a socket resets the connections in its queue, on which clients may have
-// sent a request.
+// sent a request, and those whose handshake is under way.
 type acceptor struct {
-	net.Listener
-	socket   rawSocket // nil where the listener is of another kind
-	stopping atomic.Bool
+	Socket
 	// Of the goroutine that calls Accept.
 	closed bool
 	queue  []net.Conn // that waited when the socket was closed
 }
 
-type rawSocket interface {
+// Socket is a listening socket without layers on it, such as *net.TCPListener.
+type Socket interface {
+	net.Listener
 	syscall.Conn
 	SetDeadline(t time.Time) error
 }
 
-func newAcceptor(listener net.Listener) *acceptor {
-	socket, _ := listener.(rawSocket)
-	return &acceptor{Listener: listener, socket: socket}
+// Listen opens a socket on an address, IP:port.
+func Listen(address string) (*net.TCPListener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenTCP("tcp", resolved)
 }
 
-// stop lets Accept close the socket and end. It reports false for a listener that
-// has to be closed instead.
-func (a *acceptor) stop(now time.Time) bool {
-	if a.socket == nil {
-		return false
+// Layer puts TLS or a limit of connections on a listener. The errors of Accept
+// must pass through it.
+type Layer func(net.Listener) net.Listener
+
+// Plain is the layer that changes nothing.
+func Plain(listener net.Listener) net.Listener { return listener }
+
+// refuseNew makes the kernel refuse new connections as if nobody listened, by
+// binding the socket to an interface that does not exist. Handshakes under way go
+// on. Linux allows it without privileges since 5.7.
+func (a *acceptor) refuseNew() error {
+	raw, err := a.SyscallConn()
+	if err != nil {
+		return err
 	}
-	a.stopping.Store(true)
-	return a.socket.SetDeadline(now) == nil
+	var refused error
+	err = raw.Control(func(socket uintptr) {
+		refused = unix.SetsockoptInt(int(socket), unix.SOL_SOCKET, unix.SO_BINDTOIFINDEX, noInterface)
+	})
+	return errors.Join(err, refused)
 }
 
-// Accept implements net.Listener. After stop it returns the connections that
-// waited, and then net.ErrClosed.
+// stop lets Accept close the socket at end. It reports false for a socket that has
+// to be closed instead, because it has failed.
+func (a *acceptor) stop(end time.Time) bool { return a.SetDeadline(end) == nil }
+
+// Accept implements net.Listener. Once the time given to stop has come it returns
+// the connections that wait, and then net.ErrClosed.
 func (a *acceptor) Accept() (net.Conn, error) {
-	if !a.stopping.Load() {
-		conn, err := a.Listener.Accept()
-		if !a.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !a.closed {
+		conn, err := a.Socket.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return conn, err
 		}
-	}
-	if !a.closed {
 		a.closed = true
 		if err := a.closeAfterQueue(); err != nil {
 			return nil, err
@@ -67,10 +93,10 @@
 }
 
 // closeAfterQueue accepts what waits and closes the socket at once, without the
-// wait of Listener.Accept for the next connection: clients that are not told to go
+// wait of Socket.Accept for the next connection: clients that are not told to go
 // elsewhere never stop coming.
 func (a *acceptor) closeAfterQueue() error {
-	raw, err := a.socket.SyscallConn()
+	raw, err := a.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -86,7 +112,7 @@
 			}
 		}
 	})
-	err = errors.Join(err, a.Listener.Close())
+	err = errors.Join(err, a.Socket.Close())
 	for _, fd := range accepted {
 		file := os.NewFile(uintptr(fd), "accepted")
 		conn, connErr := net.FileConn(file)
--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -15,21 +15,24 @@
 // http.Server.Shutdown is no substitute: it closes a connection whose request
 // was read after the shutdown began, without an answer.
 type Server struct {
-	http   *http.Server
-	socket *acceptor
-	flag   *Flag
-	open   atomic.Int64
-	closed chan struct{} // signalled when a connection closes
-	served chan struct{} // closed when no more connections are accepted
+	http    *http.Server
+	socket  *acceptor
+	layered net.Listener // the socket under its layer
+	flag    *Flag
+	open    atomic.Int64
+	closed  chan struct{} // signalled when a connection closes
+	served  chan struct{} // closed when no more connections are accepted
 }
 
-// NewServer returns a server for a socket. Its connections end with their next
-// answer once flag is set.
-func NewServer(socket net.Listener, server *http.Server, flag *Flag) *Server {
+// NewServer returns a server for a socket. Connections pass through layer, which is
+// apart from the socket because a stop needs what a wrapped listener hides. They end
+// with their next answer once flag is set.
+func NewServer(socket Socket, layer Layer, server *http.Server, flag *Flag) *Server {
 	s := &Server{
-		http: server, socket: newAcceptor(socket), flag: flag,
+		http: server, socket: &acceptor{Socket: socket}, flag: flag,
 		closed: make(chan struct{}, 1), served: make(chan struct{}),
 	}
+	s.layered = layer(s.socket)
 	server.Handler = flag.Wrap(server.Handler)
 	next := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -61,20 +64,31 @@
 // gives an error.
 func (s *Server) Serve() error {
 	defer close(s.served)
-	err := s.http.Serve(s.socket)
+	err := s.http.Serve(s.layered)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// Stop accepts the connections that wait and no more, closes the idle ones and
-// waits until the others have been answered. It returns the number of connections that were
-// still open when ctx ended. Serve must have been called.
-func (s *Server) Stop(ctx context.Context) (cut int) {
+// Stop refuses new connections, accepts those that are open or being opened,
+// closes the idle ones and waits until the others have been answered. It returns
+// the number of connections that were still open when ctx ended. An error says that
+// the kernel cannot refuse new connections before the socket is closed, so that
+// some may have been reset; the stop is complete all the same. Serve must have been
+// called.
+func (s *Server) Stop(ctx context.Context) (cut int, err error) {
 	s.flag.Begin()
-	if s.socket.stop(time.Now()) {
-		<-s.served
+	end := time.Now()
+	err = s.socket.refuseNew()
+	if err == nil {
+		end = end.Add(handshakeTime)
+	}
+	if s.socket.stop(end) {
+		select {
+		case <-s.served:
+		case <-ctx.Done():
+		}
 	}
 	// The socket is not used again; it may have failed before.
 	_ = s.socket.Close()
@@ -87,10 +101,10 @@
 		case <-ctx.Done():
 			cut = int(s.open.Load())
 			s.Close()
-			return cut
+			return cut, err
 		}
 	}
-	return 0
+	return 0, err
 }
 
 // Close ends all connections at once.
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -25,13 +25,14 @@
 
 // Log events.
 var (
-	eventStarted  = eventlog.Declare(4300, zapcore.InfoLevel, "process started")
-	eventStopping = eventlog.Declare(4301, zapcore.InfoLevel, "planned stop begins")
-	eventStopped  = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
-	eventReload   = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
-	eventServer   = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
-	eventHTTP     = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
-	eventCut      = eventlog.Declare(4305, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
+	eventStarted    = eventlog.Declare(4300, zapcore.InfoLevel, "process started")
+	eventStopping   = eventlog.Declare(4301, zapcore.InfoLevel, "planned stop begins")
+	eventStopped    = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
+	eventReload     = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
+	eventServer     = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
+	eventHTTP       = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
+	eventNotRefused = eventlog.Declare(4311, zapcore.WarnLevel, "new connections could not be refused before the socket was closed; some may have been reset")
+	eventCut        = eventlog.Declare(4305, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
 )
 
 // ErrListen says that an address of the settings cannot be listened on.
@@ -103,11 +104,11 @@
 // serveDraining opens a listener whose connections end with their next answer
 // once flag is set.
 func (b *base) serveDraining(address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
-	listener, err := net.Listen("tcp", address)
+	socket, err := draining.Listen(address)
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
-	server := draining.NewServer(listener, &http.Server{
+	server := draining.NewServer(socket, draining.Plain, &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(serverLog{b.logger}, "", 0),
 	}, flag)
 	b.servers = append(b.servers, server)
