--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -96,3 +96,54 @@
 		pass()
 	}
 }
+
+// BenchmarkPlanLateStarts measures one plan of a new leader whose waiting tasks
+// all had a run that an earlier leader may have started late: 10,000 tasks, on
+// 350 workers that are full.
+func BenchmarkPlanLateStarts(b *testing.B) {
+	const workers, jobs, tasks = 350, 400, 25
+	state := workload.New()
+	apply := func(c workload.Command) { state.Apply(epoch, 0, c) }
+	apply(queues(workload.Queue{Name: "q", Service: "shop", MaxAttempts: 9}))
+	id := func(i int) workload.WorkerID { return workload.WorkerID(fmt.Sprintf("w%03d", i%workers)) }
+	for i := range workers {
+		apply(workerOf(id(i), 1))
+	}
+	for i := range jobs {
+		job := workload.JobID(fmt.Sprint("j", i))
+		apply(jobIn("q", job, workload.StepSpec{Tasks: tasks, Size: workload.Resources{MilliCPU: 100}, Gang: i%4 == 0}))
+		runs, ends := workload.Assign{Step: workload.StepID{Job: job}}, workload.Decide{}
+		for k := range tasks {
+			runs.Members = append(runs.Members, workload.Member{Index: k, Worker: id(i + k), Boot: 1})
+			ends.Ends = append(ends.Ends, workload.Ending{Worker: id(i + k), Boot: 1, Task: workload.TaskID{Job: job, Index: k}, Run: 1, How: workload.EndNever})
+		}
+		apply(workload.Command{Decide: &workload.Decide{Assigns: []workload.Assign{runs}}})
+		apply(workload.Command{Decide: &ends})
+	}
+	filler := workload.Assign{Step: workload.StepID{Job: "filler"}}
+	apply(jobIn("q", "filler", workload.StepSpec{Tasks: workers, Size: workload.Resources{MilliCPU: 4000}}))
+	for i := range workers {
+		filler.Members = append(filler.Members, workload.Member{Index: i, Worker: id(i), Boot: 1})
+	}
+	apply(workload.Command{Decide: &workload.Decide{Assigns: []workload.Assign{filler}}})
+	var core *dispatch.Core
+	now := epoch
+	pass := func() dispatch.Effects {
+		now = now.Add(100 * time.Millisecond)
+		core.Authority(now, now.Add(time.Minute))
+		core.Tick(now)
+		return core.Effects()
+	}
+	for rounds := 0; b.Loop(); rounds++ {
+		if rounds%100 == 0 {
+			// The starts can no longer come after 13 s.
+			b.StopTimer()
+			now = epoch
+			core = dispatch.New(dispatch.Options{Token: 1, Lease: lease, HoldWait: time.Second, ClockLagPPM: 20_000, Self: "self"}, state, epoch)
+			pass()
+			b.StartTimer()
+		}
+		core.Applied(now, now, 0, workload.Command{Cancel: &workload.Cancel{ID: "none"}})
+		pass()
+	}
+}
