Give a silent boot up once while it is to refuse late starts

The end of a silent boot was proposed again with each turn for as long as it had a late start to refuse: the runs that it is told to refuse counted as open. Each proposal is an entry of the log.

--- a/core/dispatch/latestart_test.go
+++ b/core/dispatch/latestart_test.go
@@ -142,3 +142,28 @@
 		}
 	}
 }
+
+// Guards against the end of a silent boot that is proposed with each turn while it is still to refuse a late start.
+func TestBootOfASilentWorkerIsGivenUpOnce(t *testing.T) {
+	b, _ := lostStart(t, dispatch.OutcomeNoAnswer)
+	ended := 0
+	for e := b.pass(0); b.now.Before(epoch.Add(lateLimit)); {
+		for _, stop := range e.Stops {
+			b.core.StopAnswered(b.now, stop, dispatch.OutcomeNotSent, 0)
+		}
+		for _, d := range e.Decisions {
+			if d.Kind == dispatch.DecisionBootEnded {
+				ended++
+			}
+		}
+		b.answerHoldsOf(unreachable)
+		if len(e.Proposals) > 0 {
+			e = b.commit(e)
+		} else {
+			e = b.pass(10 * time.Millisecond)
+		}
+	}
+	if ended != 1 {
+		t.Errorf("given up %d times, want once", ended)
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -221,7 +221,7 @@
 
 func (c *Core) checkWorker(w *worker) {
 	c.checkAvoided(w)
-	if w.silent && !w.ending && (len(w.runs) > 0 || w.Draining) && c.leaseOver(w) {
+	if w.silent && !w.ending && (w.hasOpen() || w.Draining) && c.leaseOver(w) {
 		// One that had said that it leaves is not called any more.
 		c.endBoot(w, endLease, w.Draining)
 	}
@@ -242,11 +242,21 @@
 			c.checkRun(w, id, w.runs[id])
 		}
 	}
-	if w.silent && (len(w.runs) > 0 || w.Draining) && !w.ending {
+	if w.silent && (w.hasOpen() || w.Draining) && !w.ending {
 		c.wakeAt(w, c.now.Add(retryCall))
 	}
 }
 
+// hasOpen reports whether the state has an open run on the worker.
+func (w *worker) hasOpen() bool {
+	for _, r := range w.runs {
+		if !r.unknown {
+			return true
+		}
+	}
+	return false
+}
+
 func sortedRuns(runs map[workload.TaskID]*run) []workload.TaskID {
 	ids := make([]workload.TaskID, 0, len(runs))
 	for id, r := range runs {
