Keep when runs were closed, and which runs nobody has heard of

The time is that of the clock of retention, which stands still while there is no leader, so that it is at most too short.

Checked: the tests of core/workload.

--- a/core/workload/command.go
+++ b/core/workload/command.go
@@ -72,6 +72,8 @@
 	// what is still on its way to this one.
 	Replaced    bool `cbor:",omitempty"`
 	Checkpoints []SavedProgress
+	// Unheard are the tasks of which no worker has said that their run began.
+	Unheard []TaskID `cbor:",omitempty"`
 }
 
 // SavedProgress is the latest checkpoint that was heard of a run.
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Snapshot is the whole state as data.
@@ -10,6 +11,7 @@
 	Config  *Config
 	Jobs    []Job // oldest first
 	Workers []WorkerSnapshot
+	Clock   time.Duration `cbor:",omitempty"` // of retention
 }
 
 // WorkerSnapshot is a worker with its open runs.
@@ -28,7 +30,7 @@
 // Snapshot copies the state. Job specifications, queues and the configuration
 // are shared: they never change.
 func (s *State) Snapshot() Snapshot {
-	out := Snapshot{Config: s.config}
+	out := Snapshot{Config: s.config, Clock: s.clock}
 	for _, id := range s.order {
 		job := *s.jobs[id]
 		job.Steps = slices.Clone(job.Steps)
@@ -51,6 +53,7 @@
 // belongs to no task.
 func Restore(snapshot Snapshot) (*State, error) {
 	s := New()
+	s.clock = snapshot.Clock
 	if snapshot.Config != nil {
 		s.config = snapshot.Config
 		s.indexQueues()
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -18,6 +18,7 @@
 	order   []JobID        // accepted jobs, oldest first
 	pending map[string]int // accepted jobs of a queue that have not started
 	workers map[WorkerID]*workerState
+	clock   time.Duration // of retention, in the latest command
 }
 
 // New returns the state before the first command.
@@ -31,6 +32,7 @@
 // Apply carries out a command. now is the largest time of a command so far,
 // retained the clock of retention.
 func (s *State) Apply(now time.Time, retained time.Duration, c Command) Result {
+	s.clock = max(s.clock, retained)
 	switch {
 	case c.Configure != nil:
 		return s.configure(*c.Configure)
@@ -39,7 +41,7 @@
 	case c.Cancel != nil:
 		return s.cancel(retained, c.Cancel.ID)
 	case c.Register != nil:
-		return s.register(c.Register.Worker)
+		return s.register(c.Register.Worker, retained)
 	case c.Drain != nil:
 		return s.drain(*c.Drain)
 	case c.Decide != nil:
@@ -137,7 +139,7 @@
 	job.EndedAt = retained
 }
 
-func (s *State) register(w Worker) Result {
+func (s *State) register(w Worker, retained time.Duration) Result {
 	known := s.workers[w.ID]
 	if known != nil && (w.Boot < known.Boot || w.Boot == known.Boot && known.Gone) {
 		return Result{Refusal: RefusalStaleBoot}
@@ -148,7 +150,7 @@
 	}
 	if w.Boot > known.Boot {
 		// The former boot has ended, and its runs with it.
-		s.closeAll(known, 0, false)
+		s.closeAll(known, retained, EndBoot{})
 		known.Worker = w
 		return Result{}
 	}
@@ -222,6 +224,7 @@
 	spec := &job.Spec.Steps[id.Step]
 	w.used = w.used.Sub(spec.Size)
 	task.Open = false
+	step.ClosedAt = s.clock
 	if how == EndNever {
 		s.neverBegan(job)
 	} else {
@@ -335,7 +338,7 @@
 			s.keepCheckpoint(step, &job.Spec.Steps[saved.Task.Step], task, saved.Checkpoint)
 		}
 	}
-	s.closeAll(w, retained, c.Replaced)
+	s.closeAll(w, retained, c)
 	if c.Left {
 		w.Gone = true
 	}
@@ -344,10 +347,14 @@
 
 // closeAll closes the runs of a boot that has ended, in a fixed order. Where
 // another worker has replaced it, nothing can begin them any more.
-func (s *State) closeAll(w *workerState, retained time.Duration, replaced bool) {
+func (s *State) closeAll(w *workerState, retained time.Duration, c EndBoot) {
 	for _, id := range sortedTasks(w.runs) {
-		s.closeRun(retained, w, id, EndLost, "")
-		if _, _, task := s.find(id); task != nil && replaced {
+		how := EndLost
+		if slices.Contains(c.Unheard, id) {
+			how = EndNever
+		}
+		s.closeRun(retained, w, id, how, "")
+		if _, _, task := s.find(id); task != nil && c.Replaced {
 			task.Worker = ""
 		}
 	}
@@ -365,6 +372,7 @@
 
 // Expire drops the jobs that ended longer ago than JobRetention.
 func (s *State) Expire(retained time.Duration) {
+	s.clock = max(s.clock, retained)
 	keep := s.order[:0]
 	for _, id := range s.order {
 		job := s.jobs[id]
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -168,6 +168,8 @@
 	Left     int       // tasks that are not done
 	Failures int       // failed runs of a gang
 	FailedIn RunNumber // last gang run that was counted in Failures
+	// ClosedAt is when a run was last closed, by the clock of retention.
+	ClosedAt time.Duration `cbor:",omitempty"`
 }
 
 // Job is an accepted job.
--- a/core/workload/view.go
+++ b/core/workload/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Config returns the configuration in force, or nil. It must not be changed.
@@ -17,6 +18,10 @@
 	return task
 }
 
+// ClosedFor is how long ago a run of a step was last closed, at least: the clock
+// of retention stands still while there is no leader.
+func (s *State) ClosedFor(step *Step) time.Duration { return s.clock - step.ClosedAt }
+
 // Jobs calls visit for every known job, oldest first.
 func (s *State) Jobs(visit func(*Job)) {
 	for _, id := range s.order {
