Raise the fencing token with each end of a boot

The token of a worker is now the term and, below it, the count of its ended boots. One answered call makes it reject all that was sent before, so the calls that told it to refuse late starts one by one are gone. Rejections of an earlier token of the same leader are not taken for a later leader.

--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -13,6 +13,7 @@
 //     by the slowest clock that the worker may have, or another boot answered.
 //   - A task is placed only where each worker that may still carry out an
 //     earlier start of it surely refuses that start.
-//   - Every call carries the leader's term as fencing token. A worker that has
-//     answered one call of this term does nothing for an earlier leader.
+//   - Every call carries a fencing token that rises with the leader's term and
+//     with each end of a boot of the worker. A worker that has answered one call
+//     does nothing for an earlier leader, or for calls to an earlier boot.
 package dispatch
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,6 +30,11 @@
 		return
 	}
 	w.holding = false
+	if report.Outcome == OutcomeFenced && call.Token < c.token(w) {
+		// Overtaken by a call with a higher token of this leader.
+		w.holdAt = c.now
+		return
+	}
 	if report.Outcome == OutcomeOK && report.Boot > w.Boot {
 		report.Outcome = OutcomeLaterBoot
 	}
@@ -39,6 +44,10 @@
 	}
 	c.heard(w, report.Clock)
 	w.provenAt = w.sentAt
+	if call.Token == c.token(w) && !w.fenced {
+		w.fenced = true
+		c.changed = true
+	}
 	first := !w.adopted
 	w.adopted = true
 	if first {
@@ -124,7 +133,7 @@
 	}
 	for _, id := range allRuns(w.runs) {
 		r := w.runs[id]
-		if a, there := active[id]; there && a.Run == r.number || r.reported {
+		if a, there := active[id]; there && (a.Run == r.number || r.unknown) || r.reported {
 			continue
 		}
 		c.absent(w, id, r)
@@ -145,7 +154,7 @@
 	if r == nil {
 		// The state has closed the run: the worker must not go on with it.
 		c.foundStray(w, a)
-		c.noteFormer(w, a.Task, a.Run)
+		c.noteLate(w, a.Task, a.Run)
 		stray := &run{number: a.Run, unknown: true, confirmed: true, confirmAt: c.now, stop: true, reason: "closed-run"}
 		if job := c.state.Job(a.Task.Job); job != nil && a.Task.Step < len(job.Spec.Steps) {
 			stray.size = job.Spec.Steps[a.Task.Step].Size
@@ -154,6 +163,10 @@
 		w.runs[a.Task] = stray
 		return
 	}
+	if r.unknown {
+		// Its task waits for as long as the worker may run it.
+		c.noteLate(w, a.Task, r.number)
+	}
 	if r.number != a.Run {
 		// Another run of the task, which the state has closed. It is stopped
 		// with each report until it is gone.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -233,7 +233,11 @@
 	} else {
 		r.stop, r.reason = true, "job-ended"
 	}
-	w.runs[workload.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: m.Index}] = r
+	task := workload.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: m.Index}
+	if closed := w.runs[task]; closed != nil {
+		c.dropRun(w, task, closed)
+	}
+	w.runs[task] = r
 	c.wakeAt(w, c.now)
 }
 
--- a/core/dispatch/latestart.go
+++ b/core/dispatch/latestart.go
@@ -9,17 +9,15 @@
 
 // A boot that has closed a run refuses every start of it. A later boot of the
 // worker knows nothing of that, and a start names its worker only by the id. So
-// a task is not placed while a start of an earlier run may still reach a boot
-// that cannot be relied on to refuse it.
+// the fencing token of a worker rises with each end of a boot, and a task is not
+// placed while a start of an earlier run may still reach a boot that has not
+// answered a call with the present token.
 
 // lateStart is the last start of a task that a worker may still carry out.
 type lateStart struct {
 	worker *worker
 	run    workload.RunNumber
 	at     time.Time // it was not sent later
-	// former says that an earlier leader sent it. A boot that has answered this
-	// leader rejects it for its token.
-	former bool
 }
 
 // lateStarts are the starts that may still be carried out.
@@ -31,15 +29,6 @@
 	c.addLate(id, lateStart{worker: w, run: number, at: c.now})
 }
 
-// noteFormer remembers that a worker may still carry out a start of an earlier
-// leader: it has been sent before this one began.
-func (c *Core) noteFormer(w *worker, id workload.TaskID, number workload.RunNumber) {
-	start := lateStart{worker: w, run: number, at: c.started, former: true}
-	if _, known := c.lateOn(w, id); !known && c.now.Sub(start.at) < lateOrder {
-		c.addLate(id, start)
-	}
-}
-
 // addLate takes the place of an earlier start of the task on the same worker.
 func (c *Core) addLate(id workload.TaskID, start lateStart) {
 	start.worker.late[id] = true
@@ -111,7 +100,8 @@
 
 // inherit makes the late starts of a worker those of its later boot.
 func (c *Core) inherit(former, fresh *worker) {
-	fresh.late = former.late
+	fresh.late, fresh.endedBoots = former.late, former.endedBoots
+	fresh.raiseToken()
 	for id := range fresh.late {
 		for i := range c.late[id] {
 			if start := &c.late[id][i]; start.worker == former {
@@ -121,22 +111,22 @@
 	}
 }
 
-// refuseLate makes a worker refuse the late starts of this leader that it may
-// not know of.
-func (c *Core) refuseLate(w *worker) {
-	if w.Gone {
-		return
-	}
-	for id := range w.late {
-		if start, known := c.lateOn(w, id); known && !start.former && w.runs[id] == nil {
-			w.runs[id] = &run{number: start.run, unknown: true, stop: true, reason: "late-start"}
-		}
-	}
+// tokenBits are the low bits of a token, which count the ends of boots of a worker
+// under one leader. The others are the leader's term.
+const tokenBits = 20
+
+// token is the fencing token of the calls to a worker.
+func (c *Core) token(w *worker) uint64 { return c.opts.Token<<tokenBits | w.endedBoots }
+
+// raiseToken makes the worker reject every call that was sent before, once it
+// has answered one with the new token.
+func (w *worker) raiseToken() {
+	w.endedBoots = min(w.endedBoots+1, 1<<tokenBits-1)
+	w.fenced = false
 }
 
-// refusing reports whether a worker is told to end or refuse runs that the state
-// has closed.
-func (w *worker) refusing() bool {
+// endsClosed reports whether a worker is told to end runs that the state has closed.
+func (w *worker) endsClosed() bool {
 	for _, r := range w.runs {
 		if r.unknown {
 			return true
@@ -149,17 +139,22 @@
 // of a task that has no run there.
 func (w *worker) refuses(id workload.TaskID) bool {
 	r := w.runs[id]
-	return w.adopted && !w.silent && !w.ending && !w.Gone && (r == nil || !r.unknown)
+	return w.fenced && !w.silent && !w.ending && !w.Gone && (r == nil || !r.unknown)
 }
 
-// adoptLate takes over what earlier leaders may have sent: the runs that are
-// open, and the last ones of tasks whose worker has not reported their end.
+// adoptLate takes over what earlier leaders may have sent: the starts of open
+// runs, before this one began, and those of closed ones, before they were closed.
 func (c *Core) adoptLate() {
 	for _, j := range c.jobs {
 		for i := range j.Steps {
+			closedAt := c.started.Add(-c.state.ClosedFor(&j.Steps[i]))
 			for k, task := range j.Steps[i].Tasks {
-				if w := c.workers[task.Worker]; w != nil {
-					c.noteFormer(w, workload.TaskID{Job: j.ID, Step: i, Index: k}, task.Run)
+				w, at := c.workers[task.Worker], closedAt
+				if task.Open {
+					at = c.started
+				}
+				if w != nil && c.now.Sub(at) < lateOrder {
+					c.addLate(workload.TaskID{Job: j.ID, Step: i, Index: k}, lateStart{worker: w, run: task.Run, at: at})
 				}
 			}
 		}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -25,7 +25,8 @@
 		if job == nil {
 			return
 		}
-		if w.Draining {
+		if _, waits := c.embargoed(id); waits && r.tries == 0 || w.Draining {
+			// An earlier run was found since the assignment was proposed.
 			c.withdraw(w, id, r)
 			return
 		}
@@ -42,7 +43,7 @@
 	}
 }
 
-// withdraw closes a run on a worker that leaves before the run has begun.
+// withdraw closes a run that must not begin any more.
 func (c *Core) withdraw(w *worker, id workload.TaskID, r *run) {
 	if r.tries > 0 {
 		c.stopRun(w, r, "draining")
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -8,7 +8,7 @@
 
 // Options of a Core.
 type Options struct {
-	Token uint64 // fencing token: the leader's term
+	Token uint64 // of the leader: its term, the upper bits of fencing tokens
 	// Lease is how far a worker's lease is extended with each call.
 	Lease time.Duration
 	// HoldWait is how long a worker may wait for an end before it answers.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -30,7 +30,8 @@
 	// shortHoldWait is how long a worker may wait for an end while answers are
 	// lost, because an end is heard only with the next answer, after the wait and
 	// a time-out; before it leaves, because the progress of its runs decides
-	// whether they stay; and while tasks wait until it has refused late starts.
+	// whether they stay; and while it ends runs that the state has closed, because
+	// their tasks wait for that.
 	shortHoldWait = 200 * time.Millisecond
 	// lossyTime is how long answers count as being lost after one was.
 	lossyTime = 2 * time.Second
@@ -65,6 +66,10 @@
 	holding   bool // a hold is on the way
 	holdAt    time.Time
 	sentAt    time.Time // of the hold on the way
+	// endedBoots counts the boots of the id that have ended, as far as this leader
+	// knows, and fenced says that the worker has answered a call with that token.
+	endedBoots uint64
+	fenced     bool
 	// provenAt is when the last hold left that this boot has answered.
 	provenAt time.Time
 	backoff  time.Duration
@@ -153,7 +158,6 @@
 		known.restarted = true
 		c.noteEndedBoot(known)
 		c.inherit(known, fresh)
-		c.refuseLate(fresh)
 	}
 }
 
@@ -207,7 +211,7 @@
 }
 
 func (c *Core) callTo(w *worker) Call {
-	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.opts.Token}
+	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.token(w)}
 }
 
 // checkWorkers sends what is due and gives up the boots whose lease is over.
@@ -274,7 +278,7 @@
 	switch {
 	case !w.adopted || w.silent:
 		wait = 0
-	case (c.now.Before(c.lossyUntil) || !w.leavesAt.IsZero()) && len(w.runs) > 0, w.refusing():
+	case (c.now.Before(c.lossyUntil) || !w.leavesAt.IsZero()) && len(w.runs) > 0, w.endsClosed():
 		wait = min(wait, shortHoldWait)
 	}
 	w.holding = true
@@ -298,8 +302,13 @@
 	w.ending = true
 	command := workload.EndBoot{Worker: w.ID, Boot: w.Boot, Left: left, Replaced: reason == endOtherBoot}
 	for _, open := range c.state.Runs(w.ID) {
-		if r := w.runs[open.Task]; r != nil && r.checkpoint != "" {
+		r := w.runs[open.Task]
+		switch {
+		case r == nil:
+		case r.checkpoint != "":
 			command.Checkpoints = append(command.Checkpoints, workload.SavedProgress{Task: open.Task, Run: open.Run, Checkpoint: r.checkpoint})
+		case r.own && !r.confirmed:
+			command.Unheard = append(command.Unheard, open.Task)
 		}
 	}
 	c.decide(Decision{Kind: DecisionBootEnded, Worker: w.ID, Reason: reason, Count: len(w.runs), Age: c.age(w)})
@@ -329,7 +338,7 @@
 		w.reserved = w.reserved.Sub(r.size)
 	}
 	w.runs = map[workload.TaskID]*run{}
+	w.raiseToken()
 	c.followID(ended.Worker)
-	c.refuseLate(w)
 	c.settleAll(closed)
 }
