Do not take the rejection of an overtaken call for a later leader

A stop or a start with an earlier token of this leader that a worker rejects, because a call with the next token has overtaken it, ended the dispatching of the leader until the next election; only holds were told apart.

Checked: TestRejectionOfAnOvertakenStopIsNoLaterLeader, which failed before.

--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -588,6 +588,23 @@
 	}
 }
 
+// Guards against a leader that stops for good because a worker rejects a stop that its next calls have overtaken.
+func TestRejectionOfAnOvertakenStopIsNoLaterLeader(t *testing.T) {
+	b, starts := placed(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	b.apply(workload.Command{Cancel: &workload.Cancel{ID: "j"}})
+	stops := b.pass(planned).Stops
+	if len(stops) != 1 {
+		t.Fatalf("stops %+v, want one", stops)
+	}
+	b.apply(workload.Command{EndBoot: &workload.EndBoot{Worker: "w", Boot: 1}})
+	b.answerHolds(dispatch.Report{Active: []dispatch.ActiveRun{{Task: starts[0].Task, Run: 1}}})
+	b.core.StopAnswered(b.now, stops[0], dispatch.OutcomeFenced, 0)
+	if e := b.pass(planned); len(e.Stops) != 1 || e.Stops[0].Token <= stops[0].Token {
+		t.Errorf("stops %+v after the rejection of token %d, want one with a higher token", e.Stops, stops[0].Token)
+	}
+}
+
 // Guards against a task that each new leader holds back for 13 s of its own: where leaders change more often it is never placed.
 func TestEmbargoDoesNotBeginAgainWithEachLeader(t *testing.T) {
 	const term = 5 * time.Second
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,16 +30,11 @@
 		return
 	}
 	w.holding = false
-	if report.Outcome == OutcomeFenced && call.Token < c.token(w) {
-		// Overtaken by a call with a higher token of this leader.
-		w.holdAt = c.now
-		return
-	}
 	if report.Outcome == OutcomeOK && report.Boot > w.Boot {
 		report.Outcome = OutcomeLaterBoot
 	}
 	if report.Outcome != OutcomeOK {
-		c.holdFailed(w, report.Outcome)
+		c.holdFailed(w, call, report.Outcome)
 		return
 	}
 	c.heard(w, report.Clock)
@@ -81,10 +76,11 @@
 	}
 }
 
-func (c *Core) holdFailed(w *worker, outcome Outcome) {
+func (c *Core) holdFailed(w *worker, call Call, outcome Outcome) {
 	switch outcome {
 	case OutcomeFenced:
-		c.fence(w)
+		w.holdAt = c.now
+		c.fence(w, call)
 		return
 	case OutcomeLaterBoot:
 		w.restarted = true
@@ -108,8 +104,10 @@
 	c.wakeAt(w, w.holdAt)
 }
 
-func (c *Core) fence(w *worker) {
-	if c.fenced {
+// fence ends the dispatching of this leader because a worker has seen a later
+// one, unless the call was overtaken by one with a higher token of this leader.
+func (c *Core) fence(w *worker, call Call) {
+	if c.fenced || call.Token < c.token(w) {
 		return
 	}
 	c.fenced = true
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -77,7 +77,7 @@
 	case OutcomeOK:
 		r.confirmed, r.confirmAt = true, c.now
 	case OutcomeFenced:
-		c.fence(w)
+		c.fence(w, start.Call)
 	case OutcomeOtherBoot:
 		c.endBoot(w, endOtherBoot, true)
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLate:
@@ -139,7 +139,7 @@
 	case OutcomeOK:
 		r.stopped, r.stoppedAt = true, c.now
 	case OutcomeFenced:
-		c.fence(w)
+		c.fence(w, stop.Call)
 	case OutcomeOtherBoot:
 		c.endBoot(w, endOtherBoot, true)
 	default:
