Count a failed end once

Cause: the end of a failed run is listed until it is taken note of, also to the next leader. Only done ends of closed runs count now.

Checked: TestFailedEndIsCountedOnce, which failed before.

--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -197,8 +197,8 @@
 	s.closeRun(retained, w, e.Task, e.How, e.Checkpoint)
 }
 
-// endClosed takes the end of a run that was closed without a report of its end.
-// It counts where the run was the last one of its task and no other is open.
+// endClosed takes the end of a run that was closed before. It counts where the
+// run was done, was the last one of its task, and no other is open.
 func (s *State) endClosed(retained time.Duration, e Ending) {
 	job, step, task := s.find(e.Task)
 	if task == nil || !task.CountsEnd(e.Run, e.How) {
@@ -206,12 +206,14 @@
 	}
 	job.Begun = true
 	s.begin(job)
-	s.settle(job, step, e.Task, e.How, retained)
+	s.done(job, step, &job.Spec.Steps[e.Task.Step], task, retained)
 }
 
-// CountsEnd reports whether the end of a closed run of the task counts.
+// CountsEnd reports whether the end of a closed run of the task counts. A failed
+// run may have been counted when it was closed: its end is listed again until it
+// is taken note of, also to the next leader.
 func (t *Task) CountsEnd(number RunNumber, how RunEnd) bool {
-	return (how == EndDone || how == EndFailed) && t.State == TaskPending && t.Run == number
+	return how == EndDone && t.State == TaskPending && t.Run == number
 }
 
 // closeRun frees the capacity of a run and moves its task on.
@@ -235,12 +237,6 @@
 	}
 	task.State = TaskPending
 	s.keepCheckpoint(step, spec, task, checkpoint)
-	s.settle(job, step, id, how, retained)
-}
-
-// settle counts the end of the last run of a task.
-func (s *State) settle(job *Job, step *Step, id TaskID, how RunEnd, retained time.Duration) {
-	spec, task := &job.Spec.Steps[id.Step], &step.Tasks[id.Index]
 	switch how {
 	case EndDone:
 		s.done(job, step, spec, task, retained)
