core/workload, core/dispatch: log how a closed run that still runs was closed

A step now lists its closed runs with worker, time and kind of end, for 30 s or until the task is done or the job has ended. A later run of a task on the same worker replaces an earlier one, so a step lists at most one run for each task and worker. Runs that are closed with their boot are listed as lapsed (lease over) or lost (boot ended), also where the start had not been confirmed. No new field of a command is needed: a boot that ends without Permanent is one whose lease is over. The exception is a worker that was draining, whose expired lease is listed as lost. The lines gain reason and age_ms.

The stored field is left out while it is empty.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -184,12 +184,15 @@
 	c.recordProgress(w, a.Task, r, a.Percent, clock)
 }
 
-// recordClosedRun logs an active run that is closed in the state. If another run of the task is
-// open, the task may be running twice.
+// recordClosedRun logs an active run that is closed in the state, with how it was closed if the
+// state still lists it. If another run of the task is open, the task may be running twice.
 func (c *Core) recordClosedRun(w *worker, a ActiveRun) {
 	d := Decision{
 		Kind: DecisionClosedRun, Job: a.Task.Job, Step: a.Task.Step, Task: a.Task.Index, Run: a.Run, Worker: w.ID, Boot: w.Boot,
 	}
+	if closed, age, listed := c.state.ClosedRun(a.Task, w.ID, a.Run); listed {
+		d.Reason, d.Age = string(closed.How), age
+	}
 	if task := c.state.Task(a.Task); task != nil && task.Open && task.Run != a.Run {
 		d.Kind, d.OpenRun = DecisionOverlap, task.Run
 	}
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -3,7 +3,8 @@
 import "fmt"
 
 // Audit returns a description of each violated invariant: the open runs of a worker fit its
-// capacity, each open run is the latest run of its task, and no task has two open runs.
+// capacity, each open run is the latest run of its task, no task has two open runs, and the listed
+// closed runs are closed runs of tasks that are not done.
 func (s *State) Audit() []string {
 	var violations []string
 	holder := map[TaskID]WorkerID{}
@@ -28,5 +29,25 @@
 			violations = append(violations, fmt.Sprintf("worker %s: %v reserved of %v", w.ID, used, w.Capacity))
 		}
 	}
+	s.ForEachJob(func(job *Job) {
+		for i := range job.Steps {
+			violations = append(violations, job.auditClosedRuns(i)...)
+		}
+	})
+	return violations
+}
+
+func (j *Job) auditClosedRuns(index int) []string {
+	var violations []string
+	step := &j.Steps[index]
+	for i, r := range step.ClosedRuns {
+		task := step.Tasks[r.Index]
+		if j.State.Ended() || task.State == TaskDone || r.Run > task.Run || r.Run == task.Run && task.Open {
+			violations = append(violations, fmt.Sprintf("step %d of job %s lists the closed run %+v of task %+v", index, j.ID, r, task))
+		}
+		if i > 0 && compareClosedRuns(step.ClosedRuns[i-1], r) >= 0 {
+			violations = append(violations, fmt.Sprintf("closed runs of step %d of job %s are not sorted: %+v", index, j.ID, step.ClosedRuns))
+		}
+	}
 	return violations
 }
--- /dev/null
+++ b/core/workload/closedrun.go
@@ -0,0 +1,81 @@
+package workload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ClosedRunRetention is how long a closed run is listed in its step. It exceeds the 12 s within
+// which a worker may carry out a late start plus the longest lease of the run.
+const ClosedRunRetention = 30 * time.Second
+
+// ClosedRun is a closed run whose start a worker may still carry out.
+type ClosedRun struct {
+	Index    int // task of the step
+	Run      RunNumber
+	Worker   WorkerID
+	ClosedAt time.Duration // retention clock when the run was closed
+	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot
+}
+
+func compareClosedRuns(a, b ClosedRun) int {
+	return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Worker, b.Worker))
+}
+
+// addClosedRun lists a closed run. A later run of the task on the same worker replaces an earlier
+// one, so a step lists at most one run for each task and worker.
+func (s *State) addClosedRun(step *Step, r ClosedRun) {
+	r.ClosedAt = s.retentionClock
+	at, listed := slices.BinarySearchFunc(step.ClosedRuns, r, compareClosedRuns)
+	if listed {
+		step.ClosedRuns[at] = r
+	} else {
+		step.ClosedRuns = slices.Insert(step.ClosedRuns, at, r)
+	}
+}
+
+func (step *Step) removeClosedRuns(remove func(ClosedRun) bool) {
+	if len(step.ClosedRuns) > 0 {
+		step.ClosedRuns = slices.DeleteFunc(step.ClosedRuns, remove)
+	}
+}
+
+// removeClosedRunsOn removes the closed runs of a worker from all steps.
+func (s *State) removeClosedRunsOn(worker WorkerID) {
+	for _, job := range s.jobs {
+		for i := range job.Steps {
+			job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return r.Worker == worker })
+		}
+	}
+}
+
+// expireClosedRuns removes the closed runs of a job that are older than ClosedRunRetention.
+func (s *State) expireClosedRuns(job *Job) {
+	for i := range job.Steps {
+		job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return s.closedRunAge(r) >= ClosedRunRetention })
+	}
+}
+
+func (s *State) closedRunAge(r ClosedRun) time.Duration { return s.retentionClock - r.ClosedAt }
+
+// ForEachClosedRun calls visit for each listed closed run of a step, by task and worker, with the
+// time since it was closed.
+func (s *State) ForEachClosedRun(step *Step, visit func(r ClosedRun, age time.Duration)) {
+	for _, r := range step.ClosedRuns {
+		visit(r, s.closedRunAge(r))
+	}
+}
+
+// ClosedRun returns a closed run and the time since it was closed, if it is listed.
+func (s *State) ClosedRun(id TaskID, worker WorkerID, run RunNumber) (r ClosedRun, age time.Duration, listed bool) {
+	_, step, _ := s.findTask(id)
+	if step == nil {
+		return ClosedRun{}, 0, false
+	}
+	at, found := slices.BinarySearchFunc(step.ClosedRuns, ClosedRun{Index: id.Index, Worker: worker}, compareClosedRuns)
+	if !found || step.ClosedRuns[at].Run != run {
+		return ClosedRun{}, 0, false
+	}
+	return step.ClosedRuns[at], s.closedRunAge(step.ClosedRuns[at]), true
+}
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -36,6 +36,7 @@
 		job.Steps = slices.Clone(job.Steps)
 		for i := range job.Steps {
 			job.Steps[i].Tasks = slices.Clone(job.Steps[i].Tasks)
+			job.Steps[i].ClosedRuns = slices.Clone(job.Steps[i].ClosedRuns)
 		}
 		out.Jobs = append(out.Jobs, job)
 	}
@@ -50,7 +51,7 @@
 }
 
 // Restore returns the state of a snapshot. It returns an error if an open run of a worker is not the
-// open run of a known task.
+// open run of a known task, or a closed run has no task.
 func Restore(snapshot Snapshot) (*State, error) {
 	s := New()
 	s.retentionClock = snapshot.Clock
@@ -60,6 +61,9 @@
 	}
 	for i := range snapshot.Jobs {
 		job := snapshot.Jobs[i]
+		if err := job.checkClosedRuns(); err != nil {
+			return nil, err
+		}
 		s.jobs[job.ID] = &job
 		s.jobOrder = append(s.jobOrder, job.ID)
 		if !job.Started && !job.State.Ended() {
@@ -80,3 +84,14 @@
 	}
 	return s, nil
 }
+
+func (j *Job) checkClosedRuns() error {
+	for i := range j.Steps {
+		for _, r := range j.Steps[i].ClosedRuns {
+			if r.Index < 0 || r.Index >= len(j.Steps[i].Tasks) {
+				return fmt.Errorf("workload snapshot: closed run of task %d in step %d of job %s, which has %d tasks", r.Index, i, j.ID, len(j.Steps[i].Tasks))
+			}
+		}
+	}
+	return nil
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -137,6 +137,9 @@
 	}
 	job.State = state
 	job.EndedAt = retentionClock
+	for i := range job.Steps {
+		job.Steps[i].ClosedRuns = nil
+	}
 }
 
 func (s *State) register(w Worker, retentionClock time.Duration) Result {
@@ -150,7 +153,7 @@
 	}
 	if w.Boot > known.Boot {
 		// A later boot implies that the previous one and its runs have ended.
-		s.closeRuns(known, retentionClock, EndBoot{})
+		s.closeRuns(known, retentionClock, EndBoot{Permanent: true})
 		known.Worker = w
 		return Result{}
 	}
@@ -195,6 +198,7 @@
 		return
 	}
 	s.closeRun(retentionClock, w, e.Task, e.How, e.Checkpoint)
+	s.listClosedRun(w, e.Task, e.How)
 }
 
 // acceptLateEnd records the outcome of a run that is closed already. It counts only if the run was done,
@@ -292,6 +296,7 @@
 		}
 		step.RemainingTasks = 0
 	}
+	step.removeClosedRuns(func(r ClosedRun) bool { return step.Tasks[r.Index].State == TaskDone })
 	if job.State.Ended() {
 		return
 	}
@@ -342,7 +347,7 @@
 }
 
 // closeRuns closes the runs of a boot that has ended, in task order so that replicas agree. If another
-// worker has taken over the address, it rejects the start requests for these runs, so the tasks no
+// worker has taken over the address, it rejects all start requests for this one, so the tasks no
 // longer name a worker that may still start them.
 func (s *State) closeRuns(w *workerState, retentionClock time.Duration, c EndBoot) {
 	for _, id := range sortedTasks(w.runs) {
@@ -354,7 +359,32 @@
 		if _, _, task := s.findTask(id); task != nil && c.Replaced {
 			task.Worker = ""
 		}
+		if !c.Replaced {
+			s.listClosedRun(w, id, c.end())
+		}
+	}
+	if c.Replaced {
+		s.removeClosedRunsOn(w.ID)
+	}
+}
+
+// end returns how the end of a boot closes its runs. A boot whose lease has expired may return,
+// unless its worker was draining.
+func (c EndBoot) end() RunEnd {
+	if c.Permanent {
+		return EndLost
+	}
+	return EndLeaseExpired
+}
+
+// listClosedRun lists the latest run of a task after it was closed, unless the task is done or its
+// job has ended.
+func (s *State) listClosedRun(w *workerState, id TaskID, how RunEnd) {
+	job, step, task := s.findTask(id)
+	if task == nil || task.State == TaskDone || job.State.Ended() {
+		return
 	}
+	s.addClosedRun(step, ClosedRun{Index: id.Index, Run: task.Run, Worker: w.ID, How: how})
 }
 
 // findTask returns the job, step and task of an id, or nil for all three if the task is unknown.
@@ -367,7 +397,8 @@
 	return job, step, &step.Tasks[id.Index]
 }
 
-// Expire removes the jobs that ended at least JobRetention ago and have no open run.
+// Expire removes the jobs that ended at least JobRetention ago and have no open run, and the closed
+// runs that are too old.
 func (s *State) Expire(retentionClock time.Duration) {
 	s.retentionClock = max(s.retentionClock, retentionClock)
 	kept := s.jobOrder[:0]
@@ -377,6 +408,7 @@
 			delete(s.jobs, id)
 			continue
 		}
+		s.expireClosedRuns(job)
 		kept = append(kept, id)
 	}
 	clear(s.jobOrder[len(kept):])
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -166,8 +166,9 @@
 	Tasks          []Task
 	RemainingTasks int           `cbor:"Left" json:"Left"` // number of tasks that are not done
 	Failures       int           // failed runs of a gang
-	LastFailedRun  RunNumber     `cbor:"FailedIn" json:"FailedIn"` // latest gang run that is counted in Failures
-	ClosedAt       time.Duration `cbor:",omitempty"`               // retention clock when a run of the step was last closed
+	LastFailedRun  RunNumber     `cbor:"FailedIn" json:"FailedIn"`     // latest gang run that is counted in Failures
+	ClosedAt       time.Duration `cbor:",omitempty"`                   // retention clock when a run of the step was last closed
+	ClosedRuns     []ClosedRun   `cbor:",omitempty" json:",omitempty"` // sorted by task and worker; only runs of tasks that are not done
 }
 
 // Job is an accepted job.
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -36,10 +36,11 @@
 type testState struct {
 	t     *testing.T
 	state *workload.State
+	clock time.Duration
 }
 
 func newTestState(t *testing.T, commands ...workload.Command) *testState {
-	ts := &testState{t, workload.New()}
+	ts := &testState{t: t, state: workload.New()}
 	ts.apply(config(1))
 	for _, c := range commands {
 		ts.apply(c)
@@ -48,7 +49,7 @@
 }
 
 func (ts *testState) apply(c workload.Command) workload.Result {
-	return ts.state.Apply(time.Time{}, 0, c)
+	return ts.state.Apply(time.Time{}, ts.clock, c)
 }
 
 func (ts *testState) assign(step workload.StepID, members ...workload.TaskAssignment) []workload.TaskAssignmentResult {
@@ -230,13 +231,22 @@
 }
 
 // Random sequences of commands must preserve the invariants, and so must a snapshot and its
-// restoration.
+// restoration. Each closed run of a task that is not done must be listed while its start may still
+// be carried out.
 func TestRandomised(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := workload.New()
 		s.Apply(time.Time{}, 0, config(1))
+		now, model := time.Duration(0), closedRunModel{}
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
-			s.Apply(time.Time{}, 0, randomCommand(t, s))
+			if rapid.IntRange(0, 4).Draw(t, "pass time") == 0 {
+				now += time.Duration(rapid.IntRange(0, 12).Draw(t, "seconds")) * time.Second
+				s.Expire(now)
+			}
+			open, command := openRunsOf(s), randomCommand(t, s)
+			s.Apply(time.Time{}, now, command)
+			model.update(s, open, now, command)
+			model.check(t, s, now)
 			if found := s.Audit(); len(found) > 0 {
 				t.Fatal(found)
 			}
@@ -248,6 +258,7 @@
 		if found := restored.Audit(); len(found) > 0 {
 			t.Fatal(found)
 		}
+		model.check(t, restored, now)
 	})
 }
 
@@ -276,7 +287,9 @@
 	case 3:
 		return workload.Command{Cancel: &workload.Cancel{ID: job}}
 	case 4:
-		return workload.Command{EndBoot: &workload.EndBoot{Worker: worker, Boot: known.Boot, Permanent: rapid.Bool().Draw(t, "left")}}
+		return workload.Command{EndBoot: &workload.EndBoot{
+			Worker: worker, Boot: known.Boot, Permanent: rapid.Bool().Draw(t, "left"), Replaced: rapid.IntRange(0, 3).Draw(t, "replaced") == 0,
+		}}
 	case 5, 6:
 		if runs := s.OpenRuns(worker); len(runs) > 0 {
 			run := rapid.SampledFrom(runs).Draw(t, "run")
