core/dispatch: do not extend the lease of an unnoticed boot

Callers see two runs of one task at once (TWICE) where a worker crashes and starts again under its ID behind a link that loses its answers only. The later boot carries out a late start. Each hold that the leader repeats names a lease end on the clock of the former boot, which is far ahead of the clock of the later one and is cut to the longest lease that a worker accepts. The run stays alive for as long as the holds arrive, whatever the leader waits for.

Only the first hold and its immediate repetition, which is for a single lost answer, name a lease end now. Later repetitions extend nothing.

--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -663,3 +663,26 @@
 	}
 	t.Errorf("not placed within %v, in terms of %v", 2*maxCallDelay, term)
 }
+
+// Holds that a worker carries out without an answer must not keep a run alive on a later boot, for
+// whose clock the lease end of the former one is far in the future (platform rule TWICE).
+func TestRepeatedHoldsDoNotExtendTheLeaseOfAnUnnoticedBoot(t *testing.T) {
+	b, _ := startWithOutcome(t, dispatch.OutcomeNoAnswer)
+	var extending []time.Duration
+	startedAt := b.now
+	b.runFor(2*maxCallDelay, workerStub{
+		hold:  func(dispatch.Hold) dispatch.HoldReport { return dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer} },
+		start: func(dispatch.Start) dispatch.Outcome { return dispatch.OutcomeNotSent },
+		stop:  func(dispatch.Stop) dispatch.Outcome { return dispatch.OutcomeNotSent },
+		observe: func(e dispatch.Effects) {
+			for _, h := range e.Holds {
+				if h.Worker == "w" && h.LeaseUntil > 0 {
+					extending = append(extending, b.now.Sub(startedAt))
+				}
+			}
+		},
+	})
+	if len(extending) > 2 {
+		t.Errorf("%d holds without an answer extend the lease, the last after %v; want the first and one repetition", len(extending), extending[len(extending)-1])
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -211,6 +211,16 @@
 	return w.leaseUntil
 }
 
+// leaseOfHold returns the lease end to send with a hold. Only the first repetition of an unanswered
+// hold contains it, because for a later boot, whose clock starts anew, it would be far in the future
+// and would extend the lease of runs that this leader does not know about.
+func (c *Core) leaseOfHold(w *worker) int64 {
+	if w.unresponsive && w.holdBackoff > 0 {
+		return 0
+	}
+	return c.extendLease(w)
+}
+
 func (c *Core) callTo(w *worker) Call {
 	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.token(w)}
 }
@@ -284,7 +294,7 @@
 	}
 	w.holdInFlight = true
 	w.holdSentAt = c.now
-	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.extendLease(w), AckedEnd: w.ackedEnd, Wait: wait})
+	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.leaseOfHold(w), AckedEnd: w.ackedEnd, Wait: wait})
 }
 
 // Reasons for which a boot is ended.
