core/dispatch: wait for the lease of a run that a lost start may have begun

An in-doubt start now holds its task back until the lease of such a run has expired, counted from the last call that the worker may have taken a lease from. The wait still ends at the first answer with the present token, or once another worker answers at the address. The longest lease that a worker accepts is an option of the core, set from worker_lease_max.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -28,7 +28,7 @@
 		step := workload.StepSpec{Tasks: 25, Size: workload.Resources{MilliCPU: 4001}, Gang: i%4 == 0}
 		apply(submitJobTo("q", workload.JobID(fmt.Sprint("j", i)), step))
 	}
-	core := dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
+	core := dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
 	now := epoch
 	tick := func() dispatch.Effects {
 		now = now.Add(10 * time.Millisecond)
@@ -65,7 +65,7 @@
 		step := workload.StepSpec{Tasks: 200, Size: workload.Resources{MilliCPU: 3000}, Gang: true, Estimate: 5 * time.Second}
 		apply(submitJobTo("q", workload.JobID(fmt.Sprint("j", i)), step))
 	}
-	core := dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
+	core := dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
 	now := epoch
 	tick := func() {
 		now = now.Add(20 * time.Millisecond)
@@ -138,7 +138,7 @@
 			// After 13 s the starts are no longer in doubt.
 			b.StopTimer()
 			now = epoch
-			core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
+			core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
 			tick()
 			b.StartTimer()
 		}
--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -644,7 +644,7 @@
 			t.Fatal(err)
 		}
 		b := &testbed{t: t, now: epoch}
-		b.core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, restored, b.now)
+		b.core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, restored, b.now)
 		placedAt := time.Duration(-1)
 		b.runFor(term, workerStub{
 			hold: unreachableHold,
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -12,13 +12,16 @@
 // not know about the closed run, and a start identifies its worker by the ID only, not by the boot.
 // Therefore the fencing token of a worker increases with each boot that ends, and a task is not
 // placed while a start of an earlier run may still reach a boot that has not answered a call with
-// the current token.
+// the current token, or while a run that it began there may still have a lease.
 
 // inDoubtStart is the last start of a task that a worker may still carry out.
 type inDoubtStart struct {
 	worker     *worker
 	run        workload.RunNumber
 	latestSend time.Time // upper bound of the time at which the start was sent
+	// runsUntil is the latest time at which a run that the start begins may be active on a boot
+	// that has not answered this leader.
+	runsUntil time.Time
 }
 
 type inDoubtStarts map[workload.TaskID][]inDoubtStart
@@ -26,7 +29,15 @@
 // recordInDoubtStart records a start of this leader, sent before now, that a worker may still carry
 // out.
 func (c *Core) recordInDoubtStart(w *worker, id workload.TaskID, number workload.RunNumber) {
-	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now})
+	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan())})
+}
+
+// inDoubtSpan returns the maximum time from the sending of an unanswered start, or of a call that
+// extends the lease, to the end of a run on a boot that nobody has noticed. The boot counts the
+// lease by its own clock, for which the requested end is far in the future, so it is as long as a
+// worker accepts.
+func (c *Core) inDoubtSpan() time.Duration {
+	return maxCallDelay + c.slowClockDuration(c.opts.MaxLease)
 }
 
 // addInDoubtStart adds an in-doubt start. It replaces an earlier start of the task on the same
@@ -42,10 +53,11 @@
 	c.inDoubtStarts[id] = append(c.inDoubtStarts[id], start)
 }
 
-// inDoubtStartOn returns the start of a task that a worker may still carry out.
+// inDoubtStartOn returns the start of a task that a worker may still carry out, or that may have
+// begun a run there.
 func (c *Core) inDoubtStartOn(w *worker, id workload.TaskID) (inDoubtStart, bool) {
 	for _, start := range c.inDoubtStarts[id] {
-		if start.worker.ID == w.ID && c.now.Sub(start.latestSend) < maxCallDelay {
+		if start.worker.ID == w.ID && c.now.Before(start.runsUntil) {
 			return start, true
 		}
 	}
@@ -64,7 +76,7 @@
 	c.planNeeded = true
 }
 
-// expireInDoubtStarts removes the starts that are too old to be carried out.
+// expireInDoubtStarts removes the starts whose runs have ended if they were carried out at all.
 func (c *Core) expireInDoubtStarts() {
 	if len(c.inDoubtStarts) == 0 || c.now.Before(c.nextInDoubtExpiry) {
 		return
@@ -98,6 +110,20 @@
 			c.recordInDoubtStart(w, id, r.number)
 		}
 	}
+	for id := range w.inDoubtTasks {
+		c.extendInDoubtStart(w, id)
+	}
+}
+
+// extendInDoubtStart takes into account that the calls since an in-doubt start was recorded may have
+// extended the lease of a boot that nobody has noticed.
+func (c *Core) extendInDoubtStart(w *worker, id workload.TaskID) {
+	until := w.leaseSentAt.Add(c.inDoubtSpan())
+	for i := range c.inDoubtStarts[id] {
+		if start := &c.inDoubtStarts[id][i]; start.worker.ID == w.ID && c.now.Before(start.runsUntil) && start.runsUntil.Before(until) {
+			start.runsUntil = until
+		}
+	}
 }
 
 // transferInDoubtStarts moves the in-doubt starts of a worker to its later boot.
@@ -156,8 +182,9 @@
 				if task.Open {
 					at = c.startedAt
 				}
-				if w != nil && c.now.Sub(at) < maxCallDelay {
-					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: k}, inDoubtStart{worker: w, run: task.Run, latestSend: at})
+				until := at.Add(c.inDoubtSpan())
+				if w != nil && c.now.Before(until) {
+					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: k}, inDoubtStart{worker: w, run: task.Run, latestSend: at, runsUntil: until})
 				}
 			}
 		}
@@ -190,7 +217,7 @@
 // blockingStart returns an in-doubt start because of which a task must not be placed yet.
 func (c *Core) blockingStart(id workload.TaskID) (inDoubtStart, bool) {
 	for _, start := range c.inDoubtStarts[id] {
-		if c.now.Sub(start.latestSend) < maxCallDelay && !start.worker.refusesStartsOf(id) {
+		if c.now.Before(start.runsUntil) && !start.worker.refusesStartsOf(id) {
 			return start, true
 		}
 	}
@@ -214,7 +241,7 @@
 		if !blocked {
 			continue
 		}
-		c.scheduleJobWake(r.job, start.latestSend.Add(maxCallDelay))
+		c.scheduleJobWake(r.job, start.runsUntil)
 		if blockedTasks == 0 {
 			firstBlocking = start
 		}
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -179,7 +179,7 @@
 	}
 	l := &leader{term: s.term}
 	l.core = dispatch.New(dispatch.Options{
-		Term: s.term, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self",
+		Term: s.term, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self",
 	}, restored, s.clock())
 	s.leader = l
 	s.renewLeaderLease(l)
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -12,6 +12,8 @@
 	Term uint64
 	// Lease is how far each call extends a worker's lease.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts. A longer one is shortened to it.
+	MaxLease time.Duration
 	// HoldWait is the maximum time a worker may wait for a run to end before it answers a hold.
 	HoldWait time.Duration
 	// ClockLagPPM is the maximum rate, in parts per million, by which a worker's clock may run
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -76,6 +76,8 @@
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
 	leaseUntil  int64 // latest lease end that was sent, by the worker's clock, in ms
+	// leaseSentAt is when a call with a lease end was last sent.
+	leaseSentAt time.Time
 
 	ackedEnd       uint64 // ends up to this number are committed, so the worker may forget them
 	lastHandledEnd uint64 // ends up to this number have been processed
@@ -204,6 +206,7 @@
 	if !w.answeredThisTerm {
 		return 0
 	}
+	w.leaseSentAt = c.now
 	if w.unresponsive {
 		return w.leaseUntil
 	}
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -29,7 +29,7 @@
 		apply(c)
 	}
 	b := &testbed{t: t, now: epoch}
-	b.core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, b.now)
+	b.core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, b.now)
 	return b
 }
 
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -76,7 +76,7 @@
 		dispatcher.Run(runCtx, dispatcher.Options{
 			Workers: platformClient, Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
 			Adviser:     &dispatcher.RelayAdviser{SelfAddress: s.ListenInternal, Local: platformClient, Client: client},
-			WorkerLease: s.WorkerLeaseMax * leasePercent / 100, HoldWait: holdWait, ClockLagPPM: maxClockDriftPPM,
+			WorkerLease: s.WorkerLeaseMax * leasePercent / 100, MaxLease: s.WorkerLeaseMax, HoldWait: holdWait, ClockLagPPM: maxClockDriftPPM,
 		}, updates)
 	})
 	ended := make(chan error, 1)
