core/dispatch: keep a task back whose start an unnoticed boot may have answered

Callers see two runs of one task at once (TWICE): a later boot of a worker takes a start, answers it and is cut off before it has been noticed. The answer to a start does not name the boot, so the run counts as one of the former boot and the task is placed elsewhere when that boot is given up by the former clock. By its own clock the later boot has a lease of up to 6 s.

A run whose start was answered after the last hold that its boot has answered is now treated as an in-doubt start whenever the boot ends, not only after a later boot was seen. It concerns the starts of the last second before the worker was lost.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -83,7 +83,6 @@
 		c.handleFenced(w, call)
 		return
 	case OutcomeLaterBoot:
-		w.laterBootSeen = true
 		c.proposeBootEnd(w, bootEndLaterBoot, true)
 	case OutcomeOtherWorker:
 		c.proposeBootEnd(w, bootEndOtherWorker, true)
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -104,9 +104,9 @@
 		switch {
 		case r.startInFlight:
 			c.recordInDoubtStart(w, id, r.number)
-		case w.laterBootSeen && r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.confirmedAt.Before(w.answeredHoldSentAt):
-			// The start was answered after the last hold that this boot has answered was sent, so
-			// the later boot may have carried it out.
+		case r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.confirmedAt.Before(w.answeredHoldSentAt):
+			// The start was answered after the last hold that this boot has answered was sent, so a
+			// later boot may have carried it out, whether or not that boot was noticed since.
 			c.recordInDoubtStart(w, id, r.number)
 		}
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -60,11 +60,9 @@
 	answeredThisTerm bool // the worker has answered a hold in this term
 	unresponsive     bool // the last hold failed
 	bootEndProposed  bool // an EndBoot command has been proposed
-	// laterBootSeen is true after a later boot has answered.
-	laterBootSeen bool
-	holdInFlight  bool // a hold is in flight
-	nextHoldAt    time.Time
-	holdSentAt    time.Time // send time of the hold in flight
+	holdInFlight     bool // a hold is in flight
+	nextHoldAt       time.Time
+	holdSentAt       time.Time // send time of the hold in flight
 	// endedBoots counts the ended boots of this worker ID that this leader knows of. tokenAccepted
 	// is true after the worker has answered a call with the resulting token.
 	endedBoots    uint64
@@ -158,7 +156,6 @@
 		created.runs[open.Task] = r
 	}
 	if existing != nil {
-		existing.laterBootSeen = true
 		c.recordStartsOfEndedBoot(existing)
 		c.transferInDoubtStarts(existing, created)
 	}
