core/dispatch: wait for a lost start only while its ticket may be valid

A start on a queue with advice needs a ticket, and a worker refuses it once the ticket has expired.

The wait is now the validity of the ticket, a second for its way and the clocks, and the lease of a run that began before. That the ticket is also bound to one life of the worker is not relied on.

--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -29,15 +29,23 @@
 // recordInDoubtStart records a start of this leader, sent before now, that a worker may still carry
 // out.
 func (c *Core) recordInDoubtStart(w *worker, id workload.TaskID, number workload.RunNumber) {
-	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan())})
+	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan(id.Job))})
 }
 
+// ticketMargin covers the time from the grant of a ticket to its arrival at the leader, and the
+// difference between the clocks that measure its validity.
+const ticketMargin = time.Second
+
 // inDoubtSpan returns the maximum time from the sending of an unanswered start, or of a call that
 // extends the lease, to the end of a run on a boot that nobody has noticed. The boot counts the
 // lease by its own clock, for which the requested end is far in the future, so it is as long as a
-// worker accepts.
-func (c *Core) inDoubtSpan() time.Duration {
-	return maxCallDelay + c.slowClockDuration(c.opts.MaxLease)
+// worker accepts. A start that needs a ticket is refused once the ticket has expired.
+func (c *Core) inDoubtSpan(id workload.JobID) time.Duration {
+	delay := maxCallDelay
+	if job := c.state.Job(id); job != nil && job.Queue.Advice != nil {
+		delay = min(delay, job.Queue.Advice.TicketTTL+ticketMargin)
+	}
+	return delay + c.slowClockDuration(c.opts.MaxLease)
 }
 
 // addInDoubtStart adds an in-doubt start. It replaces an earlier start of the task on the same
@@ -118,7 +126,7 @@
 // extendInDoubtStart takes into account that the calls since an in-doubt start was recorded may have
 // extended the lease of a boot that nobody has noticed.
 func (c *Core) extendInDoubtStart(w *worker, id workload.TaskID) {
-	until := w.leaseSentAt.Add(c.inDoubtSpan())
+	until := w.leaseSentAt.Add(c.inDoubtSpan(id.Job))
 	for i := range c.inDoubtStarts[id] {
 		if start := &c.inDoubtStarts[id][i]; start.worker.ID == w.ID && c.now.Before(start.runsUntil) && start.runsUntil.Before(until) {
 			start.runsUntil = until
@@ -182,7 +190,7 @@
 				if task.Open {
 					at = c.startedAt
 				}
-				until := at.Add(c.inDoubtSpan())
+				until := at.Add(c.inDoubtSpan(j.ID))
 				if w != nil && c.now.Before(until) {
 					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: k}, inDoubtStart{worker: w, run: task.Run, latestSend: at, runsUntil: until})
 				}
