--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -60,11 +60,9 @@
 	answeredThisTerm bool // the worker has answered a hold in this term
 	unresponsive     bool // the last hold failed
 	bootEndProposed  bool // an EndBoot command has been proposed
-	// laterBootSeen is true after a later boot has answered.
-	laterBootSeen bool
-	holdInFlight  bool // a hold is in flight
-	nextHoldAt    time.Time
-	holdSentAt    time.Time // send time of the hold in flight
+	holdInFlight     bool // a hold is in flight
+	nextHoldAt       time.Time
+	holdSentAt       time.Time // send time of the hold in flight
 	// endedBoots counts the ended boots of this worker ID that this leader knows of. tokenAccepted
 	// is true after the worker has answered a call with the resulting token.
 	endedBoots    uint64
@@ -76,6 +74,8 @@
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
 	leaseUntil  int64 // latest lease end that was sent, by the worker's clock, in ms
+	// leaseSentAt is when a call with a lease end was last sent.
+	leaseSentAt time.Time
 
 	ackedEnd       uint64 // ends up to this number are committed, so the worker may forget them
 	lastHandledEnd uint64 // ends up to this number have been processed
@@ -156,7 +156,6 @@
 		created.runs[open.Task] = r
 	}
 	if existing != nil {
-		existing.laterBootSeen = true
 		c.recordStartsOfEndedBoot(existing)
 		c.transferInDoubtStarts(existing, created)
 	}
@@ -204,6 +203,7 @@
 	if !w.answeredThisTerm {
 		return 0
 	}
+	w.leaseSentAt = c.now
 	if w.unresponsive {
 		return w.leaseUntil
 	}
@@ -211,6 +211,16 @@
 	return w.leaseUntil
 }
 
+// leaseOfHold returns the lease end to send with a hold. Only the first repetition of an unanswered
+// hold contains it, because for a later boot, whose clock starts anew, it would be far in the future
+// and would extend the lease of runs that this leader does not know about.
+func (c *Core) leaseOfHold(w *worker) int64 {
+	if w.unresponsive && w.holdBackoff > 0 {
+		return 0
+	}
+	return c.extendLease(w)
+}
+
 func (c *Core) callTo(w *worker) Call {
 	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.token(w)}
 }
@@ -284,7 +294,7 @@
 	}
 	w.holdInFlight = true
 	w.holdSentAt = c.now
-	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.extendLease(w), AckedEnd: w.ackedEnd, Wait: wait})
+	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.leaseOfHold(w), AckedEnd: w.ackedEnd, Wait: wait})
 }
 
 // Reasons for which a boot is ended.
