core/workload: ignore negative steps and indexes

Cause: findTask compared the step and the index of a task only with their upper bounds. An end of a run with a negative figure ended each replica that applied it, and again at each replay of its log. checkStep and checkMember had both bounds already. The adapter of the platform rejects names of tasks with negative figures, so only a faulty leader could commit one.

Change: findTask returns no task for a negative step or index.

Tests: TestPositionsOutsideTheJobChangeNothing and TestCommandsWithArbitraryPositions failed before with "index out of range [-1]" in findTask (go test ./core/workload) and pass now, as does go test -p 2 -cpu 2 -race ./core/workload. No TestCommandsWithArbitraryPositions case violates the audited invariants.

--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -360,10 +360,13 @@
 // findTask returns the job, step and task of an id, or nil for all three if the task is unknown.
 func (s *State) findTask(id TaskID) (*Job, *Step, *Task) {
 	job := s.jobs[id.Job]
-	if job == nil || id.Step >= len(job.Steps) || id.Index >= len(job.Steps[id.Step].Tasks) {
+	if job == nil || id.Step < 0 || id.Step >= len(job.Steps) {
 		return nil, nil, nil
 	}
 	step := &job.Steps[id.Step]
+	if id.Index < 0 || id.Index >= len(step.Tasks) {
+		return nil, nil, nil
+	}
 	return job, step, &step.Tasks[id.Index]
 }
 
