core/workload, core/dispatch: compare the occurrence of a task

Cause: findTask and checkStep ignored the occurrence of an id, although ids with different occurrences are different tasks. Accepted jobs have the occurrence 0 only. A worker that lists the end of an occurrence that no leader started, or a command that names one, completed or opened the task of occurrence 0: a task counted as done that never ran.

Change: an id with another occurrence names no task. StepID.Task and Job.StepID build the ids; core/dispatch has no literal of either left, and only the parsers of messages build them from their figures. The ids are the same as before.

Tests: TestEndOfAnotherOccurrenceChangesNothing failed before with "job is completed after the end of another occurrence, want queued", and TestAssignOfAnotherOccurrenceIsRefused with "results [{Refusal: Run:1}] with open runs [{j/1/0/0 1}]"; both pass now.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -105,7 +105,7 @@
 	requester.callsInFlight++
 	c.lastAdviceID++
 	s.adviceInFlight = c.lastAdviceID
-	id := workload.StepID{Job: j.ID, Step: index}
+	id := j.StepID(index)
 	timeout := requester.busyUntil.Sub(c.now) + adviceTimeoutMargin
 	call := &adviceCall{
 		step: id, requester: address, namedWorkers: named, sentAt: c.now, expectedAt: requester.busyUntil, deadline: c.now.Add(timeout + adviceRetryDelay),
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -157,7 +157,7 @@
 					at = c.startedAt
 				}
 				if w != nil && c.now.Sub(at) < maxCallDelay {
-					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: k}, inDoubtStart{worker: w, run: task.Run, latestSend: at})
+					c.addInDoubtStart(j.StepID(i).Task(k), inDoubtStart{worker: w, run: task.Run, latestSend: at})
 				}
 			}
 		}
@@ -210,7 +210,7 @@
 		if task.State != workload.TaskPending || s.proposed[index] {
 			continue
 		}
-		start, blocked := c.blockingStart(workload.TaskID{Job: r.job.ID, Step: r.index, Index: index})
+		start, blocked := c.blockingStart(r.job.StepID(r.index).Task(index))
 		if !blocked {
 			continue
 		}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -103,7 +103,7 @@
 			if !task.Open {
 				continue
 			}
-			taskID := workload.TaskID{Job: id, Step: i, Index: k}
+			taskID := j.StepID(i).Task(k)
 			if w := c.workers[task.Worker]; w != nil && w.runs[taskID] != nil && !w.runs[taskID].endProposed {
 				c.requestStop(w, w.runs[taskID], "job-"+string(j.State))
 			}
@@ -177,7 +177,7 @@
 		if !task.Open {
 			continue
 		}
-		id := workload.TaskID{Job: member.Job, Occurrence: member.Occurrence, Step: member.Step, Index: i}
+		id := member.StepID().Task(i)
 		if w := c.workers[task.Worker]; w != nil && w.runs[id] != nil && !w.runs[id].endProposed {
 			c.requestStop(w, w.runs[id], "gang-incomplete")
 		}
@@ -237,7 +237,7 @@
 	} else {
 		r.stopRequested, r.stopReason = true, "job-ended"
 	}
-	task := workload.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: m.Index}
+	task := id.Task(m.Index)
 	if previous := w.runs[task]; previous != nil {
 		c.removeRun(w, task, previous)
 	}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -256,7 +256,7 @@
 	c.recordDecision(Decision{
 		Kind: DecisionPlaced, Job: r.job.ID, Step: r.index, Count: len(members), Worker: members[0].Worker, Age: waited,
 	})
-	return workload.Assign{Step: workload.StepID{Job: r.job.ID, Step: r.index}, Members: members}
+	return workload.Assign{Step: r.job.StepID(r.index), Members: members}
 }
 
 // reserve reserves resources for a proposal or an advice call.
@@ -343,7 +343,7 @@
 		if task.State != workload.TaskPending || task.Open || s.proposed[index] {
 			continue
 		}
-		if _, blocked := c.blockingStart(workload.TaskID{Job: r.job.ID, Step: r.index, Index: index}); blocked {
+		if _, blocked := c.blockingStart(r.job.StepID(r.index).Task(index)); blocked {
 			continue
 		}
 		best := bestFit(candidates, spec, fastFirst)
--- a/core/workload/assign.go
+++ b/core/workload/assign.go
@@ -46,7 +46,7 @@
 
 // checkStep checks the conditions that all tasks of an Assign share.
 func (s *State) checkStep(job *Job, a Assign) Refusal {
-	if job == nil || a.Step.Step < 0 || a.Step.Step >= len(job.Steps) {
+	if job == nil || !job.hasStep(a.Step) {
 		return RefusalUnknownJob
 	}
 	if job.State.Ended() {
@@ -142,7 +142,7 @@
 	task.Run = run
 	task.Worker = m.Worker
 	w := s.workers[m.Worker]
-	w.runs[TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: m.Index}] = run
+	w.runs[id.Task(m.Index)] = run
 	w.used = w.used.Add(spec.Size)
 	s.markStarted(job)
 }
--- a/core/workload/identifier_test.go
+++ b/core/workload/identifier_test.go
@@ -48,11 +48,11 @@
 			if c.Decide != nil && rapid.Bool().Draw(t, "arbitrary") {
 				for i := range c.Decide.Ends {
 					end := &c.Decide.Ends[i]
-					end.Task.Step, end.Task.Index = position("step"), position("index")
+					end.Task.Occurrence, end.Task.Step, end.Task.Index = position("occurrence"), position("step"), position("index")
 				}
 				for i := range c.Decide.Assigns {
 					assign := &c.Decide.Assigns[i]
-					assign.Step.Step = position("step")
+					assign.Step.Occurrence, assign.Step.Step = position("occurrence"), position("step")
 					for k := range assign.Members {
 						assign.Members[k].Index = position("index")
 					}
@@ -65,3 +65,23 @@
 		}
 	})
 }
+
+// Guards against the end of a task of one occurrence that completes the task of another.
+func TestEndOfAnotherOccurrenceChangesNothing(t *testing.T) {
+	ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+	ts.assign(workload.StepID{Job: "j"}, workload.TaskAssignment{Worker: "w", Boot: 1})
+	ts.end("w", workload.TaskID{Job: "j"}, 1, workload.EndNeverStarted)
+	ts.end("w", workload.TaskID{Job: "j", Occurrence: 1}, 1, workload.EndDone)
+	if got := ts.jobState("j"); got != "queued" {
+		t.Errorf("job is %s after the end of another occurrence, want queued", got)
+	}
+}
+
+// Guards against an open run whose task id is not the one in the state.
+func TestAssignOfAnotherOccurrenceIsRefused(t *testing.T) {
+	ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+	got := ts.assign(workload.StepID{Job: "j", Occurrence: 1}, workload.TaskAssignment{Worker: "w", Boot: 1})
+	if got[0].Refusal != "unknown-job" || len(ts.state.OpenRuns("w")) != 0 {
+		t.Errorf("results %+v with open runs %v, want refusal unknown-job and none", got, ts.state.OpenRuns("w"))
+	}
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -360,7 +360,7 @@
 // findTask returns the job, step and task of an id, or nil for all three if the task is unknown.
 func (s *State) findTask(id TaskID) (*Job, *Step, *Task) {
 	job := s.jobs[id.Job]
-	if job == nil || id.Step < 0 || id.Step >= len(job.Steps) {
+	if job == nil || !job.hasStep(id.StepID()) {
 		return nil, nil, nil
 	}
 	step := &job.Steps[id.Step]
@@ -370,6 +370,11 @@
 	return job, step, &step.Tasks[id.Index]
 }
 
+// hasStep reports whether a step id names a step of the job. Accepted jobs have a single occurrence.
+func (j *Job) hasStep(id StepID) bool {
+	return id.Occurrence == 0 && id.Step >= 0 && id.Step < len(j.Steps)
+}
+
 // Expire removes the jobs that ended at least JobRetention ago and have no open run.
 func (s *State) Expire(retentionClock time.Duration) {
 	s.retentionClock = max(s.retentionClock, retentionClock)
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -39,6 +39,11 @@
 // StepID returns the id of the step that the task belongs to.
 func (t TaskID) StepID() StepID { return StepID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
 
+// Task returns the id of a task of the step.
+func (s StepID) Task(index int) TaskID {
+	return TaskID{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step, Index: index}
+}
+
 // String returns JOB/OCCURRENCE/STEP/INDEX.
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s/%d/%d/%d", t.Job, t.Occurrence, t.Step, t.Index)
@@ -183,6 +188,9 @@
 	EndedAt     time.Duration // retention clock when the job ended
 }
 
+// StepID returns the id of a step of the job.
+func (j *Job) StepID(step int) StepID { return StepID{Job: j.ID, Step: step} }
+
 // Worker is a registered worker.
 type Worker struct {
 	ID       WorkerID
