internal/replica, test/e2e: follow up unknown outcomes of racing files

Cause: TestOperatorsRaceWithEqualGenerations ended with "apply: outcome of the proposal is unknown" when the client lost the answer of one file, for example at a change of leader, although that answer is truthful and the invariant held. TestOperatorsRace (test/e2e) did the same with exit status 5 of godwitctl.

Change: a file whose outcome is unknown is sent again until its outcome is known. The answer to a repeated file says what is in force: accepted as repeated if it is this file, generation-used if it is another one. The checks are as strict as before: exactly one file is accepted, the other one is refused with generation-used, and the digest in force is that of both results. Any other error still fails the test, a context that has ended too; test/e2e gives up after ten unknown outcomes in a row. The test no longer calls t.Fatal on a goroutine of its own.

--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -19,6 +19,7 @@
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
 	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
@@ -234,13 +235,20 @@
 	applyFile(t, group, base)
 	results := make([]state.Result, 2)
 	bodies := make([][]byte, 2)
+	errs := make([]error, 2)
 	var tasks sync.WaitGroup
 	for i, submitter := range []string{"ana", "bruno"} {
 		bodies[i] = bytes.Replace(base, []byte("generation = 1"), []byte("generation = 2"), 1)
 		bodies[i] = bytes.Replace(bodies[i], []byte("carmen.ruiz"), []byte(submitter), 1)
-		tasks.Go(func() { results[i] = applyFile(t, group, bodies[i]) })
+		ctx := callContext(t)
+		tasks.Go(func() {
+			results[i], errs[i] = applyUntilKnown(ctx, func() (state.Result, error) { return proposeFile(ctx, group, bodies[i]) })
+		})
 	}
 	tasks.Wait()
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
+	}
 	winner := 0
 	if results[1].Refusal == state.RefusalNone {
 		winner = 1
@@ -257,6 +265,42 @@
 	}
 }
 
+// applyUntilKnown sends a file again while its outcome is unknown. The answer to a repeated file says
+// what is in force: accepted as repeated if it is the file, refused if another one is.
+func applyUntilKnown(ctx context.Context, propose func() (state.Result, error)) (state.Result, error) {
+	for {
+		result, err := propose()
+		if !errors.Is(err, controlclient.ErrOutcomeUnknown) || ctx.Err() != nil {
+			return result, err
+		}
+	}
+}
+
+// Guards against a check that takes a truthful unknown outcome for a failure, or for a known one.
+func TestApplyUntilKnown(t *testing.T) {
+	unavailable := errors.New("unavailable")
+	for name, c := range map[string]struct {
+		answers []error
+		refusal state.Refusal
+		err     error
+		calls   int
+	}{
+		"accepted at once":      {[]error{nil}, "", nil, 1},
+		"unknown then accepted": {[]error{controlclient.ErrOutcomeUnknown, nil}, "", nil, 2},
+		"unknown then refused":  {[]error{controlclient.ErrOutcomeUnknown, controlclient.ErrOutcomeUnknown, nil}, "generation-used", nil, 3},
+		"unavailable":           {[]error{unavailable, nil}, "", unavailable, 1},
+	} {
+		calls := 0
+		result, err := applyUntilKnown(t.Context(), func() (state.Result, error) {
+			calls++
+			return state.Result{Refusal: c.refusal}, c.answers[calls-1]
+		})
+		if result.Refusal != c.refusal || !errors.Is(err, c.err) || calls != c.calls {
+			t.Errorf("%s: refusal %q, error %v after %d calls, want %q, %v after %d", name, result.Refusal, err, calls, c.refusal, c.err, c.calls)
+		}
+	}
+}
+
 // controlClient returns a client of one replica that does not search for the leader.
 func controlClient(t *testing.T, group *localgroup.Group, i int) rpcpb.Control {
 	t.Helper()
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -55,13 +55,17 @@
 
 func applyFile(t *testing.T, group *localgroup.Group, body []byte) state.Result {
 	t.Helper()
-	result, err := group.Client().Propose(callContext(t), state.Command{ApplyFile: &state.ApplyFile{Body: body, From: "test"}})
+	result, err := proposeFile(callContext(t), group, body)
 	if err != nil {
 		t.Fatalf("apply: %v", err)
 	}
 	return result
 }
 
+func proposeFile(ctx context.Context, group *localgroup.Group, body []byte) (state.Result, error) {
+	return group.Client().Propose(ctx, state.Command{ApplyFile: &state.ApplyFile{Body: body, From: "test"}})
+}
+
 func leaderOf(t *testing.T, group *localgroup.Group) int {
 	t.Helper()
 	leader, err := group.Leader(callContext(t))
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -164,8 +164,7 @@
 		results := make(chan error, len(files))
 		for _, file := range files {
 			go func() {
-				_, err := c.godwitctl("apply", file)
-				results <- err
+				results <- c.applyUntilKnown(file)
 			}()
 		}
 		accepted := 0
@@ -191,6 +190,21 @@
 	c.stopAll(t)
 }
 
+// maxUnknownOutcomes is how often in a row a truthful godwitctl may report an unknown outcome.
+const maxUnknownOutcomes = 10
+
+// applyUntilKnown applies a file again while its outcome is unknown (exit status 5). The response to
+// the repeated file tells whether it or another file is in force.
+func (c *cluster) applyUntilKnown(file string) error {
+	var err error
+	for range maxUnknownOutcomes {
+		if _, err = c.godwitctl("apply", file); err == nil || !strings.Contains(err.Error(), "exit status 5") {
+			return err
+		}
+	}
+	return err
+}
+
 // Guards against a replica that has lost its disk and votes under its old id with an empty log. Its
 // vote could elect a leader that lacks committed entries.
 func TestLostDisk(t *testing.T) {
