test/e2e: fail when two runs of a task overlap

Cause: checkTasksSucceededOnce counts successful runs only. Two runs of a task at the same time passed if one of them was stopped.

Change: the check also compares the times of all runs of a task on all running workers, in every test that uses it (TestDemo, TestWorkerPaused and the checks under load). The time of a suspended worker is no activity: a run that its worker stops within worker_stop_margin (500 ms) after it was resumed ended at the pause. A run that goes on for longer, or that succeeds, counts in full. Runs of workers that were killed are still not seen.

--- a/test/e2e/demo_test.go
+++ b/test/e2e/demo_test.go
@@ -123,7 +123,8 @@
 	return json.Unmarshal([]byte(out), into)
 }
 
-// checkTasksSucceededOnce fails the test unless each task of a job has succeeded exactly once.
+// checkTasksSucceededOnce fails the test unless each task of a job has succeeded exactly once and no
+// two runs of a task overlap.
 func (c *cluster) checkTasksSucceededOnce(t *testing.T, id cell.JobID, tasks int) {
 	t.Helper()
 	succeeded := map[int]int{}
@@ -137,6 +138,9 @@
 			t.Fatalf("task %d of job %d succeeded %d times", task, id, succeeded[task])
 		}
 	}
+	if overlap := overlappingRuns(c.activeTimes(t, id)); overlap != "" {
+		t.Fatalf("job %d: %s", id, overlap)
+	}
 }
 
 // demoRequest sends a request through each entry process, and a request with an idempotency key (a
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -18,6 +18,8 @@
 	logFile string // file with its standard output and error
 	cmd     *exec.Cmd
 	exited  chan error
+	// pausedAt and resumedAt are the times of the latest pause, zero if there was none.
+	pausedAt, resumedAt time.Time
 }
 
 // buildPrograms builds every program into a temporary directory. GODWIT_BIN names a directory with
@@ -98,10 +100,12 @@
 	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	p.pausedAt, p.resumedAt = time.Now(), time.Time{}
 }
 
 func (p *process) resume(t *testing.T) {
 	t.Helper()
+	p.resumedAt = time.Now()
 	if err := p.cmd.Process.Signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
