core/dispatch: do not start a task beside an earlier run on the same worker

Cause: a worker can list an earlier run of a task between the proposal of an assignment to it and the commit. addOpenedRun then forgot the earlier run, with the resources reserved for it, because the new run took its place; the start left at once. On any other worker sendDueCall withdraws such a run.

Change: the new run is closed as never started. The earlier run keeps its resources and is stopped as before.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -239,6 +239,11 @@
 	}
 	task := id.Task(m.Index)
 	if previous := w.runs[task]; previous != nil {
+		if previous.closedInState {
+			// The worker has listed an earlier run of the task since the assignment was proposed.
+			c.queueEnd(w, task, r, workload.EndNeverStarted, "", 0)
+			return
+		}
 		c.removeRun(w, task, previous)
 	}
 	w.runs[task] = r
