--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -192,7 +192,7 @@
 				}
 				until := at.Add(c.inDoubtSpan(j.ID))
 				if w != nil && c.now.Before(until) {
-					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: k}, inDoubtStart{worker: w, run: task.Run, latestSend: at, runsUntil: until})
+					c.addInDoubtStart(j.StepID(i).Task(k), inDoubtStart{worker: w, run: task.Run, latestSend: at, runsUntil: until})
 				}
 			}
 		}
@@ -245,7 +245,7 @@
 		if task.State != workload.TaskPending || s.proposed[index] {
 			continue
 		}
-		start, blocked := c.blockingStart(workload.TaskID{Job: r.job.ID, Step: r.index, Index: index})
+		start, blocked := c.blockingStart(r.job.StepID(r.index).Task(index))
 		if !blocked {
 			continue
 		}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -390,13 +390,21 @@
 // findTask returns the job, step and task of an id, or nil for all three if the task is unknown.
 func (s *State) findTask(id TaskID) (*Job, *Step, *Task) {
 	job := s.jobs[id.Job]
-	if job == nil || id.Step >= len(job.Steps) || id.Index >= len(job.Steps[id.Step].Tasks) {
+	if job == nil || !job.hasStep(id.StepID()) {
 		return nil, nil, nil
 	}
 	step := &job.Steps[id.Step]
+	if id.Index < 0 || id.Index >= len(step.Tasks) {
+		return nil, nil, nil
+	}
 	return job, step, &step.Tasks[id.Index]
 }
 
+// hasStep reports whether a step id names a step of the job. Accepted jobs have a single occurrence.
+func (j *Job) hasStep(id StepID) bool {
+	return id.Occurrence == 0 && id.Step >= 0 && id.Step < len(j.Steps)
+}
+
 // Expire removes the jobs that ended at least JobRetention ago and have no open run, and the closed
 // runs that are too old.
 func (s *State) Expire(retentionClock time.Duration) {
