core/dispatch: end the leader lease on either clock

Cause: the monotonic clock does not count the time for which a machine is suspended. The replica task notices that and ends the leader lease, but the dispatching task is another goroutine. It compared the lease end that was published before with the monotonic clock alone. After a suspension it could send holds, starts and stops until the replica task ran. A leader that was elected meanwhile counts the leases of the workers from its own start. Where it cannot reach a worker that the suspended leader reaches, the task is placed again while the first run goes on (rule TWICE).

Change: the replica task publishes the lease end as a lease.Deadline: the reading of both clocks at which the lease was found valid, and the time that remained. The deadline has passed when either clock says so, by the same code as the worker's side of a lease (ClockReading.since). A wall clock that is set forward ends the lease early, until the next heartbeat is acknowledged; one that is set back does not make it longer. The wall clock reading of Status.LeaseEnd cannot serve, because it is that of the start of the replica plus monotonic time.

Not covered: a wall clock that is set back by as much as the suspension lasted before any task reads the clocks. CLOCK_BOOTTIME would tell. It costs a system call for each reading, as Go does not read that clock through the vDSO, and a third reading beside time.Time everywhere a deadline is compared or a jump is detected (clockJumpDetector).

Tests, on the code before: TestLeaderExtendsNoLeaseAfterASuspension: a hold extends the lease from 5520 ms to 8523 ms after a suspension of 3 s TestNoStartOrStopAfterASuspension: 1 starts and 0 stops after a suspension of 3 s, want none Both pass now, as do TestDeadlinePassesOnEitherClock, TestPublishedLeaseEndsOnEitherClock and TestLeaderLeaseAfterTheWallClockIsSetBack, which guard the new code.

Run: go test -race ./core/lease ./core/dispatch ./internal/replica ./internal/gateway.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
@@ -32,7 +33,7 @@
 	now := epoch
 	tick := func() dispatch.Effects {
 		now = now.Add(10 * time.Millisecond)
-		core.SetLeaderLease(now, now.Add(time.Minute))
+		core.SetLeaderLease(now, lease.DeadlineIn(now, time.Minute))
 		core.Tick(now)
 		return core.Effects()
 	}
@@ -72,7 +73,7 @@
 		for i := range 39 {
 			core.RequesterSeen(now, fmt.Sprint("requester", i))
 		}
-		core.SetLeaderLease(now, now.Add(time.Minute))
+		core.SetLeaderLease(now, lease.DeadlineIn(now, time.Minute))
 		core.Apply(now, now, 0, workload.Command{Cancel: &workload.Cancel{ID: "none"}})
 		core.Tick(now)
 		effects := core.Effects()
@@ -129,7 +130,7 @@
 	now := epoch
 	tick := func() dispatch.Effects {
 		now = now.Add(100 * time.Millisecond)
-		core.SetLeaderLease(now, now.Add(time.Minute))
+		core.SetLeaderLease(now, lease.DeadlineIn(now, time.Minute))
 		core.Tick(now)
 		return core.Effects()
 	}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
@@ -13,9 +14,9 @@
 	state     *workload.State
 	now       time.Time
 	startedAt time.Time
-	// leaderLeaseEnd is when the leader lease expires. No call to a worker is sent after it.
-	leaderLeaseEnd time.Time
-	fenced         bool // a worker has seen a later leader
+	// leaderLease is the end of the leader lease. No call to a worker is sent after it.
+	leaderLease lease.Deadline
+	fenced      bool // a worker has seen a later leader
 
 	workers       map[workload.WorkerID]*worker
 	sortedWorkers []*worker // sorted by ID
@@ -94,20 +95,21 @@
 }
 
 func (c *Core) advanceClock(now time.Time) {
-	if now.After(c.now) {
+	// The wall clock may have advanced alone.
+	if !now.Before(c.now) {
 		c.now = now
 	}
 }
 
 // SetLeaderLease sets the time until which this process is guaranteed to be the leader.
-func (c *Core) SetLeaderLease(now, until time.Time) {
+func (c *Core) SetLeaderLease(now time.Time, until lease.Deadline) {
 	c.advanceClock(now)
-	c.leaderLeaseEnd = until
+	c.leaderLease = until
 }
 
 // mayCallWorkers reports whether calls to workers may be sent: the leader lease is valid, and no
 // worker has seen a later leader.
-func (c *Core) mayCallWorkers() bool { return !c.fenced && c.now.Before(c.leaderLeaseEnd) }
+func (c *Core) mayCallWorkers() bool { return !c.fenced && !c.leaderLease.Passed(c.now) }
 
 // Apply applies a committed command. Commands must be passed in log order. now is the time of this
 // process, at and retentionClock are the values that the replicas pass to State.Apply.
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
@@ -189,7 +190,7 @@
 	if l.deposed {
 		return
 	}
-	l.core.SetLeaderLease(s.clock(), s.clock().Add(leaderLease))
+	l.core.SetLeaderLease(s.clock(), lease.DeadlineIn(s.clock(), leaderLease))
 	s.after(100*time.Millisecond, func() { s.renewLeaderLease(l) })
 }
 
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/testclock"
 )
 
 // Tests and simulations name the rules of the platform that they check. TWICE: a task runs on one
@@ -28,7 +30,7 @@
 	for _, c := range commands {
 		apply(c)
 	}
-	b := &testbed{t: t, now: epoch}
+	b := &testbed{t: t, now: testclock.At(epoch)}
 	b.core = dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, b.now)
 	return b
 }
@@ -46,7 +48,7 @@
 // tick advances the time under a valid leader lease and returns the effects.
 func (b *testbed) tick(d time.Duration) dispatch.Effects {
 	b.now = b.now.Add(d)
-	b.core.SetLeaderLease(b.now, b.now.Add(leaderLease))
+	b.core.SetLeaderLease(b.now, lease.DeadlineIn(b.now, leaderLease))
 	b.core.Tick(b.now)
 	e := b.core.Effects()
 	b.openHolds = append(b.openHolds, e.Holds...)
--- a/internal/replica/clock_test.go
+++ b/internal/replica/clock_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/testclock"
 )
 
 // Guards against a leader that considers its lease valid after its VM was suspended, because the
@@ -24,3 +27,25 @@
 		}
 	}
 }
+
+// Guards against a published leader lease that outlasts a suspension, or that is never valid again
+// after the wall clock was set.
+func TestPublishedLeaseEndsOnEitherClock(t *testing.T) {
+	start := testclock.At(time.Unix(1_700_000_000, 0))
+	for name, step := range map[string]time.Duration{"not set": 0, "set forward": time.Hour, "set back": -time.Hour} {
+		now := testclock.StepWall(start.Add(10*time.Second), step)
+		replica := &task{leader: &leaderState{}, status: replog.Status{LeaseEnd: start.Add(10400 * time.Millisecond)}}
+		replica.workFeed.updates = make(chan WorkUpdate)
+		replica.publishLeaseEnd(now)
+		published := replica.workFeed.pending[0].LeaseEnd
+		if published.Passed(now.Add(399 * time.Millisecond)) {
+			t.Errorf("wall clock %s: the lease has ended 1 ms too early", name)
+		}
+		if !published.Passed(now.Add(400 * time.Millisecond)) {
+			t.Errorf("wall clock %s: the lease has not ended", name)
+		}
+		if !published.Passed(testclock.StepWall(now, 400*time.Millisecond)) {
+			t.Errorf("wall clock %s: the lease outlasts a suspension", name)
+		}
+	}
+}
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -225,7 +225,7 @@
 			return err
 		}
 	}
-	t.publishLeaseEnd()
+	t.publishLeaseEnd(now)
 	t.answerFeeds(now)
 	t.takeSnapshot()
 	return nil
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/core/workload"
@@ -18,9 +19,9 @@
 	// LeadershipEnded is set when this replica stops being leader.
 	LeadershipEnded bool
 	Applied         []AppliedWork
-	// LeaseEnd is the end of the leader lease, or the zero time without a lease; nil if it did
-	// not change.
-	LeaseEnd         *time.Time
+	// LeaseEnd is the end of the leader lease; nil if it did not change. Without a lease it has
+	// passed.
+	LeaseEnd         *lease.Deadline
 	AdviceRequesters []string // addresses of processes that can call the adviser
 }
 
@@ -96,7 +97,7 @@
 // a follower extends the lease, and each update wakes the dispatching task.
 const minLeaseExtension = 25 * time.Millisecond
 
-func (t *task) publishLeaseEnd() {
+func (t *task) publishLeaseEnd(now time.Time) {
 	if t.workFeed.updates == nil || t.leader == nil {
 		return
 	}
@@ -105,7 +106,9 @@
 		return
 	}
 	t.workFeed.leaseEnd = t.status.LeaseEnd
-	until := t.status.LeaseEnd
+	// The wall clock may have been set since the replica started, so the wall clock reading of
+	// status.LeaseEnd does not count.
+	until := lease.DeadlineIn(now, t.status.LeaseEnd.Sub(now))
 	t.workFeed.lastPending().LeaseEnd = &until
 }
 
