dispatcher: send no call after the leader lease

Cause: a call is decided by the task and sent by a goroutine of its own. If the machine is suspended in between, the call leaves when another replica may lead. Holds and starts carry an absolute end of the lease on the worker's clock, so no lease became longer; but a start could leave any time after its decision, while the dispatcher of the next leader counts 13 s from its own start or from the end of the run.

Change: the goroutine compares the leader lease under which the call was decided, on both clocks, before it sends the call. A call that is too late is reported as not sent.

Test: TestCallsDecidedBeforeASuspensionAreNotSent failed before with "calls {holds:1 starts:1 stops:1} after a suspension of 1m0s, want {holds:0 starts:0 stops:0}" and passes now (go test -race ./internal/dispatcher).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
@@ -85,6 +86,8 @@
 	number uint64
 	ctx    context.Context
 	cancel context.CancelFunc
+	// leaderLease is the end of the leader lease.
+	leaderLease lease.Deadline
 }
 
 // callResult is the result of a call. deliver passes it to the core.
@@ -156,6 +159,7 @@
 		}
 	}
 	if update.LeaseEnd != nil {
+		l.term.leaderLease = *update.LeaseEnd
 		core.SetLeaderLease(now, *update.LeaseEnd)
 	}
 	for _, address := range update.AdviceRequesters {
@@ -238,18 +242,25 @@
 	}()
 }
 
+// leasedWorkers returns the client for the calls that are decided now.
+func (l *eventLoop) leasedWorkers() leasedClient {
+	return leasedClient{workers: l.opts.Workers, leaderLease: l.term.leaderLease}
+}
+
 func (l *eventLoop) sendHold(hold dispatch.Hold) {
+	workers := l.leasedWorkers()
 	l.runAsync(hold.Wait+holdTimeoutMargin, func(ctx context.Context) func(*dispatch.Core, time.Time) {
-		report := l.opts.Workers.Hold(ctx, hold)
+		report := workers.Hold(ctx, hold)
 		l.opts.Metrics.Add(metricCalls, "hold-"+report.Outcome.String(), 1)
 		return func(core *dispatch.Core, now time.Time) { core.HoldAnswered(now, hold.Call, report) }
 	})
 }
 
 func (l *eventLoop) sendStart(start dispatch.Start) {
+	workers := l.leasedWorkers()
 	l.runAsync(start.Timeout, func(ctx context.Context) func(*dispatch.Core, time.Time) {
 		sent := time.Now()
-		outcome, clock := l.opts.Workers.Start(ctx, start)
+		outcome, clock := workers.Start(ctx, start)
 		l.opts.Metrics.Add(metricCalls, "start-"+outcome.String(), 1)
 		l.opts.Metrics.Observe(metricCallDelay, time.Since(sent))
 		return func(core *dispatch.Core, now time.Time) { core.StartAnswered(now, start, outcome, clock) }
@@ -257,9 +268,10 @@
 }
 
 func (l *eventLoop) sendStop(stop dispatch.Stop) {
+	workers := l.leasedWorkers()
 	l.runAsync(stopTimeout, func(ctx context.Context) func(*dispatch.Core, time.Time) {
 		sent := time.Now()
-		outcome, clock := l.opts.Workers.Stop(ctx, stop)
+		outcome, clock := workers.Stop(ctx, stop)
 		l.opts.Metrics.Add(metricCalls, "stop-"+outcome.String(), 1)
 		l.opts.Metrics.Observe(metricCallDelay, time.Since(sent))
 		return func(core *dispatch.Core, now time.Time) { core.StopAnswered(now, stop, outcome, clock) }
