workeragent: hold the end of the lease from the agent's reading on

Cause: the agent returns how long its lease still lasts, and the runner counted that time from its own, later reading of the clocks. If the worker was suspended or stopped in between, the runner's lease ended later by that time: a task of the former lease could count as completed. The runner also started a task without comparing the lease, although design.md says that after a pause the lease is checked before anything else.

Change: the runner gets the end of the lease as a lease.Deadline that counts from the agent's reading, in place of a type of its own, and reports a start after that end as stopped.

Test: TestNoStartAfterASuspension failed before with "1 tasks started after a suspension of 1m0s, want 0" and an end with the outcome succeeded; it passes now (go test -race ./internal/workeragent). TestWorkerPaused, TestDemo and TestLeaderKilled (test/e2e) pass.

--- a/internal/workeragent/runner.go
+++ b/internal/workeragent/runner.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitlink/godwitlink/core/agent"
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/lease"
 )
 
 // taskEnd reports to the agent loop that a task has ended.
@@ -32,14 +33,14 @@
 // runner owns the running tasks and the list of executions. Its methods setLease, start and stop
 // send messages to its goroutine.
 type runner struct {
-	leases   chan leaseExpiry
+	leases   chan lease.Deadline
 	starts   chan agent.Task
 	stops    chan agent.Stop
 	finished chan taskEnd
 	queries  chan chan []Run
 	ended    chan<- taskEnd
 
-	lease       leaseExpiry
+	lease       lease.Deadline
 	running     map[cell.AllocationID]chan agent.StopKind
 	runs        []Run
 	pendingEnds []taskEnd // not yet received by the agent loop; at most one per task
@@ -47,7 +48,7 @@
 
 func newRunner(ended chan<- taskEnd) *runner {
 	return &runner{
-		leases:   make(chan leaseExpiry),
+		leases:   make(chan lease.Deadline),
 		starts:   make(chan agent.Task),
 		stops:    make(chan agent.Stop),
 		finished: make(chan taskEnd),
@@ -57,26 +58,9 @@
 	}
 }
 
-// leaseExpiry is the time at which the lease ends, on the monotonic clock and on the wall clock.
-type leaseExpiry struct {
-	monotonic time.Time
-	wall      time.Time // without a monotonic reading
-}
-
-func newLeaseExpiry(remaining time.Duration) leaseExpiry {
-	end := time.Now().Add(remaining)
-	return leaseExpiry{monotonic: end, wall: end.Round(0)}
-}
-
-// expired reports whether the lease has ended on either clock.
-func (e leaseExpiry) expired() bool {
-	now := time.Now()
-	return now.After(e.monotonic) || now.Round(0).After(e.wall)
-}
-
-func (r *runner) setLease(ctx context.Context, remaining time.Duration) {
+func (r *runner) setLease(ctx context.Context, end lease.Deadline) {
 	select {
-	case r.leases <- newLeaseExpiry(remaining):
+	case r.leases <- end:
 	case <-ctx.Done():
 	}
 }
@@ -135,6 +119,11 @@
 }
 
 func (r *runner) startTask(ctx context.Context, task agent.Task) {
+	if r.lease.Passed(time.Now()) {
+		// The machine was suspended after the agent had decided the start.
+		r.pendingEnds = append(r.pendingEnds, taskEnd{allocation: task.Allocation, outcome: agent.OutcomeStopped})
+		return
+	}
 	stop := make(chan agent.StopKind, 1)
 	r.running[task.Allocation] = stop
 	r.runs = append(r.runs, Run{
@@ -153,7 +142,7 @@
 // recordEnd records the end of a task. A task of a process that was suspended past the end of the
 // lease must not count as completed, because the task may already run on another worker.
 func (r *runner) recordEnd(end taskEnd) {
-	if !end.keepOnDisconnect && r.lease.expired() {
+	if !end.keepOnDisconnect && r.lease.Passed(time.Now()) {
 		end.outcome = agent.OutcomeStopped
 	}
 	delete(r.running, end.allocation)
--- a/internal/workeragent/worker.go
+++ b/internal/workeragent/worker.go
@@ -78,8 +78,9 @@
 }
 
 // readClocks reads the monotonic clock and the wall clock.
-func (w *Worker) readClocks() lease.ClockReading {
-	now := time.Now()
+func (w *Worker) readClocks() lease.ClockReading { return w.clocksAt(time.Now()) }
+
+func (w *Worker) clocksAt(now time.Time) lease.ClockReading {
 	return lease.ClockReading{Monotonic: now.Sub(w.started), Wall: now.Round(0)}
 }
 
@@ -136,8 +137,9 @@
 			w.handleResponse(response)
 		case <-timer.C:
 		}
-		effects := w.agent.Effects(w.readClocks())
-		w.applyEffects(workCtx, effects)
+		now := time.Now()
+		effects := w.agent.Effects(w.clocksAt(now))
+		w.applyEffects(workCtx, now, effects)
 		if effects.Done {
 			w.logger.Log(eventLeft)
 			return
@@ -164,8 +166,9 @@
 	}
 }
 
-func (w *Worker) applyEffects(ctx context.Context, effects agent.Effects) {
-	w.runner.setLease(ctx, effects.Lease)
+// applyEffects carries out the effects that the agent returned at now.
+func (w *Worker) applyEffects(ctx context.Context, now time.Time, effects agent.Effects) {
+	w.runner.setLease(ctx, lease.DeadlineIn(now, effects.Lease))
 	for _, stop := range effects.Stops {
 		w.logger.Log(eventTaskStop, zap.Uint64("allocation", uint64(stop.Allocation)), zap.String("kind", string(stop.Kind)))
 		w.runner.stop(ctx, stop)
