workapi: reject worker reports that another sender wrote

The platform says that a status report may come from another writer, with a service that is not named, and that it names no worker to use. Such a report under the id of a worker was taken as one of that worker. With a later boot, all runs of the worker were closed and placed elsewhere while they went on (TWICE); with another address for the same boot, calls went there, and the answer of the worker at that address (another id) ended the boot.

A report of an unknown or later boot must now name a service of the configuration in force, and a report of a known boot must name the address, zone and service of that boot. Other reports are rejected with 400 and logged as 4110 with the outcome "invalid". The check is made before the commit, so that old and new replicas apply the same commands.

--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -153,6 +153,16 @@
 	return *answer.Called, true, nil
 }
 
+// LocalServices returns the services of the queue configuration that this replica has applied, or
+// nil if there is none.
+func (r *Replica) LocalServices(ctx context.Context) ([]string, error) {
+	answer, err := r.ReadLocal(ctx, state.Query{Queues: &state.QueuesQuery{}})
+	if err != nil || answer.Queues == nil || answer.Queues.Config == nil {
+		return nil, err
+	}
+	return answer.Queues.Config.Services, nil
+}
+
 // GroupAddresses returns the addresses of the leader, empty if unknown, and of all members of the
 // control group.
 func (r *Replica) GroupAddresses(ctx context.Context) (leader string, members []string, err error) {
--- a/internal/workapi/registry.go
+++ b/internal/workapi/registry.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"slices"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/state"
@@ -17,6 +18,9 @@
 // LocalReplica reads the state that the control replica in this process has applied.
 type LocalReplica interface {
 	LocalWorkload(ctx context.Context, worker workload.WorkerID) (known workload.Worker, ok bool, err error)
+	// LocalServices returns the services of the queue configuration in force, or nil if there is no
+	// configuration.
+	LocalServices(ctx context.Context) (services []string, err error)
 	// GroupAddresses returns the address of the leader, or an empty string if it is unknown, and
 	// the addresses of all members of the control group.
 	GroupAddresses(ctx context.Context) (leader string, members []string, err error)
@@ -37,6 +41,13 @@
 
 func NewRegistry(opts RegistryOptions) *Registry { return &Registry{opts: opts} }
 
+// Reasons for which a report is rejected. It does not come from the worker that it names. Taken as a
+// report of that worker, it would send calls elsewhere, or close runs that are still active.
+var (
+	errOtherSender    = merry.Sentinel("address, zone or service differs from that of the boot")
+	errUnknownService = merry.Sentinel("the configuration does not have the service")
+)
+
 // ReportWorker handles a worker's report about itself. The report is acknowledged after it was
 // committed; a report without changes needs no commit. next is the internal address of the replica
 // that receives the worker's next reports. A follower is preferred, because the leader has the
@@ -55,6 +66,19 @@
 		r.opts.Metrics.Add(metricRegistrations, "unchanged", 1)
 		return next, OutcomeOK
 	}
+	if ok && w.Boot == known.Boot {
+		if w.Address != known.Address || w.Zone != known.Zone || w.Service != known.Service {
+			return "", r.recordOutcome(w, OutcomeInvalid, errOtherSender)
+		}
+		return next, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
+	}
+	services, err := r.opts.Local.LocalServices(ctx)
+	switch {
+	case err != nil:
+		return "", r.recordOutcome(w, OutcomeNotAccepted, err)
+	case services != nil && !slices.Contains(services, w.Service):
+		return "", r.recordOutcome(w, OutcomeInvalid, errUnknownService)
+	}
 	return next, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
 }
 
