core/workload, core/state: do not overstate the time since a run was closed

A new leader waits for lost starts of the former one for 13 s from the close of a run. It took the time since then from the retention clock, which overstates it in two ways: the clock moves in steps of the Advance commands, so a run closed just before one is a step old at once (1 s, up to 10 s after a pause), and it follows the time of day of the leader, which may jump ahead. The task is then placed while a worker may still carry out the first start (platform rule TWICE).

A second clock of the state, the steady clock, counts one second for each Advance whose entry has the same log term as the Advance before. A leader proposes an Advance at the earliest one second, by its monotonic clock, after it has applied its previous one; until now it counted from the proposal, and several could wait for a slow commit while runs whose end was among the uncommitted entries were still being started. Time between two leaders does not count. Ages subtract one step. SinceLastClosed is the smaller of both clocks, so no wait is shorter than before. The retention clock is unchanged, but while a commit takes longer than a second its Advance commands follow less often, and what exceeds 10 s is not caught up.

The commands stay as they are: the strict decoder of an earlier version would stop its replica at a new field of Advance. Term is set by the replica that applies the entry.

Tests changed: TestDelayForInDoubtStartsIsNotRestartedByEachLeader and the simulation of core/dispatch advance the steady clock as a leader does, because a command alone no longer shows that time has passed. TestRandomKills replayed entries without their term and reported "replica 2 has another state"; it sets the term as a replica does.

--- a/core/dispatch/closedrun_test.go
+++ b/core/dispatch/closedrun_test.go
@@ -44,7 +44,7 @@
 		b, starts := startTasks(t, oneTask)
 		b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeNoAnswer, 1100)
 		b.apply(c.command)
-		b.core.Expire(4 * time.Second)
+		b.core.Expire(0, 5*time.Second)
 		got := b.decisionsOn(c.boot, dispatch.ActiveRun{Task: starts[0].Task, Run: 1})
 		if len(got) == 0 || got[0].Reason != want || got[0].Age != 4*time.Second {
 			t.Errorf("decisions %+v, want reason %q and age 4s", got, want)
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -143,8 +143,10 @@
 	return nil
 }
 
-// Expire removes old jobs from the state. The replicas do the same.
-func (c *Core) Expire(retentionClock time.Duration) { c.state.Expire(retentionClock) }
+// Expire advances the clocks of the state and removes what is too old. The replicas do the same.
+func (c *Core) Expire(retentionClock, steadyClock time.Duration) {
+	c.state.Expire(retentionClock, steadyClock)
+}
 
 // Tick advances the time and processes everything that is due.
 func (c *Core) Tick(now time.Time) {
--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -638,7 +638,7 @@
 		apply(0, c)
 	}
 	for elapsed := time.Duration(0); elapsed < 2*maxCallDelay; elapsed += term {
-		apply(elapsed, workload.Command{Cancel: &workload.Cancel{ID: "none"}})
+		state.Expire(elapsed, elapsed)
 		restored, err := workload.Restore(state.Snapshot())
 		if err != nil {
 			t.Fatal(err)
@@ -663,3 +663,26 @@
 	}
 	t.Errorf("not placed within %v, in terms of %v", 2*maxCallDelay, term)
 }
+
+// A new leader must not shorten the wait for a lost start because the time of day, and with it the
+// retention clock, has jumped ahead since the run was closed (platform rule TWICE).
+func TestNewLeaderWaitsAfterTheTimeOfDayHasJumped(t *testing.T) {
+	state := workload.New()
+	state.Apply(epoch, 0, workload.Command{Configure: &workload.Config{Version: 1, Queues: []workload.Queue{{Name: "q", Service: "shop", MaxAttempts: 3}}}})
+	for _, c := range append(openedRun(), registerWorker("spare", 1), workload.Command{EndBoot: &workload.EndBoot{Worker: "w", Boot: 1}}) {
+		state.Apply(epoch, 0, c)
+	}
+	state.Expire(10*time.Second, time.Second)
+	state.Expire(20*time.Second, 2*time.Second)
+	b := &testbed{t: t, now: epoch}
+	b.core = dispatch.New(dispatch.Options{Term: 2, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, b.now)
+	// The run was closed 2 s ago at most.
+	b.runFor(maxCallDelay-2*time.Second, workerStub{
+		hold: unreachableHold,
+		observe: func(e dispatch.Effects) {
+			for _, s := range startsOf(e, workload.TaskID{Job: "j"}, 1) {
+				t.Fatalf("run %d starts on %s %v after the election", s.Run, s.Worker, b.now.Sub(epoch))
+			}
+		},
+	})
+}
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -183,6 +183,18 @@
 	}, restored, s.clock())
 	s.leader = l
 	s.renewLeaderLease(l)
+	s.advance(l, 0)
+}
+
+// advance advances the clocks of the log and of its leader, and does so again after an interval.
+func (s *sim) advance(l *leader, step time.Duration) {
+	if l.deposed {
+		return
+	}
+	steadyClock := s.committed.SteadyClock() + step
+	s.committed.Expire(s.now, steadyClock)
+	l.core.Expire(s.now, steadyClock)
+	s.after(workload.AdvanceInterval, func() { s.advance(l, workload.AdvanceInterval) })
 }
 
 func (s *sim) renewLeaderLease(l *leader) {
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -12,6 +12,9 @@
 	// At is the leader's wall-clock time when it proposed the command. The state uses the largest
 	// time so far, so its time never moves back.
 	At time.Time
+	// Term is the log term of the command's entry. It is not part of the encoding: the replica sets it
+	// before Apply.
+	Term uint64 `cbor:"-" json:"-"`
 
 	ApplyFile      *ApplyFile      `cbor:",omitempty"`
 	SubmitJob      *SubmitJob      `cbor:",omitempty"`
--- a/core/state/restore.go
+++ b/core/state/restore.go
@@ -29,6 +29,7 @@
 	s.now = snapshot.Now.UTC()
 	s.retentionClock = snapshot.Retained.UTC()
 	s.lastAdvance = snapshot.LastAdvance.UTC()
+	s.advanceTerm = snapshot.AdvanceTerm
 	s.lastJob = snapshot.NextJob
 	s.lastAllocation = snapshot.NextAllocation
 	s.lastEpoch = snapshot.LastEpoch
--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -1,6 +1,10 @@
 package state
 
-import "time"
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
 
 // Retention of ended jobs, finished requests, old files and removed members. Each list is limited in
 // time and in number, so that the size of the state is limited under any load.
@@ -50,13 +54,25 @@
 	s.lastAdvance = at
 }
 
-// advance moves the retention clock and removes everything whose retention has passed.
-func (s *State) advance(at time.Time) {
+// advance moves the clocks and removes everything whose retention has passed.
+func (s *State) advance(at time.Time, term uint64) {
 	s.advanceRetentionClock(at)
 	s.removeExpiredJobs()
 	s.removeExpiredRequests()
 	s.removeExpiredWorkers()
-	s.workload.Expire(s.retentionElapsed())
+	s.workload.Expire(s.retentionElapsed(), s.workload.SteadyClock()+s.steadyStep(term))
+}
+
+// steadyStep returns by how much an Advance moves the steady clock of the workload. A leader proposes
+// each Advance at least one interval after it has applied the one before. The time between the Advance
+// commands of two leaders does not count.
+func (s *State) steadyStep(term uint64) time.Duration {
+	sameLeader := term != 0 && term == s.advanceTerm
+	s.advanceTerm = term
+	if sameLeader {
+		return workload.AdvanceInterval
+	}
+	return 0
 }
 
 // retentionElapsed returns the retention clock as a duration since the first command.
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -16,6 +16,7 @@
 	Now            time.Time
 	Retained       time.Time // retention clock
 	LastAdvance    time.Time
+	AdvanceTerm    uint64            `cbor:",omitempty" json:",omitempty"` // log term of the last Advance
 	NextJob        cell.JobID        // last id that was assigned, despite its name
 	NextAllocation cell.AllocationID // last id that was assigned, despite its name
 	LastEpoch      cell.Epoch
@@ -95,6 +96,7 @@
 		Now:            s.now,
 		Retained:       s.retentionClock,
 		LastAdvance:    s.lastAdvance,
+		AdvanceTerm:    s.advanceTerm,
 		NextJob:        s.lastJob,
 		NextAllocation: s.lastAllocation,
 		LastEpoch:      s.lastEpoch,
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -15,6 +15,7 @@
 	now            time.Time // largest command time so far
 	retentionClock time.Time // retention clock, see advanceRetentionClock
 	lastAdvance    time.Time // time of the last Advance
+	advanceTerm    uint64    // log term of the last Advance; 0 if it is not known
 
 	config  *config        // file in force; nil before the first file
 	records []ConfigRecord // accepted files, oldest first
@@ -121,7 +122,7 @@
 		result := s.workload.Apply(s.now, s.retentionElapsed(), *c.Workload)
 		return Result{Workload: &result}
 	default:
-		s.advance(c.At)
+		s.advance(c.At, c.Term)
 		return Result{}
 	}
 }
--- a/core/workload/closedrun.go
+++ b/core/workload/closedrun.go
@@ -15,7 +15,7 @@
 	Index    int // task of the step
 	Run      RunNumber
 	Worker   WorkerID
-	ClosedAt time.Duration // retention clock when the run was closed
+	ClosedAt time.Duration // steady clock when the run was closed
 	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot
 }
 
@@ -26,7 +26,7 @@
 // addClosedRun lists a closed run. A later run of the task on the same worker replaces an earlier
 // one, so a step lists at most one run for each task and worker.
 func (s *State) addClosedRun(step *Step, r ClosedRun) {
-	r.ClosedAt = s.retentionClock
+	r.ClosedAt = s.steadyClock
 	at, listed := slices.BinarySearchFunc(step.ClosedRuns, r, compareClosedRuns)
 	if listed {
 		step.ClosedRuns[at] = r
@@ -57,17 +57,23 @@
 	}
 }
 
-func (s *State) closedRunAge(r ClosedRun) time.Duration { return s.retentionClock - r.ClosedAt }
+func (s *State) closedRunAge(r ClosedRun) time.Duration { return s.minTimeSince(r.ClosedAt) }
+
+// minTimeSince returns the minimum time since a value of the steady clock. The clock may have
+// advanced by one step right after it had that value.
+func (s *State) minTimeSince(at time.Duration) time.Duration {
+	return max(s.steadyClock-at-AdvanceInterval, 0)
+}
 
 // ForEachClosedRun calls visit for each listed closed run of a step, by task and worker, with the
-// time since it was closed.
+// minimum time since it was closed.
 func (s *State) ForEachClosedRun(step *Step, visit func(r ClosedRun, age time.Duration)) {
 	for _, r := range step.ClosedRuns {
 		visit(r, s.closedRunAge(r))
 	}
 }
 
-// ClosedRun returns a closed run and the time since it was closed, if it is listed.
+// ClosedRun returns a closed run and the minimum time since it was closed, if it is listed.
 func (s *State) ClosedRun(id TaskID, worker WorkerID, run RunNumber) (r ClosedRun, age time.Duration, listed bool) {
 	_, step, _ := s.findTask(id)
 	if step == nil {
--- a/core/workload/closedrun_test.go
+++ b/core/workload/closedrun_test.go
@@ -10,10 +10,10 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
-// advance moves the clocks forward.
+// advance moves both clocks forward.
 func (ts *testState) advance(d time.Duration) {
 	ts.clock += d
-	ts.state.Expire(ts.clock)
+	ts.state.Expire(ts.clock, ts.state.SteadyClock()+d)
 }
 
 // runOnce opens the next run of a task on a worker with boot 1 and closes it.
@@ -55,7 +55,7 @@
 		ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
 		ts.assign(workload.StepID{Job: "j"}, workload.TaskAssignment{Worker: "w", Boot: 1})
 		ts.apply(c.command)
-		ts.advance(5 * time.Second)
+		ts.advance(6 * time.Second)
 		got, age, listed := ts.state.ClosedRun(workload.TaskID{Job: "j"}, "w", 1)
 		if listed != (c.want != "") || got.How != c.want || listed && age != 5*time.Second {
 			t.Errorf("%s: listed %v as %+v, %v old, want %q and 5s", name, listed, got, age, c.want)
@@ -119,7 +119,7 @@
 	ts.advance(time.Second)
 	ts.runOnce("w1", task, workload.EndNeverStarted)
 	ts.runOnce("w2", task, workload.EndFailed)
-	ts.advance(5 * time.Second)
+	ts.advance(6 * time.Second)
 	want := closedRuns(ts.state, "j", 0)
 	snapshot := ts.state.Snapshot()
 	ts.runOnce("w1", task, workload.EndStopped)
@@ -211,3 +211,39 @@
 		}
 	}
 }
+
+// The steady clock moves in steps. A run that was closed just before a step must not count as one
+// step old, because a new leader would then wait too short a time for its lost start.
+func TestRunClosedJustBeforeAnAdvanceHasNoAge(t *testing.T) {
+	task := workload.TaskID{Job: "j"}
+	ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+	run := ts.runOnce("w", task, workload.EndNeverStarted)
+	ts.advance(time.Second)
+	step := &ts.state.Job("j").Steps[0]
+	if _, age, _ := ts.state.ClosedRun(task, "w", run); age != 0 || ts.state.SinceLastClosed(step) != 0 {
+		t.Errorf("run is %v old, last one of its step %v, want 0", age, ts.state.SinceLastClosed(step))
+	}
+}
+
+// A snapshot of a version without the steady clock says nothing about the age of its closed runs. A
+// new leader must then count the whole wait.
+func TestRunsOfASnapshotWithoutSteadyClockHaveNoAge(t *testing.T) {
+	ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+	ts.runOnce("w", workload.TaskID{Job: "j"}, workload.EndNeverStarted)
+	ts.advance(20 * time.Second)
+	snapshot := ts.state.Snapshot()
+	snapshot.SteadyClock = 0
+	snapshot.Jobs[0].Steps[0].SteadyClosedAt, snapshot.Jobs[0].Steps[0].ClosedRuns = 0, nil
+	restored, err := workload.Restore(snapshot)
+	if err != nil {
+		t.Fatal(err)
+	}
+	step := &restored.Job("j").Steps[0]
+	if got := restored.SinceLastClosed(step); got != 0 {
+		t.Errorf("last run was closed %v ago, want 0", got)
+	}
+	restored.Expire(40*time.Second, 15*time.Second)
+	if got := restored.SinceLastClosed(step); got != 14*time.Second {
+		t.Errorf("last run was closed %v ago after 15s, want 14s", got)
+	}
+}
--- a/core/workload/doc.go
+++ b/core/workload/doc.go
@@ -13,5 +13,7 @@
 // closes the run. Only then is its capacity released and can the task be assigned again.
 //
 // The time for which ended jobs are retained is measured by the retention clock. The leader advances
-// it, and it stops while there is no leader.
+// it by its time of day, and it stops while there is no leader. The age of a closed run decides when a
+// task may start elsewhere, so it must not be overstated. It is measured by the steady clock, which
+// counts the Advance commands that follow one of the same leader.
 package workload
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -12,6 +12,8 @@
 	Jobs    []Job // oldest first
 	Workers []WorkerSnapshot
 	Clock   time.Duration `cbor:",omitempty"` // retention clock
+	// SteadyClock is the steady clock, which is zero in a snapshot of a version that had none.
+	SteadyClock time.Duration `cbor:",omitempty" json:",omitempty"`
 }
 
 // WorkerSnapshot is a worker with its open runs.
@@ -30,7 +32,7 @@
 // Snapshot copies the state. Job specifications, queues and the configuration are immutable and
 // are shared with the state.
 func (s *State) Snapshot() Snapshot {
-	out := Snapshot{Config: s.config, Clock: s.retentionClock}
+	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock}
 	for _, id := range s.jobOrder {
 		job := *s.jobs[id]
 		job.Steps = slices.Clone(job.Steps)
@@ -54,7 +56,7 @@
 // open run of a known task, or a closed run has no task.
 func Restore(snapshot Snapshot) (*State, error) {
 	s := New()
-	s.retentionClock = snapshot.Clock
+	s.retentionClock, s.steadyClock = snapshot.Clock, snapshot.SteadyClock
 	if snapshot.Config != nil {
 		s.config = snapshot.Config
 		s.indexQueues()
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// AdvanceInterval is the step of the steady clock. A leader proposes an Advance at the earliest one
+// interval after its previous one was applied.
+const AdvanceInterval = time.Second
+
 // JobRetention is how long an ended job can be queried and its id is recognised in a repeated
 // submission. Current platforms require 120 s; a delayed copy of a submission arrives within
 // seconds.
@@ -19,6 +23,7 @@
 	pendingJobs    map[string]int // number of accepted jobs that have not started, by queue
 	workers        map[WorkerID]*workerState
 	retentionClock time.Duration // retention clock of the latest command
+	steadyClock    time.Duration // lower bound of the time that has passed under leaders
 }
 
 // New returns the initial state.
@@ -230,7 +235,7 @@
 	spec := &job.Spec.Steps[id.Step]
 	w.used = w.used.Sub(spec.Size)
 	task.Open = false
-	step.ClosedAt = s.retentionClock
+	step.ClosedAt, step.SteadyClosedAt = s.retentionClock, s.steadyClock
 	if how == EndNeverStarted {
 		s.requeueIfNotStarted(job)
 	} else {
@@ -397,10 +402,11 @@
 	return job, step, &step.Tasks[id.Index]
 }
 
-// Expire removes the jobs that ended at least JobRetention ago and have no open run, and the closed
-// runs that are too old.
-func (s *State) Expire(retentionClock time.Duration) {
+// Expire advances the clocks and removes the jobs that ended at least JobRetention ago and have no
+// open run, and the closed runs that are too old.
+func (s *State) Expire(retentionClock, steadyClock time.Duration) {
 	s.retentionClock = max(s.retentionClock, retentionClock)
+	s.steadyClock = max(s.steadyClock, steadyClock)
 	kept := s.jobOrder[:0]
 	for _, id := range s.jobOrder {
 		job := s.jobs[id]
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -168,6 +168,7 @@
 	Failures       int           // failed runs of a gang
 	LastFailedRun  RunNumber     `cbor:"FailedIn" json:"FailedIn"`     // latest gang run that is counted in Failures
 	ClosedAt       time.Duration `cbor:",omitempty"`                   // retention clock when a run of the step was last closed
+	SteadyClosedAt time.Duration `cbor:",omitempty" json:",omitempty"` // steady clock at the same time
 	ClosedRuns     []ClosedRun   `cbor:",omitempty" json:",omitempty"` // sorted by task and worker; only runs of tasks that are not done
 }
 
--- a/core/workload/view.go
+++ b/core/workload/view.go
@@ -18,9 +18,15 @@
 	return task
 }
 
-// SinceLastClosed returns the minimum time since a run of the step was last closed. More time may have
-// passed, because the retention clock stops while there is no leader.
-func (s *State) SinceLastClosed(step *Step) time.Duration { return s.retentionClock - step.ClosedAt }
+// SinceLastClosed returns the minimum time since a run of the step was last closed. The retention clock
+// alone may overstate it, because it follows the time of day and moves by up to 10 s at once. More time
+// may have passed, because neither clock moves while there is no leader.
+func (s *State) SinceLastClosed(step *Step) time.Duration {
+	return min(s.retentionClock-step.ClosedAt, s.minTimeSince(step.SteadyClosedAt))
+}
+
+// SteadyClock returns the steady clock.
+func (s *State) SteadyClock() time.Duration { return s.steadyClock }
 
 // ForEachJob calls visit for each job in the state, oldest first.
 func (s *State) ForEachJob(visit func(*Job)) {
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -237,14 +237,17 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := workload.New()
 		s.Apply(time.Time{}, 0, config(1))
-		now, model := time.Duration(0), closedRunModel{}
+		now, retention, model := time.Duration(0), time.Duration(0), closedRunModel{}
 		for range rapid.IntRange(20, 200).Draw(t, "steps") {
-			if rapid.IntRange(0, 4).Draw(t, "pass time") == 0 {
-				now += time.Duration(rapid.IntRange(0, 12).Draw(t, "seconds")) * time.Second
-				s.Expire(now)
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond
+			for range rapid.SampledFrom([]int{0, 0, 0, 1, 4, 12}).Draw(t, "advances") {
+				// The retention clock may jump. The steady clock advances by at most the time that passed.
+				now += time.Duration(rapid.IntRange(1000, 1500).Draw(t, "interval")) * time.Millisecond
+				retention += time.Duration(rapid.IntRange(0, 10).Draw(t, "seconds")) * time.Second
+				s.Expire(retention, s.SteadyClock()+time.Second)
 			}
 			open, command := openRunsOf(s), randomCommand(t, s)
-			s.Apply(time.Time{}, now, command)
+			s.Apply(time.Time{}, retention, command)
 			model.update(s, open, now, command)
 			model.check(t, s, now)
 			if found := s.Audit(); len(found) > 0 {
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"errors"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 var sampleTime = time.Date(2026, 3, 1, 12, 0, 0, 123456789, time.UTC)
@@ -69,6 +71,58 @@
 	return data
 }
 
+// Guards against a snapshot or a command that a replica of an earlier version cannot read although it
+// uses nothing new. The decoder refuses unknown fields.
+func TestNewFieldsAreLeftOutWhileTheyAreEmpty(t *testing.T) {
+	encoded := mustEncode(t, snapshots, stepSnapshot(t, false))
+	encoded = append(encoded, mustEncode(t, commands, state.Command{At: sampleTime, Term: 7, Advance: &state.Advance{}})...)
+	for _, field := range []string{"ClosedRuns", "SteadyClosedAt", "SteadyClock", "AdvanceTerm", "Term"} {
+		if bytes.Contains(encoded, []byte(field)) {
+			t.Errorf("field %s is encoded", field)
+		}
+	}
+}
+
+// Guards against closed runs and clocks that are lost in an encoded snapshot.
+func TestSnapshotWithClosedRunsRoundTrip(t *testing.T) {
+	snapshot := stepSnapshot(t, true)
+	decoded, err := snapshots.decode(mustEncode(t, snapshots, snapshot))
+	if err != nil {
+		t.Fatal(err)
+	}
+	step := decoded.Workload.Jobs[0].Steps[0]
+	want := []workload.ClosedRun{{Run: 1, Worker: "w", ClosedAt: time.Second, How: workload.EndNeverStarted}}
+	if !slices.Equal(step.ClosedRuns, want) || step.SteadyClosedAt != time.Second || decoded.Workload.SteadyClock != 2*time.Second || decoded.AdvanceTerm != 7 {
+		t.Errorf("decoded step %+v, steady clock %v, term %d; want closed runs %+v at 1s, 2s, 7", step, decoded.Workload.SteadyClock, decoded.AdvanceTerm, want)
+	}
+}
+
+// stepSnapshot returns a snapshot with a job, and with a closed run of it if closed is set.
+func stepSnapshot(t *testing.T, closed bool) state.Snapshot {
+	s, index := state.New(), uint64(0)
+	apply := func(c state.Command) {
+		index++
+		c.At, c.Term = sampleTime, 7
+		if result, _ := s.Apply(index, c); result.Refusal != state.RefusalNone {
+			t.Fatalf("refused: %+v", result)
+		}
+	}
+	task := workload.TaskID{Job: "j"}
+	apply(state.Command{Workload: &workload.Command{Configure: &workload.Config{Version: 1, Queues: []workload.Queue{{Name: "q"}}}}})
+	apply(state.Command{Workload: &workload.Command{Register: &workload.Register{Worker: workload.Worker{ID: "w", Boot: 1}}}})
+	apply(state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: "j", Spec: workload.JobSpec{Queue: "q", Steps: []workload.StepSpec{{Tasks: 1}}}}}})
+	if !closed {
+		return s.Snapshot()
+	}
+	for range 2 {
+		apply(state.Command{Advance: &state.Advance{}})
+	}
+	apply(state.Command{Workload: &workload.Command{Decide: &workload.Decide{Assigns: []workload.Assign{{Step: task.StepID(), Members: []workload.TaskAssignment{{Worker: "w", Boot: 1}}}}}}})
+	apply(state.Command{Workload: &workload.Command{Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: "w", Boot: 1, Task: task, Run: 1, How: workload.EndNeverStarted}}}}})
+	apply(state.Command{Advance: &state.Advance{}})
+	return s.Snapshot()
+}
+
 // Guards against a decoder that accepts input that no encoder writes. An attacker or a damaged
 // disk could use it to make replicas differ or exhaust memory.
 func TestDecodeRefuses(t *testing.T) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -147,7 +147,7 @@
 	core := l.term.core
 	for _, applied := range update.Applied {
 		if applied.Expire {
-			core.Expire(applied.Retained)
+			core.Expire(applied.Retained, applied.Steady)
 			continue
 		}
 		core.Apply(now, applied.At, applied.Retained, applied.Command)
--- a/internal/replica/abandoned_test.go
+++ b/internal/replica/abandoned_test.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// Guards against answering a command as not carried out after its entry was replaced in this log.
-// The log of a later leader may still contain the entry.
-func TestReplacedEntryHasUnknownOutcome(t *testing.T) {
+// singleVoterLeader returns the log of a group of one replica, which has been elected.
+func singleVoterLeader(t *testing.T, now time.Time) *replog.Core {
+	t.Helper()
 	core, err := replog.New(replog.Config{
 		ID: 1, Membership: replog.Membership{Voters: []replog.ReplicaID{1}},
 		ElectionTimeoutMin: 400 * time.Millisecond, ElectionTimeoutMax: 800 * time.Millisecond,
@@ -41,7 +41,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := time.Unix(1, 0)
 	core.Tick(now)
 	for range 4 { // the vote and the entry of the election are written first
 		core.Persisted(now, core.Effects().Mark)
@@ -49,6 +48,14 @@
 	if role := core.Status().Role; role != replog.RoleLeader {
 		t.Fatalf("role %v", role)
 	}
+	return core
+}
+
+// Guards against answering a command as not carried out after its entry was replaced in this log.
+// The log of a later leader may still contain the entry.
+func TestReplacedEntryHasUnknownOutcome(t *testing.T) {
+	now := time.Unix(1, 0)
+	core := singleVoterLeader(t, now)
 	task := &task{core: core, status: core.Status()}
 	task.proposals.pending = map[uint64]pendingProposal{}
 	var former error
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -270,6 +270,7 @@
 			return merry.Wrap(ErrUnknownCommand, merry.WithCause(err), merry.AppendMessagef("entry %d", entry.Index))
 		}
 	}
+	command.Term = entry.Term
 	result, events := t.state.Apply(entry.Index, command)
 	t.opts.Metrics.Add(metricCommands, "", 1)
 	if result.Refusal != state.RefusalNone {
--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -32,6 +32,7 @@
 	nextPlanAt      time.Time
 	schedulerWakeAt time.Time // when the scheduler plans next without an event
 	nextAdvanceAt   time.Time
+	advanceInFlight bool      // an Advance is proposed and not applied
 	nextRepairAt    time.Time // zero if the cell file lists the members
 }
 
@@ -144,7 +145,7 @@
 	t.expireWorkers(now)
 	if !now.Before(t.leader.nextAdvanceAt) {
 		t.leader.nextAdvanceAt = now.Add(advanceInterval)
-		t.proposeAsLeader(now, state.Command{Advance: &state.Advance{}}, nil)
+		t.proposeAdvance(now)
 		t.removeSilentMembers(now)
 		if t.opts.AutoVoters == 0 {
 			t.followListedMembers(now)
@@ -157,6 +158,21 @@
 	t.planPlacements(now)
 }
 
+// proposeAdvance proposes an Advance unless the previous one is still being committed. The next one
+// follows advanceInterval after this one was applied: the steady clock counts that time, and whatever
+// was proposed before this one has been applied by then.
+func (t *task) proposeAdvance(now time.Time) {
+	l := t.leader
+	if l.advanceInFlight {
+		return
+	}
+	l.advanceInFlight = true
+	t.proposeAsLeader(now, state.Command{Advance: &state.Advance{}}, func(state.Result, error) {
+		l.advanceInFlight = false
+		l.nextAdvanceAt = time.Now().Add(advanceInterval)
+	})
+}
+
 // proposalsBlocked reports whether the leader's own work has to wait because the log would refuse
 // its commands.
 func (t *task) proposalsBlocked() bool {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replication"
@@ -65,7 +66,7 @@
 
 // Times of the leader.
 const (
-	advanceInterval = time.Second
+	advanceInterval = workload.AdvanceInterval
 	// minPlanInterval is the least time between two plans, so that one plan covers the events of
 	// many commands.
 	minPlanInterval = 10 * time.Millisecond
--- a/internal/replica/random_test.go
+++ b/internal/replica/random_test.go
@@ -184,6 +184,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		command.Term = entry.Term
 		current.Apply(entry.Index, command)
 	}
 	encoded, err := codec.EncodeSnapshot(current.Snapshot())
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -33,7 +33,8 @@
 // AppliedWork is a committed command with the clocks of the state after it.
 type AppliedWork struct {
 	At       time.Time
-	Retained time.Duration
+	Retained time.Duration // retention clock
+	Steady   time.Duration // steady clock
 	Command  workload.Command
 	Expire   bool   // only the clocks advanced; there is no command
 	Tag      uint64 // tag of the ProposeWork call of this process, otherwise 0
@@ -84,7 +85,7 @@
 		return
 	}
 	now, retained := t.state.Clocks()
-	applied := AppliedWork{At: now, Retained: retained, Expire: command.Advance != nil, Tag: tag}
+	applied := AppliedWork{At: now, Retained: retained, Steady: t.state.Workload().SteadyClock(), Expire: command.Advance != nil, Tag: tag}
 	if command.Workload != nil {
 		applied.Command = *command.Workload
 	}
