core/dispatch: wait for lost starts of earlier runs after a change of leader

A start without an answer may be carried out 12 s after it was sent, also by a later boot of the worker, which knows nothing of what was closed. A new leader knew of the worker of the last run of a task only. Where the task had been moved twice, a lost start of the first run was forgotten, and the task ran a third time beside it (platform rule TWICE).

recoverInDoubtStarts now takes all closed runs that the state lists, each with its own age. The worker of the last run still counts as before, so no wait is shorter. The state keeps closed runs for longer than a new leader waits; a constant expression fails to compile otherwise.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -75,6 +75,9 @@
 	inDoubtExpiryInterval = time.Second
 )
 
+// The state must list closed runs for at least as long as a new leader waits for their starts.
+const _ = uint64(workload.ClosedRunRetention - maxCallDelay)
+
 // New returns the dispatcher of a new leader. It takes ownership of state, which must contain all
 // commands committed by earlier leaders.
 func New(opts Options, state *workload.State, now time.Time) *Core {
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -146,19 +146,27 @@
 }
 
 // recoverInDoubtStarts records the starts that earlier leaders may have sent: those of open runs at
-// any time before this term, those of closed runs before the runs were closed.
+// any time before this term, those of closed runs before the runs were closed. The latest run of a
+// task comes last, because it replaces an earlier one on the same worker.
 func (c *Core) recoverInDoubtStarts() {
 	for _, j := range c.liveJobs {
 		for i := range j.Steps {
-			closedAt := c.startedAt.Add(-c.state.SinceLastClosed(&j.Steps[i]))
-			for k, task := range j.Steps[i].Tasks {
-				w, at := c.workers[task.Worker], closedAt
-				if task.Open {
-					at = c.startedAt
+			step := &j.Steps[i]
+			addStart := func(index int, worker workload.WorkerID, run workload.RunNumber, latestSend time.Time) {
+				if w := c.workers[worker]; w != nil && c.now.Sub(latestSend) < maxCallDelay {
+					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: index}, inDoubtStart{worker: w, run: run, latestSend: latestSend})
 				}
-				if w != nil && c.now.Sub(at) < maxCallDelay {
-					c.addInDoubtStart(workload.TaskID{Job: j.ID, Step: i, Index: k}, inDoubtStart{worker: w, run: task.Run, latestSend: at})
+			}
+			c.state.ForEachClosedRun(step, func(r workload.ClosedRun, age time.Duration) {
+				addStart(r.Index, r.Worker, r.Run, c.startedAt.Add(-age))
+			})
+			lastClosedAt := c.startedAt.Add(-c.state.SinceLastClosed(step))
+			for k, task := range step.Tasks {
+				latestSend := lastClosedAt
+				if task.Open {
+					latestSend = c.startedAt
 				}
+				addStart(k, task.Worker, task.Run, latestSend)
 			}
 		}
 	}
