--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -76,6 +76,9 @@
 	inDoubtExpiryInterval = time.Second
 )
 
+// The state must list closed runs for at least as long as a new leader waits for their starts.
+const _ = uint64(workload.ClosedRunRetention - maxCallDelay)
+
 // New returns the dispatcher of a new leader. It takes ownership of state, which must contain all
 // commands committed by earlier leaders.
 func New(opts Options, state *workload.State, now time.Time) *Core {
@@ -145,8 +148,10 @@
 	return nil
 }
 
-// Expire removes old jobs from the state. The replicas do the same.
-func (c *Core) Expire(retentionClock time.Duration) { c.state.Expire(retentionClock) }
+// Expire advances the clocks of the state and removes what is too old. The replicas do the same.
+func (c *Core) Expire(retentionClock, steadyClock time.Duration) {
+	c.state.Expire(retentionClock, steadyClock)
+}
 
 // Tick advances the time and processes everything that is due.
 func (c *Core) Tick(now time.Time) {
