core/dispatch: count the lease of a new boot by the longest that it accepts

Callers see two runs of one task at once (TWICE): a worker starts again under its ID and registers. A late hold or start for the former boot reaches the later one before the first call with the higher token. Its lease end is on the clock of the former boot, far ahead, and the later boot shortens it to 6 s, while the leader believes in the 4.5 s that it has granted. A run that starts in these moments on a worker that is then cut off goes on for up to 1.5 s after the leader has given it up. No start needs to be late, so the ticket of a queue with advice does not prevent it.

With the first answer to the present token the leader now takes the longest lease that the worker accepts; from then on the worker rejects earlier calls. A boot that has not answered the present leader is given up by the same time, which is 1.5 s later than before; one that has answered for longer than 1.5 s is given up as before.

TestLeaseExtendedByALateCallToTheFormerBootIsWaitedFor failed before: "boot that has answered once is given up after 4.62s, its lease may last 6s". The confirmed start of an ended boot counts from its answer, not from the end of the boot. The set-up of two tests gives up the boot within 7 s instead of 6 s.

--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -484,7 +484,7 @@
 	b, starts := startTasks(t, step)
 	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeNoAnswer, 0)
 	ended := false
-	b.runFor(6*time.Second, workerStub{
+	b.runFor(maxWorkerLease+time.Second, workerStub{
 		hold:  unreachableHold,
 		start: func(dispatch.Start) dispatch.Outcome { return dispatch.OutcomeNotSent },
 		stop:  func(dispatch.Stop) dispatch.Outcome { return dispatch.OutcomeNotSent },
@@ -709,3 +709,30 @@
 		},
 	})
 }
+
+// A boot must not be given up by a lease of 4.5 s if a late call to the former boot may have extended
+// it to 6 s: the end by the former clock is far in the future for the later one (platform rule TWICE).
+func TestLeaseExtendedByALateCallToTheFormerBootIsWaitedFor(t *testing.T) {
+	giveUp := func(b *testbed) time.Duration {
+		from := b.now
+		for b.now.Before(from.Add(2 * maxWorkerLease)) {
+			e := b.tick(10 * time.Millisecond)
+			b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent})
+			for _, p := range e.Proposals {
+				if p.Command.EndBoot != nil {
+					return b.now.Sub(from)
+				}
+			}
+		}
+		return 2 * maxWorkerLease
+	}
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	if after := giveUp(b); after < maxWorkerLease-100*time.Millisecond {
+		t.Errorf("boot that has answered once is given up after %v, its lease may last %v", after, maxWorkerLease)
+	}
+	b = newTestbed(t, openedRun()...)
+	if after := giveUp(b); after < maxWorkerLease {
+		t.Errorf("boot that has not answered the new leader is given up after %v, its lease may last %v", after, maxWorkerLease)
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -42,6 +42,9 @@
 	if call.Token == c.token(w) && !w.tokenAccepted {
 		w.tokenAccepted = true
 		c.planNeeded = true
+		// Until now the worker accepted calls of earlier leaders and calls to its earlier boots. A
+		// lease end by the clock of an earlier boot is shortened to the longest lease.
+		w.leaseUntil = max(w.leaseUntil, report.Clock+c.opts.MaxLease.Milliseconds())
 	}
 	firstAnswer := !w.answeredThisTerm
 	w.answeredThisTerm = true
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -115,7 +115,7 @@
 		case r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.confirmedAt.Before(w.answeredHoldSentAt):
 			// The start was answered after the last hold that this boot has answered was sent, so a
 			// later boot may have carried it out, whether or not that boot was noticed since.
-			c.recordInDoubtStart(w, id, r.number)
+			c.addInDoubtStart(id, inDoubtStart{worker: w, run: r.number, latestSend: r.confirmedAt, runsUntil: r.confirmedAt.Add(c.inDoubtSpan(id.Job))})
 		}
 	}
 	for id := range w.inDoubtTasks {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -187,9 +187,9 @@
 	if w.answeredThisTerm {
 		return c.minWorkerClock(w) > w.leaseUntil+leaseMargin.Milliseconds()
 	}
-	// The previous leader extended leases by at most Lease, and its own lease ended before this
-	// term began.
-	return c.now.After(c.startedAt.Add(c.slowClockDuration(c.opts.Lease) + leaseMargin))
+	// The lease of the previous leader ended before this term began. A call to an earlier boot may
+	// have extended the worker's lease by more than Lease.
+	return c.now.After(c.startedAt.Add(c.slowClockDuration(max(c.opts.Lease, c.opts.MaxLease)) + leaseMargin))
 }
 
 // slowClockDuration returns how long a slow worker clock may take to advance by d.
