core/dispatch: end no boot for a rejection at its old address

Cause: status 421 to a call ended the boot that the call was for, as replaced and for good, and its runs with it. A boot that has reported another address since the call left is alive there, so its tasks were placed again while they ran.

Change: the answer counts only if the boot still has the address that the call went to.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -86,7 +86,7 @@
 		w.laterBootSeen = true
 		c.proposeBootEnd(w, bootEndLaterBoot, true)
 	case OutcomeOtherWorker:
-		c.proposeBootEnd(w, bootEndOtherWorker, true)
+		c.otherWorkerAnswered(w, call)
 	}
 	if !w.unresponsive {
 		w.unresponsive = true
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -81,7 +81,7 @@
 	case OutcomeFenced:
 		c.handleFenced(w, start.Call)
 	case OutcomeOtherWorker:
-		c.proposeBootEnd(w, bootEndOtherWorker, true)
+		c.otherWorkerAnswered(w, start.Call)
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLeaseExpired:
 		r.nextCallAt = c.now.Add(callRetryDelay)
 		if r.startAttempts >= maxStartAttempts {
@@ -143,7 +143,7 @@
 	case OutcomeFenced:
 		c.handleFenced(w, stop.Call)
 	case OutcomeOtherWorker:
-		c.proposeBootEnd(w, bootEndOtherWorker, true)
+		c.otherWorkerAnswered(w, stop.Call)
 	default:
 		r.stopBackoff = min(max(2*r.stopBackoff, callRetryDelay), maxStopRetryDelay)
 		r.nextCallAt = c.now.Add(r.stopBackoff)
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -316,6 +316,14 @@
 	c.propose(&proposal{command: workload.Command{EndBoot: &command}})
 }
 
+// otherWorkerAnswered ends a boot after another worker has answered at its address. It does nothing if
+// the boot reports another address by now.
+func (c *Core) otherWorkerAnswered(w *worker, call Call) {
+	if call.Address == w.Address {
+		c.proposeBootEnd(w, bootEndOtherWorker, true)
+	}
+}
+
 // timeSinceAnswer returns the time since the worker's last answer.
 func (c *Core) timeSinceAnswer(w *worker) time.Duration {
 	if w.clockReadAt.IsZero() {
