core/dispatch: acknowledge ends only until a hold is answered

Cause: every hold carried the last lastSeen of its boot. A hold that gets no answer can be carried out seconds later, by a later boot under the same id before its first call, because a call names its worker by the id only. The later boot numbers its ends anew and forgot those up to the former boot's number.

Change: lastSeen is sent until a hold with it was answered, and 0 after that. Holds to a worker that did not answer the last hold carry 0 too, and lastSeen follows once it has answered. Neither costs a call while answers arrive; after a lost one the ends are listed once more.

What remains: the first hold with a new lastSeen can itself be the late one. To exclude that, the leader would have to send no start while such a hold is unanswered and no lastSeen while a start to the worker is unanswered or in doubt (13 s).

Tests: TestAcknowledgementIsSentUntilItIsAnswered failed before with "after a hold without an answer: holds [... AckedEnd:5 ...], want one that acknowledges up to end 0".

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -39,6 +39,7 @@
 	}
 	c.updateClock(w, report.Clock)
 	w.answeredHoldSentAt = w.holdSentAt
+	w.ackAnswered = max(w.ackAnswered, w.ackSent)
 	if call.Token == c.token(w) && !w.tokenAccepted {
 		w.tokenAccepted = true
 		c.planNeeded = true
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -78,6 +78,8 @@
 	leaseUntil  int64 // latest lease end that was sent, by the worker's clock, in ms
 
 	ackedEnd       uint64 // ends up to this number are committed, so the worker may forget them
+	ackSent        uint64 // acknowledgement in the hold in flight
+	ackAnswered    uint64 // highest acknowledgement in a hold that was answered
 	lastHandledEnd uint64 // ends up to this number have been processed
 	runs           map[workload.TaskID]*run
 	// inDoubtTasks are the tasks with a start that this boot, or a later one, may still carry out.
@@ -284,7 +286,18 @@
 	}
 	w.holdInFlight = true
 	w.holdSentAt = c.now
-	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.extendLease(w), AckedEnd: w.ackedEnd, Wait: wait})
+	w.ackSent = w.ackToSend()
+	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.extendLease(w), AckedEnd: w.ackSent, Wait: wait})
+}
+
+// ackToSend returns the number up to which a hold lets the worker forget its ends. A hold without an
+// answer may reach a later boot, which numbers its ends anew. Therefore an acknowledgement is sent
+// until it is answered, and only to a worker that has answered the last hold.
+func (w *worker) ackToSend() uint64 {
+	if w.unresponsive || w.ackedEnd == w.ackAnswered {
+		return 0
+	}
+	return w.ackedEnd
 }
 
 // Reasons for which a boot is ended.
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -324,3 +324,29 @@
 	}
 	t.Error("the end is never acknowledged")
 }
+
+// Guards against an acknowledgement in every hold. A hold for a former boot that is carried out late
+// makes a later boot forget ends that were never reported (TestSoak, seed 73123).
+func TestAcknowledgementIsSentUntilItIsAnswered(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	done := dispatch.ListedEnd{Number: 5, Task: starts[0].Task, Run: 1, Result: workload.EndDone}
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
+	e := b.commit(b.tick(time.Millisecond))
+	expect := func(when string, acked uint64) {
+		t.Helper()
+		if len(e.Holds) != 1 || e.Holds[0].AckedEnd != acked {
+			t.Fatalf("%s: holds %+v, want one that acknowledges up to end %d", when, e.Holds, acked)
+		}
+	}
+	expect("after the commit", 5)
+	b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
+	e = b.tick(time.Millisecond)
+	expect("after a hold without an answer", 0)
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
+	e = b.tick(time.Millisecond)
+	expect("after an answer", 5)
+	b.answerHolds(dispatch.HoldReport{})
+	e = b.tick(time.Millisecond)
+	expect("after the acknowledgement was answered", 0)
+}
