core/workload, core/dispatch: count a failed end of a closed run once

A failed end of a run that had been closed was acknowledged but never counted, so its task could start after maxAttempts failed runs (rule BUDGET).

Change: the list of closed runs of a step says how each was closed. A run that was closed by its failed end is listed so from the beginning. A gang counts a run once for all its members, and none below the latest run that failed. The dispatcher proposes such an end before it acknowledges it. No stored field, message or command changes.

Not counted: an end that is reported over 30 s after its run was closed, an end of a run that a later one of its task on the same worker has replaced in the list, an end that another boot of the worker reports while its own is registered, and a late failed end of a gang run below the latest one that failed.

TestRunThatFailedBeforeItsBootWasGivenUp failed with "failed end proposed 0 times, acknowledged false".

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -221,9 +221,8 @@
 	if r != nil && (r.number != end.Run || r.endProposed) {
 		return
 	}
-	task := c.state.Task(end.Task)
 	switch {
-	case task != nil && task.AcceptsLateEnd(end.Run, end.Result):
+	case c.state.AcceptsLateEnd(end.Task, w.ID, end.Run, end.Result):
 		if r == nil {
 			r = &run{number: end.Run, closedInState: true}
 			w.runs[end.Task] = r
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -352,3 +352,33 @@
 	e = b.tick(time.Millisecond)
 	expect("after the acknowledgement was answered", 0)
 }
+
+// Guards against a start after the last attempt: a run that failed was given up with its boot before its
+// end was reported (platform rule BUDGET). The end is proposed once and then acknowledged.
+func TestRunThatFailedBeforeItsBootWasGivenUp(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	for closed := false; !closed; {
+		e := b.tick(50 * time.Millisecond)
+		b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent})
+		closed = len(e.Proposals) > 0
+		b.commit(e)
+	}
+	failedReport := dispatch.HoldReport{Ends: []dispatch.ListedEnd{{Number: 1, Task: starts[0].Task, Run: 1, Result: workload.EndFailed}}}
+	proposed, acked := 0, false
+	for range 50 {
+		b.answerHolds(failedReport)
+		e := b.tick(replanDelay)
+		for _, p := range e.Proposals {
+			if p.Command.Decide != nil {
+				proposed += len(p.Command.Decide.Ends)
+			}
+		}
+		for _, hold := range b.commit(e).Holds {
+			acked = acked || hold.AckedEnd == 1
+		}
+	}
+	if proposed != 1 || !acked {
+		t.Errorf("failed end proposed %d times, acknowledged %v, want once and acknowledged", proposed, acked)
+	}
+}
--- a/core/workload/closedrun.go
+++ b/core/workload/closedrun.go
@@ -16,7 +16,7 @@
 	Run      RunNumber
 	Worker   WorkerID
 	ClosedAt time.Duration // retention clock when the run was closed
-	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot
+	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot; EndFailed once its failure is counted
 }
 
 func compareClosedRuns(a, b ClosedRun) int {
@@ -73,9 +73,18 @@
 	if step == nil {
 		return ClosedRun{}, 0, false
 	}
-	at, found := slices.BinarySearchFunc(step.ClosedRuns, ClosedRun{Index: id.Index, Worker: worker}, compareClosedRuns)
-	if !found || step.ClosedRuns[at].Run != run {
+	closed := step.closedRun(id.Index, worker, run)
+	if closed == nil {
 		return ClosedRun{}, 0, false
 	}
-	return step.ClosedRuns[at], s.closedRunAge(step.ClosedRuns[at]), true
+	return *closed, s.closedRunAge(*closed), true
+}
+
+// closedRun returns a closed run, or nil if it is not listed.
+func (step *Step) closedRun(index int, worker WorkerID, run RunNumber) *ClosedRun {
+	at, found := slices.BinarySearchFunc(step.ClosedRuns, ClosedRun{Index: index, Worker: worker}, compareClosedRuns)
+	if !found || step.ClosedRuns[at].Run != run {
+		return nil
+	}
+	return &step.ClosedRuns[at]
 }
--- a/core/workload/lateend_test.go
+++ b/core/workload/lateend_test.go
@@ -25,3 +25,54 @@
 		t.Errorf("job is %s after two failed runs of two, want failed", got)
 	}
 }
+
+// Guards against counting a gang run once for each member whose failed end is reported late, and against
+// counting it again after a later gang run has failed.
+func TestFailedEndsOfAClosedGangRunCountOnce(t *testing.T) {
+	gang := tasks(2, 1)
+	gang.Gang = true
+	ts := newTestState(t, register("w", 1, 10), submit("g", gang))
+	members := []workload.TaskAssignment{{Index: 0, Worker: "w", Boot: 1}, {Index: 1, Worker: "w", Boot: 1}}
+	ts.assign(workload.StepID{Job: "g"}, members...)
+	ts.apply(workload.Command{EndBoot: &workload.EndBoot{Worker: "w", Boot: 1}})
+	for index := range members {
+		ts.end("w", workload.TaskID{Job: "g", Index: index}, 1, workload.EndFailed)
+	}
+	if step := ts.state.Job("g").Steps[0]; step.Failures != 1 || ts.jobState("g") != "running" {
+		t.Errorf("%d failures, job %s, want 1 and running", step.Failures, ts.jobState("g"))
+	}
+}
+
+// Guards against counting a failure that was counted before a snapshot, or that was counted when its run
+// was closed.
+func TestFailedEndIsNotCountedAgainAfterARestore(t *testing.T) {
+	task, member := workload.TaskID{Job: "j"}, workload.TaskAssignment{Worker: "w", Boot: 1}
+	for name, closed := range map[string]workload.Command{
+		"closed with its boot": {EndBoot: &workload.EndBoot{Worker: "w", Boot: 1}},
+		"closed as failed":     {Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: "w", Boot: 1, Task: task, Run: 1, How: workload.EndFailed}}}},
+	} {
+		ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+		ts.assign(task.StepID(), member)
+		ts.apply(closed)
+		before := ts.state.Snapshot()
+		ts.end("w", task, 1, workload.EndFailed)
+		restored, err := workload.Restore(ts.state.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ts.state = restored
+		ts.end("w", task, 1, workload.EndFailed)
+		if got := ts.state.Task(task).Failures; got != 1 {
+			t.Errorf("%s: %d failures, want 1", name, got)
+		}
+		earlier, err := workload.Restore(before)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ts.state = earlier
+		ts.end("w", task, 1, workload.EndFailed)
+		if got := ts.state.Task(task).Failures; got != 1 {
+			t.Errorf("%s: %d failures from the earlier snapshot, want 1", name, got)
+		}
+	}
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -201,23 +201,39 @@
 	s.listClosedRun(w, e.Task, e.How)
 }
 
-// acceptLateEnd records the outcome of a run that is closed already. It counts only if the run was done,
-// was the latest run of its task, and the task is pending.
+// acceptLateEnd records the outcome of a run that is closed already, if it still counts.
 func (s *State) acceptLateEnd(retentionClock time.Duration, e EndedRun) {
-	job, step, task := s.findTask(e.Task)
-	if task == nil || !task.AcceptsLateEnd(e.Run, e.How) {
+	if !s.AcceptsLateEnd(e.Task, e.Worker, e.Run, e.How) {
 		return
 	}
+	job, step, task := s.findTask(e.Task)
+	spec := &job.Spec.Steps[e.Task.Step]
 	job.HasExecuted = true
 	s.markStarted(job)
-	s.completeTask(job, step, &job.Spec.Steps[e.Task.Step], task, retentionClock)
+	if e.How == EndDone {
+		s.completeTask(job, step, spec, task, retentionClock)
+		return
+	}
+	step.closedRun(e.Task.Index, e.Worker, e.Run).How = EndFailed
+	s.countFailure(job, step, spec, task, e.Run, retentionClock)
 }
 
-// AcceptsLateEnd reports whether the outcome of a closed run of the task counts. A failure does not: it
-// may have been counted when the run was closed, because a worker repeats its report until the leader
-// acknowledges it, and repeats it to the next leader.
-func (t *Task) AcceptsLateEnd(run RunNumber, how RunEnd) bool {
-	return how == EndDone && t.State == TaskPending && t.Run == run
+// AcceptsLateEnd reports whether the outcome of a closed run counts. That a run was done counts if it was
+// the latest run of its task and the task is pending. A failure counts once, although a worker repeats
+// its report to the next leader, while the closed run is listed with another end.
+func (s *State) AcceptsLateEnd(id TaskID, worker WorkerID, run RunNumber, how RunEnd) bool {
+	_, step, task := s.findTask(id)
+	if task == nil {
+		return false
+	}
+	switch how {
+	case EndDone:
+		return task.State == TaskPending && task.Run == run
+	case EndFailed:
+		closed := step.closedRun(id.Index, worker, run)
+		return closed != nil && closed.How != EndFailed
+	}
+	return false
 }
 
 // closeRun releases the capacity of a run and updates the state of its task.
@@ -311,7 +327,7 @@
 func (s *State) countFailure(job *Job, step *Step, spec *StepSpec, task *Task, run RunNumber, retentionClock time.Duration) {
 	failures := 0
 	if spec.Gang {
-		if step.LastFailedRun != run {
+		if run > step.LastFailedRun {
 			step.LastFailedRun = run
 			step.Failures++
 		}
