core/dispatch: acknowledge ends that do not count

Cause: ends were acknowledged only after a commit of an end of their worker. An end of a run that was closed before and does not count needs no commit, so it stayed listed until another run on the worker ended. A hold answers at once while ends are listed, so the next hold was sent a second later, and that other end was noticed up to a second late.

Change: ends are acknowledged after each answer as well, unless one of them is proposed and not committed.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -63,6 +63,8 @@
 	}
 	w.holdBackoff = 0
 	c.reconcileRuns(w, report)
+	// Ends that do not count need no commit.
+	c.acknowledgeEnds(w)
 	w.nextHoldAt = c.now
 	if w.lastHandledEnd > w.ackedEnd {
 		// The next hold acknowledges the ends. It is sent as soon as they are committed.
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -382,3 +382,19 @@
 		t.Errorf("failed end proposed %d times, acknowledged %v, want once and acknowledged", proposed, acked)
 	}
 }
+
+// Guards against an end that does not count and is never acknowledged. The worker lists it in each answer,
+// and the next end there is noticed up to a second late.
+func TestEndThatDoesNotCountIsAcknowledged(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	earlier := starts[0].Task.StepID().Task(1)
+	b.answerHolds(dispatch.HoldReport{
+		Active: []dispatch.ActiveRun{{Task: starts[0].Task, Run: 1}},
+		Ends:   []dispatch.ListedEnd{{Number: 3, Task: earlier, Run: 7, Result: workload.EndStopped}},
+	})
+	e := b.tick(time.Millisecond)
+	if len(e.Holds) != 1 || e.Holds[0].AckedEnd != 3 {
+		t.Errorf("holds %+v, want one that acknowledges end 3", e.Holds)
+	}
+}
