--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -39,6 +39,7 @@
 	}
 	c.updateClock(w, report.Clock)
 	w.answeredHoldSentAt = w.holdSentAt
+	w.ackAnswered = max(w.ackAnswered, w.ackSent)
 	if call.Token == c.token(w) && !w.tokenAccepted {
 		w.tokenAccepted = true
 		c.planNeeded = true
@@ -65,6 +66,8 @@
 	}
 	w.holdBackoff = 0
 	c.reconcileRuns(w, report)
+	// Ends that do not count need no commit.
+	c.acknowledgeEnds(w)
 	w.nextHoldAt = c.now
 	if w.lastHandledEnd > w.ackedEnd {
 		// The next hold acknowledges the ends. It is sent as soon as they are committed.
@@ -88,7 +91,7 @@
 	case OutcomeLaterBoot:
 		c.proposeBootEnd(w, bootEndLaterBoot, true)
 	case OutcomeOtherWorker:
-		c.proposeBootEnd(w, bootEndOtherWorker, true)
+		c.otherWorkerAnswered(w, call)
 	}
 	if !w.unresponsive {
 		w.unresponsive = true
@@ -223,9 +226,8 @@
 	if r != nil && (r.number != end.Run || r.endProposed) {
 		return
 	}
-	task := c.state.Task(end.Task)
 	switch {
-	case task != nil && task.AcceptsLateEnd(end.Run, end.Result):
+	case c.state.AcceptsLateEnd(end.Task, w.ID, end.Run, end.Result):
 		if r == nil {
 			r = &run{number: end.Run, closedInState: true}
 			w.runs[end.Task] = r
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -326,3 +326,75 @@
 	}
 	t.Error("the end is never acknowledged")
 }
+
+// Guards against an acknowledgement in every hold. A hold for a former boot that is carried out late
+// makes a later boot forget ends that were never reported (TestSoak, seed 73123).
+func TestAcknowledgementIsSentUntilItIsAnswered(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	done := dispatch.ListedEnd{Number: 5, Task: starts[0].Task, Run: 1, Result: workload.EndDone}
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
+	e := b.commit(b.tick(time.Millisecond))
+	expect := func(when string, acked uint64) {
+		t.Helper()
+		if len(e.Holds) != 1 || e.Holds[0].AckedEnd != acked {
+			t.Fatalf("%s: holds %+v, want one that acknowledges up to end %d", when, e.Holds, acked)
+		}
+	}
+	expect("after the commit", 5)
+	b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
+	e = b.tick(time.Millisecond)
+	expect("after a hold without an answer", 0)
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
+	e = b.tick(time.Millisecond)
+	expect("after an answer", 5)
+	b.answerHolds(dispatch.HoldReport{})
+	e = b.tick(time.Millisecond)
+	expect("after the acknowledgement was answered", 0)
+}
+
+// Guards against a start after the last attempt: a run that failed was given up with its boot before its
+// end was reported (platform rule BUDGET). The end is proposed once and then acknowledged.
+func TestRunThatFailedBeforeItsBootWasGivenUp(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	for closed := false; !closed; {
+		e := b.tick(50 * time.Millisecond)
+		b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent})
+		closed = len(e.Proposals) > 0
+		b.commit(e)
+	}
+	failedReport := dispatch.HoldReport{Ends: []dispatch.ListedEnd{{Number: 1, Task: starts[0].Task, Run: 1, Result: workload.EndFailed}}}
+	proposed, acked := 0, false
+	for range 50 {
+		b.answerHolds(failedReport)
+		e := b.tick(replanDelay)
+		for _, p := range e.Proposals {
+			if p.Command.Decide != nil {
+				proposed += len(p.Command.Decide.Ends)
+			}
+		}
+		for _, hold := range b.commit(e).Holds {
+			acked = acked || hold.AckedEnd == 1
+		}
+	}
+	if proposed != 1 || !acked {
+		t.Errorf("failed end proposed %d times, acknowledged %v, want once and acknowledged", proposed, acked)
+	}
+}
+
+// Guards against an end that does not count and is never acknowledged. The worker lists it in each answer,
+// and the next end there is noticed up to a second late.
+func TestEndThatDoesNotCountIsAcknowledged(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	earlier := starts[0].Task.StepID().Task(1)
+	b.answerHolds(dispatch.HoldReport{
+		Active: []dispatch.ActiveRun{{Task: starts[0].Task, Run: 1}},
+		Ends:   []dispatch.ListedEnd{{Number: 3, Task: earlier, Run: 7, Result: workload.EndStopped}},
+	})
+	e := b.tick(time.Millisecond)
+	if len(e.Holds) != 1 || e.Holds[0].AckedEnd != 3 {
+		t.Errorf("holds %+v, want one that acknowledges end 3", e.Holds)
+	}
+}
