core/workload: count a done end of an earlier run of a pending task

Callers see a task start again after it was done (TWICE). A lost start of run 1 is carried out late, by a later boot, after run 2 was placed elsewhere and has failed. The end of run 1 was acknowledged without being counted, because only the latest run of a task counted.

A done end now counts for each run that the step lists as closed and that has not failed, while no other run of the task is open. An end that comes while another run is open still changes nothing (TestEndOfAnotherRunChangesNothing).

TestDoneEndOfAnEarlierRunCounts failed before: "job is running after its task was done, want completed".

--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -223,20 +223,22 @@
 	s.countFailure(job, step, spec, task, e.Run, retentionClock)
 }
 
-// AcceptsLateEnd reports whether the outcome of a closed run counts. That a run was done counts if it was
-// the latest run of its task and the task is pending. A failure counts once, although a worker repeats
-// its report to the next leader, while the closed run is listed with another end.
+// AcceptsLateEnd reports whether the outcome of a closed run counts. That a run was done counts if the
+// task is pending and the run is its latest one, or is listed and has not failed: a late start of an
+// earlier run may have been carried out. A failure counts once, although a worker repeats its report to
+// the next leader, while the closed run is listed with another end.
 func (s *State) AcceptsLateEnd(id TaskID, worker WorkerID, run RunNumber, how RunEnd) bool {
 	_, step, task := s.findTask(id)
 	if task == nil {
 		return false
 	}
+	closed := step.closedRun(id.Index, worker, run)
+	listed := closed != nil && closed.How != EndFailed
 	switch how {
 	case EndDone:
-		return task.State == TaskPending && task.Run == run
+		return task.State == TaskPending && (task.Run == run || listed)
 	case EndFailed:
-		closed := step.closedRun(id.Index, worker, run)
-		return closed != nil && closed.How != EndFailed
+		return listed
 	}
 	return false
 }
