replica: transfer leadership after the dispatching task knows it

Cause: a leader whose disk is slow or full, or that is stopped, sends TimeoutNow to a follower, which the others elect at once although they have just heard from the leader. The log ends the leader lease with that message, but the dispatching task learned of it from an update that was published after the message had been sent and that waited in a queue of four.

Change: the replica task sends TimeoutNow after the dispatching task has received the end of the lease. The channel between them has no buffer any more, so that what was received is handled before the next call is sent. If the dispatching task is busy for as long as a transfer may take, the leader steps down as after any failed transfer, after its lease.

Run: go test -race ./internal/replica ./internal/platformproc, go test ./test/platformsoak.

--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -35,8 +35,6 @@
 	leasePercent = 75
 	// holdWait is the maximum time that a worker may wait for a run to end before it answers a hold.
 	holdWait = time.Second
-	// workUpdateQueueSize is the number of updates that may be waiting for the dispatcher.
-	workUpdateQueueSize = 4
 	// transferTimeout limits the wait for another replica to become leader at a planned stop.
 	transferTimeout = 3 * time.Second
 )
@@ -55,7 +53,7 @@
 		return err
 	}
 	client := newHTTPClient()
-	updates := make(chan replica.WorkUpdate, workUpdateQueueSize)
+	updates := make(chan replica.WorkUpdate)
 	r, self, err := openReplica(b, dir, self, client, updates)
 	if err != nil {
 		return err
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -49,7 +49,7 @@
 }
 
 func (t *task) applyEffects(now time.Time, e replog.Effects) error {
-	t.sender.Send(e.Messages)
+	t.sender.Send(t.withholdTimeoutNow(e.Messages))
 	t.persist(now, e)
 	if e.Snapshot != nil {
 		if err := t.installSnapshot(*e.Snapshot, now); err != nil {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -37,7 +37,8 @@
 	// replicas that announce themselves join it. With 0 the group follows the list in the cell
 	// file.
 	AutoVoters int
-	// WorkUpdates receives the updates for the task that dispatches jobs of steps. It may be nil.
+	// WorkUpdates receives the updates for the task that dispatches jobs of steps. It may be nil. It
+	// has no buffer, so that the task has received what was sent before leadership is transferred.
 	WorkUpdates chan<- WorkUpdate
 
 	// DisableBatching makes the replica propose a command only after the one before it is
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -202,6 +202,7 @@
 
 // runIteration handles the collected messages and the work that is due.
 func (t *task) runIteration(now time.Time) error {
+	t.sendTimeoutNow()
 	t.handleCompletions(now)
 	messages := t.inbox.logMessages
 	t.inbox.logMessages = nil
@@ -226,6 +227,7 @@
 		}
 	}
 	t.publishLeaseEnd(now)
+	t.sendTimeoutNow()
 	t.answerFeeds(now)
 	t.takeSnapshot()
 	return nil
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/lease"
@@ -46,6 +47,8 @@
 	updates  chan<- WorkUpdate
 	pending  []WorkUpdate
 	leaseEnd time.Time
+	// timeoutNow holds messages that wait until the dispatching task has received all updates.
+	timeoutNow []replog.Message
 }
 
 // next returns the channel and the next update, or nil if there is none.
@@ -112,6 +115,30 @@
 	t.workFeed.lastPending().LeaseEnd = &until
 }
 
+// withholdTimeoutNow removes the messages of a leadership transfer. Their receiver may become leader at
+// once, so the dispatching task must have received the end of the leader lease before.
+func (t *task) withholdTimeoutNow(messages []replog.Message) []replog.Message {
+	if t.workFeed.updates == nil {
+		return messages
+	}
+	return slices.DeleteFunc(messages, func(m replog.Message) bool {
+		if m.Type != replog.MessageTimeoutNow {
+			return false
+		}
+		t.workFeed.timeoutNow = append(t.workFeed.timeoutNow, m)
+		return true
+	})
+}
+
+// sendTimeoutNow sends the withheld messages once the dispatching task has received all updates.
+func (t *task) sendTimeoutNow() {
+	if len(t.workFeed.timeoutNow) == 0 || len(t.workFeed.pending) > 0 {
+		return
+	}
+	t.sender.Send(t.workFeed.timeoutNow)
+	t.workFeed.timeoutNow = nil
+}
+
 func (t *task) publishAdviceRequester(address string) {
 	if t.workFeed.updates == nil || t.leader == nil || address == "" {
 		return
