test/platformsoak: compare all runs of a task, and let workers leave

TWICE was compared through one owner for each task. After an overlap, or when a run replaced another one of the same task on its worker, the earlier run was lost from sight. A start between the end of a run and the acknowledgement of that end was not checked at all. Workers never drained.

All runs that are up on all workers are compared at each start and each tick, and a later run no longer replaces an earlier one. A start after an end as done is a violation once the end is acknowledged, before or after the start; an end that was listed when the lease expired still does not count. A violation names the runs, boots, leases and times.

Workers leave: they report draining with drainRemainingMs, go on for 2.5 s and up to 2 s more after the acknowledgement, deregister, end and boot again under their ID; without an acknowledgement they end after 4 to 6 s.

TestThreeRunsAreThreeOverlaps, TestLaterRunOnTheSameWorkerIsAnOverlap, TestStartAfterAnEndThatIsAcknowledgedLater and TestDrainingWorkerLeavesAndBootsAgain pass.

--- /dev/null
+++ b/test/platformsoak/checks_test.go
@@ -0,0 +1,111 @@
+package platformsoak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// newTestFleet returns workers without control processes, and a job of one task.
+func newTestFleet(t *testing.T) *fleet {
+	jobs := newJobRegistry()
+	jobs.update("j", func(job *submittedJob) { job.payload = `{"ms":60000}` })
+	return newFleet(t, 3, jobs, func() []string { return []string{"127.0.0.1:1"} })
+}
+
+// callTestWorker executes a call at a worker and returns its status.
+func (f *fleet) callTestWorker(number int, path string, call workerCall) (status int) {
+	f.do(func() {
+		w := f.workers[number]
+		request, err := http.NewRequest(http.MethodPost, "http://worker/godwitlink/"+path, nil)
+		if err != nil {
+			f.reportViolation("%v", err)
+			return
+		}
+		request.Header.Set("X-Expect-Instance", w.id)
+		status, _, _ = f.handleCall(w, request, call)
+	})
+	return status
+}
+
+func startOfTestTask(run uint64) workerCall {
+	return workerCall{Task: "j.0.0.0", RunID: run, Spec: `{"ms":60000}`, LeaseEndMs: 60000}
+}
+
+// countViolations returns the number of violations whose text begins with a prefix.
+func (f *fleet) countViolations(prefix string) (count int) {
+	f.do(func() {
+		for _, violation := range f.violations {
+			if _, text, _ := strings.Cut(violation, " "); strings.HasPrefix(text, prefix) {
+				count++
+			}
+		}
+	})
+	return count
+}
+
+// Guards against a check that compares a start only with the last start of its task.
+func TestThreeRunsAreThreeOverlaps(t *testing.T) {
+	f := newTestFleet(t)
+	for number := range 3 {
+		if status := f.callTestWorker(number, "run-start", startOfTestTask(uint64(number+1))); status != 200 {
+			t.Fatalf("start on worker %d: status %d", number, status)
+		}
+	}
+	time.Sleep(3 * fleetTickInterval)
+	if got := f.countViolations("TWICE"); got != 3 {
+		t.Errorf("%d violations, want 3: %v", got, f.violations)
+	}
+}
+
+// Guards against a later run that hides an earlier one on the same worker.
+func TestLaterRunOnTheSameWorkerIsAnOverlap(t *testing.T) {
+	f := newTestFleet(t)
+	for run := range uint64(2) {
+		f.callTestWorker(0, "run-start", startOfTestTask(run+1))
+	}
+	if got := f.countViolations("TWICE"); got != 1 {
+		t.Errorf("%d violations, want 1: %v", got, f.violations)
+	}
+}
+
+// Guards against a start between the end of a run and its acknowledgement that is not checked.
+func TestStartAfterAnEndThatIsAcknowledgedLater(t *testing.T) {
+	for _, lapsed := range []bool{false, true} {
+		t.Run(fmt.Sprint("lapsed-", lapsed), func(t *testing.T) {
+			f := newTestFleet(t)
+			f.callTestWorker(0, "run-start", startOfTestTask(1))
+			f.do(func() {
+				f.finishRun(f.activeRun(runKey{"j.0.0.0", 1}), "done")
+				if w := f.workers[0]; lapsed {
+					w.lapsedNumber = w.lastFinishedNumber
+				}
+			})
+			f.callTestWorker(1, "run-start", startOfTestTask(2))
+			if got := f.countViolations("TWICE"); got != 0 {
+				t.Errorf("%d violations before the acknowledgement, want none", got)
+			}
+			f.callTestWorker(0, "hold", workerCall{LastSeen: 1, LeaseEndMs: 60000})
+			if want := map[bool]int{false: 1, true: 0}[lapsed]; f.countViolations("TWICE") != want {
+				t.Errorf("%v, want %d violations", f.violations, want)
+			}
+		})
+	}
+}
+
+// Guards against a worker that stays draining, or that a planned end ends for good.
+func TestDrainingWorkerLeavesAndBootsAgain(t *testing.T) {
+	f := newTestFleet(t)
+	var first time.Time
+	f.do(func() { first = f.workers[0].bootedAt; f.workers[0].startDraining(0) })
+	for deadline := time.Now().Add(3 * unackedDrainTime); time.Now().Before(deadline); time.Sleep(fleetTickInterval) {
+		left := false
+		f.do(func() { left = f.workers[0].up && f.workers[0].bootedAt.After(first) && !f.workers[0].draining })
+		if left {
+			return
+		}
+	}
+	t.Error("the worker has not booted again")
+}
--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -25,6 +25,10 @@
 	workerMemoryMB      = 32_768
 	maxStartAfterCancel = 3 * time.Second
 	serviceName         = "shop"
+	drainDuration       = 2500 * time.Millisecond // between the acknowledgement of a draining report and the end
+	maxDrainDelay       = 2 * time.Second         // additional time until the end
+	unackedDrainTime    = 4 * time.Second         // time until the end if no draining report is acknowledged
+	maxRestartDelay     = 2 * time.Second         // until the boot after a planned end
 )
 
 // taskPayload defines how a task behaves on a stand-in worker.
@@ -35,13 +39,26 @@
 	DependsOn  string `json:"deps"` // "0" if step 1 depends on step 0
 }
 
-// taskRun is a run of a task on a stand-in worker.
+// runKey identifies a run.
+type runKey struct {
+	task  string
+	runID uint64
+}
+
+// taskRun is a run of a task on one boot of a stand-in worker.
 type taskRun struct {
-	task     string
-	runID    uint64
+	runKey
+	worker   *fleetWorker
+	bootedAt time.Time
 	payload  taskPayload
 	started  time.Time // zero while a gang waits for its other members
 	received time.Time
+	doneAt   time.Time // zero until the run ends as done
+}
+
+func (r *taskRun) String() string {
+	return fmt.Sprintf("run %d of %s on %s (boot %d, lease until %s, received %s)", r.runID, r.task, r.worker.id,
+		r.bootedAt.UnixMilli(), r.worker.leaseEnd.Format(timeFormat), r.received.Format(timeFormat))
 }
 
 // fleetWorker is a stand-in worker, which may crash and boot again.
@@ -50,11 +67,15 @@
 	bootedAt           time.Time
 	up                 bool
 	draining           bool
+	drainStartedAt     time.Time
+	drainAckedAt       time.Time // zero until a draining report is acknowledged
+	drainDelay         time.Duration
+	deregistering      bool
 	fencingToken       uint64
 	leaseEnd           time.Time
-	runs               map[string]*taskRun
+	runs               map[runKey]*taskRun
 	closedRunIDs       map[string]uint64 // by task: the highest id of a run that ended or was stopped
-	finished           [][]any           // unacknowledged ends of runs, in the encoding of the response
+	finished           []finishedRun     // unacknowledged ends of runs
 	lastFinishedNumber uint64
 	lapsedNumber       uint64 // number of the last end when the lease expired
 	heartbeatSequence  int
@@ -63,6 +84,19 @@
 	rejectsStarts      bool // executes half of the starts without a response and rejects the others
 }
 
+// finishedRun is an end of a run that has not been acknowledged.
+type finishedRun struct {
+	number  uint64
+	run     *taskRun
+	outcome string
+}
+
+// taskHistory has the runs of a task over all workers and boots.
+type taskHistory struct {
+	starts   []*taskRun
+	notedEnd *taskRun // the first run whose end as done was acknowledged
+}
+
 // fleet owns the state of all stand-in workers. The state belongs to the goroutine of run; other
 // goroutines access it through do.
 type fleet struct {
@@ -74,17 +108,17 @@
 	controlAddresses func() []string // addresses that take heartbeats
 	httpClient       *http.Client
 
-	workerOfTask map[string]string // id of the worker that runs a task
-	acknowledged map[string]bool   // tasks that ended as done and whose end was acknowledged
-	completed    map[string]bool   // tasks that ended as done, also on a worker that crashed afterwards
-	violations   []string
-	counts       map[string]int
+	histories  map[string]*taskHistory
+	overlaps   map[[2]*taskRun]bool // overlaps that have been reported
+	completed  map[string]bool      // tasks that ended as done, also on a worker that crashed afterwards
+	violations []string
+	counts     map[string]int
 }
 
 func newFleet(t *testing.T, n int, jobs *jobRegistry, controlAddresses func() []string) *fleet {
 	f := &fleet{
 		operations: make(chan func()), stopped: make(chan struct{}), jobs: jobs, controlAddresses: controlAddresses,
-		byID: map[string]*fleetWorker{}, workerOfTask: map[string]string{}, acknowledged: map[string]bool{}, completed: map[string]bool{},
+		byID: map[string]*fleetWorker{}, histories: map[string]*taskHistory{}, overlaps: map[[2]*taskRun]bool{}, completed: map[string]bool{},
 		counts:     map[string]int{},
 		httpClient: newHTTPClient(),
 	}
@@ -135,6 +169,7 @@
 			for _, w := range f.workers {
 				f.advance(w, time.Now())
 			}
+			f.checkOverlaps()
 		case <-f.stopped:
 			return
 		}
@@ -143,26 +178,73 @@
 
 // boot starts a worker without a lease, without runs and without finished runs.
 func (w *fleetWorker) boot() {
-	w.bootedAt, w.up, w.draining = time.Now(), true, false
+	w.bootedAt, w.up = time.Now(), true
+	w.draining, w.drainStartedAt, w.drainAckedAt, w.deregistering = false, time.Time{}, time.Time{}, false
 	w.fencingToken, w.leaseEnd, w.lastFinishedNumber, w.lapsedNumber, w.heartbeatSequence = 0, time.Time{}, 0, 0, 0
-	w.runs, w.closedRunIDs, w.finished = map[string]*taskRun{}, map[string]uint64{}, nil
+	w.runs, w.closedRunIDs, w.finished = map[runKey]*taskRun{}, map[string]uint64{}, nil
 }
 
 // crash ends a worker and all of its runs. The other members of a started gang end as broken.
 func (f *fleet) crash(w *fleetWorker) {
 	lost := w.runs
-	w.up, w.runs = false, map[string]*taskRun{}
-	for task, r := range lost {
-		if f.workerOfTask[task] == w.id {
-			delete(f.workerOfTask, task)
-		}
+	w.up, w.runs = false, map[runKey]*taskRun{}
+	for _, r := range lost {
 		if r.payload.GangSize > 0 && !r.started.IsZero() {
-			f.finishGang(task, r, "broken")
+			f.finishGang(r, "broken")
 		}
 	}
 	w.wakeLongPolls()
 }
 
+// startDraining begins a planned end of a worker that is up.
+func (w *fleetWorker) startDraining(delay time.Duration) {
+	if w.up && !w.draining {
+		w.draining, w.drainStartedAt, w.drainDelay = true, time.Now(), delay
+	}
+}
+
+// drainRemaining returns the minimum time until the planned end.
+func (w *fleetWorker) drainRemaining(now time.Time) time.Duration {
+	if w.drainAckedAt.IsZero() {
+		return drainDuration
+	}
+	return max(drainDuration-now.Sub(w.drainAckedAt), 0)
+}
+
+// endDrained ends a draining worker whose time is over. The worker boots again later.
+func (f *fleet) endDrained(w *fleetWorker, now time.Time) {
+	end := w.drainStartedAt.Add(unackedDrainTime + w.drainDelay)
+	if !w.drainAckedAt.IsZero() {
+		end = w.drainAckedAt.Add(drainDuration + w.drainDelay)
+	}
+	if !w.draining || w.deregistering || now.Before(end) {
+		return
+	}
+	w.deregistering = true
+	if w.drainAckedAt.IsZero() {
+		f.counts["left unacknowledged"]++
+	} else {
+		f.counts["left"]++
+	}
+	bootedAt := w.bootedAt
+	restartDelay := time.Duration(rand.Int64N(int64(maxRestartDelay)))
+	go func() {
+		controls := f.controlAddresses()
+		f.post(controls[rand.IntN(len(controls))], "Instances.Deregister/"+w.id, map[string]any{"born": bootedAt.UnixMilli()}, nil)
+		f.do(func() {
+			if w.up && w.bootedAt.Equal(bootedAt) {
+				f.crash(w)
+			}
+		})
+		time.Sleep(restartDelay)
+		f.do(func() {
+			if !w.up && w.bootedAt.Equal(bootedAt) {
+				w.boot()
+			}
+		})
+	}()
+}
+
 func (w *fleetWorker) wakeLongPolls() {
 	for _, longPoll := range w.longPolls {
 		close(longPoll)
@@ -170,10 +252,13 @@
 	w.longPolls = nil
 }
 
+// timeFormat is the format of times in reported violations.
+const timeFormat = "15:04:05.000"
+
 // reportViolation records a violated rule. Further violations are dropped after the first 50.
 func (f *fleet) reportViolation(format string, args ...any) {
 	if len(f.violations) < 50 {
-		f.violations = append(f.violations, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+		f.violations = append(f.violations, time.Now().Format(timeFormat)+" "+fmt.Sprintf(format, args...))
 	}
 }
 
@@ -186,30 +271,44 @@
 	if now.After(w.leaseEnd) {
 		w.lapsedNumber = w.lastFinishedNumber
 	}
-	for task, r := range w.runs {
+	for _, r := range w.runs {
 		switch {
 		case now.After(w.leaseEnd):
-			f.finishRun(w, task, "lapsed")
-		case r.payload.GangSize > 0 && r.started.IsZero() && f.startCompleteGang(task, r, now):
+			f.finishRun(r, "lapsed")
+		case r.payload.GangSize > 0 && r.started.IsZero() && f.startCompleteGang(r, now):
 		case r.payload.GangSize > 0 && r.started.IsZero() && now.Sub(r.received) > gangTimeout:
-			f.finishRun(w, task, "alone")
+			f.finishRun(r, "alone")
 		case !r.started.IsZero() && now.Sub(r.started) >= time.Duration(r.payload.DurationMs)*time.Millisecond:
-			f.finishRun(w, task, "done")
+			f.finishRun(r, "done")
 		}
 	}
+	f.endDrained(w, now)
+}
+
+// activeRun returns a run on any worker, or nil.
+func (f *fleet) activeRun(key runKey) *taskRun {
+	for _, w := range f.workers {
+		if r := w.runs[key]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// gangMember returns the key of a member of the gang run that r belongs to.
+func (r *taskRun) gangMember(i int) runKey {
+	return runKey{r.task[:strings.LastIndexByte(r.task, '.')] + "." + strconv.Itoa(i), r.runID}
 }
 
 // startCompleteGang starts a gang and reports true if all of its members have been received.
-func (f *fleet) startCompleteGang(task string, r *taskRun, now time.Time) bool {
-	step := task[:strings.LastIndexByte(task, '.')]
+func (f *fleet) startCompleteGang(r *taskRun, now time.Time) bool {
 	var members []*taskRun
 	for i := range r.payload.GangSize {
-		name := step + "." + strconv.Itoa(i)
-		w := f.byID[f.workerOfTask[name]]
-		if w == nil || w.runs[name] == nil || w.runs[name].runID != r.runID {
+		member := f.activeRun(r.gangMember(i))
+		if member == nil {
 			return false
 		}
-		members = append(members, w.runs[name])
+		members = append(members, member)
 	}
 	for _, member := range members {
 		member.started = now
@@ -218,22 +317,19 @@
 }
 
 // finishRun ends a run with the given outcome. The other members of a started gang end with it.
-func (f *fleet) finishRun(w *fleetWorker, task, outcome string) {
-	r := w.runs[task]
-	if r == nil {
+func (f *fleet) finishRun(r *taskRun, outcome string) {
+	w := r.worker
+	if w.runs[r.runKey] != r {
 		return
 	}
 	f.counts[outcome]++
 	if outcome == "done" {
-		f.completed[task] = true
-	}
-	delete(w.runs, task)
-	if f.workerOfTask[task] == w.id {
-		delete(f.workerOfTask, task)
+		f.completed[r.task], r.doneAt = true, time.Now()
 	}
-	w.closedRunIDs[task] = max(w.closedRunIDs[task], r.runID)
+	delete(w.runs, r.runKey)
+	w.closedRunIDs[r.task] = max(w.closedRunIDs[r.task], r.runID)
 	w.lastFinishedNumber++
-	w.finished = append(w.finished, []any{w.lastFinishedNumber, task, r.runID, outcome, ""})
+	w.finished = append(w.finished, finishedRun{w.lastFinishedNumber, r, outcome})
 	w.wakeLongPolls()
 	if r.payload.GangSize == 0 || r.started.IsZero() {
 		return
@@ -242,16 +338,14 @@
 	if outcome == "done" {
 		gangOutcome = "done"
 	}
-	f.finishGang(task, r, gangOutcome)
+	f.finishGang(r, gangOutcome)
 }
 
 // finishGang ends the other members of a gang run, because members of a gang end together.
-func (f *fleet) finishGang(task string, r *taskRun, outcome string) {
-	step := task[:strings.LastIndexByte(task, '.')]
+func (f *fleet) finishGang(r *taskRun, outcome string) {
 	for i := range r.payload.GangSize {
-		name := step + "." + strconv.Itoa(i)
-		if other := f.byID[f.workerOfTask[name]]; other != nil && other.runs[name] != nil && other.runs[name].runID == r.runID {
-			f.finishRun(other, name, outcome)
+		if other := f.activeRun(r.gangMember(i)); other != nil {
+			f.finishRun(other, outcome)
 		}
 	}
 }
@@ -365,8 +459,10 @@
 		return status, withClock(map[string]any{"reason": reason}), nil
 	case "/godwitlink/run-stop":
 		w.closedRunIDs[call.Task] = max(w.closedRunIDs[call.Task], call.RunID)
-		if run := w.runs[call.Task]; run != nil && run.runID <= call.RunID {
-			f.finishRun(w, call.Task, "stopped")
+		for key, run := range w.runs {
+			if key.task == call.Task && key.runID <= call.RunID {
+				f.finishRun(run, "stopped")
+			}
 		}
 		return http.StatusOK, withClock(nil), nil
 	}
@@ -377,14 +473,14 @@
 // waits is a long poll while there are no such ends.
 func (f *fleet) handleHold(w *fleetWorker, call workerCall, withClock func(map[string]any) map[string]any) (int, map[string]any, chan struct{}) {
 	unacknowledged := w.finished[:0]
-	for _, report := range w.finished {
-		if report[0].(uint64) > call.LastSeen {
-			unacknowledged = append(unacknowledged, report)
+	for _, end := range w.finished {
+		if end.number > call.LastSeen {
+			unacknowledged = append(unacknowledged, end)
 			continue
 		}
 		// An end that was still listed when the lease expired does not count.
-		if report[3] == "done" && report[0].(uint64) > w.lapsedNumber {
-			f.acknowledged[report[1].(string)] = true
+		if end.outcome == "done" && end.number > w.lapsedNumber {
+			f.noteEnd(end.run)
 		}
 	}
 	w.finished = unacknowledged
@@ -395,16 +491,20 @@
 		return 0, nil, longPoll
 	}
 	active := [][]any{}
-	for task, r := range w.runs {
-		active = append(active, []any{task, r.runID, "", 50, 0})
+	for key := range w.runs {
+		active = append(active, []any{key.task, key.runID, "", 50, 0})
+	}
+	finished := [][]any{}
+	for _, end := range w.finished {
+		finished = append(finished, []any{end.number, end.run.task, end.run.runID, end.outcome, ""})
 	}
-	finished := append([][]any{}, w.finished...)
 	return http.StatusOK, withClock(map[string]any{"active": active, "finished": finished}), nil
 }
 
 // handleStart starts a run. It returns the status and the reason of a rejection.
 func (f *fleet) handleStart(w *fleetWorker, call workerCall, now, leaseEnd time.Time) (int, string) {
-	if run := w.runs[call.Task]; run != nil && run.runID == call.RunID {
+	key := runKey{call.Task, call.RunID}
+	if w.runs[key] != nil {
 		return http.StatusOK, ""
 	}
 	if w.closedRunIDs[call.Task] >= call.RunID {
@@ -419,28 +519,67 @@
 		return http.StatusBadRequest, ""
 	}
 	f.checkStart(w, call, payload, now)
-	started := now
+	run := &taskRun{runKey: key, worker: w, bootedAt: w.bootedAt, payload: payload, received: now, started: now}
 	if payload.GangSize > 0 {
-		started = time.Time{}
+		run.started = time.Time{}
 	}
-	w.runs[call.Task] = &taskRun{task: call.Task, runID: call.RunID, payload: payload, received: now, started: started}
-	f.workerOfTask[call.Task] = w.id
+	w.runs[key] = run
 	f.counts["start"]++
+	f.checkStartedOnce(run)
+	f.checkOverlaps()
 	f.advance(w, now)
 	return http.StatusOK, ""
 }
 
-// checkStart reports a violation if a start breaks a rule of the platform: a task runs only once at a
-// time and not after its end was acknowledged, within the capacity of the worker, for a job that was
+// checkStartedOnce reports a violation if a task starts after a run has ended as done, once that end
+// is acknowledged.
+func (f *fleet) checkStartedOnce(r *taskRun) {
+	history := f.histories[r.task]
+	if history == nil {
+		history = &taskHistory{}
+		f.histories[r.task] = history
+	}
+	history.starts = append(history.starts, r)
+	if history.notedEnd != nil {
+		f.reportViolation("TWICE: %v starts after the acknowledged end at %s of %v", r, history.notedEnd.doneAt.Format(timeFormat), history.notedEnd)
+	}
+}
+
+// noteEnd records the acknowledgement of a run that ended as done, and reports a violation if the
+// task has started between the end and the acknowledgement.
+func (f *fleet) noteEnd(r *taskRun) {
+	history := f.histories[r.task]
+	for _, start := range history.starts {
+		if start.received.After(r.doneAt) {
+			f.reportViolation("TWICE: %v has started after the end at %s, acknowledged later, of %v", start, r.doneAt.Format(timeFormat), r)
+		}
+	}
+	if history.notedEnd == nil {
+		history.notedEnd = r
+	}
+}
+
+// checkOverlaps reports a violation for each two runs of a task at the same time, on any workers.
+func (f *fleet) checkOverlaps() {
+	active := map[string][]*taskRun{}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			for _, other := range active[r.task] {
+				if pair := [2]*taskRun{other, r}; !f.overlaps[pair] && !f.overlaps[[2]*taskRun{r, other}] {
+					f.overlaps[pair] = true
+					f.reportViolation("TWICE: %v and %v at the same time", other, r)
+				}
+			}
+			active[r.task] = append(active[r.task], r)
+		}
+	}
+}
+
+// checkStart reports a violation if a start breaks a rule of the platform: a task runs within the
+// capacity of the worker, for a job that was
 // submitted and neither rejected nor cancelled, and after the tasks that it depends on.
 func (f *fleet) checkStart(w *fleetWorker, call workerCall, payload taskPayload, now time.Time) {
 	jobID, _, _ := strings.Cut(call.Task, ".")
-	if other := f.workerOfTask[call.Task]; other != "" {
-		f.reportViolation("TWICE: %s starts on %s and runs on %s", call.Task, w.id, other)
-	}
-	if f.acknowledged[call.Task] {
-		f.reportViolation("TWICE: %s starts on %s after its end was acknowledged", call.Task, w.id)
-	}
 	milliCPU := payload.MilliCPU
 	for _, r := range w.runs {
 		milliCPU += r.payload.MilliCPU
@@ -489,23 +628,25 @@
 			return
 		case <-time.After(heartbeatInterval):
 		}
-		var body []byte
+		var report map[string]any
+		var bootedAt time.Time
 		f.do(func() {
-			if !w.up {
+			if !w.up || w.deregistering {
 				return
 			}
 			w.heartbeatSequence++
-			state := "ready"
+			now := time.Now()
+			bootedAt = w.bootedAt
+			report = map[string]any{
+				"service": serviceName, "address": w.address, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+				"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", "r1"},
+				"clockMs": now.Sub(w.bootedAt).Milliseconds(), "sequence": w.heartbeatSequence, "born": w.bootedAt.UnixMilli(),
+			}
 			if w.draining {
-				state = "draining"
+				report["state"], report["drainRemainingMs"] = "draining", w.drainRemaining(now).Milliseconds()
 			}
-			body, _ = json.Marshal(map[string]any{
-				"service": serviceName, "address": w.address, "zone": "z", "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
-				"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", "r1"},
-				"clockMs": time.Since(w.bootedAt).Milliseconds(), "sequence": w.heartbeatSequence, "born": w.bootedAt.UnixMilli(),
-			})
 		})
-		if body == nil {
+		if report == nil {
 			continue
 		}
 		controls := f.controlAddresses()
@@ -513,21 +654,38 @@
 			address = controls[nextControl%len(controls)]
 			nextControl++
 		}
-		response, err := f.httpClient.Post("http://"+address+"/godwitlink/Instances.Heartbeat/"+w.id, "application/json", bytes.NewReader(body))
-		if err != nil {
-			address = ""
-			continue
-		}
 		var heartbeatResponse struct {
 			Next string `json:"heartbeatAddr"`
 		}
-		if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&heartbeatResponse) != nil {
+		if !f.post(address, "Instances.Heartbeat/"+w.id, report, &heartbeatResponse) {
 			address = ""
-		} else if heartbeatResponse.Next != "" {
+			continue
+		}
+		if heartbeatResponse.Next != "" {
 			address = heartbeatResponse.Next
 		}
-		response.Body.Close()
+		if report["state"] == "draining" {
+			f.do(func() {
+				if w.bootedAt.Equal(bootedAt) && w.drainAckedAt.IsZero() {
+					w.drainAckedAt = time.Now()
+				}
+			})
+		}
+	}
+}
+
+// post sends a message to a control process and reports whether it was acknowledged.
+func (f *fleet) post(address, call string, message map[string]any, response any) bool {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return false
+	}
+	answer, err := f.httpClient.Post("http://"+address+"/godwitlink/"+call, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
 	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK && (response == nil || json.NewDecoder(answer.Body).Decode(response) == nil)
 }
 
 // jobRegistry has the jobs that the clients have submitted. The clients and the fleet share it.
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -169,7 +169,7 @@
 func (in *faultInjector) injectFault() {
 	s := in.system
 	name := ""
-	switch in.random.IntN(11) {
+	switch in.random.IntN(12) {
 	case 0, 1:
 		name = in.disturbProcess(in.pickProcess(s.controls, maxDisturbedControls))
 	case 2:
@@ -214,6 +214,10 @@
 		w := in.pickWorker()
 		in.fleet.do(func() { w.rejectsStarts = true })
 		in.endFaultWithin(1500*time.Millisecond, func() { in.fleet.do(func() { w.rejectsStarts = false }) })
+	case 11:
+		name = "worker leaving"
+		w, delay := in.pickWorker(), time.Duration(in.random.Int64N(int64(maxDrainDelay)))
+		in.fleet.do(func() { w.startDraining(delay) })
 	}
 	if name != "" {
 		in.faultCounts[name]++
