test/platformsoak: check tickets at the workers

Workers started what they were told to, with any ticket or none, and the adviser granted tickets without a time. A start on the queue with advice, half of the jobs, now needs a ticket for its step that was granted to this life of the worker at most validMs ago; otherwise it is rejected with the reason `ticket`, and its lease is not taken. The adviser grants only workers that are up. Late runs are counted by kind of queue and by boot. Half of the workers that leave calls without a response do so with starts only, so that they appear responsive and are sent more starts.

--- a/test/platformsoak/adviser_test.go
+++ b/test/platformsoak/adviser_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -17,9 +19,32 @@
 	adviceGrantPercent     = 70 // percent of the workers
 )
 
-// startAdviser serves advice calls and returns its address. The response for a step and a worker is
-// always the same.
-func startAdviser(t *testing.T) string {
+// adviser grants tickets for one life of a worker.
+type adviser struct {
+	address string
+	fleet   atomic.Pointer[fleet] // nil until the workers have started
+}
+
+// ticket is the content of a ticket.
+type ticket struct {
+	step, worker string
+	bootedAtMs   int64
+	issuedAtMs   int64
+}
+
+func (t ticket) encode() string {
+	return fmt.Sprintf("%s %s %d %d", t.step, t.worker, t.bootedAtMs, t.issuedAtMs)
+}
+
+func decodeTicket(encoded string) (ticket, error) {
+	var t ticket
+	_, err := fmt.Sscanf(encoded, "%s %s %d %d", &t.step, &t.worker, &t.bootedAtMs, &t.issuedAtMs)
+	return t, err
+}
+
+// startAdviser starts an adviser. Whether it grants a worker to a step never changes.
+func startAdviser(t *testing.T) *adviser {
+	a := &adviser{}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -34,17 +59,22 @@
 			return
 		}
 		time.Sleep(adviceBaseLatency + time.Duration(len(request.Workers))*adviceLatencyPerWorker)
+		lives := map[string]int64{}
+		if f := a.fleet.Load(); f != nil {
+			lives = f.lives()
+		}
 		granted := [][2]string{}
 		for _, worker := range request.Workers {
 			hash := fnv.New32a()
 			hash.Write([]byte(request.Step + worker))
-			if hash.Sum32()%100 < adviceGrantPercent {
-				granted = append(granted, [2]string{worker, "t-" + worker})
+			if life, up := lives[worker]; up && hash.Sum32()%100 < adviceGrantPercent {
+				granted = append(granted, [2]string{worker, ticket{request.Step, worker, life, time.Now().UnixMilli()}.encode()})
 			}
 		}
 		json.NewEncoder(w).Encode(map[string]any{"granted": granted, "validMs": adviceValidity.Milliseconds()})
 	})}
 	go server.Serve(listener)
 	t.Cleanup(func() { server.Close() })
-	return listener.Addr().String()
+	a.address = listener.Addr().String()
+	return a
 }
--- a/test/platformsoak/checks_test.go
+++ b/test/platformsoak/checks_test.go
@@ -34,6 +34,31 @@
 	return workerCall{Task: "j.0.0.0", RunID: run, Spec: `{"ms":60000}`, LeaseEndMs: 60000}
 }
 
+// Guards against a worker that accepts a ticket of another life, step or worker, or an old one.
+func TestTickets(t *testing.T) {
+	f := newTestFleet(t)
+	f.jobs.update("j", func(job *submittedJob) { job.host = advisedHost })
+	boot, now := f.lives()["i-0000"], time.Now().UnixMilli()
+	for name, encoded := range map[string]string{
+		"none":         "",
+		"other life":   ticket{"j.0.0", "i-0000", boot - 1, now}.encode(),
+		"other step":   ticket{"j.0.1", "i-0000", boot, now}.encode(),
+		"other worker": ticket{"j.0.0", "i-0001", boot, now}.encode(),
+		"old":          ticket{"j.0.0", "i-0000", boot, now - 1501}.encode(),
+	} {
+		call := startOfTestTask(1)
+		call.Ticket = encoded
+		if got := f.callTestWorker(0, "run-start", call); got != 409 {
+			t.Errorf("%s: status %d, want 409", name, got)
+		}
+	}
+	call := startOfTestTask(1)
+	call.Ticket = ticket{"j.0.0", "i-0000", boot, time.Now().UnixMilli()}.encode()
+	if got := f.callTestWorker(0, "run-start", call); got != 200 {
+		t.Errorf("valid ticket: status %d, want 200", got)
+	}
+}
+
 // countViolations returns the number of violations whose text begins with a prefix.
 func (f *fleet) countViolations(prefix string) (count int) {
 	f.do(func() {
--- a/test/platformsoak/clients_test.go
+++ b/test/platformsoak/clients_test.go
@@ -82,7 +82,7 @@
 	}
 	host := "h"
 	if c.random.IntN(2) == 0 {
-		host = "a"
+		host = advisedHost
 	}
 	taskCount := 1 + c.random.IntN(4)
 	step := fmt.Sprintf(`{"count":%d,"cpu":%d,"memMb":256,"estimateMs":%d`, taskCount, payload.MilliCPU, payload.DurationMs)
--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -25,6 +25,7 @@
 	workerMemoryMB      = 32_768
 	maxStartAfterCancel = 3 * time.Second
 	serviceName         = "shop"
+	advisedHost         = "a"                     // of the queue with advice
 	drainDuration       = 2500 * time.Millisecond // between the acknowledgement of a draining report and the end
 	maxDrainDelay       = 2 * time.Second         // additional time until the end
 	unackedDrainTime    = 4 * time.Second         // time until the end if no draining report is acknowledged
@@ -102,6 +103,7 @@
 	heartbeatSequence  int
 	longPolls          []chan struct{}
 	unansweredPercent  int  // of the calls, of which most are executed, some of them late
+	answersAllButStart bool // unansweredPercent applies to starts only
 	lateReports        bool // its reports arrive late
 	rejectsStarts      bool // executes half of the starts without a response and rejects the others
 }
@@ -433,7 +435,7 @@
 			switch isStart := r.URL.Path == "/godwitlink/run-start"; {
 			case !w.up:
 				dropResponse = true
-			case rand.IntN(100) < w.unansweredPercent:
+			case rand.IntN(100) < w.unansweredPercent && (isStart || !w.answersAllButStart):
 				dropResponse = true
 				f.executeUnanswered(w, r, call)
 			case w.rejectsStarts && isStart:
@@ -533,14 +535,12 @@
 	w.fencingToken = call.FencingToken
 	f.advance(w, now)
 	leaseEnd := w.timeAt(min(time.Duration(call.LeaseEndMs)*time.Millisecond, w.clock(now)+maxLease))
-	if r.URL.Path != "/godwitlink/run-stop" && leaseEnd.After(w.leaseEnd) {
-		w.leaseEnd = leaseEnd
-	}
 	switch r.URL.Path {
 	case "/godwitlink/hold":
+		w.extendLease(leaseEnd)
 		return f.handleHold(w, call, withClock)
 	case "/godwitlink/run-start":
-		status, reason := f.handleStart(w, call, now)
+		status, reason := f.handleStart(w, call, now, leaseEnd)
 		return status, withClock(map[string]any{"reason": reason}), nil
 	case "/godwitlink/run-stop":
 		w.closedRunIDs[call.Task] = max(w.closedRunIDs[call.Task], call.RunID)
@@ -554,6 +554,12 @@
 	return http.StatusNotFound, withClock(nil), nil
 }
 
+func (w *fleetWorker) extendLease(end time.Time) {
+	if end.After(w.leaseEnd) {
+		w.leaseEnd = end
+	}
+}
+
 // handleHold removes the acknowledged ends and returns the active runs and the other ends. A call that
 // waits is a long poll while there are no such ends.
 func (f *fleet) handleHold(w *fleetWorker, call workerCall, withClock func(map[string]any) map[string]any) (int, map[string]any, chan struct{}) {
@@ -587,14 +593,21 @@
 }
 
 // handleStart starts a run. It returns the status and the reason of a rejection.
-func (f *fleet) handleStart(w *fleetWorker, call workerCall, now time.Time) (int, string) {
+func (f *fleet) handleStart(w *fleetWorker, call workerCall, now, leaseEnd time.Time) (int, string) {
 	key := runKey{call.Task, call.RunID}
-	if w.runs[key] != nil {
-		return http.StatusOK, ""
-	}
-	if w.closedRunIDs[call.Task] >= call.RunID {
+	if w.runs[key] != nil || w.closedRunIDs[call.Task] >= call.RunID {
+		w.extendLease(leaseEnd)
+		if w.runs[key] != nil {
+			return http.StatusOK, ""
+		}
 		return http.StatusConflict, "old"
 	}
+	advised := f.isAdvised(call.Task)
+	if advised && !w.accepts(call.Ticket, call.Task, now) {
+		f.counts["rejected ticket"]++
+		return http.StatusConflict, "ticket"
+	}
+	w.extendLease(leaseEnd)
 	// A start that arrives late may use the lease of a later call.
 	if w.leaseEnd.Before(now) {
 		return http.StatusConflict, "late"
@@ -617,12 +630,42 @@
 	}
 	w.runs[key] = run
 	f.counts["start"]++
+	if call.late {
+		f.counts[fmt.Sprintf("late run (queue with advice: %v, later boot: %v)", advised, !call.bootedAt.Equal(w.bootedAt))]++
+	}
 	f.checkStartedOnce(run)
 	f.checkOverlaps()
 	f.advance(w, now)
 	return http.StatusOK, ""
 }
 
+// isAdvised reports whether the queue of a task has advice.
+func (f *fleet) isAdvised(task string) bool {
+	jobID, _, _ := strings.Cut(task, ".")
+	job := f.jobs.get(jobID)
+	return job != nil && job.host == advisedHost
+}
+
+// accepts reports whether a ticket was granted to this life of the worker and is valid.
+func (w *fleetWorker) accepts(encoded, task string, now time.Time) bool {
+	t, err := decodeTicket(encoded)
+	return err == nil && t.step == task[:strings.LastIndexByte(task, '.')] && t.worker == w.id && t.bootedAtMs == w.bootedAt.UnixMilli() &&
+		now.UnixMilli()-t.issuedAtMs <= adviceValidity.Milliseconds()
+}
+
+// lives returns the boots of the workers that are up, in Unix milliseconds.
+func (f *fleet) lives() map[string]int64 {
+	lives := map[string]int64{}
+	f.do(func() {
+		for _, w := range f.workers {
+			if w.up {
+				lives[w.id] = w.bootedAt.UnixMilli()
+			}
+		}
+	})
+	return lives
+}
+
 // checkStartedOnce reports a violation if a task starts after a run has ended as done, once that end
 // is acknowledged.
 func (f *fleet) checkStartedOnce(r *taskRun) {
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -54,9 +54,11 @@
 
 // runSoak injects faults for a while, ends them all, and waits for the accepted jobs to complete.
 func runSoak(t *testing.T, programDir string, seed uint64) {
-	s := startSystem(t, programDir, startAdviser(t))
+	a := startAdviser(t)
+	s := startSystem(t, programDir, a.address)
 	jobs := newJobRegistry()
 	f := newFleet(t, *workerCount, jobs, s.controlAddresses)
+	a.fleet.Store(f)
 	for _, w := range f.workers {
 		p := startProxy(t, w.address)
 		f.do(func() { w.address = p.address })
@@ -239,14 +241,15 @@
 	})
 }
 
-// delayCalls makes a worker leave all of its calls without a response for a short time, or a part of
-// them for longer. Half of the workers boot again before the last of these calls are executed.
+// delayCalls makes a worker leave all of its calls or all starts without a response for a short time, or
+// a part of the calls for longer. Half of the workers boot again before the last of these calls are executed.
 func (in *faultInjector) delayCalls(w *fleetWorker) string {
 	percent, duration := 100, 1500*time.Millisecond
-	if in.random.IntN(2) == 0 {
+	startsOnly := in.random.IntN(2) == 0
+	if !startsOnly && in.random.IntN(2) == 0 {
 		percent, duration = 40, 6*time.Second
 	}
-	in.fleet.do(func() { w.unansweredPercent = percent })
+	in.fleet.do(func() { w.unansweredPercent, w.answersAllButStart = percent, startsOnly })
 	in.endFaultWithin(duration, func() { in.fleet.do(func() { w.unansweredPercent = 0 }) })
 	if in.random.IntN(2) == 0 {
 		in.endFaultWithin(duration+time.Second, func() { in.reboot(w) })
