core/state: let the steady clock stand still without jobs of steps

Only jobs of steps use that clock.

go test ./core/workload ./core/state ./internal/codec ./core/dispatch: passed, TestSteadyClockStandsStillWithoutJobs among them, which guards the change.

--- a/core/state/retention.go
+++ b/core/state/retention.go
@@ -60,19 +60,24 @@
 	s.removeExpiredJobs()
 	s.removeExpiredRequests()
 	s.removeExpiredWorkers()
-	s.workload.Expire(s.retentionElapsed(), s.workload.SteadyClock()+s.steadyStep(term))
+	s.workload.Expire(s.retentionElapsed(), s.advanceSteadyClock(term))
 }
 
-// steadyStep returns by how much an Advance moves the steady clock of the workload. A leader proposes
-// each Advance at least one interval after it has applied the one before. The time between the Advance
-// commands of two leaders does not count.
-func (s *State) steadyStep(term uint64) time.Duration {
+// advanceSteadyClock returns the steady clock of the workload after an Advance. A leader proposes each
+// Advance at least one interval after it has applied the one before. The time between the Advance
+// commands of two leaders does not count. Without jobs the clock stays at zero, so that the snapshots of
+// a cell without jobs of steps can be read by earlier versions.
+func (s *State) advanceSteadyClock(term uint64) time.Duration {
+	if !s.workload.HasJobs() {
+		s.advanceTerm = 0
+		return 0
+	}
 	sameLeader := term != 0 && term == s.advanceTerm
 	s.advanceTerm = term
 	if sameLeader {
-		return workload.AdvanceInterval
+		return s.workload.SteadyClock() + workload.AdvanceInterval
 	}
-	return 0
+	return s.workload.SteadyClock()
 }
 
 // retentionElapsed returns the retention clock as a duration since the first command.
--- a/core/state/steadyclock_test.go
+++ b/core/state/steadyclock_test.go
@@ -93,3 +93,12 @@
 	f.advance(1, 1, time.Second)
 	f.expectAge(2 * time.Second)
 }
+
+// Guards against snapshots of a cell without jobs of steps that an earlier version refuses.
+func TestSteadyClockStandsStillWithoutJobs(t *testing.T) {
+	f := &closedRunFeeder{t: t, s: state.New(), at: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	f.advance(1, 5, time.Second)
+	if snapshot := f.s.Snapshot(); snapshot.AdvanceTerm != 0 || snapshot.Workload.SteadyClock != 0 {
+		t.Errorf("term %d and steady clock %v in the snapshot, want neither", snapshot.AdvanceTerm, snapshot.Workload.SteadyClock)
+	}
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -432,7 +432,7 @@
 // open run, and the closed runs that are too old.
 func (s *State) Expire(retentionClock, steadyClock time.Duration) {
 	s.retentionClock = max(s.retentionClock, retentionClock)
-	s.steadyClock = max(s.steadyClock, steadyClock)
+	s.steadyClock = steadyClock
 	kept := s.jobOrder[:0]
 	for _, id := range s.jobOrder {
 		job := s.jobs[id]
--- a/core/workload/view.go
+++ b/core/workload/view.go
@@ -25,6 +25,9 @@
 	return min(s.retentionClock-step.ClosedAt, s.minTimeSince(step.SteadyClosedAt))
 }
 
+// HasJobs reports whether the state has jobs, ended ones included.
+func (s *State) HasJobs() bool { return len(s.jobs) > 0 }
+
 // SteadyClock returns the steady clock.
 func (s *State) SteadyClock() time.Duration { return s.steadyClock }
 
