core/dispatch: correct the clock of a worker whose clock stood still

Cause: the leader keeps a lower bound of each worker's clock, which grows by at least 98 % of the leader's own clock, and ignores a reading below it, because such an answer may only be an old one. If the clock of a worker stands still, as that of a suspended machine does, every later reading is below the bound. The ends of leases that the leader sends are then too far ahead by the time of the suspension (the worker shortens them to holdMaxMs), while the leader takes a lease as over by the same wrong bound. A worker that is cut off after its suspension runs on for up to holdMaxMs less the lease, 1.5 s on the platform, after its task has been placed again (rule TWICE).

Change: a worker reads its clock after a hold was sent. If the answer of the same boot is below the bound at the time of sending, the bound was wrong, and the reading replaces it. The end of the lease that was sent stays as it is, so the lease counts as over later than before, never earlier. What remains is a worker that does not answer after its suspension.

Test: TestLeaseOfAWorkerWhoseClockStoodStill failed before with "given up at 5991 ms of the worker's clock; its lease ends at 7241 ms" and passes now.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -37,6 +37,10 @@
 		c.holdFailed(w, call, report.Outcome)
 		return
 	}
+	if report.Boot == w.Boot && !w.holdSentAt.Before(w.clockReadAt) && report.Clock < c.minWorkerClockAt(w, w.holdSentAt) {
+		// The worker's clock stood still, for example while its machine was suspended.
+		w.clockReadAt = time.Time{}
+	}
 	c.updateClock(w, report.Clock)
 	w.answeredHoldSentAt = w.holdSentAt
 	if call.Token == c.token(w) && !w.tokenAccepted {
--- a/core/dispatch/suspension_test.go
+++ b/core/dispatch/suspension_test.go
@@ -60,3 +60,44 @@
 		t.Errorf("%d holds after the lease, want none", len(e.Holds))
 	}
 }
+
+// Guards against giving up a worker too early because its clock stood still while its machine was
+// suspended. Its lease then lasts longer than the leader assumes (platform rule TWICE).
+func TestLeaseOfAWorkerWhoseClockStoodStill(t *testing.T) {
+	const suspension = 3 * time.Second
+	b, starts := startTasks(t, oneTask)
+	active := []dispatch.ActiveRun{{Task: starts[0].Task, Run: starts[0].Run}}
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 0)
+	clock := func() int64 { return b.now.Sub(epoch).Milliseconds() + 1000 }
+	answer := func() (leaseUntil int64) {
+		holds := b.openHolds
+		b.openHolds = nil
+		for _, h := range holds {
+			leaseUntil = max(leaseUntil, min(h.LeaseUntil, clock()+maxWorkerLease.Milliseconds()))
+			b.core.HoldAnswered(b.now, h.Call, dispatch.HoldReport{Clock: clock(), Boot: 1, Active: active})
+		}
+		return leaseUntil
+	}
+	b.tick(100 * time.Millisecond)
+	answer()
+	b.tick(100 * time.Millisecond)
+	b.now = b.now.Add(suspension)
+	clock = func() int64 { return (b.now.Sub(epoch) - suspension).Milliseconds() + 1000 }
+	answer()
+	b.tick(10 * time.Millisecond)
+	b.tick(10 * time.Millisecond)
+	leaseUntil := answer()
+	for range 200 {
+		e := b.tick(50 * time.Millisecond)
+		b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent})
+		for _, p := range e.Proposals {
+			if p.Command.EndBoot != nil {
+				if clock() < leaseUntil {
+					t.Errorf("given up at %d ms of the worker's clock; its lease ends at %d ms", clock(), leaseUntil)
+				}
+				return
+			}
+		}
+	}
+	t.Error("the boot is not given up within 10 s")
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -174,8 +174,11 @@
 }
 
 // minWorkerClock returns a lower bound of the worker's current clock value, in ms.
-func (c *Core) minWorkerClock(w *worker) int64 {
-	elapsed := c.now.Sub(w.clockReadAt)
+func (c *Core) minWorkerClock(w *worker) int64 { return c.minWorkerClockAt(w, c.now) }
+
+// minWorkerClockAt returns a lower bound of the worker's clock value at a time after the last reading.
+func (c *Core) minWorkerClockAt(w *worker, at time.Time) int64 {
+	elapsed := at.Sub(w.clockReadAt)
 	elapsed -= time.Duration(int64(elapsed) / million * c.opts.ClockLagPPM)
 	return w.clockMillis + elapsed.Milliseconds()
 }
