core/workload: count a done end of a run that a later one replaced in the list

A step lists one closed run for each task and worker. Where two runs of a task were closed on one worker, and a late start of the first was carried out by its later boot, the done end of that run was acknowledged without being counted, and the task started again (TWICE).

The listed run now stands for those that it has replaced, and says which of them failed last. A failed end still counts for the listed run only.

TestDoneEndOfAnEarlierRunCounts failed before for a second run on the same worker: "job is running after its task was done, want completed". go test ./core/workload ./core/state ./internal/codec: passed.

--- a/core/workload/closedrun.go
+++ b/core/workload/closedrun.go
@@ -17,6 +17,8 @@
 	Worker   WorkerID
 	ClosedAt time.Duration // steady clock when the run was closed
 	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot; EndFailed once its failure is counted
+	// FailedRun is the latest failed run among those that this run has replaced in the list.
+	FailedRun RunNumber `cbor:",omitempty" json:",omitempty"`
 }
 
 func compareClosedRuns(a, b ClosedRun) int {
@@ -29,6 +31,11 @@
 	r.ClosedAt = s.steadyClock
 	at, listed := slices.BinarySearchFunc(step.ClosedRuns, r, compareClosedRuns)
 	if listed {
+		replaced := step.ClosedRuns[at]
+		r.FailedRun = replaced.FailedRun
+		if replaced.How == EndFailed {
+			r.FailedRun = replaced.Run
+		}
 		step.ClosedRuns[at] = r
 	} else {
 		step.ClosedRuns = slices.Insert(step.ClosedRuns, at, r)
@@ -88,9 +95,23 @@
 
 // closedRun returns a closed run, or nil if it is not listed.
 func (step *Step) closedRun(index int, worker WorkerID, run RunNumber) *ClosedRun {
+	if closed := step.latestClosedRun(index, worker); closed != nil && closed.Run == run {
+		return closed
+	}
+	return nil
+}
+
+// latestClosedRun returns the listed run of a task on a worker, or nil.
+func (step *Step) latestClosedRun(index int, worker WorkerID) *ClosedRun {
 	at, found := slices.BinarySearchFunc(step.ClosedRuns, ClosedRun{Index: index, Worker: worker}, compareClosedRuns)
-	if !found || step.ClosedRuns[at].Run != run {
+	if !found {
 		return nil
 	}
 	return &step.ClosedRuns[at]
 }
+
+// covers reports whether a run of the task on the worker is the listed one, or one that it has replaced,
+// and has not failed.
+func (r *ClosedRun) covers(run RunNumber) bool {
+	return r.FailedRun < run && run <= r.Run && !(run == r.Run && r.How == EndFailed)
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -232,13 +232,13 @@
 	if task == nil {
 		return false
 	}
-	closed := step.closedRun(id.Index, worker, run)
-	listed := closed != nil && closed.How != EndFailed
+	closed := step.latestClosedRun(id.Index, worker)
+	covered := closed != nil && closed.covers(run)
 	switch how {
 	case EndDone:
-		return task.State == TaskPending && (task.Run == run || listed)
+		return task.State == TaskPending && (task.Run == run || covered)
 	case EndFailed:
-		return listed
+		return covered && closed.Run == run
 	}
 	return false
 }
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -199,18 +199,18 @@
 	}
 }
 
-// A task must not start again after a done end of an earlier run that was closed without a report
-// (platform rule TWICE).
+// A task must not start again after a done end of an earlier run that was closed without a report,
+// also if a later run on that worker has replaced it in the list (platform rule TWICE).
 func TestDoneEndOfAnEarlierRunCounts(t *testing.T) {
-	task := workload.TaskID{Job: "j"}
-	ts := newTestState(t, register("w1", 1, 10), register("w2", 1, 10), submit("j", tasks(1, 1)))
-	ts.assign(task.StepID(), workload.TaskAssignment{Worker: "w1", Boot: 1})
-	ts.end("w1", task, 1, workload.EndNeverStarted)
-	ts.assign(task.StepID(), workload.TaskAssignment{Worker: "w2", Boot: 1})
-	ts.end("w2", task, 2, workload.EndFailed)
-	ts.end("w1", task, 1, workload.EndDone)
-	if got := ts.jobState("j"); got != workload.JobCompleted {
-		t.Errorf("job is %s after its task was done, want completed", got)
+	for _, second := range []workload.WorkerID{"w1", "w2"} {
+		task := workload.TaskID{Job: "j"}
+		ts := newTestState(t, register("w1", 1, 10), register("w2", 1, 10), submit("j", tasks(1, 1)))
+		ts.runOnce("w1", task, workload.EndNeverStarted)
+		ts.runOnce(second, task, workload.EndLost)
+		ts.end("w1", task, 1, workload.EndDone)
+		if got := ts.jobState("j"); got != workload.JobCompleted {
+			t.Errorf("second run on %s: job is %s after its task was done, want completed", second, got)
+		}
 	}
 }
 
