test/platformsoak: cut workers off from the leader alone

A worker was cut off from all control processes or from none. The proxies of the workers now find the process at the other end of a connection by its socket (only under such a cut: for each connection it took so long that starts timed out), and hold back data from or for the leader alone, in both directions or the responses only, at up to a third of the workers. The other control processes reach these workers, and take their reports. Half of the workers boot again meanwhile. Before half of the full cuts a worker leaves calls without a response. Long tasks are a tenth of all. The flags -soak.cut and -soak.long set the longest cut and the longest task for longer searches.

--- a/test/platformsoak/clients_test.go
+++ b/test/platformsoak/clients_test.go
@@ -19,7 +19,7 @@
 	clientTimeout     = 3 * time.Second
 	maxSubmitAttempts = 8
 	cancelPercent     = 8
-	longPercent       = 6 // tasks that may still run when their worker has been given up
+	longPercent       = 10 // tasks that may still run when their worker has been given up
 )
 
 // client is a stand-in client that submits jobs and cancels some of them. It reuses its connections.
@@ -78,7 +78,7 @@
 	id := fmt.Sprintf("%016x", c.random.Uint64())
 	payload := taskPayload{DurationMs: 100 + c.random.IntN(900), MilliCPU: int64(500 * (1 + c.random.IntN(6)))}
 	if c.random.IntN(100) < longPercent {
-		payload.DurationMs += 1000 + c.random.IntN(5000)
+		payload.DurationMs = 1000 + c.random.IntN(int(longDuration.Milliseconds()))
 	}
 	host := "h"
 	if c.random.IntN(2) == 0 {
--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -102,9 +102,11 @@
 	lapsedNumber       uint64 // number of the last end when the lease expired
 	heartbeatSequence  int
 	longPolls          []chan struct{}
-	unansweredPercent  int  // of the calls, of which most are executed, some of them late
-	answersAllButStart bool // unansweredPercent applies to starts only
-	lateReports        bool // its reports arrive late
+	unansweredPercent  int    // of the calls, of which most are executed, some of them late
+	answersAllButStart bool   // unansweredPercent applies to starts only
+	lateReports        bool   // its reports arrive late
+	cutControl         string // address of the control process that the worker is cut off from, without port
+	cutState           linkState
 	rejectsStarts      bool // executes half of the starts without a response and rejects the others
 }
 
@@ -787,14 +789,14 @@
 		}
 		var report map[string]any
 		var bootedAt time.Time
-		late := false
+		late, cutControl, cutState := false, "", linkOpen
 		f.do(func() {
 			if !w.up || w.deregistering {
 				return
 			}
 			w.heartbeatSequence++
 			now := time.Now()
-			bootedAt, late = w.bootedAt, w.lateReports
+			bootedAt, late, cutControl, cutState = w.bootedAt, w.lateReports, w.cutControl, w.cutState
 			report = map[string]any{
 				"service": serviceName, "address": w.address, "zone": "z", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
 				"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", "r1"},
@@ -820,6 +822,15 @@
 		var heartbeatResponse struct {
 			Next string `json:"heartbeatAddr"`
 		}
+		if isCut := cutControl != "" && strings.HasPrefix(address, cutControl+":"); isCut {
+			// The worker waits for a response in vain. Without responses the report itself arrives.
+			if cutState == linkNoReplies {
+				f.post(address, "Instances.Heartbeat/"+w.id, report, nil)
+			}
+			time.Sleep(callTimeout)
+			address = ""
+			continue
+		}
 		if !f.post(address, "Instances.Heartbeat/"+w.id, report, &heartbeatResponse) {
 			address = ""
 			continue
--- a/test/platformsoak/proxy_test.go
+++ b/test/platformsoak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,15 +30,29 @@
 	target     string
 	state      atomic.Int32
 	resetCount atomic.Int64 // incremented to reset all open connections
+
+	// clientOf returns the process at the client's end of a connection.
+	clientOf func(*net.TCPConn) *process
+	cut      atomic.Pointer[clientCut] // nil if no single process is cut off
+	heldBack atomic.Int64              // reads whose data was held back because of cut
+}
+
+// clientCut is the state of a link for one process.
+type clientCut struct {
+	process *process
+	state   linkState
 }
 
-func startProxy(t *testing.T, target string) *proxy {
+func startProxy(t *testing.T, target string) *proxy { return startClientProxy(t, target, nil) }
+
+// startClientProxy starts a proxy that knows the processes of its clients.
+func startClientProxy(t *testing.T, target string, clientOf func(*net.TCPConn) *process) *proxy {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	p := &proxy{address: listener.Addr().String(), target: target}
+	p := &proxy{address: listener.Addr().String(), target: target, clientOf: clientOf}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -71,18 +86,23 @@
 	}
 	server := conn.(*net.TCPConn)
 	resetCount := p.resetCount.Load()
-	go p.forward(client, server, resetCount, false)
-	p.forward(server, client, resetCount, true)
+	// The process is looked up only for a cut, because that takes several milliseconds.
+	caller := sync.OnceValue(func() *process { return p.clientOf(client) })
+	go p.forward(client, server, resetCount, caller, false)
+	p.forward(server, client, resetCount, caller, true)
 }
 
 // forward copies one direction of a connection until it is closed or reset.
-func (p *proxy) forward(from, to *net.TCPConn, resetCount int64, toClient bool) {
+func (p *proxy) forward(from, to *net.TCPConn, resetCount int64, caller func() *process, toClient bool) {
 	buffer := make([]byte, 32<<10)
 	defer from.Close()
 	defer to.Close()
 	for {
 		n, err := from.Read(buffer)
-		for p.blocks(toClient) && p.resetCount.Load() == resetCount {
+		if p.cutFrom(caller, toClient) {
+			p.heldBack.Add(1)
+		}
+		for p.blocks(caller, toClient) && p.resetCount.Load() == resetCount {
 			time.Sleep(linkPollInterval)
 		}
 		if p.resetCount.Load() != resetCount {
@@ -104,8 +124,17 @@
 	}
 }
 
-// blocks reports whether data of a direction is held back.
-func (p *proxy) blocks(toClient bool) bool {
-	state := linkState(p.state.Load())
-	return state == linkBlackhole || state == linkNoReplies && toClient
+// blocks reports whether data of a direction is held back from or for a process.
+func (p *proxy) blocks(caller func() *process, toClient bool) bool {
+	return linkState(p.state.Load()).blocks(toClient) || p.cutFrom(caller, toClient)
+}
+
+// cutFrom reports whether data of a direction is held back from or for a single process.
+func (p *proxy) cutFrom(caller func() *process, toClient bool) bool {
+	cut := p.cut.Load()
+	return cut != nil && cut.state.blocks(toClient) && cut.process == caller()
+}
+
+func (s linkState) blocks(toClient bool) bool {
+	return s == linkBlackhole || s == linkNoReplies && toClient
 }
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -17,6 +17,8 @@
 	firstSeed     = flag.Uint64("soak.seed", 1, "first seed of the soak test")
 	seedCount     = flag.Int("soak.runs", 1, "number of seeds")
 	faultDuration = flag.Duration("soak.time", 8*time.Second, "duration of fault injection for each seed")
+	cutDuration   = flag.Duration("soak.cut", 10*time.Second, "maximum duration for which a worker is cut off")
+	longDuration  = flag.Duration("soak.long", 6*time.Second, "maximum duration of long tasks")
 	workerCount   = flag.Int("soak.workers", 12, "number of stand-in workers")
 )
 
@@ -60,7 +62,7 @@
 	f := newFleet(t, *workerCount, jobs, s.controlAddresses)
 	a.fleet.Store(f)
 	for _, w := range f.workers {
-		p := startProxy(t, w.address)
+		p := startClientProxy(t, w.address, s.controlOf)
 		f.do(func() { w.address = p.address })
 		s.workerProxies = append(s.workerProxies, p)
 	}
@@ -86,6 +88,9 @@
 	}
 	f.waitForLateCalls()
 	f.do(func() {
+		for _, p := range s.workerProxies {
+			f.counts["held back from one process"] += int(p.heldBack.Load())
+		}
 		for _, violation := range f.violations {
 			t.Error(violation)
 		}
@@ -177,7 +182,7 @@
 func (in *faultInjector) injectFault() {
 	s := in.system
 	name := ""
-	switch in.random.IntN(15) {
+	switch in.random.IntN(17) {
 	case 0, 1:
 		name = in.disturbProcess(in.pickProcess(s.controls, maxDisturbedControls))
 	case 2:
@@ -221,6 +226,8 @@
 		in.fleet.do(func() { w.startDraining(delay) })
 	case 12, 13:
 		name = in.cutWorker(in.random.IntN(len(in.fleet.workers)))
+	case 15, 16:
+		name = in.cutWorkersFrom(s.leader())
 	}
 	if name != "" {
 		in.faultCounts[name]++
@@ -265,9 +272,6 @@
 	})
 }
 
-// maxCutDuration is longer than a lease, so that the boot of a worker that is cut off is given up.
-const maxCutDuration = 10 * time.Second
-
 // cutWorker cuts a worker off from the calls of all control processes, in both directions or only the
 // responses, and returns the name of the fault. Most of the workers boot again behind the cut. The
 // reports of some are late.
@@ -277,13 +281,23 @@
 		return ""
 	}
 	in.cut[p] = true
-	p.set([]linkState{linkBlackhole, linkNoReplies}[in.random.IntN(2)])
+	state := []linkState{linkBlackhole, linkNoReplies}[in.random.IntN(2)]
+	if in.random.IntN(2) == 0 {
+		p.set(state)
+	} else {
+		in.delayCalls(w)
+		in.endFaultWithin(time.Second, func() {
+			if in.cut[p] {
+				p.set(state)
+			}
+		})
+	}
 	reboots, lateReports := in.random.IntN(3) > 0, in.random.IntN(2) == 0
 	in.fleet.do(func() { w.lateReports = lateReports })
 	if reboots {
-		in.endFaultWithin(maxCutDuration/2, func() { in.reboot(w) })
+		in.endFaultWithin(*cutDuration/2, func() { in.reboot(w) })
 	}
-	in.endFaultWithin(maxCutDuration, func() {
+	in.endFaultWithin(*cutDuration, func() {
 		p.set(linkOpen)
 		in.cut[p] = false
 		in.fleet.do(func() { w.lateReports = false })
@@ -291,6 +305,30 @@
 	return "worker cut"
 }
 
+// cutWorkersFrom cuts some workers off from one control process, in both directions or only the
+// responses, and returns the name of the fault. The workers reach the other control processes, which
+// reach them. Some of the workers boot again meanwhile.
+func (in *faultInjector) cutWorkersFrom(control *process) string {
+	if control == nil {
+		return ""
+	}
+	state := []linkState{linkBlackhole, linkNoReplies}[in.random.IntN(2)]
+	for range 1 + in.random.IntN(len(in.fleet.workers)/3) {
+		number := in.random.IntN(len(in.fleet.workers))
+		p, w := in.system.workerProxies[number], in.fleet.workers[number]
+		p.cut.Store(&clientCut{control, state})
+		in.fleet.do(func() { w.cutControl, w.cutState = control.ip, state })
+		if in.random.IntN(2) == 0 {
+			in.endFaultWithin(*cutDuration/2, func() { in.reboot(w) })
+		}
+		in.endFaultWithin(*cutDuration, func() {
+			p.cut.Store(nil)
+			in.fleet.do(func() { w.cutControl = "" })
+		})
+	}
+	return "workers cut from leader"
+}
+
 // checkCorruptedReplaced fails the test unless the control processes have logged one replacement for
 // each corrupted log.
 func (in *faultInjector) checkCorruptedReplaced(t *testing.T) {
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -34,6 +36,7 @@
 type process struct {
 	name, program, settings, ip, logFile string
 	cmd                                  *exec.Cmd
+	pid                                  atomic.Int64
 	exited                               chan struct{}
 }
 
@@ -48,6 +51,71 @@
 	workerProxies   []*proxy // between the control processes and the workers
 }
 
+// leader returns the control process that has begun to dispatch last, by its log, or nil.
+func (s *system) leader() (leader *process) {
+	latest := ""
+	for _, p := range s.controls {
+		content, err := os.ReadFile(p.logFile)
+		if err != nil {
+			s.t.Error(err)
+			return nil
+		}
+		before, _, found := cutLast(string(content), `"event":4000,`)
+		if !found {
+			continue
+		}
+		_, at, _ := cutLast(before, `"time":"`)
+		if at > latest {
+			leader, latest = p, at
+		}
+	}
+	return leader
+}
+
+// cutLast divides a text at the last occurrence of a separator.
+func cutLast(text, separator string) (before, after string, found bool) {
+	i := strings.LastIndex(text, separator)
+	if i < 0 {
+		return "", "", false
+	}
+	return text[:i], text[i+len(separator):], true
+}
+
+// controlOf returns the control process that has opened a connection to this process. It is nil if the
+// connection has been closed. The kernel lists connections with their addresses in hexadecimal digits,
+// the bytes of the IP address reversed, and their inode.
+func (s *system) controlOf(conn *net.TCPConn) *process {
+	list, err := os.ReadFile("/proc/self/net/tcp")
+	if err != nil {
+		s.t.Error(err)
+		return nil
+	}
+	hex := func(address net.Addr) string {
+		tcp := address.(*net.TCPAddr)
+		ip := tcp.IP.To4()
+		return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+	}
+	_, line, found := strings.Cut(string(list), hex(conn.RemoteAddr())+" "+hex(conn.LocalAddr())+" ")
+	line, _, _ = strings.Cut(line, "\n")
+	fields := strings.Fields(line)
+	if !found || len(fields) < 7 {
+		return nil
+	}
+	for _, p := range s.controls {
+		links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.pid.Load()))
+		if err != nil {
+			s.t.Error(err)
+		}
+		for _, link := range links {
+			// A file that has been closed in the meantime has no target.
+			if target, _ := os.Readlink(link); target == "socket:["+fields[6]+"]" {
+				return p
+			}
+		}
+	}
+	return nil
+}
+
 func buildPrograms(t *testing.T) string {
 	dir := t.TempDir()
 	out, err := exec.Command("go", "build", "-o", dir, "../../cmd/godwit-platform-control", "../../cmd/godwit-platform-entry").CombinedOutput()
@@ -128,6 +196,7 @@
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
 	p.exited = make(chan struct{})
 	go func(cmd *exec.Cmd, exited chan struct{}) {
 		// The log of the process shows why it ended.
