core/dispatch: check tickets in the simulation

Cause: every ticket had the same value and workers took any, so a start that was carried out seconds late, also by a later boot, began on a queue with advice as on any other. The platform rejects it.

Change: a ticket names its step, the worker, its boot and the time of issue. A worker rejects a start with another ticket, or with one that was issued more than its validity ago, also when the start is carried out late. The answer of the adviser takes a time of its own. Queues without advice stay as they are.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -33,9 +33,11 @@
 	position    int     // slot of this worker in the cell; its replacement takes the same slot
 	// calledAsBoot is true after the boot has carried out a call addressed to it.
 	calledAsBoot bool
-	onStart      func(dispatch.Start, *fakeRun)
-	onEnd        func(dispatch.ListedEnd)
-	onAck        func(dispatch.ListedEnd, dispatch.Hold)
+	// validTicket checks the ticket of a start. If it is nil, no start needs a ticket.
+	validTicket func(dispatch.Start) bool
+	onStart     func(dispatch.Start, *fakeRun)
+	onEnd       func(dispatch.ListedEnd)
+	onAck       func(dispatch.ListedEnd, dispatch.Hold)
 	// overlaps are runs that were replaced here by another run of their task.
 	overlaps [][2]*fakeRun
 
@@ -144,6 +146,9 @@
 		w.extendLease(s.LeaseUntil, now)
 		return dispatch.OutcomeOK, false
 	}
+	if w.validTicket != nil && !w.validTicket(s) {
+		return dispatch.OutcomeBadTicket, false
+	}
 	// The start itself may be late: a later call may have extended the lease since.
 	w.extendLease(s.LeaseUntil, now)
 	if w.leaseUntil <= w.clock(now) {
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -45,6 +45,7 @@
 
 // observe makes the simulation record the starts and ends on a worker.
 func (s *sim) observe(w *fakeWorker) {
+	w.validTicket = func(st dispatch.Start) bool { return s.validTicket(w, st) }
 	w.onStart = func(st dispatch.Start, r *fakeRun) {
 		start := pastStart{at: s.now, worker: w.id, boot: w.boot, run: st.Run, unavoidable: st.Boot != w.boot && !w.calledAsBoot}
 		task := s.history.of(st.Task)
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -109,7 +111,7 @@
 	s.commit(nil, 0, workload.Command{Configure: &workload.Config{Version: 1, Services: []string{"shop"}, Queues: []workload.Queue{
 		{Name: "urgent", Service: "shop", MaxAttempts: 3},
 		{Name: "advised", Service: "shop", MaxAttempts: 3, Priority: 1, Advice: &workload.AdviserConfig{
-			Base: 20 * time.Millisecond, PerWorker: time.Millisecond, TicketTTL: time.Second,
+			Base: 20 * time.Millisecond, PerWorker: time.Millisecond, TicketTTL: ticketTTL,
 		}},
 	}}})
 	for i := range 5 {
@@ -410,21 +412,43 @@
 }
 
 func (s *sim) advise(l *leader, a dispatch.AdviceCall) {
-	if l.deposed {
-		return
-	}
 	if s.now < faultsEnd && s.rng.IntN(20) == 0 {
 		return
 	}
-	grant := dispatch.Grant{OK: true, TicketTTL: time.Second, Tickets: map[workload.WorkerID]string{}}
-	for _, w := range a.Workers {
+	grant := dispatch.Grant{OK: true, TicketTTL: ticketTTL, Tickets: map[workload.WorkerID]string{}}
+	for _, id := range a.Workers {
 		// The answer for a worker and a step never changes. A worker takes the position of the one
 		// that it replaces, so that enough of the current workers may run each step (seed 74156).
-		if (len(a.Step.Job)+int(a.Step.Job[len(a.Step.Job)-1])+s.worker(w).position)%3 != 0 {
-			grant.Tickets[w] = "ticket"
+		if w := s.worker(id); (len(a.Step.Job)+int(a.Step.Job[len(a.Step.Job)-1])+w.position)%3 != 0 {
+			grant.Tickets[id] = ticketValue(a.Step, w, s.now)
 		}
 	}
-	l.core.AdviceAnswered(s.clock(), a.ID, grant)
+	s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
+		if !l.deposed {
+			l.core.AdviceAnswered(s.clock(), a.ID, grant)
+		}
+	})
+}
+
+// ticketTTL is how long a ticket is valid after the adviser has issued it.
+const ticketTTL = time.Second
+
+// ticketValue names the step, the boot of the worker and the time of issue.
+func ticketValue(step workload.StepID, w *fakeWorker, issuedAt time.Duration) string {
+	return fmt.Sprintf("%s %s %d %d", step, w.id, w.boot, issuedAt)
+}
+
+// validTicket reports whether a worker accepts the ticket of a start now.
+func (s *sim) validTicket(w *fakeWorker, st dispatch.Start) bool {
+	if s.committed.Job(st.Task.Job).Queue.Advice == nil {
+		return true
+	}
+	fields := strings.Fields(st.Ticket)
+	if len(fields) != 4 {
+		return false
+	}
+	issuedAt, err := strconv.ParseInt(fields[3], 10, 64)
+	return err == nil && s.now-time.Duration(issuedAt) <= ticketTTL && st.Ticket == ticketValue(st.Task.StepID(), w, time.Duration(issuedAt))
 }
 
 // submitJobs submits and cancels jobs until faultsEnd.
