core/dispatch: simulate partitions, lost answers and long polls

Cause: calls were answered, or carried out 2 to 12 s late without an answer. Nothing brought about an answer that alone is lost, a call that is carried out twice, a worker that one machine cannot reach and another one can, a worker that rejects calls, a stop that takes time, a hold that waits for an end, a clock that starts at another value, or a boot that starts within milliseconds.

Change: a network between the machines of leaders and the workers loses calls or answers in one direction or both, towards one machine, the others or all. A boot behind a cut registers at once or after it. Workers have times of many late calls and of rejections. Holds and stops may be carried out again later. Holds wait for an end up to their limit. Stops take up to 900 ms.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -38,6 +38,14 @@
 	onStart     func(dispatch.Start, *fakeRun)
 	onEnd       func(dispatch.ListedEnd)
 	onAck       func(dispatch.ListedEnd, dispatch.Hold)
+	// endStopped ends a run that was stopped, after some time. If it is nil, the run ends at once.
+	endStopped func(workload.TaskID, *fakeRun)
+	waiting    []func() // answers to holds that wait for an end
+	// slowUntil and rejectsUntil are the times until which the worker carries out many calls late and
+	// rejects many calls.
+	slowUntil    time.Duration
+	rejectsUntil time.Duration
+	clockBase    int64 // value of the clock at the start of the boot, in ms
 	// overlaps are runs that were replaced here by another run of their task.
 	overlaps [][2]*fakeRun
 
@@ -81,11 +89,11 @@
 	w.token, w.leaseUntil, w.lastEnd, w.lapsedEnd = 0, 0, 0, 0
 	w.runs = map[workload.TaskID]*fakeRun{}
 	w.closedRuns = map[workload.TaskID]workload.RunNumber{}
-	w.ends, w.calledAsBoot = nil, false
+	w.ends, w.waiting, w.calledAsBoot = nil, nil, false
 }
 
 func (w *fakeWorker) clock(now time.Duration) int64 {
-	return int64(float64((now - w.bootedAt).Milliseconds()) * w.clockRate)
+	return w.clockBase + int64(float64((now-w.bootedAt).Milliseconds())*w.clockRate)
 }
 
 func (w *fakeWorker) endRun(task workload.TaskID, result workload.RunEnd) {
@@ -98,6 +106,11 @@
 	if w.onEnd != nil {
 		w.onEnd(end)
 	}
+	waiting := w.waiting
+	w.waiting = nil
+	for _, answer := range waiting {
+		answer()
+	}
 }
 
 // maxLeaseMillis is the longest lease that a worker accepts.
@@ -124,6 +137,11 @@
 		}
 	}
 	w.ends = kept
+	return w.report(now)
+}
+
+// report lists the runs and ends of a worker.
+func (w *fakeWorker) report(now time.Duration) dispatch.HoldReport {
 	report := dispatch.HoldReport{Clock: w.clock(now), Boot: w.boot, Ends: append([]dispatch.ListedEnd(nil), w.ends...)}
 	for _, task := range tasksOf(w) {
 		r := w.runs[task]
@@ -178,7 +196,11 @@
 	w.token = s.Token
 	w.calledAsBoot = w.calledAsBoot || s.Boot == w.boot
 	if r := w.runs[s.Task]; r != nil && r.number == s.Run {
-		w.endRun(s.Task, workload.EndStopped)
+		if w.endStopped != nil {
+			w.endStopped(s.Task, r)
+		} else {
+			w.endRun(s.Task, workload.EndStopped)
+		}
 	}
 	w.closedRuns[s.Task] = max(w.closedRuns[s.Task], s.Run)
 	return dispatch.OutcomeOK
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -43,8 +43,19 @@
 	return h[id]
 }
 
+// maxStopTime is the longest time that a stop takes.
+const maxStopTime = 900 * time.Millisecond
+
 // observe makes the simulation record the starts and ends on a worker.
 func (s *sim) observe(w *fakeWorker) {
+	w.endStopped = func(task workload.TaskID, r *fakeRun) {
+		s.after(s.randomDuration(0, maxStopTime), func() {
+			if w.up && w.runs[task] == r {
+				w.endRun(task, workload.EndStopped)
+				s.endBrokenGang(task, r)
+			}
+		})
+	}
 	w.validTicket = func(st dispatch.Start) bool { return s.validTicket(w, st) }
 	w.onStart = func(st dispatch.Start, r *fakeRun) {
 		start := pastStart{at: s.now, worker: w.id, boot: w.boot, run: st.Run, unavoidable: st.Boot != w.boot && !w.calledAsBoot}
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -82,10 +82,14 @@
 type leader struct {
 	core    *dispatch.Core
 	term    uint64
-	deposed bool // it receives no more updates, but its calls are still in flight
+	machine int  // the machine on which it runs
+	deposed bool // it receives no more commits, but its calls are still in flight
+	stopped bool // it receives no more answers
 	timer   time.Duration
 }
 
+func (l *leader) clock(s *sim) time.Time { return s.clock() }
+
 // sim simulates a cell: a log with delayed commits, one leader at a time, and fake workers.
 type sim struct {
 	rng         *rand.Rand
@@ -100,6 +104,7 @@
 	cancelledAt map[workload.JobID]time.Duration // cancelled jobs with the time of the cancellation
 	violations  []string
 	history     history
+	cuts        []cut
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -214,7 +219,7 @@
 		s.addViolation("restore: %v", err)
 		return
 	}
-	l := &leader{term: s.term}
+	l := &leader{term: s.term, machine: s.rng.IntN(machines)}
 	l.core = dispatch.New(dispatch.Options{
 		Term: s.term, Lease: workerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self",
 	}, restored, s.clock())
@@ -241,25 +246,7 @@
 	for _, p := range e.Proposals {
 		s.after(s.randomDuration(5*time.Millisecond, 40*time.Millisecond), func() { s.commitProposal(l, p) })
 	}
-	for _, h := range e.Holds {
-		s.callWorker(l, h.Call, func(w *fakeWorker, _ bool) func() {
-			report := w.hold(h, s.now)
-			return func() { l.core.HoldAnswered(s.clock(), h.Call, report) }
-		}, func() { l.core.HoldAnswered(s.clock(), h.Call, dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer}) })
-	}
-	for _, st := range e.Starts {
-		s.trace(st.Task, "term %d sends the start of run %d to %s boot %d", l.term, st.Run, st.Worker, st.Boot)
-		s.callWorker(l, st.Call, func(w *fakeWorker, late bool) func() { return s.start(l, w, st, late) },
-			func() { l.core.StartAnswered(s.clock(), st, dispatch.OutcomeNoAnswer, 0) })
-	}
-	for _, st := range e.Stops {
-		s.trace(st.Task, "term %d sends the stop of run %d to %s boot %d", l.term, st.Run, st.Worker, st.Boot)
-		s.callWorker(l, st.Call, func(w *fakeWorker, _ bool) func() {
-			outcome, clock := w.stop(st), w.clock(s.now)
-			s.trace(st.Task, "stop of run %d for %s boot %d reaches boot %d: %v", st.Run, w.id, st.Boot, w.boot, outcome)
-			return func() { l.core.StopAnswered(s.clock(), st, outcome, clock) }
-		}, func() { l.core.StopAnswered(s.clock(), st, dispatch.OutcomeNoAnswer, 0) })
-	}
+	s.sendCalls(l, e)
 	for _, a := range e.Advice {
 		s.after(s.randomDuration(20*time.Millisecond, 100*time.Millisecond), func() { s.advise(l, a) })
 	}
@@ -278,31 +265,6 @@
 	s.commit(l, p.ID, p.Command)
 }
 
-// callWorker delivers a call to a worker. Some calls get no answer and are carried out late or
-// never.
-func (s *sim) callWorker(l *leader, to dispatch.Call, run func(w *fakeWorker, late bool) func(), lost func()) {
-	w := s.worker(to.Worker)
-	answer := func(do func()) {
-		s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
-			if !l.deposed {
-				do()
-			}
-		})
-	}
-	deliver := func(late bool) func() {
-		if !w.up {
-			return lost
-		}
-		return run(w, late)
-	}
-	if s.now < faultsEnd && s.rng.IntN(20) == 0 {
-		s.after(s.randomDuration(2*time.Second, 12*time.Second), func() { deliver(true) })
-		s.after(400*time.Millisecond, func() { answer(lost) })
-		return
-	}
-	s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond), func() { answer(deliver(false)) })
-}
-
 func (s *sim) worker(id workload.WorkerID) *fakeWorker {
 	for _, w := range s.workers {
 		if w.id == id {
@@ -487,7 +449,13 @@
 	if s.now > faultsEnd {
 		return
 	}
-	switch s.rng.IntN(4) {
+	switch s.rng.IntN(8) {
+	case 4, 5:
+		s.cutOff(s.workers[s.rng.IntN(len(s.workers))])
+	case 6:
+		s.workers[s.rng.IntN(len(s.workers))].slowUntil = s.now + s.randomDuration(time.Second, 8*time.Second)
+	case 7:
+		s.workers[s.rng.IntN(len(s.workers))].rejectsUntil = s.now + s.randomDuration(time.Second, 5*time.Second)
 	case 0:
 		s.crash(s.workers[s.rng.IntN(len(s.workers))])
 	case 1:
@@ -505,9 +473,12 @@
 			s.after(leaveAfter, func() { s.leave(w) })
 		}
 	}
-	s.after(s.randomDuration(500*time.Millisecond, 3*time.Second), s.injectFaults)
+	s.after(s.randomDuration(250*time.Millisecond, 1500*time.Millisecond), s.injectFaults)
 }
 
+// maxClockBase is the highest value, in ms, at which the clock of a boot starts.
+const maxClockBase = 100_000
+
 // crash ends a boot. The worker restarts under the same ID and registers again.
 func (s *sim) crash(w *fakeWorker) {
 	if !w.up {
@@ -516,9 +487,16 @@
 	w.crash(s.now)
 	s.loseRuns(w)
 	boot := w.boot + 1
-	s.after(s.randomDuration(100*time.Millisecond, 8*time.Second), func() {
+	downtime := s.randomDuration(100*time.Millisecond, 8*time.Second)
+	if s.rng.IntN(3) == 0 {
+		downtime = s.randomDuration(5*time.Millisecond, 200*time.Millisecond)
+	}
+	s.after(downtime, func() {
 		w.startBoot(boot, s.now)
-		s.after(s.randomDuration(0, time.Second), func() { s.register(w) })
+		if s.rng.IntN(2) == 0 {
+			w.clockBase = s.rng.Int64N(maxClockBase)
+		}
+		s.after(s.registrationDelay(w), func() { s.register(w) })
 	})
 }
 
@@ -552,7 +530,7 @@
 	if former.deposed {
 		return
 	}
-	former.deposed = true
+	former.deposed, former.stopped = true, true
 	s.after(leaderLease+s.randomDuration(0, time.Second), s.elect)
 }
 
