core/dispatch: narrow what the simulation exempts

Cause: an overlap was exempt if one run had been started by a call for a former boot and the other one began before the boot ended, whether or not that boot had refused the start. A start for a former boot was exempt from the check for tasks that are done.

Change: nothing is exempt but an end that was never reported. A violation is kept apart only where a late start that a former boot had refused (by its token or as a closed run) begins on a boot that has carried out no call addressed to it, and the other run was sent before the end of the former boot was committed or a later boot had answered.

One part is wider than before: the other run may also begin after the end of the boot, as long as the leader cannot know of that end.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -15,9 +15,9 @@
 	startedAt time.Duration
 	result    workload.RunEnd
 	boot      workload.Boot
-	// refusedUntil is the end of the last former boot that had refused the run, if the run was
-	// started by a late call for a former boot. Otherwise it is 0.
-	refusedUntil time.Duration
+	// refusedBy is the last former boot that had refused the run, if a call for a former boot started
+	// it before any call for this boot was carried out.
+	refusedBy *formerBoot
 }
 
 // fakeWorker implements the published protocol of a worker that is called: fencing by token, a
@@ -28,7 +28,7 @@
 	up          bool
 	capacity    workload.Resources
 	bootedAt    time.Duration
-	formerBoots []formerBoot
+	formerBoots []*formerBoot
 	clockRate   float64 // relative to real time
 	position    int     // slot of this worker in the cell; its replacement takes the same slot
 	// calledAsBoot is true after the boot has carried out a call addressed to it.
@@ -67,27 +67,35 @@
 // formerBoot is what a boot that has ended would have refused.
 type formerBoot struct {
 	boot       workload.Boot
-	endedAt    time.Duration
 	token      uint64
 	closedRuns map[workload.TaskID]workload.RunNumber
+	noticedAt  time.Duration // when its end was committed or a later boot answered; 0 if unknown
 }
 
-// refusedUntil returns the end of the last former boot that had refused a start, by its token or as
-// a closed run.
-func (w *fakeWorker) refusedUntil(s dispatch.Start) time.Duration {
-	var until time.Duration
+// bootEnded records that the leader has learned of the end of a boot.
+func (w *fakeWorker) bootEnded(boot workload.Boot, now time.Duration) {
+	for _, former := range w.formerBoots {
+		if former.boot <= boot && former.noticedAt == 0 {
+			former.noticedAt = now
+		}
+	}
+}
+
+// refusedBy returns the last former boot that had refused a start, by its token or as a closed run.
+func (w *fakeWorker) refusedBy(s dispatch.Start) *formerBoot {
+	var found *formerBoot
 	for _, former := range w.formerBoots {
 		if former.boot >= s.Boot && (former.token > s.Token || former.closedRuns[s.Task] >= s.Run) {
-			until = former.endedAt
+			found = former
 		}
 	}
-	return until
+	return found
 }
 
 // crash ends the boot of a worker. The refusals of the boot are lost.
-func (w *fakeWorker) crash(now time.Duration) {
+func (w *fakeWorker) crash() {
 	w.up = false
-	w.formerBoots = append(w.formerBoots, formerBoot{w.boot, now, w.token, w.closedRuns})
+	w.formerBoots = append(w.formerBoots, &formerBoot{boot: w.boot, token: w.token, closedRuns: w.closedRuns})
 }
 
 func (w *fakeWorker) startBoot(boot workload.Boot, now time.Duration) {
@@ -182,8 +190,8 @@
 		return dispatch.OutcomeRunClosed, false
 	}
 	r := &fakeRun{number: s.Run, size: size, startedAt: now, boot: w.boot}
-	if s.Boot != w.boot {
-		r.refusedUntil = w.refusedUntil(s)
+	if s.Boot != w.boot && !w.calledAsBoot {
+		r.refusedBy = w.refusedBy(s)
 	}
 	if other := w.runs[s.Task]; other != nil {
 		w.overlaps = append(w.overlaps, overlap{s.Task, other, r})
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -12,18 +12,24 @@
 
 // taskHistory is what the workers have seen of a task, over all boots.
 type taskHistory struct {
-	starts []pastStart
-	done   []*doneEnd
+	starts    []pastStart
+	done      []*doneEnd
+	firstSent map[workload.RunNumber]time.Duration
+}
+
+// sent records when the start of a run was first sent.
+func (h *taskHistory) sent(run workload.RunNumber, now time.Duration) {
+	if _, known := h.firstSent[run]; !known {
+		h.firstSent[run] = now
+	}
 }
 
 type pastStart struct {
-	at     time.Duration
-	worker workload.WorkerID
-	boot   workload.Boot
-	run    workload.RunNumber
-	// unavoidable is true for a start for a former boot on a boot that had not yet carried out a
-	// call addressed to it: no call with a later token could have reached it.
-	unavoidable bool
+	at        time.Duration
+	worker    workload.WorkerID
+	boot      workload.Boot
+	run       workload.RunNumber
+	refusedBy *formerBoot // as in fakeRun
 }
 
 // doneEnd is a successful end. It is taken note of when a hold acknowledges it, unless the lease of
@@ -40,7 +46,7 @@
 
 func (h history) of(id workload.TaskID) *taskHistory {
 	if h[id] == nil {
-		h[id] = &taskHistory{}
+		h[id] = &taskHistory{firstSent: map[workload.RunNumber]time.Duration{}}
 	}
 	return h[id]
 }
@@ -60,7 +66,7 @@
 	}
 	w.validTicket = func(st dispatch.Start) bool { return s.validTicket(w, st) }
 	w.onStart = func(st dispatch.Start, r *fakeRun) {
-		start := pastStart{at: s.now, worker: w.id, boot: w.boot, run: st.Run, unavoidable: st.Boot != w.boot && !w.calledAsBoot}
+		start := pastStart{at: s.now, worker: w.id, boot: w.boot, run: st.Run, refusedBy: r.refusedBy}
 		task := s.history.of(st.Task)
 		task.starts = append(task.starts, start)
 		for _, end := range task.done {
@@ -97,8 +103,8 @@
 // checkStartAfterEnd checks that no run of a task starts after a successful end that is taken note
 // of, before or after that start.
 func (s *sim) checkStartAfterEnd(id workload.TaskID, start pastStart, end *doneEnd) {
-	if end.notedAt > 0 && start.at > end.at && !start.unavoidable {
-		s.addViolation("%v run %d started on %s boot %d at %v, after run %d was done on %s boot %d at %v, which was taken note of at %v",
+	if end.notedAt > 0 && start.at > end.at {
+		s.addViolationOf(s.forgottenRefusal(id, start.refusedBy, end.run), "%v run %d started on %s boot %d at %v, after run %d was done on %s boot %d at %v, which was taken note of at %v",
 			id, start.run, start.worker, start.boot, start.at, end.run, end.worker, end.boot, end.at, end.notedAt)
 	}
 }
@@ -133,7 +139,12 @@
 			continue
 		}
 		if used := w.used(); !used.Fits(w.capacity) {
-			s.addViolation("%s boot %d uses %d of %d: %s", w.id, w.boot, used.MilliCPU, w.capacity.MilliCPU, describeRuns(w))
+			for _, r := range w.runs {
+				if r.refusedBy != nil {
+					used = used.Sub(r.size)
+				}
+			}
+			s.addViolationOf(used.Fits(w.capacity), "%s boot %d uses %d of %d: %s", w.id, w.boot, w.used().MilliCPU, w.capacity.MilliCPU, describeRuns(w))
 		}
 		for task, r := range w.runs {
 			running[task] = append(running[task], place{w, r})
@@ -142,20 +153,29 @@
 	for task, places := range running {
 		for i, a := range places {
 			for _, b := range places[i+1:] {
-				if !unavoidableOverlap(a.run, b.run) {
-					s.addViolation("%v: run %d on %s boot %d since %v and run %d on %s boot %d since %v", task,
-						a.run.number, a.worker.id, a.run.boot, a.run.startedAt, b.run.number, b.worker.id, b.run.boot, b.run.startedAt)
-				}
+				s.addViolationOf(s.forgottenRefusal(task, a.run.refusedBy, b.run.number) || s.forgottenRefusal(task, b.run.refusedBy, a.run.number), "%v: run %d on %s boot %d since %v and run %d on %s boot %d since %v", task,
+					a.run.number, a.worker.id, a.run.boot, a.run.startedAt, b.run.number, b.worker.id, b.run.boot, b.run.startedAt)
 			}
 		}
 	}
 }
 
-// unavoidableOverlap reports whether one of two runs was started by a call for a former boot, and
-// the other run started while a boot existed that had refused the first. That boot's refusal was
-// lost with it, and its end could not be known then (seeds 1188, 20246 and 50709).
-func unavoidableOverlap(a, b *fakeRun) bool {
-	return b.startedAt < a.refusedUntil || a.startedAt < b.refusedUntil
+// forgottenRefusal reports whether a late start that a former boot had refused conflicts with another
+// run that was sent before the end of that boot was known (seeds 1188, 20246 and 50709).
+func (s *sim) forgottenRefusal(id workload.TaskID, refusedBy *formerBoot, other workload.RunNumber) bool {
+	return refusedBy != nil && (refusedBy.noticedAt == 0 || s.history.of(id).firstSent[other] <= refusedBy.noticedAt)
+}
+
+// addViolationOf records a violation apart from the others if it needs a forgotten refusal.
+func (s *sim) addViolationOf(forgottenRefusal bool, format string, args ...any) {
+	if forgottenRefusal {
+		if violation := fmt.Sprintf(format, args...); !s.reported[violation] {
+			s.reported[violation] = true
+			s.refusalViolations = append(s.refusalViolations, fmt.Sprintf("at %v: %s", s.now, violation))
+		}
+		return
+	}
+	s.addViolation(format, args...)
 }
 
 func tasksOf(w *fakeWorker) []workload.TaskID { return sortedKeys(w.runs) }
--- a/core/dispatch/simnetwork_test.go
+++ b/core/dispatch/simnetwork_test.go
@@ -165,12 +165,18 @@
 		}
 		s.callWorker(delivery{l, h.Call, callTimeout + h.Wait, true, func(w *fakeWorker, _ bool, reply func(func())) {
 			s.hold(w, h, func(report dispatch.HoldReport) {
-				reply(func() { l.core.HoldAnswered(l.clock(s), h.Call, report) })
+				reply(func() {
+					if report.Boot > h.Boot {
+						w.bootEnded(report.Boot-1, s.now)
+					}
+					l.core.HoldAnswered(l.clock(s), h.Call, report)
+				})
 			})
 		}, failed})
 	}
 	for _, st := range e.Starts {
 		s.trace(st.Task, "term %d sends the start of run %d to %s boot %d", l.term, st.Run, st.Worker, st.Boot)
+		s.history.of(st.Task).sent(st.Run, s.now)
 		failed := func(outcome dispatch.Outcome) { l.core.StartAnswered(l.clock(s), st, outcome, 0) }
 		s.callWorker(delivery{l, st.Call, st.Timeout, false, func(w *fakeWorker, late bool, reply func(func())) {
 			reply(s.start(l, w, st, late))
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -51,6 +51,18 @@
 	}
 }
 
+// TestSoakForgottenRefusals guards against late starts that a former boot of a worker had refused and
+// that a later boot carries out, before any call has told it of a higher token.
+func TestSoakForgottenRefusals(t *testing.T) {
+	for _, seed := range []uint64{56} {
+		s := newSim(seed)
+		s.run()
+		for _, violation := range s.refusalViolations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
 // Times of a simulation.
 const (
 	faultsEnd     = 30 * time.Second
@@ -93,9 +105,11 @@
 	jobs        []workload.JobID
 	cancelledAt map[workload.JobID]time.Duration // cancelled jobs with the time of the cancellation
 	violations  []string
-	reported    map[string]bool // violations that are not reported again
-	history     history
-	cuts        []cut
+	// refusalViolations are violations by late starts that a former boot had refused.
+	refusalViolations []string
+	reported          map[string]bool // violations that are not reported again
+	history           history
+	cuts              []cut
 	// formerLeaders are deposed leaders that still work.
 	formerLeaders []*leader
 	// leaseOnOneClock makes a leader whose clock has stood still believe in its lease afterwards.
@@ -189,6 +203,12 @@
 // commit applies a command to the log and to the current leader.
 func (s *sim) commit(from *leader, tag uint64, c workload.Command) workload.Result {
 	s.traceCommand(c)
+	if c.EndBoot != nil {
+		s.worker(c.EndBoot.Worker).bootEnded(c.EndBoot.Boot, s.now)
+	}
+	if c.Register != nil && s.worker(c.Register.Worker.ID) != nil {
+		s.worker(c.Register.Worker.ID).bootEnded(c.Register.Worker.Boot-1, s.now)
+	}
 	result := s.committed.Apply(s.clock(), s.now, c)
 	if s.leader != nil && !s.leader.deposed {
 		s.leader.core.Apply(s.clock(), s.clock(), s.now, c)
@@ -425,7 +445,7 @@
 	if !w.up {
 		return
 	}
-	w.crash(s.now)
+	w.crash()
 	s.loseRuns(w)
 	boot := w.boot + 1
 	downtime := s.randomDuration(100*time.Millisecond, 8*time.Second)
