--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -39,9 +39,13 @@
 	}
 	c.updateClock(w, report.Clock)
 	w.answeredHoldSentAt = w.holdSentAt
+	w.ackAnswered = max(w.ackAnswered, w.ackSent)
 	if call.Token == c.token(w) && !w.tokenAccepted {
 		w.tokenAccepted = true
 		c.planNeeded = true
+		// Until now the worker accepted calls of earlier leaders and calls to its earlier boots. A
+		// lease end by the clock of an earlier boot is shortened to the longest lease.
+		w.leaseUntil = max(w.leaseUntil, report.Clock+c.opts.MaxLease.Milliseconds())
 	}
 	firstAnswer := !w.answeredThisTerm
 	w.answeredThisTerm = true
@@ -62,6 +66,8 @@
 	}
 	w.holdBackoff = 0
 	c.reconcileRuns(w, report)
+	// Ends that do not count need no commit.
+	c.acknowledgeEnds(w)
 	w.nextHoldAt = c.now
 	if w.lastHandledEnd > w.ackedEnd {
 		// The next hold acknowledges the ends. It is sent as soon as they are committed.
@@ -83,10 +89,9 @@
 		c.handleFenced(w, call)
 		return
 	case OutcomeLaterBoot:
-		w.laterBootSeen = true
 		c.proposeBootEnd(w, bootEndLaterBoot, true)
 	case OutcomeOtherWorker:
-		c.proposeBootEnd(w, bootEndOtherWorker, true)
+		c.otherWorkerAnswered(w, call)
 	}
 	if !w.unresponsive {
 		w.unresponsive = true
@@ -184,12 +189,15 @@
 	c.recordProgress(w, a.Task, r, a.Percent, clock)
 }
 
-// recordClosedRun logs an active run that is closed in the state. If another run of the task is
-// open, the task may be running twice.
+// recordClosedRun logs an active run that is closed in the state, with how it was closed if the
+// state still lists it. If another run of the task is open, the task may be running twice.
 func (c *Core) recordClosedRun(w *worker, a ActiveRun) {
 	d := Decision{
 		Kind: DecisionClosedRun, Job: a.Task.Job, Step: a.Task.Step, Task: a.Task.Index, Run: a.Run, Worker: w.ID, Boot: w.Boot,
 	}
+	if closed, age, listed := c.state.ClosedRun(a.Task, w.ID, a.Run); listed {
+		d.Reason, d.Age = string(closed.How), age
+	}
 	if task := c.state.Task(a.Task); task != nil && task.Open && task.Run != a.Run {
 		d.Kind, d.OpenRun = DecisionOverlap, task.Run
 	}
@@ -218,9 +226,8 @@
 	if r != nil && (r.number != end.Run || r.endProposed) {
 		return
 	}
-	task := c.state.Task(end.Task)
 	switch {
-	case task != nil && task.AcceptsLateEnd(end.Run, end.Result):
+	case c.state.AcceptsLateEnd(end.Task, w.ID, end.Run, end.Result):
 		if r == nil {
 			r = &run{number: end.Run, closedInState: true}
 			w.runs[end.Task] = r
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -60,11 +60,9 @@
 	answeredThisTerm bool // the worker has answered a hold in this term
 	unresponsive     bool // the last hold failed
 	bootEndProposed  bool // an EndBoot command has been proposed
-	// laterBootSeen is true after a later boot has answered.
-	laterBootSeen bool
-	holdInFlight  bool // a hold is in flight
-	nextHoldAt    time.Time
-	holdSentAt    time.Time // send time of the hold in flight
+	holdInFlight     bool // a hold is in flight
+	nextHoldAt       time.Time
+	holdSentAt       time.Time // send time of the hold in flight
 	// endedBoots counts the ended boots of this worker ID that this leader knows of. tokenAccepted
 	// is true after the worker has answered a call with the resulting token.
 	endedBoots    uint64
@@ -76,8 +74,12 @@
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
 	leaseUntil  int64 // latest lease end that was sent, by the worker's clock, in ms
+	// leaseSentAt is when a call with a lease end was last sent.
+	leaseSentAt time.Time
 
 	ackedEnd       uint64 // ends up to this number are committed, so the worker may forget them
+	ackSent        uint64 // acknowledgement in the hold in flight
+	ackAnswered    uint64 // highest acknowledgement in a hold that was answered
 	lastHandledEnd uint64 // ends up to this number have been processed
 	runs           map[workload.TaskID]*run
 	// inDoubtTasks are the tasks with a start that this boot, or a later one, may still carry out.
@@ -156,7 +158,6 @@
 		created.runs[open.Task] = r
 	}
 	if existing != nil {
-		existing.laterBootSeen = true
 		c.recordStartsOfEndedBoot(existing)
 		c.transferInDoubtStarts(existing, created)
 	}
@@ -188,9 +189,9 @@
 	if w.answeredThisTerm {
 		return c.minWorkerClock(w) > w.leaseUntil+leaseMargin.Milliseconds()
 	}
-	// The previous leader extended leases by at most Lease, and its own lease ended before this
-	// term began.
-	return c.now.After(c.startedAt.Add(c.slowClockDuration(c.opts.Lease) + leaseMargin))
+	// The lease of the previous leader ended before this term began. A call to an earlier boot may
+	// have extended the worker's lease by more than Lease.
+	return c.now.After(c.startedAt.Add(c.slowClockDuration(max(c.opts.Lease, c.opts.MaxLease)) + leaseMargin))
 }
 
 // slowClockDuration returns how long a slow worker clock may take to advance by d.
@@ -204,6 +205,7 @@
 	if !w.answeredThisTerm {
 		return 0
 	}
+	w.leaseSentAt = c.now
 	if w.unresponsive {
 		return w.leaseUntil
 	}
@@ -211,6 +213,16 @@
 	return w.leaseUntil
 }
 
+// leaseOfHold returns the lease end to send with a hold. Only the first repetition of an unanswered
+// hold contains it, because for a later boot, whose clock starts anew, it would be far in the future
+// and would extend the lease of runs that this leader does not know about.
+func (c *Core) leaseOfHold(w *worker) int64 {
+	if w.unresponsive && w.holdBackoff > 0 {
+		return 0
+	}
+	return c.extendLease(w)
+}
+
 func (c *Core) callTo(w *worker) Call {
 	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.token(w)}
 }
@@ -284,7 +296,18 @@
 	}
 	w.holdInFlight = true
 	w.holdSentAt = c.now
-	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.extendLease(w), AckedEnd: w.ackedEnd, Wait: wait})
+	w.ackSent = w.ackToSend()
+	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.leaseOfHold(w), AckedEnd: w.ackSent, Wait: wait})
+}
+
+// ackToSend returns the number up to which a hold lets the worker forget its ends. A hold without an
+// answer may reach a later boot, which numbers its ends anew. Therefore an acknowledgement is sent
+// until it is answered, and only to a worker that has answered the last hold.
+func (w *worker) ackToSend() uint64 {
+	if w.unresponsive || w.ackedEnd == w.ackAnswered {
+		return 0
+	}
+	return w.ackedEnd
 }
 
 // Reasons for which a boot is ended.
@@ -316,6 +339,14 @@
 	c.propose(&proposal{command: workload.Command{EndBoot: &command}})
 }
 
+// otherWorkerAnswered ends a boot after another worker has answered at its address. It does nothing if
+// the boot reports another address by now.
+func (c *Core) otherWorkerAnswered(w *worker, call Call) {
+	if call.Address == w.Address {
+		c.proposeBootEnd(w, bootEndOtherWorker, true)
+	}
+}
+
 // timeSinceAnswer returns the time since the worker's last answer.
 func (c *Core) timeSinceAnswer(w *worker) time.Duration {
 	if w.clockReadAt.IsZero() {
--- /dev/null
+++ b/core/workload/closedrun.go
@@ -0,0 +1,96 @@
+package workload
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ClosedRunRetention is how long a closed run is listed in its step. It exceeds the 12 s within
+// which a worker may carry out a late start plus the longest lease of the run.
+const ClosedRunRetention = 30 * time.Second
+
+// ClosedRun is a closed run whose start a worker may still carry out.
+type ClosedRun struct {
+	Index    int // task of the step
+	Run      RunNumber
+	Worker   WorkerID
+	ClosedAt time.Duration // steady clock when the run was closed
+	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot; EndFailed once its failure is counted
+}
+
+func compareClosedRuns(a, b ClosedRun) int {
+	return cmp.Or(cmp.Compare(a.Index, b.Index), cmp.Compare(a.Worker, b.Worker))
+}
+
+// addClosedRun lists a closed run. A later run of the task on the same worker replaces an earlier
+// one, so a step lists at most one run for each task and worker.
+func (s *State) addClosedRun(step *Step, r ClosedRun) {
+	r.ClosedAt = s.steadyClock
+	at, listed := slices.BinarySearchFunc(step.ClosedRuns, r, compareClosedRuns)
+	if listed {
+		step.ClosedRuns[at] = r
+	} else {
+		step.ClosedRuns = slices.Insert(step.ClosedRuns, at, r)
+	}
+}
+
+func (step *Step) removeClosedRuns(remove func(ClosedRun) bool) {
+	if len(step.ClosedRuns) > 0 {
+		step.ClosedRuns = slices.DeleteFunc(step.ClosedRuns, remove)
+	}
+}
+
+// removeClosedRunsOn removes the closed runs of a worker from all steps.
+func (s *State) removeClosedRunsOn(worker WorkerID) {
+	for _, job := range s.jobs {
+		for i := range job.Steps {
+			job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return r.Worker == worker })
+		}
+	}
+}
+
+// expireClosedRuns removes the closed runs of a job that are older than ClosedRunRetention.
+func (s *State) expireClosedRuns(job *Job) {
+	for i := range job.Steps {
+		job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return s.closedRunAge(r) >= ClosedRunRetention })
+	}
+}
+
+func (s *State) closedRunAge(r ClosedRun) time.Duration { return s.minTimeSince(r.ClosedAt) }
+
+// minTimeSince returns the minimum time since a value of the steady clock. The clock may have
+// advanced by one step right after it had that value.
+func (s *State) minTimeSince(at time.Duration) time.Duration {
+	return max(s.steadyClock-at-AdvanceInterval, 0)
+}
+
+// ForEachClosedRun calls visit for each listed closed run of a step, by task and worker, with the
+// minimum time since it was closed.
+func (s *State) ForEachClosedRun(step *Step, visit func(r ClosedRun, age time.Duration)) {
+	for _, r := range step.ClosedRuns {
+		visit(r, s.closedRunAge(r))
+	}
+}
+
+// ClosedRun returns a closed run and the minimum time since it was closed, if it is listed.
+func (s *State) ClosedRun(id TaskID, worker WorkerID, run RunNumber) (r ClosedRun, age time.Duration, listed bool) {
+	_, step, _ := s.findTask(id)
+	if step == nil {
+		return ClosedRun{}, 0, false
+	}
+	closed := step.closedRun(id.Index, worker, run)
+	if closed == nil {
+		return ClosedRun{}, 0, false
+	}
+	return *closed, s.closedRunAge(*closed), true
+}
+
+// closedRun returns a closed run, or nil if it is not listed.
+func (step *Step) closedRun(index int, worker WorkerID, run RunNumber) *ClosedRun {
+	at, found := slices.BinarySearchFunc(step.ClosedRuns, ClosedRun{Index: index, Worker: worker}, compareClosedRuns)
+	if !found || step.ClosedRuns[at].Run != run {
+		return nil
+	}
+	return &step.ClosedRuns[at]
+}
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -12,6 +12,8 @@
 	Jobs    []Job // oldest first
 	Workers []WorkerSnapshot
 	Clock   time.Duration `cbor:",omitempty"` // retention clock
+	// SteadyClock is the steady clock, which is zero in a snapshot of a version that had none.
+	SteadyClock time.Duration `cbor:",omitempty" json:",omitempty"`
 }
 
 // WorkerSnapshot is a worker with its open runs.
@@ -30,12 +32,13 @@
 // Snapshot copies the state. Job specifications, queues and the configuration are immutable and
 // are shared with the state.
 func (s *State) Snapshot() Snapshot {
-	out := Snapshot{Config: s.config, Clock: s.retentionClock}
+	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock}
 	for _, id := range s.jobOrder {
 		job := *s.jobs[id]
 		job.Steps = slices.Clone(job.Steps)
 		for i := range job.Steps {
 			job.Steps[i].Tasks = slices.Clone(job.Steps[i].Tasks)
+			job.Steps[i].ClosedRuns = slices.Clone(job.Steps[i].ClosedRuns)
 		}
 		out.Jobs = append(out.Jobs, job)
 	}
@@ -50,16 +53,19 @@
 }
 
 // Restore returns the state of a snapshot. It returns an error if an open run of a worker is not the
-// open run of a known task.
+// open run of a known task, or a closed run has no task.
 func Restore(snapshot Snapshot) (*State, error) {
 	s := New()
-	s.retentionClock = snapshot.Clock
+	s.retentionClock, s.steadyClock = snapshot.Clock, snapshot.SteadyClock
 	if snapshot.Config != nil {
 		s.config = snapshot.Config
 		s.indexQueues()
 	}
 	for i := range snapshot.Jobs {
 		job := snapshot.Jobs[i]
+		if err := job.checkClosedRuns(); err != nil {
+			return nil, err
+		}
 		s.jobs[job.ID] = &job
 		s.jobOrder = append(s.jobOrder, job.ID)
 		if !job.Started && !job.State.Ended() {
@@ -80,3 +86,14 @@
 	}
 	return s, nil
 }
+
+func (j *Job) checkClosedRuns() error {
+	for i := range j.Steps {
+		for _, r := range j.Steps[i].ClosedRuns {
+			if r.Index < 0 || r.Index >= len(j.Steps[i].Tasks) {
+				return fmt.Errorf("workload snapshot: closed run of task %d in step %d of job %s, which has %d tasks", r.Index, i, j.ID, len(j.Steps[i].Tasks))
+			}
+		}
+	}
+	return nil
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// AdvanceInterval is the step of the steady clock. A leader proposes an Advance at the earliest one
+// interval after its previous one was applied.
+const AdvanceInterval = time.Second
+
 // JobRetention is how long an ended job can be queried and its id is recognised in a repeated
 // submission. Current platforms require 120 s; a delayed copy of a submission arrives within
 // seconds.
@@ -19,6 +23,7 @@
 	pendingJobs    map[string]int // number of accepted jobs that have not started, by queue
 	workers        map[WorkerID]*workerState
 	retentionClock time.Duration // retention clock of the latest command
+	steadyClock    time.Duration // lower bound of the time that has passed under leaders
 }
 
 // New returns the initial state.
@@ -137,6 +142,9 @@
 	}
 	job.State = state
 	job.EndedAt = retentionClock
+	for i := range job.Steps {
+		job.Steps[i].ClosedRuns = nil
+	}
 }
 
 func (s *State) register(w Worker, retentionClock time.Duration) Result {
@@ -150,7 +158,7 @@
 	}
 	if w.Boot > known.Boot {
 		// A later boot implies that the previous one and its runs have ended.
-		s.closeRuns(known, retentionClock, EndBoot{})
+		s.closeRuns(known, retentionClock, EndBoot{Permanent: true})
 		known.Worker = w
 		return Result{}
 	}
@@ -195,25 +203,44 @@
 		return
 	}
 	s.closeRun(retentionClock, w, e.Task, e.How, e.Checkpoint)
+	s.listClosedRun(w, e.Task, e.How)
 }
 
-// acceptLateEnd records the outcome of a run that is closed already. It counts only if the run was done,
-// was the latest run of its task, and the task is pending.
+// acceptLateEnd records the outcome of a run that is closed already, if it still counts.
 func (s *State) acceptLateEnd(retentionClock time.Duration, e EndedRun) {
-	job, step, task := s.findTask(e.Task)
-	if task == nil || !task.AcceptsLateEnd(e.Run, e.How) {
+	if !s.AcceptsLateEnd(e.Task, e.Worker, e.Run, e.How) {
 		return
 	}
+	job, step, task := s.findTask(e.Task)
+	spec := &job.Spec.Steps[e.Task.Step]
 	job.HasExecuted = true
 	s.markStarted(job)
-	s.completeTask(job, step, &job.Spec.Steps[e.Task.Step], task, retentionClock)
+	if e.How == EndDone {
+		s.completeTask(job, step, spec, task, retentionClock)
+		return
+	}
+	step.closedRun(e.Task.Index, e.Worker, e.Run).How = EndFailed
+	s.countFailure(job, step, spec, task, e.Run, retentionClock)
 }
 
-// AcceptsLateEnd reports whether the outcome of a closed run of the task counts. A failure does not: it
-// may have been counted when the run was closed, because a worker repeats its report until the leader
-// acknowledges it, and repeats it to the next leader.
-func (t *Task) AcceptsLateEnd(run RunNumber, how RunEnd) bool {
-	return how == EndDone && t.State == TaskPending && t.Run == run
+// AcceptsLateEnd reports whether the outcome of a closed run counts. That a run was done counts if the
+// task is pending and the run is its latest one, or is listed and has not failed: a late start of an
+// earlier run may have been carried out. A failure counts once, although a worker repeats its report to
+// the next leader, while the closed run is listed with another end.
+func (s *State) AcceptsLateEnd(id TaskID, worker WorkerID, run RunNumber, how RunEnd) bool {
+	_, step, task := s.findTask(id)
+	if task == nil {
+		return false
+	}
+	closed := step.closedRun(id.Index, worker, run)
+	listed := closed != nil && closed.How != EndFailed
+	switch how {
+	case EndDone:
+		return task.State == TaskPending && (task.Run == run || listed)
+	case EndFailed:
+		return listed
+	}
+	return false
 }
 
 // closeRun releases the capacity of a run and updates the state of its task.
@@ -226,7 +253,7 @@
 	spec := &job.Spec.Steps[id.Step]
 	w.used = w.used.Sub(spec.Size)
 	task.Open = false
-	step.ClosedAt = s.retentionClock
+	step.ClosedAt, step.SteadyClosedAt = s.retentionClock, s.steadyClock
 	if how == EndNeverStarted {
 		s.requeueIfNotStarted(job)
 	} else {
@@ -292,6 +319,7 @@
 		}
 		step.RemainingTasks = 0
 	}
+	step.removeClosedRuns(func(r ClosedRun) bool { return step.Tasks[r.Index].State == TaskDone })
 	if job.State.Ended() {
 		return
 	}
@@ -306,7 +334,7 @@
 func (s *State) countFailure(job *Job, step *Step, spec *StepSpec, task *Task, run RunNumber, retentionClock time.Duration) {
 	failures := 0
 	if spec.Gang {
-		if step.LastFailedRun != run {
+		if run > step.LastFailedRun {
 			step.LastFailedRun = run
 			step.Failures++
 		}
@@ -342,7 +370,7 @@
 }
 
 // closeRuns closes the runs of a boot that has ended, in task order so that replicas agree. If another
-// worker has taken over the address, it rejects the start requests for these runs, so the tasks no
+// worker has taken over the address, it rejects all start requests for this one, so the tasks no
 // longer name a worker that may still start them.
 func (s *State) closeRuns(w *workerState, retentionClock time.Duration, c EndBoot) {
 	for _, id := range sortedTasks(w.runs) {
@@ -354,22 +382,57 @@
 		if _, _, task := s.findTask(id); task != nil && c.Replaced {
 			task.Worker = ""
 		}
+		if !c.Replaced {
+			s.listClosedRun(w, id, c.end())
+		}
+	}
+	if c.Replaced {
+		s.removeClosedRunsOn(w.ID)
+	}
+}
+
+// end returns how the end of a boot closes its runs. A boot whose lease has expired may return,
+// unless its worker was draining.
+func (c EndBoot) end() RunEnd {
+	if c.Permanent {
+		return EndLost
 	}
+	return EndLeaseExpired
+}
+
+// listClosedRun lists the latest run of a task after it was closed, unless the task is done or its
+// job has ended.
+func (s *State) listClosedRun(w *workerState, id TaskID, how RunEnd) {
+	job, step, task := s.findTask(id)
+	if task == nil || task.State == TaskDone || job.State.Ended() {
+		return
+	}
+	s.addClosedRun(step, ClosedRun{Index: id.Index, Run: task.Run, Worker: w.ID, How: how})
 }
 
 // findTask returns the job, step and task of an id, or nil for all three if the task is unknown.
 func (s *State) findTask(id TaskID) (*Job, *Step, *Task) {
 	job := s.jobs[id.Job]
-	if job == nil || id.Step >= len(job.Steps) || id.Index >= len(job.Steps[id.Step].Tasks) {
+	if job == nil || !job.hasStep(id.StepID()) {
 		return nil, nil, nil
 	}
 	step := &job.Steps[id.Step]
+	if id.Index < 0 || id.Index >= len(step.Tasks) {
+		return nil, nil, nil
+	}
 	return job, step, &step.Tasks[id.Index]
 }
 
-// Expire removes the jobs that ended at least JobRetention ago and have no open run.
-func (s *State) Expire(retentionClock time.Duration) {
+// hasStep reports whether a step id names a step of the job. Accepted jobs have a single occurrence.
+func (j *Job) hasStep(id StepID) bool {
+	return id.Occurrence == 0 && id.Step >= 0 && id.Step < len(j.Steps)
+}
+
+// Expire advances the clocks and removes the jobs that ended at least JobRetention ago and have no
+// open run, and the closed runs that are too old.
+func (s *State) Expire(retentionClock, steadyClock time.Duration) {
 	s.retentionClock = max(s.retentionClock, retentionClock)
+	s.steadyClock = max(s.steadyClock, steadyClock)
 	kept := s.jobOrder[:0]
 	for _, id := range s.jobOrder {
 		job := s.jobs[id]
@@ -377,6 +440,7 @@
 			delete(s.jobs, id)
 			continue
 		}
+		s.expireClosedRuns(job)
 		kept = append(kept, id)
 	}
 	clear(s.jobOrder[len(kept):])
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -39,6 +39,11 @@
 // StepID returns the id of the step that the task belongs to.
 func (t TaskID) StepID() StepID { return StepID{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step} }
 
+// Task returns the id of a task of the step.
+func (s StepID) Task(index int) TaskID {
+	return TaskID{Job: s.Job, Occurrence: s.Occurrence, Step: s.Step, Index: index}
+}
+
 // String returns JOB/OCCURRENCE/STEP/INDEX.
 func (t TaskID) String() string {
 	return fmt.Sprintf("%s/%d/%d/%d", t.Job, t.Occurrence, t.Step, t.Index)
@@ -166,8 +171,10 @@
 	Tasks          []Task
 	RemainingTasks int           `cbor:"Left" json:"Left"` // number of tasks that are not done
 	Failures       int           // failed runs of a gang
-	LastFailedRun  RunNumber     `cbor:"FailedIn" json:"FailedIn"` // latest gang run that is counted in Failures
-	ClosedAt       time.Duration `cbor:",omitempty"`               // retention clock when a run of the step was last closed
+	LastFailedRun  RunNumber     `cbor:"FailedIn" json:"FailedIn"`     // latest gang run that is counted in Failures
+	ClosedAt       time.Duration `cbor:",omitempty"`                   // retention clock when a run of the step was last closed
+	SteadyClosedAt time.Duration `cbor:",omitempty" json:",omitempty"` // steady clock at the same time
+	ClosedRuns     []ClosedRun   `cbor:",omitempty" json:",omitempty"` // sorted by task and worker; only runs of tasks that are not done
 }
 
 // Job is an accepted job.
@@ -183,6 +190,9 @@
 	EndedAt     time.Duration // retention clock when the job ended
 }
 
+// StepID returns the id of a step of the job.
+func (j *Job) StepID(step int) StepID { return StepID{Job: j.ID, Step: step} }
+
 // Worker is a registered worker.
 type Worker struct {
 	ID       WorkerID
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -49,7 +49,7 @@
 }
 
 func (t *task) applyEffects(now time.Time, e replog.Effects) error {
-	t.sender.Send(e.Messages)
+	t.sender.Send(t.withholdTimeoutNow(e.Messages))
 	t.persist(now, e)
 	if e.Snapshot != nil {
 		if err := t.installSnapshot(*e.Snapshot, now); err != nil {
@@ -270,6 +270,7 @@
 			return merry.Wrap(ErrUnknownCommand, merry.WithCause(err), merry.AppendMessagef("entry %d", entry.Index))
 		}
 	}
+	command.Term = entry.Term
 	result, events := t.state.Apply(entry.Index, command)
 	t.opts.Metrics.Add(metricCommands, "", 1)
 	if result.Refusal != state.RefusalNone {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replication"
@@ -37,7 +38,8 @@
 	// replicas that announce themselves join it. With 0 the group follows the list in the cell
 	// file.
 	AutoVoters int
-	// WorkUpdates receives the updates for the task that dispatches jobs of steps. It may be nil.
+	// WorkUpdates receives the updates for the task that dispatches jobs of steps. It may be nil. It
+	// has no buffer, so that the task has received what was sent before leadership is transferred.
 	WorkUpdates chan<- WorkUpdate
 
 	// DisableBatching makes the replica propose a command only after the one before it is
@@ -65,7 +67,7 @@
 
 // Times of the leader.
 const (
-	advanceInterval = time.Second
+	advanceInterval = workload.AdvanceInterval
 	// minPlanInterval is the least time between two plans, so that one plan covers the events of
 	// many commands.
 	minPlanInterval = 10 * time.Millisecond
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/core/workload"
@@ -18,9 +20,9 @@
 	// LeadershipEnded is set when this replica stops being leader.
 	LeadershipEnded bool
 	Applied         []AppliedWork
-	// LeaseEnd is the end of the leader lease, or the zero time without a lease; nil if it did
-	// not change.
-	LeaseEnd         *time.Time
+	// LeaseEnd is the end of the leader lease; nil if it did not change. Without a lease it has
+	// passed.
+	LeaseEnd         *lease.Deadline
 	AdviceRequesters []string // addresses of processes that can call the adviser
 }
 
@@ -33,7 +35,8 @@
 // AppliedWork is a committed command with the clocks of the state after it.
 type AppliedWork struct {
 	At       time.Time
-	Retained time.Duration
+	Retained time.Duration // retention clock
+	Steady   time.Duration // steady clock
 	Command  workload.Command
 	Expire   bool   // only the clocks advanced; there is no command
 	Tag      uint64 // tag of the ProposeWork call of this process, otherwise 0
@@ -45,6 +48,8 @@
 	updates  chan<- WorkUpdate
 	pending  []WorkUpdate
 	leaseEnd time.Time
+	// timeoutNow holds messages that wait until the dispatching task has received all updates.
+	timeoutNow []replog.Message
 }
 
 // next returns the channel and the next update, or nil if there is none.
@@ -84,7 +89,7 @@
 		return
 	}
 	now, retained := t.state.Clocks()
-	applied := AppliedWork{At: now, Retained: retained, Expire: command.Advance != nil, Tag: tag}
+	applied := AppliedWork{At: now, Retained: retained, Steady: t.state.Workload().SteadyClock(), Expire: command.Advance != nil, Tag: tag}
 	if command.Workload != nil {
 		applied.Command = *command.Workload
 	}
@@ -96,7 +101,7 @@
 // a follower extends the lease, and each update wakes the dispatching task.
 const minLeaseExtension = 25 * time.Millisecond
 
-func (t *task) publishLeaseEnd() {
+func (t *task) publishLeaseEnd(now time.Time) {
 	if t.workFeed.updates == nil || t.leader == nil {
 		return
 	}
@@ -105,10 +110,36 @@
 		return
 	}
 	t.workFeed.leaseEnd = t.status.LeaseEnd
-	until := t.status.LeaseEnd
+	// The wall clock may have been set since the replica started, so the wall clock reading of
+	// status.LeaseEnd does not count.
+	until := lease.DeadlineIn(now, t.status.LeaseEnd.Sub(now))
 	t.workFeed.lastPending().LeaseEnd = &until
 }
 
+// withholdTimeoutNow removes the messages of a leadership transfer. Their receiver may become leader at
+// once, so the dispatching task must have received the end of the leader lease before.
+func (t *task) withholdTimeoutNow(messages []replog.Message) []replog.Message {
+	if t.workFeed.updates == nil {
+		return messages
+	}
+	return slices.DeleteFunc(messages, func(m replog.Message) bool {
+		if m.Type != replog.MessageTimeoutNow {
+			return false
+		}
+		t.workFeed.timeoutNow = append(t.workFeed.timeoutNow, m)
+		return true
+	})
+}
+
+// sendTimeoutNow sends the withheld messages once the dispatching task has received all updates.
+func (t *task) sendTimeoutNow() {
+	if len(t.workFeed.timeoutNow) == 0 || len(t.workFeed.pending) > 0 {
+		return
+	}
+	t.sender.Send(t.workFeed.timeoutNow)
+	t.workFeed.timeoutNow = nil
+}
+
 func (t *task) publishAdviceRequester(address string) {
 	if t.workFeed.updates == nil || t.leader == nil || address == "" {
 		return
@@ -153,6 +184,16 @@
 	return *answer.Called, true, nil
 }
 
+// LocalServices returns the services of the queue configuration that this replica has applied, or
+// nil if there is none.
+func (r *Replica) LocalServices(ctx context.Context) ([]string, error) {
+	answer, err := r.ReadLocal(ctx, state.Query{Queues: &state.QueuesQuery{}})
+	if err != nil || answer.Queues == nil || answer.Queues.Config == nil {
+		return nil, err
+	}
+	return answer.Queues.Config.Services, nil
+}
+
 // GroupAddresses returns the addresses of the leader, empty if unknown, and of all members of the
 // control group.
 func (r *Replica) GroupAddresses(ctx context.Context) (leader string, members []string, err error) {
