core/dispatch: acknowledge ends only when all starts are listed

Callers see a task start again after it was done (TWICE). A worker starts again under its ID within a moment, before the leader notices. The later boot carries out a start of the leader on time, with a ticket that the adviser granted for this boot, and the run ends. A hold that acknowledges ends of the former boot reaches the later one, which numbers its ends anew and forgets that end. The leader finds neither the run nor its end and starts the task again.

A hold now acknowledges nothing while a start to the worker is in flight, or was answered and its run has not been listed since. The hold in between lists it, or shows the later boot. It costs a hold more where a start was answered between the report of an end and its commit.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -73,9 +73,13 @@
 	// Ends that do not count need no commit.
 	c.acknowledgeEnds(w)
 	w.nextHoldAt = c.now
-	if w.lastHandledEnd > w.ackedEnd {
+	switch {
+	case w.lastHandledEnd > w.ackedEnd:
 		// The next hold acknowledges the ends. It is sent as soon as they are committed.
 		w.nextHoldAt = c.now.Add(maxHoldRetryDelay)
+	case w.ackedEnd != w.ackAnswered && w.hasUnlistedStarts():
+		// The worker answers at once while it lists ends.
+		w.nextHoldAt = c.now.Add(callRetryDelay)
 	}
 	c.planNeeded = c.planNeeded || len(report.Ends) > 0
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -305,14 +305,27 @@
 
 // ackToSend returns the number up to which a hold lets the worker forget its ends. A hold without an
 // answer may reach a later boot, which numbers its ends anew. Therefore an acknowledgement is sent
-// until it is answered, and only to a worker that has answered the last hold.
+// until it is answered, and only to a worker that has answered the last hold and has listed all starts
+// that it has answered: a later boot that nobody has noticed may have carried out the others, and would
+// forget their ends.
 func (w *worker) ackToSend() uint64 {
-	if w.unresponsive || w.ackedEnd == w.ackAnswered {
+	if w.unresponsive || w.ackedEnd == w.ackAnswered || w.hasUnlistedStarts() {
 		return 0
 	}
 	return w.ackedEnd
 }
 
+// hasUnlistedStarts reports whether a start is in flight, or was answered and its run has not been listed
+// since, neither as active nor as ended.
+func (w *worker) hasUnlistedStarts() bool {
+	for _, r := range w.runs {
+		if r.startInFlight || r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.endProposed {
+			return true
+		}
+	}
+	return false
+}
+
 // Reasons for which a boot is ended.
 const (
 	bootEndLeaseExpired = "lease"      // the lease of the boot has expired
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -352,6 +352,30 @@
 	expect("after the acknowledgement was answered", 0)
 }
 
+// Guards against an acknowledgement that lets a later boot, which has answered a start and is not known
+// yet, forget the end of that run. Its task was started again (platform rule TWICE).
+func TestAcknowledgementWaitsUntilAllStartsAreListed(t *testing.T) {
+	b, starts := startTasks(t, workload.StepSpec{Tasks: 2, Size: workload.Resources{MilliCPU: 1000}})
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	done := dispatch.ListedEnd{Number: 5, Task: starts[0].Task, Run: 1, Result: workload.EndDone}
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
+	e := b.commit(b.tick(time.Millisecond))
+	expect := func(when string, acked uint64) {
+		t.Helper()
+		if len(e.Holds) != 1 || e.Holds[0].AckedEnd != acked {
+			t.Fatalf("%s: holds %+v, want one that acknowledges up to end %d", when, e.Holds, acked)
+		}
+	}
+	expect("start in flight", 0)
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
+	b.core.StartAnswered(b.now, starts[1], dispatch.OutcomeOK, 1100)
+	e = b.tick(60 * time.Millisecond)
+	expect("start answered", 0)
+	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}, Active: []dispatch.ActiveRun{{Task: starts[1].Task, Run: 1}}})
+	e = b.tick(time.Millisecond)
+	expect("run listed", 5)
+}
+
 // Guards against a start after the last attempt, with a failure reported late (platform rule BUDGET).
 func TestRunThatFailedBeforeItsBootWasGivenUp(t *testing.T) {
 	b, starts := startTasks(t, oneTask)
