test/platformsoak: suspend the leader, also while workers cannot reach it

A process was suspended at random, one of five the leader. The leader is now suspended as a fault of its own for up to 2 s, half of the times together with a cut between it and some workers that begins at the same time. The reports of a third of the workers that are cut off are lost, as they would be behind such a cut.

--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -105,6 +105,7 @@
 	unansweredPercent  int    // of the calls, of which most are executed, some of them late
 	answersAllButStart bool   // unansweredPercent applies to starts only
 	lateReports        bool   // its reports arrive late
+	lostReports        bool   // its reports do not arrive
 	cutControl         string // address of the control process that the worker is cut off from, without port
 	cutState           linkState
 	rejectsStarts      bool // executes half of the starts without a response and rejects the others
@@ -791,7 +792,7 @@
 		var bootedAt time.Time
 		late, cutControl, cutState := false, "", linkOpen
 		f.do(func() {
-			if !w.up || w.deregistering {
+			if !w.up || w.deregistering || w.lostReports {
 				return
 			}
 			w.heartbeatSequence++
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -164,14 +164,8 @@
 // pickProcess returns a random process and marks it as disturbed. It returns nil if that process or
 // maxDisturbed of the candidates are disturbed already.
 func (in *faultInjector) pickProcess(candidates []*process, maxDisturbed int) *process {
-	disturbed := 0
-	for _, p := range candidates {
-		if in.disturbed[p] {
-			disturbed++
-		}
-	}
 	p := candidates[in.random.IntN(len(candidates))]
-	if disturbed >= maxDisturbed || in.disturbed[p] {
+	if in.countDisturbed(candidates) >= maxDisturbed || in.disturbed[p] {
 		return nil
 	}
 	in.disturbed[p] = true
@@ -182,7 +176,7 @@
 func (in *faultInjector) injectFault() {
 	s := in.system
 	name := ""
-	switch in.random.IntN(17) {
+	switch in.random.IntN(19) {
 	case 0, 1:
 		name = in.disturbProcess(in.pickProcess(s.controls, maxDisturbedControls))
 	case 2:
@@ -228,6 +222,8 @@
 		name = in.cutWorker(in.random.IntN(len(in.fleet.workers)))
 	case 15, 16:
 		name = in.cutWorkersFrom(s.leader())
+	case 17, 18:
+		name = in.pauseLeader()
 	}
 	if name != "" {
 		in.faultCounts[name]++
@@ -274,7 +270,7 @@
 
 // cutWorker cuts a worker off from the calls of all control processes, in both directions or only the
 // responses, and returns the name of the fault. Most of the workers boot again behind the cut. The
-// reports of some are late.
+// reports of a third of them are late, those of another third are lost.
 func (in *faultInjector) cutWorker(number int) string {
 	p, w := in.system.workerProxies[number], in.fleet.workers[number]
 	if in.cut[p] {
@@ -292,15 +288,15 @@
 			}
 		})
 	}
-	reboots, lateReports := in.random.IntN(3) > 0, in.random.IntN(2) == 0
-	in.fleet.do(func() { w.lateReports = lateReports })
+	reboots, reports := in.random.IntN(3) > 0, in.random.IntN(3)
+	in.fleet.do(func() { w.lateReports, w.lostReports = reports == 0, reports == 1 })
 	if reboots {
 		in.endFaultWithin(*cutDuration/2, func() { in.reboot(w) })
 	}
 	in.endFaultWithin(*cutDuration, func() {
 		p.set(linkOpen)
 		in.cut[p] = false
-		in.fleet.do(func() { w.lateReports = false })
+		in.fleet.do(func() { w.lateReports, w.lostReports = false, false })
 	})
 	return "worker cut"
 }
@@ -329,6 +325,36 @@
 	return "workers cut from leader"
 }
 
+// pauseLeader suspends the leader. Half of the times it cannot reach some workers when it continues.
+func (in *faultInjector) pauseLeader() string {
+	p := in.system.leader()
+	if p == nil || in.disturbed[p] || in.countDisturbed(in.system.controls) >= maxDisturbedControls {
+		return ""
+	}
+	in.disturbed[p] = true
+	in.pause(p)
+	if in.random.IntN(2) == 0 {
+		in.cutWorkersFrom(p)
+	}
+	return "leader pause"
+}
+
+// pause suspends a disturbed process for a while.
+func (in *faultInjector) pause(p *process) {
+	p.signal(syscall.SIGSTOP)
+	in.endFaultWithin(2*time.Second, func() { p.signal(syscall.SIGCONT); in.disturbed[p] = false })
+}
+
+func (in *faultInjector) countDisturbed(processes []*process) int {
+	count := 0
+	for _, p := range processes {
+		if in.disturbed[p] {
+			count++
+		}
+	}
+	return count
+}
+
 // checkCorruptedReplaced fails the test unless the control processes have logged one replacement for
 // each corrupted log.
 func (in *faultInjector) checkCorruptedReplaced(t *testing.T) {
@@ -383,8 +409,7 @@
 		})
 		return "planned stop"
 	default:
-		p.signal(syscall.SIGSTOP)
-		in.endFaultWithin(2*time.Second, func() { p.signal(syscall.SIGCONT); release() })
+		in.pause(p)
 		return "pause"
 	}
 }
