--- a/test/platformsoak/proxy_test.go
+++ b/test/platformsoak/proxy_test.go
@@ -35,6 +35,9 @@
 	clientOf func(*net.TCPConn) *process
 	cut      atomic.Pointer[clientCut] // nil if no single process is cut off
 	heldBack atomic.Int64              // reads whose data was held back because of cut
+	// releasedAt is the last time, in Unix milliseconds, at which calls that had been held back were
+	// passed on.
+	releasedAt atomic.Int64
 }
 
 // clientCut is the state of a link for one process.
@@ -104,6 +107,9 @@
 		}
 		for p.blocks(caller, toClient) && p.resetCount.Load() == resetCount {
 			time.Sleep(linkPollInterval)
+			if !toClient {
+				p.releasedAt.Store(time.Now().UnixMilli())
+			}
 		}
 		if p.resetCount.Load() != resetCount {
 			from.SetLinger(0)
