--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -46,7 +46,7 @@
 
 // Guards against a successful end that is acknowledged but not counted because it is not that of the
 // last run of its task.
-func TestSoakDoneEndOfAnEarlierRun(t *testing.T) { runSeeds(t, 80149) }
+func TestSoakDoneEndOfAnEarlierRun(t *testing.T) { runSeeds(t, 80149, 100569) }
 
 // Guards against a boot that has not been noticed and carries out a late start that its former boot had
 // refused, or forgets a successful end because of a late hold.
