test/platformsoak: trial of leases that count from the arrival of a late call

-soak.lease-from-arrival, off by default, gives a late hold or start the lease that it had left when it arrived, counted from its execution, at most the longest lease.

--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -419,9 +419,11 @@
 	LastSeen     uint64 `json:"lastSeen"`
 	WaitMs       int64  `json:"waitMs"`
 	Ticket       string `json:"ticket"`
-	// bootedAt is the boot that the call arrived at. late is set while it is executed late.
-	bootedAt time.Time
-	late     bool
+	// bootedAt is the boot that the call arrived at, arrivalClock its clock then. late is set while the
+	// call is executed late.
+	bootedAt     time.Time
+	arrivalClock time.Duration
+	late         bool
 }
 
 func (f *fleet) handler(w *fleetWorker) http.Handler {
@@ -436,7 +438,7 @@
 		dropResponse := true // if the fleet has stopped
 		var longPoll chan struct{}
 		f.do(func() {
-			call.bootedAt, dropResponse = w.bootedAt, false
+			call.bootedAt, call.arrivalClock, dropResponse = w.bootedAt, w.clock(time.Now()), false
 			switch isStart := r.URL.Path == "/godwitlink/run-start"; {
 			case !w.up:
 				dropResponse = true
@@ -539,7 +541,11 @@
 	}
 	w.fencingToken = call.FencingToken
 	f.advance(w, now)
-	leaseEnd := w.timeAt(min(time.Duration(call.LeaseEndMs)*time.Millisecond, w.clock(now)+maxLease))
+	leaseEndClock := time.Duration(call.LeaseEndMs) * time.Millisecond
+	if *leaseArrival && call.late {
+		leaseEndClock += w.clock(now) - call.arrivalClock
+	}
+	leaseEnd := w.timeAt(min(leaseEndClock, w.clock(now)+maxLease))
 	switch r.URL.Path {
 	case "/godwitlink/hold":
 		w.extendLease(leaseEnd)
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -19,6 +19,7 @@
 	faultDuration = flag.Duration("soak.time", 8*time.Second, "duration of fault injection for each seed")
 	cutDuration   = flag.Duration("soak.cut", 10*time.Second, "maximum duration for which a worker is cut off")
 	longDuration  = flag.Duration("soak.long", 6*time.Second, "maximum duration of long tasks")
+	leaseArrival  = flag.Bool("soak.lease-from-arrival", false, "trial: the lease of a late call has the length that it had when the call arrived")
 	workerCount   = flag.Int("soak.workers", 12, "number of stand-in workers")
 )
 
