core/dispatch: test a lease that late holds extend on an advised queue

A later boot that nobody has noticed runs an advised task, whose start was sent with a ticket for that boot and got no answer. Holds for the former boot need no ticket and may arrive 12 s late; their lease end is far ahead on the clock of the later boot. inDoubtSpan counts them as if they ended with the ticket (extendInDoubtStart, indoubtstart.go), so the task is placed elsewhere while it runs.

The test fails: "run 2 starts on spare at 9.79s while boot 2 of w runs j/0/0/0 run 1, started at 40ms, lease until 12.145s".

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestAdvisedTaskWaitsForALeaseExtendedByLateHolds.

--- /dev/null
+++ b/core/dispatch/review_test.go
@@ -0,0 +1,165 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// rebornWorker is the worker "w", whose boot 1 crashes. Its boot 2 gets late calls for boot 1 only.
+type rebornWorker struct {
+	*fakeWorker
+	b         *testbed
+	crashAt   time.Duration
+	startLate time.Duration // delay of the first start, which gets no answer
+	resets    bool          // the hold in flight is reset at the crash instead of timing out
+	ticketTTL time.Duration
+	started   bool
+	late      []lateCall
+	answers   []lateCall
+}
+
+type lateCall struct {
+	sentAt, at time.Duration
+	do         func()
+}
+
+func newRebornWorker(b *testbed, crashAt, startLate time.Duration) *rebornWorker {
+	return &rebornWorker{fakeWorker: &fakeWorker{id: "w", clockRate: 0.98}, b: b, crashAt: crashAt, startLate: startLate, ticketTTL: time.Second}
+}
+
+func (w *rebornWorker) now() time.Duration { return w.b.now.Sub(epoch) }
+
+// answer returns an answer to the core, with a delay if boot 1 has crashed.
+func (w *rebornWorker) answer(timeout time.Duration, live, lost func()) {
+	if w.now() < w.crashAt {
+		live()
+		return
+	}
+	w.answers = append(w.answers, lateCall{at: w.now() + timeout, do: lost})
+}
+
+// advance carries out the late calls that are due. A hold arrives just before the lease expires or
+// maxCallDelay late.
+func (w *rebornWorker) advance() {
+	if w.now() >= w.crashAt && w.boot == 0 {
+		w.startBoot(2, w.now())
+	}
+	kept := w.answers[:0]
+	for _, a := range w.answers {
+		if a.at <= w.now() {
+			a.do()
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	w.answers = kept
+	for id := range w.runs {
+		for len(w.late) > 0 && (w.leaseUntil-w.clock(w.now()) < 100 || w.now()-w.late[0].sentAt >= maxCallDelay) {
+			w.late[0].do()
+			w.late = w.late[1:]
+		}
+		if w.leaseUntil <= w.clock(w.now()) {
+			w.endRun(id, workload.EndLeaseExpired)
+		}
+	}
+}
+
+func (w *rebornWorker) handle(e dispatch.Effects) {
+	const formerClock = 1_000_000
+	core := w.b.core
+	for _, s := range e.Starts {
+		unanswered := func() { core.StartAnswered(w.b.now, s, dispatch.OutcomeNoAnswer, 0) }
+		if w.started {
+			w.answer(s.Timeout, func() { core.StartAnswered(w.b.now, s, dispatch.OutcomeUnhealthy, 0) }, unanswered)
+			continue
+		}
+		w.started = true
+		w.answers = append(w.answers, lateCall{at: w.now() + s.Timeout, do: unanswered},
+			lateCall{at: w.now() + w.startLate, do: func() { w.start(s, workload.Resources{}, w.now()) }})
+	}
+	for _, s := range e.Stops {
+		w.answer(400*time.Millisecond, func() { core.StopAnswered(w.b.now, s, dispatch.OutcomeOK, 0) },
+			func() { core.StopAnswered(w.b.now, s, dispatch.OutcomeNoAnswer, 0) })
+	}
+	for _, h := range e.Holds {
+		timeout := h.Wait + 600*time.Millisecond
+		if w.resets && len(w.late) == 0 {
+			timeout = 0
+		}
+		w.answer(timeout,
+			func() {
+				core.HoldAnswered(w.b.now, h.Call, dispatch.HoldReport{Boot: 1, Clock: formerClock + w.now().Milliseconds()})
+			},
+			func() { core.HoldAnswered(w.b.now, h.Call, dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer}) })
+		if w.now() >= w.crashAt && h.LeaseUntil > 0 {
+			w.late = append(w.late, lateCall{sentAt: w.now(), do: func() { w.hold(h, w.now()) }})
+		}
+	}
+}
+
+// runUntilOverlap runs the core until a task starts on "spare" while "w" runs it.
+func (w *rebornWorker) runUntilOverlap(registerSpareAt time.Duration) {
+	w.b.t.Helper()
+	registered, active := false, false
+	for w.now() < 40*time.Second {
+		if w.now() >= registerSpareAt && !registered {
+			registered = true
+			w.b.apply(registerWorker("spare", 1))
+		}
+		e := w.b.tick(10 * time.Millisecond)
+		w.advance()
+		for _, a := range e.Advice {
+			tickets := map[workload.WorkerID]string{}
+			for _, id := range a.Workers {
+				tickets[id] = "ticket"
+			}
+			w.b.core.AdviceAnswered(w.b.now, a.ID, dispatch.Grant{OK: true, TicketTTL: w.ticketTTL, Tickets: tickets})
+		}
+		toReborn := dispatch.Effects{Proposals: e.Proposals}
+		for _, s := range e.Starts {
+			if s.Worker == "w" {
+				toReborn.Starts = append(toReborn.Starts, s)
+				continue
+			}
+			for id, r := range w.runs {
+				w.b.t.Fatalf("%v run %d starts on %s at %v while boot 2 of w runs %v run %d, started at %v, lease until %v",
+					s.Task, s.Run, s.Worker, w.now(), id, r.number, r.startedAt, w.now()+time.Duration(w.leaseUntil-w.clock(w.now()))*time.Millisecond)
+			}
+			w.b.core.StartAnswered(w.b.now, s, dispatch.OutcomeOK, 0)
+			if !active {
+				w.b.t.Fatalf("%v starts on %s at %v before the late start on w", s.Task, s.Worker, w.now())
+			}
+			return
+		}
+		for _, s := range e.Stops {
+			if s.Worker == "w" {
+				toReborn.Stops = append(toReborn.Stops, s)
+			}
+		}
+		for _, h := range w.b.openHolds {
+			if h.Worker == "w" {
+				toReborn.Holds = append(toReborn.Holds, h)
+				continue
+			}
+			w.b.core.HoldAnswered(w.b.now, h.Call, dispatch.HoldReport{Boot: h.Boot, Clock: w.now().Milliseconds()})
+		}
+		w.b.openHolds = nil
+		w.handle(toReborn)
+		for _, p := range e.Proposals {
+			w.b.core.Apply(w.b.now, w.b.now, 0, p.Command)
+			w.b.core.ProposalCommitted(w.b.now, p.ID)
+		}
+		w.advance()
+		active = active || len(w.runs) > 0
+	}
+	w.b.t.Fatal("the task was not placed on spare")
+}
+
+// Late holds need no ticket. They extend the lease of an advised run on a boot that nobody has noticed.
+func TestAdvisedTaskWaitsForALeaseExtendedByLateHolds(t *testing.T) {
+	b := newTestbed(t, configureQueues(advisedQueue("a", 0, time.Millisecond)), registerWorker("w", 1), submitJobTo("a", "j", oneTask))
+	newRebornWorker(b, 20*time.Millisecond, 0).runUntilOverlap(500 * time.Millisecond)
+}
