core/dispatch: test the validity that a ticket was granted with

inDoubtSpan takes the validity from the queue as it was when the job was submitted; the ticket is valid for as long as the adviser said (Grant.TicketTTL). A configuration that raises validMs makes the wait too short.

The test fails: "run 2 starts on spare at 9.79s while boot 2 of w runs j/0/0/0 run 1, started at 9.04s, lease until 15.055s".

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestAdvisedTaskWaitsForTheValidityThatItsTicketWasGranted.

--- a/core/dispatch/review_test.go
+++ b/core/dispatch/review_test.go
@@ -163,3 +163,11 @@
 	b := newTestbed(t, configureQueues(advisedQueue("a", 0, time.Millisecond)), registerWorker("w", 1), submitJobTo("a", "j", oneTask))
 	newRebornWorker(b, 20*time.Millisecond, 0).runUntilOverlap(500 * time.Millisecond)
 }
+
+// A later configuration may raise the validity of tickets. The job keeps the queue of its submission.
+func TestAdvisedTaskWaitsForTheValidityThatItsTicketWasGranted(t *testing.T) {
+	b := newTestbed(t, configureQueues(advisedQueue("a", 0, time.Millisecond)), registerWorker("w", 1), submitJobTo("a", "j", oneTask))
+	w := newRebornWorker(b, 20*time.Millisecond, 9*time.Second)
+	w.ticketTTL = 10 * time.Second
+	w.runUntilOverlap(500 * time.Millisecond)
+}
