core/dispatch: test a late run on a boot without open runs

extendInDoubtStart is called at the end of a boot only, and processWorker ends no boot without open runs that is not draining. The last holds of such a boot extend a late run past the wait.

The test fails: "run 3 starts on spare at 19.38s while boot 2 of w runs j/0/0/0 run 1, started at 11.94s, lease until 20.117s".

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestTaskWaitsForALateRunOfAnIdleBootThatWasHeld.

--- a/core/dispatch/review_test.go
+++ b/core/dispatch/review_test.go
@@ -171,3 +171,11 @@
 	w.ticketTTL = 10 * time.Second
 	w.runUntilOverlap(500 * time.Millisecond)
 }
+
+// The end of a boot without open runs is never proposed, but its last holds may extend a late run.
+func TestTaskWaitsForALateRunOfAnIdleBootThatWasHeld(t *testing.T) {
+	b := newTestbed(t, registerWorker("w", 1), submitJob("j", oneTask))
+	w := newRebornWorker(b, 2*time.Second, 11900*time.Millisecond)
+	w.resets = true
+	w.runUntilOverlap(3 * time.Second)
+}
