core/dispatch: test a lease that the former leader extended

recoverInDoubtStarts counts the wait for a closed run from its close. The former leader went on to send holds with a lease until the election; one of them, carried out late, extends a late run of a boot that nobody has noticed.

The test fails: "placed elsewhere 10.131s after the election; a hold of 600ms before it may extend a late run until 17.4s".

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestNewLeaderWaitsForALeaseThatTheFormerOneExtended.

--- a/core/dispatch/review_test.go
+++ b/core/dispatch/review_test.go
@@ -179,3 +179,23 @@
 	w.resets = true
 	w.runUntilOverlap(3 * time.Second)
 }
+
+// The former leader may have extended the lease of an unnoticed boot after it closed the run.
+func TestNewLeaderWaitsForALeaseThatTheFormerOneExtended(t *testing.T) {
+	const closedBefore, heldBefore = 10 * time.Second, 600 * time.Millisecond
+	task := workload.TaskID{Job: "j"}
+	commands := append(openedRun(), workload.Command{Decide: &workload.Decide{Ends: []workload.EndedRun{{
+		Worker: "w", Boot: 1, Task: task, Run: 1, How: workload.EndNeverStarted,
+	}}}}, registerWorker("spare", 1))
+	state := workload.New()
+	state.Apply(epoch, 0, workload.Command{Configure: &workload.Config{Version: 1, Queues: []workload.Queue{{Name: "q", Service: "shop", MaxAttempts: 3}}}})
+	for _, c := range commands {
+		state.Apply(epoch, 0, c)
+	}
+	state.Expire(closedBefore, closedBefore)
+	b := &testbed{t: t, now: epoch}
+	b.core = dispatch.New(dispatch.Options{Term: 2, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000}, state, b.now)
+	if after := b.timeToNextRun(task, unreachable); after < maxCallDelay+maxWorkerLease-heldBefore {
+		t.Errorf("placed elsewhere %v after the election; a hold of %v before it may extend a late run until %v", after, heldBefore, maxCallDelay+maxWorkerLease-heldBefore)
+	}
+}
