core/dispatch: test a boot that is born before the former one

HoldAnswered takes an answer with a lower born for one of the known boot. The time of day may have been set back between two boots. Ends of the later boot have lower numbers and are ignored, its runs count as lost.

The test fails: "boot 4 counts as boot 5: task started again true, done end forgotten false".

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestAnswerOfABootThatIsBornBeforeTheFormerOneIsNotTakenForIt.

--- a/core/dispatch/review_test.go
+++ b/core/dispatch/review_test.go
@@ -199,3 +199,33 @@
 		t.Errorf("placed elsewhere %v after the election; a hold of %v before it may extend a late run until %v", after, heldBefore, maxCallDelay+maxWorkerLease-heldBefore)
 	}
 }
+
+// The time of day, and with it born, may have been set back between two boots of a worker.
+func TestAnswerOfABootThatIsBornBeforeTheFormerOneIsNotTakenForIt(t *testing.T) {
+	b := newTestbed(t, registerWorker("w", 5), submitJob("j", oneTask))
+	b.tick(0)
+	b.answerHolds(dispatch.HoldReport{Boot: 5})
+	starts := b.commit(b.tick(replanDelay)).Starts
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeNoAnswer, 0)
+	b.apply(registerWorker("spare", 1))
+	listed := []dispatch.ActiveRun{{Task: starts[0].Task, Run: 1}}
+	b.runFor(2*time.Second, workerStub{hold: func(dispatch.Hold) dispatch.HoldReport {
+		return dispatch.HoldReport{Boot: 5, Active: listed, Ends: []dispatch.ListedEnd{{Number: 9, Task: workload.TaskID{Job: "k"}, Run: 1, Result: workload.EndDone}}}
+	}})
+	// Boot 4 has carried out the first start late. The end is number 1 there.
+	reborn, forgotten, restarted := b.now, false, false
+	b.runFor(3*time.Second, workerStub{
+		hold: func(h dispatch.Hold) dispatch.HoldReport {
+			report := dispatch.HoldReport{Boot: 4, Clock: 50 + b.now.Sub(reborn).Milliseconds()}
+			forgotten = forgotten || h.AckedEnd >= 1
+			if !forgotten {
+				report.Ends = []dispatch.ListedEnd{{Number: 1, Task: starts[0].Task, Run: 1, Result: workload.EndDone}}
+			}
+			return report
+		},
+		observe: func(e dispatch.Effects) { restarted = restarted || len(startsOf(e, starts[0].Task, 1)) > 0 },
+	})
+	if restarted || forgotten {
+		t.Errorf("boot 4 counts as boot 5: task started again %v, done end forgotten %v", restarted, forgotten)
+	}
+}
