core/dispatch: test a wait that is extended without need

extendInDoubtStart extends a start that may no longer be carried out and that its boot has refused until then. Where a worker is lost again and again within 19 s, the wait has no end.

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestTaskDoesNotWaitAgainForAStartThatCanNoLongerBeCarriedOut.

--- a/core/dispatch/review_test.go
+++ b/core/dispatch/review_test.go
@@ -229,3 +229,44 @@
 		t.Errorf("boot 4 counts as boot 5: task started again %v, done end forgotten %v", restarted, forgotten)
 	}
 }
+
+// A start that can no longer be carried out, and that a boot refused until then, must not hold its task
+// back again when that boot ends.
+func TestTaskDoesNotWaitAgainForAStartThatCanNoLongerBeCarriedOut(t *testing.T) {
+	const cutAt = 14 * time.Second
+	b := newTestbed(t, registerWorker("w", 1), submitJob("k", oneTask), submitJob("j", oneTask))
+	lost, k, placedAt := false, workload.TaskID{Job: "k"}, time.Duration(0)
+	var active []dispatch.ActiveRun
+	stub := workerStub{
+		hold: func(dispatch.Hold) dispatch.HoldReport {
+			if b.now.Sub(epoch) >= cutAt {
+				return dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent}
+			}
+			return dispatch.HoldReport{Boot: 1, Active: active}
+		},
+		start: func(s dispatch.Start) dispatch.Outcome {
+			switch {
+			case s.Task == k:
+				active = []dispatch.ActiveRun{{Task: k, Run: 1}}
+				return dispatch.OutcomeOK
+			case !lost:
+				lost = true
+				return dispatch.OutcomeNoAnswer
+			}
+			return dispatch.OutcomeUnhealthy
+		},
+		observe: func(e dispatch.Effects) {
+			for _, s := range e.Starts {
+				if s.Worker == "spare" && s.Task.Job == "j" && placedAt == 0 {
+					placedAt = b.now.Sub(epoch)
+				}
+			}
+		},
+	}
+	b.runFor(cutAt+time.Second, stub)
+	b.apply(registerWorker("spare", 1))
+	b.runFor(25*time.Second, stub)
+	if latest := maxCallDelay + maxWorkerLease + 2*time.Second; placedAt > latest || placedAt == 0 {
+		t.Errorf("placed at %v, want %v at the latest: no call may start the task after %v", placedAt, latest, maxCallDelay)
+	}
+}
