core/dispatch: test an acknowledgement beside an unanswered start

hasUnlistedStarts does not see a start that was sent and got no answer while no attempt is in flight. A later boot that has carried it out forgets its end by the acknowledgement for the former boot.

The test fails: "the hold that acknowledges end 5 of boot 1 lets boot 2 forget end 1, which is that of an unanswered start".

Run: go test -p 2 -cpu 2 ./core/dispatch -run TestNoAcknowledgementWhileAStartIsUnanswered.

--- a/core/dispatch/review_test.go
+++ b/core/dispatch/review_test.go
@@ -270,3 +270,26 @@
 		t.Errorf("placed at %v, want %v at the latest: no call may start the task after %v", placedAt, latest, maxCallDelay)
 	}
 }
+
+// A later boot that nobody has noticed has carried out a start whose answer was lost, and its run was done
+// at once as end 1. An acknowledgement for the former boot must not let it forget that end.
+func TestNoAcknowledgementWhileAStartIsUnanswered(t *testing.T) {
+	b, starts := startTasks(t, workload.StepSpec{Tasks: 2, Size: workload.Resources{MilliCPU: 1000}})
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	b.answerHolds(dispatch.HoldReport{Boot: 1, Ends: []dispatch.ListedEnd{{Number: 5, Task: starts[0].Task, Run: 1, Result: workload.EndDone}}})
+	b.core.StartAnswered(b.now, starts[1], dispatch.OutcomeNoAnswer, 0)
+	forgotten := false
+	b.runFor(2*time.Second, workerStub{
+		hold: func(h dispatch.Hold) dispatch.HoldReport {
+			forgotten = forgotten || h.AckedEnd >= 1
+			if forgotten {
+				return dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer}
+			}
+			return dispatch.HoldReport{Boot: 2, Ends: []dispatch.ListedEnd{{Number: 1, Task: starts[1].Task, Run: 1, Result: workload.EndDone}}}
+		},
+		start: func(dispatch.Start) dispatch.Outcome { return dispatch.OutcomeRunClosed },
+	})
+	if forgotten {
+		t.Error("the hold that acknowledges end 5 of boot 1 lets boot 2 forget end 1, which is that of an unanswered start")
+	}
+}
