--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -169,6 +169,7 @@
 		s.answeredWorkers[worker] = true
 	}
 	s.ticketsExpireAt = now.Add(grant.TicketTTL)
+	s.maxTicketTTL = max(s.maxTicketTTL, grant.TicketTTL)
 	for worker, value := range grant.Tickets {
 		s.tickets[worker] = ticket{value: value, expiresAt: s.ticketsExpireAt}
 	}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,8 +30,13 @@
 		return
 	}
 	w.holdInFlight = false
-	if report.Outcome == OutcomeOK && report.Boot > w.Boot {
+	switch {
+	case report.Outcome != OutcomeOK:
+	case report.Boot > w.Boot:
 		report.Outcome = OutcomeLaterBoot
+	case report.Boot != 0 && report.Boot < w.Boot:
+		// This is another boot, although its start time is lower: the time of day may have been set back.
+		report.Outcome = OutcomeNoAnswer
 	}
 	if report.Outcome != OutcomeOK {
 		c.holdFailed(w, call, report.Outcome)
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -29,7 +29,7 @@
 // recordInDoubtStart records a start of this leader, sent before now, that a worker may still carry
 // out.
 func (c *Core) recordInDoubtStart(w *worker, id workload.TaskID, number workload.RunNumber) {
-	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan(id.Job))})
+	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan(id.StepID()))})
 }
 
 // ticketMargin covers the time from the grant of a ticket to its arrival at the leader, and the
@@ -39,13 +39,25 @@
 // inDoubtSpan returns the maximum time from the sending of an unanswered start, or of a call that
 // extends the lease, to the end of a run on a boot that nobody has noticed. The boot counts the
 // lease by its own clock, for which the requested end is far in the future, so it is as long as a
-// worker accepts. A start that needs a ticket is refused once the ticket has expired.
-func (c *Core) inDoubtSpan(id workload.JobID) time.Duration {
-	delay := maxCallDelay
-	if job := c.state.Job(id); job != nil && job.Queue.Advice != nil {
-		delay = min(delay, job.Queue.Advice.TicketTTL+ticketMargin)
+// worker accepts. A start that needs a ticket is refused once the ticket has expired. Late holds need
+// none and may extend the lease of its run, which is covered up to maxCallDelay only: a longer wait
+// would leave accepted jobs idle at the end of the traffic.
+func (c *Core) inDoubtSpan(id workload.StepID) time.Duration {
+	return max(maxCallDelay, c.maxStartDelay(id)+c.slowClockDuration(c.opts.MaxLease))
+}
+
+// maxStartDelay returns how long an unanswered start of a step may still be carried out. The adviser may
+// grant tickets for longer than the queue said when the job was submitted.
+func (c *Core) maxStartDelay(id workload.StepID) time.Duration {
+	job := c.state.Job(id.Job)
+	if job == nil || job.Queue.Advice == nil {
+		return maxCallDelay
 	}
-	return delay + c.slowClockDuration(c.opts.MaxLease)
+	validity := job.Queue.Advice.TicketTTL
+	if live := c.jobsByID[id.Job]; live != nil {
+		validity = max(validity, live.steps[id.Step].maxTicketTTL)
+	}
+	return min(maxCallDelay, validity+ticketMargin)
 }
 
 // addInDoubtStart adds an in-doubt start. It replaces an earlier start of the task on the same
@@ -115,21 +127,24 @@
 		case r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.confirmedAt.Before(w.answeredHoldSentAt):
 			// The start was answered after the last hold that this boot has answered was sent, so a
 			// later boot may have carried it out, whether or not that boot was noticed since.
-			c.addInDoubtStart(id, inDoubtStart{worker: w, run: r.number, latestSend: r.confirmedAt, runsUntil: r.confirmedAt.Add(c.inDoubtSpan(id.Job))})
+			c.addInDoubtStart(id, inDoubtStart{worker: w, run: r.number, latestSend: r.confirmedAt, runsUntil: r.confirmedAt.Add(c.inDoubtSpan(id.StepID()))})
 		}
 	}
-	for id := range w.inDoubtTasks {
-		c.extendInDoubtStart(w, id)
-	}
+	c.extendInDoubtStarts(w)
 }
 
-// extendInDoubtStart takes into account that the calls since an in-doubt start was recorded may have
-// extended the lease of a boot that nobody has noticed.
-func (c *Core) extendInDoubtStart(w *worker, id workload.TaskID) {
-	until := w.leaseSentAt.Add(c.inDoubtSpan(id.Job))
-	for i := range c.inDoubtStarts[id] {
-		if start := &c.inDoubtStarts[id][i]; start.worker.ID == w.ID && c.now.Before(start.runsUntil) && start.runsUntil.Before(until) {
-			start.runsUntil = until
+// extendInDoubtStarts takes into account that the calls since an in-doubt start was recorded may have
+// extended the lease of a boot that nobody has noticed. A start that the known boot has refused for as
+// long as it could be carried out has begun nothing.
+func (c *Core) extendInDoubtStarts(w *worker) {
+	for id := range w.inDoubtTasks {
+		until := w.leaseSentAt.Add(c.inDoubtSpan(id.StepID()))
+		for i := range c.inDoubtStarts[id] {
+			start := &c.inDoubtStarts[id][i]
+			refused := w.tokenAccepted && w.answeredHoldSentAt.After(start.latestSend.Add(c.maxStartDelay(id.StepID())))
+			if start.worker.ID == w.ID && !refused && c.now.Before(start.runsUntil) && start.runsUntil.Before(until) {
+				start.runsUntil = until
+			}
 		}
 	}
 }
@@ -187,7 +202,7 @@
 		for i := range j.Steps {
 			step := &j.Steps[i]
 			addStart := func(index int, worker workload.WorkerID, run workload.RunNumber, latestSend time.Time) {
-				until := latestSend.Add(c.inDoubtSpan(j.ID))
+				until := latestSend.Add(c.inDoubtSpan(j.StepID(i)))
 				if w := c.workers[worker]; w != nil && c.now.Before(until) {
 					c.addInDoubtStart(j.StepID(i).Task(index), inDoubtStart{worker: w, run: run, latestSend: latestSend, runsUntil: until})
 				}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -28,6 +28,7 @@
 	adviceInFlight  uint64 // ID of the advice call in flight, or 0
 	tickets         map[workload.WorkerID]ticket
 	ticketsExpireAt time.Time // expiry of the most recently granted tickets
+	maxTicketTTL    time.Duration
 	// allNamedRegistrations is the value of Core.registrations when all workers had been named.
 	allNamedRegistrations int
 	answeredWorkers       map[workload.WorkerID]bool // workers that the adviser has answered for
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -300,7 +300,11 @@
 	w.holdInFlight = true
 	w.holdSentAt = c.now
 	w.ackSent = w.ackToSend()
-	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: c.leaseOfHold(w), AckedEnd: w.ackSent, Wait: wait})
+	lease := c.leaseOfHold(w)
+	if w.unresponsive && lease > 0 {
+		c.extendInDoubtStarts(w)
+	}
+	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: lease, AckedEnd: w.ackSent, Wait: wait})
 }
 
 // ackToSend returns the number up to which a hold lets the worker forget its ends. A hold without an
--- a/core/workload/closedrun.go
+++ b/core/workload/closedrun.go
@@ -113,5 +113,5 @@
 // covers reports whether a run of the task on the worker is the listed one, or one that it has replaced,
 // and has not failed.
 func (r *ClosedRun) covers(run RunNumber) bool {
-	return r.FailedRun < run && run <= r.Run && !(run == r.Run && r.How == EndFailed)
+	return run <= r.Run && run != r.FailedRun && !(run == r.Run && r.How == EndFailed)
 }
