--- /dev/null
+++ b/test/platformsoak/rules_test.go
@@ -0,0 +1,117 @@
+package platformsoak
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// taskHistory has the runs of a task over all workers and boots.
+type taskHistory struct {
+	starts   []*taskRun
+	notedEnd *taskRun // the first run whose end as done was acknowledged
+	note     string   // how it was acknowledged
+}
+
+// checkStartedOnce reports a violation if a task starts after a run has ended as done, once that end
+// is acknowledged.
+func (f *fleet) checkStartedOnce(r *taskRun) {
+	history := f.histories[r.task]
+	if history == nil {
+		history = &taskHistory{}
+		f.histories[r.task] = history
+	}
+	history.starts = append(history.starts, r)
+	if history.notedEnd != nil && r.unpreventable {
+		f.counts["unpreventable start after an end"]++
+	} else if history.notedEnd != nil {
+		f.reportViolation("TWICE: %v starts after the end at %s of %v (%s)", r, history.notedEnd.doneAt.Format(timeFormat), history.notedEnd, history.note)
+	}
+}
+
+// noteEnd records the acknowledgement of a run that ended as done, and reports a violation if the
+// task has started between the end and the acknowledgement.
+func (f *fleet) noteEnd(r *taskRun, call workerCall, number uint64) {
+	history := f.histories[r.task]
+	for _, start := range history.starts {
+		if start.received.After(r.doneAt) && !start.unpreventable {
+			f.reportViolation("TWICE: %v has started after the end at %s, acknowledged later, of %v", start, r.doneAt.Format(timeFormat), r)
+		}
+	}
+	if history.notedEnd == nil {
+		history.notedEnd = r
+		history.note = fmt.Sprintf("end %d acknowledged at %s by a hold with lastSeen %d, called at boot %d, late: %v", number,
+			time.Now().Format(timeFormat), call.LastSeen, call.bootedAt.UnixMilli(), call.late)
+	}
+}
+
+// unavoidablyOverlaps reports whether the run is an unpreventable late start, and the other run began
+// while the run was still refused by a boot whose end could not be known then.
+func (r *taskRun) unavoidablyOverlaps(other *taskRun) bool {
+	return r.unpreventable && other.received.Before(r.refusedUntil)
+}
+
+// checkOverlaps reports a violation for each two runs of a task at the same time, on any workers.
+func (f *fleet) checkOverlaps() {
+	active := map[string][]*taskRun{}
+	for _, w := range f.workers {
+		for _, r := range w.runs {
+			for _, other := range active[r.task] {
+				if pair := [2]*taskRun{other, r}; !f.overlaps[pair] && !f.overlaps[[2]*taskRun{r, other}] {
+					f.overlaps[pair] = true
+					if other.unavoidablyOverlaps(r) || r.unavoidablyOverlaps(other) {
+						f.counts["unpreventable overlap"]++
+						continue
+					}
+					f.reportViolation("TWICE: %v and %v at the same time", other, r)
+				}
+			}
+			active[r.task] = append(active[r.task], r)
+		}
+	}
+}
+
+// checkStart reports a violation if a start breaks a rule of the platform: a task runs within the
+// capacity of the worker, for a job that was
+// submitted and neither rejected nor cancelled, and after the tasks that it depends on. The time limit
+// after a cancellation does not apply to a start that the worker executes late or that its link held back.
+func (f *fleet) checkStart(w *fleetWorker, call workerCall, payload taskPayload, now time.Time) {
+	jobID, _, _ := strings.Cut(call.Task, ".")
+	milliCPU := payload.MilliCPU
+	for _, r := range w.runs {
+		milliCPU += r.payload.MilliCPU
+	}
+	if milliCPU > workerMilliCPU {
+		f.reportViolation("LIMIT: %d of %d milli-CPU in use on %s with %s", milliCPU, workerMilliCPU, w.id, call.Task)
+	}
+	job := f.jobs.get(jobID)
+	late := call.late || w.link != nil && now.UnixMilli()-w.link.releasedAt.Load() < releaseTime.Milliseconds()
+	switch {
+	case job == nil:
+		f.reportViolation("UNASKED: %s was never submitted", call.Task)
+	case job.rejected:
+		f.reportViolation("REFUSED: %s starts although its job was rejected", call.Task)
+	case !late && !job.cancelled.IsZero() && now.Sub(job.cancelled) > maxStartAfterCancel:
+		f.reportViolation("UNASKED: %s starts %v after its job was cancelled", call.Task, now.Sub(job.cancelled))
+	case job.payload != call.Spec:
+		f.reportViolation("UNASKED: %s has a payload that differs from the submitted one", call.Task)
+	}
+	if job != nil && payload.DependsOn != "" && strings.HasPrefix(call.Task, jobID+".0.1.") {
+		for i := range job.firstStepTasks {
+			if name := fmt.Sprintf("%s.0.0.%d", jobID, i); !f.completed[name] {
+				f.reportViolation("ORDER: %s starts before %s is done", call.Task, name)
+			}
+		}
+	}
+}
+
+// firstStepDone reports whether all tasks of the first step of a job have ended as done.
+func (f *fleet) firstStepDone(id string, job submittedJob) (done bool) {
+	f.do(func() {
+		done = true
+		for i := range job.firstStepTasks {
+			done = done && f.completed[fmt.Sprintf("%s.0.0.%d", id, i)]
+		}
+	})
+	return done
+}
