test/platformsoak: give each run its own worker ids

Two soaks on one machine disturb each other: a control process of one calls an address that a worker of the other has taken over since, and the ids are the same, so that the call is accepted.

The ids contain the process id of the test. Calls name the id of their worker, and workers reject others, as on the platform.

--- a/test/platformsoak/checks_test.go
+++ b/test/platformsoak/checks_test.go
@@ -38,13 +38,14 @@
 func TestTickets(t *testing.T) {
 	f := newTestFleet(t)
 	f.jobs.update("j", func(job *submittedJob) { job.host = advisedHost })
-	boot, now := f.lives()["i-0000"], time.Now().UnixMilli()
+	id, other := f.workers[0].id, f.workers[1].id
+	boot, now := f.lives()[id], time.Now().UnixMilli()
 	for name, encoded := range map[string]string{
 		"none":         "",
-		"other life":   ticket{"j.0.0", "i-0000", boot - 1, now}.encode(),
-		"other step":   ticket{"j.0.1", "i-0000", boot, now}.encode(),
-		"other worker": ticket{"j.0.0", "i-0001", boot, now}.encode(),
-		"old":          ticket{"j.0.0", "i-0000", boot, now - 1501}.encode(),
+		"other life":   ticket{"j.0.0", id, boot - 1, now}.encode(),
+		"other step":   ticket{"j.0.1", id, boot, now}.encode(),
+		"other worker": ticket{"j.0.0", other, boot, now}.encode(),
+		"old":          ticket{"j.0.0", id, boot, now - 1501}.encode(),
 	} {
 		call := startOfTestTask(1)
 		call.Ticket = encoded
@@ -53,7 +54,7 @@
 		}
 	}
 	call := startOfTestTask(1)
-	call.Ticket = ticket{"j.0.0", "i-0000", boot, time.Now().UnixMilli()}.encode()
+	call.Ticket = ticket{"j.0.0", id, boot, time.Now().UnixMilli()}.encode()
 	if got := f.callTestWorker(0, "run-start", call); got != 200 {
 		t.Errorf("valid ticket: status %d, want 200", got)
 	}
--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -159,7 +160,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w := &fleetWorker{id: fmt.Sprintf("i-%04d", i), address: listener.Addr().String(), clockRate: 1, bootEnds: map[int64]time.Time{}, refusals: map[string]refusal{}}
+		w := &fleetWorker{id: fmt.Sprintf("i-%d-%04d", os.Getpid(), i), address: listener.Addr().String(), clockRate: 1, bootEnds: map[int64]time.Time{}, refusals: map[string]refusal{}}
 		if i%2 == 0 {
 			w.clockRate = slowClockRate
 		}
