core/dispatch: set the end of an in-doubt start in one place

Read-through of the change: three callers of addInDoubtStart computed runsUntil from the time of sending in the same way; addInDoubtStart does it now. Two tests had the same closure on the acknowledgement of a hold, which is one function; their assertions are unchanged. The comment on the retention of closed runs said that the compiler checks the whole wait; it checks the part without the lease.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -76,7 +76,8 @@
 	inDoubtExpiryInterval = time.Second
 )
 
-// The state must list closed runs for at least as long as a new leader waits for their starts.
+// The state must list closed runs for as long as a new leader waits for their starts: maxCallDelay and
+// the longest lease, which is a setting and not checked here.
 const _ = uint64(workload.ClosedRunRetention - maxCallDelay)
 
 // New returns the dispatcher of a new leader. It takes ownership of state, which must contain all
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -29,7 +29,7 @@
 // recordInDoubtStart records a start of this leader, sent before now, that a worker may still carry
 // out.
 func (c *Core) recordInDoubtStart(w *worker, id workload.TaskID, number workload.RunNumber) {
-	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan(id.StepID()))})
+	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, latestSend: c.now})
 }
 
 // ticketMargin covers the time from the grant of a ticket to its arrival at the leader, and the
@@ -60,9 +60,10 @@
 	return min(maxCallDelay, validity+ticketMargin)
 }
 
-// addInDoubtStart adds an in-doubt start. It replaces an earlier start of the task on the same
+// addInDoubtStart adds an in-doubt start and sets its runsUntil. It replaces an earlier start of the task on the same
 // worker.
 func (c *Core) addInDoubtStart(id workload.TaskID, start inDoubtStart) {
+	start.runsUntil = start.latestSend.Add(c.inDoubtSpan(id.StepID()))
 	start.worker.inDoubtTasks[id] = true
 	for i, known := range c.inDoubtStarts[id] {
 		if known.worker.ID == start.worker.ID {
@@ -127,7 +128,7 @@
 		case r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.confirmedAt.Before(w.answeredHoldSentAt):
 			// The start was answered after the last hold that this boot has answered was sent, so a
 			// later boot may have carried it out, whether or not that boot was noticed since.
-			c.addInDoubtStart(id, inDoubtStart{worker: w, run: r.number, latestSend: r.confirmedAt, runsUntil: r.confirmedAt.Add(c.inDoubtSpan(id.StepID()))})
+			c.addInDoubtStart(id, inDoubtStart{worker: w, run: r.number, latestSend: r.confirmedAt})
 		}
 	}
 	c.extendInDoubtStarts(w)
@@ -202,9 +203,8 @@
 		for i := range j.Steps {
 			step := &j.Steps[i]
 			addStart := func(index int, worker workload.WorkerID, run workload.RunNumber, latestSend time.Time) {
-				until := latestSend.Add(c.inDoubtSpan(j.StepID(i)))
-				if w := c.workers[worker]; w != nil && c.now.Before(until) {
-					c.addInDoubtStart(j.StepID(i).Task(index), inDoubtStart{worker: w, run: run, latestSend: latestSend, runsUntil: until})
+				if w := c.workers[worker]; w != nil && c.now.Before(latestSend.Add(c.inDoubtSpan(j.StepID(i)))) {
+					c.addInDoubtStart(j.StepID(i).Task(index), inDoubtStart{worker: w, run: run, latestSend: latestSend})
 				}
 			}
 			c.state.ForEachClosedRun(step, func(r workload.ClosedRun, age time.Duration) {
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -327,6 +327,14 @@
 	t.Error("the end is never acknowledged")
 }
 
+// expectAcknowledgement fails the test unless the effects have one hold, which acknowledges up to an end.
+func expectAcknowledgement(t *testing.T, e dispatch.Effects, when string, acked uint64) {
+	t.Helper()
+	if len(e.Holds) != 1 || e.Holds[0].AckedEnd != acked {
+		t.Fatalf("%s: holds %+v, want one that acknowledges up to end %d", when, e.Holds, acked)
+	}
+}
+
 // Guards against a late hold that makes a later boot forget unreported ends (TestSoak, seed 73123).
 func TestAcknowledgementIsSentUntilItIsAnswered(t *testing.T) {
 	b, starts := startTasks(t, oneTask)
@@ -334,22 +342,16 @@
 	done := dispatch.ListedEnd{Number: 5, Task: starts[0].Task, Run: 1, Result: workload.EndDone}
 	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
 	e := b.commit(b.tick(time.Millisecond))
-	expect := func(when string, acked uint64) {
-		t.Helper()
-		if len(e.Holds) != 1 || e.Holds[0].AckedEnd != acked {
-			t.Fatalf("%s: holds %+v, want one that acknowledges up to end %d", when, e.Holds, acked)
-		}
-	}
-	expect("after the commit", 5)
+	expectAcknowledgement(t, e, "after the commit", 5)
 	b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
 	e = b.tick(time.Millisecond)
-	expect("after a hold without an answer", 0)
+	expectAcknowledgement(t, e, "after a hold without an answer", 0)
 	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
 	e = b.tick(time.Millisecond)
-	expect("after an answer", 5)
+	expectAcknowledgement(t, e, "after an answer", 5)
 	b.answerHolds(dispatch.HoldReport{})
 	e = b.tick(time.Millisecond)
-	expect("after the acknowledgement was answered", 0)
+	expectAcknowledgement(t, e, "after the acknowledgement was answered", 0)
 }
 
 // Guards against an acknowledgement that lets a later boot, which has answered a start and is not known
@@ -360,20 +362,14 @@
 	done := dispatch.ListedEnd{Number: 5, Task: starts[0].Task, Run: 1, Result: workload.EndDone}
 	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
 	e := b.commit(b.tick(time.Millisecond))
-	expect := func(when string, acked uint64) {
-		t.Helper()
-		if len(e.Holds) != 1 || e.Holds[0].AckedEnd != acked {
-			t.Fatalf("%s: holds %+v, want one that acknowledges up to end %d", when, e.Holds, acked)
-		}
-	}
-	expect("start in flight", 0)
+	expectAcknowledgement(t, e, "start in flight", 0)
 	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}})
 	b.core.StartAnswered(b.now, starts[1], dispatch.OutcomeOK, 1100)
 	e = b.tick(60 * time.Millisecond)
-	expect("start answered", 0)
+	expectAcknowledgement(t, e, "start answered", 0)
 	b.answerHolds(dispatch.HoldReport{Ends: []dispatch.ListedEnd{done}, Active: []dispatch.ActiveRun{{Task: starts[1].Task, Run: 1}}})
 	e = b.tick(time.Millisecond)
-	expect("run listed", 5)
+	expectAcknowledgement(t, e, "run listed", 5)
 }
 
 // Guards against a start after the last attempt, with a failure reported late (platform rule BUDGET).
