core/dispatch: raise the token as soon as a later boot answers

Cause: a boot that answered a hold for its former boot was not called again until it had registered, which takes a report and a commit. Until then it had seen no token above that of the former boot and carried out late starts, holds and acknowledgements for it.

Change: the answer of a later boot raises the token at once, and the next hold, without a lease or an acknowledgement, carries it. The end of a boot that is gone is not proposed again.

Result: TestLaterBootIsFencedBeforeItRegisters failed before (no hold was sent) and passes.

--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -742,3 +742,23 @@
 		t.Errorf("boot that has not answered the new leader is given up after %v, its lease may last %v", after, maxWorkerLease)
 	}
 }
+
+// A later boot that has answered but has not registered must not carry out late calls for the former one.
+func TestLaterBootIsFencedBeforeItRegisters(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeNoAnswer, 0)
+	b.answerHolds(dispatch.HoldReport{Boot: 1})
+	b.tick(time.Millisecond)
+	b.answerHolds(dispatch.HoldReport{Boot: 2})
+	e := b.tick(time.Millisecond)
+	if len(e.Holds) != 1 || e.Holds[0].Token <= starts[0].Token || e.Holds[0].LeaseUntil != 0 || e.Holds[0].AckedEnd != 0 {
+		t.Fatalf("holds %+v, want one with a token above %#x, without a lease and an acknowledgement", e.Holds, starts[0].Token)
+	}
+	b.commit(e)
+	b.answerHolds(dispatch.HoldReport{Boot: 2})
+	for _, p := range b.tick(replanDelay).Proposals {
+		if p.Command.EndBoot != nil {
+			t.Errorf("the end of the boot is proposed again: %+v", p.Command.EndBoot)
+		}
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -96,13 +96,14 @@
 }
 
 func (c *Core) holdFailed(w *worker, call Call, outcome Outcome) {
+	laterBootFound := false
 	switch outcome {
 	case OutcomeFenced:
 		w.nextHoldAt = c.now
 		c.handleFenced(w, call)
 		return
 	case OutcomeLaterBoot:
-		c.proposeBootEnd(w, bootEndLaterBoot, true)
+		laterBootFound = c.proposeBootEnd(w, bootEndLaterBoot, true)
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, call)
 	}
@@ -119,6 +120,12 @@
 	}
 	w.holdBackoff = min(max(2*w.holdBackoff, holdRetryDelay), maxHoldRetryDelay)
 	w.nextHoldAt = c.now.Add(w.holdBackoff)
+	if laterBootFound {
+		// The later boot rejects the late calls for the former one after a call with a higher token. It
+		// is not called otherwise before it has registered.
+		w.raiseToken()
+		w.nextHoldAt = c.now
+	}
 	c.scheduleWake(w, w.nextHoldAt)
 }
 
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -338,10 +338,10 @@
 )
 
 // proposeBootEnd proposes, once, the end of a boot and includes the checkpoints received so far.
-// permanent means that this boot will not return.
-func (c *Core) proposeBootEnd(w *worker, reason string, permanent bool) {
-	if w.bootEndProposed {
-		return
+// permanent means that this boot will not return. It reports whether it has proposed the end.
+func (c *Core) proposeBootEnd(w *worker, reason string, permanent bool) bool {
+	if w.bootEndProposed || w.Gone {
+		return false
 	}
 	w.bootEndProposed = true
 	command := workload.EndBoot{Worker: w.ID, Boot: w.Boot, Permanent: permanent, Replaced: reason == bootEndOtherWorker}
@@ -357,6 +357,7 @@
 	}
 	c.recordDecision(Decision{Kind: DecisionBootEnded, Worker: w.ID, Reason: reason, Count: len(w.runs), Age: c.timeSinceAnswer(w)})
 	c.propose(&proposal{command: workload.Command{EndBoot: &command}})
+	return true
 }
 
 // otherWorkerAnswered ends a boot after another worker has answered at its address. It does nothing if
