core/dispatch: acknowledge ends only after a hold that follows an unanswered start

Cause: a start without an answer may have run and ended on a boot that nobody has noticed. The next hold, addressed to the former boot, carried an acknowledgement and let that boot forget the end, so the task was started again after it was done.

Change: a hold acknowledges ends only once the known boot has answered a hold that was sent after its last unanswered start. That delays an acknowledgement by one hold and does not wait for the late starts themselves, which would leave ends unacknowledged for as long as orders are late.

--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -61,6 +61,7 @@
 		return
 	}
 	if outcome == OutcomeNoAnswer {
+		w.startUnansweredAt = c.now
 		c.recordInDoubtStart(w, start.Task, start.Run)
 		c.recordDecision(Decision{
 			Kind: DecisionStartInDoubt, Job: start.Task.Job, Step: start.Task.Step, Task: start.Task.Index, Run: start.Run,
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -69,7 +69,9 @@
 	tokenAccepted bool
 	// answeredHoldSentAt is the send time of the last hold that this boot has answered.
 	answeredHoldSentAt time.Time
-	holdBackoff        time.Duration
+	// startUnansweredAt is when a start to this boot was last found to have no answer.
+	startUnansweredAt time.Time
+	holdBackoff       time.Duration
 
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
@@ -309,11 +311,11 @@
 
 // ackToSend returns the number up to which a hold lets the worker forget its ends. A hold without an
 // answer may reach a later boot, which numbers its ends anew. Therefore an acknowledgement is sent
-// until it is answered, and only to a worker that has answered the last hold and has listed all starts
-// that it has answered: a later boot that nobody has noticed may have carried out the others, and would
-// forget their ends.
+// until it is answered, and only to a worker that has answered the last hold, has answered a hold that was
+// sent after its last unanswered start, and has listed all starts that it has answered: a later boot that
+// nobody has noticed may have carried out the others, and would forget their ends.
 func (w *worker) ackToSend() uint64 {
-	if w.unresponsive || w.ackedEnd == w.ackAnswered || w.hasUnlistedStarts() {
+	if w.unresponsive || w.ackedEnd == w.ackAnswered || w.hasUnlistedStarts() || !w.answeredHoldSentAt.After(w.startUnansweredAt) {
 		return 0
 	}
 	return w.ackedEnd
