internal/workapi: reject reports of unknown boots before the first configuration

Callers saw a worker that was never used: before a replica knows a configuration it cannot check the service of a report, so a report of another sender under the id of a worker registered its boot with another address and service. The worker's own reports were rejected from then on (400), or ignored as those of an earlier boot.

A replica that has applied no configuration now answers the report of an unknown boot with 503; the outcome is counted and logged as no-config (worker_registrations_total, 4110). The worker calls the next replica and reports again; the configuration arrives before traffic starts. A configuration without services counted as none and let every report pass; such reports are rejected (400) like those of any other unknown service. Deregistrations need no check of their own: a worker that nobody knows is not drained. A restarted replica has the services from its log.

TestReportsAreAcceptedAfterARestart starts all replicas again.

--- a/internal/platformproc/group_test.go
+++ b/internal/platformproc/group_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -234,6 +235,47 @@
 	}
 }
 
+// post sends a message to the platform's interface of a replica and returns the status, or 0 without
+// an answer.
+func (m *testMember) post(t *testing.T, call, body string) int {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), groupTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.settings.ListenControl+"/godwitlink/"+call, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against replicas that reject the reports of workers after a restart until the operator sends
+// its configuration again.
+func TestReportsAreAcceptedAfterARestart(t *testing.T) {
+	const report = `{"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1,"memMb":1,"gpu":0},"born":5}`
+	g := startTestGroup(t)
+	await(t, "configuration", func() bool {
+		return g.members[0].post(t, "Config.Replace", `{"version":1,"routes":[],"services":[{"name":"s"}]}`) == http.StatusOK
+	})
+	for i := range g.members {
+		g.kill(i)
+	}
+	for i := range g.members {
+		g.start(i)
+	}
+	for i, m := range g.members {
+		await(t, fmt.Sprint("report to replica ", i), func() bool {
+			return m.post(t, fmt.Sprint("Instances.Heartbeat/i-", i), report) == http.StatusOK
+		})
+	}
+}
+
 // Guards against a replica that fails at every start after its data folder was damaged, and against
 // a replica that continues under its former id although its log has lost entries or votes.
 func TestDamagedReplicaIsReplaced(t *testing.T) {
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -184,14 +184,14 @@
 	return *answer.Called, true, nil
 }
 
-// LocalServices returns the services of the queue configuration that this replica has applied, or
-// nil if there is none.
-func (r *Replica) LocalServices(ctx context.Context) ([]string, error) {
+// LocalServices returns the services of the queue configuration that this replica has applied, and
+// whether there is one.
+func (r *Replica) LocalServices(ctx context.Context) (services []string, ok bool, err error) {
 	answer, err := r.ReadLocal(ctx, state.Query{Queues: &state.QueuesQuery{}})
 	if err != nil || answer.Queues == nil || answer.Queues.Config == nil {
-		return nil, err
+		return nil, false, err
 	}
-	return answer.Queues.Config.Services, nil
+	return answer.Queues.Config.Services, true, nil
 }
 
 // GroupAddresses returns the addresses of the leader, empty if unknown, and of all members of the
--- a/internal/workapi/registry.go
+++ b/internal/workapi/registry.go
@@ -18,9 +18,9 @@
 // LocalReplica reads the state that the control replica in this process has applied.
 type LocalReplica interface {
 	LocalWorkload(ctx context.Context, worker workload.WorkerID) (known workload.Worker, ok bool, err error)
-	// LocalServices returns the services of the queue configuration in force, or nil if there is no
-	// configuration.
-	LocalServices(ctx context.Context) (services []string, err error)
+	// LocalServices returns the services of the queue configuration in force. ok is false if there
+	// is no configuration.
+	LocalServices(ctx context.Context) (services []string, ok bool, err error)
 	// GroupAddresses returns the address of the leader, or an empty string if it is unknown, and
 	// the addresses of all members of the control group.
 	GroupAddresses(ctx context.Context) (leader string, members []string, err error)
@@ -52,6 +52,9 @@
 // committed; a report without changes needs no commit. next is the internal address of the replica
 // that receives the worker's next reports. A follower is preferred, because the leader has the
 // least processor time to spare.
+//
+// A replica that has applied no configuration rejects the report of an unknown boot: it may come from
+// another sender, which only its service shows. The worker then calls the next replica.
 func (r *Registry) ReportWorker(ctx context.Context, w workload.Worker) (next string, outcome Outcome) {
 	known, ok, err := r.opts.Local.LocalWorkload(ctx, w.ID)
 	if err != nil {
@@ -72,11 +75,13 @@
 		}
 		return next, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
 	}
-	services, err := r.opts.Local.LocalServices(ctx)
+	services, configured, err := r.opts.Local.LocalServices(ctx)
 	switch {
 	case err != nil:
 		return "", r.recordOutcome(w, OutcomeNotAccepted, err)
-	case services != nil && !slices.Contains(services, w.Service):
+	case !configured:
+		return "", r.recordOutcome(w, OutcomeNoConfig, nil)
+	case !slices.Contains(services, w.Service):
 		return "", r.recordOutcome(w, OutcomeInvalid, errUnknownService)
 	}
 	return next, r.commit(ctx, w, workload.Command{Register: &workload.Register{Worker: w}})
