internal/platformproc: wait until the replicas have stored a promotion

TestDamagedReplicaIsReplaced failed when it killed the leader right after the leader had logged the promotion of the new voter (1403). The leader logs a change when it has appended it to its own log, before any other replica has it: replog.ChangeMembership only appends, and repair.go logs after it. With the leader killed then, the former membership of two voters applies, of which one is left; the group rightly has no quorum.

The tests now wait, up to the time limit of await, until the log of each replica has the new voters as its latest membership, read with internal/inspect from a copy of the folder. Then the two that remain are a quorum. All assertions are unchanged. TestLostLogAfterReplacements kills the next replica after the same line and waits in the same way.

--- a/internal/platformproc/group_test.go
+++ b/internal/platformproc/group_test.go
@@ -15,8 +15,10 @@
 	"testing"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/inspect"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/replica"
 	"github.com/godwitlink/godwitlink/internal/settings"
@@ -196,6 +198,66 @@
 	return false
 }
 
+// awaitVoters waits until a leader has changed the membership to these voters and the other replicas
+// have stored that change. The leader logs the change when it proposes it: if it is killed before
+// another replica has stored the change, the former membership applies.
+func (g *testGroup) awaitVoters(voters []uint64) {
+	g.t.Helper()
+	await(g.t, fmt.Sprintf("voters %v", voters), func() bool { return g.hasVoters(voters) })
+	for _, m := range g.members {
+		await(g.t, fmt.Sprintf("voters %v in the log of %s", voters, m.settings.Name), func() bool {
+			stored, err := m.storedMembership(g.t)
+			return err == nil && equalVoters(stored, voters)
+		})
+	}
+}
+
+// storedMembership returns the latest membership in the log of a replica. It reads a copy, because the
+// replica has locked its folder. An error means that a file changed while it was copied, or that there
+// is no membership yet.
+func (m *testMember) storedMembership(t *testing.T) (replog.Membership, error) {
+	t.Helper()
+	known, err := readIdentity(m.settings.DataDir)
+	if err != nil {
+		return replog.Membership{}, err
+	}
+	folder := t.TempDir()
+	defer os.RemoveAll(folder)
+	if err := os.CopyFS(folder, os.DirFS(filepath.Join(m.settings.DataDir, known.logFolderName()))); err != nil {
+		return replog.Membership{}, err
+	}
+	var content bytes.Buffer
+	if err := inspect.Print(&content, folder); err != nil {
+		return replog.Membership{}, err
+	}
+	var decoded struct {
+		Snapshot *struct{ Membership replog.Membership }
+		Entries  []struct{ Membership *replog.Membership }
+	}
+	if err := json.Unmarshal(content.Bytes(), &decoded); err != nil {
+		return replog.Membership{}, err
+	}
+	for _, entry := range slices.Backward(decoded.Entries) {
+		if entry.Membership != nil {
+			return *entry.Membership, nil
+		}
+	}
+	if decoded.Snapshot != nil {
+		return decoded.Snapshot.Membership, nil
+	}
+	return replog.Membership{}, errors.New("no membership in the log")
+}
+
+// equalVoters reports whether a membership has exactly these voters, in any order, and no learners.
+func equalVoters(m replog.Membership, voters []uint64) bool {
+	var got []uint64
+	for _, id := range m.Voters {
+		got = append(got, uint64(id))
+	}
+	slices.Sort(got)
+	return slices.Equal(got, slices.Sorted(slices.Values(voters))) && len(m.Learners) == 0
+}
+
 // readFolder returns the contents of the files of a folder by their names.
 func readFolder(t *testing.T, dir string) map[string]string {
 	t.Helper()
@@ -344,7 +406,7 @@
 				t.Errorf("replica id %d after former id %d, want a new id of a replica that joins", newID, former)
 			}
 			voters := []uint64{g.members[0].id(t), g.members[2].id(t), newID}
-			await(t, fmt.Sprintf("voters %v", voters), func() bool { return g.hasVoters(voters) })
+			g.awaitVoters(voters)
 
 			// From here on a quorum consists of the new replica and one other.
 			g.kill(0)
--- a/internal/platformproc/lostdisk_test.go
+++ b/internal/platformproc/lostdisk_test.go
@@ -67,7 +67,7 @@
 	g.start(victim)
 	await(t, "start under another id", func() bool { return len(m.log.eventLines(1406)) > 0 })
 	voters := []uint64{g.members[0].id(t), g.members[1].id(t), g.members[2].id(t)}
-	await(t, "voters after the replacement", func() bool { return g.hasVoters(voters) })
+	g.awaitVoters(voters)
 }
 
 // Guards against a group that never forms because a founder lost its disk before the others had
