internal/platformproc: log the membership that a test waited for in vain

The time-out of awaitVoters did not say which membership a log has, or why it could not be read. On a failure the last one read is logged.

--- a/internal/platformproc/group_test.go
+++ b/internal/platformproc/group_test.go
@@ -204,9 +204,16 @@
 func (g *testGroup) awaitVoters(voters []uint64) {
 	g.t.Helper()
 	await(g.t, fmt.Sprintf("voters %v", voters), func() bool { return g.hasVoters(voters) })
+	var stored replog.Membership
+	var err error
+	defer func() {
+		if g.t.Failed() {
+			g.t.Logf("last membership read from a log: %+v, error %v", stored, err)
+		}
+	}()
 	for _, m := range g.members {
 		await(g.t, fmt.Sprintf("voters %v in the log of %s", voters, m.settings.Name), func() bool {
-			stored, err := m.storedMembership(g.t)
+			stored, err = m.storedMembership(g.t)
 			return err == nil && equalVoters(stored, voters)
 		})
 	}
