core/dispatch: a new leader counts in-doubt starts from its election

Cause: a new leader counted the wait for a start in doubt from the close of its run. The former leader may have sent holds until the election; a late one extends the lease of a run on a boot that nobody has noticed.

Change: the wait counts from the election, unless the run was closed with its boot, after which the former leader extended no lease. The early end of the wait by an answer of the present boot is as before. A pending task whose last run is listed as closed goes by that entry alone.

--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -209,12 +209,19 @@
 			}
 			c.state.ForEachClosedRun(step, func(r workload.ClosedRun, age time.Duration) {
 				addStart(r.Index, r.Worker, r.Run, c.startedAt.Add(-age))
+				if r.How != workload.EndLeaseExpired && r.How != workload.EndLost {
+					// The boot had not ended when the run was closed, so the former leader may have
+					// extended its lease until now.
+					c.extendInDoubtStart(j.StepID(i).Task(r.Index), r.Worker, c.startedAt.Add(c.inDoubtSpan(j.StepID(i))))
+				}
 			})
 			lastClosedAt := c.startedAt.Add(-c.state.SinceLastClosed(step))
 			for k, task := range step.Tasks {
 				latestSend := lastClosedAt
 				if task.Open {
 					latestSend = c.startedAt
+				} else if _, _, listed := c.state.ClosedRun(j.StepID(i).Task(k), task.Worker, task.Run); listed {
+					continue
 				}
 				addStart(k, task.Worker, task.Run, latestSend)
 			}
@@ -222,6 +229,15 @@
 	}
 }
 
+// extendInDoubtStart extends the time for which the in-doubt start of a task on a worker is waited for.
+func (c *Core) extendInDoubtStart(id workload.TaskID, worker workload.WorkerID, until time.Time) {
+	for i := range c.inDoubtStarts[id] {
+		if start := &c.inDoubtStarts[id][i]; start.worker.ID == worker {
+			start.runsUntil = until
+		}
+	}
+}
+
 // removeStartsToFormerWorkers removes the in-doubt starts of workers that had the same address
 // before. They name another worker, so the worker that has the address now rejects them.
 func (c *Core) removeStartsToFormerWorkers(w *worker) {
