core/workload: count done ends beside an open run and on a later boot

Cause: a done end of a closed run was ignored while a later run of the task was open; when that run ended otherwise, the task was placed again. And a failed run never counted as done, although a late start may repeat it on a later boot of the worker.

Change: a done end beside an open run is kept with the closed run, which then stays listed; the open run is stopped, and the task is done once it is closed. The end is committed before it is acknowledged, also where the open run is on the same worker. A new boot of a worker lets the failures of its closed runs count anew.

Result: TestDoneEndCountsWhileALaterRunIsOpen, TestEndOfAFailedRunThatALaterBootHasRepeatedCounts and TestLaterRunIsStoppedAfterAnEarlierOneIsDone failed before and pass.

--- a/core/dispatch/earlierruns_test.go
+++ b/core/dispatch/earlierruns_test.go
@@ -762,3 +762,49 @@
 		}
 	}
 }
+
+// Guards against acknowledging the successful end of a closed run before it counts, and against going on
+// with a later run of its task.
+func TestLaterRunIsStoppedAfterAnEarlierOneIsDone(t *testing.T) {
+	for _, later := range []workload.WorkerID{"w", "spare"} {
+		t.Run("later run on "+string(later), func(t *testing.T) {
+			task := workload.TaskID{Job: "j"}
+			b := newTestbed(t, registerWorker("w", 1), registerWorker("spare", 1), submitJob("j", oneTask))
+			b.tick(0)
+			b.answerHolds(dispatch.HoldReport{Boot: 1})
+			assign := func(w workload.WorkerID) {
+				b.apply(workload.Command{Decide: &workload.Decide{Assigns: []workload.Assign{{Step: task.StepID(), Members: []workload.TaskAssignment{{Worker: w, Boot: 1}}}}}})
+			}
+			assign("w")
+			b.apply(workload.Command{Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: "w", Boot: 1, Task: task, Run: 1, How: workload.EndNeverStarted}}}})
+			assign(later)
+			for _, start := range b.tick(time.Millisecond).Starts {
+				b.core.StartAnswered(b.now, start, dispatch.OutcomeOK, 0)
+			}
+			for _, h := range b.openHolds {
+				report := dispatch.HoldReport{Boot: 1, Clock: 2000}
+				if h.Worker == "w" {
+					report.Ends = []dispatch.ListedEnd{{Number: 1, Task: task, Run: 1, Result: workload.EndDone}}
+				}
+				b.core.HoldAnswered(b.now, h.Call, report)
+			}
+			b.openHolds = nil
+			e := b.tick(replanDelay)
+			for _, h := range e.Holds {
+				if h.AckedEnd != 0 {
+					t.Errorf("end %d is acknowledged before it is committed", h.AckedEnd)
+				}
+			}
+			stopped := false
+			for range 3 {
+				e = b.commit(e)
+				for _, stop := range e.Stops {
+					stopped = stopped || stop.Worker == later && stop.Run == 2
+				}
+			}
+			if !stopped {
+				t.Error("run 2 is not stopped after run 1 was done")
+			}
+		})
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -243,11 +243,15 @@
 // handleClosedRunEnd processes the end of a run that is closed in the state. If the end still
 // counts, it is committed before the worker may forget it.
 func (c *Core) handleClosedRunEnd(w *worker, r *run, end ListedEnd) {
-	if r != nil && (r.number != end.Run || r.endProposed) {
-		return
-	}
+	accepted := c.state.AcceptsLateEnd(end.Task, w.ID, end.Run, end.Result)
 	switch {
-	case c.state.AcceptsLateEnd(end.Task, w.ID, end.Run, end.Result):
+	case r != nil && r.number != end.Run:
+		if accepted {
+			w.proposedLateEnds[end.Task] = end.Run
+			c.proposeEnd(w, end.Task, end.Run, end.Result, end.Checkpoint)
+		}
+	case r != nil && r.endProposed:
+	case accepted:
 		if r == nil {
 			r = &run{number: end.Run, closedInState: true}
 			w.runs[end.Task] = r
@@ -264,7 +268,7 @@
 	if checkpoint == "" {
 		checkpoint = r.checkpoint
 	}
-	c.pendingEnds = append(c.pendingEnds, workload.EndedRun{Worker: w.ID, Boot: w.Boot, Task: id, Run: r.number, How: result, Checkpoint: checkpoint})
+	c.proposeEnd(w, id, r.number, result, checkpoint)
 	if result != workload.EndDone {
 		c.recordDecision(Decision{
 			Kind: DecisionRunEnded, Job: id.Job, Step: id.Step, Task: id.Index, Run: r.number, Worker: w.ID,
@@ -273,6 +277,10 @@
 	}
 }
 
+func (c *Core) proposeEnd(w *worker, id workload.TaskID, number workload.RunNumber, result workload.RunEnd, checkpoint string) {
+	c.pendingEnds = append(c.pendingEnds, workload.EndedRun{Worker: w.ID, Boot: w.Boot, Task: id, Run: number, How: result, Checkpoint: checkpoint})
+}
+
 // reconcileMissingRun handles a run that the worker does not report.
 func (c *Core) reconcileMissingRun(w *worker, id workload.TaskID, r *run) {
 	switch {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -143,6 +143,9 @@
 			if r := w.runs[end.Task]; r != nil && r.number == end.Run && (!r.closedInState || r.endProposed) {
 				c.removeRun(w, end.Task, r)
 			}
+			if w.proposedLateEnds[end.Task] == end.Run {
+				delete(w.proposedLateEnds, end.Task)
+			}
 			c.acknowledgeEnds(w)
 		}
 	}
@@ -151,10 +154,27 @@
 	}
 	for _, end := range decide.Ends {
 		c.stopIncompleteGang(end.Task)
+		c.stopRunOfDoneTask(end.Task)
 		c.updateJob(end.Task.Job)
 	}
 }
 
+const stopReasonTaskDone = "task-done"
+
+// stopRunOfDoneTask stops the open run of a task that a closed run has done meanwhile.
+func (c *Core) stopRunOfDoneTask(id workload.TaskID) {
+	if !c.state.IsDoneByClosedRun(id) {
+		return
+	}
+	w := c.workers[c.state.Task(id).Worker]
+	if w == nil {
+		return
+	}
+	if r := w.runs[id]; r != nil && !r.closedInState && !r.endProposed {
+		c.requestStop(w, r, stopReasonTaskDone)
+	}
+}
+
 // stopIncompleteGang stops the remaining members of a gang after the run of one member was closed
 // without success. They would otherwise wait for that member until they time out.
 func (c *Core) stopIncompleteGang(closedTask workload.TaskID) {
@@ -192,7 +212,7 @@
 			return
 		}
 	}
-	if w.lastHandledEnd == w.ackedEnd {
+	if w.lastHandledEnd == w.ackedEnd || len(w.proposedLateEnds) > 0 {
 		return
 	}
 	w.ackedEnd = w.lastHandledEnd
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -83,7 +83,9 @@
 	ackSent        uint64 // acknowledgement in the hold in flight
 	ackAnswered    uint64 // highest acknowledgement in a hold that was answered
 	lastHandledEnd uint64 // ends up to this number have been processed
-	runs           map[workload.TaskID]*run
+	// proposedLateEnds are runs whose ends were proposed while another run of the task is known here.
+	proposedLateEnds map[workload.TaskID]workload.RunNumber
+	runs             map[workload.TaskID]*run
 	// inDoubtTasks are the tasks with a start that this boot, or a later one, may still carry out.
 	inDoubtTasks map[workload.TaskID]bool
 	speed        float64 // speed of its runs relative to other runs of the same steps
@@ -135,7 +137,8 @@
 		c.scheduleWake(existing, c.now)
 		return
 	}
-	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{}, nextHoldAt: c.now, speed: 1}
+	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{},
+		proposedLateEnds: map[workload.TaskID]workload.RunNumber{}, nextHoldAt: c.now, speed: 1}
 	if existing != nil {
 		created.reserved, created.expectedUse = existing.reserved, existing.expectedUse
 		for _, r := range existing.runs {
@@ -156,6 +159,8 @@
 		if job := c.state.Job(open.Task.Job); job.State == workload.JobCancelled || job.State == workload.JobFailed {
 			// The previous leader may not have stopped the run.
 			r.stopRequested, r.stopReason = true, "job-"+string(job.State)
+		} else if c.state.IsDoneByClosedRun(open.Task) {
+			r.stopRequested, r.stopReason = true, stopReasonTaskDone
 		}
 		created.runs[open.Task] = r
 	}
--- a/core/workload/closedrun.go
+++ b/core/workload/closedrun.go
@@ -16,7 +16,10 @@
 	Run      RunNumber
 	Worker   WorkerID
 	ClosedAt time.Duration // steady clock when the run was closed
-	How      RunEnd        // EndLeaseExpired or EndLost if it was closed with its boot; EndFailed once its failure is counted
+	// How is EndLeaseExpired or EndLost if the run was closed with its boot, EndFailed once its failure is
+	// counted, and EndDone if it, or a run that it has replaced in the list, was done while a later run of
+	// the task was open.
+	How RunEnd
 	// FailedRun is the latest failed run among those that this run has replaced in the list.
 	FailedRun RunNumber `cbor:",omitempty" json:",omitempty"`
 }
@@ -52,7 +55,26 @@
 func (s *State) removeClosedRunsOn(worker WorkerID) {
 	for _, job := range s.jobs {
 		for i := range job.Steps {
-			job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return r.Worker == worker })
+			job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return r.Worker == worker && r.How != EndDone })
+		}
+	}
+}
+
+// forgetFailuresOn lets the closed runs of a worker count again: a later boot may carry out the late
+// start of a run that has failed on the former one.
+func (s *State) forgetFailuresOn(worker WorkerID) {
+	for _, job := range s.jobs {
+		for i := range job.Steps {
+			closed := job.Steps[i].ClosedRuns
+			for k := range closed {
+				if closed[k].Worker != worker {
+					continue
+				}
+				closed[k].FailedRun = 0
+				if closed[k].How == EndFailed {
+					closed[k].How = EndLost
+				}
+			}
 		}
 	}
 }
@@ -60,7 +82,9 @@
 // expireClosedRuns removes the closed runs of a job that are older than ClosedRunRetention.
 func (s *State) expireClosedRuns(job *Job) {
 	for i := range job.Steps {
-		job.Steps[i].removeClosedRuns(func(r ClosedRun) bool { return s.closedRunAge(r) >= ClosedRunRetention })
+		job.Steps[i].removeClosedRuns(func(r ClosedRun) bool {
+			return r.How != EndDone && s.closedRunAge(r) >= ClosedRunRetention
+		})
 	}
 }
 
@@ -110,6 +134,18 @@
 	return &step.ClosedRuns[at]
 }
 
+// hasDoneRun reports whether a closed run of a task was done while a later run was open.
+func (step *Step) hasDoneRun(index int) bool {
+	return slices.ContainsFunc(step.ClosedRuns, func(r ClosedRun) bool { return r.Index == index && r.How == EndDone })
+}
+
+// IsDoneByClosedRun reports whether a closed run of a task was done while a later run was open. The task
+// is done once the open run is closed.
+func (s *State) IsDoneByClosedRun(id TaskID) bool {
+	_, step, _ := s.findTask(id)
+	return step != nil && step.hasDoneRun(id.Index)
+}
+
 // covers reports whether a run of the task on the worker is the listed one, or one that it has replaced,
 // and has not failed.
 func (r *ClosedRun) covers(run RunNumber) bool {
--- a/core/workload/lateend_test.go
+++ b/core/workload/lateend_test.go
@@ -73,3 +73,42 @@
 		}
 	}
 }
+
+// Guards against a task that starts again after a closed run was done while a later run was open (platform
+// rule TWICE).
+func TestDoneEndCountsWhileALaterRunIsOpen(t *testing.T) {
+	task := workload.TaskID{Job: "j"}
+	for name, closeLater := range map[string]workload.Command{
+		"lost":         {EndBoot: &workload.EndBoot{Worker: "w2", Boot: 1, Permanent: true}},
+		"never":        {Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: "w2", Boot: 1, Task: task, Run: 2, How: workload.EndNeverStarted}}}},
+		"failed":       {Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: "w2", Boot: 1, Task: task, Run: 2, How: workload.EndFailed}}}},
+		"address lost": {EndBoot: &workload.EndBoot{Worker: "w2", Boot: 1, Permanent: true, Replaced: true}},
+	} {
+		ts := newTestState(t, register("w1", 1, 10), register("w2", 1, 10), submit("j", tasks(1, 1)))
+		ts.runOnce("w1", task, workload.EndNeverStarted)
+		ts.assign(task.StepID(), workload.TaskAssignment{Worker: "w2", Boot: 1})
+		ts.end("w1", task, 1, workload.EndDone)
+		ts.apply(workload.Command{EndBoot: &workload.EndBoot{Worker: "w1", Boot: 1, Permanent: true, Replaced: true}})
+		ts.advance(2 * workload.ClosedRunRetention)
+		if got := ts.jobState("j"); got != workload.JobRunning || len(ts.state.OpenRuns("w2")) != 1 {
+			t.Errorf("%s: job is %s with open runs %v, want running with one", name, got, ts.state.OpenRuns("w2"))
+		}
+		ts.apply(closeLater)
+		if got := ts.jobState("j"); got != workload.JobCompleted {
+			t.Errorf("%s: job is %s after its task was done, want completed", name, got)
+		}
+	}
+}
+
+// Guards against a late start of a failed run on a later boot, whose successful end does not count.
+func TestEndOfAFailedRunThatALaterBootHasRepeatedCounts(t *testing.T) {
+	task := workload.TaskID{Job: "j"}
+	ts := newTestState(t, register("w", 1, 10), submit("j", tasks(1, 1)))
+	ts.runOnce("w", task, workload.EndFailed)
+	ts.runOnce("w", task, workload.EndNeverStarted)
+	ts.apply(register("w", 2, 10))
+	ts.apply(workload.Command{Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: "w", Boot: 2, Task: task, Run: 1, How: workload.EndDone}}}})
+	if got := ts.jobState("j"); got != workload.JobCompleted {
+		t.Errorf("job is %s after its task was done on boot 2, want completed", got)
+	}
+}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -159,6 +159,7 @@
 	if w.Boot > known.Boot {
 		// A later boot implies that the previous one and its runs have ended.
 		s.closeRuns(known, retentionClock, EndBoot{Permanent: true})
+		s.forgetFailuresOn(w.ID)
 		known.Worker = w
 		return Result{}
 	}
@@ -215,7 +216,11 @@
 	spec := &job.Spec.Steps[e.Task.Step]
 	job.HasExecuted = true
 	s.markStarted(job)
-	if e.How == EndDone {
+	switch {
+	case e.How == EndDone && task.Open:
+		step.latestClosedRun(e.Task.Index, e.Worker).How = EndDone
+		return
+	case e.How == EndDone:
 		s.completeTask(job, step, spec, task, retentionClock)
 		return
 	}
@@ -224,8 +229,9 @@
 }
 
 // AcceptsLateEnd reports whether the outcome of a closed run counts. That a run was done counts if the
-// task is pending and the run is its latest one, or is listed and has not failed: a late start of an
-// earlier run may have been carried out. A failure counts once, although a worker repeats its report to
+// run is the latest one of a pending task, or is listed and has not failed: a late start of an earlier run
+// may have been carried out. While a later run is open, it counts once that run is closed. A failure
+// counts once, although a worker repeats its report to
 // the next leader, while the closed run is listed with another end.
 func (s *State) AcceptsLateEnd(id TaskID, worker WorkerID, run RunNumber, how RunEnd) bool {
 	_, step, task := s.findTask(id)
@@ -236,9 +242,12 @@
 	covered := closed != nil && closed.covers(run)
 	switch how {
 	case EndDone:
+		if task.Open {
+			return task.State != TaskDone && covered && !step.hasDoneRun(id.Index)
+		}
 		return task.State == TaskPending && (task.Run == run || covered)
 	case EndFailed:
-		return covered && closed.Run == run
+		return covered && closed.Run == run && closed.How != EndDone
 	}
 	return false
 }
@@ -264,10 +273,10 @@
 	}
 	task.State = TaskPending
 	s.storeCheckpoint(step, spec, task, checkpoint)
-	switch how {
-	case EndDone:
+	switch {
+	case how == EndDone || step.hasDoneRun(id.Index):
 		s.completeTask(job, step, spec, task, retentionClock)
-	case EndFailed:
+	case how == EndFailed:
 		s.countFailure(job, step, spec, task, task.Run, retentionClock)
 	}
 }
