core/dispatch: fence a later boot once, until it has answered

It was sent without a delay each time that the end of the boot was refused by an overloaded log (2000 calls in 2 s). Raising the token before that end was committed lost the evidence that the former boot had refused a start, so its task waited again (32 s). The call was not repeated when it was lost, and not sent while another end of the boot was proposed.

Change: the token rises once for each later boot that has answered, whether or not an end is proposed, and the evidence is kept. The later boot is called, with the usual delays, until it has answered such a call or no late call can be carried out any more. Open runs of the former boot are not started there. In test/platformsoak, a listed end of a late run no longer exempts later starts of its task.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -40,6 +40,9 @@
 	}
 	if report.Outcome != OutcomeOK {
 		c.holdFailed(w, call, report.Outcome)
+		if report.Outcome == OutcomeLaterBoot {
+			c.laterBootAnswered(w, call, report.Boot)
+		}
 		return
 	}
 	if report.Boot == w.Boot && !w.holdSentAt.Before(w.clockReadAt) && report.Clock < c.minWorkerClockAt(w, w.holdSentAt) {
@@ -96,14 +99,13 @@
 }
 
 func (c *Core) holdFailed(w *worker, call Call, outcome Outcome) {
-	laterBootFound := false
 	switch outcome {
 	case OutcomeFenced:
 		w.nextHoldAt = c.now
 		c.handleFenced(w, call)
 		return
 	case OutcomeLaterBoot:
-		laterBootFound = c.proposeBootEnd(w, bootEndLaterBoot, true)
+		c.proposeBootEnd(w, bootEndLaterBoot, true)
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, call)
 	}
@@ -120,13 +122,24 @@
 	}
 	w.holdBackoff = min(max(2*w.holdBackoff, holdRetryDelay), maxHoldRetryDelay)
 	w.nextHoldAt = c.now.Add(w.holdBackoff)
-	if laterBootFound {
-		// The later boot rejects the late calls for the former one after a call with a higher token. It
-		// is not called otherwise before it has registered.
-		w.raiseToken()
+	c.scheduleWake(w, w.nextHoldAt)
+}
+
+// laterBootAnswered raises the token once for each later boot that has answered a hold, and calls that
+// boot with it. The boot then rejects the late calls for the former one, which it would carry out until
+// it has registered.
+func (c *Core) laterBootAnswered(w *worker, call Call, boot workload.Boot) {
+	if boot > w.laterBoot {
+		w.laterBoot = boot
+		w.endedBoots = min(w.endedBoots+1, maxEndedBoots)
+		w.fenceToken, w.fenceUntil = c.token(w), c.now.Add(maxCallDelay)
 		w.nextHoldAt = c.now
+		c.scheduleWake(w, w.nextHoldAt)
+		return
+	}
+	if call.Token >= w.fenceToken {
+		w.fenceUntil = time.Time{}
 	}
-	c.scheduleWake(w, w.nextHoldAt)
 }
 
 // handleFenced ends the dispatching of this leader because a worker has seen a later leader. It
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -163,9 +163,12 @@
 	}
 }
 
-// tokenBits is the number of low bits of a token that count the ended boots of a worker under one
+// tokenBits is the number of low bits of a token that increase with the ended boots of a worker under one
 // leader. The remaining bits are the leader's term.
-const tokenBits = 20
+const (
+	tokenBits     = 20
+	maxEndedBoots = 1<<tokenBits - 1
+)
 
 // token returns the fencing token for calls to a worker.
 func (c *Core) token(w *worker) uint64 { return c.opts.Term<<tokenBits | w.endedBoots }
@@ -173,7 +176,7 @@
 // raiseToken increases the token. Once the worker has answered a call with the new token, it
 // rejects every call that was sent before.
 func (w *worker) raiseToken() {
-	w.endedBoots = min(w.endedBoots+1, 1<<tokenBits-1)
+	w.endedBoots = min(w.endedBoots+1, maxEndedBoots)
 	w.tokenAccepted = false
 }
 
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -63,10 +63,16 @@
 	holdInFlight     bool // a hold is in flight
 	nextHoldAt       time.Time
 	holdSentAt       time.Time // send time of the hold in flight
-	// endedBoots counts the ended boots of this worker ID that this leader knows of. tokenAccepted
-	// is true after the worker has answered a call with the resulting token.
+	// endedBoots increases with each ended boot of this worker ID that this leader knows of.
+	// tokenAccepted is true after the worker has answered a call with the resulting token.
 	endedBoots    uint64
 	tokenAccepted bool
+	// laterBoot is the latest boot that has answered a hold for this one, 0 if there is none. It is
+	// called with fenceToken or a higher token until it has answered such a call, or until fenceUntil,
+	// when no late call for this boot can be carried out any more.
+	laterBoot  workload.Boot
+	fenceToken uint64
+	fenceUntil time.Time
 	// answeredHoldSentAt is the send time of the last hold that this boot has answered.
 	answeredHoldSentAt time.Time
 	// startUnansweredAt is when a start to this boot was last found to have no answer.
@@ -240,7 +246,7 @@
 // processDueWorkers sends the calls that are due and gives up boots whose lease has expired.
 func (c *Core) processDueWorkers() {
 	for _, w := range c.dueWorkers() {
-		if !w.Gone {
+		if !w.Gone || c.now.Before(w.fenceUntil) {
 			c.processWorker(w)
 		}
 	}
@@ -264,7 +270,7 @@
 			c.sendHold(w)
 		}
 	}
-	if !w.bootEndProposed {
+	if !w.bootEndProposed && w.laterBoot == 0 {
 		for _, id := range runsNeedingCalls(w.runs) {
 			c.sendDueCall(w, id, w.runs[id])
 		}
@@ -345,10 +351,10 @@
 )
 
 // proposeBootEnd proposes, once, the end of a boot and includes the checkpoints received so far.
-// permanent means that this boot will not return. It reports whether it has proposed the end.
-func (c *Core) proposeBootEnd(w *worker, reason string, permanent bool) bool {
+// permanent means that this boot will not return.
+func (c *Core) proposeBootEnd(w *worker, reason string, permanent bool) {
 	if w.bootEndProposed || w.Gone {
-		return false
+		return
 	}
 	w.bootEndProposed = true
 	command := workload.EndBoot{Worker: w.ID, Boot: w.Boot, Permanent: permanent, Replaced: reason == bootEndOtherWorker}
@@ -364,7 +370,6 @@
 	}
 	c.recordDecision(Decision{Kind: DecisionBootEnded, Worker: w.ID, Reason: reason, Count: len(w.runs), Age: c.timeSinceAnswer(w)})
 	c.propose(&proposal{command: workload.Command{EndBoot: &command}})
-	return true
 }
 
 // otherWorkerAnswered ends a boot after another worker has answered at its address. It does nothing if
--- a/test/platformsoak/rules_test.go
+++ b/test/platformsoak/rules_test.go
@@ -11,7 +11,7 @@
 	starts   []*taskRun
 	notedEnd *taskRun // the first run whose end as done was acknowledged
 	note     string   // how it was acknowledged
-	// unnoticed is true if the leader did not know of that end, or of the boot that began the run.
+	// unnoticed is true if the leader did not know of that end.
 	unnoticed bool
 }
 
@@ -50,7 +50,7 @@
 		}
 	}
 	if history.notedEnd == nil {
-		history.notedEnd, history.unnoticed = r, unnoticed
+		history.notedEnd, history.unnoticed = r, !end.listed
 		history.note = fmt.Sprintf("end %d acknowledged at %s by a hold with lastSeen %d, called at boot %d, late: %v", end.number,
 			time.Now().Format(timeFormat), call.LastSeen, call.bootedAt.UnixMilli(), call.late)
 	}
