--- a/core/dispatch/review2_test.go
+++ b/core/dispatch/laterboot_test.go
@@ -51,12 +51,14 @@
 	}
 	b.answerHolds(dispatch.HoldReport{Boot: 2})
 	for deadline := b.now.Add(3 * time.Second); b.now.Before(deadline); {
-		for _, h := range b.tick(10 * time.Millisecond).Holds {
-			if h.Token <= starts[0].Token {
-				t.Fatalf("hold %+v after the answer of the later boot, want a token above %#x", h, starts[0].Token)
-			}
-			return
+		holds := b.tick(10 * time.Millisecond).Holds
+		if len(holds) == 0 {
+			continue
+		}
+		if holds[0].Token <= starts[0].Token {
+			t.Fatalf("hold %+v after the answer of the later boot, want a token above %#x", holds[0], starts[0].Token)
 		}
+		return
 	}
 	t.Error("no hold after the answer of the later boot")
 }
--- a/test/platformsoak/checks_test.go
+++ b/test/platformsoak/checks_test.go
@@ -152,6 +152,23 @@
 	t.Error("the worker has not booted again")
 }
 
+// startLateOnALaterBoot boots a worker again and executes a late start for the former boot there. The later
+// boot has answered its first hold the given time before, or none if it is 0.
+func (f *fleet) startLateOnALaterBoot(answeredBefore time.Duration) {
+	late := startOfTestTask(1)
+	late.late = true
+	f.do(func() {
+		w := f.workers[0]
+		late.bootedAt = w.bootedAt
+		f.crash(w)
+		w.boot()
+		if answeredBefore > 0 {
+			w.answeredHoldAt = time.Now().Add(-answeredBefore)
+		}
+	})
+	f.callTestWorker(0, "run-start", late)
+}
+
 // Guards against a late start that is reported apart although the leader had the time to call the later boot.
 func TestLateStartOnALaterBoot(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -168,18 +185,7 @@
 			f.do(func() { f.finishRun(f.activeRun(runKey{"j.0.0.0", 1}), "done") })
 			f.callTestWorker(0, "hold", workerCall{LeaseEndMs: 60000})
 			f.callTestWorker(0, "hold", workerCall{LastSeen: 1, LeaseEndMs: 60000})
-			late := startOfTestTask(1)
-			late.late = true
-			f.do(func() {
-				w := f.workers[0]
-				late.bootedAt = w.bootedAt
-				f.crash(w)
-				w.boot()
-				if test.answeredBefore > 0 {
-					w.answeredHoldAt = time.Now().Add(-test.answeredBefore)
-				}
-			})
-			f.callTestWorker(0, "run-start", late)
+			f.startLateOnALaterBoot(test.answeredBefore)
 			f.do(func() {
 				if len(f.violations) != test.violations || len(f.unnoticedBoots) != test.unnoticedBoots {
 					t.Errorf("violations %v, by unnoticed boots %v, want %d and %d", f.violations, f.unnoticedBoots, test.violations, test.unnoticedBoots)
@@ -188,3 +194,19 @@
 		})
 	}
 }
+
+// Guards against a start after an end that the leader has acknowledged being reported apart because of the
+// boot on which the ended run began.
+func TestStartAfterAListedEndOfALateRun(t *testing.T) {
+	f := newTestFleet(t)
+	f.startLateOnALaterBoot(time.Millisecond)
+	f.do(func() { f.finishRun(f.activeRun(runKey{"j.0.0.0", 1}), "done") })
+	f.callTestWorker(0, "hold", workerCall{LeaseEndMs: 60000})
+	f.callTestWorker(0, "hold", workerCall{LastSeen: 1, LeaseEndMs: 60000})
+	f.callTestWorker(1, "run-start", startOfTestTask(2))
+	f.do(func() {
+		if len(f.violations) != 1 {
+			t.Errorf("violations %v, by unnoticed boots %v, want one and none", f.violations, f.unnoticedBoots)
+		}
+	})
+}
