core: say why a later boot leaves the accepted token as it is

The call that fences a later boot raises the token without clearing what the former boot has accepted. The comment gives the reason, and another is wrapped anew.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -127,7 +127,8 @@
 
 // laterBootAnswered raises the token once for each later boot that has answered a hold, and calls that
 // boot with it. The boot then rejects the late calls for the former one, which it would carry out until
-// it has registered.
+// it has registered. Whether the former boot had accepted the last token stays known: it decides which
+// starts that boot has refused.
 func (c *Core) laterBootAnswered(w *worker, call Call, boot workload.Boot) {
 	if boot > w.laterBoot {
 		w.laterBoot = boot
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -231,8 +231,8 @@
 // AcceptsLateEnd reports whether the outcome of a closed run counts. That a run was done counts if the
 // run is the latest one of a pending task, or is listed and has not failed: a late start of an earlier run
 // may have been carried out. While a later run is open, it counts once that run is closed. A failure
-// counts once, although a worker repeats its report to
-// the next leader, while the closed run is listed with another end.
+// counts once, although a worker repeats its report to the next leader, while the closed run is listed
+// with another end.
 func (s *State) AcceptsLateEnd(id TaskID, worker WorkerID, run RunNumber, how RunEnd) bool {
 	_, step, task := s.findTask(id)
 	if task == nil {
