test/platformsoak: a boot is noticed only over an open link

Trace: three starts of run 2 had no answer, the boot acknowledged the stop, and run 3 was placed at 19:44:03.78. That boot ended; the next one, up at 04.144, carried out a late copy of the start at 05.154. It had answered a hold at 04.15, but its link was reset, so the answer was lost and no call arrived until 06.11. That is the open fault of TestSoakUnnoticedBoots, and the check took the boot for noticed because of a response that never arrived.

--- a/test/platformsoak/proxy_test.go
+++ b/test/platformsoak/proxy_test.go
@@ -38,6 +38,8 @@
 	// releasedAt is the last time, in Unix milliseconds, at which calls that had been held back were
 	// passed on.
 	releasedAt atomic.Int64
+	// changedAt is when the state or the cut last changed, in Unix milliseconds.
+	changedAt atomic.Int64
 }
 
 // clientCut is the state of a link for one process.
@@ -68,8 +70,22 @@
 	return p
 }
 
+func (p *proxy) setCut(cut *clientCut) {
+	p.cut.Store(cut)
+	p.changedAt.Store(time.Now().UnixMilli())
+}
+
+// openFor returns for how long calls and responses of all processes have passed.
+func (p *proxy) openFor(now time.Time) time.Duration {
+	if state := linkState(p.state.Load()); state != linkOpen && state != linkDelayed || p.cut.Load() != nil {
+		return 0
+	}
+	return now.Sub(time.UnixMilli(p.changedAt.Load()))
+}
+
 func (p *proxy) set(state linkState) {
 	p.state.Store(int32(state))
+	p.changedAt.Store(time.Now().UnixMilli())
 	if state == linkReset {
 		p.resetCount.Add(1)
 	}
