core/dispatch: count an ended boot in one place, share a test set-up

Found on reading the change again: the count below the term was raised by the same expression in raiseToken and in laterBootAnswered, and two tests of ends after a boot was given up repeated their set-up. Both now call one function. No behaviour and no assertion changes.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -132,7 +132,7 @@
 func (c *Core) laterBootAnswered(w *worker, call Call, boot workload.Boot) {
 	if boot > w.laterBoot {
 		w.laterBoot = boot
-		w.endedBoots = min(w.endedBoots+1, maxEndedBoots)
+		w.countEndedBoot()
 		w.fenceToken, w.fenceUntil = c.token(w), c.now.Add(maxCallDelay)
 		w.nextHoldAt = c.now
 		c.scheduleWake(w, w.nextHoldAt)
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -165,10 +165,7 @@
 
 // tokenBits is the number of low bits of a token that increase with the ended boots of a worker under one
 // leader. The remaining bits are the leader's term.
-const (
-	tokenBits     = 20
-	maxEndedBoots = 1<<tokenBits - 1
-)
+const tokenBits = 20
 
 // token returns the fencing token for calls to a worker.
 func (c *Core) token(w *worker) uint64 { return c.opts.Term<<tokenBits | w.endedBoots }
@@ -176,10 +173,12 @@
 // raiseToken increases the token. Once the worker has answered a call with the new token, it
 // rejects every call that was sent before.
 func (w *worker) raiseToken() {
-	w.endedBoots = min(w.endedBoots+1, maxEndedBoots)
+	w.countEndedBoot()
 	w.tokenAccepted = false
 }
 
+func (w *worker) countEndedBoot() { w.endedBoots = min(w.endedBoots+1, 1<<tokenBits-1) }
+
 // hasClosedRuns reports whether the worker has runs that are closed in the state and still have to
 // end.
 func (w *worker) hasClosedRuns() bool {
--- a/core/dispatch/worker_test.go
+++ b/core/dispatch/worker_test.go
@@ -300,9 +300,9 @@
 	}
 }
 
-// A task must not start again if its run, which was closed while the worker was unresponsive, has
-// ended with success.
-func TestRunThatWasDoneBeforeItsBootWasGivenUp(t *testing.T) {
+// startTaskOfAGivenUpBoot returns a testbed with one worker and the start of a task that it answered. The
+// worker then answered no hold until its boot was given up.
+func startTaskOfAGivenUpBoot(t *testing.T) (*testbed, []dispatch.Start) {
 	b, starts := startTasks(t, oneTask)
 	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
 	for closed := false; !closed; {
@@ -311,6 +311,13 @@
 		closed = len(e.Proposals) > 0
 		b.commit(e)
 	}
+	return b, starts
+}
+
+// A task must not start again if its run, which was closed while the worker was unresponsive, has
+// ended with success.
+func TestRunThatWasDoneBeforeItsBootWasGivenUp(t *testing.T) {
+	b, starts := startTaskOfAGivenUpBoot(t)
 	doneReport := dispatch.HoldReport{Ends: []dispatch.ListedEnd{{Number: 1, Task: starts[0].Task, Run: 1, Result: workload.EndDone}}}
 	for range 50 {
 		b.answerHolds(doneReport)
@@ -374,14 +381,7 @@
 
 // Guards against a start after the last attempt, with a failure reported late (platform rule BUDGET).
 func TestRunThatFailedBeforeItsBootWasGivenUp(t *testing.T) {
-	b, starts := startTasks(t, oneTask)
-	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
-	for closed := false; !closed; {
-		e := b.tick(50 * time.Millisecond)
-		b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent})
-		closed = len(e.Proposals) > 0
-		b.commit(e)
-	}
+	b, starts := startTaskOfAGivenUpBoot(t)
 	failedReport := dispatch.HoldReport{Ends: []dispatch.ListedEnd{{Number: 1, Task: starts[0].Task, Run: 1, Result: workload.EndFailed}}}
 	proposed, acked := 0, false
 	for range 50 {
