core/workload: count a job as pending until a worker has begun it

Cause: the state counted a job as started when a run was opened, before any worker had been told. A job whose start reached nobody was not pending until its run was closed as never started. Where the run was closed with its boot by a later boot, or by a new leader, it was not pending even then.

Change: a job is pending until a worker is known to have begun a task. The dispatcher records answered starts and listed runs, and reports the first one of each job with its next Decide, or alone after 1 s. A run that ends as reported by its worker says the same. A run that is closed as lost no longer does. A new leader records the runs that its holds list. The job state that clients see stays as it was, but for a job none of whose runs is known to have begun: after a lost run and then one that never started it is queued instead of running.

A report is an entry of Decide.Ends with no run and no worker.

TestJobWhoseRunsNeverBeganIsPending expected no pending job while runs were open that no worker had begun, which is this fault. It expects one now and checks one more step. The audit of the state counts the pending jobs too.

At most one command a second is added, and none where others are proposed within the second.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -37,6 +37,7 @@
 	lastProposalID uint64
 	proposals      map[uint64]*proposal
 	pendingEnds    []workload.EndedRun // to be proposed with the next batch
+	begun          begunReports
 
 	lastAdviceID uint64
 	adviceCalls  map[uint64]*adviceCall
@@ -202,6 +203,9 @@
 	if len(c.pendingEnds) > 0 {
 		consider(c.nextEndsAt)
 	}
+	if len(c.begun.tasks) > 0 {
+		consider(c.begun.dueAt)
+	}
 	return earliest
 }
 
@@ -273,6 +277,9 @@
 const maxEndsPerProposal = 512
 
 func (c *Core) proposeEnds() {
+	if len(c.pendingEnds) > 0 || c.begunReportsDue() {
+		c.queueBegunReports()
+	}
 	if len(c.pendingEnds) > 0 {
 		c.nextEndsAt = c.now.Add(endsInterval)
 	}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -158,6 +158,7 @@
 	active := map[workload.TaskID]ActiveRun{}
 	for _, a := range report.Active {
 		active[a.Task] = a
+		c.recordBegun(a.Task)
 		c.reconcileActiveRun(w, a, report.Clock)
 	}
 	for _, end := range report.Ends {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -14,6 +14,7 @@
 	nextWake        time.Time     // next time at which a step is due without an event
 	localAcceptedAt time.Time     // by the clock of this process, if it saw the job being accepted
 	objective       time.Duration // allowed time from acceptance to the end of the last step
+	begunRecorded   bool          // it is to be reported, or was proposed, that a worker has begun a task
 }
 
 // step is the leader's view of a step, in addition to the replicated state of its tasks.
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -79,6 +79,7 @@
 	switch outcome {
 	case OutcomeOK:
 		r.confirmed, r.confirmedAt = true, c.now
+		c.recordBegun(start.Task)
 	case OutcomeFenced:
 		c.handleFenced(w, start.Call)
 	case OutcomeOtherWorker:
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -69,6 +69,7 @@
 	}
 	w.validTicket = func(st dispatch.Start) bool { return s.validTicket(w, st) }
 	w.onStart = func(st dispatch.Start, r *fakeRun) {
+		s.begunJobs[st.Task.Job] = true
 		start := pastStart{at: s.now, worker: w.id, boot: w.boot, run: st.Run, refusedBy: r.refusedBy}
 		task := s.history.of(st.Task)
 		task.starts = append(task.starts, start)
@@ -127,6 +128,7 @@
 
 // checkInvariants checks the conditions that must hold at all times.
 func (s *sim) checkInvariants() {
+	s.checkPendingJobs()
 	running := map[workload.TaskID][]place{}
 	for _, w := range s.workers {
 		for _, o := range w.overlaps {
@@ -158,6 +160,21 @@
 	}
 }
 
+// checkPendingJobs checks that each job of which no worker has begun a task counts as pending.
+func (s *sim) checkPendingJobs() {
+	waiting := map[string]int{}
+	for _, id := range s.jobs {
+		if job := s.committed.Job(id); job != nil && !job.State.Ended() && !s.begunJobs[id] {
+			waiting[job.Queue.Name]++
+		}
+	}
+	for queue, jobs := range waiting {
+		if pending := s.committed.PendingJobs(queue); pending < jobs {
+			s.addViolation("queue %s has %d pending jobs, but no worker has begun a task of %d", queue, pending, jobs)
+		}
+	}
+}
+
 // forgottenRefusal reports whether a late start that a former boot had refused conflicts with another
 // run that was sent before the end of that boot was known (seeds 1188, 20246 and 50709).
 func (s *sim) forgottenRefusal(id workload.TaskID, refusedBy *formerBoot, other workload.RunNumber) bool {
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -24,7 +24,7 @@
 // TestSoak simulates workers that crash, restart under the same ID, are cut off, reject calls and answer
 // late or never, and leaders that are replaced, cut off or suspended while their calls are in flight. It
 // guards against tasks that run twice, in the wrong order, beyond a worker's capacity or after their job
-// has ended, and against jobs that never end.
+// has ended, against jobs that never end, and against waiting jobs that do not count as pending.
 func TestSoak(t *testing.T) {
 	for seed := *soakSeed; seed < *soakSeed+uint64(*soakRuns); seed++ {
 		s := newSim(seed)
@@ -128,7 +128,8 @@
 	violations  []string
 	// unnoticedViolations are violations by late calls to a boot that the leader has not noticed.
 	unnoticedViolations []string
-	reported            map[string]bool // violations that are not reported again
+	reported            map[string]bool         // violations that are not reported again
+	begunJobs           map[workload.JobID]bool // jobs of which a worker has begun a task
 	history             history
 	cuts                []cut
 	// formerLeaders are deposed leaders that still work.
@@ -142,7 +143,7 @@
 func (s *sim) clock() time.Time { return epoch.Add(s.now) }
 
 func newSim(seed uint64) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
 	s.commit(nil, 0, workload.Command{Configure: &workload.Config{Version: 1, Services: []string{"shop"}, Queues: []workload.Queue{
 		{Name: "urgent", Service: "shop", MaxAttempts: 3},
 		{Name: "advised", Service: "shop", MaxAttempts: 3, Priority: 1, Advice: &workload.AdviserConfig{
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -3,8 +3,8 @@
 import "fmt"
 
 // Audit returns a description of each violated invariant: the open runs of a worker fit its
-// capacity, each open run is the latest run of its task, no task has two open runs, and the listed
-// closed runs are closed runs of tasks that are not done.
+// capacity, each open run is the latest run of its task, no task has two open runs, the listed
+// closed runs are closed runs of tasks that are not done, and the pending jobs are counted.
 func (s *State) Audit() []string {
 	var violations []string
 	holder := map[TaskID]WorkerID{}
@@ -29,11 +29,20 @@
 			violations = append(violations, fmt.Sprintf("worker %s: %v reserved of %v", w.ID, used, w.Capacity))
 		}
 	}
+	pending := map[string]int{}
 	s.ForEachJob(func(job *Job) {
+		if job.isPending() {
+			pending[job.Queue.Name]++
+		}
 		for i := range job.Steps {
 			violations = append(violations, job.auditClosedRuns(i)...)
 		}
 	})
+	for queue, counted := range s.pendingJobs {
+		if counted != pending[queue] {
+			violations = append(violations, fmt.Sprintf("queue %s: %d pending jobs counted, %d found", queue, counted, pending[queue]))
+		}
+	}
 	return violations
 }
 
--- a/core/workload/command.go
+++ b/core/workload/command.go
@@ -30,7 +30,7 @@
 }
 
 // Decide is a batch of decisions of the leader: the runs to close as their workers reported, and
-// then the runs to open.
+// then the runs to open. Ends also contains the reports that jobs have begun (BegunReport).
 type Decide struct {
 	Ends    []EndedRun
 	Assigns []Assign
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -68,7 +68,7 @@
 		}
 		s.jobs[job.ID] = &job
 		s.jobOrder = append(s.jobOrder, job.ID)
-		if !job.Started && !job.State.Ended() {
+		if job.isPending() {
 			s.pendingJobs[job.Queue.Name]++
 		}
 	}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -20,7 +20,7 @@
 	queues         map[string]*Queue // queues of config, by name
 	jobs           map[JobID]*Job
 	jobOrder       []JobID        // accepted jobs, oldest first
-	pendingJobs    map[string]int // number of accepted jobs that have not started, by queue
+	pendingJobs    map[string]int // number of pending jobs, by queue
 	workers        map[WorkerID]*workerState
 	retentionClock time.Duration // retention clock of the latest command
 	steadyClock    time.Duration // lower bound of the time that has passed under leaders
@@ -137,7 +137,7 @@
 
 // endJob moves a job to a final state.
 func (s *State) endJob(job *Job, state JobState, retentionClock time.Duration) {
-	if !job.Started {
+	if job.isPending() {
 		s.pendingJobs[job.Queue.Name]--
 	}
 	job.State = state
@@ -184,6 +184,10 @@
 
 func (s *State) decide(retentionClock time.Duration, c Decide) Result {
 	for _, ending := range c.Ends {
+		if ending.How == reportBegun {
+			s.reportedBegun(ending.Task)
+			continue
+		}
 		s.endRun(retentionClock, ending)
 	}
 	result := Result{}
@@ -214,7 +218,7 @@
 	}
 	job, step, task := s.findTask(e.Task)
 	spec := &job.Spec.Steps[e.Task.Step]
-	job.HasExecuted = true
+	s.markExecuted(job)
 	s.markStarted(job)
 	switch {
 	case e.How == EndDone && task.Open:
@@ -263,10 +267,13 @@
 	w.used = w.used.Sub(spec.Size)
 	task.Open = false
 	step.ClosedAt, step.SteadyClosedAt = s.retentionClock, s.steadyClock
-	if how == EndNeverStarted {
+	switch how {
+	case EndNeverStarted:
 		s.requeueIfNotStarted(job)
-	} else {
-		job.HasExecuted = true
+	case EndLost:
+		// The worker may not have begun the run. If it has, a BegunReport says so.
+	default:
+		s.markExecuted(job)
 	}
 	if task.State == TaskDone {
 		return
@@ -286,21 +293,16 @@
 	if job.State.Ended() {
 		return
 	}
-	if !job.Started {
-		job.Started = true
-		s.pendingJobs[job.Queue.Name]--
-	}
-	job.State = JobRunning
+	job.Started, job.State = true, JobRunning
 }
 
 // requeueIfNotStarted returns a job to the queue after one of its runs was closed without having
-// started. It does nothing if another run is open or has been executed.
+// started. It does nothing if another run is open or a worker has begun one.
 func (s *State) requeueIfNotStarted(job *Job) {
 	if job.HasExecuted || job.State.Ended() || job.hasOpenRun() {
 		return
 	}
 	job.Started, job.State = false, JobQueued
-	s.pendingJobs[job.Queue.Name]++
 }
 
 // storeCheckpoint stores the checkpoint of a run. The checkpoint of any task of a gang applies to the
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -183,8 +183,8 @@
 	Spec        JobSpec
 	Queue       Queue // configuration of the queue when the job was accepted
 	State       JobState
-	Started     bool // a run is open, or a run has been executed
-	HasExecuted bool `cbor:"Begun" json:"Begun"` // a run that a worker executed has ended
+	Started     bool // a run is open, or one was not closed as never started; earlier versions count pending jobs by it
+	HasExecuted bool `cbor:"Begun" json:"Begun"` // a worker is known to have begun a task
 	Steps       []Step
 	AcceptedAt  time.Time
 	EndedAt     time.Duration // retention clock when the job ended
--- a/core/workload/view.go
+++ b/core/workload/view.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// PendingJobs returns the number of accepted jobs of a queue that have not started.
+// PendingJobs returns the number of accepted jobs of a queue of which no worker is known to have begun a
+// task, and which have not ended.
 func (s *State) PendingJobs(queue string) int { return s.pendingJobs[queue] }
 
 // Worker returns a worker and whether it has ever registered.
--- a/core/workload/workload_test.go
+++ b/core/workload/workload_test.go
@@ -331,23 +331,26 @@
 	ts := newTestState(t, register("w", 1, 4000), submit("j", tasks(2, 1000)))
 	step := workload.StepID{Job: "j"}
 	task := func(index int) workload.TaskID { return workload.TaskID{Job: "j", Index: index} }
-	expect := func(state workload.JobState, pending int) {
-		t.Helper()
-		if got := ts.state.Job("j").State; got != state || ts.state.PendingJobs("batch") != pending {
-			t.Errorf("job is %s with %d pending jobs, want %s with %d", got, ts.state.PendingJobs("batch"), state, pending)
-		}
-	}
 	ts.assign(step, workload.TaskAssignment{Index: 0, Worker: "w", Boot: 1}, workload.TaskAssignment{Index: 1, Worker: "w", Boot: 1})
-	expect(workload.JobRunning, 0)
+	ts.expectJob(workload.JobRunning, 1)
 	ts.end("w", task(0), 1, workload.EndNeverStarted)
-	expect(workload.JobRunning, 0)
+	ts.expectJob(workload.JobRunning, 1)
 	ts.end("w", task(1), 1, workload.EndNeverStarted)
-	expect(workload.JobQueued, 1)
+	ts.expectJob(workload.JobQueued, 1)
 	ts.assign(step, workload.TaskAssignment{Index: 0, Worker: "w", Boot: 1})
 	ts.end("w", task(0), 2, workload.EndStopped)
+	ts.expectJob(workload.JobRunning, 0)
 	ts.assign(step, workload.TaskAssignment{Index: 1, Worker: "w", Boot: 1})
 	ts.end("w", task(1), 2, workload.EndNeverStarted)
-	expect(workload.JobRunning, 0)
+	ts.expectJob(workload.JobRunning, 0)
 	ts.apply(workload.Command{Cancel: &workload.Cancel{ID: "j"}})
-	expect(workload.JobCancelled, 0)
+	ts.expectJob(workload.JobCancelled, 0)
+}
+
+// expectJob checks the state of job "j" and the number of pending jobs.
+func (ts *testState) expectJob(state workload.JobState, pending int) {
+	ts.t.Helper()
+	if got := ts.state.Job("j").State; got != state || ts.state.PendingJobs("batch") != pending {
+		ts.t.Errorf("job is %s with %d pending jobs, want %s with %d", got, ts.state.PendingJobs("batch"), state, pending)
+	}
 }
