core/workload: name the field of a begun job as it is stored

Job.HasExecuted now says that a worker is known to have begun a task, whether or not a run has ended. It is renamed to Begun, the name under which it was stored all along, so its tags are gone and stored data stays the same. markExecuted becomes markBegun. No behaviour changes.

--- a/core/dispatch/begun.go
+++ b/core/dispatch/begun.go
@@ -19,7 +19,7 @@
 // recordBegun notes that a worker has begun a task. It is reported once for each job.
 func (c *Core) recordBegun(id workload.TaskID) {
 	live := c.jobsByID[id.Job]
-	if live == nil || live.HasExecuted || live.begunRecorded || c.state.Task(id) == nil {
+	if live == nil || live.Begun || live.begunRecorded || c.state.Task(id) == nil {
 		return
 	}
 	live.begunRecorded = true
@@ -38,7 +38,7 @@
 // known to have begun meanwhile need none.
 func (c *Core) queueBegunReports() {
 	for _, id := range c.begun.tasks {
-		if live := c.jobsByID[id.Job]; live != nil && !live.HasExecuted {
+		if live := c.jobsByID[id.Job]; live != nil && !live.Begun {
 			c.pendingEnds = append(c.pendingEnds, workload.BegunReport(id))
 		}
 	}
--- a/core/workload/begun.go
+++ b/core/workload/begun.go
@@ -10,20 +10,20 @@
 
 // isPending reports whether no worker is known to have begun a task of the job and the job has not ended.
 // That a run was opened is not enough: its start may not have reached the worker.
-func (j *Job) isPending() bool { return !j.HasExecuted && !j.State.Ended() }
+func (j *Job) isPending() bool { return !j.Begun && !j.State.Ended() }
 
 // reportedBegun marks the job of a task that a worker has begun, if the task is known.
 func (s *State) reportedBegun(id TaskID) {
 	if job, _, _ := s.findTask(id); job != nil {
-		s.markExecuted(job)
+		s.markBegun(job)
 		s.markStarted(job)
 	}
 }
 
-// markExecuted records that a worker has begun a task of a job.
-func (s *State) markExecuted(job *Job) {
+// markBegun records that a worker has begun a task of a job.
+func (s *State) markBegun(job *Job) {
 	if job.isPending() {
 		s.pendingJobs[job.Queue.Name]--
 	}
-	job.HasExecuted = true
+	job.Begun = true
 }
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -218,7 +218,7 @@
 	}
 	job, step, task := s.findTask(e.Task)
 	spec := &job.Spec.Steps[e.Task.Step]
-	s.markExecuted(job)
+	s.markBegun(job)
 	s.markStarted(job)
 	switch {
 	case e.How == EndDone && task.Open:
@@ -273,7 +273,7 @@
 	case EndLost:
 		// The worker may not have begun the run. If it has, a BegunReport says so.
 	default:
-		s.markExecuted(job)
+		s.markBegun(job)
 	}
 	if task.State == TaskDone {
 		return
@@ -299,7 +299,7 @@
 // requeueIfNotStarted returns a job to the queue after one of its runs was closed without having
 // started. It does nothing if another run is open or a worker has begun one.
 func (s *State) requeueIfNotStarted(job *Job) {
-	if job.HasExecuted || job.State.Ended() || job.hasOpenRun() {
+	if job.Begun || job.State.Ended() || job.hasOpenRun() {
 		return
 	}
 	job.Started, job.State = false, JobQueued
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -179,15 +179,15 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID          JobID
-	Spec        JobSpec
-	Queue       Queue // configuration of the queue when the job was accepted
-	State       JobState
-	Started     bool // a run is open, or one was not closed as never started; earlier versions count pending jobs by it
-	HasExecuted bool `cbor:"Begun" json:"Begun"` // a worker is known to have begun a task
-	Steps       []Step
-	AcceptedAt  time.Time
-	EndedAt     time.Duration // retention clock when the job ended
+	ID         JobID
+	Spec       JobSpec
+	Queue      Queue // configuration of the queue when the job was accepted
+	State      JobState
+	Started    bool // a run is open, or one was not closed as never started; earlier versions count pending jobs by it
+	Begun      bool // a worker is known to have begun a task
+	Steps      []Step
+	AcceptedAt time.Time
+	EndedAt    time.Duration // retention clock when the job ended
 }
 
 // StepID returns the id of a step of the job.
