core/dispatch: repeat a start once the worker has answered any call

Cause: a start was repeated only after an answered hold that was sent after the start had no answer.

Change: any answer since the start was sent is enough. Its only purpose is to send no further copies to a worker that is gone; how long a task waits is computed from the calls without an answer in either case. A start that never left is repeated at once, as before.

--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -34,15 +34,8 @@
 			c.withdrawRun(w, id, r)
 			return
 		}
-		if r.startAttempts > 0 && w.isStartUnresolved() && c.now.Before(r.giveUpStartAt) {
-			// If the first start is carried out late, another one extends the lease of its run. A hold
-			// shows whether it is needed.
-			r.nextCallAt = c.now.Add(callRetryDelay)
-			c.scheduleWake(w, r.nextCallAt)
-			return
-		}
-		if r.startAttempts > 0 && w.isStartUnresolved() {
-			c.giveUpStart(w, id, r)
+		if r.startUnanswered && !w.clockReadAt.After(r.startSentAt) {
+			c.delayRepeatedStart(w, id, r)
 			return
 		}
 		c.fenceLeaseCalls(w)
@@ -50,6 +43,7 @@
 		if r.startAttempts == 0 {
 			r.firstToken, r.giveUpStartAt = c.token(w), c.now.Add(maxStartWait)
 		}
+		r.startSentAt, r.startUnanswered = c.now, false
 		r.startAttempts++
 		timeout := startTimeout
 		if r.startAttempts == 1 {
@@ -63,6 +57,18 @@
 	}
 }
 
+// delayRepeatedStart delays the repetition of a start until the worker has answered any call since. If
+// the worker has started again, each further copy may extend the lease of a run that the first one begins
+// late.
+func (c *Core) delayRepeatedStart(w *worker, id workload.TaskID, r *run) {
+	if !c.now.Before(r.giveUpStartAt) {
+		c.giveUpStart(w, id, r)
+		return
+	}
+	r.nextCallAt = c.now.Add(callRetryDelay)
+	c.scheduleWake(w, r.nextCallAt)
+}
+
 // withdrawRun closes a run that must not start any more. If a start was sent already, the run is
 // stopped first.
 func (c *Core) withdrawRun(w *worker, id workload.TaskID, r *run) {
@@ -96,6 +102,7 @@
 		return
 	}
 	r.callInFlight, r.startInFlight = false, false
+	r.startUnanswered = outcome == OutcomeNoAnswer
 	if r.confirmed || r.endProposed {
 		return
 	}
