internal/replica, internal/dispatcher: end the leader lease by the boot clock too

Cause: a suspended machine stops the monotonic clock. The replica and the dispatcher notice that by the wall clock, which may be set back by as much at the same moment; then a leader that another one has replaced goes on to extend leases and to start runs (rule TWICE). DEPLOY.md of the platform says that CLOCK_BOOTTIME counts suspensions.

Change: internal/bootclock reads that clock. The replica compares it with the monotonic clock beside the wall clock, the published end of the leader lease has a reading of it, and each call to a worker checks it. A replica that cannot read it ends with an error.

--- a/core/lease/deadline.go
+++ b/core/lease/deadline.go
@@ -12,6 +12,7 @@
 // determined the end. The zero value has passed.
 type Deadline struct {
 	readAt    time.Time
+	bootTime  time.Duration // reading of the boot clock at readAt
 	remaining time.Duration
 }
 
@@ -21,5 +22,18 @@
 	return Deadline{readAt: now, remaining: remaining}
 }
 
-// Passed reports whether the deadline has passed on either clock.
+// OnBootClock returns the deadline with a reading of the clock that counts suspensions and is never set,
+// made right after that of DeadlineIn.
+func (d Deadline) OnBootClock(reading time.Duration) Deadline {
+	d.bootTime = reading
+	return d
+}
+
+// Passed reports whether the deadline has passed on the monotonic or the wall clock. It does not notice
+// a suspension if the wall clock was set back by as much.
 func (d Deadline) Passed(now time.Time) bool { return Elapsed(d.readAt, now) >= d.remaining }
+
+// PassedOnBootClock reports whether a deadline from OnBootClock has passed.
+func (d Deadline) PassedOnBootClock(reading time.Duration) bool {
+	return reading-d.bootTime >= d.remaining
+}
--- a/core/lease/deadline_test.go
+++ b/core/lease/deadline_test.go
@@ -30,6 +30,10 @@
 			t.Errorf("%s: passed %v, want %v", name, got, c.want)
 		}
 	}
+	onBootClock := deadline.OnBootClock(time.Hour)
+	if onBootClock.PassedOnBootClock(time.Hour+399*time.Millisecond) || !onBootClock.PassedOnBootClock(time.Hour+400*time.Millisecond) {
+		t.Error("the deadline does not pass after 400 ms of the boot clock")
+	}
 	if !(lease.Deadline{}).Passed(start) {
 		t.Error("the zero deadline has not passed")
 	}
--- a/internal/dispatcher/leasedclient.go
+++ b/internal/dispatcher/leasedclient.go
@@ -6,6 +6,7 @@
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/core/lease"
+	"github.com/godwitlink/godwitlink/internal/bootclock"
 )
 
 // leasedClient sends calls until the leader lease under which they were decided ends. The machine
@@ -15,22 +16,28 @@
 	leaderLease lease.Deadline
 }
 
+// isLeaseOver reports whether the leader lease has ended on any clock, or whether that is unknown.
+func (c leasedClient) isLeaseOver() bool {
+	boot, err := bootclock.Now()
+	return err != nil || c.leaderLease.Passed(time.Now()) || c.leaderLease.PassedOnBootClock(boot)
+}
+
 func (c leasedClient) Hold(ctx context.Context, hold dispatch.Hold) dispatch.HoldReport {
-	if c.leaderLease.Passed(time.Now()) {
+	if c.isLeaseOver() {
 		return dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent}
 	}
 	return c.workers.Hold(ctx, hold)
 }
 
 func (c leasedClient) Start(ctx context.Context, start dispatch.Start) (outcome dispatch.Outcome, clock int64) {
-	if c.leaderLease.Passed(time.Now()) {
+	if c.isLeaseOver() {
 		return dispatch.OutcomeNotSent, 0
 	}
 	return c.workers.Start(ctx, start)
 }
 
 func (c leasedClient) Stop(ctx context.Context, stop dispatch.Stop) (outcome dispatch.Outcome, clock int64) {
-	if c.leaderLease.Passed(time.Now()) {
+	if c.isLeaseOver() {
 		return dispatch.OutcomeNotSent, 0
 	}
 	return c.workers.Stop(ctx, stop)
--- a/internal/dispatcher/suspension_test.go
+++ b/internal/dispatcher/suspension_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/core/lease"
+	"github.com/godwitlink/godwitlink/internal/bootclock"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/testclock"
 )
@@ -32,21 +33,36 @@
 // Guards against calls that were decided before the machine was suspended and are sent afterwards,
 // when another replica may lead (platform rule TWICE).
 func TestCallsDecidedBeforeASuspensionAreNotSent(t *testing.T) {
-	for suspension, want := range map[time.Duration]countingClient{0: {1, 1, 1}, time.Minute: {0, 0, 0}} {
+	boot, err := bootclock.Now()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		suspension  time.Duration
+		wallSetBack bool
+		want        countingClient
+	}{
+		"not suspended":               {0, false, countingClient{1, 1, 1}},
+		"suspended":                   {time.Minute, false, countingClient{}},
+		"suspended and wall set back": {time.Minute, true, countingClient{}},
+	} {
 		client := &countingClient{}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		l := &eventLoop{opts: Options{Workers: client, Metrics: metrics.New()}, results: make(chan callResult)}
-		decided := testclock.StepWall(time.Now(), -suspension)
-		l.term = &leaderTerm{ctx: ctx, cancel: cancel, leaderLease: lease.DeadlineIn(decided, 30*time.Second)}
+		decided := time.Now()
+		if !c.wallSetBack {
+			decided = testclock.StepWall(decided, -c.suspension)
+		}
+		l.term = &leaderTerm{ctx: ctx, cancel: cancel, leaderLease: lease.DeadlineIn(decided, 30*time.Second).OnBootClock(boot - c.suspension)}
 		l.sendHold(dispatch.Hold{})
 		<-l.results
 		l.sendStart(dispatch.Start{Timeout: time.Second})
 		<-l.results
 		l.sendStop(dispatch.Stop{})
 		<-l.results
-		if *client != want {
-			t.Errorf("calls %+v after a suspension of %v, want %+v", *client, suspension, want)
+		if *client != c.want {
+			t.Errorf("%s: calls %+v, want %+v", name, *client, c.want)
 		}
 	}
 }
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -24,6 +24,8 @@
 	ErrMalformed = merry.Sentinel("malformed call")
 	// ErrStopped is returned by a replica that has stopped.
 	ErrStopped = merry.Sentinel("the control replica has stopped")
+	// ErrNoClock means that a suspension of the machine cannot be noticed.
+	ErrNoClock = merry.Sentinel("the control replica cannot read its clocks")
 	// ErrUnknownCommand stops a replica whose log contains a command that this version of the
 	// program cannot decode.
 	ErrUnknownCommand = merry.Sentinel("a committed command cannot be decoded")
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/bootclock"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/replication"
 	"github.com/godwitlink/godwitlink/internal/storage"
@@ -109,7 +111,11 @@
 			return nil
 		}
 		now := time.Now()
-		if t.clock.jumped(now) {
+		boot, err := bootclock.Now()
+		if err != nil {
+			return merry.Wrap(ErrNoClock, merry.WithCause(err))
+		}
+		if t.clock.jumped(now, boot) {
 			t.opts.Logger.Log(eventClockJumped)
 			t.core.ClockJumped(now)
 		}
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -112,7 +112,7 @@
 	t.workFeed.leaseEnd = t.status.LeaseEnd
 	// The wall clock may have been set since the replica started, so the wall clock reading of
 	// status.LeaseEnd does not count.
-	until := lease.DeadlineIn(now, t.status.LeaseEnd.Sub(now))
+	until := lease.DeadlineIn(now, t.status.LeaseEnd.Sub(now)).OnBootClock(t.clock.lastBoot)
 	t.workFeed.lastPending().LeaseEnd = &until
 }
 
