core/dispatch: show a wait that misses a hold which a later boot answered

If the answer is that of a later boot, the call was carried out there, and activeUntil no longer counts it.

0.51 s hold to boot 1; w crashes and starts again as boot 2, unnoticed 1.10 s start of run 1 (ticket of 1 s) on boot 2, answered ok 2.12 s the hold has no answer; it is repeated with a lease end 2.69 s boot 2 carries the repeated hold out, lease to 8.8 s on its clock (9.35 s), and answers it: later boot, call removed then the end of boot 1: wait = answer of the start + 8.1 s 9.27 s run 2 starts on spare, run 1 is active for another 81 ms

TestWaitCoversAHoldThatALaterBootHasAnswered

--- /dev/null
+++ b/core/dispatch/review28_test.go
@@ -0,0 +1,178 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// delayedWorker answers the calls to "w" with delays. Its behaviour changes with the time.
+type delayedWorker struct {
+	*fakeWorker
+	b      *testbed
+	queue  []lateCall
+	starts func(s dispatch.Start)
+	stops  func(s dispatch.Stop)
+	holds  func(h dispatch.Hold)
+}
+
+func newDelayedWorker(b *testbed) *delayedWorker {
+	w := &delayedWorker{fakeWorker: &fakeWorker{id: "w", clockRate: 0.98, clockBase: 1_000_000}, b: b}
+	w.startBoot(1, 0)
+	w.clockBase = 1_000_000
+	w.starts = w.answerStart
+	w.stops = func(s dispatch.Stop) {
+		w.in(10*time.Millisecond, func() { w.b.core.StopAnswered(w.b.now, s, w.stop(s), w.clock(w.now())) })
+	}
+	w.holds = w.answerHold
+	return w
+}
+
+func (w *delayedWorker) now() time.Duration { return w.b.now.Sub(epoch) }
+
+func (w *delayedWorker) in(d time.Duration, do func()) {
+	w.queue = append(w.queue, lateCall{at: w.now() + d, do: do})
+}
+
+// answerStart carries out a start and answers it after 10 ms.
+func (w *delayedWorker) answerStart(s dispatch.Start) {
+	w.in(10*time.Millisecond, func() {
+		outcome, _ := w.start(s, workload.Resources{}, w.now())
+		w.b.core.StartAnswered(w.b.now, s, outcome, w.clock(w.now()))
+	})
+}
+
+// answerHold carries out a hold at once and answers it after the wait.
+func (w *delayedWorker) answerHold(h dispatch.Hold) {
+	report := w.hold(h, w.now())
+	if report.Outcome != dispatch.OutcomeOK || len(report.Ends) > 0 {
+		w.in(10*time.Millisecond, func() { w.b.core.HoldAnswered(w.b.now, h.Call, report) })
+		return
+	}
+	boot := w.boot
+	w.in(h.Wait+10*time.Millisecond, func() {
+		if w.boot == boot {
+			w.b.core.HoldAnswered(w.b.now, h.Call, w.report(w.now()))
+		}
+	})
+}
+
+// crashUnnoticed replaces the boot by a later one. Answers of the former boot are lost.
+func (w *delayedWorker) crashUnnoticed(boot workload.Boot) {
+	w.clockBase = 0
+	w.startBoot(boot, w.now())
+}
+
+// step advances the time by 10 ms and returns the starts on other workers.
+func (w *delayedWorker) step() (elsewhere []dispatch.Start) {
+	e := w.b.tick(10 * time.Millisecond)
+	due := w.queue
+	w.queue = nil
+	for _, call := range due {
+		if call.at <= w.now() {
+			call.do()
+		} else {
+			w.queue = append(w.queue, call)
+		}
+	}
+	for id := range w.runs {
+		if w.leaseUntil <= w.clock(w.now()) {
+			w.endRun(id, workload.EndLeaseExpired)
+		}
+	}
+	w.b.grantAll(e, time.Second)
+	for _, s := range e.Starts {
+		if s.Worker == "w" {
+			w.starts(s)
+		} else {
+			elsewhere = append(elsewhere, s)
+			w.b.core.StartAnswered(w.b.now, s, dispatch.OutcomeOK, 0)
+		}
+	}
+	for _, s := range e.Stops {
+		if s.Worker == "w" {
+			w.stops(s)
+		}
+	}
+	holds := w.b.openHolds
+	w.b.openHolds = nil
+	for _, h := range holds {
+		if h.Worker == "w" {
+			w.holds(h)
+		} else {
+			w.b.core.HoldAnswered(w.b.now, h.Call, dispatch.HoldReport{Boot: h.Boot, Clock: w.now().Milliseconds() + 1000})
+		}
+	}
+	for _, p := range e.Proposals {
+		w.b.core.Apply(w.b.now, w.b.now, 0, p.Command)
+		w.b.core.ProposalCommitted(w.b.now, p.ID)
+	}
+	return elsewhere
+}
+
+// failIfActive fails the test if a start on another worker is of a task that is active on "w".
+func (w *delayedWorker) failIfActive(elsewhere []dispatch.Start, task workload.TaskID) (placed bool) {
+	for _, s := range elsewhere {
+		if s.Task != task {
+			continue
+		}
+		placed = true
+		if r := w.runs[task]; r != nil {
+			w.b.t.Fatalf("%v run %d starts on %s at %v while boot %d of w runs run %d, started at %v, lease for another %d ms",
+				s.Task, s.Run, s.Worker, w.now(), w.boot, r.number, r.startedAt, w.leaseUntil-w.clock(w.now()))
+		}
+	}
+	return placed
+}
+
+// A hold that is repeated after a lost one has a lease end if no start is in doubt. If a later boot answers
+// it, the wait for a run that this boot has begun must cover the lease that the hold gave to it (platform
+// rule TWICE).
+func TestWaitCoversAHoldThatALaterBootHasAnswered(t *testing.T) {
+	b := newTestbed(t, configureQueues(advisedQueue("a", 0, time.Millisecond)), registerWorker("w", 1))
+	w := newDelayedWorker(b)
+	task := workload.TaskID{Job: "j"}
+	for w.now() < 500*time.Millisecond {
+		w.step()
+	}
+	crashed, lateHold := false, false
+	w.holds = func(h dispatch.Hold) {
+		switch {
+		case !crashed:
+			// The worker crashes when the hold has just been sent, and starts again at once.
+			crashed = true
+			w.crashUnnoticed(2)
+			b.apply(submitJobTo("a", "j", oneTask))
+			w.in(h.Wait+600*time.Millisecond, func() {
+				b.core.HoldAnswered(b.now, h.Call, dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
+			})
+		case !lateHold:
+			lateHold = true
+			w.in(570*time.Millisecond, func() {
+				report := w.hold(h, w.now())
+				w.in(10*time.Millisecond, func() { b.core.HoldAnswered(b.now, h.Call, report) })
+			})
+		default:
+			w.in(600*time.Millisecond, func() {
+				b.core.HoldAnswered(b.now, h.Call, dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
+			})
+		}
+	}
+	began := false
+	for w.now() < 30*time.Second {
+		if lateHold {
+			b.apply(registerWorker("spare", 1))
+		}
+		placed := w.failIfActive(w.step(), task)
+		began = began || w.runs[task] != nil
+		if placed {
+			if !began {
+				t.Fatal("the task was not started on w")
+			}
+			return
+		}
+	}
+	t.Fatal("the task was not placed elsewhere")
+}
