core/dispatch: show a wait that misses a start which a later boot answered

Queue without advice:

0.04 s start of j, run 1, to boot 1 of w; no answer, delayed by 11.9 s 1.1 s boot 1 refuses the second start (room); the run is closed 11.75 s hold, without a lease end because another start is in flight 11.92 s w crashes and starts again as boot 2, unnoticed 11.94 s boot 2 carries out the late start of j 13.3 s start of another job to w; boot 2 answers ok and extends the lease of j run 1 by 6 s; StartAnswered removes the call 13.36 s the hold has no answer; boot 1 ends later 19.38 s run 2 of j starts on spare1, run 1 is active for another 42 ms

An answered start does not name its boot, so it must count as carried out at the time of its answer.

TestWaitCoversAStartThatALaterBootHasAnswered

--- a/core/dispatch/review28_test.go
+++ b/core/dispatch/review28_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -176,3 +177,89 @@
 	}
 	t.Fatal("the task was not placed elsewhere")
 }
+
+// A start that a later boot has carried out and answered counts as carried out by the boot that was called.
+// The wait for an earlier in-doubt start, which the later boot has carried out late, must cover the lease
+// that the answered start gave to all runs there (platform rule TWICE).
+func TestWaitCoversAStartThatALaterBootHasAnswered(t *testing.T) {
+	const lateness = 11_900 * time.Millisecond
+	const lastHoldAt = lateness - 200*time.Millisecond // after the start that is carried out late
+	b := newTestbed(t, configureQueues(workload.Queue{Name: "urgent", Service: "shop", MaxAttempts: 3},
+		workload.Queue{Name: "q", Service: "shop", MaxAttempts: 3, Priority: 1}),
+		registerWorker("w", 1), submitJobTo("q", "j", workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 2000}}))
+	w := newDelayedWorker(b)
+	submitUrgent := func(id workload.JobID, tasks int, milliCPU int64) {
+		b.apply(submitJobTo("urgent", id, workload.StepSpec{Tasks: tasks, Size: workload.Resources{MilliCPU: milliCPU}}))
+	}
+	task := workload.TaskID{Job: "j"}
+	sentAt := time.Duration(-1)
+	w.starts = func(s dispatch.Start) {
+		switch {
+		case s.Task.Job == "inflight":
+			w.in(150*time.Millisecond, func() { b.core.StartAnswered(b.now, s, dispatch.OutcomeOK, 0) })
+		case s.Task != task:
+			w.answerStart(s)
+		case sentAt < 0:
+			sentAt = w.now()
+			w.in(lateness, func() { w.start(s, workload.Resources{}, w.now()) })
+			w.in(s.Timeout, func() { b.core.StartAnswered(b.now, s, dispatch.OutcomeNoAnswer, 0) })
+			// These runs keep the task from being placed on w again.
+			submitUrgent("filler", 2, 1900)
+		default:
+			w.in(10*time.Millisecond, func() { b.core.StartAnswered(b.now, s, dispatch.OutcomeNoCapacity, 0) })
+		}
+	}
+	lose := func(h dispatch.Hold) {
+		w.in(h.Wait+600*time.Millisecond, func() {
+			b.core.HoldAnswered(b.now, h.Call, dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
+		})
+	}
+	unresponsive := false
+	w.holds = func(h dispatch.Hold) {
+		left := sentAt + lastHoldAt - w.now()
+		switch cycle := h.Wait + 10*time.Millisecond; {
+		case sentAt >= 0 && left <= 0 && w.boot == 1:
+			lose(h)
+		case w.boot == 2:
+			unresponsive = true
+			lose(h)
+		case sentAt >= 0 && left >= cycle && h.Wait > 0:
+			// The answers are slow enough that the last hold is sent at lastHoldAt.
+			report := w.hold(h, w.now())
+			w.in(left/(left/cycle), func() {
+				report.Clock = w.clock(w.now())
+				b.core.HoldAnswered(b.now, h.Call, report)
+			})
+		default:
+			w.answerHold(h)
+		}
+	}
+	began, spares := false, false
+	for w.now() < 40*time.Second {
+		if sentAt >= 0 {
+			switch w.now() - sentAt {
+			case lastHoldAt - 30*time.Millisecond:
+				submitUrgent("inflight", 1, 50)
+			case lateness - 20*time.Millisecond:
+				w.crashUnnoticed(2)
+			case lastHoldAt + 1530*time.Millisecond:
+				submitUrgent("late", 1, 50)
+			}
+		}
+		if unresponsive && !spares {
+			spares = true
+			for i := range 3 {
+				b.apply(registerWorker(workload.WorkerID(fmt.Sprint("spare", i)), 1))
+			}
+		}
+		placed := w.failIfActive(w.step(), task)
+		began = began || w.runs[task] != nil
+		if placed {
+			if !began {
+				t.Fatalf("the task was placed elsewhere at %v before the late start", w.now())
+			}
+			return
+		}
+	}
+	t.Fatal("the task was not placed elsewhere")
+}
