core/dispatch: show a lease that lapses on a worker that answers holds

leaseOfHold sends no lease end while a start is in flight or unresolved. processWorker sends the due starts first, and it repeats them as soon as a hold is answered, so the next hold, which waits for 1 s, has no lease end either, and the start is unresolved again when it is answered.

TestLeaseOfAnAnsweringWorkerIsExtendedWhileStartsAreLost

--- a/core/dispatch/review28_test.go
+++ b/core/dispatch/review28_test.go
@@ -263,3 +263,36 @@
 	}
 	t.Fatal("the task was not placed elsewhere")
 }
+
+// A worker that answers each hold must keep its lease while the starts on it get no answer.
+func TestLeaseOfAnAnsweringWorkerIsExtendedWhileStartsAreLost(t *testing.T) {
+	for _, interval := range []time.Duration{50, 100, 200, 300, 400, 500, 700, 1000, 1400} {
+		interval *= time.Millisecond
+		b := newTestbed(t, registerWorker("w", 1), submitJob("long", oneTask))
+		w := newDelayedWorker(b)
+		long := workload.TaskID{Job: "long"}
+		w.starts = func(s dispatch.Start) {
+			if s.Task == long {
+				w.answerStart(s)
+				return
+			}
+			w.in(s.Timeout, func() { b.core.StartAnswered(b.now, s, dispatch.OutcomeNoAnswer, 0) })
+		}
+		least, jobs := int64(maxLeaseMillis), 0
+		for w.now() < time.Minute {
+			if w.now()%interval == 0 {
+				jobs++
+				b.apply(submitJob(workload.JobID(fmt.Sprint("j", jobs)), workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 10}}))
+			}
+			w.step()
+			if w.now() > time.Second {
+				least = min(least, w.leaseUntil-w.clock(w.now()))
+				if w.runs[long] == nil {
+					t.Errorf("a job each %v: the run has ended at %v because the lease has expired", interval, w.now())
+					break
+				}
+			}
+		}
+		t.Logf("a job each %v: the lease had at least %d ms left", interval, least)
+	}
+}
