--- a/core/dispatch/review28_test.go
+++ b/core/dispatch/review28_test.go
@@ -296,3 +296,36 @@
 		t.Logf("a job each %v: the lease had at least %d ms left", interval, least)
 	}
 }
+
+// A start without an answer must be sent again before its run is given up, also if another start on the worker
+// gets no answer meanwhile: giving up stops the run and keeps the worker unused for 2 s.
+func TestStartIsRepeatedBeforeItsRunIsGivenUp(t *testing.T) {
+	for gap := 100 * time.Millisecond; gap <= 1200*time.Millisecond; gap += 100 * time.Millisecond {
+		b := newTestbed(t, registerWorker("w", 1))
+		w := newDelayedWorker(b)
+		sent := map[workload.JobID]int{}
+		w.starts = func(s dispatch.Start) {
+			if sent[s.Task.Job]++; sent[s.Task.Job] > 1 {
+				w.answerStart(s)
+				return
+			}
+			w.in(s.Timeout, func() { b.core.StartAnswered(b.now, s, dispatch.OutcomeNoAnswer, 0) })
+		}
+		stop := w.stops
+		w.stops = func(s dispatch.Stop) {
+			if sent[s.Task.Job] < 2 {
+				t.Errorf("starts %v apart: stop of %v at %v after %d start", gap, s.Task, w.now(), sent[s.Task.Job])
+			}
+			stop(s)
+		}
+		for w.now() < 5*time.Second {
+			switch w.now() {
+			case 200 * time.Millisecond:
+				b.apply(submitJob("first", oneTask))
+			case 200*time.Millisecond + gap:
+				b.apply(submitJob("second", oneTask))
+			}
+			w.step()
+		}
+	}
+}
