core/dispatch: show a leader that does not notice a later one

handleFenced ignores a rejection if the token has been raised since the call was sent. Each start that is sent again raises it, because the other one is on its way, so each rejection counts as that of an overtaken call. The leader lease is the only bound of it.

TestLeaderNoticesALaterOneWhileItStartsRuns

--- a/core/dispatch/review28_test.go
+++ b/core/dispatch/review28_test.go
@@ -329,3 +329,33 @@
 		}
 	}
 }
+
+// A worker that has seen a later leader rejects every call. This leader must notice it and stop calling, although
+// it raises its own token before each start, so that a rejected call may have been overtaken by another.
+func TestLeaderNoticesALaterOneWhileItStartsRuns(t *testing.T) {
+	for gap := 10 * time.Millisecond; gap <= 30*time.Millisecond; gap += 10 * time.Millisecond {
+		b := newTestbed(t, registerWorker("w", 1))
+		w := newDelayedWorker(b)
+		calls := 0
+		w.starts = func(s dispatch.Start) {
+			calls++
+			w.in(20*time.Millisecond, func() { b.core.StartAnswered(b.now, s, dispatch.OutcomeFenced, 0) })
+		}
+		for w.now() < 200*time.Millisecond {
+			w.step()
+		}
+		w.token = 2 << 20
+		fencedAt := w.now()
+		b.apply(submitJob("first", oneTask))
+		for w.now() < fencedAt+3*time.Second {
+			if w.now() == fencedAt+gap {
+				b.apply(submitJob("second", oneTask))
+			}
+			w.step()
+		}
+		// Each run needs one start, and one more if the first was overtaken.
+		if calls > 4 {
+			t.Errorf("starts %v apart: %d starts in 3 s after a later leader was seen, want 4 at most", gap, calls)
+		}
+	}
+}
