core/dispatch: count answered calls in the wait, keep leases of answering workers

An answered call counts as carried out at the time of the answer, until the known boot has answered a later hold. - A worker that answers each hold lost its lease after 6.7 s while all starts on it were lost. The repetition of a rejected start keeps the token. Besides, the wait takes each call once without regard to when it was sent, and is computed only for workers that do not refuse the start.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,9 +30,6 @@
 		return
 	}
 	w.holdInFlight = false
-	if report.Outcome != OutcomeNoAnswer {
-		w.removeLeaseCalls(func(sent leaseCall) bool { return sent.hold && sent.sentAt.Equal(w.holdSentAt) })
-	}
 	switch {
 	case report.Outcome != OutcomeOK:
 	case report.Boot > w.Boot:
@@ -41,6 +38,7 @@
 		// This is another boot, although its start time is lower: the time of day may have been set back.
 		report.Outcome = OutcomeNoAnswer
 	}
+	c.holdEnded(w, call, report.Outcome)
 	if report.Outcome != OutcomeOK {
 		c.holdFailed(w, call, report.Outcome)
 		if report.Outcome == OutcomeLaterBoot {
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -87,7 +87,7 @@
 // begun a run there.
 func (c *Core) inDoubtStartOn(w *worker, id workload.TaskID) (inDoubtStart, bool) {
 	for _, start := range c.inDoubtStarts[id] {
-		if start.worker.ID == w.ID && c.now.Before(c.activeUntil(start)) {
+		if start.worker.ID == w.ID && c.mayBeActive(start) {
 			return start, true
 		}
 	}
@@ -148,10 +148,14 @@
 // sent that a worker has answered, and that have begun no run there according to the answer.
 func (c *Core) removeResolvedStarts(w *worker) {
 	for id := range w.inDoubtTasks {
-		start, known := c.inDoubtStartOn(w, id)
-		late := w.answeredHoldSentAt.After(start.latestSend.Add(c.maxStartDelay(id.StepID())))
-		if r := w.runs[id]; known && late && (r == nil || !r.closedInState) {
-			c.removeInDoubtStart(w, id)
+		if r := w.runs[id]; r != nil && r.closedInState {
+			continue
+		}
+		for _, start := range c.inDoubtStarts[id] {
+			if start.worker == w && w.answeredHoldSentAt.After(start.latestSend.Add(c.maxStartDelay(id.StepID()))) {
+				c.removeInDoubtStart(w, id)
+				break
+			}
 		}
 	}
 }
@@ -273,7 +277,7 @@
 // blockingStart returns an in-doubt start because of which a task must not be placed yet.
 func (c *Core) blockingStart(id workload.TaskID) (inDoubtStart, bool) {
 	for _, start := range c.inDoubtStarts[id] {
-		if c.now.Before(c.activeUntil(start)) && !start.worker.refusesStartsOf(id) {
+		if !start.worker.refusesStartsOf(id) && c.mayBeActive(start) {
 			return start, true
 		}
 	}
--- a/core/dispatch/leasecall.go
+++ b/core/dispatch/leasecall.go
@@ -7,9 +7,11 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
-// leaseCall is a call with a lease end that the worker may still carry out, because it has no answer.
+// leaseCall is a call with a lease end that a later boot than the known one may have carried out, or may
+// still carry out.
 type leaseCall struct {
 	token  uint64
+	until  int64 // the lease end, by the worker's clock, in ms
 	sentAt time.Time
 	latest time.Time // the call is carried out by then or never
 	// hold is true for a hold. Otherwise the call is a start of task and run.
@@ -28,36 +30,73 @@
 }
 
 // addLeaseHold records a hold with a lease end.
-func (c *Core) addLeaseHold(w *worker) {
-	c.addLeaseCall(w, leaseCall{token: c.token(w), sentAt: c.now, latest: c.now.Add(maxCallDelay), hold: true})
+func (c *Core) addLeaseHold(w *worker, until int64) {
+	c.addLeaseCall(w, leaseCall{token: c.token(w), until: until, sentAt: c.now, latest: c.now.Add(maxCallDelay), hold: true})
 }
 
 // addLeaseStart records a start, which always has a lease end. The first copy of a start takes effect
 // only while its ticket is valid. A later copy extends the lease of the run that the first one has
 // begun, whether or not the ticket is valid.
-func (c *Core) addLeaseStart(w *worker, id workload.TaskID, r *run) {
+func (c *Core) addLeaseStart(w *worker, id workload.TaskID, r *run, until int64) {
 	delay := maxCallDelay
 	if r.startAttempts == 1 {
 		delay = c.maxStartDelay(id.StepID())
 	}
-	c.addLeaseCall(w, leaseCall{token: c.token(w), sentAt: c.now, latest: c.now.Add(delay), task: id, run: r.number})
+	c.addLeaseCall(w, leaseCall{token: c.token(w), until: until, sentAt: c.now, latest: c.now.Add(delay), task: id, run: r.number})
 }
 
-// removeLeaseCalls removes the calls that the worker has answered, or that it has never received.
-func (w *worker) removeLeaseCalls(answered func(leaseCall) bool) {
-	w.leaseCalls = slices.DeleteFunc(w.leaseCalls, answered)
+// leaseCallEnded processes the outcome of a call with a lease end. An answer does not name the boot that
+// has carried out the call, except that to a hold: then the known boot has also carried out all calls that
+// were answered before the hold was sent.
+func (c *Core) leaseCallEnded(w *worker, outcome Outcome, isCall func(leaseCall) bool) {
+	at := slices.IndexFunc(w.leaseCalls, isCall)
+	if at < 0 || outcome == OutcomeNoAnswer {
+		return
+	}
+	call := w.leaseCalls[at]
+	w.leaseCalls = slices.Delete(w.leaseCalls, at, at+1)
+	switch outcome {
+	case OutcomeOK, OutcomeRunClosed, OutcomeNoCapacity, OutcomeLaterBoot:
+		call.latest = c.now
+		c.addLeaseCall(w, call)
+	}
+	if outcome == OutcomeOK {
+		w.acceptedLease = max(w.acceptedLease, call.until)
+	}
+	// The in-doubt starts may be waited for less long than before.
+	c.planNeeded = c.planNeeded || len(w.inDoubtTasks) > 0
+}
+
+// holdEnded processes the outcome of the hold in flight.
+func (c *Core) holdEnded(w *worker, call Call, outcome Outcome) {
+	c.leaseCallEnded(w, outcome, func(sent leaseCall) bool {
+		return sent.hold && sent.token == call.Token && sent.sentAt.Equal(w.holdSentAt)
+	})
+	if outcome == OutcomeOK {
+		w.leaseCalls = slices.DeleteFunc(w.leaseCalls, func(past leaseCall) bool { return past.latest.Before(w.holdSentAt) })
+	}
+}
+
+// startEnded processes the outcome of a start.
+func (c *Core) startEnded(w *worker, start Start, outcome Outcome) {
+	c.leaseCallEnded(w, outcome, func(sent leaseCall) bool {
+		return !sent.hold && sent.task == start.Task && sent.run == start.Run && sent.token == start.Token
+	})
 }
 
 // maxStartFences limits how often the token of a worker increases before starts. The values above it
 // are kept for ends of boots, which must always increase the token.
 const maxStartFences = 1 << (tokenBits - 1)
 
-// fenceLeaseCalls increases the token if calls with a lease end have been sent with the present one.
+// fenceLeaseCalls increases the token if calls with a lease end have been sent with the present one and may
+// still be carried out.
 // A boot that has carried out a call with the new token rejects them, so that they do not extend its
 // lease.
 func (c *Core) fenceLeaseCalls(w *worker) {
 	current := c.token(w)
-	sentBefore := func(call leaseCall) bool { return call.token == current && call.sentAt.Before(c.now) }
+	sentBefore := func(call leaseCall) bool {
+		return call.token == current && call.sentAt.Before(c.now) && call.latest.After(c.now)
+	}
 	if w.tokenCount < maxStartFences && slices.ContainsFunc(w.leaseCalls, sentBefore) {
 		w.tokenCount++
 	}
@@ -77,6 +116,12 @@
 // hold since that would list its run.
 func (w *worker) isStartUnresolved() bool { return !w.answeredHoldSentAt.After(w.startUnansweredAt) }
 
+// mayBeActive reports whether a run that an in-doubt start begins may be active on a boot that nobody has
+// noticed, or may still begin there.
+func (c *Core) mayBeActive(start inDoubtStart) bool {
+	return c.now.Before(start.runsUntil) || c.now.Before(c.activeUntil(start))
+}
+
 // activeUntil returns the latest time at which a run that an in-doubt start begins may be active on a
 // boot that nobody has noticed: its own lease, extended by each unanswered call that the boot may carry
 // out before the lease ends. Calls with a lower token are rejected once the start has been carried out.
@@ -84,7 +129,7 @@
 	lease := c.slowClockDuration(c.opts.MaxLease)
 	until := start.runsUntil
 	for _, call := range start.worker.leaseCalls {
-		if call.token < start.token || call.sentAt.After(until) {
+		if call.token < start.token {
 			continue
 		}
 		extendedAt := call.latest
--- a/core/dispatch/leasecall_test.go
+++ b/core/dispatch/leasecall_test.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// Guards against a wait that ends before a lease that a late hold has extended, and against one that is
-// longer than the calls on the way can make it: a job that waits 14 s is lost (platform rule LOST).
+// Guards against a wait that ends before a lease that a late hold has extended, and against a job that
+// waits 14 s, and is lost, although no late call can extend the lease (platform rule LOST).
 func TestWaitCoversTheUnansweredCallsOnly(t *testing.T) {
 	for _, c := range []struct {
 		answered int // holds that the worker answers after the start
@@ -116,3 +116,19 @@
 		}
 	}
 }
+
+// Guards against a start that is carried out after its stop, refused as old, and extends the lease of other
+// late runs.
+func TestStopFencesTheStartBeforeIt(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeNoAnswer, 0)
+	for deadline := b.now.Add(2 * time.Second); b.now.Before(deadline); {
+		for _, stop := range b.tick(10 * time.Millisecond).Stops {
+			if stop.Token <= starts[0].Token {
+				t.Errorf("stop %+v, want a token above %#x", stop, starts[0].Token)
+			}
+			return
+		}
+	}
+	t.Error("no stop within 2 s")
+}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -38,22 +38,27 @@
 			c.delayRepeatedStart(w, id, r)
 			return
 		}
-		c.fenceLeaseCalls(w)
+		if !r.startFenced {
+			// The repetition of a start that another call has overtaken keeps the token, so that its
+			// rejection shows a later leader.
+			c.fenceLeaseCalls(w)
+		}
 		r.callInFlight, r.startInFlight = true, true
 		if r.startAttempts == 0 {
 			r.firstToken, r.giveUpStartAt = c.token(w), c.now.Add(maxStartWait)
 		}
-		r.startSentAt, r.startUnanswered = c.now, false
+		r.startSentAt, r.startUnanswered, r.startFenced = c.now, false, false
 		r.startAttempts++
 		timeout := startTimeout
 		if r.startAttempts == 1 {
 			timeout = firstStartTimeout
 		}
+		lease := c.extendLease(w)
 		c.pendingEffects.Starts = append(c.pendingEffects.Starts, Start{
-			Call: c.callTo(w), Task: id, Run: r.number, LeaseUntil: c.extendLease(w), Payload: job.Spec.Payload,
+			Call: c.callTo(w), Task: id, Run: r.number, LeaseUntil: lease, Payload: job.Spec.Payload,
 			Checkpoint: job.Steps[id.Step].Tasks[id.Index].Checkpoint, Ticket: r.ticket, Timeout: timeout,
 		})
-		c.addLeaseStart(w, id, r)
+		c.addLeaseStart(w, id, r, lease)
 	}
 }
 
@@ -85,11 +90,8 @@
 	if w == nil {
 		return
 	}
-	if outcome != OutcomeNoAnswer {
-		w.removeLeaseCalls(func(sent leaseCall) bool {
-			return !sent.hold && sent.task == start.Task && sent.run == start.Run && sent.token == start.Token
-		})
-	} else {
+	c.startEnded(w, start, outcome)
+	if outcome == OutcomeNoAnswer {
 		w.startUnansweredAt = c.now
 		c.recordInDoubtStart(w, start.Task, start.Run, start.Token)
 		c.recordDecision(Decision{
@@ -102,7 +104,7 @@
 		return
 	}
 	r.callInFlight, r.startInFlight = false, false
-	r.startUnanswered = outcome == OutcomeNoAnswer
+	r.startUnanswered, r.startFenced = outcome == OutcomeNoAnswer, outcome == OutcomeFenced
 	if r.confirmed || r.endProposed {
 		return
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -36,6 +36,9 @@
 	shortHoldWait = 200 * time.Millisecond
 	// answerLossPeriod is how long answers are assumed to get lost after one was lost.
 	answerLossPeriod = 2 * time.Second
+	// minLeaseLeft is how much of its lease a worker has left at least when a hold without a lease end is
+	// sent. It covers the wait for the answer to that hold and a repetition.
+	minLeaseLeft = 2500 * time.Millisecond
 	// leaseMargin covers the time between a worker reading its clock and sending the answer.
 	leaseMargin = 100 * time.Millisecond
 	// unhealthyAvoidance is how long a worker is avoided after it refused a start as unhealthy or
@@ -87,7 +90,10 @@
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
 	leaseUntil  int64 // latest lease end that was sent, by the worker's clock, in ms
-	// leaseCalls are the calls with a lease end that this boot, or a later one, may still carry out.
+	// acceptedLease is the latest lease end in a call that was answered, by the worker's clock, in ms.
+	acceptedLease int64
+	// leaseCalls are the calls with a lease end that a later boot may have carried out or may still carry
+	// out, sorted by their latest execution.
 	leaseCalls []leaseCall
 
 	ackedEnd       uint64 // ends up to this number are committed, so the worker may forget them
@@ -125,6 +131,7 @@
 	firstToken      uint64        // token of the first start
 	startSentAt     time.Time     // send time of the last start
 	startUnanswered bool          // the last start got no answer
+	startFenced     bool          // the last start was rejected because of its token
 	giveUpStartAt   time.Time     // when the run is stopped because no call was answered since a start
 	nextCallAt      time.Time     // time of the next start or stop
 	stopRequested   bool          // the run is to be stopped
@@ -240,9 +247,12 @@
 // leaseOfHold returns the lease end to send with a hold. Only the first repetition of an unanswered
 // hold contains it, because for a later boot, whose clock starts anew, it would be far in the future
 // and would extend the lease of runs that this leader does not know about. For the same reason a hold
-// has no lease end while the outcome of a start is open.
+// has no lease end while the outcome of a start is open, unless the lease would soon expire.
 func (c *Core) leaseOfHold(w *worker) int64 {
-	if w.startsInFlight() || w.isStartUnresolved() || w.unresponsive && (w.holdBackoff > 0 || len(w.inDoubtTasks) > 0) {
+	if w.unresponsive && (w.holdBackoff > 0 || len(w.inDoubtTasks) > 0) {
+		return 0
+	}
+	if (w.startsInFlight() || w.isStartUnresolved()) && w.acceptedLease-c.minWorkerClock(w) > minLeaseLeft.Milliseconds() {
 		return 0
 	}
 	return c.extendLease(w)
@@ -325,7 +335,7 @@
 	w.ackSent = w.ackToSend()
 	lease := c.leaseOfHold(w)
 	if lease > 0 {
-		c.addLeaseHold(w)
+		c.addLeaseHold(w, lease)
 	}
 	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: lease, AckedEnd: w.ackSent, Wait: wait})
 }
