--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -51,7 +51,7 @@
 // Guards against a boot that has not been noticed and carries out a late start that its former boot had
 // refused, or forgets a successful end because of a late hold.
 func TestSoakLateCallsToAnUnnoticedBoot(t *testing.T) {
-	for _, seed := range []uint64{30181, 50020, 300043, 300064, 300041, 300093} {
+	for _, seed := range []uint64{30181, 50020, 300043, 300064, 300041, 300093, 300059, 300100} {
 		s := newSim(seed)
 		s.run()
 		for _, violation := range s.unnoticedViolations {
