core/dispatch: simplify the loop of a test

staticcheck SA4004 in TestStopFencesTheStartBeforeIt: the inner loop ended in its first pass. The assertion is the same. make lint is clean.

--- a/core/dispatch/leasecall_test.go
+++ b/core/dispatch/leasecall_test.go
@@ -123,12 +123,14 @@
 	b, starts := startTasks(t, oneTask)
 	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeNoAnswer, 0)
 	for deadline := b.now.Add(2 * time.Second); b.now.Before(deadline); {
-		for _, stop := range b.tick(10 * time.Millisecond).Stops {
-			if stop.Token <= starts[0].Token {
-				t.Errorf("stop %+v, want a token above %#x", stop, starts[0].Token)
-			}
-			return
+		stops := b.tick(10 * time.Millisecond).Stops
+		if len(stops) == 0 {
+			continue
 		}
+		if stops[0].Token <= starts[0].Token {
+			t.Errorf("stop %+v, want a token above %#x", stops[0], starts[0].Token)
+		}
+		return
 	}
 	t.Error("no stop within 2 s")
 }
