--- a/core/dispatch/leasecall.go
+++ b/core/dispatch/leasecall.go
@@ -45,9 +45,8 @@
 	c.addLeaseCall(w, leaseCall{token: c.token(w), until: until, sentAt: c.now, latest: c.now.Add(delay), task: id, run: r.number})
 }
 
-// leaseCallEnded processes the outcome of a call with a lease end. An answer does not name the boot that
-// has carried out the call, except that to a hold: then the known boot has also carried out all calls that
-// were answered before the hold was sent.
+// leaseCallEnded processes the outcome of a call with a lease end. An answered call stays listed until a
+// hold shows that the known boot has carried it out.
 func (c *Core) leaseCallEnded(w *worker, outcome Outcome, isCall func(leaseCall) bool) {
 	at := slices.IndexFunc(w.leaseCalls, isCall)
 	if at < 0 || outcome == OutcomeNoAnswer {
@@ -67,7 +66,8 @@
 	c.planNeeded = c.planNeeded || len(w.inDoubtTasks) > 0
 }
 
-// holdEnded processes the outcome of the hold in flight.
+// holdEnded processes the outcome of the hold in flight. Only the answer to a hold names its boot: if that
+// is the known one, it has carried out all calls that were answered before the hold was sent.
 func (c *Core) holdEnded(w *worker, call Call, outcome Outcome) {
 	c.leaseCallEnded(w, outcome, func(sent leaseCall) bool {
 		return sent.hold && sent.token == call.Token && sent.sentAt.Equal(w.holdSentAt)
@@ -89,9 +89,8 @@
 const maxStartFences = 1 << (tokenBits - 1)
 
 // fenceLeaseCalls increases the token if calls with a lease end have been sent with the present one and may
-// still be carried out.
-// A boot that has carried out a call with the new token rejects them, so that they do not extend its
-// lease.
+// still be carried out. A boot that has carried out a call with the new token rejects them, so that they do
+// not extend its lease.
 func (c *Core) fenceLeaseCalls(w *worker) {
 	current := c.token(w)
 	sentBefore := func(call leaseCall) bool {
@@ -123,8 +122,9 @@
 }
 
 // activeUntil returns the latest time at which a run that an in-doubt start begins may be active on a
-// boot that nobody has noticed: its own lease, extended by each unanswered call that the boot may carry
-// out before the lease ends. Calls with a lower token are rejected once the start has been carried out.
+// boot that nobody has noticed: its own lease, extended by each call that the boot may have answered or may
+// still carry out before the lease ends. Calls with a lower token are rejected once the start has been
+// carried out.
 func (c *Core) activeUntil(start inDoubtStart) time.Time {
 	lease := c.slowClockDuration(c.opts.MaxLease)
 	until := start.runsUntil
