core/dispatch: search the recorded calls from their ends

With thousands of unanswered starts to one worker, as in TestLeaseOfAnAnsweringWorkerIsExtendedWhileStartsAreLost, most time went into scans of the whole list (profile: 78 %). The list is sorted, so expired calls are its beginning, and a call that was just answered is near its end. Decisions do not change.

--- a/core/dispatch/leasecall.go
+++ b/core/dispatch/leasecall.go
@@ -23,8 +23,11 @@
 // addLeaseCall records a call to a worker that is being sent. The calls are sorted by their latest
 // execution.
 func (c *Core) addLeaseCall(w *worker, call leaseCall) {
-	lease := c.slowClockDuration(c.opts.MaxLease)
-	w.leaseCalls = slices.DeleteFunc(w.leaseCalls, func(past leaseCall) bool { return past.latest.Add(lease).Before(c.now) })
+	expired := 0
+	for lease := c.slowClockDuration(c.opts.MaxLease); expired < len(w.leaseCalls) && w.leaseCalls[expired].latest.Add(lease).Before(c.now); {
+		expired++
+	}
+	w.leaseCalls = slices.Delete(w.leaseCalls, 0, expired)
 	at, _ := slices.BinarySearchFunc(w.leaseCalls, call, func(a, b leaseCall) int { return a.latest.Compare(b.latest) })
 	w.leaseCalls = slices.Insert(w.leaseCalls, at, call)
 }
@@ -48,8 +51,15 @@
 // leaseCallEnded processes the outcome of a call with a lease end. An answered call stays listed until a
 // hold shows that the known boot has carried it out.
 func (c *Core) leaseCallEnded(w *worker, outcome Outcome, isCall func(leaseCall) bool) {
-	at := slices.IndexFunc(w.leaseCalls, isCall)
-	if at < 0 || outcome == OutcomeNoAnswer {
+	if outcome == OutcomeNoAnswer {
+		return
+	}
+	// The call is among the last ones, because it was in flight.
+	at := len(w.leaseCalls) - 1
+	for at >= 0 && !isCall(w.leaseCalls[at]) {
+		at--
+	}
+	if at < 0 {
 		return
 	}
 	call := w.leaseCalls[at]
