core/dispatch: set the end of an in-doubt start in one place again

Found on reading the change again: three callers computed runsUntil, which addInDoubtStart did before; it takes the span now. Behaviour and assertions do not change.

--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -30,7 +30,7 @@
 // recordInDoubtStart records a start, sent before now with the token or a higher one, that a worker may
 // still carry out.
 func (c *Core) recordInDoubtStart(w *worker, id workload.TaskID, number workload.RunNumber, token uint64) {
-	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, token: token, latestSend: c.now, runsUntil: c.now.Add(c.inDoubtSpan(id.StepID()))})
+	c.addInDoubtStart(id, inDoubtStart{worker: w, run: number, token: token, latestSend: c.now}, c.inDoubtSpan(id.StepID()))
 }
 
 // ticketMargin covers the time from the grant of a ticket to its arrival at the leader, and the
@@ -66,9 +66,10 @@
 	return min(maxCallDelay, validity+ticketMargin)
 }
 
-// addInDoubtStart adds an in-doubt start. It replaces an earlier start of the task on the same worker,
-// which the worker may still carry out, too.
-func (c *Core) addInDoubtStart(id workload.TaskID, start inDoubtStart) {
+// addInDoubtStart adds an in-doubt start whose run may be active until span after it was sent. It replaces
+// an earlier start of the task on the same worker, which the worker may still carry out, too.
+func (c *Core) addInDoubtStart(id workload.TaskID, start inDoubtStart, span time.Duration) {
+	start.runsUntil = start.latestSend.Add(span)
 	start.worker.inDoubtTasks[id] = true
 	for i, known := range c.inDoubtStarts[id] {
 		if known.worker.ID == start.worker.ID {
@@ -137,9 +138,7 @@
 		case r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.confirmedAt.Before(w.answeredHoldSentAt):
 			// The start was answered after the last hold that this boot has answered was sent, so a
 			// later boot may have carried it out, whether or not that boot was noticed since.
-			c.addInDoubtStart(id, inDoubtStart{
-				worker: w, run: r.number, token: r.firstToken, latestSend: r.confirmedAt, runsUntil: r.confirmedAt.Add(c.inDoubtSpan(id.StepID())),
-			})
+			c.addInDoubtStart(id, inDoubtStart{worker: w, run: r.number, token: r.firstToken, latestSend: r.confirmedAt}, c.inDoubtSpan(id.StepID()))
 		}
 	}
 }
@@ -216,8 +215,8 @@
 			step := &j.Steps[i]
 			span := c.formerInDoubtSpan(j.StepID(i))
 			addStart := func(index int, worker workload.WorkerID, run workload.RunNumber, latestSend time.Time) {
-				if w, until := c.workers[worker], latestSend.Add(span); w != nil && c.now.Before(until) {
-					c.addInDoubtStart(j.StepID(i).Task(index), inDoubtStart{worker: w, run: run, latestSend: latestSend, runsUntil: until})
+				if w := c.workers[worker]; w != nil && c.now.Before(latestSend.Add(span)) {
+					c.addInDoubtStart(j.StepID(i).Task(index), inDoubtStart{worker: w, run: run, latestSend: latestSend}, span)
 				}
 			}
 			c.state.ForEachClosedRun(step, func(r workload.ClosedRun, age time.Duration) {
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -34,11 +34,11 @@
 			c.withdrawRun(w, id, r)
 			return
 		}
-		if r.startUnanswered && !w.clockReadAt.After(r.startSentAt) {
+		if r.startOutcome == OutcomeNoAnswer && !w.clockReadAt.After(r.startSentAt) {
 			c.delayRepeatedStart(w, id, r)
 			return
 		}
-		if !r.startFenced {
+		if r.startOutcome != OutcomeFenced {
 			// The repetition of a start that another call has overtaken keeps the token, so that its
 			// rejection shows a later leader.
 			c.fenceLeaseCalls(w)
@@ -47,7 +47,7 @@
 		if r.startAttempts == 0 {
 			r.firstToken, r.giveUpStartAt = c.token(w), c.now.Add(maxStartWait)
 		}
-		r.startSentAt, r.startUnanswered, r.startFenced = c.now, false, false
+		r.startSentAt, r.startOutcome = c.now, OutcomeOK
 		r.startAttempts++
 		timeout := startTimeout
 		if r.startAttempts == 1 {
@@ -104,7 +104,7 @@
 		return
 	}
 	r.callInFlight, r.startInFlight = false, false
-	r.startUnanswered, r.startFenced = outcome == OutcomeNoAnswer, outcome == OutcomeFenced
+	r.startOutcome = outcome
 	if r.confirmed || r.endProposed {
 		return
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -120,33 +120,32 @@
 
 // run is a run on a worker. It is open in the state unless closedInState is set.
 type run struct {
-	number          workload.RunNumber
-	openedThisTerm  bool // this leader opened the run
-	confirmed       bool // the worker is known to have started the run
-	confirmedAt     time.Time
-	listedByWorker  bool // the boot has reported the run as active
-	callInFlight    bool // a start or stop is in flight
-	startInFlight   bool // a start is in flight
-	startAttempts   int
-	firstToken      uint64        // token of the first start
-	startSentAt     time.Time     // send time of the last start
-	startUnanswered bool          // the last start got no answer
-	startFenced     bool          // the last start was rejected because of its token
-	giveUpStartAt   time.Time     // when the run is stopped because no call was answered since a start
-	nextCallAt      time.Time     // time of the next start or stop
-	stopRequested   bool          // the run is to be stopped
-	stopBackoff     time.Duration // delay before the next stop
-	stopAcked       bool          // the worker has acknowledged the stop
-	stopAckedAt     time.Time
-	endProposed     bool               // the end of the run has been proposed
-	closedInState   bool               // the run is closed in the state and is only to be stopped
-	reservedSize    workload.Resources // resources reserved for a run that is closed in the state
-	ticket          string
-	checkpoint      string
-	stopReason      string
-	firstReport     progress // first report of the run
-	firstAdvance    progress // first report in which the run had advanced
-	latestReport    progress // latest report below 100 percent
+	number         workload.RunNumber
+	openedThisTerm bool // this leader opened the run
+	confirmed      bool // the worker is known to have started the run
+	confirmedAt    time.Time
+	listedByWorker bool // the boot has reported the run as active
+	callInFlight   bool // a start or stop is in flight
+	startInFlight  bool // a start is in flight
+	startAttempts  int
+	firstToken     uint64        // token of the first start
+	startSentAt    time.Time     // send time of the last start
+	startOutcome   Outcome       // outcome of the last start; OutcomeOK while it is in flight
+	giveUpStartAt  time.Time     // when the run is stopped because no call was answered since a start
+	nextCallAt     time.Time     // time of the next start or stop
+	stopRequested  bool          // the run is to be stopped
+	stopBackoff    time.Duration // delay before the next stop
+	stopAcked      bool          // the worker has acknowledged the stop
+	stopAckedAt    time.Time
+	endProposed    bool               // the end of the run has been proposed
+	closedInState  bool               // the run is closed in the state and is only to be stopped
+	reservedSize   workload.Resources // resources reserved for a run that is closed in the state
+	ticket         string
+	checkpoint     string
+	stopReason     string
+	firstReport    progress // first report of the run
+	firstAdvance   progress // first report in which the run had advanced
+	latestReport   progress // latest report below 100 percent
 }
 
 // updateWorker follows a change of a registered worker in the state.
