core/dispatch: log done ends that are acknowledged without being counted

Change: event 4027 and its counter name a done end that does not count while its task is not done, with the reason.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -253,16 +253,20 @@
 		c.handleClosedRunEnd(w, r, end)
 		return
 	}
-	if !r.endProposed {
-		c.updateHealth(w, end.Task, r, end.Result)
-		c.queueEnd(w, end.Task, r, end.Result, end.Checkpoint, 0)
+	if r.endProposed {
+		return
 	}
+	c.updateHealth(w, end.Task, r, end.Result)
+	c.queueEnd(w, end.Task, r, end.Result, end.Checkpoint, 0)
 }
 
 // handleClosedRunEnd processes the end of a run that is closed in the state. If the end still
 // counts, it is committed before the worker may forget it.
 func (c *Core) handleClosedRunEnd(w *worker, r *run, end ListedEnd) {
 	accepted := c.state.AcceptsLateEnd(end.Task, w.ID, end.Run, end.Result)
+	if !accepted {
+		c.recordUncountedEnd(w, end, "not-accepted")
+	}
 	switch {
 	case r != nil && r.number != end.Run:
 		if accepted {
@@ -281,6 +285,26 @@
 	}
 }
 
+// recordUncountedEnd logs a done end that the worker will be told to forget although its task is not done.
+func (c *Core) recordUncountedEnd(w *worker, end ListedEnd, reason string) {
+	if end.Result != workload.EndDone || !c.awaitsDone(end.Task) {
+		return
+	}
+	d := Decision{
+		Kind: DecisionUncountedEnd, Job: end.Task.Job, Step: end.Task.Step, Task: end.Task.Index, Run: end.Run, Worker: w.ID, Boot: w.Boot, Reason: reason,
+	}
+	if task := c.state.Task(end.Task); task.Open {
+		d.OpenRun = task.Run
+	}
+	c.recordDecision(d)
+}
+
+// awaitsDone reports whether a task of a job in progress still needs a run that is done.
+func (c *Core) awaitsDone(id workload.TaskID) bool {
+	job, task := c.state.Job(id.Job), c.state.Task(id)
+	return task != nil && !job.State.Ended() && task.State != workload.TaskDone && !c.state.IsDoneByClosedRun(id)
+}
+
 // queueEnd adds the end of a run to the next proposal.
 func (c *Core) queueEnd(w *worker, id workload.TaskID, r *run, result workload.RunEnd, checkpoint string, age time.Duration) {
 	r.endProposed = true
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -141,6 +141,7 @@
 func (c *Core) decideCommitted(decide workload.Decide, result workload.Result) {
 	for _, end := range decide.Ends {
 		if w := c.workers[end.Worker]; w != nil && w.Boot == end.Boot {
+			c.recordUncountedEnd(w, ListedEnd{Task: end.Task, Run: end.Run, Result: end.How}, "committed")
 			if r := w.runs[end.Task]; r != nil && r.number == end.Run && (!r.closedInState || r.endProposed) {
 				c.removeRun(w, end.Task, r)
 			}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -174,4 +174,5 @@
 	DecisionClosedRun     DecisionKind = "closed-run-found"
 	DecisionOverlap       DecisionKind = "runs-overlap"
 	DecisionTaskBlocked   DecisionKind = "task-embargoed"
+	DecisionUncountedEnd  DecisionKind = "done-end-uncounted"
 )
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -35,6 +35,7 @@
 	dispatch.DecisionClosedRun:     eventlog.Declare(4024, zapcore.WarnLevel, "worker runs what the state has closed"),
 	dispatch.DecisionOverlap:       eventlog.Declare(4025, zapcore.ErrorLevel, "worker runs what the state has closed while another run of the task is open"),
 	dispatch.DecisionTaskBlocked:   eventlog.Declare(4026, zapcore.InfoLevel, "task is not placed while a lost start may still begin it"),
+	dispatch.DecisionUncountedEnd:  eventlog.Declare(4027, zapcore.ErrorLevel, "a run ended as done and its task is not done"),
 }
 
 // Metrics.
