core/dispatch, internal/dispatcher: count ends in answers that are read late

What callers saw: a task that had ended as done was started again on another worker, and the first end was acknowledged later.

Cause: a worker regards an end as received once it has listed it in an answer, whether or not the leader reads that answer. A leader that is short of processor time stops waiting for answers that have arrived already, and discards them. It then gives up workers that have answered all the time, and starts their finished tasks again. Class of the fault: an answer that is not read in time counts as one that was never given.

Change: the dispatcher delivers the answer to a hold up to 1.5 s after its timeout, and the core counts the ends in it. A worker is given up only after two failed holds in a row, not while a hold that was sent within its lease is in flight, and, while any worker's answers come late, not before late answers to such holds can arrive no more. The event loop handles all queued answers before it decides.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -15,8 +15,10 @@
 	now       time.Time
 	startedAt time.Time
 	// leaderLease is the end of the leader lease. No call to a worker is sent after it.
-	leaderLease lease.Deadline
-	fenced      bool // a worker has seen a later leader
+	// lateAnswersUntil is until when answers to holds are assumed to arrive after their timeout.
+	lateAnswersUntil time.Time
+	leaderLease      lease.Deadline
+	fenced           bool // a worker has seen a later leader
 
 	workers       map[workload.WorkerID]*worker
 	sortedWorkers []*worker // sorted by ID
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -96,6 +96,23 @@
 	c.planNeeded = c.planNeeded || len(report.Ends) > 0
 }
 
+// LateHoldAnswered processes an answer to a Hold that arrives after the hold has counted as unanswered. The
+// worker may regard the ends in it as received, so they count. The list of active runs may be outdated by
+// answers to later holds and is ignored.
+func (c *Core) LateHoldAnswered(now time.Time, call Call, report HoldReport) {
+	w := c.workerAnswered(now, call, 0)
+	c.lateAnswersUntil = c.now.Add(lateAnswersPeriod)
+	if w == nil || report.Outcome != OutcomeOK || report.Boot != w.Boot {
+		return
+	}
+	c.updateClock(w, report.Clock)
+	for _, end := range report.Ends {
+		c.handleEnd(w, end)
+	}
+	c.acknowledgeEnds(w)
+	c.planNeeded = c.planNeeded || len(report.Ends) > 0
+}
+
 func (c *Core) updateClock(w *worker, clock int64) {
 	if clock >= c.minWorkerClock(w) || w.clockReadAt.IsZero() {
 		w.clockMillis, w.clockReadAt = clock, c.now
@@ -104,6 +121,10 @@
 
 func (c *Core) holdFailed(w *worker, call Call, outcome Outcome) {
 	switch outcome {
+	case OutcomeNoAnswer:
+		if !c.leaseExpired(w, w.holdSentAt) {
+			w.lateAnswerUntil = c.now.Add(c.opts.LateAnswerTime)
+		}
 	case OutcomeFenced:
 		w.nextHoldAt = c.now
 		c.handleFenced(w, call)
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -87,16 +87,50 @@
 	w.onAck = func(end dispatch.ListedEnd, h dispatch.Hold) {
 		s.trace(end.Task, "end %d on %s boot %d is acknowledged by a hold for boot %d with token %#x", end.Number, w.id, w.boot, h.Boot, h.Token)
 		task := s.history.of(end.Task)
-		for _, done := range task.done {
-			if done.worker != w.id || done.boot != w.boot || done.run != end.Run {
-				continue
-			}
-			done.notedAt, done.unreported = s.now, h.Boot != w.boot && !w.calledAsBoot
-			for _, start := range task.starts {
-				s.checkStartAfterEnd(end.Task, start, done)
-			}
+		if done := task.doneOn(w, end.Run); done != nil {
+			s.takeNote(end.Task, done, h.Boot != w.boot && !w.calledAsBoot)
+		}
+	}
+}
+
+// doneOn returns the successful end of a run on the present boot of a worker, or nil.
+func (h *taskHistory) doneOn(w *fakeWorker, run workload.RunNumber) *doneEnd {
+	for _, done := range h.done {
+		if done.worker == w.id && done.boot == w.boot && done.run == run {
+			return done
 		}
 	}
+	return nil
+}
+
+func (s *sim) takeNote(id workload.TaskID, done *doneEnd, unreported bool) {
+	done.notedAt, done.unreported = s.now, unreported
+	for _, start := range s.history.of(id).starts {
+		s.checkStartAfterEnd(id, start, done)
+	}
+}
+
+// listedTime is how long after its listing an end counts as taken note of, whether or not the leader has
+// read the answer.
+const listedTime = 100 * time.Millisecond
+
+// endsListed lets the ends in an answer that has arrived at the machine of a slow leader count as taken note
+// of, unless the lease of the worker expires before.
+func (s *sim) endsListed(w *fakeWorker, report dispatch.HoldReport) {
+	if !s.slowLeader {
+		return
+	}
+	for _, end := range report.Ends {
+		done := s.history.of(end.Task).doneOn(w, end.Run)
+		if done == nil {
+			continue
+		}
+		s.after(listedTime, func() {
+			if done.notedAt == 0 && end.Number > w.lapsedEnd {
+				s.takeNote(end.Task, done, false)
+			}
+		})
+	}
 }
 
 // checkStartAfterEnd checks that no run of a task starts after a successful end that is taken note
--- a/core/dispatch/simleader_test.go
+++ b/core/dispatch/simleader_test.go
@@ -52,7 +52,7 @@
 	}
 	l := &leader{term: s.term, machine: s.rng.IntN(machines)}
 	l.core = dispatch.New(dispatch.Options{
-		Term: s.term, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self",
+		Term: s.term, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, LateAnswerTime: lateAnswerTime, ClockLagPPM: 20_000, SelfAddress: "self",
 	}, restored, l.clock(s))
 	s.leader = l
 	s.renewLeaderLease(l)
--- a/core/dispatch/simnetwork_test.go
+++ b/core/dispatch/simnetwork_test.go
@@ -113,6 +113,10 @@
 	// carryOut carries out the call and passes a function that delivers the answer to reply.
 	carryOut func(w *fakeWorker, late bool, reply func(answer func()))
 	failed   func(dispatch.Outcome)
+	// late, if it is set, delivers an answer that is read after the timeout. arrived, if it is set, is
+	// called when the answer arrives at the leader's machine.
+	late    func()
+	arrived func()
 }
 
 // callWorker delivers a call to a worker. Some calls are carried out late or never, and some
@@ -122,12 +126,19 @@
 	answered := false
 	answer := func(do func()) {
 		if answered {
+			if d.late != nil {
+				d.leader.answer(d.late)
+			}
 			return
 		}
 		answered = true
 		d.leader.answer(do)
 	}
-	s.after(d.timeout, func() { answer(func() { d.failed(dispatch.OutcomeNoAnswer) }) })
+	s.after(d.timeout, func() {
+		if !answered {
+			answer(func() { d.failed(dispatch.OutcomeNoAnswer) })
+		}
+	})
 	noReply := func(func()) {}
 	deliverLate := func(delay time.Duration) {
 		s.after(delay, func() {
@@ -137,7 +148,7 @@
 		})
 	}
 	share := 0
-	if s.now < faultsEnd {
+	if s.now < faultsEnd && !s.slowLeader {
 		share = 20
 		if s.now < w.slowUntil {
 			share = 2
@@ -176,19 +187,36 @@
 			if answerLost || s.cutsBetween(d.leader.machine, w).fromWorker {
 				return
 			}
-			s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond), func() { answer(do) })
+			if d.arrived != nil {
+				d.arrived()
+			}
+			s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond)+s.readLag(), func() { answer(do) })
 		})
 	})
 }
 
+// readLag returns how long a leader that is short of processor time takes to read an answer.
+func (s *sim) readLag() time.Duration {
+	if !s.slowLeader || s.now%(8*time.Second) < 4*time.Second || s.rng.IntN(4) == 0 {
+		return 0
+	}
+	return s.randomDuration(50*time.Millisecond, callTimeout+lateAnswerTime)
+}
+
 // sendCalls sends the calls of a leader.
 func (s *sim) sendCalls(l *leader, e dispatch.Effects) {
 	for _, h := range e.Holds {
 		failed := func(outcome dispatch.Outcome) {
 			l.core.HoldAnswered(l.clock(s), h.Call, dispatch.HoldReport{Outcome: outcome})
 		}
-		s.callWorker(delivery{l, h.Call, callTimeout + h.Wait, true, func(w *fakeWorker, _ bool, reply func(func())) {
+		var answer dispatch.HoldReport
+		late := func() { l.core.LateHoldAnswered(l.clock(s), h.Call, answer) }
+		arrived := func() { s.endsListed(s.worker(h.Worker), answer) }
+		s.callWorker(delivery{l, h.Call, callTimeout + h.Wait, true, func(w *fakeWorker, late bool, reply func(func())) {
 			s.hold(w, h, func(report dispatch.HoldReport) {
+				if !late {
+					answer = report
+				}
 				reply(func() {
 					if report.Boot > h.Boot {
 						w.bootEnded(report.Boot-1, s.now)
@@ -196,7 +224,7 @@
 					l.core.HoldAnswered(l.clock(s), h.Call, report)
 				})
 			})
-		}, failed})
+		}, failed, late, arrived})
 	}
 	for _, st := range e.Starts {
 		s.trace(st.Task, "term %d sends the start of run %d to %s boot %d", l.term, st.Run, st.Worker, st.Boot)
@@ -204,7 +232,7 @@
 		failed := func(outcome dispatch.Outcome) { l.core.StartAnswered(l.clock(s), st, outcome, 0) }
 		s.callWorker(delivery{l, st.Call, st.Timeout, false, func(w *fakeWorker, late bool, reply func(func())) {
 			reply(s.start(l, w, st, late))
-		}, failed})
+		}, failed, nil, nil})
 	}
 	for _, st := range e.Stops {
 		s.trace(st.Task, "term %d sends the stop of run %d to %s boot %d", l.term, st.Run, st.Worker, st.Boot)
@@ -213,10 +241,13 @@
 			outcome, clock := w.stop(st), w.clock(s.now)
 			s.trace(st.Task, "stop of run %d for %s boot %d reaches boot %d: %v", st.Run, w.id, st.Boot, w.boot, outcome)
 			reply(func() { l.core.StopAnswered(l.clock(s), st, outcome, clock) })
-		}, failed})
+		}, failed, nil, nil})
 	}
 }
 
+// lateAnswerTime is how much longer an answer to a hold is delivered.
+const lateAnswerTime = 1500 * time.Millisecond
+
 // callTimeout is how long a leader waits for the answer to a hold or a stop.
 const callTimeout = 400 * time.Millisecond
 
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -84,6 +84,19 @@
 	}
 }
 
+// Guards against a task that starts again after its done end was listed in an answer which the leader reads
+// after its timeout (rule TWICE).
+func TestSoakSlowLeader(t *testing.T) {
+	for seed := *soakSeed; seed < *soakSeed+uint64(*soakRuns)/2; seed++ {
+		s := newSim(seed)
+		s.slowLeader = true
+		s.run()
+		for _, violation := range s.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
 // Times of a simulation.
 const (
 	faultsEnd     = 30 * time.Second
@@ -136,6 +149,8 @@
 	formerLeaders []*leader
 	// leaseOnOneClock makes a leader whose clock has stood still believe in its lease afterwards.
 	leaseOnOneClock bool
+	// slowLeader makes the leader read most answers late for half of the time. There are no other faults.
+	slowLeader bool
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -180,7 +195,9 @@
 func (s *sim) run() {
 	s.elect()
 	s.after(0, s.submitJobs)
-	s.after(time.Second, s.injectFaults)
+	if !s.slowLeader {
+		s.after(time.Second, s.injectFaults)
+	}
 	for len(s.events) > 0 && s.now < simulationEnd {
 		next := heap.Pop(&s.events).(event)
 		s.now = max(s.now, next.at)
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -16,6 +16,9 @@
 	MaxLease time.Duration
 	// HoldWait is the maximum time a worker may wait for a run to end before it answers a hold.
 	HoldWait time.Duration
+	// LateAnswerTime is how long after a hold was reported as unanswered its answer may still be reported
+	// by LateHoldAnswered.
+	LateAnswerTime time.Duration
 	// ClockLagPPM is the maximum rate, in parts per million, by which a worker's clock may run
 	// slower than the leader's.
 	ClockLagPPM int64
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -44,6 +44,9 @@
 	// unhealthyAvoidance is how long a worker is avoided after it refused a start as unhealthy or
 	// did not answer one.
 	unhealthyAvoidance = 2 * time.Second
+	// lateAnswersPeriod is how long answers are assumed to arrive late after one has. It covers the longest
+	// lease of a worker and the holds before its end.
+	lateAnswersPeriod = 10 * time.Second
 	// maxListedEnds is the maximum number of ends that a worker reports at once.
 	maxListedEnds = 500
 	// maxCallDelay is how long an unanswered call may still be carried out. The platform specifies
@@ -86,6 +89,9 @@
 	// startUnansweredAt is when a start to this boot was last found to have no answer.
 	startUnansweredAt time.Time
 	holdBackoff       time.Duration
+	// lateAnswerUntil is until when an answer to an unanswered hold may arrive that was sent before the lease
+	// expired.
+	lateAnswerUntil time.Time
 
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
@@ -214,15 +220,29 @@
 
 const million = 1_000_000
 
-// leaseExpired reports whether the worker's lease has certainly expired, so that all of its runs
-// have ended.
-func (c *Core) leaseExpired(w *worker) bool {
+// mayGiveUp reports whether the boot of an unresponsive worker may be given up: its lease has expired, two
+// holds in a row have failed, and no answer is expected to a hold that was sent before the lease expired.
+// The worker regards an end that it has listed as received, although this process may be too slow to read
+// the answer in time.
+func (c *Core) mayGiveUp(w *worker) bool {
+	switch {
+	case !c.leaseExpired(w, c.now), w.holdBackoff == 0:
+		return false
+	case w.holdInFlight && !c.leaseExpired(w, w.holdSentAt):
+		return false
+	}
+	return c.now.After(c.lateAnswersUntil) || c.now.After(w.lateAnswerUntil)
+}
+
+// leaseExpired reports whether the worker's lease has certainly expired at a time after the last answer, so
+// that all of its runs have ended.
+func (c *Core) leaseExpired(w *worker, at time.Time) bool {
 	if w.answeredThisTerm {
-		return c.minWorkerClock(w) > w.leaseUntil+leaseMargin.Milliseconds()
+		return c.minWorkerClockAt(w, at) > w.leaseUntil+leaseMargin.Milliseconds()
 	}
 	// The lease of the previous leader ended before this term began. A call to an earlier boot may
 	// have extended the worker's lease by more than Lease.
-	return c.now.After(c.startedAt.Add(c.slowClockDuration(max(c.opts.Lease, c.opts.MaxLease)) + leaseMargin))
+	return at.After(c.startedAt.Add(c.slowClockDuration(max(c.opts.Lease, c.opts.MaxLease)) + leaseMargin))
 }
 
 // slowClockDuration returns how long a slow worker clock may take to advance by d.
@@ -272,7 +292,7 @@
 
 func (c *Core) processWorker(w *worker) {
 	c.endAvoidanceIfDue(w)
-	if w.unresponsive && !w.bootEndProposed && (w.hasOpenRuns() || w.Draining) && c.leaseExpired(w) {
+	if w.unresponsive && !w.bootEndProposed && (w.hasOpenRuns() || w.Draining) && c.mayGiveUp(w) {
 		// A worker that has announced that it leaves is not called any more.
 		c.proposeBootEnd(w, bootEndLeaseExpired, w.Draining)
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -52,14 +52,18 @@
 	// stopTimeout covers the longest round trip (16 ms) and the time a busy worker takes to answer
 	// (100 ms).
 	stopTimeout = 400 * time.Millisecond
-	// holdTimeoutMargin is the time a hold may take in addition to the wait that it requests.
+	// holdTimeoutMargin is the time a hold may take in addition to the wait that it requests, before it
+	// counts as unanswered.
 	holdTimeoutMargin = 600 * time.Millisecond
+	// lateAnswerTime is how much longer the answer is waited for. Up to three of a worker's four
+	// connections are used by holds then.
+	lateAnswerTime = 1500 * time.Millisecond
 	// resultQueueSize is the capacity of the channel of call results. When the channel is full, the
 	// calling goroutines block.
 	resultQueueSize = 1024
 	// maxBatch limits how many updates and call results are processed before the effects are
-	// executed.
-	maxBatch = 256
+	// executed. It exceeds resultQueueSize, so that no worker is given up while its answer is queued.
+	maxBatch = 2 * resultQueueSize
 	// proposeTimeout limits the wait for a commit. A proposal that takes longer counts as failed;
 	// if it is committed later, the core learns of it from the log.
 	proposeTimeout = 5 * time.Second
@@ -179,7 +183,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, core: dispatch.New(dispatch.Options{
-		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress,
+		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress,
 	}, restored, now)}
 	l.opts.Logger.Log(eventTermBegins, zap.Uint64("term", lead.Term), zap.Int("workers", len(restored.Workers())))
 }
@@ -235,26 +239,69 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(term.ctx, timeout)
 		defer cancel()
-		deliver := call(ctx)
-		select {
-		case l.results <- callResult{term: term, deliver: deliver}:
-		case <-term.ctx.Done():
-		}
+		l.deliver(term, call(ctx))
 	}()
 }
 
+// deliver queues the result of a call for the event loop, unless the term has ended.
+func (l *eventLoop) deliver(term *leaderTerm, deliver func(*dispatch.Core, time.Time)) {
+	select {
+	case l.results <- callResult{term: term, deliver: deliver}:
+	case <-term.ctx.Done():
+	}
+}
+
 // leasedWorkers returns the client for the calls that are decided now.
 func (l *eventLoop) leasedWorkers() leasedClient {
 	return leasedClient{workers: l.opts.Workers, leaderLease: l.term.leaderLease}
 }
 
+// sendHold sends a hold. If it counts as unanswered, its answer is still delivered if it arrives within
+// lateAnswerTime.
 func (l *eventLoop) sendHold(hold dispatch.Hold) {
-	workers := l.leasedWorkers()
-	l.runAsync(hold.Wait+holdTimeoutMargin, func(ctx context.Context) func(*dispatch.Core, time.Time) {
-		report := workers.Hold(ctx, hold)
-		l.opts.Metrics.Add(metricCalls, "hold-"+report.Outcome.String(), 1)
-		return func(core *dispatch.Core, now time.Time) { core.HoldAnswered(now, hold.Call, report) }
-	})
+	workers, term := l.leasedWorkers(), l.term
+	answers := make(chan dispatch.HoldReport, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(term.ctx, hold.Wait+holdTimeoutMargin+lateAnswerTime)
+		defer cancel()
+		answers <- workers.Hold(ctx, hold)
+	}()
+	go l.deliverHoldAnswer(term, hold, answers)
+}
+
+// deliverHoldAnswer delivers the answer to a hold. If there is none in time, it delivers that first.
+func (l *eventLoop) deliverHoldAnswer(term *leaderTerm, hold dispatch.Hold, answers <-chan dispatch.HoldReport) {
+	report, inTime := awaitAnswer(answers, hold.Wait+holdTimeoutMargin)
+	if !inTime {
+		report.Outcome = dispatch.OutcomeNoAnswer
+	}
+	l.opts.Metrics.Add(metricCalls, "hold-"+report.Outcome.String(), 1)
+	l.deliver(term, func(core *dispatch.Core, now time.Time) { core.HoldAnswered(now, hold.Call, report) })
+	if inTime {
+		return
+	}
+	if late := <-answers; late.Outcome == dispatch.OutcomeOK {
+		l.opts.Metrics.Add(metricCalls, "hold-late", 1)
+		l.deliver(term, func(core *dispatch.Core, now time.Time) { core.LateHoldAnswered(now, hold.Call, late) })
+	}
+}
+
+// awaitAnswer waits for an answer until a timeout. An answer that is already there counts as in time: this
+// process may not have run when the timeout passed.
+func awaitAnswer(answers <-chan dispatch.HoldReport, timeout time.Duration) (report dispatch.HoldReport, inTime bool) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case report = <-answers:
+		return report, true
+	case <-timer.C:
+	}
+	select {
+	case report = <-answers:
+		return report, true
+	default:
+		return dispatch.HoldReport{}, false
+	}
 }
 
 func (l *eventLoop) sendStart(start dispatch.Start) {
@@ -302,10 +349,7 @@
 	go func() {
 		defer cancel()
 		if err := wait(); err != nil {
-			select {
-			case l.results <- callResult{term: term, deliver: func(*dispatch.Core, time.Time) { l.proposalFailed(p.ID, err) }}:
-			case <-term.ctx.Done():
-			}
+			l.deliver(term, func(*dispatch.Core, time.Time) { l.proposalFailed(p.ID, err) })
 		}
 	}()
 }
