core/dispatch: start no task whose done end is listed and not committed yet

Cause: between the listing of a done end of a closed run and its commit the state shows the task as waiting or as assigned elsewhere. The leader could place it in that time, and repeated the start of a later run until the end was committed. The starts of the other members of a gang were repeated even after that. Class: what the leader knows is not used before the log has it. Besides, a done end was dropped if another end of the same run had been proposed and was not committed yet.

Change: a task with a listed done end, or a gang with one such member, is neither placed nor started; a run of it that is open is withdrawn, and its gang is stopped. A done end beside another proposed end is proposed too and acknowledged after both.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -274,11 +274,14 @@
 		c.handleClosedRunEnd(w, r, end)
 		return
 	}
-	if r.endProposed {
-		return
+	switch {
+	case !r.endProposed:
+		c.updateHealth(w, end.Task, r, end.Result)
+		c.queueEnd(w, end.Task, r, end.Result, end.Checkpoint, 0)
+	case end.Result == workload.EndDone:
+		// Another end was proposed and is not committed yet. The done end counts once it is.
+		c.proposeLateEnd(w, end)
 	}
-	c.updateHealth(w, end.Task, r, end.Result)
-	c.queueEnd(w, end.Task, r, end.Result, end.Checkpoint, 0)
 }
 
 // handleClosedRunEnd processes the end of a run that is closed in the state. If the end still
@@ -291,8 +294,7 @@
 	switch {
 	case r != nil && r.number != end.Run:
 		if accepted {
-			w.proposedLateEnds[end.Task] = end.Run
-			c.proposeEnd(w, end.Task, end.Run, end.Result, end.Checkpoint)
+			c.proposeLateEnd(w, end)
 		}
 	case r != nil && r.endProposed:
 	case accepted:
@@ -341,7 +343,16 @@
 	}
 }
 
+// proposeLateEnd adds the end of a run to the next proposal, beside another run or another end of its task.
+func (c *Core) proposeLateEnd(w *worker, end ListedEnd) {
+	w.proposedLateEnds[end.Task] = lateEnd{end.Run, end.Result}
+	c.proposeEnd(w, end.Task, end.Run, end.Result, end.Checkpoint)
+}
+
 func (c *Core) proposeEnd(w *worker, id workload.TaskID, number workload.RunNumber, result workload.RunEnd, checkpoint string) {
+	if result == workload.EndDone {
+		c.recordReportedDone(id)
+	}
 	c.pendingEnds = append(c.pendingEnds, workload.EndedRun{Worker: w.ID, Boot: w.Boot, Task: id, Run: number, How: result, Checkpoint: checkpoint})
 }
 
--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -283,19 +283,23 @@
 	return inDoubtStart{}, false
 }
 
-// placeableTasks returns the number of waiting tasks of a step that are not blocked by in-doubt
-// starts. For a gang with a blocked task it is 0. The job is woken when a blocking start expires.
+// placeableTasks returns the number of waiting tasks of a step that are neither blocked by in-doubt
+// starts nor known to be done. For a gang with such a task it is 0. The job is woken when a blocking start expires.
 func (c *Core) placeableTasks(r readyStep) int {
 	s := &r.job.steps[r.index]
-	if len(c.inDoubtStarts) == 0 {
+	if len(c.inDoubtStarts) == 0 && len(s.reportedDone) == 0 {
 		return s.waitingTasks
 	}
-	blockedTasks := 0
+	blockedTasks, doneTasks := 0, 0
 	var firstBlocking inDoubtStart
 	for index, task := range r.job.Steps[r.index].Tasks {
 		if task.State != workload.TaskPending || s.proposed[index] {
 			continue
 		}
+		if s.reportedDone[index] {
+			doneTasks++
+			continue
+		}
 		start, blocked := c.blockingStart(r.job.StepID(r.index).Task(index))
 		if !blocked {
 			continue
@@ -307,10 +311,10 @@
 		blockedTasks++
 	}
 	c.updateInDoubtWait(r, s, blockedTasks, firstBlocking)
-	if blockedTasks > 0 && r.job.Spec.Steps[r.index].Gang {
+	if blockedTasks+doneTasks > 0 && r.job.Spec.Steps[r.index].Gang {
 		return 0
 	}
-	return s.waitingTasks - blockedTasks
+	return s.waitingTasks - blockedTasks - doneTasks
 }
 
 // updateInDoubtWait records whether a step waits for in-doubt starts and logs when it begins to.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -19,8 +19,9 @@
 
 // step is the leader's view of a step, in addition to the replicated state of its tasks.
 type step struct {
-	proposed     []bool // by task: a run has been proposed
-	waitingTasks int    // number of tasks that are pending and not proposed
+	proposed     []bool       // by task: a run has been proposed
+	reportedDone map[int]bool // tasks of which a done end was listed by a worker and is not committed yet
+	waitingTasks int          // number of tasks that are pending and not proposed
 	// criticalPath is the longest chain of work from the start of this step to the end of the job.
 	criticalPath time.Duration
 
@@ -145,11 +146,14 @@
 			if r := w.runs[end.Task]; r != nil && r.number == end.Run && (!r.closedInState || r.endProposed) {
 				c.removeRun(w, end.Task, r)
 			}
-			if w.proposedLateEnds[end.Task] == end.Run {
+			if w.proposedLateEnds[end.Task] == (lateEnd{end.Run, end.How}) {
 				delete(w.proposedLateEnds, end.Task)
 			}
 			c.acknowledgeEnds(w)
 		}
+		if end.How == workload.EndDone {
+			c.removeReportedDone(end.Task)
+		}
 	}
 	for i, assign := range decide.Assigns {
 		c.assignmentCommitted(assign, result.Assigns[i])
@@ -163,11 +167,13 @@
 
 const stopReasonTaskDone = "task-done"
 
-// stopRunOfDoneTask stops the open run of a task that a closed run has done meanwhile.
+// stopRunOfDoneTask stops the open run of a task that a closed run has done meanwhile, and of the rest of
+// its gang.
 func (c *Core) stopRunOfDoneTask(id workload.TaskID) {
 	if !c.state.IsDoneByClosedRun(id) {
 		return
 	}
+	defer c.stopGang(id)
 	w := c.workers[c.state.Task(id).Worker]
 	if w == nil {
 		return
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -344,7 +344,7 @@
 		if task.State != workload.TaskPending || task.Open || s.proposed[index] {
 			continue
 		}
-		if _, blocked := c.blockingStart(r.job.StepID(r.index).Task(index)); blocked {
+		if _, blocked := c.blockingStart(r.job.StepID(r.index).Task(index)); blocked || s.reportedDone[index] {
 			continue
 		}
 		best := bestFit(candidates, spec, fastFirst)
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -28,10 +28,14 @@
 		if job == nil {
 			return
 		}
+		if c.isKnownDone(id) {
+			c.withdrawRun(w, id, r, stopReasonTaskDone)
+			return
+		}
 		if _, blocked := c.blockingStart(id); blocked && r.startAttempts == 0 || w.Draining {
 			// After the assignment was proposed, an earlier run of the task was found or the worker
 			// began to leave.
-			c.withdrawRun(w, id, r)
+			c.withdrawRun(w, id, r, "draining")
 			return
 		}
 		if r.startOutcome == OutcomeNoAnswer && !w.clockReadAt.After(r.startSentAt) {
@@ -76,9 +80,9 @@
 
 // withdrawRun closes a run that must not start any more. If a start was sent already, the run is
 // stopped first.
-func (c *Core) withdrawRun(w *worker, id workload.TaskID, r *run) {
+func (c *Core) withdrawRun(w *worker, id workload.TaskID, r *run, reason string) {
 	if r.startAttempts > 0 {
-		c.requestStop(w, r, "draining")
+		c.requestStop(w, r, reason)
 		return
 	}
 	c.queueEnd(w, id, r, workload.EndNeverStarted, "", 0)
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -106,8 +106,9 @@
 	ackSent        uint64 // acknowledgement in the hold in flight
 	ackAnswered    uint64 // highest acknowledgement in a hold that was answered
 	lastHandledEnd uint64 // ends up to this number have been processed
-	// proposedLateEnds are runs whose ends were proposed while another run of the task is known here.
-	proposedLateEnds map[workload.TaskID]workload.RunNumber
+	// proposedLateEnds are ends that were proposed while another run of the task is known here, or another
+	// end of the run was proposed.
+	proposedLateEnds map[workload.TaskID]lateEnd
 	runs             map[workload.TaskID]*run
 	// inDoubtTasks are the tasks with a start that this boot, or a later one, may still carry out.
 	inDoubtTasks map[workload.TaskID]bool
@@ -124,6 +125,12 @@
 	nextWake     time.Time
 }
 
+// lateEnd is an end that is not that of the open run of its task.
+type lateEnd struct {
+	run    workload.RunNumber
+	result workload.RunEnd
+}
+
 // run is a run on a worker. It is open in the state unless closedInState is set.
 type run struct {
 	number         workload.RunNumber
@@ -165,7 +172,7 @@
 		return
 	}
 	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{},
-		proposedLateEnds: map[workload.TaskID]workload.RunNumber{}, nextHoldAt: c.now, speed: 1}
+		proposedLateEnds: map[workload.TaskID]lateEnd{}, nextHoldAt: c.now, speed: 1}
 	if existing != nil {
 		created.reserved, created.expectedUse = existing.reserved, existing.expectedUse
 		for _, r := range existing.runs {
