internal/dispatcher: end late holds once a later one is answered

Cause: a hold that was not answered in time occupied one of the four connections to its worker for 1.5 s more, also where the next hold was answered at once, so that bursts of starts waited for a connection.

Change: an answer in time ends the earlier holds. Its list has the same ends.

Checked: TestLateHoldEndsOnceALaterOneIsAnswered.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -55,9 +55,11 @@
 	// holdTimeoutMargin is the time a hold may take in addition to the wait that it requests, before it
 	// counts as unanswered.
 	holdTimeoutMargin = 600 * time.Millisecond
-	// lateAnswerTime is how much longer the answer is waited for. Up to three of a worker's four
-	// connections are used by holds then.
+	// lateAnswerTime is how much longer the answer is waited for, unless a later hold is answered.
 	lateAnswerTime = 1500 * time.Millisecond
+	// maxLateHolds is the number of holds to a worker that can be waited for after their timeout. The
+	// others have ended, because each has a timeout before the next one is sent.
+	maxLateHolds = 3
 	// resultQueueSize is the capacity of the channel of call results. When the channel is full, the
 	// calling goroutines block.
 	resultQueueSize = 1024
@@ -93,6 +95,8 @@
 	cancel context.CancelFunc
 	// leaderLease is the end of the leader lease.
 	leaderLease lease.Deadline
+	// lateHolds cancels, by worker, the last holds that were not answered in time.
+	lateHolds map[workload.WorkerID][]context.CancelFunc
 }
 
 // callResult is the result of a call. deliver passes it to the core.
@@ -182,7 +186,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, core: dispatch.New(dispatch.Options{
+	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, lateHolds: map[workload.WorkerID][]context.CancelFunc{}, core: dispatch.New(dispatch.Options{
 		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress,
 	}, restored, now)}
 	l.opts.Logger.Log(eventTermBegins, zap.Uint64("term", lead.Term), zap.Int("workers", len(restored.Workers())))
@@ -260,23 +264,31 @@
 // lateAnswerTime.
 func (l *eventLoop) sendHold(hold dispatch.Hold) {
 	workers, term := l.leasedWorkers(), l.term
+	ctx, cancel := context.WithTimeout(term.ctx, hold.Wait+holdTimeoutMargin+lateAnswerTime)
 	answers := make(chan dispatch.HoldReport, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(term.ctx, hold.Wait+holdTimeoutMargin+lateAnswerTime)
 		defer cancel()
 		answers <- workers.Hold(ctx, hold)
 	}()
-	go l.deliverHoldAnswer(term, hold, answers)
+	go l.deliverHoldAnswer(term, hold, answers, cancel)
 }
 
 // deliverHoldAnswer delivers the answer to a hold. If there is none in time, it delivers that first.
-func (l *eventLoop) deliverHoldAnswer(term *leaderTerm, hold dispatch.Hold, answers <-chan dispatch.HoldReport) {
+func (l *eventLoop) deliverHoldAnswer(term *leaderTerm, hold dispatch.Hold, answers <-chan dispatch.HoldReport, cancel context.CancelFunc) {
 	report, inTime := awaitAnswer(answers, hold.Wait+holdTimeoutMargin)
 	if !inTime {
 		report.Outcome = dispatch.OutcomeNoAnswer
 	}
 	l.opts.Metrics.Add(metricCalls, "hold-"+report.Outcome.String(), 1)
-	l.deliver(term, func(core *dispatch.Core, now time.Time) { core.HoldAnswered(now, hold.Call, report) })
+	l.deliver(term, func(core *dispatch.Core, now time.Time) {
+		switch {
+		case !inTime:
+			term.addLateHold(hold.Worker, cancel)
+		case report.Outcome == dispatch.OutcomeOK:
+			term.cancelLateHolds(hold.Worker)
+		}
+		core.HoldAnswered(now, hold.Call, report)
+	})
 	if inTime {
 		return
 	}
@@ -286,6 +298,21 @@
 	}
 }
 
+// addLateHold notes a hold that was not answered in time.
+func (t *leaderTerm) addLateHold(worker workload.WorkerID, cancel context.CancelFunc) {
+	holds := append(t.lateHolds[worker], cancel)
+	t.lateHolds[worker] = holds[max(len(holds)-maxLateHolds, 0):]
+}
+
+// cancelLateHolds ends the earlier holds after a worker has answered a later one, whose answer lists the
+// same ends. They would occupy the worker's connections.
+func (t *leaderTerm) cancelLateHolds(worker workload.WorkerID) {
+	for _, cancel := range t.lateHolds[worker] {
+		cancel()
+	}
+	delete(t.lateHolds, worker)
+}
+
 // awaitAnswer waits for an answer until a timeout. An answer that is already there counts as in time: this
 // process may not have run when the timeout passed.
 func awaitAnswer(answers <-chan dispatch.HoldReport, timeout time.Duration) (report dispatch.HoldReport, inTime bool) {
--- a/internal/dispatcher/lateanswer_test.go
+++ b/internal/dispatcher/lateanswer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/core/lease"
+	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/bootclock"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
@@ -16,6 +18,7 @@
 type slowClient struct {
 	countingClient
 	after time.Duration
+	ended atomic.Int64 // holds that ended without an answer
 }
 
 func (c *slowClient) Hold(ctx context.Context, _ dispatch.Hold) dispatch.HoldReport {
@@ -23,10 +26,26 @@
 	case <-time.After(c.after):
 		return dispatch.HoldReport{}
 	case <-ctx.Done():
+		c.ended.Add(1)
 		return dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer}
 	}
 }
 
+// leaderLoop returns an event loop with a valid leader lease.
+func leaderLoop(t *testing.T, workers WorkerClient) *eventLoop {
+	boot, err := bootclock.Now()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	l := &eventLoop{opts: Options{Workers: workers, Metrics: metrics.New()}, results: make(chan callResult, 4)}
+	l.term = &leaderTerm{
+		ctx: ctx, cancel: cancel, leaderLease: lease.DeadlineIn(time.Now(), time.Minute).OnBootClock(boot),
+		core: dispatch.New(dispatch.Options{}, workload.New(), time.Now()), lateHolds: map[workload.WorkerID][]context.CancelFunc{},
+	}
+	return l
+}
+
 // Guards against an answer to a hold that is discarded because it is read after the hold has timed out
 // (platform rule TWICE).
 func TestAnswerToAHoldIsDeliveredAfterItsTimeout(t *testing.T) {
@@ -41,13 +60,8 @@
 		"too late": {timeout + 2*lateAnswerTime, []time.Duration{timeout}},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			boot, err := bootclock.Now()
-			if err != nil {
-				t.Fatal(err)
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			l := &eventLoop{opts: Options{Workers: &slowClient{after: c.after}, Metrics: metrics.New()}, results: make(chan callResult, 4)}
-			l.term = &leaderTerm{ctx: ctx, cancel: cancel, leaderLease: lease.DeadlineIn(time.Now(), time.Minute).OnBootClock(boot)}
+			l := leaderLoop(t, &slowClient{after: c.after})
+			defer l.term.cancel()
 			started := time.Now()
 			l.sendHold(hold)
 			for _, want := range c.want {
@@ -61,7 +75,25 @@
 			if len(l.results) > 0 {
 				t.Errorf("%s: %d more results", name, len(l.results))
 			}
-			cancel()
 		})
 	}
 }
+
+// Guards against holds that occupy the connections of a worker after it has answered a later one.
+func TestLateHoldEndsOnceALaterOneIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &slowClient{after: time.Hour}
+		l := leaderLoop(t, client)
+		defer l.term.cancel()
+		hold := dispatch.Hold{Call: dispatch.Call{Worker: "w"}, Wait: time.Second}
+		l.sendHold(hold)
+		l.handleResult(<-l.results)
+		l.opts.Workers = &slowClient{}
+		l.sendHold(hold)
+		l.handleResult(<-l.results)
+		synctest.Wait()
+		if got := client.ended.Load(); got != 1 {
+			t.Errorf("%d holds have ended without an answer, want 1", got)
+		}
+	})
+}
