--- a/core/dispatch/simleader_test.go
+++ b/core/dispatch/simleader_test.go
@@ -120,18 +120,18 @@
 	l.waiting = nil
 }
 
-// runLeaders runs the cores of the leader and of the former ones that still work.
-func (s *sim) runLeaders() {
+// runLeaders calls run for the leader and the former ones that still work.
+func (s *sim) runLeaders(run func(*leader)) {
 	working := s.formerLeaders[:0]
 	for _, l := range s.formerLeaders {
 		if !l.stopped {
 			working = append(working, l)
-			s.runLeader(l)
+			run(l)
 		}
 	}
 	s.formerLeaders = working
 	if l := s.leader; l != nil && !l.deposed {
-		s.runLeader(l)
+		run(l)
 	}
 }
 
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -157,8 +157,12 @@
 
 func (s *sim) clock() time.Time { return epoch.Add(s.now) }
 
+func emptySim(rng *rand.Rand) *sim {
+	return &sim{rng: rng, committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
+}
+
 func newSim(seed uint64) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 7)), committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
+	s := emptySim(rand.New(rand.NewPCG(seed, 7)))
 	s.commit(nil, 0, workload.Command{Configure: &workload.Config{Version: 1, Services: []string{"shop"}, Queues: []workload.Queue{
 		{Name: "urgent", Service: "shop", MaxAttempts: 3},
 		{Name: "advised", Service: "shop", MaxAttempts: 3, Priority: 1, Advice: &workload.AdviserConfig{
@@ -204,7 +208,7 @@
 		s.expireLeases()
 		next.do()
 		s.checkInvariants()
-		s.runLeaders()
+		s.runLeaders(s.runLeader)
 	}
 	s.checkFinalState()
 }
