core/dispatch: let the simulation end gangs as the protocol says

Cause: when a lease expired, or a member had waited in vain, the fake worker did not end the other members of its gang; members never failed; and only the end of a task itself counted as its success, although one successful member stands for all of its gang. Attempts were not checked at all.

Change: workerRules selects such behaviour, so that the recorded seeds keep their sequence. Two readings of a gang's success, listed by all of its workers or by one, are chosen by the seed. Two checks apply to all simulations: no member starts after a member's success is acknowledged, and no task starts after as many acknowledged failures as its queue allows.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -20,6 +20,18 @@
 	refusedBy *formerBoot
 }
 
+// workerRules selects how a worker behaves where its published protocol can be read in more than one way.
+// The regression seeds of TestSoak were recorded with the zero value.
+type workerRules struct {
+	// gangLapseBreaks is set if a member of a gang whose lease expires, or that waited in vain, ends the
+	// other members.
+	gangLapseBreaks bool
+	// gangsFail is set if a member of a gang may fail.
+	gangsFail bool
+	// oneGangEnd is set if only one of the workers of a gang lists its success.
+	oneGangEnd bool
+}
+
 // fakeWorker implements the published protocol of a worker that is called: fencing by token, a
 // lease on its own clock, numbered ends, and refusal of runs that were stopped or ended before.
 type fakeWorker struct {
@@ -27,6 +39,7 @@
 	boot        workload.Boot
 	up          bool
 	capacity    workload.Resources
+	rules       workerRules
 	bootedAt    time.Duration
 	formerBoots []*formerBoot
 	clockRate   float64 // relative to real time
@@ -112,8 +125,7 @@
 
 func (w *fakeWorker) endRun(task workload.TaskID, result workload.RunEnd) {
 	r := w.runs[task]
-	delete(w.runs, task)
-	w.closedRuns[task] = max(w.closedRuns[task], r.number)
+	w.forgetRun(task)
 	w.lastEnd++
 	end := dispatch.ListedEnd{Number: w.lastEnd, Task: task, Run: r.number, Result: result}
 	w.ends = append(w.ends, end)
@@ -127,6 +139,12 @@
 	}
 }
 
+// forgetRun removes a run without listing its end.
+func (w *fakeWorker) forgetRun(task workload.TaskID) {
+	w.closedRuns[task] = max(w.closedRuns[task], w.runs[task].number)
+	delete(w.runs, task)
+}
+
 // maxLeaseMillis is the longest lease that a worker accepts.
 const maxLeaseMillis = 6000
 
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -13,7 +13,8 @@
 // taskHistory is what the workers have seen of a task, over all boots.
 type taskHistory struct {
 	starts    []pastStart
-	done      []*doneEnd
+	done      []*doneEnd // for a gang, the successful ends of all members
+	failed    []*doneEnd // failed ends; empty for a gang
 	firstSent map[workload.RunNumber]time.Duration
 }
 
@@ -32,14 +33,16 @@
 	refusedBy *formerBoot // as in fakeRun
 }
 
-// doneEnd is a successful end. It is taken note of when a hold acknowledges it, unless the lease of
+// doneEnd is a successful or a failed end. It is taken note of when a hold acknowledges it, unless the lease of
 // the worker has expired between the two.
 type doneEnd struct {
-	at      time.Duration
-	worker  workload.WorkerID
-	boot    workload.Boot
-	run     workload.RunNumber
-	notedAt time.Duration // 0 if the end was not taken note of
+	at     time.Duration
+	worker workload.WorkerID
+	boot   workload.Boot
+	run    workload.RunNumber
+	// listedAs is the task whose end the worker lists, a member of the gang if it represents all of it.
+	listedAs workload.TaskID
+	notedAt  time.Duration // 0 if the end was not taken note of
 	// unreported is true if a call for a former boot acknowledged the end before any call for this
 	// boot was carried out, so that the end was never reported (seeds 40007 and 41001).
 	unreported bool
@@ -59,6 +62,7 @@
 
 // observe makes the simulation record the starts and ends on a worker.
 func (s *sim) observe(w *fakeWorker) {
+	w.rules = s.rules
 	w.endStopped = func(task workload.TaskID, r *fakeRun) {
 		s.after(s.randomDuration(0, maxStopTime), func() {
 			if w.up && w.runs[task] == r {
@@ -76,27 +80,47 @@
 		for _, end := range task.done {
 			s.checkStartAfterEnd(st.Task, start, end)
 		}
+		s.checkAttempts(st.Task, task)
 	}
 	w.onEnd = func(end dispatch.ListedEnd) {
 		s.trace(end.Task, "run %d ends on %s boot %d: %s, number %d", end.Run, w.id, w.boot, end.Result, end.Number)
-		if end.Result == workload.EndDone {
+		ended := &doneEnd{at: s.now, worker: w.id, boot: w.boot, run: end.Run, listedAs: end.Task}
+		step := &s.committed.Job(end.Task.Job).Spec.Steps[end.Task.Step]
+		switch {
+		case end.Result == workload.EndDone:
+			for _, id := range representedTasks(end.Task, step) {
+				task := s.history.of(id)
+				task.done = append(task.done, ended)
+			}
+		case end.Result == workload.EndFailed && !step.Gang:
 			task := s.history.of(end.Task)
-			task.done = append(task.done, &doneEnd{at: s.now, worker: w.id, boot: w.boot, run: end.Run})
+			task.failed = append(task.failed, ended)
 		}
 	}
 	w.onAck = func(end dispatch.ListedEnd, h dispatch.Hold) {
 		s.trace(end.Task, "end %d on %s boot %d is acknowledged by a hold for boot %d with token %#x", end.Number, w.id, w.boot, h.Boot, h.Token)
 		task := s.history.of(end.Task)
-		if done := task.doneOn(w, end.Run); done != nil {
+		for _, failed := range task.failed {
+			if failed.isListed(w, end) {
+				failed.notedAt = s.now
+				s.checkAttempts(end.Task, task)
+			}
+		}
+		if done := task.doneOn(w, end); done != nil {
 			s.takeNote(end.Task, done, h.Boot != w.boot && !w.calledAsBoot)
 		}
 	}
 }
 
-// doneOn returns the successful end of a run on the present boot of a worker, or nil.
-func (h *taskHistory) doneOn(w *fakeWorker, run workload.RunNumber) *doneEnd {
+// isListed reports whether an end is one that the present boot of a worker lists.
+func (e *doneEnd) isListed(w *fakeWorker, end dispatch.ListedEnd) bool {
+	return e.worker == w.id && e.boot == w.boot && e.run == end.Run && e.listedAs == end.Task
+}
+
+// doneOn returns the successful end that the present boot of a worker lists, or nil.
+func (h *taskHistory) doneOn(w *fakeWorker, end dispatch.ListedEnd) *doneEnd {
 	for _, done := range h.done {
-		if done.worker == w.id && done.boot == w.boot && done.run == run {
+		if done.isListed(w, end) {
 			return done
 		}
 	}
@@ -105,8 +129,10 @@
 
 func (s *sim) takeNote(id workload.TaskID, done *doneEnd, unreported bool) {
 	done.notedAt, done.unreported = s.now, unreported
-	for _, start := range s.history.of(id).starts {
-		s.checkStartAfterEnd(id, start, done)
+	for _, represented := range representedTasks(id, &s.committed.Job(id.Job).Spec.Steps[id.Step]) {
+		for _, start := range s.history.of(represented).starts {
+			s.checkStartAfterEnd(represented, start, done)
+		}
 	}
 }
 
@@ -121,7 +147,7 @@
 		return
 	}
 	for _, end := range report.Ends {
-		done := s.history.of(end.Task).doneOn(w, end.Run)
+		done := s.history.of(end.Task).doneOn(w, end)
 		if done == nil {
 			continue
 		}
@@ -133,6 +159,35 @@
 	}
 }
 
+// representedTasks returns the tasks that are done with a task: for a gang, all of them.
+func representedTasks(id workload.TaskID, step *workload.StepSpec) []workload.TaskID {
+	if !step.Gang {
+		return []workload.TaskID{id}
+	}
+	var all []workload.TaskID
+	for index := range step.Tasks {
+		all = append(all, id.StepID().Task(index))
+	}
+	return all
+}
+
+// checkAttempts checks that no run of a task starts after as many failures that are taken note of as its
+// queue allows.
+func (s *sim) checkAttempts(id workload.TaskID, task *taskHistory) {
+	limit := s.committed.Job(id.Job).Queue.MaxAttempts
+	for _, start := range task.starts {
+		failures := 0
+		for _, failed := range task.failed {
+			if failed.notedAt > 0 && failed.at < start.at {
+				failures++
+			}
+		}
+		if failures >= limit {
+			s.addViolationOf(start.refusedBy != nil, "%v run %d started on %s boot %d at %v, after %d failures", id, start.run, start.worker, start.boot, start.at, failures)
+		}
+	}
+}
+
 // checkStartAfterEnd checks that no run of a task starts after a successful end that is taken note
 // of, before or after that start.
 func (s *sim) checkStartAfterEnd(id workload.TaskID, start pastStart, end *doneEnd) {
@@ -148,7 +203,14 @@
 		if w.up && w.leaseUntil > 0 && w.clock(s.now) > w.leaseUntil {
 			w.lapsedEnd = w.lastEnd
 			for _, task := range tasksOf(w) {
+				r := w.runs[task]
+				if r == nil {
+					continue // a member of a gang that another one has ended
+				}
 				w.endRun(task, workload.EndLeaseExpired)
+				if w.rules.gangLapseBreaks {
+					s.endBrokenGang(task, r)
+				}
 			}
 		}
 	}
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -151,6 +151,9 @@
 	leaseOnOneClock bool
 	// slowLeader makes the leader read most answers late for half of the time. There are no other faults.
 	slowLeader bool
+	rules      workerRules
+	// rulesRNG makes the random choices of the rules, so that rng has the same sequence without them.
+	rulesRNG *rand.Rand
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -158,11 +161,15 @@
 func (s *sim) clock() time.Time { return epoch.Add(s.now) }
 
 func emptySim(rng *rand.Rand) *sim {
-	return &sim{rng: rng, committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
+	return &sim{rng: rng, rulesRNG: rand.New(rand.NewPCG(1, 8)), committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
 }
 
-func newSim(seed uint64) *sim {
+func newSim(seed uint64) *sim { return newSimWith(seed, workerRules{}) }
+
+// newSimWith returns a simulation of workers that follow the given rules.
+func newSimWith(seed uint64, rules workerRules) *sim {
 	s := emptySim(rand.New(rand.NewPCG(seed, 7)))
+	s.rules, s.rulesRNG = rules, rand.New(rand.NewPCG(seed, 8))
 	s.commit(nil, 0, workload.Command{Configure: &workload.Config{Version: 1, Services: []string{"shop"}, Queues: []workload.Queue{
 		{Name: "urgent", Service: "shop", MaxAttempts: 3},
 		{Name: "advised", Service: "shop", MaxAttempts: 3, Priority: 1, Advice: &workload.AdviserConfig{
@@ -353,9 +360,7 @@
 		d := s.randomDuration(200*time.Millisecond, 2*time.Second)
 		s.after(d, func() {
 			if current := s.members(step, st.Run); len(current) == len(members) {
-				for _, task := range sortedKeys(current) {
-					current[task].endRun(task, workload.EndDone)
-				}
+				s.endGang(current)
 			}
 		})
 		return
@@ -365,10 +370,32 @@
 	s.after(3*time.Second, func() {
 		if w.runs[st.Task] == r && len(s.members(step, st.Run)) < job.Spec.Steps[step.Step].Tasks {
 			w.endRun(st.Task, workload.EndGangIncomplete)
+			if s.rules.gangLapseBreaks {
+				s.endBrokenGang(st.Task, r)
+			}
 		}
 	})
 }
 
+// endGang ends a complete gang: as done, or because a member has failed.
+func (s *sim) endGang(members map[workload.TaskID]*fakeWorker) {
+	tasks := sortedKeys(members)
+	chosen := tasks[s.rulesRNG.IntN(len(tasks))]
+	if s.rules.gangsFail && s.rulesRNG.IntN(8) == 0 {
+		r := members[chosen].runs[chosen]
+		members[chosen].endRun(chosen, workload.EndFailed)
+		s.endBrokenGang(chosen, r)
+		return
+	}
+	for _, task := range tasks {
+		if s.rules.oneGangEnd && task != chosen {
+			members[task].forgetRun(task)
+		} else {
+			members[task].endRun(task, workload.EndDone)
+		}
+	}
+}
+
 // endBrokenGang ends the other members of a gang.
 func (s *sim) endBrokenGang(task workload.TaskID, r *fakeRun) {
 	job := s.committed.Job(task.Job)
--- /dev/null
+++ b/core/dispatch/soakrules_test.go
@@ -0,0 +1,51 @@
+package dispatch_test
+
+import (
+	"flag"
+	"testing"
+)
+
+var soakRules = flag.String("soak.rules", "", "run TestSoakWorkerRules with these rules only")
+
+// rulesByName are the rules of workers that TestSoakWorkerRules uses, each alone.
+var rulesByName = map[string]workerRules{
+	"as recorded":       {},
+	"gang lapse breaks": {gangLapseBreaks: true},
+	"gangs fail":        {gangLapseBreaks: true, gangsFail: true},
+	"one gang end":      {gangLapseBreaks: true, oneGangEnd: true},
+}
+
+// rulesOf returns all rules together, with a choice by the seed where the protocol can be read in two ways.
+func rulesOf(seed uint64) workerRules {
+	chosen := func(bit int) bool { return seed>>bit&1 == 1 }
+	return workerRules{gangLapseBreaks: true, gangsFail: true, oneGangEnd: chosen(0)}
+}
+
+// TestSoakWorkerRules simulates workers that follow other readings of their protocol than those of TestSoak.
+// It guards against a dispatcher that relies on one reading.
+func TestSoakWorkerRules(t *testing.T) {
+	if *soakRules == "" {
+		runRules(t, rulesOf)
+		return
+	}
+	rules, known := rulesByName[*soakRules]
+	if !known {
+		t.Fatalf("unknown rules %q", *soakRules)
+	}
+	runRules(t, func(uint64) workerRules { return rules })
+}
+
+// runRules runs the seeds of TestSoak with workers that follow the rules for each seed.
+func runRules(t *testing.T, rules func(seed uint64) workerRules) {
+	t.Helper()
+	for seed := *soakSeed; seed < *soakSeed+uint64(*soakRuns); seed++ {
+		s := newSimWith(seed, rules(seed))
+		s.run()
+		for _, violation := range s.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+		if t.Failed() && !*soakAll {
+			return
+		}
+	}
+}
