core/dispatch: let simulated workers check starts in the published order

Cause: the fake worker checked the ticket and the lease before it looked whether the run was closed, and never refused a start for lack of room. The lease end of a start that is refused for a closed run or for lack of room must be taken all the same.

Change: with the rule "admits" a worker checks token, closed run, lease, room and ticket in this order. One in thirty starts lacks room for reasons that the leader cannot know. Chosen by the seed, because the protocol does not say: a start is late by its own lease end or by that of the worker; a bad ticket extends the lease or not; the start of a run that is being stopped succeeds or is refused; a stop ends an earlier run of the task or not.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -15,6 +15,7 @@
 	startedAt time.Duration
 	result    workload.RunEnd
 	boot      workload.Boot
+	stopping  bool
 	// refusedBy is the last former boot that had refused the run, if a call for a former boot started
 	// it before any call for this boot was carried out.
 	refusedBy *formerBoot
@@ -30,6 +31,17 @@
 	gangsFail bool
 	// oneGangEnd is set if only one of the workers of a gang lists its success.
 	oneGangEnd bool
+	// admits is set if a worker checks a start in the published order and refuses what does not fit.
+	admits bool
+	// ownLeaseEnd is set if a start is late by the lease end that it carries, although a later call has
+	// extended the lease. It needs admits.
+	ownLeaseEnd bool
+	// badTicketExtends is set if a start without a valid ticket extends the lease. It needs admits.
+	badTicketExtends bool
+	// stoppedIsClosed is set if the start of a run that is being stopped is refused. It needs admits.
+	stoppedIsClosed bool
+	// stopsEarlierRuns is set if a stop also ends an earlier run of the task.
+	stopsEarlierRuns bool
 }
 
 // fakeWorker implements the published protocol of a worker that is called: fencing by token, a
@@ -48,9 +60,11 @@
 	calledAsBoot bool
 	// validTicket checks the ticket of a start. If it is nil, no start needs a ticket.
 	validTicket func(dispatch.Start) bool
-	onStart     func(dispatch.Start, *fakeRun)
-	onEnd       func(dispatch.ListedEnd)
-	onAck       func(dispatch.ListedEnd, dispatch.Hold)
+	// lacksRoom makes the worker refuse some starts that fit as far as the leader can know; only with admits.
+	lacksRoom func() bool
+	onStart   func(dispatch.Start, *fakeRun)
+	onEnd     func(dispatch.ListedEnd)
+	onAck     func(dispatch.ListedEnd, dispatch.Hold)
 	// endStopped ends a run that was stopped, after some time. If it is nil, the run ends at once.
 	endStopped func(workload.TaskID, *fakeRun)
 	waiting    []func() // answers to holds that wait for an end
@@ -192,6 +206,13 @@
 	}
 	w.token = s.Token
 	w.calledAsBoot = w.calledAsBoot || s.Boot == w.boot
+	if w.rules.admits {
+		if outcome, there := w.check(s, size, now); outcome != dispatch.OutcomeOK || there {
+			return outcome, false
+		}
+		w.begin(s, size, now)
+		return dispatch.OutcomeOK, true
+	}
 	if r := w.runs[s.Task]; r != nil && r.number == s.Run {
 		w.extendLease(s.LeaseUntil, now)
 		return dispatch.OutcomeOK, false
@@ -207,6 +228,35 @@
 	if w.closedRuns[s.Task] >= s.Run {
 		return dispatch.OutcomeRunClosed, false
 	}
+	w.begin(s, size, now)
+	return dispatch.OutcomeOK, true
+}
+
+// check checks a start in the published order. A start of a run that is there already, that is closed or
+// that does not fit extends the lease, too.
+func (w *fakeWorker) check(s dispatch.Start, size workload.Resources, now time.Duration) (outcome dispatch.Outcome, there bool) {
+	r := w.runs[s.Task]
+	there = r != nil && r.number == s.Run && !(r.stopping && w.rules.stoppedIsClosed)
+	switch {
+	case there:
+	case w.closedRuns[s.Task] >= s.Run:
+		outcome = dispatch.OutcomeRunClosed
+	case w.rules.ownLeaseEnd && s.LeaseUntil <= w.clock(now), max(w.leaseUntil, s.LeaseUntil) <= w.clock(now):
+		return dispatch.OutcomeLeaseExpired, false
+	case !w.used().Add(size).Fits(w.capacity) || w.lacksRoom != nil && w.lacksRoom():
+		outcome = dispatch.OutcomeNoCapacity
+	case w.validTicket != nil && !w.validTicket(s):
+		if w.rules.badTicketExtends {
+			w.extendLease(s.LeaseUntil, now)
+		}
+		return dispatch.OutcomeBadTicket, false
+	}
+	w.extendLease(s.LeaseUntil, now)
+	return outcome, there
+}
+
+// begin begins a run.
+func (w *fakeWorker) begin(s dispatch.Start, size workload.Resources, now time.Duration) {
 	r := &fakeRun{number: s.Run, size: size, startedAt: now, boot: w.boot}
 	if s.Boot != w.boot && !w.calledAsBoot {
 		r.refusedBy = w.refusedBy(s)
@@ -218,7 +268,6 @@
 	if w.onStart != nil {
 		w.onStart(s, r)
 	}
-	return dispatch.OutcomeOK, true
 }
 
 func (w *fakeWorker) stop(s dispatch.Stop) dispatch.Outcome {
@@ -227,7 +276,8 @@
 	}
 	w.token = s.Token
 	w.calledAsBoot = w.calledAsBoot || s.Boot == w.boot
-	if r := w.runs[s.Task]; r != nil && r.number == s.Run {
+	if r := w.runs[s.Task]; r != nil && (r.number == s.Run || r.number < s.Run && w.rules.stopsEarlierRuns) {
+		r.stopping = true
 		if w.endStopped != nil {
 			w.endStopped(s.Task, r)
 		} else {
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -63,6 +63,7 @@
 // observe makes the simulation record the starts and ends on a worker.
 func (s *sim) observe(w *fakeWorker) {
 	w.rules = s.rules
+	w.lacksRoom = func() bool { return s.now < faultsEnd && s.rulesRNG.IntN(30) == 0 }
 	w.endStopped = func(task workload.TaskID, r *fakeRun) {
 		s.after(s.randomDuration(0, maxStopTime), func() {
 			if w.up && w.runs[task] == r {
