core/dispatch: let simulated workers start again under another ID

Cause: every simulated worker kept its ID, so no call was ever rejected by another worker at the same address. That rejection ends a boot for good and drops its starts without an answer, which only unit tests covered.

Change: with the rule "new ids" one in three restarts brings a worker with another ID at the address. Half of these times, a late report of the former worker arrives afterwards.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -40,6 +40,9 @@
 	badTicketExtends bool
 	// stoppedIsClosed is set if the start of a run that is being stopped is refused. It needs admits.
 	stoppedIsClosed bool
+	// newIDs is set if some workers start again under another ID at the same address. They reject the calls
+	// that name the former one.
+	newIDs bool
 	// stopsEarlierRuns is set if a stop also ends an earlier run of the task.
 	stopsEarlierRuns bool
 }
@@ -48,6 +51,8 @@
 // lease on its own clock, numbered ends, and refusal of runs that were stopped or ended before.
 type fakeWorker struct {
 	id          workload.WorkerID
+	address     string
+	replacement *fakeWorker // has taken over the address; only with newIDs
 	boot        workload.Boot
 	up          bool
 	capacity    workload.Resources
@@ -119,6 +124,11 @@
 	return found
 }
 
+// isReplaced reports whether another worker answers at the address of a worker.
+func (w *fakeWorker) isReplaced() bool {
+	return w.replacement != nil && (w.replacement.up || w.replacement.isReplaced())
+}
+
 // crash ends the boot of a worker. The refusals of the boot are lost.
 func (w *fakeWorker) crash() {
 	w.up = false
--- a/core/dispatch/simnetwork_test.go
+++ b/core/dispatch/simnetwork_test.go
@@ -175,6 +175,10 @@
 	}
 	answerLost := share > 0 && s.rng.IntN(2*share) == 0
 	s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
+		if w.isReplaced() {
+			s.after(s.randomDuration(time.Millisecond, 20*time.Millisecond), func() { answer(func() { d.failed(dispatch.OutcomeOtherWorker) }) })
+			return
+		}
 		if !w.up {
 			answer(func() { d.failed(dispatch.OutcomeNotSent) })
 			return
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -178,6 +178,7 @@
 	}}})
 	for i := range 5 {
 		w := &fakeWorker{id: workload.WorkerID(fmt.Sprint("w", i)), capacity: workload.Resources{MilliCPU: 4000}, clockRate: 0.98 + 0.02*s.rng.Float64(), position: i}
+		w.address = string(w.id)
 		w.startBoot(1, 0)
 		s.observe(w)
 		s.workers = append(s.workers, w)
@@ -274,7 +275,7 @@
 
 func (s *sim) register(w *fakeWorker) {
 	s.commit(nil, 0, workload.Command{Register: &workload.Register{Worker: workload.Worker{
-		ID: w.id, Boot: w.boot, Service: "shop", Address: string(w.id), Capacity: w.capacity,
+		ID: w.id, Boot: w.boot, Service: "shop", Address: w.address, Capacity: w.capacity,
 	}}})
 }
 
@@ -530,6 +531,18 @@
 	w.crash()
 	s.loseRuns(w)
 	boot := w.boot + 1
+	if s.rules.newIDs && s.rulesRNG.IntN(3) == 0 {
+		s.after(downtime, func() {
+			w.replacement = s.addReplacement(w)
+			w.replacement.address = w.address
+			s.registerLater(w.replacement)
+			if s.rulesRNG.IntN(2) == 0 {
+				// A late report of the former worker.
+				s.after(s.randomDuration(0, 8*time.Second), func() { s.register(w) })
+			}
+		})
+		return
+	}
 	s.after(downtime, func() {
 		w.startBoot(boot, s.now)
 		if s.rng.IntN(2) == 0 {
@@ -555,11 +568,17 @@
 	}
 	w.up = false
 	s.loseRuns(w)
+	s.register(s.addReplacement(w))
+}
+
+// addReplacement adds a worker in the place of one that is gone.
+func (s *sim) addReplacement(w *fakeWorker) *fakeWorker {
 	replacement := &fakeWorker{id: workload.WorkerID(fmt.Sprint("w", len(s.workers))), capacity: w.capacity, clockRate: w.clockRate, position: w.position}
+	replacement.address = string(replacement.id)
 	replacement.startBoot(1, s.now)
 	s.observe(replacement)
 	s.workers = append(s.workers, replacement)
-	s.register(replacement)
+	return replacement
 }
 
 // checkFinalState checks that all jobs have ended and that no run is active.
--- a/core/dispatch/soakrules_test.go
+++ b/core/dispatch/soakrules_test.go
@@ -17,6 +17,7 @@
 	"own lease end":      {admits: true, ownLeaseEnd: true},
 	"bad ticket extends": {admits: true, badTicketExtends: true},
 	"stopped is closed":  {admits: true, stoppedIsClosed: true},
+	"new ids":            {newIDs: true},
 	"stops earlier runs": {stopsEarlierRuns: true},
 }
 
@@ -24,7 +25,7 @@
 func rulesOf(seed uint64) workerRules {
 	chosen := func(bit int) bool { return seed>>bit&1 == 1 }
 	return workerRules{
-		gangLapseBreaks: true, gangsFail: true, admits: true,
+		gangLapseBreaks: true, gangsFail: true, admits: true, newIDs: true,
 		oneGangEnd: chosen(0), ownLeaseEnd: chosen(1), badTicketExtends: chosen(2), stoppedIsClosed: chosen(3), stopsEarlierRuns: chosen(5),
 	}
 }
