core/dispatch: let simulated runs save checkpoints and holds wait longer

Cause: the fake worker listed no checkpoints, so no simulation checked which one a start carries, and it answered each hold at once while it listed ends. The protocol does not say whether a hold that waits is answered because of ends that were listed before.

Change: with the rule "saves" a run saves once a second and at its stop. A start must carry a checkpoint of its task, or of any member of its gang, and all starts of one gang run the same. With "hold awaits new end", chosen by the seed, a hold waits for an end that was not listed before.

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -16,6 +16,7 @@
 	result    workload.RunEnd
 	boot      workload.Boot
 	stopping  bool
+	resumedAt string // checkpoint of the start
 	// refusedBy is the last former boot that had refused the run, if a call for a former boot started
 	// it before any call for this boot was carried out.
 	refusedBy *formerBoot
@@ -40,11 +41,15 @@
 	badTicketExtends bool
 	// stoppedIsClosed is set if the start of a run that is being stopped is refused. It needs admits.
 	stoppedIsClosed bool
+	// holdAwaitsNewEnd is set if a hold that waits is not answered because of ends listed before.
+	holdAwaitsNewEnd bool
 	// newIDs is set if some workers start again under another ID at the same address. They reject the calls
 	// that name the former one.
 	newIDs bool
 	// stopsEarlierRuns is set if a stop also ends an earlier run of the task.
 	stopsEarlierRuns bool
+	// saves is set if runs save their progress once a second and when they are stopped.
+	saves bool
 }
 
 // fakeWorker implements the published protocol of a worker that is called: fencing by token, a
@@ -65,6 +70,9 @@
 	calledAsBoot bool
 	// validTicket checks the ticket of a start. If it is nil, no start needs a ticket.
 	validTicket func(dispatch.Start) bool
+	// checkpoint returns what a run has saved, with what it saves at its stop if stopped is set. If it is
+	// nil, runs save nothing.
+	checkpoint func(task workload.TaskID, r *fakeRun, stopped bool) string
 	// lacksRoom makes the worker refuse some starts that fit as far as the leader can know; only with admits.
 	lacksRoom func() bool
 	onStart   func(dispatch.Start, *fakeRun)
@@ -152,6 +160,9 @@
 	w.forgetRun(task)
 	w.lastEnd++
 	end := dispatch.ListedEnd{Number: w.lastEnd, Task: task, Run: r.number, Result: result}
+	if w.checkpoint != nil && result != workload.EndDone {
+		end.Checkpoint = w.checkpoint(task, r, result == workload.EndStopped)
+	}
 	w.ends = append(w.ends, end)
 	if w.onEnd != nil {
 		w.onEnd(end)
@@ -205,6 +216,9 @@
 		if r.endsAt > r.startedAt {
 			active.Percent = int((now - r.startedAt) * 100 / (r.endsAt - r.startedAt))
 		}
+		if w.checkpoint != nil {
+			active.Checkpoint = w.checkpoint(task, r, false)
+		}
 		report.Active = append(report.Active, active)
 	}
 	return report
@@ -267,7 +281,7 @@
 
 // begin begins a run.
 func (w *fakeWorker) begin(s dispatch.Start, size workload.Resources, now time.Duration) {
-	r := &fakeRun{number: s.Run, size: size, startedAt: now, boot: w.boot}
+	r := &fakeRun{number: s.Run, size: size, startedAt: now, boot: w.boot, resumedAt: s.Checkpoint}
 	if s.Boot != w.boot && !w.calledAsBoot {
 		r.refusedBy = w.refusedBy(s)
 	}
--- a/core/dispatch/simchecks_test.go
+++ b/core/dispatch/simchecks_test.go
@@ -63,6 +63,9 @@
 // observe makes the simulation record the starts and ends on a worker.
 func (s *sim) observe(w *fakeWorker) {
 	w.rules = s.rules
+	if w.rules.saves {
+		w.checkpoint = s.checkpoint
+	}
 	w.lacksRoom = func() bool { return s.now < faultsEnd && s.rulesRNG.IntN(30) == 0 }
 	w.endStopped = func(task workload.TaskID, r *fakeRun) {
 		s.after(s.randomDuration(0, maxStopTime), func() {
@@ -160,6 +163,35 @@
 	}
 }
 
+// checkpoint returns what a run has saved: the task, the run and the time of the last save.
+func (s *sim) checkpoint(task workload.TaskID, r *fakeRun, stopped bool) string {
+	worked := s.now - r.startedAt
+	if !stopped {
+		worked = worked.Truncate(time.Second)
+	}
+	if worked == 0 {
+		return r.resumedAt
+	}
+	return fmt.Sprintf("%s %d %v", task, r.number, worked)
+}
+
+// checkCheckpoint checks that a start carries a checkpoint of its task, or of any member of its gang, and
+// that all starts of one run of a gang carry the same.
+func (s *sim) checkCheckpoint(st dispatch.Start, gang bool) {
+	owner := st.Task.String() + " "
+	if gang {
+		owner = st.Task.StepID().String() + "/"
+		key := fmt.Sprintf("%s%d", owner, st.Run)
+		if first, known := s.gangCheckpoints[key]; known && first != st.Checkpoint {
+			s.addViolation("%v run %d starts with the checkpoint %q, another member with %q", st.Task, st.Run, st.Checkpoint, first)
+		}
+		s.gangCheckpoints[key] = st.Checkpoint
+	}
+	if st.Checkpoint != "" && !strings.HasPrefix(st.Checkpoint, owner) {
+		s.addViolation("%v run %d starts with the checkpoint %q", st.Task, st.Run, st.Checkpoint)
+	}
+}
+
 // representedTasks returns the tasks that are done with a task: for a gang, all of them.
 func representedTasks(id workload.TaskID, step *workload.StepSpec) []workload.TaskID {
 	if !step.Gang {
--- a/core/dispatch/simnetwork_test.go
+++ b/core/dispatch/simnetwork_test.go
@@ -258,7 +258,7 @@
 // hold carries out a hold. The answer waits for the end of a run if there is none to report.
 func (s *sim) hold(w *fakeWorker, h dispatch.Hold, reply func(dispatch.HoldReport)) {
 	report := w.hold(h, s.now)
-	if report.Outcome != dispatch.OutcomeOK || len(report.Ends) > 0 || h.Wait == 0 {
+	if report.Outcome != dispatch.OutcomeOK || len(report.Ends) > 0 && !w.rules.holdAwaitsNewEnd || h.Wait == 0 {
 		reply(report)
 		return
 	}
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -154,6 +154,8 @@
 	rules      workerRules
 	// rulesRNG makes the random choices of the rules, so that rng has the same sequence without them.
 	rulesRNG *rand.Rand
+	// gangCheckpoints are the checkpoints with which the runs of gangs have started.
+	gangCheckpoints map[string]string
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -161,7 +163,7 @@
 func (s *sim) clock() time.Time { return epoch.Add(s.now) }
 
 func emptySim(rng *rand.Rand) *sim {
-	return &sim{rng: rng, rulesRNG: rand.New(rand.NewPCG(1, 8)), committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
+	return &sim{rng: rng, gangCheckpoints: map[string]string{}, rulesRNG: rand.New(rand.NewPCG(1, 8)), committed: workload.New(), cancelledAt: map[workload.JobID]time.Duration{}, history: history{}, reported: map[string]bool{}, begunJobs: map[workload.JobID]bool{}}
 }
 
 func newSim(seed uint64) *sim { return newSimWith(seed, workerRules{}) }
@@ -311,6 +313,7 @@
 	if job.Queue.Advice != nil && st.Ticket == "" {
 		s.addViolation("%v starts without a ticket", st.Task)
 	}
+	s.checkCheckpoint(st, job.Spec.Steps[st.Task.Step].Gang)
 	r := w.runs[st.Task]
 	r.result = workload.EndDone
 	if s.rng.IntN(12) == 0 {
--- a/core/dispatch/soakrules_test.go
+++ b/core/dispatch/soakrules_test.go
@@ -9,24 +9,26 @@
 
 // rulesByName are the rules of workers that TestSoakWorkerRules uses, each alone.
 var rulesByName = map[string]workerRules{
-	"as recorded":        {},
-	"gang lapse breaks":  {gangLapseBreaks: true},
-	"gangs fail":         {gangLapseBreaks: true, gangsFail: true},
-	"one gang end":       {gangLapseBreaks: true, oneGangEnd: true},
-	"admits":             {admits: true},
-	"own lease end":      {admits: true, ownLeaseEnd: true},
-	"bad ticket extends": {admits: true, badTicketExtends: true},
-	"stopped is closed":  {admits: true, stoppedIsClosed: true},
-	"new ids":            {newIDs: true},
-	"stops earlier runs": {stopsEarlierRuns: true},
+	"as recorded":         {},
+	"gang lapse breaks":   {gangLapseBreaks: true},
+	"gangs fail":          {gangLapseBreaks: true, gangsFail: true},
+	"one gang end":        {gangLapseBreaks: true, oneGangEnd: true},
+	"admits":              {admits: true},
+	"own lease end":       {admits: true, ownLeaseEnd: true},
+	"bad ticket extends":  {admits: true, badTicketExtends: true},
+	"stopped is closed":   {admits: true, stoppedIsClosed: true},
+	"hold awaits new end": {holdAwaitsNewEnd: true},
+	"new ids":             {newIDs: true},
+	"stops earlier runs":  {stopsEarlierRuns: true},
+	"saves":               {saves: true},
 }
 
 // rulesOf returns all rules together, with a choice by the seed where the protocol can be read in two ways.
 func rulesOf(seed uint64) workerRules {
 	chosen := func(bit int) bool { return seed>>bit&1 == 1 }
 	return workerRules{
-		gangLapseBreaks: true, gangsFail: true, admits: true, newIDs: true,
-		oneGangEnd: chosen(0), ownLeaseEnd: chosen(1), badTicketExtends: chosen(2), stoppedIsClosed: chosen(3), stopsEarlierRuns: chosen(5),
+		gangLapseBreaks: true, gangsFail: true, admits: true, newIDs: true, saves: true,
+		oneGangEnd: chosen(0), ownLeaseEnd: chosen(1), badTicketExtends: chosen(2), stoppedIsClosed: chosen(3), holdAwaitsNewEnd: chosen(4), stopsEarlierRuns: chosen(5),
 	}
 }
 
