core/dispatch: test acknowledgements that cover ends still to come

Cause: the fake worker forgets the ends that it has when it is told the last one seen. The protocol can also be read so that the number stays, and later ends up to it are never listed. A hold for a former boot that the later boot carries out then hides the ends of that boot's first runs.

Change: the rule "acked end stays".

--- a/core/dispatch/fakeworker_test.go
+++ b/core/dispatch/fakeworker_test.go
@@ -41,6 +41,8 @@
 	badTicketExtends bool
 	// stoppedIsClosed is set if the start of a run that is being stopped is refused. It needs admits.
 	stoppedIsClosed bool
+	// ackedEndStays is set if an acknowledgement also covers ends up to its number that are still to come.
+	ackedEndStays bool
 	// holdAwaitsNewEnd is set if a hold that waits is not answered because of ends listed before.
 	holdAwaitsNewEnd bool
 	// newIDs is set if some workers start again under another ID at the same address. They reject the calls
@@ -95,7 +97,8 @@
 	closedRuns map[workload.TaskID]workload.RunNumber
 	ends       []dispatch.ListedEnd
 	lastEnd    uint64
-	lapsedEnd  uint64 // ends up to this number were listed when the lease expired
+	lastAck    dispatch.Hold // the hold with the highest acknowledgement; only with ackedEndStays
+	lapsedEnd  uint64        // ends up to this number were listed when the lease expired
 }
 
 // overlap is a run that was replaced by another run of its task while it was active.
@@ -149,6 +152,7 @@
 	w.runs = map[workload.TaskID]*fakeRun{}
 	w.closedRuns = map[workload.TaskID]workload.RunNumber{}
 	w.ends, w.waiting, w.calledAsBoot = nil, nil, false
+	w.lastAck = dispatch.Hold{}
 }
 
 func (w *fakeWorker) clock(now time.Duration) int64 {
@@ -163,10 +167,14 @@
 	if w.checkpoint != nil && result != workload.EndDone {
 		end.Checkpoint = w.checkpoint(task, r, result == workload.EndStopped)
 	}
-	w.ends = append(w.ends, end)
 	if w.onEnd != nil {
 		w.onEnd(end)
 	}
+	if end.Number <= w.lastAck.AckedEnd {
+		w.onAck(end, w.lastAck)
+	} else {
+		w.ends = append(w.ends, end)
+	}
 	waiting := w.waiting
 	w.waiting = nil
 	for _, answer := range waiting {
@@ -194,6 +202,9 @@
 	w.token = h.Token
 	w.calledAsBoot = w.calledAsBoot || h.Boot == w.boot
 	w.extendLease(h.LeaseUntil, now)
+	if w.rules.ackedEndStays && h.AckedEnd > w.lastAck.AckedEnd {
+		w.lastAck = h
+	}
 	kept := w.ends[:0]
 	for _, end := range w.ends {
 		switch {
--- a/core/dispatch/soakrules_test.go
+++ b/core/dispatch/soakrules_test.go
@@ -17,6 +17,7 @@
 	"own lease end":       {admits: true, ownLeaseEnd: true},
 	"bad ticket extends":  {admits: true, badTicketExtends: true},
 	"stopped is closed":   {admits: true, stoppedIsClosed: true},
+	"acked end stays":     {ackedEndStays: true},
 	"hold awaits new end": {holdAwaitsNewEnd: true},
 	"new ids":             {newIDs: true},
 	"stops earlier runs":  {stopsEarlierRuns: true},
@@ -46,6 +47,18 @@
 	runRules(t, func(uint64) workerRules { return rules })
 }
 
+// TestSoakAckedEndStays guards against a later boot that hides the ends of its runs because of a hold for its
+// former boot, if an acknowledgement also covers ends that are still to come.
+func TestSoakAckedEndStays(t *testing.T) {
+	for _, seed := range []uint64{950002, 950005, 950006} {
+		s := newSimWith(seed, workerRules{ackedEndStays: true})
+		s.run()
+		for _, violation := range s.violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+}
+
 // runRules runs the seeds of TestSoak with workers that follow the rules for each seed.
 func runRules(t *testing.T, rules func(seed uint64) workerRules) {
 	t.Helper()
