core/dispatch: test that an end of an ended boot is not acknowledged before its commit

Fails on: bootEndCommitted drops the runs whose ends are proposed, and acknowledgeEnds looks only at the runs. The worker forgets the end before it is committed; a change of leader then loses it (rule TWICE).

--- /dev/null
+++ b/core/dispatch/acknowledgement_test.go
@@ -0,0 +1,51 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/dispatch"
+)
+
+// Guards against a done end that is acknowledged before its commit, because the end of its boot was committed
+// first; a change of leader would lose it (rule TWICE).
+func TestEndIsNotAcknowledgedBeforeItsCommitAfterTheEndOfItsBoot(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 1100)
+	var bootEnd dispatch.Effects
+	for deadline := b.now.Add(2 * workerLease); len(bootEnd.Proposals) == 0; {
+		if b.now.After(deadline) {
+			t.Fatal("the boot is not given up")
+		}
+		e := b.tick(10 * time.Millisecond)
+		if len(e.Proposals) == 1 && e.Proposals[0].Command.EndBoot != nil {
+			bootEnd.Proposals = e.Proposals
+			continue
+		}
+		b.commit(e)
+		b.answerHolds(dispatch.HoldReport{Outcome: dispatch.OutcomeNoAnswer})
+	}
+	answer := func() []dispatch.Hold {
+		for len(b.openHolds) == 0 {
+			b.tick(10 * time.Millisecond)
+		}
+		b.answerHolds(listDone(starts[0].Task)(dispatch.Hold{}))
+		e := b.tick(10 * time.Millisecond)
+		for _, p := range e.Proposals {
+			if p.Command.Decide == nil || len(p.Command.Decide.Ends) == 0 {
+				t.Fatalf("proposal %+v, want only ends", p.Command)
+			}
+		}
+		return e.Holds
+	}
+	answer() // the end is proposed and its commit is slow
+	holds := b.commit(bootEnd).Holds
+	for range 3 {
+		holds = append(holds, answer()...)
+	}
+	for _, h := range holds {
+		if h.AckedEnd > 0 {
+			t.Fatalf("end %d is acknowledged before its commit", h.AckedEnd)
+		}
+	}
+}
