core/dispatch: keep ends that are proposed when their boot ends

Cause: the end of a boot dropped all of its runs, with the proposed ends that were not committed yet. The next hold acknowledged them, and a change of leader could lose them after the worker had forgotten them.

Checked: TestEndIsNotAcknowledgedBeforeItsCommitAfterTheEndOfItsBoot fails without the change and passes with it.

--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -445,10 +445,15 @@
 	} else {
 		c.recordStartsOfEndedBoot(w)
 	}
-	for _, r := range w.runs {
+	runs := w.runs
+	w.runs = map[workload.TaskID]*run{}
+	for id, r := range runs {
 		w.reserved = w.reserved.Sub(r.reservedSize)
+		if r.endProposed {
+			// The end is acknowledged only after its commit.
+			w.runs[id] = &run{number: r.number, closedInState: true, endProposed: true}
+		}
 	}
-	w.runs = map[workload.TaskID]*run{}
 	c.raiseToken(w)
 	c.updateWorkerByID(endBoot.Worker)
 	c.updateJobsOf(closed)
