core/dispatch: count a failed end beside another proposed end of its run

Cause: such an end was dropped and acknowledged, so that a task could start after maxAttempts failed ends. A done end counted already.

Checked: TestFailedEndCountsBesideAnotherProposedEnd fails without the change and passes with it.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -278,8 +278,8 @@
 	case !r.endProposed:
 		c.updateHealth(w, end.Task, r, end.Result)
 		c.queueEnd(w, end.Task, r, end.Result, end.Checkpoint, 0)
-	case end.Result == workload.EndDone:
-		// Another end was proposed and is not committed yet. The done end counts once it is.
+	case end.Result == workload.EndDone || end.Result == workload.EndFailed:
+		// Another end was proposed and is not committed yet. This end counts once it is.
 		c.proposeLateEnd(w, end)
 	}
 }
