core/dispatch: acknowledge a full list of ends while a run is not listed

Cause: the end of a run that was started and ended since the last answer follows the 500 ends that are listed. It is listed only after those are acknowledged, and the acknowledgement waited for it. A start that was answered before the hold was sent was answered by the boot that answers the hold.

Checked: TestFullListOfEndsIsAcknowledgedWhileARunIsNotListed fails without the change and passes with it.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -79,7 +79,8 @@
 	}
 	w.holdBackoff = 0
 	c.reconcileRuns(w, report)
-	if len(report.Ends) < maxListedEnds {
+	w.endsListFull = len(report.Ends) >= maxListedEnds
+	if !w.endsListFull {
 		c.removeResolvedStarts(w)
 	}
 	// Ends that do not count need no commit.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -106,6 +106,7 @@
 	ackSent        uint64 // acknowledgement in the hold in flight
 	ackAnswered    uint64 // highest acknowledgement in a hold that was answered
 	lastHandledEnd uint64 // ends up to this number have been processed
+	endsListFull   bool   // the last answered hold may not have listed all ends
 	// proposedLateEnds are ends that were proposed while another run of the task is known here, or another
 	// end of the run was proposed.
 	proposedLateEnds map[workload.TaskID]lateEnd
@@ -382,7 +383,12 @@
 // since, neither as active nor as ended.
 func (w *worker) hasUnlistedStarts() bool {
 	for _, r := range w.runs {
-		if r.startInFlight || r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.endProposed {
+		if r.startInFlight {
+			return true
+		}
+		// The end of a run may follow a full list of ends. The known boot has answered its start then.
+		mayFollow := w.endsListFull && r.confirmedAt.Before(w.answeredHoldSentAt)
+		if r.openedThisTerm && r.confirmed && !r.listedByWorker && !r.endProposed && !mayFollow {
 			return true
 		}
 	}
