core/dispatch: start no task whose last failed end is listed and not committed yet

Cause: while the last failed end that the queue allows was being committed, an open later run of the task could still be started. It is withdrawn, as with a done end.

Checked: TestNoStartOnceTheLastAttemptIsKnownToHaveFailed fails without the change and passes with it.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -351,8 +351,11 @@
 }
 
 func (c *Core) proposeEnd(w *worker, id workload.TaskID, number workload.RunNumber, result workload.RunEnd, checkpoint string) {
-	if result == workload.EndDone {
+	switch result {
+	case workload.EndDone:
 		c.recordReportedDone(id)
+	case workload.EndFailed:
+		c.recordReportedFailure(id, number)
 	}
 	c.pendingEnds = append(c.pendingEnds, workload.EndedRun{Worker: w.ID, Boot: w.Boot, Task: id, Run: number, How: result, Checkpoint: checkpoint})
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -21,7 +21,9 @@
 type step struct {
 	proposed     []bool       // by task: a run has been proposed
 	reportedDone map[int]bool // tasks of which a done end was listed by a worker and is not committed yet
-	waitingTasks int          // number of tasks that are pending and not proposed
+	// reportedFailures are failed ends that were listed by a worker and are not committed yet.
+	reportedFailures map[failedRun]bool
+	waitingTasks     int // number of tasks that are pending and not proposed
 	// criticalPath is the longest chain of work from the start of this step to the end of the job.
 	criticalPath time.Duration
 
@@ -151,8 +153,11 @@
 			}
 			c.acknowledgeEnds(w)
 		}
-		if end.How == workload.EndDone {
+		switch end.How {
+		case workload.EndDone:
 			c.removeReportedDone(end.Task)
+		case workload.EndFailed:
+			c.removeReportedFailure(end.Task, end.Run)
 		}
 	}
 	for i, assign := range decide.Assigns {
