core/dispatch: count a done end whose worker has registered its next boot

Cause: the state drops ends of a boot that is not the present one. If the next boot was registered while the end of the former one was being committed, the task started again although the leader had read that it was done (TWICE).

Change: the end is proposed again for the present boot, for which the state counts it as the end of a closed run. The replicated state does not change.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -156,6 +156,7 @@
 		switch end.How {
 		case workload.EndDone:
 			c.removeReportedDone(end.Task)
+			c.repeatEndOfFormerBoot(end)
 		case workload.EndFailed:
 			c.removeReportedFailure(end.Task, end.Run)
 		}
@@ -170,6 +171,15 @@
 	}
 }
 
+// repeatEndOfFormerBoot proposes the done end of a boot again for the present one, if the registration of the
+// latter was committed first: the state drops the ends of other boots.
+func (c *Core) repeatEndOfFormerBoot(end workload.EndedRun) {
+	w := c.workers[end.Worker]
+	if w != nil && w.Boot != end.Boot && c.state.AcceptsLateEnd(end.Task, end.Worker, end.Run, end.How) {
+		c.proposeEnd(w, end.Task, end.Run, end.How, end.Checkpoint)
+	}
+}
+
 const stopReasonTaskDone = "task-done"
 
 // stopRunOfDoneTask stops the open run of a task that a closed run has done meanwhile, and of the rest of
