core/dispatch: extend the lease of a worker whose answers are read late

Cause: a late answer counted for its ends only. A worker that answered each hold, but whose answers were read after their timeout, stayed unresponsive; its lease was not extended and its work was lost.

Change: the lease is extended while late answers arrive.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -107,6 +107,7 @@
 		return
 	}
 	c.updateClock(w, report.Clock)
+	w.answeredLateAt = c.now
 	for _, end := range report.Ends {
 		c.handleEnd(w, end)
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -92,6 +92,7 @@
 	// lateAnswerUntil is until when an answer to an unanswered hold may arrive that was sent before the lease
 	// expired.
 	lateAnswerUntil time.Time
+	answeredLateAt  time.Time // when a late answer to a hold was last read
 
 	clockMillis int64 // the worker's clock, read at clockReadAt or earlier
 	clockReadAt time.Time
@@ -258,13 +259,20 @@
 	return d + time.Duration(int64(d)/(million-c.opts.ClockLagPPM)*c.opts.ClockLagPPM) + time.Millisecond
 }
 
-// extendLease returns the lease end to send: Lease after the lower bound of the worker's clock. The
-// lease of an unresponsive worker is not extended, so that it expires and the runs can be given up.
+// answersLate reports whether an unresponsive worker still answers holds, and this process reads the answers
+// after their timeout.
+func (c *Core) answersLate(w *worker) bool {
+	return !w.answeredLateAt.IsZero() && c.now.Sub(w.answeredLateAt) < maxHoldRetryDelay+c.opts.LateAnswerTime
+}
+
+// extendLease returns the lease end to send: Lease after the lower bound of the worker's clock. The lease of
+// an unresponsive worker is extended only while it answers late, so that it expires otherwise and the runs
+// can be given up.
 func (c *Core) extendLease(w *worker) int64 {
 	if !w.answeredThisTerm {
 		return 0
 	}
-	if w.unresponsive {
+	if w.unresponsive && !c.answersLate(w) {
 		return w.leaseUntil
 	}
 	w.leaseUntil = max(w.leaseUntil, c.minWorkerClock(w)+c.opts.Lease.Milliseconds())
@@ -272,11 +280,11 @@
 }
 
 // leaseOfHold returns the lease end to send with a hold. Only the first repetition of an unanswered
-// hold contains it, because for a later boot, whose clock starts anew, it would be far in the future
+// hold contains it, unless the worker answers late, because for a later boot, whose clock starts anew, it would be far in the future
 // and would extend the lease of runs that this leader does not know about. For the same reason a hold
 // has no lease end while the outcome of a start is open, unless the lease would soon expire.
 func (c *Core) leaseOfHold(w *worker) int64 {
-	if w.unresponsive && (w.holdBackoff > 0 || len(w.inDoubtTasks) > 0) {
+	if w.unresponsive && (w.holdBackoff > 0 && !c.answersLate(w) || len(w.inDoubtTasks) > 0) {
 		return 0
 	}
 	if (w.startsInFlight() || w.isStartUnresolved()) && w.acceptedLease-c.minWorkerClock(w) > minLeaseLeft.Milliseconds() {
