core/dispatch: suspend a leader in the exhaustive search

Cause: the search replaced a leader that transfers or is cut off, but not one whose clock stands still while the next leader works.

Change: a fourth way to replace the leader suspends it for 3 s, with its answers delivered when it resumes.

--- a/core/dispatch/smallcell_test.go
+++ b/core/dispatch/smallcell_test.go
@@ -30,6 +30,7 @@
 	secondTaskTime   = 300 * time.Millisecond // how much longer the second of two tasks takes
 	stopTime         = 300 * time.Millisecond
 	gangTimeout      = 3 * time.Second
+	suspensionTime   = 3 * time.Second // longer than the leader lease
 	cellHorizon      = 90 * time.Second
 	holdAnswerMargin = 600 * time.Millisecond // as in internal/dispatcher
 )
@@ -226,7 +227,7 @@
 	if l == nil || l.deposed || l.term > 1 {
 		return
 	}
-	choice := c.sequence.choose(c.now, "leader: ", "transfers, proposals lost", "transfers, proposals committed", "cut off until the end of its lease")
+	choice := c.sequence.choose(c.now, "leader: ", "transfers, proposals lost", "transfers, proposals committed", "cut off until the end of its lease", "suspended for 3 s")
 	if choice == 0 {
 		return
 	}
@@ -241,14 +242,20 @@
 			c.append(e) // the worker reports again
 		}
 	}
+	if choice <= 2 {
+		l.stopped = true
+		c.elect()
+		return
+	}
+	c.after(l.leaseEnd-c.now+time.Millisecond, c.elect)
 	if choice == 3 {
 		c.formerLeaders = append(c.formerLeaders, l)
 		c.after(l.leaseEnd-c.now, func() { l.stopped = true })
-		c.after(l.leaseEnd-c.now+time.Millisecond, c.elect)
 		return
 	}
-	l.stopped = true
-	c.elect()
+	l.suspended = true
+	suspendedAt := c.now
+	c.after(suspensionTime, func() { c.resume(l, suspendedAt) })
 }
 
 // chooseWorkerFault may end the boot of a worker before something happens on it.
