--- a/core/dispatch/acknowledgement_test.go
+++ b/core/dispatch/acknowledgement_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // Guards against a done end that is acknowledged before its commit, because the end of its boot was committed
@@ -49,3 +50,26 @@
 		}
 	}
 }
+
+// Guards against a done end that is acknowledged without being counted, because another end of the run was
+// proposed before its boot ended and is not committed yet (rule TWICE).
+func TestDoneEndCountsBesideAProposedEndAfterTheEndOfItsBoot(t *testing.T) {
+	b, starts := startTasks(t, oneTask)
+	b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeRefused, 0)
+	refused := b.tick(10 * time.Millisecond)
+	b.apply(workload.Command{EndBoot: &workload.EndBoot{Worker: "w", Boot: 1}})
+	b.answerHolds(listDone(starts[0].Task)(dispatch.Hold{}))
+	done := b.tick(100 * time.Millisecond)
+	after := b.commit(refused)
+	done.Proposals = append(done.Proposals, after.Proposals...)
+	b.commit(done)
+	b.apply(registerWorker("spare", 1))
+	b.runFor(2*maxCallDelay, workerStub{
+		hold: func(h dispatch.Hold) dispatch.HoldReport { return dispatch.HoldReport{Boot: h.Boot} },
+		observe: func(e dispatch.Effects) {
+			for _, s := range startsOf(e, starts[0].Task, 1) {
+				t.Fatalf("run %d starts on %s", s.Run, s.Worker)
+			}
+		},
+	})
+}
