core/dispatch: count an end beside another proposed end of a closed run

Cause: handleClosedRunEnd ignored each end of a run whose end is proposed. Since such runs are kept when their boot ends, that end can be another one.

Checked: TestDoneEndCountsBesideAProposedEndAfterTheEndOfItsBoot fails without the change and passes with it.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -294,11 +294,10 @@
 		c.recordUncountedEnd(w, end, "not-accepted")
 	}
 	switch {
-	case r != nil && r.number != end.Run:
+	case r != nil && (r.number != end.Run || r.endProposed):
 		if accepted {
 			c.proposeLateEnd(w, end)
 		}
-	case r != nil && r.endProposed:
 	case accepted:
 		if r == nil {
 			r = &run{number: end.Run, closedInState: true}
