--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -279,10 +279,10 @@
 	return w.leaseUntil
 }
 
-// leaseOfHold returns the lease end to send with a hold. Only the first repetition of an unanswered
-// hold contains it, unless the worker answers late, because for a later boot, whose clock starts anew, it would be far in the future
-// and would extend the lease of runs that this leader does not know about. For the same reason a hold
-// has no lease end while the outcome of a start is open, unless the lease would soon expire.
+// leaseOfHold returns the lease end to send with a hold. Unless the worker answers late, only the first
+// repetition of an unanswered hold contains it, because for a later boot, whose clock starts anew, it would
+// be far in the future and would extend the lease of runs that this leader does not know about. For the same
+// reason a hold has no lease end while the outcome of a start is open, unless the lease would soon expire.
 func (c *Core) leaseOfHold(w *worker) int64 {
 	if w.unresponsive && (w.holdBackoff > 0 && !c.answersLate(w) || len(w.inDoubtTasks) > 0) {
 		return 0
