--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -31,6 +31,7 @@
 	nextJobWake time.Time
 	// answerLossUntil is the time until which answers of workers are assumed to get lost.
 	answerLossUntil   time.Time
+	roundTrip         roundTrip // of the calls to all workers
 	inDoubtStarts     inDoubtStarts
 	nextInDoubtExpiry time.Time
 
@@ -87,8 +88,8 @@
 	c := &Core{
 		opts: opts, state: state, now: now, startedAt: now, planNeeded: true,
 		workers: map[workload.WorkerID]*worker{}, jobsByID: map[workload.JobID]*job{},
-		inDoubtStarts: inDoubtStarts{},
-		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{},
+		inDoubtStarts: inDoubtStarts{}, roundTrip: newFleetRoundTrip(),
+		proposals: map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{},
 	}
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
 	for _, w := range state.Workers() {
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.holdInFlight = false
+	c.callEnded(w, call, w.holdWait, report.Outcome)
 	switch {
 	case report.Outcome != OutcomeOK:
 	case report.Boot > w.Boot:
@@ -124,11 +125,22 @@
 			return
 		}
 	}
-	w.holdBackoff = min(max(2*w.holdBackoff, holdRetryDelay), maxHoldRetryDelay)
+	w.holdBackoff = min(max(2*w.holdBackoff, c.initialHoldDelay(w, outcome)), maxHoldRetryDelay)
 	w.nextHoldAt = c.now.Add(w.holdBackoff)
 	c.scheduleWake(w, w.nextHoldAt)
 }
 
+// initialHoldDelay returns the delay before a hold is sent again after an outcome, without back-off.
+func (c *Core) initialHoldDelay(w *worker, outcome Outcome) time.Duration {
+	switch outcome {
+	case OutcomeNoAnswer:
+		return callTimeout(w.roundTrip, c.roundTrip) / holdDelaysPerTimeout
+	case OutcomeUnhealthy:
+		return callTimeout(w.roundTrip, c.roundTrip)
+	}
+	return holdRetryDelay
+}
+
 // laterBootAnswered raises the token once for each later boot that has answered a hold, and calls that
 // boot with it. The boot then rejects the late calls for the former one, which it would carry out until
 // it has registered. Whether the former boot had accepted the last token stays known: it decides which
--- a/core/dispatch/leasecall.go
+++ b/core/dispatch/leasecall.go
@@ -121,6 +121,17 @@
 	return false
 }
 
+// countCallsInFlight returns the number of starts and stops without an answer yet.
+func (w *worker) countCallsInFlight() int {
+	count := 0
+	for _, r := range w.runs {
+		if r.callInFlight {
+			count++
+		}
+	}
+	return count
+}
+
 // isStartUnresolved reports whether a start to this boot has no answer, and the boot has not answered a
 // hold since that would list its run.
 func (w *worker) isStartUnresolved() bool { return !w.answeredHoldSentAt.After(w.startUnansweredAt) }
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -8,7 +8,8 @@
 
 // sendDueCall sends the start or the stop of a run that is due.
 func (c *Core) sendDueCall(w *worker, id workload.TaskID, r *run) {
-	if r.callInFlight || r.endProposed || r.stopAcked {
+	if r.callInFlight || r.endProposed || r.stopAcked || w.countCallsInFlight() >= c.callsInFlightLimit() {
+		// An answer wakes the worker.
 		return
 	}
 	if c.now.Before(r.nextCallAt) {
@@ -45,23 +46,40 @@
 		}
 		r.callInFlight, r.startInFlight = true, true
 		if r.startAttempts == 0 {
-			r.firstToken, r.giveUpStartAt = c.token(w), c.now.Add(maxStartWait)
+			r.firstToken, r.giveUpStartAt = c.token(w), c.now.Add(c.startWait(w, id))
 		}
 		r.startSentAt, r.startOutcome = c.now, OutcomeOK
 		r.startAttempts++
-		timeout := startTimeout
-		if r.startAttempts == 1 {
-			timeout = firstStartTimeout
-		}
 		lease := c.extendLease(w)
 		c.pendingEffects.Starts = append(c.pendingEffects.Starts, Start{
 			Call: c.callTo(w), Task: id, Run: r.number, LeaseUntil: lease, Payload: job.Spec.Payload,
-			Checkpoint: job.Steps[id.Step].Tasks[id.Index].Checkpoint, Ticket: r.ticket, Timeout: timeout,
+			Checkpoint: job.Steps[id.Step].Tasks[id.Index].Checkpoint, Ticket: r.ticket,
 		})
 		c.addLeaseStart(w, id, r, lease)
 	}
 }
 
+// callsInFlightLimit returns how many starts and stops to one worker may be on their way now.
+func (c *Core) callsInFlightLimit() int {
+	if c.now.Before(c.answerLossUntil) {
+		return maxCallsWhileLost
+	}
+	return maxCallsInFlight
+}
+
+// startWait returns how long a run that is to be started waits for the answer to a start.
+func (c *Core) startWait(w *worker, id workload.TaskID) time.Duration {
+	j := c.jobsByID[id.Job]
+	if j == nil {
+		return maxStartWait
+	}
+	ticket, advised := j.steps[id.Step].tickets[w.ID]
+	if !advised {
+		return maxStartWait
+	}
+	return min(max(ticket.expiresAt.Sub(c.now), minStartWait), maxStartWait)
+}
+
 // delayRepeatedStart delays the repetition of a start until the worker has answered any call since. If
 // the worker has started again, each further copy may extend the lease of a run that the first one begins
 // late.
@@ -70,8 +88,8 @@
 		c.giveUpStart(w, id, r)
 		return
 	}
-	r.nextCallAt = c.now.Add(callRetryDelay)
-	c.scheduleWake(w, r.nextCallAt)
+	// An answer wakes the worker before.
+	c.scheduleWake(w, r.giveUpStartAt)
 }
 
 // withdrawRun closes a run that must not start any more. If a start was sent already, the run is
@@ -90,8 +108,10 @@
 	if w == nil {
 		return
 	}
+	c.callEnded(w, start.Call, 0, outcome)
 	c.startEnded(w, start, outcome)
 	if outcome == OutcomeNoAnswer {
+		c.answerLossUntil = c.now.Add(answerLossPeriod)
 		w.startUnansweredAt = c.now
 		c.recordInDoubtStart(w, start.Task, start.Run, start.Token)
 		c.recordDecision(Decision{
@@ -117,10 +137,7 @@
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, start.Call)
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLeaseExpired:
-		r.nextCallAt = c.now.Add(callRetryDelay)
-		if r.startAttempts >= maxStartAttempts {
-			c.giveUpStart(w, start.Task, r)
-		}
+		c.retryStart(w, start, r, outcome)
 	case OutcomeRunClosed:
 		// The run has ended there, or will be reported as ended. If neither holds, the answer to
 		// the stop decides.
@@ -130,6 +147,22 @@
 	}
 }
 
+// retryStart schedules the repetition of a start, or gives the run up.
+func (c *Core) retryStart(w *worker, start Start, r *run, outcome Outcome) {
+	timedOut := outcome != OutcomeLeaseExpired && start.timedOut(c.now)
+	if outcome != OutcomeNoAnswer && !timedOut {
+		r.rejectedStarts++
+	}
+	if r.rejectedStarts >= maxRejectedStarts || !c.now.Before(r.giveUpStartAt) {
+		c.giveUpStart(w, start.Task, r)
+		return
+	}
+	r.nextCallAt = c.now
+	if !timedOut {
+		r.nextCallAt = c.now.Add(callRetryDelay)
+	}
+}
+
 // giveUpStart stops a run whose starts were not answered, and the rest of its gang.
 func (c *Core) giveUpStart(w *worker, id workload.TaskID, r *run) {
 	c.avoidWorker(w, "no-answer", unhealthyAvoidance)
@@ -171,6 +204,7 @@
 	if w == nil {
 		return
 	}
+	c.callEnded(w, stop.Call, 0, outcome)
 	r := w.runs[stop.Task]
 	if r == nil || r.number != stop.Run {
 		return
@@ -184,6 +218,10 @@
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, stop.Call)
 	default:
+		if w.clockReadAt.After(stop.SentAt) {
+			// Only this call was lost.
+			r.stopBackoff = 0
+		}
 		r.stopBackoff = min(max(2*r.stopBackoff, callRetryDelay), maxStopRetryDelay)
 		r.nextCallAt = c.now.Add(r.stopBackoff)
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -29,6 +29,10 @@
 	Boot    workload.Boot
 	Address string
 	Token   uint64
+	// Timeout is how long to wait for the answer. It includes the Wait of a hold.
+	Timeout time.Duration
+	// SentAt is when the core decided to send the call.
+	SentAt time.Time
 }
 
 // Hold extends the lease of a worker and long-polls for its runs and ends.
@@ -48,7 +52,6 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
-	Timeout    time.Duration
 }
 
 // Stop tells a worker to end a run, or to refuse the run if its start arrives later.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -10,25 +10,32 @@
 
 // Timeouts, delays and limits of calls to workers.
 const (
-	// holdRetryDelay is the initial delay after a failed hold. It is not shorter because each
-	// refused connection costs a new one.
-	holdRetryDelay    = 250 * time.Millisecond
-	maxHoldRetryDelay = time.Second
-	// callRetryDelay is the delay before an unanswered start or stop is sent again, after the call
-	// itself has timed out. For a stop the delay doubles up to maxStopRetryDelay, because a worker
-	// that is gone refuses every connection until its lease has expired.
+	// holdRetryDelay is the initial delay after a hold that was not accepted. It is not shorter because
+	// each refused connection costs a new one. After a hold without an answer the initial delay is a part
+	// of the timeout. Both double up to maxHoldRetryDelay.
+	holdRetryDelay       = 250 * time.Millisecond
+	maxHoldRetryDelay    = time.Second
+	holdDelaysPerTimeout = 4
+	// callRetryDelay is the delay before a stop without an answer is sent again, and before a start whose
+	// connection was refused or lost. A start that has timed out is sent again without a delay. For a stop
+	// to a worker that answers nothing the delay doubles up to maxStopRetryDelay, because a worker that is
+	// gone refuses every connection until its lease has expired.
 	callRetryDelay    = 50 * time.Millisecond
 	maxStopRetryDelay = time.Second
-	// maxStartAttempts is how often a start is sent before the run is given up.
-	maxStartAttempts = 3
-	// firstStartTimeout applies to the first attempt of a start, startTimeout to later ones. The
-	// round trip takes up to 16 ms and a busy worker answers within 100 ms. Later attempts wait
-	// longer, because the leader itself may be short of CPU time.
-	firstStartTimeout = 200 * time.Millisecond
-	startTimeout      = 400 * time.Millisecond
-	// maxStartWait is how long a run without an answered start waits before it is given up. It covers
-	// maxStartAttempts starts without an answer.
-	maxStartWait = firstStartTimeout + 2*startTimeout + 2*callRetryDelay
+	// maxRejectedStarts is how often a start is sent that the worker surely does not carry out, because
+	// it refuses the connection or its lease has expired, before the run is given up.
+	maxRejectedStarts = 3
+	// maxStartWait is how long a run without an answered start waits before it is given up. The other
+	// members of a gang wait for 3 s at least. With a ticket the wait ends with its validity, after which a
+	// repeated start begins nothing, but not before minStartWait, within which two holds can be answered.
+	maxStartWait = 2200 * time.Millisecond
+	minStartWait = 1100 * time.Millisecond
+	// maxCallsInFlight limits the starts and stops to one worker that are on their way at a time, and
+	// maxCallsWhileLost does so while answers get lost. Further ones would wait for a connection, behind
+	// calls that got lost, and that wait would count as a round trip. The platform's client opens four
+	// connections to a worker, of which a hold uses one.
+	maxCallsInFlight  = 6
+	maxCallsWhileLost = 3
 	// shortHoldWait limits how long a worker may delay the answer to a hold in three cases. While
 	// answers get lost, an end is received only with the next answer, after the wait and a timeout.
 	// Before the worker leaves, the progress of its runs decides whether they can stay. While it
@@ -68,7 +75,9 @@
 	bootEndProposed  bool // an EndBoot command has been proposed
 	holdInFlight     bool // a hold is in flight
 	nextHoldAt       time.Time
-	holdSentAt       time.Time // send time of the hold in flight
+	holdSentAt       time.Time     // send time of the hold in flight
+	holdWait         time.Duration // wait that the hold in flight requests
+	roundTrip        roundTrip
 	// tokenCount increases with each ended boot of this worker ID that this leader knows of, and with
 	// starts that are to be carried out before earlier calls. tokenAccepted is true after the worker has
 	// answered a call with bootToken, the first token after the last ended boot, or a higher one.
@@ -128,6 +137,7 @@
 	callInFlight   bool // a start or stop is in flight
 	startInFlight  bool // a start is in flight
 	startAttempts  int
+	rejectedStarts int
 	firstToken     uint64        // token of the first start
 	startSentAt    time.Time     // send time of the last start
 	startOutcome   Outcome       // outcome of the last start; OutcomeOK while it is in flight
@@ -159,7 +169,7 @@
 		return
 	}
 	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{},
-		proposedLateEnds: map[workload.TaskID]workload.RunNumber{}, nextHoldAt: c.now, speed: 1}
+		proposedLateEnds: map[workload.TaskID]workload.RunNumber{}, nextHoldAt: c.now, speed: 1, roundTrip: newWorkerRoundTrip()}
 	if existing != nil {
 		created.reserved, created.expectedUse = existing.reserved, existing.expectedUse
 		for _, r := range existing.runs {
@@ -258,9 +268,32 @@
 }
 
 func (c *Core) callTo(w *worker) Call {
-	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.token(w)}
+	return Call{Worker: w.ID, Boot: w.Boot, Address: w.Address, Token: c.token(w), Timeout: callTimeout(w.roundTrip, c.roundTrip), SentAt: c.now}
 }
 
+// callEnded updates the estimates of the round trip with the outcome of a call, in which the worker was
+// asked to wait.
+func (c *Core) callEnded(w *worker, call Call, wait time.Duration, outcome Outcome) {
+	elapsed := c.now.Sub(call.SentAt)
+	switch {
+	case outcome != OutcomeNoAnswer && outcome != OutcomeNotSent:
+		if elapsed < wait {
+			// An end came first. When it came is not known.
+			w.roundTrip.timeouts = 0
+			return
+		}
+		w.roundTrip.answered(elapsed - wait)
+		c.roundTrip.answered(elapsed - wait)
+	case call.timedOut(c.now):
+		w.roundTrip.timedOut(call.SentAt, c.now)
+		c.roundTrip.noticedLate(elapsed - call.Timeout)
+	}
+}
+
+// timedOut reports whether a call without an answer has ended with its timeout, and not earlier with a
+// connection that was refused or lost.
+func (call Call) timedOut(now time.Time) bool { return now.Sub(call.SentAt) >= call.Timeout }
+
 // processDueWorkers sends the calls that are due and gives up boots whose lease has expired.
 func (c *Core) processDueWorkers() {
 	for _, w := range c.dueWorkers() {
@@ -326,17 +359,23 @@
 	switch {
 	case !w.answeredThisTerm || w.unresponsive || w.isStartUnresolved():
 		wait = 0
-	case (c.now.Before(c.answerLossUntil) || !w.leavesAt.IsZero()) && len(w.runs) > 0, w.hasClosedRuns():
+	case c.now.Before(c.answerLossUntil), !w.leavesAt.IsZero() && len(w.runs) > 0, w.hasClosedRuns():
 		wait = min(wait, shortHoldWait)
 	}
 	w.holdInFlight = true
-	w.holdSentAt = c.now
+	w.holdSentAt, w.holdWait = c.now, wait
 	w.ackSent = w.ackToSend()
+	if w.unresponsive {
+		// The worker may carry out the holds without an answer late.
+		c.fenceLeaseCalls(w)
+	}
 	lease := c.leaseOfHold(w)
 	if lease > 0 {
 		c.addLeaseHold(w, lease)
 	}
-	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: c.callTo(w), LeaseUntil: lease, AckedEnd: w.ackSent, Wait: wait})
+	call := c.callTo(w)
+	call.Timeout += wait
+	c.pendingEffects.Holds = append(c.pendingEffects.Holds, Hold{Call: call, LeaseUntil: lease, AckedEnd: w.ackSent, Wait: wait})
 }
 
 // ackToSend returns the number up to which a hold lets the worker forget its ends. A hold without an
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -49,11 +49,6 @@
 }
 
 const (
-	// stopTimeout covers the longest round trip (16 ms) and the time a busy worker takes to answer
-	// (100 ms).
-	stopTimeout = 400 * time.Millisecond
-	// holdTimeoutMargin is the time a hold may take in addition to the wait that it requests.
-	holdTimeoutMargin = 600 * time.Millisecond
 	// resultQueueSize is the capacity of the channel of call results. When the channel is full, the
 	// calling goroutines block.
 	resultQueueSize = 1024
@@ -250,7 +245,7 @@
 
 func (l *eventLoop) sendHold(hold dispatch.Hold) {
 	workers := l.leasedWorkers()
-	l.runAsync(hold.Wait+holdTimeoutMargin, func(ctx context.Context) func(*dispatch.Core, time.Time) {
+	l.runAsync(hold.Timeout, func(ctx context.Context) func(*dispatch.Core, time.Time) {
 		report := workers.Hold(ctx, hold)
 		l.opts.Metrics.Add(metricCalls, "hold-"+report.Outcome.String(), 1)
 		return func(core *dispatch.Core, now time.Time) { core.HoldAnswered(now, hold.Call, report) }
@@ -270,7 +265,7 @@
 
 func (l *eventLoop) sendStop(stop dispatch.Stop) {
 	workers := l.leasedWorkers()
-	l.runAsync(stopTimeout, func(ctx context.Context) func(*dispatch.Core, time.Time) {
+	l.runAsync(stop.Timeout, func(ctx context.Context) func(*dispatch.Core, time.Time) {
 		sent := time.Now()
 		outcome, clock := workers.Stop(ctx, stop)
 		l.opts.Metrics.Add(metricCalls, "stop-"+outcome.String(), 1)
