--- a/core/dispatch/indoubtstart.go
+++ b/core/dispatch/indoubtstart.go
@@ -284,7 +284,8 @@
 }
 
 // placeableTasks returns the number of waiting tasks of a step that are neither blocked by in-doubt
-// starts nor known to be done. For a gang with such a task it is 0. The job is woken when a blocking start expires.
+// starts nor known to be done. For a gang with such a task it is 0. The job is woken when a blocking
+// start expires.
 func (c *Core) placeableTasks(r readyStep) int {
 	s := &r.job.steps[r.index]
 	if len(c.inDoubtStarts) == 0 && len(s.reportedDone) == 0 {
