--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -74,22 +74,21 @@
 // A leader whose clock has stood still must not begin runs beside the next leader, even if its lease
 // ends on its own clock only.
 func TestSoakLeaseOnOneClock(t *testing.T) {
-	for seed := *soakSeed; seed < *soakSeed+uint64(*soakRuns)/2; seed++ {
-		s := newSim(seed)
-		s.leaseOnOneClock = true
-		s.run()
-		for _, violation := range s.violations {
-			t.Errorf("seed %d: %s", seed, violation)
-		}
-	}
+	runVariant(t, func(s *sim) { s.leaseOnOneClock = true })
 }
 
 // Guards against a task that starts again after its done end was listed in an answer which the leader reads
 // after its timeout (rule TWICE).
 func TestSoakSlowLeader(t *testing.T) {
+	runVariant(t, func(s *sim) { s.slowLeader = true })
+}
+
+// runVariant runs half of the seeds of TestSoak with changed simulations.
+func runVariant(t *testing.T, change func(*sim)) {
+	t.Helper()
 	for seed := *soakSeed; seed < *soakSeed+uint64(*soakRuns)/2; seed++ {
 		s := newSim(seed)
-		s.slowLeader = true
+		change(s)
 		s.run()
 		for _, violation := range s.violations {
 			t.Errorf("seed %d: %s", seed, violation)
