--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -14,11 +14,11 @@
 	state     *workload.State
 	now       time.Time
 	startedAt time.Time
-	// leaderLease is the end of the leader lease. No call to a worker is sent after it.
 	// lateAnswersUntil is until when answers to holds are assumed to arrive after their timeout.
 	lateAnswersUntil time.Time
-	leaderLease      lease.Deadline
-	fenced           bool // a worker has seen a later leader
+	// leaderLease is the end of the leader lease. No call to a worker is sent after it.
+	leaderLease lease.Deadline
+	fenced      bool // a worker has seen a later leader
 
 	workers       map[workload.WorkerID]*worker
 	sortedWorkers []*worker // sorted by ID
@@ -32,7 +32,9 @@
 	// nextJobWake is a lower bound of the wake times of all jobs; zero if no job has one.
 	nextJobWake time.Time
 	// answerLossUntil is the time until which answers of workers are assumed to get lost.
-	answerLossUntil   time.Time
+	answerLossUntil time.Time
+	// socketsShortUntil is until when this process is assumed to have too few sockets.
+	socketsShortUntil time.Time
 	inDoubtStarts     inDoubtStarts
 	nextInDoubtExpiry time.Time
 
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -39,6 +39,10 @@
 		report.Outcome = OutcomeNoAnswer
 	}
 	c.holdEnded(w, call, report.Outcome)
+	if report.Outcome == OutcomeNoSocket {
+		c.holdHadNoSocket(w)
+		return
+	}
 	if report.Outcome != OutcomeOK {
 		c.holdFailed(w, call, report.Outcome)
 		if report.Outcome == OutcomeLaterBoot {
@@ -93,6 +97,8 @@
 	case w.ackedEnd != w.ackAnswered && w.hasUnlistedStarts():
 		// The worker answers at once while it lists ends.
 		w.nextHoldAt = c.now.Add(callRetryDelay)
+	case c.socketsShort():
+		w.nextHoldAt = c.now.Add(shortageHoldInterval)
 	}
 	c.planNeeded = c.planNeeded || len(report.Ends) > 0
 }
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -53,7 +53,10 @@
 		}
 		r.callInFlight, r.startInFlight = true, true
 		if r.startAttempts == 0 {
-			r.firstToken, r.giveUpStartAt = c.token(w), c.now.Add(maxStartWait)
+			r.firstToken = c.token(w)
+		}
+		if r.giveUpStartAt.IsZero() {
+			r.giveUpStartAt = c.now.Add(maxStartWait)
 		}
 		r.startSentAt, r.startOutcome = c.now, OutcomeOK
 		r.startAttempts++
@@ -124,6 +127,8 @@
 		c.handleFenced(w, start.Call)
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, start.Call)
+	case OutcomeNoSocket:
+		c.startHadNoSocket(w, start.Task, r)
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLeaseExpired:
 		r.nextCallAt = c.now.Add(callRetryDelay)
 		if r.startAttempts >= maxStartAttempts {
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -104,6 +104,7 @@
 	OutcomeBadTicket            // the ticket is missing or has expired
 	OutcomeUnhealthy            // the worker rejected the call because it is unhealthy
 	OutcomeRefused              // the worker did not accept the call
+	OutcomeNoSocket             // this process had no socket for the call, so it was not sent
 )
 
 // HoldReport is the answer to a Hold.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -360,7 +360,7 @@
 func (c *Core) sendHold(w *worker) {
 	wait := c.opts.HoldWait
 	switch {
-	case !w.answeredThisTerm || w.unresponsive || w.isStartUnresolved():
+	case !w.answeredThisTerm || w.unresponsive || w.isStartUnresolved(), c.socketsShort():
 		wait = 0
 	case (c.now.Before(c.answerLossUntil) || !w.leavesAt.IsZero()) && len(w.runs) > 0, w.hasClosedRuns():
 		wait = min(wait, shortHoldWait)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -14,12 +14,13 @@
 	"github.com/godwitlink/godwitlink/internal/replica"
 )
 
-// WorkerClient sends calls to workers. Each call returns when ctx ends at the latest. The returned
-// clock is the worker's clock in milliseconds, or 0 if the worker did not report it.
+// WorkerClient sends calls to workers. Each call returns when ctx ends at the latest. maySend is asked
+// again after each wait for a connection; once it is false, the call is not sent. The returned clock is the
+// worker's clock in milliseconds, or 0 if the worker did not report it.
 type WorkerClient interface {
-	Hold(ctx context.Context, hold dispatch.Hold) dispatch.HoldReport
-	Start(ctx context.Context, start dispatch.Start) (outcome dispatch.Outcome, clock int64)
-	Stop(ctx context.Context, stop dispatch.Stop) (outcome dispatch.Outcome, clock int64)
+	Hold(ctx context.Context, maySend func() bool, hold dispatch.Hold) dispatch.HoldReport
+	Start(ctx context.Context, maySend func() bool, start dispatch.Start) (outcome dispatch.Outcome, clock int64)
+	Stop(ctx context.Context, maySend func() bool, stop dispatch.Stop) (outcome dispatch.Outcome, clock int64)
 }
 
 // Adviser asks the adviser which workers may run a step. The call names its requester, the
--- a/internal/dispatcher/lateanswer_test.go
+++ b/internal/dispatcher/lateanswer_test.go
@@ -21,7 +21,7 @@
 	ended atomic.Int64 // holds that ended without an answer
 }
 
-func (c *slowClient) Hold(ctx context.Context, _ dispatch.Hold) dispatch.HoldReport {
+func (c *slowClient) Hold(ctx context.Context, _ func() bool, _ dispatch.Hold) dispatch.HoldReport {
 	select {
 	case <-time.After(c.after):
 		return dispatch.HoldReport{}
--- a/internal/dispatcher/leasedclient.go
+++ b/internal/dispatcher/leasedclient.go
@@ -22,23 +22,26 @@
 	return err != nil || c.leaderLease.Passed(time.Now()) || c.leaderLease.PassedOnBootClock(boot)
 }
 
+// isLeaseValid is passed to each call, which asks again once it has a connection.
+func (c leasedClient) isLeaseValid() bool { return !c.isLeaseOver() }
+
 func (c leasedClient) Hold(ctx context.Context, hold dispatch.Hold) dispatch.HoldReport {
 	if c.isLeaseOver() {
 		return dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent}
 	}
-	return c.workers.Hold(ctx, hold)
+	return c.workers.Hold(ctx, c.isLeaseValid, hold)
 }
 
 func (c leasedClient) Start(ctx context.Context, start dispatch.Start) (outcome dispatch.Outcome, clock int64) {
 	if c.isLeaseOver() {
 		return dispatch.OutcomeNotSent, 0
 	}
-	return c.workers.Start(ctx, start)
+	return c.workers.Start(ctx, c.isLeaseValid, start)
 }
 
 func (c leasedClient) Stop(ctx context.Context, stop dispatch.Stop) (outcome dispatch.Outcome, clock int64) {
 	if c.isLeaseOver() {
 		return dispatch.OutcomeNotSent, 0
 	}
-	return c.workers.Stop(ctx, stop)
+	return c.workers.Stop(ctx, c.isLeaseValid, stop)
 }
--- a/internal/dispatcher/suspension_test.go
+++ b/internal/dispatcher/suspension_test.go
@@ -15,17 +15,17 @@
 // countingClient counts the calls that are sent.
 type countingClient struct{ holds, starts, stops int }
 
-func (c *countingClient) Hold(context.Context, dispatch.Hold) dispatch.HoldReport {
+func (c *countingClient) Hold(context.Context, func() bool, dispatch.Hold) dispatch.HoldReport {
 	c.holds++
 	return dispatch.HoldReport{}
 }
 
-func (c *countingClient) Start(context.Context, dispatch.Start) (dispatch.Outcome, int64) {
+func (c *countingClient) Start(context.Context, func() bool, dispatch.Start) (dispatch.Outcome, int64) {
 	c.starts++
 	return dispatch.OutcomeOK, 0
 }
 
-func (c *countingClient) Stop(context.Context, dispatch.Stop) (dispatch.Outcome, int64) {
+func (c *countingClient) Stop(context.Context, func() bool, dispatch.Stop) (dispatch.Outcome, int64) {
 	c.stops++
 	return dispatch.OutcomeOK, 0
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -85,6 +85,11 @@
 	s.scope.Gauge(m.Name).Update(value)
 }
 
+// SetGaugeFor sets the value of a gauge that has the label reason.
+func (s *Set) SetGaugeFor(m Metric, reason string, value float64) {
+	s.scopeFor(reason).Gauge(m.Name).Update(value)
+}
+
 // Observe records a delay in a histogram.
 func (s *Set) Observe(m Metric, delay time.Duration) {
 	s.scope.Histogram(m.Name, delayBuckets).RecordDuration(delay)
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/diskio"
@@ -42,7 +43,7 @@
 // RunControl runs a control replica. The end of stop requests a planned stop; the end of kill stops
 // the replica immediately.
 func RunControl(stop, kill context.Context, s *ControlSettings, out io.Writer) error {
-	b, err := newBaseProcess(out, s.LogLevel, s.Name, s.MemoryMB)
+	b, err := newBaseProcess(out, s.LogLevel, s.Name, s.MemoryMB, s.OpenFiles)
 	if err != nil {
 		return err
 	}
@@ -52,14 +53,14 @@
 	if err != nil {
 		return err
 	}
-	client := newHTTPClient()
+	client := b.newHTTPClient()
 	updates := make(chan replica.WorkUpdate)
 	r, self, err := openReplica(b, dir, self, client, updates)
 	if err != nil {
 		return err
 	}
 	control := controlclient.New(controlAddresses(s), "http", client, b.metrics)
-	platformClient := platform.NewClient(s.Adviser, b.logger)
+	platformClient := platform.NewClient(s.Adviser, b.sockets, b.logger)
 	if err := b.serveControl(s, r, control, platformClient); err != nil {
 		r.Close()
 		return err
@@ -153,10 +154,10 @@
 	if err != nil {
 		return err
 	}
-	if err := b.serve(s.ListenInternal, internal); err != nil {
+	if err := b.serve(openfiles.UseProcesses, s.ListenInternal, internal); err != nil {
 		return err
 	}
-	if err := b.serve(s.ListenControl, external); err != nil {
+	if err := b.serve(openfiles.UseCallers, s.ListenControl, external); err != nil {
 		return err
 	}
 	return b.serveMetrics(s.ListenMetrics)
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
 	"github.com/godwitlink/godwitlink/internal/draining"
@@ -29,12 +30,12 @@
 // RunEntry runs an entry process. The end of stop requests a planned stop; the end of kill stops
 // the process immediately.
 func RunEntry(stop, kill context.Context, s *EntrySettings, out io.Writer) error {
-	b, err := newBaseProcess(out, s.LogLevel, s.Name, s.MemoryMB)
+	b, err := newBaseProcess(out, s.LogLevel, s.Name, s.MemoryMB, s.OpenFiles)
 	if err != nil {
 		return err
 	}
 	defer b.close()
-	client := newHTTPClient()
+	client := b.newHTTPClient()
 	control := controlclient.New(internalAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	jobs := workapi.NewJobService(workapi.JobServiceOptions{Control: control, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal})
 	e := &entry{baseProcess: b, jobs: jobs}
@@ -66,20 +67,20 @@
 
 func (e *entry) listen(s *EntrySettings) error {
 	internal := http.NewServeMux()
-	prefix, relay := dispatcher.NewRelayHandler(platform.NewClient(s.Adviser, e.logger))
+	prefix, relay := dispatcher.NewRelayHandler(platform.NewClient(s.Adviser, e.sockets, e.logger))
 	internal.Handle(prefix, relay)
-	if err := e.serve(s.ListenInternal, internal); err != nil {
+	if err := e.serve(openfiles.UseProcesses, s.ListenInternal, internal); err != nil {
 		return err
 	}
 	if err := e.serveMetrics(s.ListenMetrics); err != nil {
 		return err
 	}
 	var err error
-	e.clients, err = e.serveDraining(s.ListenClients, platform.NewClientHandler(e.jobs, e.logger), &e.drain)
+	e.clients, err = e.serveDraining(openfiles.UseCallers, s.ListenClients, platform.NewClientHandler(e.jobs, e.logger), &e.drain)
 	if err != nil {
 		return err
 	}
-	return e.serve(s.ListenReady, http.HandlerFunc(e.ready))
+	return e.serve(openfiles.UseProbes, s.ListenReady, http.HandlerFunc(e.ready))
 }
 
 func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/platformproc/group_test.go
+++ b/internal/platformproc/group_test.go
@@ -84,7 +84,7 @@
 		g.members = append(g.members, &testMember{log: &logBuffer{}, settings: &ControlSettings{
 			Common:        settings.Common{Name: fmt.Sprint("control-", i), Region: "r", FailureDomain: "z", LogLevel: "info"},
 			ListenControl: ip + ":7001", ListenInternal: ip + ":7002", ListenMetrics: ip + ":7003",
-			MemoryMB: 280, Bootstrap: true, TolerateReplicas: 1, DataDir: filepath.Join(dir, fmt.Sprint(i)), DiskMB: 128,
+			MemoryMB: 280, OpenFiles: 4096, Bootstrap: true, TolerateReplicas: 1, DataDir: filepath.Join(dir, fmt.Sprint(i)), DiskMB: 128,
 			WorkerLeaseMax: 6 * time.Second,
 		}})
 	}
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -18,9 +18,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/sockets"
 )
 
 // Log events.
@@ -41,6 +43,10 @@
 const (
 	// readHeaderTimeout closes connections that do not send a request.
 	readHeaderTimeout = 5 * time.Second
+	// serverIdleTimeout closes connections whose peers are gone or do not use them. It is longer than
+	// clientIdleTimeout, so that a process does not send a call on a connection that is being closed.
+	serverIdleTimeout = 30 * time.Second
+	clientIdleTimeout = 20 * time.Second
 	// logFlushTimeout limits how long the process waits at its end until the last log lines are
 	// written.
 	logFlushTimeout = 100 * time.Millisecond
@@ -50,6 +56,7 @@
 type baseProcess struct {
 	logger   *eventlog.Logger
 	metrics  *metrics.Set
+	sockets  *sockets.Budget
 	servers  []*draining.Server
 	failures chan error
 	tasks    sync.WaitGroup
@@ -66,7 +73,11 @@
 
 // newBaseProcess sets the memory limits and opens the log on out. The caller must call close at the
 // end.
-func newBaseProcess(out io.Writer, level, name string, memoryMB int64) (*baseProcess, error) {
+func newBaseProcess(out io.Writer, level, name string, memoryMB int64, openFiles int) (*baseProcess, error) {
+	division, err := openfiles.Divide(openFiles - filesOutsideDataFolder)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
 	debug.SetMemoryLimit(memoryMB << 20 * heapPercent / 100)
 	debug.SetGCPercent(heapGrowthPercent)
 	async := eventlog.NewAsyncWriter(out)
@@ -77,7 +88,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { async.Run(ctx, logger); close(done) }()
-	b := &baseProcess{logger: logger, metrics: metrics.New(), failures: make(chan error, 4)}
+	set := metrics.New()
+	b := &baseProcess{logger: logger, metrics: set, sockets: sockets.New(division, logger, set), failures: make(chan error, 4)}
 	b.closeLog = func() {
 		cancel()
 		select {
@@ -98,20 +110,21 @@
 }
 
 // serve opens a listener and serves handler on it.
-func (b *baseProcess) serve(address string, handler http.Handler) error {
-	_, err := b.serveDraining(address, handler, &draining.Flag{})
+func (b *baseProcess) serve(use openfiles.Use, address string, handler http.Handler) error {
+	_, err := b.serveDraining(use, address, handler, &draining.Flag{})
 	return err
 }
 
 // serveDraining opens a listener and serves handler on it. Once flag is set, each connection is
-// closed after its next response.
-func (b *baseProcess) serveDraining(address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
+// closed after its next response. The connections draw on the sockets of the given use.
+func (b *baseProcess) serveDraining(use openfiles.Use, address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
 	socket, err := draining.Listen(address)
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
-	server := draining.NewServer(socket, draining.Plain, &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(serverLogWriter{b.logger}, "", 0),
+	limit := func(l net.Listener) net.Listener { return b.sockets.Limit(use, l) }
+	server := draining.NewServer(socket, limit, &http.Server{
+		Handler: b.sockets.CloseWhenShort(use, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout, ErrorLog: log.New(serverLogWriter{b.logger}, "", 0),
 	}, flag)
 	b.servers = append(b.servers, server)
 	go func() {
@@ -136,7 +149,7 @@
 func (b *baseProcess) serveMetrics(address string) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", b.metrics)
-	return b.serve(address, mux)
+	return b.serve(openfiles.UseProbes, address, mux)
 }
 
 // logHangups logs SIGHUP until ctx ends. Without a handler the signal would end the process.
@@ -158,16 +171,17 @@
 
 // newHTTPClient returns the client for calls between processes. When a call times out, its
 // connection is closed, so that unresponsive connections are not reused.
-func newHTTPClient() *http.Client {
+func (b *baseProcess) newHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: internalConnectTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerAddress,
-		IdleConnTimeout: time.Minute, DisableCompression: true,
+		DialContext:         b.sockets.Dial(openfiles.UseCalls, internalConnectTimeout, dialer.DialContext),
+		MaxIdleConnsPerHost: maxIdleConnsPerAddress, IdleConnTimeout: clientIdleTimeout, DisableCompression: true,
 	}}
 }
 
 const (
 	// internalConnectTimeout detects an unreachable machine. The longest round trip takes 16 ms.
 	internalConnectTimeout = 300 * time.Millisecond
-	maxIdleConnsPerAddress = 64
+	// maxIdleConnsPerAddress allows for the concurrent calls of an entry process to the leader.
+	maxIdleConnsPerAddress = 8
 )
--- a/internal/platformproc/settings.go
+++ b/internal/platformproc/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/core/strictconf"
 	"github.com/godwitlink/godwitlink/internal/settings"
 )
@@ -18,9 +19,10 @@
 	ListenInternal string `toml:"listen_internal"` // for other processes of the system
 	ListenMetrics  string `toml:"listen_metrics"`
 
-	MemoryMB         int64         `toml:"memory_mb"` // memory limit of the process
-	Seeds            []string      `toml:"seeds"`     // addresses of some replicas; only the IP addresses are used
-	Bootstrap        bool          `toml:"bootstrap"` // true at the first start of the group
+	MemoryMB         int64         `toml:"memory_mb"`  // memory limit of the process
+	OpenFiles        int           `toml:"open_files"` // limit of open file descriptors of the process
+	Seeds            []string      `toml:"seeds"`      // addresses of some replicas; only the IP addresses are used
+	Bootstrap        bool          `toml:"bootstrap"`  // true at the first start of the group
 	TolerateReplicas int           `toml:"tolerate_replicas"`
 	DataDir          string        `toml:"data_dir"`
 	DiskMB           int64         `toml:"disk_mb"` // size of the disk
@@ -37,7 +39,8 @@
 	ListenInternal string `toml:"listen_internal"`
 	ListenMetrics  string `toml:"listen_metrics"`
 
-	MemoryMB  int64         `toml:"memory_mb"` // memory limit of the process
+	MemoryMB  int64         `toml:"memory_mb"`  // memory limit of the process
+	OpenFiles int           `toml:"open_files"` // limit of open file descriptors of the process
 	Seeds     []string      `toml:"seeds"`
 	Adviser   string        `toml:"adviser"`
 	StopGrace time.Duration `toml:"stop_grace"` // time from the start of a planned stop until the process is killed
@@ -52,6 +55,7 @@
 	faults = append(faults, settings.CheckNotEmpty("data_dir", s.DataDir)...)
 	faults = append(faults, checkSeeds(s.Seeds)...)
 	faults = append(faults, checkMemory(s.MemoryMB)...)
+	faults = append(faults, checkOpenFiles(s.OpenFiles)...)
 	if s.TolerateReplicas < 0 {
 		faults = append(faults, strictconf.Fault{Key: "tolerate_replicas", Problem: fmt.Sprintf("is %d", s.TolerateReplicas), Expected: "0 or more"})
 	}
@@ -70,6 +74,7 @@
 	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
 	faults = append(faults, checkSeeds(s.Seeds)...)
 	faults = append(faults, checkMemory(s.MemoryMB)...)
+	faults = append(faults, checkOpenFiles(s.OpenFiles)...)
 	if s.StopGrace <= 0 {
 		faults = append(faults, strictconf.Fault{Key: "stop_grace", Problem: fmt.Sprintf("is %v", s.StopGrace), Expected: "a duration above 0"})
 	}
@@ -86,6 +91,20 @@
 	return strictconf.Faults{{Key: "memory_mb", Problem: fmt.Sprintf("is %d", mb), Expected: fmt.Sprintf("at least %d", minMemoryMB)}}
 }
 
+// filesOutsideDataFolder is the number of descriptors that the platform sets aside for files outside the
+// data folder. Sockets and files of the data folder share the rest.
+const filesOutsideDataFolder = 200
+
+func checkOpenFiles(limit int) strictconf.Faults {
+	if _, err := openfiles.Divide(limit - filesOutsideDataFolder); err != nil {
+		return strictconf.Faults{{
+			Key: "open_files", Problem: fmt.Sprintf("is %d", limit),
+			Expected: fmt.Sprintf("at least %d, for the log, the listeners and the control group", openfiles.MinLimit+filesOutsideDataFolder),
+		}}
+	}
+	return nil
+}
+
 func checkSeeds(seeds []string) strictconf.Faults {
 	if len(seeds) == 0 {
 		return strictconf.Faults{{Key: "seeds", Problem: "is empty", Expected: "at least one address"}}
--- a/internal/platformproc/settings_test.go
+++ b/internal/platformproc/settings_test.go
@@ -16,7 +16,7 @@
 	"nodeName": "core-a-1", "region": "r", "zone": "a", "ip": "10.1.0.16", "bootstrap": "true", "dataDir": "/data/c",
 	"portRange.0": "7720", "portRange.1": "7735", "listen.controlPlane": "10.1.0.16:8166",
 	"listen.frontend": "10.1.0.16:8161", "listen.readiness": "10.1.0.16:8167", "advice": "10.200.1.9:8169",
-	"limits.diskMb": "128", "limits.memoryMb": "280", "faultTolerance.machines": "2", "bounds.holdMaxMs": "6000", "bounds.graceS": "6",
+	"limits.diskMb": "128", "limits.memoryMb": "280", "limits.maxFds": "4096", "faultTolerance.machines": "2", "bounds.holdMaxMs": "6000", "bounds.graceS": "6",
 }
 
 func render(t *testing.T, name string) string {
@@ -56,12 +56,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	faulty := strings.NewReplacer(`"10.2.0.33:8166"`, `"nowhere"`, "memory_mb = 280", "memory_mb = 1", `"6000ms"`, `"0s"`).Replace(string(text))
+	faulty := strings.NewReplacer(`"10.2.0.33:8166"`, `"nowhere"`, "memory_mb = 280", "memory_mb = 1", "open_files = 4096", "open_files = 343", `"6000ms"`, `"0s"`).Replace(string(text))
 	if err := os.WriteFile(path, []byte(faulty), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	err = settings.Load(path, &ControlSettings{})
-	for _, key := range []string{"seeds", "memory_mb", "worker_lease_max"} {
+	for _, key := range []string{"seeds", "memory_mb", "open_files", "at least 344", "worker_lease_max"} {
 		if err == nil || !strings.Contains(err.Error(), key) {
 			t.Errorf("%s is not among the reported faults: %v", key, err)
 		}
--- a/internal/storage/events.go
+++ b/internal/storage/events.go
@@ -16,6 +16,7 @@
 	eventSnapshotNotSaved = eventlog.Declare(1005, zapcore.WarnLevel, "snapshot not saved, the log is kept")
 	eventWriteFailed      = eventlog.Declare(1006, zapcore.ErrorLevel, "data folder cannot be written, the process ends")
 	eventRecoveryFailed   = eventlog.Declare(1007, zapcore.ErrorLevel, "data folder cannot be recovered")
+	eventDescriptorWait   = eventlog.Declare(1008, zapcore.ErrorLevel, "a file of the data folder cannot be opened for lack of a file descriptor, it is tried again")
 )
 
 var (
@@ -23,5 +24,6 @@
 	metricAppends      = metrics.Declare("storage_appends_total", metrics.KindCounter, "append requests that were synced")
 	metricSyncs        = metrics.Declare("storage_syncs_total", metrics.KindCounter, "syncs of the log")
 	metricWrittenBytes = metrics.Declare("storage_written_bytes_total", metrics.KindCounter, "bytes written to the log")
+	metricFileWaits    = metrics.Declare("storage_descriptor_waits_total", metrics.KindCounter, "file operations that waited for a file descriptor")
 	metricRefusals     = metrics.Declare("storage_refusals_total", metrics.KindCounter, "refused requests by reason")
 )
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -161,12 +161,13 @@
 				break
 			}
 			random := rand.New(rand.NewPCG(testSeed, seed))
-			store, recovered, err := Open(testOptions(disk.AfterPowerLoss(random)))
+			restarted := disk.AfterPowerLoss(random)
+			store, recovered, err := Open(testOptions(restarted))
 			if err != nil {
 				t.Fatalf("stop at %d, seed %d: %v", stopAt, seed, err)
 			}
 			checkAllowed(t, fmt.Sprintf("stop at %d, seed %d", stopAt, seed), recovered, before, pending)
-			checkAppendAfterRestart(t, store, recoveredModel(recovered))
+			checkAppendAfterRestart(t, restarted, store, recoveredModel(recovered))
 		}
 	}
 }
@@ -281,11 +282,11 @@
 
 // checkAppendAfterRestart appends to a recovered store, restarts it and checks
 // the recovered state.
-func checkAppendAfterRestart(t *testing.T, store *Store, state model) {
+func checkAppendAfterRestart(t *testing.T, disk *faultdisk.Disk, store *Store, state model) {
 	t.Helper()
 	state = appendNext(t, store, state)
 	store.Close()
-	checkRecovers(t, "after the restart", store.disk.(*faultdisk.Disk), state)
+	checkRecovers(t, "after the restart", disk, state)
 }
 
 // appendNext appends entries if the store has an identity and returns the
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -92,7 +92,11 @@
 // Open locks and recovers the folder. A damaged folder is not changed; the
 // error is then a *DamageError or ErrIncomplete.
 func Open(opts Options) (*Store, Recovered, error) {
-	disk := opts.Disk
+	disk := diskio.AwaitDescriptors(opts.Disk, func(err error) {
+		opts.Logger.Log(eventDescriptorWait, zap.Error(err))
+		opts.Metrics.Add(metricFileWaits, "", 1)
+	})
+	opts.Disk = disk
 	if err := disk.Lock(); err != nil {
 		return nil, Recovered{}, merry.Wrap(err)
 	}
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -146,6 +146,7 @@
 listen_internal = "%s:7002"
 listen_metrics = "%s:7003"
 memory_mb = 280
+open_files = 4096
 seeds = [` + strings.Join(seedAddresses, ", ") + `]
 adviser = %q
 `
