--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -53,9 +53,9 @@
 	if err != nil {
 		return err
 	}
-	client := b.newHTTPClient()
+	client := b.newHTTPClient(maxIdleConnsToLeader)
 	updates := make(chan replica.WorkUpdate)
-	r, self, err := openReplica(b, dir, self, client, updates)
+	r, self, err := openReplica(b, dir, self, b.newHTTPClient(maxIdleConnsToReplica), updates)
 	if err != nil {
 		return err
 	}
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	defer b.close()
-	client := b.newHTTPClient()
+	client := b.newHTTPClient(maxIdleConnsToLeader)
 	control := controlclient.New(internalAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	jobs := workapi.NewJobService(workapi.JobServiceOptions{Control: control, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal})
 	e := &entry{baseProcess: b, jobs: jobs}
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -171,7 +171,7 @@
 
 // newHTTPClient returns the client for calls between processes. When a call times out, its
 // connection is closed, so that unresponsive connections are not reused.
-func (b *baseProcess) newHTTPClient() *http.Client {
+func (b *baseProcess) newHTTPClient(maxIdleConnsPerAddress int) *http.Client {
 	dialer := &net.Dialer{Timeout: internalConnectTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         b.sockets.Dial(openfiles.UseCalls, internalConnectTimeout, dialer.DialContext),
@@ -182,6 +182,9 @@
 const (
 	// internalConnectTimeout detects an unreachable machine. The longest round trip takes 16 ms.
 	internalConnectTimeout = 300 * time.Millisecond
-	// maxIdleConnsPerAddress allows for the concurrent calls of an entry process to the leader.
-	maxIdleConnsPerAddress = 8
+	// maxIdleConnsToLeader is the number of connections that a process keeps to the leader, and the leader to
+	// each process that calls the adviser. It is low because the leader has them with every process.
+	maxIdleConnsToLeader = 2
+	// maxIdleConnsToReplica allows for the log messages that are on their way to a replica.
+	maxIdleConnsToReplica = 8
 )
--- a/internal/sockets/budget.go
+++ b/internal/sockets/budget.go
@@ -67,6 +67,9 @@
 // wait for a permit. All functions must be registered before the first connection is opened.
 func (b *Budget) OnShortage(reclaim func()) { b.reclaimers = append(b.reclaimers, reclaim) }
 
+// Plenty reports whether more than half of the permits that all uses share are free.
+func (b *Budget) Plenty() bool { return 2*len(b.shared) > cap(b.shared) }
+
 // Wanted reports whether a connection waits for a permit. The owner of a connection that becomes idle then
 // closes it.
 func (b *Budget) Wanted() bool { return b.waiting.Load() > 0 }
