--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -227,8 +227,8 @@
 		c.recordClosedRun(w, a)
 		c.recordInDoubtStart(w, a.Task, a.Run, 0)
 		closed := &run{number: a.Run, closedInState: true, confirmed: true, confirmedAt: c.now, stopRequested: true, stopReason: "closed-run"}
-		if job := c.state.Job(a.Task.Job); job != nil && a.Task.Step < len(job.Spec.Steps) {
-			closed.reservedSize = job.Spec.Steps[a.Task.Step].Size
+		if c.state.Task(a.Task) != nil {
+			closed.reservedSize = c.state.Job(a.Task.Job).Spec.Steps[a.Task.Step].Size
 		}
 		w.reserved = w.reserved.Add(closed.reservedSize)
 		w.runs[a.Task] = closed
