--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -134,8 +134,27 @@
 	return outcome
 }
 
+// maxTasksPerJob limits the memory that one job takes on every replica of the control group: about 80 bytes
+// for each task.
+const maxTasksPerJob = 20_000
+
+// isTooLarge reports whether a job has more tasks than any replica is to keep for one job.
+func isTooLarge(spec workload.JobSpec) bool {
+	tasks := 0
+	for _, step := range spec.Steps {
+		if step.Tasks > maxTasksPerJob {
+			return true
+		}
+		tasks += max(step.Tasks, 0)
+	}
+	return tasks > maxTasksPerJob
+}
+
 // Submit submits a job. OutcomeOK means that the job is stored on a quorum.
 func (s *JobService) Submit(ctx context.Context, route Route, id workload.JobID, spec workload.JobSpec) Outcome {
+	if isTooLarge(spec) {
+		return s.countOutcome("submit", OutcomeInvalid)
+	}
 	started := time.Now()
 	spec.Queue = route.Queue.Name
 	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}}}
--- a/internal/workapi/workapi_test.go
+++ b/internal/workapi/workapi_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
+	"github.com/godwitlink/godwitlink/internal/metrics"
 )
 
 // Guards against routing a request to a queue with a shorter prefix or to a queue of another host.
@@ -78,3 +80,20 @@
 		t.Errorf("a single replica directs reports to %q, want itself", got)
 	}
 }
+
+// Guards against a single job that uses up the memory of every replica of the control group.
+func TestJobWithTooManyTasksIsRejected(t *testing.T) {
+	service := NewJobService(JobServiceOptions{Metrics: metrics.New()})
+	for name, steps := range map[string][]workload.StepSpec{
+		"one step":  {{Tasks: maxTasksPerJob + 1}},
+		"all steps": {{Tasks: maxTasksPerJob}, {Tasks: -1}, {Tasks: 1}},
+		"overflow":  {{Tasks: math.MaxInt}, {Tasks: math.MaxInt}},
+	} {
+		if got := service.Submit(t.Context(), Route{}, "j", workload.JobSpec{Steps: steps}); got != OutcomeInvalid {
+			t.Errorf("%s: outcome %s, want %s", name, got, OutcomeInvalid)
+		}
+	}
+	if isTooLarge(workload.JobSpec{Steps: []workload.StepSpec{{Tasks: maxTasksPerJob}}}) {
+		t.Error("the largest job is rejected")
+	}
+}
