--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -171,6 +171,9 @@
 	s.ticketsExpireAt = now.Add(grant.TicketTTL)
 	s.maxTicketTTL = max(s.maxTicketTTL, grant.TicketTTL)
 	for worker, value := range grant.Tickets {
+		if at, known := slices.BinarySearch(s.grantedWorkers, worker); !known {
+			s.grantedWorkers = slices.Insert(s.grantedWorkers, at, worker)
+		}
 		s.tickets[worker] = ticket{value: value, expiresAt: s.ticketsExpireAt}
 	}
 }
@@ -334,12 +337,7 @@
 	if !c.mayRequestAdvice(r, s) {
 		return
 	}
-	granted := make([]*worker, 0, len(s.tickets))
-	for _, w := range c.usableWorkers {
-		if _, isGranted := s.tickets[w.ID]; isGranted {
-			granted = append(granted, w)
-		}
-	}
+	granted := slices.Clone(c.usableGranted(s))
 	slices.SortStableFunc(granted, func(a, b *worker) int { return cmp.Compare(b.freeInPlan.MilliCPU, a.freeInPlan.MilliCPU) })
 	named := make([]workload.WorkerID, 0, count)
 	for _, w := range granted[:min(len(granted), count)] {
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -10,20 +10,26 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
-// BenchmarkPlan measures one plan at the size of the enlarged sites: 350 workers that are nearly
-// full and steps that wait for free resources.
+// fleetSizes are the numbers of workers of the enlarged sites, of the large one, and of the size that it
+// names as its target.
+var fleetSizes = []int{350, 1_100, 6_500}
+
+// BenchmarkPlan measures one plan with workers that are nearly full and steps that wait for free
+// resources.
 func BenchmarkPlan(b *testing.B) {
-	for _, waiting := range []int{10, 100, 400} {
-		b.Run(fmt.Sprint(waiting, "waiting"), func(b *testing.B) { benchmarkPlan(b, waiting) })
+	for _, workers := range fleetSizes {
+		for _, waiting := range []int{10, 100, 400} {
+			b.Run(fmt.Sprint(workers, "workers/", waiting, "waiting"), func(b *testing.B) { benchmarkPlan(b, workers, waiting) })
+		}
 	}
 }
 
-func benchmarkPlan(b *testing.B, waiting int) {
+func benchmarkPlan(b *testing.B, workers, waiting int) {
 	state := workload.New()
 	apply := func(c workload.Command) { state.Apply(epoch, 0, c) }
 	apply(configureQueues(workload.Queue{Name: "q", Service: "shop", MaxAttempts: 1}))
-	for i := range 350 {
-		apply(registerWorker(workload.WorkerID(fmt.Sprintf("w%03d", i)), 1))
+	for i := range workers {
+		apply(registerWorker(workload.WorkerID(fmt.Sprintf("w%04d", i)), 1))
 	}
 	for i := range waiting {
 		step := workload.StepSpec{Tasks: 25, Size: workload.Resources{MilliCPU: 4001}, Gang: i%4 == 0}
@@ -48,29 +54,34 @@
 }
 
 // BenchmarkPlanBlockedGangs measures one plan with gangs that have named all workers and wait for
-// free resources.
+// free resources. Their number grows with the fleet, as the load does.
 func BenchmarkPlanBlockedGangs(b *testing.B) {
-	const workers, gangs = 350, 70
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprint(workers, "workers"), func(b *testing.B) { benchmarkPlanBlockedGangs(b, workers, workers/5) })
+	}
+}
+
+func benchmarkPlanBlockedGangs(b *testing.B, workers, gangs int) {
 	state := workload.New()
 	apply := func(c workload.Command) { state.Apply(epoch, 0, c) }
 	apply(configureQueues(workload.Queue{
 		Name: "q", Service: "shop", MaxAttempts: 1,
 		Advice: &workload.AdviserConfig{Base: 430 * time.Millisecond, PerWorker: 6 * time.Millisecond, TicketTTL: 1500 * time.Millisecond},
 	}))
-	id := func(i int) workload.WorkerID { return workload.WorkerID(fmt.Sprintf("w%03d", i)) }
+	id := func(i int) workload.WorkerID { return workload.WorkerID(fmt.Sprintf("w%04d", i)) }
 	for i := range workers {
 		apply(registerWorker(id(i), 1))
 	}
 	for i := range gangs {
-		// The gangs need more than all resources, so they stay blocked.
-		step := workload.StepSpec{Tasks: 200, Size: workload.Resources{MilliCPU: 3000}, Gang: true, Estimate: 5 * time.Second}
+		// The gangs need more than the resources that they are granted, so they stay blocked.
+		step := workload.StepSpec{Tasks: workers, Size: workload.Resources{MilliCPU: 3000}, Gang: true, Estimate: 5 * time.Second}
 		apply(submitJobTo("q", workload.JobID(fmt.Sprint("j", i)), step))
 	}
 	core := dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
 	now := epoch
 	tick := func() {
 		now = now.Add(20 * time.Millisecond)
-		for i := range 39 {
+		for i := range workers / 9 {
 			core.RequesterSeen(now, fmt.Sprint("requester", i))
 		}
 		core.SetLeaderLease(now, lease.DeadlineIn(now, time.Minute))
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -49,7 +49,9 @@
 	// grantedShare is, by queue, the mean share of the named workers that the adviser grants.
 	grantedShare map[string]float64
 
+	planNumber      uint64      // number of the current plan
 	usableWorkers   []*worker   // workers that can take runs in the current plan
+	grantedBuffer   []*worker   // reused by usableGranted
 	candidateBuffer []candidate // reused by candidates
 	fastBuffer      []candidate // reused by chooseWorkers
 	totalMilliCPU   int64       // total capacity of usableWorkers
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -31,7 +31,8 @@
 	// tickets that prove the permission expire.
 	adviceInFlight  uint64 // ID of the advice call in flight, or 0
 	tickets         map[workload.WorkerID]ticket
-	ticketsExpireAt time.Time // expiry of the most recently granted tickets
+	grantedWorkers  []workload.WorkerID // the workers with a ticket, valid or expired, sorted
+	ticketsExpireAt time.Time           // expiry of the most recently granted tickets
 	maxTicketTTL    time.Duration
 	// allNamedRegistrations is the value of Core.registrations when all workers had been named.
 	allNamedRegistrations int
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -26,6 +26,7 @@
 // beginPlan collects the workers that can take runs and their free resources.
 func (c *Core) beginPlan() {
 	c.usableWorkers = c.usableWorkers[:0]
+	c.planNumber++
 	c.totalMilliCPU, c.claimedMilliCPU = 0, 0
 	free := int64(0)
 	c.planRequesters, c.nextSlowAdviceAt = c.availableRequesters(), time.Time{}
@@ -33,7 +34,7 @@
 		if !c.acceptsRuns(w) {
 			continue
 		}
-		w.freeInPlan = c.freeResources(w)
+		w.freeInPlan, w.usableInPlan = c.freeResources(w), c.planNumber
 		c.usableWorkers = append(c.usableWorkers, w)
 		c.totalMilliCPU += w.Capacity.MilliCPU
 		free += w.freeInPlan.MilliCPU
@@ -177,10 +178,8 @@
 	}
 	c.scheduleJobWake(r.job, s.blockedSince.Add(furtherAdviceDelay))
 	slots := 0
-	for _, w := range c.usableWorkers {
-		if _, granted := s.tickets[w.ID]; granted {
-			slots += slotsFor(w.Capacity, spec)
-		}
+	for _, w := range c.usableGranted(s) {
+		slots += slotsFor(w.Capacity, spec)
 	}
 	return slots < slotsPerTask*spec.Tasks
 }
@@ -223,8 +222,8 @@
 		}
 	}
 	if !r.job.Spec.Steps[r.index].Gang && len(members) < s.waitingTasks {
-		for _, w := range c.usableWorkers {
-			if _, granted := s.tickets[w.ID]; granted && len(named) < maxNamedWorkers && !slices.Contains(named, w.ID) && !c.ticketValid(s, w.ID) {
+		for _, w := range c.usableGranted(s) {
+			if len(named) < maxNamedWorkers && !slices.Contains(named, w.ID) && !c.ticketValid(s, w.ID) {
 				named = append(named, w.ID)
 			}
 		}
@@ -242,6 +241,11 @@
 	return c.now.Add(startDeliveryMargin).Before(s.tickets[worker].expiresAt)
 }
 
+// ticketsValid reports whether any ticket of a step is still valid when a start arrives.
+func (c *Core) ticketsValid(s *step) bool {
+	return c.now.Add(startDeliveryMargin).Before(s.ticketsExpireAt)
+}
+
 // reserveMembers reserves the chosen workers for the step.
 func (c *Core) reserveMembers(r readyStep, s *step, spec *workload.StepSpec, members []workload.TaskAssignment) workload.Assign {
 	for _, m := range members {
@@ -358,6 +362,18 @@
 	return members
 }
 
+// usableGranted returns the workers that the adviser has granted to a step and that can take runs in the
+// current plan, sorted by ID. The list is valid until the next call.
+func (c *Core) usableGranted(s *step) []*worker {
+	c.grantedBuffer = c.grantedBuffer[:0]
+	for _, id := range s.grantedWorkers {
+		if w := c.workers[id]; w != nil && w.usableInPlan == c.planNumber {
+			c.grantedBuffer = append(c.grantedBuffer, w)
+		}
+	}
+	return c.grantedBuffer
+}
+
 // candidates lists the workers that may take tasks of a step: those with free resources for a task,
 // or also full ones if includeFull is set. The list is valid until the next call.
 func (c *Core) candidates(r readyStep, s *step, spec *workload.StepSpec, requireTickets, includeFull bool) []candidate {
@@ -365,14 +381,22 @@
 	list := c.candidateBuffer[:0]
 	excludeSuspects := c.excludesSuspects(s)
 	lastAttempt := excludeSuspects && r.lastAttempt(s)
-	for _, w := range c.usableWorkers {
+	workers := c.usableWorkers
+	if advised {
+		// The granted workers are few, and with many workers most of the time of a plan would pass here.
+		workers = c.usableGranted(s)
+	}
+	if requireTickets && !c.ticketsValid(s) {
+		workers = nil
+	}
+	for _, w := range workers {
 		if !includeFull && !spec.Size.Fits(w.freeInPlan) {
 			continue
 		}
 		if w.Service != r.job.Queue.Service || !fitsEmptyWorker(w, spec) || excludeSuspects && s.isSuspect(w, spec, lastAttempt) || (excludeSuspects || c.capacityScarce) && c.isAvoided(w) {
 			continue
 		}
-		if _, granted := s.tickets[w.ID]; advised && !granted || requireTickets && !c.ticketValid(s, w.ID) {
+		if requireTickets && !c.ticketValid(s, w.ID) {
 			continue
 		}
 		cand := candidate{worker: w, free: w.freeInPlan, slow: c.isSlow(w), oneRunOnly: w.onProbation() && (excludeSuspects || !spec.Gang), onPreferredRack: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -62,9 +62,10 @@
 	workload.Worker
 	// reserved is the sum of the reservations for proposals, for advice calls and for runs that are
 	// closed in the state.
-	reserved    workload.Resources
-	freeInPlan  workload.Resources // free resources that remain in the current plan
-	expectedUse workload.Resources // expected use by steps whose first advice call is in flight
+	reserved     workload.Resources
+	freeInPlan   workload.Resources // free resources that remain in the current plan
+	usableInPlan uint64             // number of the last plan in which the worker could take runs
+	expectedUse  workload.Resources // expected use by steps whose first advice call is in flight
 
 	answeredThisTerm bool // the worker has answered a hold in this term
 	unresponsive     bool // the last hold failed
