--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,7 @@
 		sentAt:   time.Now(),
 		inFlight: routing.UnknownInFlight,
 	}
+	a.connections.mayNotSend = c.granted.isExpired
 	ctx, cancel := c.dispatchContext()
 	defer cancel()
 	outcome, result := a.run(ctx)
--- a/internal/gateway/messages.go
+++ b/internal/gateway/messages.go
@@ -7,6 +7,7 @@
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/core/exchange"
+	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/membership"
 	"github.com/godwitlink/godwitlink/core/routing"
 	"github.com/godwitlink/godwitlink/core/state"
@@ -91,10 +92,15 @@
 type grant struct {
 	choice     routing.Choice
 	upstream   *upstream
+	at         time.Time // reading of the process's clocks
 	reason     exchange.Reason
 	retryAfter time.Duration
 }
 
+// isExpired reports whether a request must not be sent any more to the granted backend server. The process
+// may have been paused since, or its machine suspended.
+func (g grant) isExpired() bool { return lease.Elapsed(g.at, time.Now()) > maxGrantAge }
+
 // cancelRequest cancels a queued request because its caller has disconnected.
 type cancelRequest struct {
 	service cell.Service
--- a/internal/gateway/router_requests.go
+++ b/internal/gateway/router_requests.go
@@ -97,7 +97,7 @@
 	}
 	r.table.Started(now, choice)
 	delete(r.waiting, waiting.request.ID)
-	waiting.reply <- grant{choice: choice, upstream: r.upstreamOf(choice)}
+	waiting.reply <- grant{choice: choice, upstream: r.upstreamOf(choice), at: time.Now()}
 }
 
 func (r *router) refuse(queue *admission.Queue, refused admission.Refused) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -14,7 +14,10 @@
 )
 
 const (
-	dialTimeout          = time.Second
+	dialTimeout = time.Second
+	// maxGrantAge is how long after the grant of a backend server a request may be sent. The server may have
+	// announced its leave meanwhile. It covers a slow dial, but no pause of this process.
+	maxGrantAge          = dialTimeout + 500*time.Millisecond
 	upstreamIdleTimeout  = 30 * time.Second
 	maxAnswerHeaderBytes = 64 << 10
 )
@@ -93,11 +96,15 @@
 // connTrace records the connections that the transport used for one request.
 type connTrace struct {
 	uses []connUse
+	// mayNotSend reports whether the grant of the backend server is too old. Connections are then sealed
+	// before the request is written.
+	mayNotSend func() bool
 }
 
 type connUse struct {
 	conn         *countedConn
 	writesBefore uint64 // writes before this request
+	withheld     bool   // the connection was sealed before the request was written
 }
 
 // trace returns a context that records the connections of a RoundTrip. It needs no
@@ -106,18 +113,27 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*countedConn); ok {
-				t.uses = append(t.uses, connUse{conn: conn, writesBefore: conn.writes()})
+				use := connUse{conn: conn, writesBefore: conn.writes(), withheld: t.mayNotSend()}
+				if use.withheld {
+					conn.seal()
+				}
+				t.uses = append(t.uses, use)
 			}
 		},
 	})
 }
 
+// wasWritten reports whether any byte of the request may have been written. Later writes fail.
+func (u connUse) wasWritten() bool {
+	return u.conn.seal() != u.writesBefore && !u.withheld
+}
+
 // sentAgain reports whether http.Transport has sent the request more than once, which
 // it may do with idempotent requests on reused connections. A refusal by the backend
 // server then does not cover the earlier sends.
 func (t *connTrace) sentAgain() bool {
 	for i, use := range t.uses {
-		if i < len(t.uses)-1 && use.conn.seal() != use.writesBefore {
+		if i < len(t.uses)-1 && use.wasWritten() {
 			return true
 		}
 	}
@@ -128,9 +144,7 @@
 // any byte of the request may have been sent.
 func (t *connTrace) sealAndClose() (sent bool) {
 	for _, use := range t.uses {
-		if use.conn.seal() != use.writesBefore {
-			sent = true
-		}
+		sent = use.wasWritten() || sent
 		// The error is ignored, because the transport may have closed it already.
 		_ = use.conn.Close()
 	}
