test: processes under test get sessions of their own (TestWorkerPaused)

Cause: the processes were in the process group of the shell job that ran the tests. When that shell ends, the group is orphaned, and the kernel sends SIGHUP and SIGCONT to each of its processes if one of them is stopped. The paused worker has no handler and ended without a log line.

--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -57,8 +57,9 @@
 	}
 	p.cmd = exec.Command(filepath.Join(c.programDir, program), "run", "--settings", file)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	// The process must not outlive a test that is killed.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The process must not outlive a test that is killed. It has a session of its own: the kernel sends SIGHUP
+	// to the stopped processes of a process group whose shell ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setsid: true}
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -192,8 +192,9 @@
 	}
 	p.cmd = exec.Command(filepath.Join(s.programDir, p.program), "run", "--settings", file)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
-	// The process must not outlive a test that is killed.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// The process must not outlive a test that is killed. It has a session of its own: the kernel sends SIGHUP
+	// to the stopped processes of a process group whose shell ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setsid: true}
 	if err := p.cmd.Start(); err != nil {
 		s.t.Fatal(err)
 	}
