--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -52,7 +52,6 @@
 	// grantedShare is, by queue, the mean share of the named workers that the adviser grants.
 	grantedShare map[string]float64
 
-	nextOtherStep   int         // position among the less urgent steps from which the next plan examines some
 	planNumber      uint64      // number of the current plan
 	usableWorkers   []*worker   // workers that can take runs in the current plan
 	grantedBuffer   []*worker   // reused by usableGranted
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -63,7 +63,7 @@
 	c.beginPlan()
 	steps := c.readySteps()
 	c.nextPlanAt = c.now.Add(planInterval + time.Duration(min(len(steps), maxPlanDelaySteps))*planDelayPerStep)
-	for _, r := range c.stepsToExamine(steps) {
+	for _, r := range steps {
 		if len(decide.Assigns) >= maxAssignsPerPlan {
 			c.planNeeded = true
 			break
@@ -114,31 +114,6 @@
 	return all
 }
 
-// Limits of the steps that a plan examines. With a backlog of thousands of steps, for example after a time
-// without a leader, a plan of all of them would take longer than tickets are valid and leaders wait for a
-// heartbeat, and nothing would be placed any more.
-const (
-	// maxUrgentSteps is the number of steps that each plan examines in their order of urgency.
-	maxUrgentSteps = 300
-	// maxOtherSteps is the number of less urgent steps that each plan examines, in turn.
-	maxOtherSteps = 100
-)
-
-// stepsToExamine returns the steps that the current plan examines: the most urgent ones, and some of the
-// others. Each of the others is examined in one of a few successive plans.
-func (c *Core) stepsToExamine(steps []readyStep) []readyStep {
-	if len(steps) <= maxUrgentSteps+maxOtherSteps {
-		return steps
-	}
-	// The steps that were not examined may be placeable.
-	c.planNeeded = true
-	others := steps[maxUrgentSteps:]
-	first := c.nextOtherStep % len(others)
-	count := min(maxOtherSteps, len(others)-first)
-	c.nextOtherStep = first + count
-	return append(steps[:maxUrgentSteps], others[first:first+count]...)
-}
-
 // placeStep chooses workers for a step. If the step needs tickets and has none, it makes an advice
 // call first.
 func (c *Core) placeStep(r readyStep) (workload.Assign, bool) {
