--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -38,13 +38,10 @@
 	inDoubtStarts     inDoubtStarts
 	nextInDoubtExpiry time.Time
 
-	// proposalBackoff is the delay after the last rejected proposal, nextProposalAt its end.
-	proposalBackoff time.Duration
-	nextProposalAt  time.Time
-	lastProposalID  uint64
-	proposals       map[uint64]*proposal
-	pendingEnds     []workload.EndedRun // to be proposed with the next batch
-	begun           begunReports
+	lastProposalID uint64
+	proposals      map[uint64]*proposal
+	pendingEnds    []workload.EndedRun // to be proposed with the next batch
+	begun          begunReports
 
 	lastAdviceID uint64
 	adviceCalls  map[uint64]*adviceCall
@@ -174,9 +171,6 @@
 	c.expireAdviceCalls()
 	c.processDueJobs()
 	c.expireInDoubtStarts()
-	if c.proposalsDelayed() {
-		return
-	}
 	if c.planNeeded && !c.now.Before(c.nextPlanAt) {
 		c.planNeeded = false
 		c.plan()
@@ -209,20 +203,14 @@
 		consider(call.deadline)
 	}
 	consider(c.nextJobWake)
-	proposalDue := func(at time.Time) {
-		if at.Before(c.nextProposalAt) {
-			at = c.nextProposalAt
-		}
-		consider(at)
-	}
 	if c.planNeeded {
-		proposalDue(c.nextPlanAt)
+		consider(c.nextPlanAt)
 	}
 	if len(c.pendingEnds) > 0 {
-		proposalDue(c.nextEndsAt)
+		consider(c.nextEndsAt)
 	}
 	if len(c.begun.tasks) > 0 {
-		proposalDue(c.begun.dueAt)
+		consider(c.begun.dueAt)
 	}
 	return earliest
 }
@@ -250,7 +238,6 @@
 // ProposalCommitted reports that a proposal was committed and applied.
 func (c *Core) ProposalCommitted(now time.Time, id uint64) {
 	c.advanceClock(now)
-	c.proposalBackoff = 0
 	c.finishProposal(id)
 }
 
@@ -264,7 +251,6 @@
 	if p == nil {
 		return
 	}
-	c.backOffProposals()
 	c.planNeeded = true
 	c.pendingEnds = append(c.pendingEnds, p.ends...)
 	if decide := p.command.Decide; decide != nil {
