--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -203,3 +203,26 @@
 		t.Errorf("started %v, want the gang", started)
 	}
 }
+
+// Guards against plans whose time grows with the backlog, and against a step that is never examined because
+// a thousand more urgent ones cannot be placed.
+func TestLeastUrgentStepOfABacklogIsPlaced(t *testing.T) {
+	b := newTestbed(t, registerWorker("w", 1))
+	b.apply(configureQueues(
+		workload.Queue{Name: "urgent", Service: "shop", MaxAttempts: 1}, workload.Queue{Name: "batch", Service: "shop", MaxAttempts: 1, Priority: 1},
+	))
+	for i := range 1_000 {
+		b.apply(submitJobTo("urgent", workload.JobID(fmt.Sprint("large", i)), workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 5_000}}))
+	}
+	b.apply(submitJobTo("batch", "small", oneTask))
+	b.tick(0)
+	b.answerHolds(dispatch.HoldReport{})
+	for range 10 {
+		before := b.tick(100 * time.Millisecond)
+		after := b.commit(before)
+		if slices.ContainsFunc(append(before.Starts, after.Starts...), func(s dispatch.Start) bool { return s.Task.Job == "small" }) {
+			return
+		}
+	}
+	t.Error("the step that fits is not placed within ten plans")
+}
