--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -204,8 +204,7 @@
 	}
 }
 
-// Guards against plans whose time grows with the backlog, and against a step that is never examined because
-// a thousand more urgent ones cannot be placed.
+// Guards against a step that is never examined because a thousand more urgent ones cannot be placed.
 func TestLeastUrgentStepOfABacklogIsPlaced(t *testing.T) {
 	b := newTestbed(t, registerWorker("w", 1))
 	b.apply(configureQueues(
