--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -382,13 +382,13 @@
 	excludeSuspects := c.excludesSuspects(s)
 	lastAttempt := excludeSuspects && r.lastAttempt(s)
 	workers := c.usableWorkers
-	if advised {
+	switch {
+	case requireTickets && !c.ticketsValid(s):
+		workers = nil
+	case advised:
 		// The granted workers are few, and with many workers most of the time of a plan would pass here.
 		workers = c.usableGranted(s)
 	}
-	if requireTickets && !c.ticketsValid(s) {
-		workers = nil
-	}
 	for _, w := range workers {
 		if !includeFull && !spec.Size.Fits(w.freeInPlan) {
 			continue
