--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,7 @@
+#!/bin/bash
+# Many changes of a large configuration: see claim.txt.
+cd "$(dirname "$0")/../.." || exit 2
+REVIEW_CASE=review/1
+. review/lib.sh
+start_system
+play configs
