--- a/review/standins/load.go
+++ b/review/standins/load.go
@@ -19,7 +19,7 @@
 	// memoryLimitMB is limits.memoryMb of a core machine. The platform kills a process that uses more.
 	memoryLimitMB  = 280
 	memoryInterval = 10 * time.Millisecond
-	// A rule is broken if processes on maxCrashingMachines machines end this often.
+	// The rule is broken if the processes of minCrashedMachines machines end endsInADay times each.
 	endsInADay         = 3
 	minCrashedMachines = 2
 )
