review: case 3, a late start runs a task twice; former cases 3 and 4 are now 4 and 5

From the entry TestSoakLateCallsToAnUnnoticedBoot: a worker leaves two starts unanswered, is cut off, starts again behind the cut and carries the first of them out, while the task runs elsewhere.

--- a/review/standins/cell.go
+++ b/review/standins/cell.go
@@ -49,6 +49,7 @@
 	broken []string
 	notRun string
 	counts map[string]int
+	active map[string]map[string]uint64 // by task and worker: the run that is active there
 }
 
 func newCell(d deployment) (*cell, error) {
@@ -60,7 +61,7 @@
 		return &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}
 	}
 	return &cell{
-		deployment: d, started: time.Now(), record: record, jobs: map[string]*job{}, counts: map[string]int{},
+		deployment: d, started: time.Now(), record: record, jobs: map[string]*job{}, counts: map[string]int{}, active: map[string]map[string]uint64{},
 		reportClient: &http.Client{Transport: transport(), Timeout: callTimeout},
 		client:       &http.Client{Transport: transport()},
 	}, nil
@@ -275,6 +276,15 @@
 		c.counts["started after done"]++
 	}
 	r.endsAt = time.Now().Add(j.taskTime)
+	for other, run := range c.active[r.task] {
+		text := fmt.Sprintf("TWICE: run %d of %s begins on %s while run %d is active on %s", r.run, r.task, w.id, run, other)
+		c.log("BROKEN %s", text)
+		c.broken = append(c.broken, text)
+	}
+	if c.active[r.task] == nil {
+		c.active[r.task] = map[string]uint64{}
+	}
+	c.active[r.task][w.id] = r.run
 }
 
 // runEnded is called by a worker when a run has ended.
@@ -284,6 +294,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[how]++
+	delete(c.active[r.task], w.id)
 	if j := c.jobs[id]; j != nil && how == "done" {
 		if j.doneTasks == nil {
 			j.doneTasks = map[string]time.Time{}
--- a/review/standins/configs.go
+++ b/review/standins/configs.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// configsScenario changes the configuration many times while a client hands in small jobs. Without
+// configsScenario (review/1) changes the configuration many times while a client hands in small jobs. Without
 // trouble, the configuration has few routes.
 func configsScenario(c *cell) {
 	if !c.begin(4) {
--- a/review/standins/load.go
+++ b/review/standins/load.go
@@ -24,7 +24,7 @@
 	minCrashedMachines = 2
 )
 
-// loadScenario hands jobs in at the rate of the site, or with bursts, and kills a control process that
+// loadScenario (review/5) hands jobs in at the rate of the site, or with bursts, and kills a control process that
 // uses more memory than its machine has, as the platform does.
 func loadScenario(c *cell) {
 	if !c.begin(48) {
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -60,6 +60,7 @@
 
 // scenarios are the cases that scripts may run.
 var scenarios = map[string]func(*cell){
+	"late":    lateScenario,
 	"load":    loadScenario,
 	"configs": configsScenario,
 	"wipes":   wipesScenario,
--- a/review/standins/serves.go
+++ b/review/standins/serves.go
@@ -11,7 +11,7 @@
 // machine is back, and a generous addition.
 const serviceTimeout = 60 * time.Second
 
-// servesScenario hands the first configuration in, again and again as the operator does, and then one
+// servesScenario (review/4) hands the first configuration in, again and again as the operator does, and then one
 // job. The rule holds if the configuration is acknowledged and the job is done in time.
 func servesScenario(c *cell) {
 	if err := c.startWorkers(4); err != nil {
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -60,6 +61,14 @@
 	draining time.Time // when it began to drain; zero otherwise
 	drainFor time.Duration
 	acked    time.Time // when a draining report was acknowledged
+	// cut is set while no message passes between the worker and the system.
+	cut bool
+	// unansweredStarts of lateJob are kept and not answered. An order without an answer may be carried out
+	// seconds later.
+	lateJob          string
+	unansweredStarts []workerCall
+	// firstUnansweredAt is when the first of these starts arrived.
+	firstUnansweredAt time.Time
 }
 
 func newWorker(c *cell, i int) (*worker, error) {
@@ -142,6 +151,11 @@
 		return
 	}
 	w.mu.Lock()
+	if w.keepsBack(r.URL.Path, call) {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	wait := w.waitFor(r.URL.Path, call)
 	w.mu.Unlock()
 	if wait != nil {
@@ -153,6 +167,11 @@
 		}
 	}
 	w.mu.Lock()
+	if w.cut {
+		w.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	status, body := w.handle(r.URL.Path, call)
 	body["clockMs"], body["born"] = w.clock(), w.born.UnixMilli()
 	encoded, err := json.Marshal(body)
@@ -165,6 +184,31 @@
 	_, _ = rw.Write(encoded)
 }
 
+// keepsBack reports whether a call gets no answer.
+func (w *worker) keepsBack(path string, call workerCall) bool {
+	if w.cut {
+		return true
+	}
+	if path != "/godwitlink/run-start" || w.lateJob == "" || !strings.HasPrefix(call.Task, w.lateJob+".") {
+		return false
+	}
+	if len(w.unansweredStarts) == 0 {
+		w.firstUnansweredAt = time.Now()
+	}
+	w.unansweredStarts = append(w.unansweredStarts, call)
+	w.cell.log("%s leaves the start of run %d of %s unanswered, its token is %d", w.id, call.RunID, call.Task, call.FencingToken)
+	return true
+}
+
+// restart ends the worker and starts it again under its id. It then knows nothing of before.
+func (w *worker) restart() {
+	for _, r := range w.runs {
+		w.cell.runEnded(w, r, "crashed")
+	}
+	w.reset()
+	w.cell.log("%s has started again, born %d", w.id, w.born.UnixMilli())
+}
+
 // waitFor returns a channel if a hold has to wait for an end. The hold itself takes effect at once.
 func (w *worker) waitFor(path string, call workerCall) chan struct{} {
 	if path != "/godwitlink/hold" || call.WaitMs <= 0 || call.FencingToken < w.fence {
@@ -266,7 +310,12 @@
 			message["state"] = "draining"
 			message["drainRemainingMs"] = max(0, (w.drainFor - time.Since(w.draining)).Milliseconds())
 		}
+		cut := w.cut
 		w.mu.Unlock()
+		if cut {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		if address == "" {
 			address = w.cell.controlAddress(i)
 		}
