--- a/review/standins/late.go
+++ b/review/standins/late.go
@@ -22,7 +22,7 @@
 	placedTimeout = 20 * time.Second
 )
 
-// lateScenario: the worker that is to begin a job's only task leaves the starts unanswered. When the task
+// lateScenario (review/3): the worker that is to begin a job's only task leaves the starts unanswered. When the task
 // runs on another worker, the first one is cut off and starts again behind the cut, and the first of the
 // unanswered starts is carried out there.
 func lateScenario(c *cell) {
