--- a/review/lib.sh
+++ b/review/lib.sh
@@ -3,7 +3,6 @@
 set -u
 CONTROLS=${CONTROLS:-5}
 ENTRIES=${ENTRIES:-3}
-TROUBLE=${TROUBLE:-1}
 STANDINS=target/review-standins
 
 # fail_to_run ends the script: the case could not run.
@@ -63,8 +62,10 @@
   for ((i = 0; i < ENTRIES; i++)); do keep_running "entry-$i" target/godwit-platform-entry & done
 }
 
-# play plays a scenario and returns its status.
+# play plays a scenario, without its disruption if the second argument is 0, and returns its status.
 play() {
+  local trouble=true
+  [ "$2" = 0 ] && trouble=false
   "$STANDINS" "$1" --dir "$RUN_DIR" --net "$NETWORK" --controls "$CONTROLS" --spares "${SPARES:-0}" --entries "$ENTRIES" \
-    --record "$REVIEW_CASE/record.txt" --trouble="$([ "$TROUBLE" = 0 ] && echo false || echo true)"
+    --record "$REVIEW_CASE/record.txt" --trouble="$trouble"
 }
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -54,6 +54,7 @@
 		os.Exit(exitNotRun)
 	}
 	defer c.close()
+	c.log("scenario %s, with the disruption: %v", name, d.trouble)
 	run(c)
 	os.Exit(c.finish())
 }
