internal/storage: complete the durable part of a refused group

Cause: appends that wait are written as one record, up to 16 MiB. If the group did not fit into the log's limit, all of it was refused, the part that was durable already included, and the same group came again at the next attempt.

Change: an append that is durable is completed although a later one of its group is refused, and a record of a limited log takes at most an eighth of the limit. The number of the last durable append is not needed any more.

--- a/internal/storage/limit_test.go
+++ b/internal/storage/limit_test.go
@@ -35,3 +35,27 @@
 		t.Errorf("install of a snapshot: %v", err)
 	}
 }
+
+// Guards against a group that is larger than the rest of the log's limit and is refused as a whole at
+// every attempt, although a part of it fits.
+func TestGroupIsStoredAsFarAsItFits(t *testing.T) {
+	opts := testOptions(faultdisk.New())
+	opts.LimitBytes = 1000
+	store := openWithIdentity(t, opts)
+	var group []Request
+	for seq := uint64(1); seq <= 60; seq++ {
+		group = append(group, Append{Seq: seq, Entries: entries(seq, seq, 1)})
+	}
+	if err := store.handleGroup(group); err != nil {
+		t.Fatal(err)
+	}
+	stored := 0
+	for range group {
+		if (<-store.completions).Err == nil {
+			stored++
+		}
+	}
+	if stored == 0 || stored == len(group) {
+		t.Errorf("%d of %d appends stored, want a part", stored, len(group))
+	}
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -83,7 +83,11 @@
 	if err != nil && !isDiskFull(err) {
 		return merry.Wrap(ErrFailed, merry.WithCause(err))
 	}
-	s.completeAppends([]Append{request}, err)
+	durable := 1
+	if err != nil {
+		durable = 0
+	}
+	s.completeAppends([]Append{request}, durable, err)
 	return nil
 }
 
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -81,7 +81,6 @@
 	completions     chan Completion
 	wal             writer
 	nextSeq         uint64
-	durableSeq      uint64 // last durable append; it may have been refused with later ones
 	diskFull        bool
 	identity        *walcodec.Identity
 	snapshots       []string // file names, oldest first
@@ -282,35 +281,19 @@
 		return nil
 	}
 	started := time.Now()
+	durable := 0
 	err := s.markFormed(accepted)
 	if err == nil {
-		err = s.writePending(accepted)
+		durable, err = s.wal.write(accepted)
 	}
 	if err != nil && !isDiskFull(err) {
 		return merry.Wrap(ErrFailed, merry.WithCause(err))
 	}
 	s.opts.Metrics.Observe(metricSyncDelay, time.Since(started))
-	s.completeAppends(accepted, err)
+	s.completeAppends(accepted, durable, err)
 	return nil
 }
 
-// writePending writes the appends that are not durable yet. An append that was
-// refused together with later ones may already be durable, and the later ones
-// may have replaced its entries. Writing it again would leave a gap in the log.
-func (s *Store) writePending(appends []Append) error {
-	for len(appends) > 0 && appends[0].Seq <= s.durableSeq {
-		appends = appends[1:]
-	}
-	if len(appends) == 0 {
-		return nil
-	}
-	durable, err := s.wal.write(appends)
-	if durable > 0 {
-		s.durableSeq = appends[durable-1].Seq
-	}
-	return err
-}
-
 // acceptConsecutive returns the appends whose numbers continue the sequence and
 // refuses the rest, which follow a refused append.
 func (s *Store) acceptConsecutive(appends []Append) []Append {
@@ -323,21 +306,23 @@
 	return appends
 }
 
-func (s *Store) completeAppends(appends []Append, err error) {
-	if err != nil {
-		s.setDiskFull(true, err)
-		s.refuseAppends(appends)
-		return
-	}
-	s.setDiskFull(false, nil)
-	s.nextSeq += uint64(len(appends))
-	s.opts.Metrics.Add(metricAppends, "", int64(len(appends)))
-	for _, request := range appends {
+// completeAppends completes the first durable appends and, after an error, refuses the others. A
+// durable append must not be repeated: later ones may have replaced its entries, and only entries
+// that are known to be durable are committed and let a snapshot make room for the others.
+func (s *Store) completeAppends(appends []Append, durable int, err error) {
+	s.nextSeq += uint64(durable)
+	s.opts.Metrics.Add(metricAppends, "", int64(durable))
+	for _, request := range appends[:durable] {
 		s.completions <- Completion{Seq: request.Seq}
 	}
+	s.setDiskFull(err != nil, err)
+	s.refuseAppends(appends[durable:])
 }
 
 func (s *Store) refuseAppends(appends []Append) {
+	if len(appends) == 0 {
+		return
+	}
 	s.opts.Metrics.Add(metricRefusals, "disk-full", int64(len(appends)))
 	for _, request := range appends {
 		s.completions <- Completion{Seq: request.Seq, Err: ErrDiskFull}
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -17,6 +17,9 @@
 // this size.
 const maxBatchBytes = 16 << 20
 
+// minBatchesInLimit is the least number of full batches that fit into a limited log.
+const minBatchesInLimit = 8
+
 // noLimit disables the check of the log's size.
 const noLimit = 0
 
@@ -54,7 +57,7 @@
 // durable. If the disk is full the log is left as it was before the record that
 // did not fit.
 func (w *writer) write(group []Append) (durable int, err error) {
-	for _, batch := range groupIntoBatches(group, w.options.EntriesPerSync) {
+	for _, batch := range groupIntoBatches(group, w.maxBatchBytes(), w.options.EntriesPerSync) {
 		if err := w.writeBatch(batch.Batch); err != nil {
 			return durable, err
 		}
@@ -63,6 +66,15 @@
 	return durable, nil
 }
 
+// maxBatchBytes returns the size at which a batch takes no further entries. A group that is larger
+// than the rest of the limit is written as far as it fits.
+func (w *writer) maxBatchBytes() int {
+	if w.options.LimitBytes == noLimit {
+		return maxBatchBytes
+	}
+	return int(min(maxBatchBytes, w.options.LimitBytes/minBatchesInLimit))
+}
+
 // groupBatch is a batch and the number of appends of the group that are durable
 // once it is written.
 type groupBatch struct {
@@ -72,7 +84,7 @@
 
 // groupIntoBatches merges the appends of a group into as few batches as the limits
 // on size and number of entries allow.
-func groupIntoBatches(group []Append, maxEntries int) []groupBatch {
+func groupIntoBatches(group []Append, maxBytes, maxEntries int) []groupBatch {
 	var all []groupBatch
 	batch := walcodec.Batch{}
 	size := 0
@@ -81,7 +93,7 @@
 			batch.HardState = request.HardState
 		}
 		for _, entry := range request.Entries {
-			if size >= maxBatchBytes || (maxEntries > 0 && len(batch.Entries) >= maxEntries) {
+			if size >= maxBytes || (maxEntries > 0 && len(batch.Entries) >= maxEntries) {
 				all = append(all, groupBatch{batch, i})
 				batch, size = walcodec.Batch{}, 0
 			}
