--- a/internal/storage/limit_test.go
+++ b/internal/storage/limit_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -59,3 +60,31 @@
 		t.Errorf("%d of %d appends stored, want a part", stored, len(group))
 	}
 }
+
+// Guards against a log at its limit that cannot be cut, because the hard state that its snapshot needs
+// was refused with the entries behind it.
+func TestSnapshotOfARefusedTerm(t *testing.T) {
+	disk := faultdisk.New()
+	opts := testOptions(disk)
+	opts.LimitBytes = 1000
+	store := openWithIdentity(t, opts)
+	seq := uint64(1)
+	for ; ; seq++ {
+		if err := handleAndComplete(t, store, Append{Seq: seq, HardState: &replog.HardState{Term: 1}, Entries: entries(seq, seq, 1)}); err != nil {
+			break
+		}
+	}
+	refused := Append{Seq: seq, HardState: &replog.HardState{Term: 2, Vote: 2}, Entries: entries(seq, seq, 2)}
+	if err := handleAndComplete(t, store, refused); !errors.Is(err, ErrDiskFull) {
+		t.Fatalf("append of the new term: %v, want ErrDiskFull", err)
+	}
+	if err := handleAndComplete(t, store, SaveSnapshot{*snapshotAt(seq, 2)}); err != nil {
+		t.Fatalf("snapshot of the new term: %v", err)
+	}
+	if _, recovered, err := Open(testOptions(disk.AfterKill())); err != nil || checkReplicaStarts(recovered) != nil {
+		t.Errorf("recovered %+v, error %v, start %v", recovered.HardState, err, checkReplicaStarts(recovered))
+	}
+	if err := handleAndComplete(t, store, refused); err != nil {
+		t.Errorf("repeated append: %v", err)
+	}
+}
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -21,20 +21,37 @@
 // handleSaveSnapshot starts saving a snapshot of the replica's own state. A
 // goroutine writes it concurrently with the log, because appends must not wait
 // for it. A snapshot with a later term than the stored hard state is refused,
-// because a replica cannot start with it. This happens when the append with
-// that term was refused by a full disk.
-func (s *Store) handleSaveSnapshot(snapshot replog.Snapshot) {
+// because a replica cannot start with it.
+func (s *Store) handleSaveSnapshot(snapshot replog.Snapshot) error {
+	if s.savingSnapshot {
+		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrBusy}
+		return nil
+	}
+	if err := s.writeRefusedState(snapshot.Term); err != nil {
+		return err
+	}
 	if snapshot.Term > s.wal.hardState.Term {
 		s.opts.Metrics.Add(metricRefusals, "snapshot-disk-full", 1)
 		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrDiskFull}
-		return
-	}
-	if s.savingSnapshot {
-		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrBusy}
-		return
+		return nil
 	}
 	s.savingSnapshot = true
 	go func() { s.snapshotResults <- snapshotResult{index: snapshot.Index, err: s.writeSnapshot(snapshot)} }()
+	return nil
+}
+
+// writeRefusedState writes the hard state of the refused appends, whatever the size of
+// the log, if a snapshot of the given term needs it. A log at its limit could not be cut
+// otherwise after a change of the term.
+func (s *Store) writeRefusedState(term uint64) error {
+	if s.refusedState == nil || term <= s.wal.hardState.Term {
+		return nil
+	}
+	err := s.wal.writeBatchWithLimit(noLimit, walcodec.Batch{HardState: s.refusedState})
+	if err != nil && !isDiskFull(err) {
+		return merry.Wrap(ErrFailed, merry.WithCause(err))
+	}
+	return nil
 }
 
 // completeSnapshot removes the files that a saved snapshot covers. If the disk is
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -82,6 +82,7 @@
 	wal             writer
 	nextSeq         uint64
 	diskFull        bool
+	refusedState    *replog.HardState // newest hard state of the refused appends; nil if none
 	identity        *walcodec.Identity
 	snapshots       []string // file names, oldest first
 	savingSnapshot  bool     // a goroutine is writing a snapshot
@@ -253,7 +254,9 @@
 				return err
 			}
 			appends = nil
-			s.handleSaveSnapshot(request.Snapshot)
+			if err := s.handleSaveSnapshot(request.Snapshot); err != nil {
+				return err
+			}
 		case CreateIdentity:
 			if err := s.handleCreateIdentity(request); err != nil {
 				return err
@@ -316,6 +319,9 @@
 		s.completions <- Completion{Seq: request.Seq}
 	}
 	s.setDiskFull(err != nil, err)
+	if err == nil {
+		s.refusedState = nil
+	}
 	s.refuseAppends(appends[durable:])
 }
 
@@ -325,6 +331,9 @@
 	}
 	s.opts.Metrics.Add(metricRefusals, "disk-full", int64(len(appends)))
 	for _, request := range appends {
+		if hard := request.HardState; hard != nil && (s.refusedState == nil || hard.Term >= s.refusedState.Term) {
+			s.refusedState = hard
+		}
 		s.completions <- Completion{Seq: request.Seq, Err: ErrDiskFull}
 	}
 }
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -119,6 +119,10 @@
 	if w.pendingReset != nil && batch.Reset == nil {
 		batch.Reset = w.pendingReset
 	}
+	if batch.HardState != nil && batch.HardState.Term < w.hardState.Term {
+		// A repeated append: writeRefusedState has stored a later hard state.
+		batch.HardState = &w.hardState
+	}
 	w.payload = walcodec.AppendBatch(w.payload[:0], batch)
 	w.record = walcodec.AppendRecord(w.record[:0], w.salt, w.activeInfo.size, w.payload)
 	if err := w.appendRecord(limit); err != nil {
