--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -95,6 +95,10 @@
 		complete(proposeResult{}, ErrDiskFull)
 		return
 	}
+	if t.disk.logFull {
+		complete(proposeResult{}, ErrLogFull)
+		return
+	}
 	index, term, err := t.core.Propose(now, [][]byte{encoded})
 	if err != nil {
 		complete(proposeResult{}, t.convertLogError(err))
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -20,6 +20,8 @@
 	outstanding int       // submitted requests without a completion
 	full        bool      // the disk refused an append; new commands are refused
 	retryAt     time.Time // when to repeat the refused appends; zero if none is scheduled
+	logBytes    int64     // stored size of the log
+	logFull     bool      // the log is so large that new commands are refused
 }
 
 // unsyncedAppend is an append that is not synced, with the messages to send after its sync.
@@ -106,9 +108,10 @@
 	t.inbox.completions = nil
 	for _, c := range completions {
 		t.disk.outstanding--
+		t.disk.logBytes = c.LogBytes
 		switch {
 		case c.Snapshot != 0:
-			t.snapshotSaved(c)
+			t.snapshotSaved(now, c)
 		case c.Err != nil:
 			t.setDiskFull(true)
 		default:
@@ -118,6 +121,21 @@
 	if t.disk.full && t.disk.outstanding == 0 && t.disk.retryAt.IsZero() {
 		t.disk.retryAt = now.Add(diskRetryInterval)
 	}
+	t.setLogFull(refusesCommands(t.disk.logBytes, t.opts.Storage.LimitBytes))
+}
+
+// setLogFull records whether the log is too large for new commands.
+func (t *task) setLogFull(full bool) {
+	if full == t.disk.logFull {
+		return
+	}
+	t.disk.logFull = full
+	event := eventLogHasRoom
+	if full {
+		event = eventLogFull
+	}
+	t.opts.Logger.Log(event, zap.Int64("bytes", t.disk.logBytes), zap.Int64("limit", t.opts.Storage.LimitBytes),
+		zap.Uint64("applied", t.applied), zap.Uint64("last_snapshot", t.snapshots.lastIndex), zap.Bool("snapshot_in_progress", t.snapshots.inProgress))
 }
 
 // appendSynced handles the completion of the oldest append. Appends complete in order.
@@ -162,36 +180,45 @@
 	ready      *encodedSnapshot
 	inProgress bool
 	saving     replog.Snapshot // submitted to the storage task
-	lastIndex  uint64          // index of the last snapshot that was taken or installed
-	// phase delays the first snapshot after a start by a different number of entries on each
-	// replica. Copying the state blocks the replica task; commits continue as long as only one
-	// replica does so at a time.
-	phase uint64
+	lastIndex  uint64          // index of the last snapshot that was saved or installed
+	notBefore  time.Time       // when the next snapshot may be taken after one that failed
+	// policy is staggered between the replicas for the first snapshot after a start. Copying the
+	// state blocks the replica task; commits continue as long as only one replica does so at a time.
+	policy replog.SnapshotPolicy
 }
 
 // snapshotPhases is the number of different phases. It allows for 5 replicas.
 const snapshotPhases = 5
 
-func snapshotPhase(opts Options) uint64 {
-	return opts.SnapshotEveryEntries * (uint64(opts.ID) % snapshotPhases) / snapshotPhases
+func snapshotPolicy(opts Options) replog.SnapshotPolicy {
+	bytes := int64(maxLogBytesBySnapshot)
+	if limit := opts.Storage.LimitBytes; limit > 0 {
+		bytes = min(bytes, limit*snapshotLogPercent/100)
+	}
+	return replog.SnapshotPolicy{Entries: opts.SnapshotEveryEntries, LogBytes: bytes}
+}
+
+// refusesCommands reports whether a log of this size takes no new commands. The rest of the limit is
+// for the entries that the group has accepted already, and for votes and terms: without them the log
+// could be neither committed nor cut.
+func refusesCommands(logBytes, limit int64) bool {
+	return limit > 0 && logBytes >= limit*refuseLogPercent/100
 }
 
-// takeSnapshot starts a snapshot if enough entries were applied since the last one, and submits an
-// encoded snapshot to the storage task.
-func (t *task) takeSnapshot() {
+// takeSnapshot starts a snapshot if one is due, and submits an encoded snapshot to the storage task.
+func (t *task) takeSnapshot(now time.Time) {
 	if ready := t.snapshots.ready; ready != nil {
 		t.snapshots.ready = nil
-		t.saveSnapshot(*ready)
+		t.saveSnapshot(now, *ready)
 	}
-	due := t.snapshots.lastIndex + t.opts.SnapshotEveryEntries + t.snapshots.phase
-	if t.snapshots.inProgress || t.disk.full || t.applied < due {
+	use := replog.LogUse{Applied: t.applied, LastSnapshot: t.snapshots.lastIndex, Bytes: t.disk.logBytes, Refused: t.disk.full}
+	if t.snapshots.inProgress || now.Before(t.snapshots.notBefore) || !t.snapshots.policy.Due(use) {
 		return
 	}
-	t.snapshots.phase = 0
+	t.snapshots.policy = snapshotPolicy(t.opts)
 	snapshot, err := t.core.SnapshotAt(t.applied)
 	if err != nil {
-		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(err))
-		t.snapshots.lastIndex = t.applied // retried after the same number of entries
+		t.snapshotFailed(now, err)
 		return
 	}
 	if len(snapshot.Membership.Voters) == 0 {
@@ -200,7 +227,6 @@
 		return
 	}
 	t.snapshots.inProgress = true
-	t.snapshots.lastIndex = t.applied
 	content := t.state.Snapshot()
 	// Encoding would block the task for longer than heartbeats may be delayed.
 	go func() {
@@ -210,14 +236,13 @@
 	}()
 }
 
-func (t *task) saveSnapshot(encoded encodedSnapshot) {
+func (t *task) saveSnapshot(now time.Time, encoded encodedSnapshot) {
 	if encoded.err != nil {
-		t.snapshots.inProgress = false
-		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(encoded.err))
+		t.snapshotFailed(now, encoded.err)
 		return
 	}
-	if t.disk.full || encoded.snapshot.Index < t.snapshots.lastIndex {
-		// A newer snapshot was installed meanwhile, or the disk is full.
+	if encoded.snapshot.Index < t.snapshots.lastIndex {
+		// A newer snapshot was installed meanwhile.
 		t.snapshots.inProgress = false
 		return
 	}
@@ -225,16 +250,31 @@
 	t.submit(storage.SaveSnapshot{Snapshot: encoded.snapshot})
 }
 
-func (t *task) snapshotSaved(c storage.Completion) {
+func (t *task) snapshotFailed(now time.Time, err error) {
 	t.snapshots.inProgress = false
+	t.snapshots.notBefore = now.Add(snapshotRetryInterval)
+	t.opts.Metrics.Add(metricRetries, "snapshot", 1)
+	t.opts.Logger.Log(eventSnapshotFailed, zap.Error(err), zap.Int64("log_bytes", t.disk.logBytes))
+}
+
+func (t *task) snapshotSaved(now time.Time, c storage.Completion) {
+	saved := t.snapshots.saving
+	t.snapshots.saving = replog.Snapshot{}
 	if c.Err != nil {
-		t.opts.Metrics.Add(metricRetries, "snapshot", 1)
+		t.snapshotFailed(now, c.Err)
 		return
 	}
-	if err := t.core.Compact(t.snapshots.saving); err != nil {
+	t.snapshots.inProgress = false
+	t.snapshots.lastIndex = max(t.snapshots.lastIndex, saved.Index)
+	if t.disk.full {
+		t.snapshots.notBefore = now.Add(snapshotRetryInterval)
+		if t.disk.outstanding == 0 {
+			t.disk.retryAt = now // the snapshot may have made room
+		}
+	}
+	if err := t.core.Compact(saved); err != nil {
 		t.opts.Logger.Log(eventSnapshotFailed, zap.Error(err))
 	}
-	t.snapshots.saving = replog.Snapshot{}
 }
 
 // installSnapshot replaces the state with the leader's snapshot. Pending commands up to its index
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -17,6 +17,8 @@
 	ErrOverloaded = merry.Sentinel("too many calls are waiting")
 	// ErrDiskFull is returned for commands while the disk of the leader is full.
 	ErrDiskFull = merry.Sentinel("the disk of the control replica is full")
+	// ErrLogFull is returned for commands while the log of the leader is near its size limit.
+	ErrLogFull = merry.Sentinel("the log of the control replica has no room until its next snapshot")
 	// ErrOutcomeUnknown means that the command may or may not be committed.
 	ErrOutcomeUnknown = merry.Sentinel("the outcome of the command is unknown")
 	// ErrMalformed is returned for a call that cannot be decoded and for a command that callers
@@ -61,6 +63,8 @@
 		return "overloaded"
 	case errors.Is(err, ErrDiskFull):
 		return "disk-full"
+	case errors.Is(err, ErrLogFull):
+		return "log-full"
 	case errors.Is(err, ErrOutcomeUnknown):
 		return "outcome-unknown"
 	case errors.Is(err, ErrMalformed):
@@ -88,7 +92,7 @@
 	reason := errorReason(err)
 	code := twirp.Unavailable
 	switch reason {
-	case "overloaded", "disk-full":
+	case "overloaded", "disk-full", "log-full":
 		code = twirp.ResourceExhausted
 	case "malformed":
 		code = twirp.InvalidArgument
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -28,6 +28,8 @@
 	eventEntryTimedOut           = eventlog.Declare(1215, zapcore.WarnLevel, "entry process made no feed call")
 	eventInvariantViolated       = eventlog.Declare(1216, zapcore.ErrorLevel, "invariant violated")
 	eventSnapshotFailed          = eventlog.Declare(1217, zapcore.ErrorLevel, "snapshot of the state not taken")
+	eventLogFull                 = eventlog.Declare(1219, zapcore.ErrorLevel, "log is near its size limit, commands are refused until a snapshot is saved")
+	eventLogHasRoom              = eventlog.Declare(1220, zapcore.InfoLevel, "log is below its size limit again, commands are taken")
 	eventPeerAddressLearned      = eventlog.Declare(1400, zapcore.InfoLevel, "address of a control replica learned")
 	eventMemberWithoutAddress    = eventlog.Declare(1401, zapcore.WarnLevel, "member of the control group has no known address")
 	eventTooManyPeers            = eventlog.Declare(1402, zapcore.WarnLevel, "too many control replicas announced, one is not remembered")
--- a/internal/replica/failure_test.go
+++ b/internal/replica/failure_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -14,7 +13,6 @@
 
 	"github.com/twitchtv/twirp"
 
-	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
@@ -367,13 +365,13 @@
 // Guards against a full disk that stops reads, and against accepting commands that cannot be
 // stored.
 func TestFullDiskRefusesCommandsAndServesReads(t *testing.T) {
-	group := startGroup(t, 1, func(o *replica.Options) { o.Storage.LimitBytes = 64 << 10 })
+	disk := faultdisk.New()
+	group := startGroup(t, 1, func(o *replica.Options) { o.Storage.Disk = disk })
 	applyFile(t, group, cellFile(t, "turnos.toml"))
 	joinEntryProcess(t, group)
-	encoded, err := codec.EncodeCommand(state.Command{SubmitJob: &state.SubmitJob{Key: strings.Repeat("k", 100), Spec: cell.JobSpec{Command: strings.Repeat("c", 8000)}}})
-	if err != nil {
-		t.Fatal(err)
-	}
+	encoded := submitCommand(t, 8000)
+	disk.FailWrites(syscall.ENOSPC)
+	defer disk.FailWrites(nil)
 	// The first command that does not fit stays in the log and may be stored later, so its caller
 	// waits. The commands after it are refused.
 	reason := ""
--- a/internal/replica/leading.go
+++ b/internal/replica/leading.go
@@ -176,7 +176,7 @@
 // proposalsBlocked reports whether the leader's own work has to wait because the log would refuse
 // its commands.
 func (t *task) proposalsBlocked() bool {
-	return t.status.Role != replog.RoleLeader || t.status.Transferring || t.disk.full
+	return t.status.Role != replog.RoleLeader || t.status.Transferring || t.disk.full || t.disk.logFull
 }
 
 // nextDeadline returns when leaderTick has work to do without a message.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -61,6 +61,14 @@
 	// maxUnsyncedAppends bounds the writes that the storage task has not completed. It is below
 	// the capacity of that task's mailbox, so that the two tasks never wait for each other.
 	maxUnsyncedAppends = storage.MailboxSize - 8
+	// snapshotLogPercent is the share of the log's limit at which a snapshot is due, in percent. The log
+	// keeps growing while the snapshot is written.
+	snapshotLogPercent = 25
+	// maxLogBytesBySnapshot is the size of the log at which a snapshot is due whatever its limit. The
+	// log is also held in memory.
+	maxLogBytesBySnapshot = 64 << 20
+	// refuseLogPercent is the share of the log's limit at which new commands are refused, in percent.
+	refuseLogPercent = 75
 	// MaxCommandBytes bounds an encoded command, which may contain a cell file of 1 MiB.
 	MaxCommandBytes = 2 << 20
 )
@@ -76,6 +84,9 @@
 	maxFeedWait   = 5 * time.Second
 	// diskRetryInterval is the time between two attempts to write to a full disk.
 	diskRetryInterval = 500 * time.Millisecond
+	// snapshotRetryInterval is the time until another snapshot is taken after one that could not be
+	// saved.
+	snapshotRetryInterval = time.Second
 	// housekeepingInterval is the time between two updates of the gauges.
 	housekeepingInterval = time.Second
 	// minUsageInterval is the least time between two commits of one worker's usage. A report that
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -71,7 +71,8 @@
 		joined:      recovered.Identity != nil && recovered.Identity.Joined,
 		formed:      recovered.Identity != nil && recovered.Identity.Formed,
 		state:       state.New(), reportedLogViolations: map[replog.Invariant]int{},
-		snapshots: snapshotProgress{encoded: make(chan encodedSnapshot, 1), phase: snapshotPhase(r.opts)},
+		snapshots: snapshotProgress{encoded: make(chan encodedSnapshot, 1), policy: snapshotPolicy(r.opts).Staggered(uint64(r.opts.ID)%snapshotPhases, snapshotPhases)},
+		disk:      diskQueue{logBytes: recovered.LogBytes},
 	}
 	t.proposals.pending = map[uint64]pendingProposal{}
 	t.reads.pending = map[uint64]readCall{}
@@ -235,7 +236,7 @@
 	t.publishLeaseEnd(now)
 	t.sendTimeoutNow()
 	t.answerFeeds(now)
-	t.takeSnapshot()
+	t.takeSnapshot(now)
 	return nil
 }
 
--- a/internal/storage/recover.go
+++ b/internal/storage/recover.go
@@ -31,6 +31,7 @@
 	Snapshot  *replog.Snapshot
 	Entries   []replog.Entry // after the snapshot
 	Torn      bool           // the last segment ends with a torn record
+	LogBytes  int64          // stored size of the log
 }
 
 // segmentInfo describes the valid part of a segment file.
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -24,7 +24,7 @@
 // because a replica cannot start with it.
 func (s *Store) handleSaveSnapshot(snapshot replog.Snapshot) error {
 	if s.savingSnapshot {
-		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrBusy}
+		s.complete(Completion{Snapshot: snapshot.Index, Err: ErrBusy})
 		return nil
 	}
 	if err := s.writeRefusedState(snapshot.Term); err != nil {
@@ -32,7 +32,7 @@
 	}
 	if snapshot.Term > s.wal.hardState.Term {
 		s.opts.Metrics.Add(metricRefusals, "snapshot-disk-full", 1)
-		s.completions <- Completion{Snapshot: snapshot.Index, Err: ErrDiskFull}
+		s.complete(Completion{Snapshot: snapshot.Index, Err: ErrDiskFull})
 		return nil
 	}
 	s.savingSnapshot = true
@@ -70,7 +70,7 @@
 		s.opts.Metrics.Add(metricRefusals, "snapshot-disk-full", 1)
 		err = ErrDiskFull
 	}
-	s.completions <- Completion{Snapshot: result.index, Err: err}
+	s.complete(Completion{Snapshot: result.index, Err: err})
 	return nil
 }
 
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -71,6 +71,7 @@
 	Seq      uint64 // sequence number of an Append, otherwise 0
 	Snapshot uint64 // index of the snapshot of a SaveSnapshot, otherwise 0
 	Err      error  // nil, ErrDiskFull or ErrBusy
+	LogBytes int64  // stored size of the log after the request
 }
 
 // Store is the task that owns a data folder.
@@ -125,6 +126,7 @@
 		snapshotResults: make(chan snapshotResult, 1),
 	}
 	opts.Logger.Log(eventRecovered, c.logFields()...)
+	c.LogBytes = store.wal.sizeBytes()
 	return store, c.Recovered, nil
 }
 
@@ -274,10 +276,15 @@
 	if err != nil {
 		err = ErrDiskFull
 	}
-	s.completions <- Completion{Err: err}
+	s.complete(Completion{Err: err})
 	return nil
 }
 
+func (s *Store) complete(c Completion) {
+	c.LogBytes = s.wal.sizeBytes()
+	s.completions <- c
+}
+
 func (s *Store) handleAppends(appends []Append) error {
 	accepted := s.acceptConsecutive(appends)
 	if len(accepted) == 0 {
@@ -316,7 +323,7 @@
 	s.nextSeq += uint64(durable)
 	s.opts.Metrics.Add(metricAppends, "", int64(durable))
 	for _, request := range appends[:durable] {
-		s.completions <- Completion{Seq: request.Seq}
+		s.complete(Completion{Seq: request.Seq})
 	}
 	s.setDiskFull(err != nil, err)
 	if err == nil {
@@ -334,7 +341,7 @@
 		if hard := request.HardState; hard != nil && (s.refusedState == nil || hard.Term >= s.refusedState.Term) {
 			s.refusedState = hard
 		}
-		s.completions <- Completion{Seq: request.Seq, Err: ErrDiskFull}
+		s.complete(Completion{Seq: request.Seq, Err: ErrDiskFull})
 	}
 }
 
