internal/storage: a recovered log may grow by a quarter of its limit

Cause: a replica that starts with a log at its limit, after a restart or with a lower limit than before, was refused the record of its vote and the first entry of a term.

Change: the limit of a process is at least the size of the recovered log and a quarter of the limit.

TestRestartAboveTheLogLimit failed before: control group has no leader within 30 s, term 55.

--- a/internal/replica/loglimit_test.go
+++ b/internal/replica/loglimit_test.go
@@ -68,3 +68,26 @@
 	}
 	callers.Wait()
 }
+
+// Guards against a replica that cannot vote or commit after a restart, because its log is at the limit.
+func TestRestartAboveTheLogLimit(t *testing.T) {
+	limit := int64(0)
+	group := startGroup(t, 3, func(o *replica.Options) { o.Storage.LimitBytes = limit })
+	applyFile(t, group, cellFile(t, "turnos.toml"))
+	command := submitCommand(t, 8000)
+	for range 20 {
+		commitOnLeader(t, group, command)
+	}
+	limit = 128 << 10
+	for i := range 3 {
+		group.Kill(i)
+	}
+	for i := range 3 {
+		if err := group.Restart(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 40 {
+		commitOnLeader(t, group, command)
+	}
+}
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -23,6 +23,11 @@
 // noLimit disables the check of the log's size.
 const noLimit = 0
 
+// restartHeadroomPercent is by how much a recovered log may grow at least, in percent of its limit. A
+// replica whose log is at the limit could neither vote nor commit after a restart otherwise, and the
+// log could never be cut.
+const restartHeadroomPercent = 25
+
 // writer appends records to the active segment.
 type writer struct {
 	disk         diskio.Disk
@@ -31,6 +36,7 @@
 	active       diskio.File // nil until the first write
 	salt         uint64
 	activeInfo   segmentInfo // describes the active segment
+	limit        int64       // log size above which appends are refused; 0 for no limit
 	closed       []segmentInfo
 	nextNumber   uint64 // number of the next segment
 	hardState    replog.HardState
@@ -48,6 +54,9 @@
 	if n := len(c.segments); n > 0 {
 		w.nextNumber = c.segments[n-1].number + 1
 	}
+	if opts.LimitBytes > 0 {
+		w.limit = max(opts.LimitBytes, w.sizeBytes()+opts.LimitBytes*restartHeadroomPercent/100)
+	}
 	return w
 }
 
@@ -69,10 +78,10 @@
 // maxBatchBytes returns the size at which a batch takes no further entries. A group that is larger
 // than the rest of the limit is written as far as it fits.
 func (w *writer) maxBatchBytes() int {
-	if w.options.LimitBytes == noLimit {
+	if w.limit == noLimit {
 		return maxBatchBytes
 	}
-	return int(min(maxBatchBytes, w.options.LimitBytes/minBatchesInLimit))
+	return int(min(maxBatchBytes, w.limit/minBatchesInLimit))
 }
 
 // groupBatch is a batch and the number of appends of the group that are durable
@@ -105,7 +114,7 @@
 }
 
 func (w *writer) writeBatch(batch walcodec.Batch) error {
-	return w.writeBatchWithLimit(w.options.LimitBytes, batch)
+	return w.writeBatchWithLimit(w.limit, batch)
 }
 
 // writeBatchWithLimit makes a batch durable. It returns ErrDiskFull if the log
