core/controlgroup: forget the ids of replicas that were replaced

Cause: each lost disk gives a new replica id. A replica kept the address of every id that it had ever heard of and passed all of them on. At 64 further ids were refused, so the leader neither added a new replica nor saw that its address had replaced a lost voter.

Change: controlgroup.Directory, without input or output, keeps members and replicas of the settings, and others until another id announces their address or 10 s after their last mention. It passes on only what is kept in any case or has announced itself, so stale answers bring nothing back. A full directory drops the id that was mentioned least recently. The tasks that send to a forgotten replica end.

TestReplicaJoinsAfterManyLostDisks failed before: the replica did not join within 30 s.

--- a/core/controlgroup/doc.go
+++ b/core/controlgroup/doc.go
@@ -6,4 +6,6 @@
 // file lists. A listed replica that never starts therefore prevents the removal of one unlisted
 // replica, so a mistake in the file cannot shrink the group below the size that the operator
 // specified.
+//
+// Directory holds the addresses of the replicas and decides which ones are forgotten.
 package controlgroup
--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -125,5 +125,5 @@
 		// A leader without a valid lease, or one that is transferring its leadership.
 		leader = 0
 	}
-	return &NotLeaderError{Leader: t.peers.addresses[leader]}
+	return &NotLeaderError{Leader: t.peers.directory.Address(leader)}
 }
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -37,6 +37,7 @@
 	eventMembershipChangeRefused = eventlog.Declare(1404, zapcore.InfoLevel, "step of the control group not possible now, tried again")
 	eventJoinRequested           = eventlog.Declare(1405, zapcore.InfoLevel, "empty data folder, asks the leader whether it may join")
 	eventJoinPermitted           = eventlog.Declare(1406, zapcore.InfoLevel, "the replica may join, waits to be listed in the cell file")
+	eventPeerForgotten           = eventlog.Declare(1408, zapcore.InfoLevel, "control replica forgotten: it was replaced, or nobody has mentioned it for a while")
 	eventIDInUse                 = eventlog.Declare(1407, zapcore.ErrorLevel, "empty data folder but the group has a member with this id")
 )
 
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -83,7 +83,7 @@
 		case c := <-t.calls:
 			t.handleBeforeStart(c)
 		case result := <-t.announcer.Results():
-			t.learnPeers(result)
+			t.learnPeers(time.Now(), result)
 		case <-t.logMessages:
 			// A replica without an identity ignores messages of the log.
 		}
@@ -100,7 +100,7 @@
 		case <-ctx.Done():
 			return nil
 		case result := <-t.announcer.Results():
-			t.learnPeers(result)
+			t.learnPeers(time.Now(), result)
 			if !result.Reply.FromLeader {
 				continue
 			}
@@ -142,7 +142,7 @@
 		case c := <-t.calls:
 			t.handleBeforeStart(c)
 		case result := <-t.announcer.Results():
-			t.learnPeers(result)
+			t.learnPeers(time.Now(), result)
 		case <-t.logMessages:
 			// A replica that may not vote ignores messages of the log.
 		}
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -27,7 +27,7 @@
 
 // membershipView returns what the leader knows about the group, except for the list of members.
 func (t *task) membershipView(now time.Time, status replog.Status) controlgroup.View {
-	view := controlgroup.View{Self: t.opts.ID, Membership: status.Membership, Announced: t.peers.recentlyAnnounced(now)}
+	view := controlgroup.View{Self: t.opts.ID, Membership: status.Membership, Announced: t.peers.directory.RecentlyAnnounced(now)}
 	for _, follower := range status.Followers {
 		if now.Sub(follower.AnsweredAt) >= t.opts.ElectionTimeoutMax {
 			continue
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -6,128 +6,127 @@
 
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/controlgroup"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/replication"
 )
 
-// announcementTTL is how long a replica counts as announced after its last announcement. It
-// tolerates a few lost calls.
-const announcementTTL = 5 * replication.AnnounceInterval
+const (
+	// announcementTTL is how long a replica counts as announced after its last announcement. It
+	// tolerates a few lost calls.
+	announcementTTL = 5 * replication.AnnounceInterval
+	// reportTTL is how long the address of a replica is kept that is no member, after a replica has
+	// last passed it on. It outlasts announcementTTL, during which other replicas pass it on.
+	reportTTL = 2 * announcementTTL
+)
 
 // maxRoundsWithoutAddress is the number of housekeeping rounds after which a member without a
 // known address is logged. A replica that has just started learns the addresses from the first
 // announcements.
 const maxRoundsWithoutAddress = 3
 
-// peers holds the addresses of the other replicas.
+// peers holds the addresses of the replicas, and what was passed on to the tasks that send to them.
 type peers struct {
-	self           replication.Peer
-	configured     map[replog.ReplicaID]bool // replicas in the settings, whose addresses never change
-	addresses      map[replog.ReplicaID]string
-	lastAnnounced  map[replog.ReplicaID]time.Time
-	firstAnnounced map[replog.ReplicaID]time.Time
+	self      replication.Peer
+	directory *controlgroup.Directory
+	sending   []replication.Peer // peers of the sender and the announcer, by id
 	// roundsWithoutAddress counts the housekeeping rounds in which a member had no address.
 	roundsWithoutAddress map[replog.ReplicaID]int
 }
 
 func newPeers(opts Options) peers {
-	p := peers{
-		self:       replication.Peer{ID: opts.ID, Address: opts.Address},
-		configured: map[replog.ReplicaID]bool{}, addresses: map[replog.ReplicaID]string{},
-		lastAnnounced: map[replog.ReplicaID]time.Time{}, firstAnnounced: map[replog.ReplicaID]time.Time{}, roundsWithoutAddress: map[replog.ReplicaID]int{},
-	}
+	self := replication.Peer{ID: opts.ID, Address: opts.Address}
 	for _, peer := range opts.Voters {
-		p.configured[peer.ID] = true
-		p.addresses[peer.ID] = peer.Address
 		if peer.ID == opts.ID {
-			p.self = peer
-		}
-	}
-	p.addresses[p.self.ID] = p.self.Address
-	return p
-}
-
-// list returns the known replicas by id, this one included.
-func (p *peers) list() []replication.Peer {
-	var all []replication.Peer
-	for id, address := range p.addresses {
-		all = append(all, replication.Peer{ID: id, Address: address})
-	}
-	slices.SortFunc(all, func(a, b replication.Peer) int { return int(a.ID) - int(b.ID) })
-	return all
-}
-
-// recentlyAnnounced returns the replicas that announced themselves within announcementTTL.
-func (p *peers) recentlyAnnounced(now time.Time) []replog.ReplicaID {
-	var ids []replog.ReplicaID
-	for id, at := range p.lastAnnounced {
-		if now.Sub(at) < announcementTTL {
-			ids = append(ids, id)
+			self = peer
 		}
 	}
-	return ids
-}
-
-// learnPeer stores the address of another replica. An address that the replica announced itself
-// replaces one that other replicas reported. It returns false if the peer could not be added.
-func (t *task) learnPeer(peer replication.Peer, announced bool) bool {
-	known, ok := t.peers.addresses[peer.ID]
-	if ok && (known == peer.Address || t.peers.configured[peer.ID] || peer.ID == t.opts.ID || !announced) {
-		return true
+	limits := controlgroup.DirectoryOptions{Limit: replication.MaxPeers, AnnounceTTL: announcementTTL, ReportTTL: reportTTL}
+	return peers{
+		self: self, directory: controlgroup.NewDirectory(limits, self, opts.Voters),
+		sending: otherVoters(opts), roundsWithoutAddress: map[replog.ReplicaID]int{},
 	}
-	if !t.sender.SetPeer(peer) {
-		t.opts.Logger.Log(eventTooManyPeers, zap.Uint64("replica", uint64(peer.ID)))
-		return false
-	}
-	t.peers.addresses[peer.ID] = peer.Address
-	t.opts.Logger.Log(eventPeerAddressLearned, zap.Uint64("replica", uint64(peer.ID)), zap.String("address", peer.Address))
-	t.updateAnnouncer()
-	return true
 }
 
 // handleAnnouncement answers another replica's announcement. A replica with an empty folder gets
 // an answer but is not remembered: the leader must not add the replica before the replica has
 // learned that it may join.
 func (t *task) handleAnnouncement(now time.Time, c announceCall) {
-	if !c.from.Joining && c.from.ID != t.opts.ID && t.learnPeer(c.from.Peer, true) {
-		t.peers.lastAnnounced[c.from.ID] = now
-		if _, known := t.peers.firstAnnounced[c.from.ID]; !known {
-			t.peers.firstAnnounced[c.from.ID] = now
-		}
+	if !c.from.Joining {
+		t.peerLearned(now, c.from.Peer, t.peers.directory.Announce(now, c.from.Peer))
 	}
 	c.send(replication.AnnounceReply{
-		Peers:      t.peers.list(),
+		Peers:      t.peers.directory.Shared(now),
 		FromLeader: t.leader != nil && t.status.HoldsLease(now),
 		Member:     t.status.Membership.Contains(c.from.ID),
 	})
 }
 
 // learnPeers stores the addresses that another replica returned for an announcement.
-func (t *task) learnPeers(result replication.AnnounceResult) {
+func (t *task) learnPeers(now time.Time, result replication.AnnounceResult) {
+	t.peers.directory.SetMembers(t.status.Membership)
 	for _, peer := range result.Reply.Peers {
-		t.learnPeer(peer, false)
+		t.peerLearned(now, peer, t.peers.directory.Report(now, peer))
 	}
 }
 
+// peerLearned passes the address of a replica on if it is new.
+func (t *task) peerLearned(now time.Time, peer replication.Peer, result controlgroup.LearnResult) {
+	switch result {
+	case controlgroup.LearnRefused:
+		t.opts.Logger.Log(eventTooManyPeers, zap.Uint64("replica", uint64(peer.ID)), zap.String("address", peer.Address))
+	case controlgroup.LearnChanged:
+		t.opts.Logger.Log(eventPeerAddressLearned, zap.Uint64("replica", uint64(peer.ID)), zap.String("address", peer.Address))
+		t.forgetPeers(now)
+		t.updatePeers()
+	}
+}
+
+// forgetPeers drops the replicas that were replaced or have not been mentioned for reportTTL.
+func (t *task) forgetPeers(now time.Time) {
+	t.peers.directory.SetMembers(t.status.Membership)
+	if t.peers.directory.Forget(now) {
+		t.updatePeers()
+	}
+}
+
+// updatePeers makes the sender and the announcer follow the directory.
+func (t *task) updatePeers() {
+	known := slices.DeleteFunc(t.peers.directory.Peers(), func(peer replication.Peer) bool { return peer.ID == t.opts.ID })
+	for _, former := range t.peers.sending {
+		if !slices.ContainsFunc(known, func(peer replication.Peer) bool { return peer.ID == former.ID }) {
+			t.sender.RemovePeer(former.ID)
+			t.opts.Logger.Log(eventPeerForgotten, zap.Uint64("replica", uint64(former.ID)), zap.String("address", former.Address))
+		}
+	}
+	t.peers.sending = t.peers.sending[:0:0]
+	for _, peer := range known {
+		if t.sender.SetPeer(peer) {
+			t.peers.sending = append(t.peers.sending, peer)
+		}
+	}
+	t.updateAnnouncer()
+}
+
 // updateAnnouncer updates the announcement and its recipients.
 func (t *task) updateAnnouncer() {
-	others := slices.DeleteFunc(t.peers.list(), func(peer replication.Peer) bool { return peer.ID == t.opts.ID })
 	t.announcer.SetTargets(replication.AnnounceTargets{
 		Announcement: replication.Announcement{Peer: t.peers.self, Joining: !t.hasIdentity},
-		Peers:        others,
+		Peers:        t.peers.sending,
 	})
 }
 
 // logMissingAddresses logs the members whose address this replica does not know.
 func (t *task) logMissingAddresses() {
-	members := slices.Concat(t.status.Membership.Voters, t.status.Membership.Learners)
-	for _, id := range members {
-		if _, ok := t.peers.addresses[id]; ok {
-			delete(t.peers.roundsWithoutAddress, id)
+	former := t.peers.roundsWithoutAddress
+	t.peers.roundsWithoutAddress = map[replog.ReplicaID]int{}
+	for _, id := range slices.Concat(t.status.Membership.Voters, t.status.Membership.Learners) {
+		if t.peers.directory.Address(id) != "" {
 			continue
 		}
-		t.peers.roundsWithoutAddress[id]++
-		if t.peers.roundsWithoutAddress[id] == maxRoundsWithoutAddress {
+		rounds := former[id] + 1
+		t.peers.roundsWithoutAddress[id] = rounds
+		if rounds == maxRoundsWithoutAddress {
 			t.opts.Logger.Log(eventMemberWithoutAddress, zap.Uint64("replica", uint64(id)))
 		}
 	}
--- a/internal/replica/repair.go
+++ b/internal/replica/repair.go
@@ -1,13 +1,11 @@
 package replica
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/controlgroup"
-	"github.com/godwitlink/godwitlink/core/replog"
 )
 
 // Times of the repair of a group without a list of members.
@@ -24,9 +22,8 @@
 func (t *task) repairGroup(now time.Time) {
 	status := t.core.Status()
 	view := controlgroup.RepairView{
-		View: t.membershipView(now, status), Target: t.opts.AutoVoters, Replaced: t.peers.replacedReplicas(),
+		View: t.membershipView(now, status), Target: t.opts.AutoVoters, Replaced: t.peers.directory.Replaced(),
 	}
-	slices.Sort(view.Announced)
 	for _, follower := range status.Followers {
 		if now.Sub(follower.AnsweredAt) >= voterSilenceTimeout {
 			view.Unresponsive = append(view.Unresponsive, follower.ID)
@@ -35,24 +32,6 @@
 	t.proposeMembershipStep(now, controlgroup.NextRepairStep(view))
 }
 
-// replacedReplicas returns the replicas whose address another replica has announced since.
-func (p *peers) replacedReplicas() []replog.ReplicaID {
-	newest := map[string]replog.ReplicaID{}
-	for id := range p.lastAnnounced {
-		address := p.addresses[id]
-		if other, ok := newest[address]; !ok || p.lastAnnounced[id].After(p.lastAnnounced[other]) {
-			newest[address] = id
-		}
-	}
-	var lost []replog.ReplicaID
-	for id, address := range p.addresses {
-		if owner, ok := newest[address]; ok && owner != id && id != p.self.ID && p.firstAnnounced[owner].After(p.lastAnnounced[id]) {
-			lost = append(lost, id)
-		}
-	}
-	return lost
-}
-
 // proposeMembershipStep proposes a change of the group or transfers leadership.
 func (t *task) proposeMembershipStep(now time.Time, step controlgroup.Step) {
 	var err error
--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -12,6 +12,8 @@
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/bench/localgroup"
 	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/replication"
+	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
 
 // applyFileWithReplicas applies the example file with another list of control replicas.
@@ -154,3 +156,24 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a group that takes no new replica after many ids have been used up by lost disks.
+func TestReplicaJoinsAfterManyLostDisks(t *testing.T) {
+	group := startGroup(t, 3, nil)
+	applyFileWithReplicas(t, group, 1, "[1, 2, 3]")
+	for lost := range 3 * replication.MaxPeers {
+		announcement := &rpcpb.AnnounceRequest{ReplicaId: 1<<32 + uint64(lost), Address: fmt.Sprintf("127.0.0.1:%d", 1+lost%2)}
+		for i := range 3 {
+			client := rpcpb.NewReplicationProtobufClient("http://"+group.Address(i), group.HTTP())
+			if _, err := client.Announce(callContext(t), announcement); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	joined, err := group.Join()
+	if err != nil {
+		t.Fatal(err)
+	}
+	applyFileWithReplicas(t, group, 2, "[1, 2, 3, 4]")
+	awaitVoters(t, group, joined, 1, 2, 3, 4)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -54,6 +55,10 @@
 	return r, nil
 }
 
+func isInitialVoter(opts Options) bool {
+	return slices.ContainsFunc(opts.Voters, func(peer replication.Peer) bool { return peer.ID == opts.ID })
+}
+
 func otherVoters(opts Options) []replication.Peer {
 	var others []replication.Peer
 	for _, peer := range opts.Voters {
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -79,7 +79,7 @@
 	t.feeds.pending = map[cell.EntryName]*pendingFeed{}
 	t.feeds.changedWorkers = map[cell.WorkerName]bool{}
 	t.workFeed.updates = r.opts.WorkUpdates
-	if t.hasIdentity && !t.joined && !t.peers.configured[r.opts.ID] {
+	if t.hasIdentity && !t.joined && !isInitialVoter(r.opts) {
 		return nil, ErrNotInitialVoter
 	}
 	if recovered.Snapshot != nil {
@@ -224,7 +224,7 @@
 		t.handle(now, c)
 	}
 	for _, result := range t.inbox.announceResults {
-		t.learnPeers(result)
+		t.learnPeers(now, result)
 	}
 	t.inbox.announceResults = nil
 	t.tick(now)
@@ -270,7 +270,7 @@
 	t.considerTransfer(now)
 	if !now.Before(t.nextHousekeeping) {
 		t.nextHousekeeping = now.Add(housekeepingInterval)
-		t.housekeeping()
+		t.housekeeping(now)
 	}
 }
 
@@ -306,13 +306,14 @@
 			ID: t.opts.ID, Formed: t.formed,
 			Term: t.status.Term, Commit: t.status.Commit, Leader: t.status.Leader,
 		},
-		Role: t.status.Role, Membership: t.status.Membership, LeaderAddress: t.peers.addresses[t.status.Leader], Addresses: t.replicaAddresses(), Applied: t.applied,
+		Role: t.status.Role, Membership: t.status.Membership, LeaderAddress: t.peers.directory.Address(t.status.Leader), Addresses: t.replicaAddresses(), Applied: t.applied,
 		Leading: t.leader != nil, LeaseEnd: t.status.LeaseEnd,
 	}
 }
 
 // housekeeping updates gauges and reports violated invariants.
-func (t *task) housekeeping() {
+func (t *task) housekeeping(now time.Time) {
+	t.forgetPeers(now)
 	t.logMissingAddresses()
 	t.opts.Metrics.SetGauge(metricTerm, float64(t.status.Term))
 	t.opts.Metrics.SetGauge(metricAppliedIndex, float64(t.applied))
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -206,7 +206,7 @@
 	var all []string
 	for _, ids := range [][]replog.ReplicaID{t.status.Membership.Voters, t.status.Membership.Learners} {
 		for _, id := range ids {
-			if address := t.peers.addresses[id]; address != "" {
+			if address := t.peers.directory.Address(id); address != "" {
 				all = append(all, address)
 			}
 		}
--- a/internal/replication/replication_test.go
+++ b/internal/replication/replication_test.go
@@ -197,6 +197,10 @@
 	if sender.SetPeer(Peer{ID: 1000, Address: "127.0.0.1:1"}) {
 		t.Errorf("SetPeer accepted more than %d replicas", MaxPeers)
 	}
+	sender.RemovePeer(3)
+	if !sender.SetPeer(Peer{ID: 1000, Address: "127.0.0.1:1"}) {
+		t.Error("SetPeer refused a replica after another one was removed")
+	}
 	cancel()
 	<-done
 }
--- a/internal/replication/sender.go
+++ b/internal/replication/sender.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/godwitlink/godwitlink/core/controlgroup"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
@@ -17,8 +18,8 @@
 
 // Bounds of the queues, batches and requests.
 const (
-	// MaxPeers bounds the replicas whose addresses a replica stores. Ids are never reused, so a
-	// group with many replacements has more than the 7 replicas that may be listed at once.
+	// MaxPeers bounds the replicas whose addresses a replica stores. A group has at most 7 members;
+	// the others are replicas that were replaced or have announced themselves a moment ago.
 	MaxPeers       = 64
 	sendersPerPeer = 2
 
@@ -46,11 +47,8 @@
 	snapshotTimeout = 30 * time.Second
 )
 
-// Peer is another replica.
-type Peer struct {
-	ID      replog.ReplicaID
-	Address string // IP and port of its internal listener
-}
+// Peer is a replica and its address.
+type Peer = controlgroup.Peer
 
 // SenderOptions configures a Sender.
 type SenderOptions struct {
@@ -61,8 +59,8 @@
 	Metrics *metrics.Set
 }
 
-// Sender sends messages to the other replicas. Run is called once; Send and SetPeer are called by
-// a single task.
+// Sender sends messages to the other replicas. Run is called once; Send, SetPeer and RemovePeer are
+// called by a single task.
 type Sender struct {
 	opts    SenderOptions
 	senders map[senderKey]*peerSender // used only by the task that calls Send
@@ -77,7 +75,8 @@
 // peerSender is a task that sends the messages of its queue to one replica.
 type peerSender struct {
 	peer        Peer
-	addresses   chan Peer // holds the latest change of the address
+	addresses   chan Peer     // holds the latest change of the address
+	removed     chan struct{} // closed by RemovePeer
 	queue       chan replog.Message
 	results     chan sendResult
 	maxInFlight int // unanswered requests
@@ -98,15 +97,27 @@
 	return s
 }
 
+// RemovePeer ends the tasks of a replica. Messages that are queued for it are dropped.
+func (s *Sender) RemovePeer(id replog.ReplicaID) {
+	for _, snapshot := range []bool{false, true} {
+		key := senderKey{id, snapshot}
+		if p := s.senders[key]; p != nil {
+			close(p.removed)
+			delete(s.senders, key)
+		}
+	}
+}
+
 // SetPeer adds a replica or changes its address. It does not wait. It returns false without adding
-// the replica if there are MaxPeers replicas already.
+// the replica if there are MaxPeers replicas already, or if Run has not started the tasks of many
+// added before.
 func (s *Sender) SetPeer(peer Peer) bool {
 	if p := s.senders[senderKey{peer.ID, false}]; p != nil {
 		p.setAddress(peer)
 		s.senders[senderKey{peer.ID, true}].setAddress(peer)
 		return true
 	}
-	if len(s.senders) >= sendersPerPeer*MaxPeers {
+	if len(s.senders) >= sendersPerPeer*MaxPeers || cap(s.added)-len(s.added) < sendersPerPeer {
 		return false
 	}
 	s.add(peer, false, logQueueSize, maxRequestsInFlight, logTimeout)
@@ -119,7 +130,7 @@
 		return rpcpb.NewReplicationProtobufClient(s.opts.Scheme+"://"+to.Address, s.opts.Client)
 	}
 	p := &peerSender{
-		peer: peer, addresses: make(chan Peer, 1), queue: make(chan replog.Message, queue), timeout: timeout,
+		peer: peer, addresses: make(chan Peer, 1), removed: make(chan struct{}), queue: make(chan replog.Message, queue), timeout: timeout,
 		maxInFlight: limit, results: make(chan sendResult, limit), connect: connect, client: connect(peer),
 		logger: s.opts.Logger, metrics: s.opts.Metrics,
 	}
@@ -187,6 +198,11 @@
 	spacing := time.NewTimer(requestSpacing)
 	defer spacing.Stop()
 	inFlight, spacingElapsed := 0, true
+	defer func() {
+		for range inFlight {
+			<-p.results
+		}
+	}()
 	for {
 		queue := p.queue
 		if inFlight >= p.maxInFlight || inFlight > 0 && !spacingElapsed {
@@ -194,9 +210,8 @@
 		}
 		select {
 		case <-ctx.Done():
-			for range inFlight {
-				<-p.results
-			}
+			return
+		case <-p.removed:
 			return
 		case first := <-queue:
 			request := p.batch(first)
