internal/controlclient: drop clients of former members

Cause: the client of the control group kept a client and the time of the last failure for each address that a member ever had; replaced machines come at new addresses.

Change: what belongs to no current address is dropped with each change of the members.

TestFormerMembersAreForgotten failed before: 101 clients after 100 changes.

--- a/internal/controlclient/directory.go
+++ b/internal/controlclient/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -130,6 +131,8 @@
 	}
 	d.addresses = merged
 	d.current = d.indexOf(current)
+	maps.DeleteFunc(d.clients, func(address string, _ rpcpb.Control) bool { return !slices.Contains(d.addresses, address) })
+	maps.DeleteFunc(d.unresponsiveUntil, func(address string, _ time.Time) bool { return !slices.Contains(d.addresses, address) })
 }
 
 func (d *directory) indexOf(address string) int {
