internal/platformproc: the last log line names the cause, a full disk delays the start

One of these causes ended the process by itself: without an identity, or with a log folder that could not be opened, on a full disk it ended at every start, while an identity inside the log folder was already waited for.

Change: error fields and the last line contain causes, also of joined errors. Event 4312 closes the log of a process that ends by an error, with the sizes of the log folders.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/settings"
 )
 
@@ -109,7 +110,7 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, err)
+	fmt.Fprintln(os.Stderr, eventlog.ErrorText(err))
 	var fileError *settings.FileError
 	if errors.As(err, &fileError) {
 		os.Exit(settings.ExitStatus)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -87,7 +88,21 @@
 		return field
 	}
 	if err, ok := field.Interface.(error); ok {
-		return zap.String(field.Key, err.Error())
+		return zap.String(field.Key, ErrorText(err))
 	}
 	return field
 }
+
+// ErrorText returns the text of an error with its causes. Error alone leaves out the cause of an
+// error of merry, also of one that errors.Join has combined with others.
+func ErrorText(err error) string {
+	joined, ok := err.(interface{ Unwrap() []error })
+	if !ok {
+		return fmt.Sprintf("%v", err)
+	}
+	var texts []string
+	for _, part := range joined.Unwrap() {
+		texts = append(texts, ErrorText(part))
+	}
+	return strings.Join(texts, "; ")
+}
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -49,14 +49,26 @@
 	}
 	defer b.close()
 	dir := dataDir{settings: s, logger: b.logger, metrics: b.metrics}
-	self, err := dir.loadIdentity()
+	err = b.runControl(stop, kill, dir, s)
 	if err != nil {
-		return err
+		b.logger.Log(eventEndedByError, zap.Error(err), zap.Strings("log_folder_bytes", dir.folderSizes()), zap.Int64("disk_mb", s.DiskMB))
 	}
+	return err
+}
+
+func (b *baseProcess) runControl(stop, kill context.Context, dir dataDir, s *ControlSettings) error {
 	client := b.newHTTPClient(maxIdleConnsToLeader)
+	replicaClient := b.newHTTPClient(maxIdleConnsToReplica)
 	updates := make(chan replica.WorkUpdate)
-	r, self, err := openReplica(b, dir, self, b.newHTTPClient(maxIdleConnsToReplica), updates)
-	if err != nil {
+	var self identity
+	var r *replica.Replica
+	err := dir.awaitSpace(stop, func() (err error) {
+		if self, err = dir.loadIdentity(); err == nil {
+			r, self, err = openReplica(b, dir, self, replicaClient, updates)
+		}
+		return err
+	})
+	if err != nil || r == nil {
 		return err
 	}
 	control := controlclient.New(controlAddresses(s), "http", client, b.metrics)
@@ -82,7 +94,7 @@
 	go func() { ended <- r.Run(runCtx) }()
 	select {
 	case err := <-ended:
-		return dir.replaceLostIdentity(self, err)
+		return dir.replaceLostIdentity(stop, self, err)
 	case err := <-b.failures:
 		cancel()
 		return errors.Join(err, <-ended)
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -35,6 +35,14 @@
 		return err
 	}
 	defer b.close()
+	if err := b.runEntry(stop, kill, s); err != nil {
+		b.logger.Log(eventEndedByError, zap.Error(err))
+		return err
+	}
+	return nil
+}
+
+func (b *baseProcess) runEntry(stop, kill context.Context, s *EntrySettings) error {
 	client := b.newHTTPClient(maxIdleConnsToLeader)
 	control := controlclient.New(internalAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	jobs := workapi.NewJobService(workapi.JobServiceOptions{Control: control, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal})
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -30,6 +30,7 @@
 	eventStarted               = eventlog.Declare(4300, zapcore.InfoLevel, "process started")
 	eventStopping              = eventlog.Declare(4301, zapcore.InfoLevel, "planned stop begins")
 	eventStopped               = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
+	eventEndedByError          = eventlog.Declare(4312, zapcore.ErrorLevel, "process ends because of an error")
 	eventHangup                = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
 	eventListenerFailed        = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
 	eventConnectionFailed      = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
