--- a/internal/storage/limit_test.go
+++ b/internal/storage/limit_test.go
@@ -8,6 +8,16 @@
 	"github.com/godwitlink/godwitlink/internal/diskio/faultdisk"
 )
 
+// fillToTheLimit appends entries until one is refused, and returns its sequence number and index.
+func fillToTheLimit(t *testing.T, store *Store) uint64 {
+	t.Helper()
+	for seq := uint64(1); ; seq++ {
+		if err := handleAndComplete(t, store, Append{Seq: seq, HardState: &replog.HardState{Term: 1}, Entries: entries(seq, seq, 1)}); err != nil {
+			return seq
+		}
+	}
+}
+
 // Checks that a follower whose log has reached its size limit can install a
 // snapshot, which is the only way to shrink that log.
 func TestInstallAtTheLimit(t *testing.T) {
@@ -15,12 +25,7 @@
 	opts := testOptions(disk)
 	opts.LimitBytes = 1000
 	store := openWithIdentity(t, opts)
-	seq := uint64(1)
-	for ; ; seq++ {
-		if err := handleAndComplete(t, store, Append{Seq: seq, HardState: &replog.HardState{Term: 1}, Entries: entries(seq, seq, 1)}); err != nil {
-			break
-		}
-	}
+	fillToTheLimit(t, store)
 	// After a restart the refused append need not be repeated first.
 	store.Close()
 	opts.Disk = disk.AfterKill()
@@ -68,12 +73,7 @@
 	opts := testOptions(disk)
 	opts.LimitBytes = 1000
 	store := openWithIdentity(t, opts)
-	seq := uint64(1)
-	for ; ; seq++ {
-		if err := handleAndComplete(t, store, Append{Seq: seq, HardState: &replog.HardState{Term: 1}, Entries: entries(seq, seq, 1)}); err != nil {
-			break
-		}
-	}
+	seq := fillToTheLimit(t, store)
 	refused := Append{Seq: seq, HardState: &replog.HardState{Term: 2, Vote: 2}, Entries: entries(seq, seq, 2)}
 	if err := handleAndComplete(t, store, refused); !errors.Is(err, ErrDiskFull) {
 		t.Fatalf("append of the new term: %v, want ErrDiskFull", err)
