internal/replica: a learned address updates the peers once

A new address led to two updates when ids were forgotten with it, and every update set the address of each unchanged peer again. Checked by the tests of replaced and joining replicas with the race detector.

--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -82,26 +82,26 @@
 	}
 }
 
-// forgetPeers drops the replicas that were replaced or have not been mentioned for reportTTL.
-func (t *task) forgetPeers(now time.Time) {
+// forgetPeers drops the replicas that were replaced or have not been mentioned for reportTTL, and
+// reports whether there were any. The caller passes the change on with updatePeers.
+func (t *task) forgetPeers(now time.Time) bool {
 	t.peers.directory.SetMembers(t.status.Membership)
-	if t.peers.directory.Forget(now) {
-		t.updatePeers()
-	}
+	return t.peers.directory.Forget(now)
 }
 
 // updatePeers makes the sender and the announcer follow the directory.
 func (t *task) updatePeers() {
 	known := slices.DeleteFunc(t.peers.directory.Peers(), func(peer replication.Peer) bool { return peer.ID == t.opts.ID })
-	for _, former := range t.peers.sending {
-		if !slices.ContainsFunc(known, func(peer replication.Peer) bool { return peer.ID == former.ID }) {
-			t.sender.RemovePeer(former.ID)
-			t.opts.Logger.Log(eventPeerForgotten, zap.Uint64("replica", uint64(former.ID)), zap.String("address", former.Address))
+	former := t.peers.sending
+	for _, dropped := range former {
+		if !slices.ContainsFunc(known, func(peer replication.Peer) bool { return peer.ID == dropped.ID }) {
+			t.sender.RemovePeer(dropped.ID)
+			t.opts.Logger.Log(eventPeerForgotten, zap.Uint64("replica", uint64(dropped.ID)), zap.String("address", dropped.Address))
 		}
 	}
-	t.peers.sending = t.peers.sending[:0:0]
+	t.peers.sending = nil
 	for _, peer := range known {
-		if t.sender.SetPeer(peer) {
+		if slices.Contains(former, peer) || t.sender.SetPeer(peer) {
 			t.peers.sending = append(t.peers.sending, peer)
 		}
 	}
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -313,7 +313,9 @@
 
 // housekeeping updates gauges and reports violated invariants.
 func (t *task) housekeeping(now time.Time) {
-	t.forgetPeers(now)
+	if t.forgetPeers(now) {
+		t.updatePeers()
+	}
 	t.logMissingAddresses()
 	t.opts.Metrics.SetGauge(metricTerm, float64(t.status.Term))
 	t.opts.Metrics.SetGauge(metricAppliedIndex, float64(t.applied))
