--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -49,13 +49,14 @@
 	// grantedShare is, by queue, the mean share of the named workers that the adviser grants.
 	grantedShare map[string]float64
 
-	planNumber      uint64      // number of the current plan
-	usableWorkers   []*worker   // workers that can take runs in the current plan
-	grantedBuffer   []*worker   // reused by usableGranted
-	candidateBuffer []candidate // reused by candidates
-	fastBuffer      []candidate // reused by chooseWorkers
-	totalMilliCPU   int64       // total capacity of usableWorkers
-	planRequesters  []string    // addresses of the requesters that are available in the current plan
+	planNumber       uint64      // number of the current plan
+	usableWorkers    []*worker   // workers that can take runs in the current plan
+	grantedBuffer    []*worker   // reused by usableGranted
+	candidateBuffer  []candidate // reused by candidates
+	fastBuffer       []candidate // reused by chooseWorkers
+	totalMilliCPU    int64       // total capacity of usableWorkers
+	readyStepsInPlan int         // number of steps with tasks to be placed in the current plan
+	planRequesters   []string    // addresses of the requesters that are available in the current plan
 	// capacityScarce is true if less than scarceFreePercent of the resources are free in the
 	// current plan.
 	capacityScarce bool
--- /dev/null
+++ b/core/dispatch/load.go
@@ -0,0 +1,14 @@
+package dispatch
+
+// Load is what the dispatcher has to consider at a moment.
+type Load struct {
+	Jobs        int // jobs that have not ended
+	ReadySteps  int // steps with tasks to be placed in the last plan
+	AdviceCalls int // advice calls in flight
+	Proposals   int // proposals that are not committed yet
+}
+
+// Load returns the present load.
+func (c *Core) Load() Load {
+	return Load{Jobs: len(c.liveJobs), ReadySteps: c.readyStepsInPlan, AdviceCalls: len(c.adviceCalls), Proposals: len(c.proposals)}
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -62,6 +62,7 @@
 	decide := &workload.Decide{}
 	c.beginPlan()
 	steps := c.readySteps()
+	c.readyStepsInPlan = len(steps)
 	c.nextPlanAt = c.now.Add(planInterval + time.Duration(min(len(steps), maxPlanDelaySteps))*planDelayPerStep)
 	for _, r := range steps {
 		if len(decide.Assigns) >= maxAssignsPerPlan {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -111,28 +111,37 @@
 	defer timer.Stop()
 	defer l.endTerm()
 	for {
+		var p pass
 		select {
 		case <-ctx.Done():
 			return
 		case update := <-l.updates:
+			p.startedAt = time.Now()
+			p.updates++
 			l.handleUpdate(ctx, update)
 		case result := <-l.results:
+			p.startedAt = time.Now()
+			p.results++
 			l.handleResult(result)
 		case <-timer.C:
+			p.startedAt = time.Now()
 		}
-		l.handlePending(ctx)
-		timer.Reset(l.runDue())
+		l.handlePending(ctx, &p)
+		timer.Reset(l.runDue(&p))
+		l.recordPass(p)
 	}
 }
 
 // handlePending processes the updates and results that are already queued, so that the core plans
 // once for all of them.
-func (l *eventLoop) handlePending(ctx context.Context) {
+func (l *eventLoop) handlePending(ctx context.Context, p *pass) {
 	for range maxBatch {
 		select {
 		case update := <-l.updates:
+			p.updates++
 			l.handleUpdate(ctx, update)
 		case result := <-l.results:
+			p.results++
 			l.handleResult(result)
 		default:
 			return
@@ -203,13 +212,16 @@
 }
 
 // runDue executes what is due and returns how long the loop may wait until the next deadline.
-func (l *eventLoop) runDue() time.Duration {
+func (l *eventLoop) runDue(p *pass) time.Duration {
 	const idle = time.Hour
+	p.handledAt = time.Now()
+	p.decidedAt = p.handledAt
 	if l.term == nil {
 		return idle
 	}
-	l.term.core.Tick(time.Now())
+	l.term.core.Tick(p.handledAt)
 	effects := l.term.core.Effects()
+	p.decidedAt = time.Now()
 	l.execute(effects)
 	if effects.Deadline.IsZero() {
 		return idle
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -14,6 +14,7 @@
 	eventTermBegins     = eventlog.Declare(4000, zapcore.InfoLevel, "dispatching begins")
 	eventTermEnds       = eventlog.Declare(4001, zapcore.InfoLevel, "dispatching ends")
 	eventProposalFailed = eventlog.Declare(4002, zapcore.WarnLevel, "a decision was not committed")
+	eventSlowPass       = eventlog.Declare(4003, zapcore.WarnLevel, "dispatching is slow, answers wait")
 )
 
 // decisionEvents maps each kind of decision of the core to its log event.
@@ -40,10 +41,11 @@
 
 // Metrics.
 var (
-	metricCalls       = metrics.Declare("worker_calls_total", metrics.KindCounter, "calls to workers, by kind and outcome")
-	metricDecisions   = metrics.Declare("dispatch_decisions_total", metrics.KindCounter, "decisions of the dispatcher, by kind and reason")
-	metricCallDelay   = metrics.Declare("worker_call_delay_seconds", metrics.KindHistogram, "time until a worker answered a start or a stop")
-	metricAdviceDelay = metrics.Declare("advice_delay_seconds", metrics.KindHistogram, "time until the adviser answered")
+	metricCalls        = metrics.Declare("worker_calls_total", metrics.KindCounter, "calls to workers, by kind and outcome")
+	metricDecisions    = metrics.Declare("dispatch_decisions_total", metrics.KindCounter, "decisions of the dispatcher, by kind and reason")
+	metricCallDelay    = metrics.Declare("worker_call_delay_seconds", metrics.KindHistogram, "time until a worker answered a start or a stop")
+	metricPassDuration = metrics.Declare("dispatch_pass_seconds", metrics.KindHistogram, "duration of one pass of the dispatching task")
+	metricAdviceDelay  = metrics.Declare("advice_delay_seconds", metrics.KindHistogram, "time until the adviser answered")
 )
 
 func (l *eventLoop) logDecision(d dispatch.Decision) {
