--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -237,57 +237,6 @@
 	return max(share, minGrantedPercent/100.0)
 }
 
-// workersToName returns the workers to ask the adviser about: eligible workers that it has not
-// answered for, those with the most free resources first, as many as are probably needed to place
-// all tasks.
-func (c *Core) workersToName(j *job, index int, spec *workload.StepSpec) []workload.WorkerID {
-	type eligibleWorker struct {
-		worker      *worker
-		usable      bool
-		slow        bool               // the worker is slow and the step is a gang
-		uncommitted workload.Resources // free resources that no other step is expected to use
-	}
-	var eligible []eligibleWorker
-	for _, w := range c.sortedWorkers {
-		if j.steps[index].answeredWorkers[w.ID] {
-			continue
-		}
-		if w.Service == j.Queue.Service && !w.Gone && !w.Draining && fitsEmptyWorker(w, spec) {
-			eligible = append(eligible, eligibleWorker{w, c.acceptsRuns(w) && !c.isAvoided(w), spec.Gang && c.isSlow(w), c.freeResources(w).Sub(w.expectedUse)})
-		}
-	}
-	// Workers that cannot take runs now come last, because their free resources cannot be used.
-	slices.SortStableFunc(eligible, func(a, b eligibleWorker) int {
-		return cmp.Or(falseFirst(!a.usable, !b.usable), falseFirst(a.slow, b.slow), cmp.Compare(b.uncommitted.MilliCPU, a.uncommitted.MilliCPU))
-	})
-	minNamed := minNamedWorkers
-	if advice := j.Queue.Advice; advice.PerWorker > 0 {
-		minNamed = max(minNamed, int(minNamingTimeShare*float64(advice.Base)/float64(advice.PerWorker)))
-	}
-	wantedSlots := float64(slotsPerTask*spec.Tasks) / c.expectedGrantedShare(j.Queue.Name)
-	expectedSlots := 0.0
-	var named []workload.WorkerID
-	for _, option := range eligible[:min(len(eligible), maxNamedWorkers)] {
-		if len(named) >= minNamed && expectedSlots >= wantedSlots {
-			break
-		}
-		named = append(named, option.worker.ID)
-		expectedSlots += float64(slotsFor(option.uncommitted, spec))
-	}
-	return named
-}
-
-// falseFirst compares two booleans so that false sorts before true.
-func falseFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // addExpectedUse records the resources that a step will probably use on the workers named in a
 // call, so that later steps name other workers.
 func (c *Core) addExpectedUse(call *adviceCall, spec *workload.StepSpec) {
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -109,6 +109,70 @@
 	}
 }
 
+// BenchmarkPlanAdvisedBacklog measures one plan, 70 ms after the one before, with a backlog of steps that
+// need advice while all workers are full.
+func BenchmarkPlanAdvisedBacklog(b *testing.B) {
+	for _, workers := range fleetSizes {
+		b.Run(fmt.Sprint(workers, "workers"), func(b *testing.B) { benchmarkPlanAdvisedBacklog(b, workers, 2*workers) })
+	}
+}
+
+func benchmarkPlanAdvisedBacklog(b *testing.B, workers, jobs int) {
+	const validity = 2 * time.Second
+	state := workload.New()
+	apply := func(c workload.Command) { state.Apply(epoch, 0, c) }
+	apply(configureQueues(
+		workload.Queue{Name: "filler", Service: "shop", MaxAttempts: 1},
+		workload.Queue{Name: "short", Service: "shop", MaxAttempts: 1, Advice: &workload.AdviserConfig{Base: 14 * time.Millisecond, PerWorker: 200 * time.Microsecond, TicketTTL: validity}},
+		workload.Queue{Name: "long", Service: "shop", MaxAttempts: 1, Priority: 1, Advice: &workload.AdviserConfig{Base: 140 * time.Millisecond, PerWorker: 2 * time.Millisecond, TicketTTL: validity}},
+	))
+	for i := range workers {
+		id, job := workload.WorkerID(fmt.Sprintf("w%04d", i)), workload.JobID(fmt.Sprint("filler", i))
+		apply(registerWorker(id, 1))
+		apply(submitJobTo("filler", job, workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 3100 + int64(i*37%800)}}))
+		run := workload.Assign{Step: workload.StepID{Job: job}, Members: []workload.TaskAssignment{{Worker: id, Boot: 1}}}
+		apply(workload.Command{Decide: &workload.Decide{Assigns: []workload.Assign{run}}})
+	}
+	core := dispatch.New(dispatch.Options{Term: 1, Lease: workerLease, MaxLease: maxWorkerLease, HoldWait: time.Second, ClockLagPPM: 20_000, SelfAddress: "self"}, state, epoch)
+	for i := range jobs {
+		job := submitJobTo([]string{"short", "long"}[i%2], workload.JobID(fmt.Sprint("j", i)), workload.StepSpec{Tasks: 10, Size: workload.Resources{MilliCPU: 1000}})
+		core.Apply(epoch, epoch, 0, job)
+	}
+	now := epoch
+	waiting := map[time.Time][]dispatch.AdviceCall{}
+	tick := func() {
+		now = now.Add(70 * time.Millisecond)
+		for i := range workers / 9 {
+			core.RequesterSeen(now, fmt.Sprint("requester", i))
+		}
+		core.SetLeaderLease(now, lease.DeadlineIn(now, time.Minute))
+		core.Apply(now, now, 0, workload.Command{Cancel: &workload.Cancel{ID: "none"}})
+		for _, call := range waiting[now] {
+			grant := dispatch.Grant{OK: true, Tickets: map[workload.WorkerID]string{}, TicketTTL: validity}
+			for i, worker := range call.Workers {
+				if i%2 == 0 {
+					grant.Tickets[worker] = "t"
+				}
+			}
+			core.AdviceAnswered(now, call.ID, grant)
+		}
+		delete(waiting, now)
+		core.Tick(now)
+		effects := core.Effects()
+		for _, hold := range effects.Holds {
+			core.HoldAnswered(now, hold.Call, dispatch.HoldReport{Clock: now.Sub(epoch).Milliseconds() + 1})
+		}
+		answeredAt := now.Add(210 * time.Millisecond)
+		waiting[answeredAt] = append(waiting[answeredAt], effects.Advice...)
+	}
+	for range 30 {
+		tick()
+	}
+	for b.Loop() {
+		tick()
+	}
+}
+
 // BenchmarkPlanInDoubtStarts measures one plan of a new leader while all waiting tasks have an
 // in-doubt start of an earlier leader: 10,000 tasks on 350 workers that are full.
 func BenchmarkPlanInDoubtStarts(b *testing.B) {
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -60,6 +60,8 @@
 	// capacityScarce is true if less than scarceFreePercent of the resources are free in the
 	// current plan.
 	capacityScarce bool
+	namingIndexes  map[string]*namingIndex // by service
+	takenBuffer    []takenWorker           // reused by workersToName
 	// nextSlowAdviceAt is when the next slow advice call may be made; zero if it may be made now.
 	nextSlowAdviceAt time.Time
 	// slowSpeedThreshold is the speed below which a worker counts as slow.
@@ -95,7 +97,7 @@
 		opts: opts, state: state, now: now, startedAt: now, planNeeded: true,
 		workers: map[workload.WorkerID]*worker{}, jobsByID: map[workload.JobID]*job{},
 		inDoubtStarts: inDoubtStarts{},
-		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{},
+		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, namingIndexes: map[string]*namingIndex{},
 	}
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
 	for _, w := range state.Workers() {
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -190,9 +190,13 @@
 	if s.allNamedRegistrations == c.registrations || !c.mayRequestAdvice(r, s) {
 		return
 	}
-	named := c.workersToName(r.job, r.index, spec)
+	// A gang waits for the room of many workers, so it names full ones ahead. Other steps gain nothing
+	// from a call before there is room.
+	named := c.workersToName(r.job, r.index, spec, !spec.Gang)
 	if len(named) == 0 {
-		s.allNamedRegistrations = c.registrations
+		if spec.Gang {
+			s.allNamedRegistrations = c.registrations
+		}
 		return
 	}
 	s.nextAdviceAt = c.now.Add(furtherAdviceInterval)
@@ -203,7 +207,7 @@
 	if !c.mayRequestAdvice(r, s) {
 		return
 	}
-	c.requestAdvice(r.job, r.index, c.workersToName(r.job, r.index, spec))
+	c.requestAdvice(r.job, r.index, c.workersToName(r.job, r.index, spec, false))
 	if s.adviceInFlight == 0 {
 		c.scheduleJobWake(r.job, s.nextAdviceAt)
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -66,6 +66,8 @@
 	freeInPlan   workload.Resources // free resources that remain in the current plan
 	usableInPlan uint64             // number of the last plan in which the worker could take runs
 	expectedUse  workload.Resources // expected use by steps whose first advice call is in flight
+	// uncommittedBound is an upper bound of the uncommitted processors in the current plan, in millicores.
+	uncommittedBound int64
 
 	answeredThisTerm bool // the worker has answered a hold in this term
 	unresponsive     bool // the last hold failed
