--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -38,10 +38,13 @@
 	inDoubtStarts     inDoubtStarts
 	nextInDoubtExpiry time.Time
 
-	lastProposalID uint64
-	proposals      map[uint64]*proposal
-	pendingEnds    []workload.EndedRun // to be proposed with the next batch
-	begun          begunReports
+	// proposalBackoff is the delay after the last rejected proposal, nextProposalAt its end.
+	proposalBackoff time.Duration
+	nextProposalAt  time.Time
+	lastProposalID  uint64
+	proposals       map[uint64]*proposal
+	pendingEnds     []workload.EndedRun // to be proposed with the next batch
+	begun           begunReports
 
 	lastAdviceID uint64
 	adviceCalls  map[uint64]*adviceCall
@@ -174,6 +177,9 @@
 	c.expireAdviceCalls()
 	c.processDueJobs()
 	c.expireInDoubtStarts()
+	if c.proposalsDelayed() {
+		return
+	}
 	if c.planNeeded && !c.now.Before(c.nextPlanAt) {
 		c.planNeeded = false
 		c.plan()
@@ -206,14 +212,20 @@
 		consider(call.deadline)
 	}
 	consider(c.nextJobWake)
+	proposalDue := func(at time.Time) {
+		if at.Before(c.nextProposalAt) {
+			at = c.nextProposalAt
+		}
+		consider(at)
+	}
 	if c.planNeeded {
-		consider(c.nextPlanAt)
+		proposalDue(c.nextPlanAt)
 	}
 	if len(c.pendingEnds) > 0 {
-		consider(c.nextEndsAt)
+		proposalDue(c.nextEndsAt)
 	}
 	if len(c.begun.tasks) > 0 {
-		consider(c.begun.dueAt)
+		proposalDue(c.begun.dueAt)
 	}
 	return earliest
 }
@@ -241,6 +253,7 @@
 // ProposalCommitted reports that a proposal was committed and applied.
 func (c *Core) ProposalCommitted(now time.Time, id uint64) {
 	c.advanceClock(now)
+	c.proposalBackoff = 0
 	c.finishProposal(id)
 }
 
@@ -254,6 +267,7 @@
 	if p == nil {
 		return
 	}
+	c.backOffProposals()
 	c.planNeeded = true
 	c.pendingEnds = append(c.pendingEnds, p.ends...)
 	if decide := p.command.Decide; decide != nil {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -419,6 +419,11 @@
 	if w.bootEndProposed || w.Gone {
 		return
 	}
+	if c.proposalsDelayed() {
+		// The cause persists, so the end is proposed again at the next wake-up or answer.
+		c.scheduleWake(w, c.nextProposalAt)
+		return
+	}
 	w.bootEndProposed = true
 	command := workload.EndBoot{Worker: w.ID, Boot: w.Boot, Permanent: permanent, Replaced: reason == bootEndOtherWorker}
 	for _, open := range c.state.OpenRuns(w.ID) {
