--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -111,6 +111,9 @@
 		step: id, requester: address, namedWorkers: named, sentAt: c.now, expectedAt: requester.busyUntil, deadline: c.now.Add(timeout + adviceRetryDelay),
 	}
 	c.adviceCalls[c.lastAdviceID] = call
+	if c.nextAdviceExpiry.IsZero() || call.deadline.Before(c.nextAdviceExpiry) {
+		c.nextAdviceExpiry = call.deadline
+	}
 	if s.tickets == nil {
 		c.addExpectedUse(call, &j.Spec.Steps[index])
 	}
@@ -180,10 +183,17 @@
 
 // expireAdviceCalls treats calls that were not answered in time as failed.
 func (c *Core) expireAdviceCalls() {
+	if c.nextAdviceExpiry.IsZero() || c.now.Before(c.nextAdviceExpiry) {
+		return
+	}
+	c.nextAdviceExpiry = time.Time{}
 	var expired []uint64
 	for id, call := range c.adviceCalls {
-		if !c.now.Before(call.deadline) {
+		switch {
+		case !c.now.Before(call.deadline):
 			expired = append(expired, id)
+		case c.nextAdviceExpiry.IsZero() || call.deadline.Before(c.nextAdviceExpiry):
+			c.nextAdviceExpiry = call.deadline
 		}
 	}
 	slices.Sort(expired)
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -48,7 +48,9 @@
 
 	lastAdviceID uint64
 	adviceCalls  map[uint64]*adviceCall
-	requesters   map[string]*adviceRequester
+	// nextAdviceExpiry is a lower bound of the deadlines of all calls in flight; zero if there is none.
+	nextAdviceExpiry time.Time
+	requesters       map[string]*adviceRequester
 	// grantedShare is, by queue, the mean share of the named workers that the adviser grants.
 	grantedShare map[string]float64
 
@@ -208,9 +210,7 @@
 		}
 	}
 	consider(c.nextWorkerWake())
-	for _, call := range c.adviceCalls {
-		consider(call.deadline)
-	}
+	consider(c.nextAdviceExpiry)
 	consider(c.nextJobWake)
 	proposalDue := func(at time.Time) {
 		if at.Before(c.nextProposalAt) {
