--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -114,7 +114,7 @@
 	if c.nextAdviceExpiry.IsZero() || call.deadline.Before(c.nextAdviceExpiry) {
 		c.nextAdviceExpiry = call.deadline
 	}
-	if s.tickets == nil {
+	if s.answeredWorkers == nil {
 		c.addExpectedUse(call, &j.Spec.Steps[index])
 	}
 	c.recordDecision(Decision{Kind: DecisionAdviceAsked, Job: j.ID, Step: index, Count: len(named), Reason: address})
@@ -159,26 +159,43 @@
 	decision.Kind = DecisionAdviceGranted
 	c.recordDecision(decision)
 	c.updateGrantedShare(j.Queue.Name, len(grant.Tickets), len(call.namedWorkers))
-	s.addGrant(call.namedWorkers, grant, c.now)
+	c.addGrant(s, call.namedWorkers, grant)
 }
 
 // addGrant records the adviser's answer for the named workers.
-func (s *step) addGrant(named []workload.WorkerID, grant Grant, now time.Time) {
-	if s.tickets == nil {
-		s.tickets = map[workload.WorkerID]ticket{}
+func (c *Core) addGrant(s *step, named []workload.WorkerID, answer Grant) {
+	if s.answeredWorkers == nil {
 		s.answeredWorkers = map[workload.WorkerID]bool{}
 	}
-	for _, worker := range named {
-		s.answeredWorkers[worker] = true
+	for _, id := range named {
+		s.answeredWorkers[id] = true
 	}
-	s.ticketsExpireAt = now.Add(grant.TicketTTL)
-	s.maxTicketTTL = max(s.maxTicketTTL, grant.TicketTTL)
-	for worker, value := range grant.Tickets {
-		if at, known := slices.BinarySearch(s.grantedWorkers, worker); !known {
-			s.grantedWorkers = slices.Insert(s.grantedWorkers, at, worker)
+	s.ticketsExpireAt = c.now.Add(answer.TicketTTL)
+	s.maxTicketTTL = max(s.maxTicketTTL, answer.TicketTTL)
+	for id, ticket := range answer.Tickets {
+		w := c.workers[id]
+		if w == nil {
+			continue
+		}
+		at, known := s.findGrant(id)
+		if !known {
+			s.grants = slices.Insert(s.grants, at, grant{})
 		}
-		s.tickets[worker] = ticket{value: value, expiresAt: s.ticketsExpireAt}
+		s.grants[at] = grant{worker: w, ticket: ticket, expiresAt: s.ticketsExpireAt}
+	}
+}
+
+// findGrant returns the position of the grant for a worker, or where it is to be inserted.
+func (s *step) findGrant(id workload.WorkerID) (at int, found bool) {
+	return slices.BinarySearchFunc(s.grants, id, func(g grant, id workload.WorkerID) int { return cmp.Compare(g.worker.ID, id) })
+}
+
+// ticketFor returns the last ticket for a worker, or "" if there is none.
+func (s *step) ticketFor(id workload.WorkerID) string {
+	if at, found := s.findGrant(id); found {
+		return s.grants[at].ticket
 	}
+	return ""
 }
 
 // expireAdviceCalls treats calls that were not answered in time as failed.
@@ -205,8 +222,9 @@
 // dropTickets removes the tickets of a step but keeps the information which workers were granted.
 func (c *Core) dropTickets(id workload.StepID) {
 	if j := c.jobsByID[id.Job]; j != nil {
-		for worker := range j.steps[id.Step].tickets {
-			j.steps[id.Step].tickets[worker] = ticket{}
+		grants := j.steps[id.Step].grants
+		for i := range grants {
+			grants[i] = grant{worker: grants[i].worker}
 		}
 	}
 }
@@ -282,7 +300,7 @@
 // long. Otherwise the resources would stay idle during the call. It names the granted workers with
 // the most free resources.
 func (c *Core) refreshTickets(r readyStep, s *step, spec *workload.StepSpec) {
-	count := min(len(s.tickets), maxNamedWorkers, max(refreshWorkersPerTask*spec.Tasks, minNamedWorkers))
+	count := min(len(s.grants), maxNamedWorkers, max(refreshWorkersPerTask*spec.Tasks, minNamedWorkers))
 	expected := adviceTime(r.job.Queue.Advice, count)
 	if expected < slowAdviceThreshold || count == 0 || len(c.adviceCalls) >= len(c.requesters)*maxRefreshBusyPercent/100 {
 		return
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -29,10 +29,9 @@
 
 	// Permission of the adviser. The set of workers that may run a step never changes, but the
 	// tickets that prove the permission expire.
-	adviceInFlight  uint64 // ID of the advice call in flight, or 0
-	tickets         map[workload.WorkerID]ticket
-	grantedWorkers  []workload.WorkerID // the workers with a ticket, valid or expired, sorted
-	ticketsExpireAt time.Time           // expiry of the most recently granted tickets
+	adviceInFlight  uint64    // ID of the advice call in flight, or 0
+	grants          []grant   // the workers that may run the step, sorted by ID
+	ticketsExpireAt time.Time // expiry of the most recently granted tickets
 	maxTicketTTL    time.Duration
 	// allNamedRegistrations is the value of Core.registrations when all workers had been named.
 	allNamedRegistrations int
@@ -47,9 +46,11 @@
 	awaitsInDoubtStarts bool
 }
 
-// ticket proves to a worker that it may run a step.
-type ticket struct {
-	value     string
+// grant is the permission of the adviser to run a step on a worker, with the last ticket, which may
+// have expired.
+type grant struct {
+	worker    *worker
+	ticket    string
 	expiresAt time.Time
 }
 
@@ -278,7 +279,7 @@
 	}
 	r := &run{number: number, openedThisTerm: true, nextCallAt: c.now}
 	if live != nil {
-		r.ticket = live.steps[id.Step].tickets[m.Worker].value
+		r.ticket = live.steps[id.Step].ticketFor(m.Worker)
 	} else {
 		r.stopRequested, r.stopReason = true, "job-ended"
 	}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -125,7 +125,7 @@
 		return none, false
 	}
 	advised := r.job.Queue.Advice != nil
-	if advised && s.tickets == nil {
+	if advised && s.answeredWorkers == nil {
 		if s.adviceInFlight == 0 {
 			c.requestFirstAdvice(r, s, spec)
 		}
@@ -222,13 +222,13 @@
 	}
 	var named []workload.WorkerID
 	for _, m := range members {
-		if !slices.Contains(named, m.Worker) && !c.ticketValid(s, m.Worker) {
+		if !slices.Contains(named, m.Worker) && !c.hasValidTicket(s, m.Worker) {
 			named = append(named, m.Worker)
 		}
 	}
 	if !r.job.Spec.Steps[r.index].Gang && len(members) < s.waitingTasks {
 		for _, w := range c.usableGranted(s) {
-			if len(named) < maxNamedWorkers && !slices.Contains(named, w.ID) && !c.ticketValid(s, w.ID) {
+			if len(named) < maxNamedWorkers && !slices.Contains(named, w.ID) && !c.hasValidTicket(s, w.ID) {
 				named = append(named, w.ID)
 			}
 		}
@@ -241,9 +241,16 @@
 	c.reserveForRenewal(s, members, r.job.Spec.Steps[r.index].Size)
 }
 
-// ticketValid reports whether the ticket for a worker is still valid when a start arrives there.
-func (c *Core) ticketValid(s *step, worker workload.WorkerID) bool {
-	return c.now.Add(startDeliveryMargin).Before(s.tickets[worker].expiresAt)
+// hasValidTicket reports whether a step has a ticket for a worker that is still valid when a start
+// arrives there.
+func (c *Core) hasValidTicket(s *step, worker workload.WorkerID) bool {
+	at, found := s.findGrant(worker)
+	return found && c.ticketValid(s.grants[at])
+}
+
+// ticketValid reports whether the ticket of a grant is still valid when a start arrives.
+func (c *Core) ticketValid(g grant) bool {
+	return c.now.Add(startDeliveryMargin).Before(g.expiresAt)
 }
 
 // ticketsValid reports whether any ticket of a step is still valid when a start arrives.
@@ -367,12 +374,20 @@
 	return members
 }
 
+// grantedWorker returns the present boot of the worker of a grant.
+func (s *step) grantedWorker(i int) *worker {
+	for s.grants[i].worker.laterWorker != nil {
+		s.grants[i].worker = s.grants[i].worker.laterWorker
+	}
+	return s.grants[i].worker
+}
+
 // usableGranted returns the workers that the adviser has granted to a step and that can take runs in the
 // current plan, sorted by ID. The list is valid until the next call.
 func (c *Core) usableGranted(s *step) []*worker {
 	c.grantedBuffer = c.grantedBuffer[:0]
-	for _, id := range s.grantedWorkers {
-		if w := c.workers[id]; w != nil && w.usableInPlan == c.planNumber {
+	for i := range s.grants {
+		if w := s.grantedWorker(i); w.usableInPlan == c.planNumber {
 			c.grantedBuffer = append(c.grantedBuffer, w)
 		}
 	}
@@ -382,36 +397,53 @@
 // candidates lists the workers that may take tasks of a step: those with free resources for a task,
 // or also full ones if includeFull is set. The list is valid until the next call.
 func (c *Core) candidates(r readyStep, s *step, spec *workload.StepSpec, requireTickets, includeFull bool) []candidate {
-	advised := r.job.Queue.Advice != nil
-	list := c.candidateBuffer[:0]
-	excludeSuspects := c.excludesSuspects(s)
-	lastAttempt := excludeSuspects && r.lastAttempt(s)
-	workers := c.usableWorkers
-	switch {
-	case requireTickets && !c.ticketsValid(s):
-		workers = nil
-	case advised:
-		// The granted workers are few, and with many workers most of the time of a plan would pass here.
-		workers = c.usableGranted(s)
-	}
-	for _, w := range workers {
-		if !includeFull && !spec.Size.Fits(w.freeInPlan) {
-			continue
-		}
-		if w.Service != r.job.Queue.Service || !fitsEmptyWorker(w, spec) || excludeSuspects && s.isSuspect(w, spec, lastAttempt) || (excludeSuspects || c.capacityScarce) && c.isAvoided(w) {
-			continue
+	c.candidateBuffer = c.candidateBuffer[:0]
+	q := &candidateQuery{readyStep: r, step: s, spec: spec, includeFull: includeFull, excludeSuspects: c.excludesSuspects(s)}
+	q.lastAttempt = q.excludeSuspects && r.lastAttempt(s)
+	if r.job.Queue.Advice == nil {
+		for _, w := range c.usableWorkers {
+			c.addCandidate(q, w)
 		}
-		if requireTickets && !c.ticketValid(s, w.ID) {
-			continue
-		}
-		cand := candidate{worker: w, free: w.freeInPlan, slow: c.isSlow(w), oneRunOnly: w.onProbation() && (excludeSuspects || !spec.Gang), onPreferredRack: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
-		if spec.MaxPerWorker > 0 {
-			cand.tasks = c.openTasksOn(r, w.ID)
+		return c.candidateBuffer
+	}
+	if requireTickets && !c.ticketsValid(s) {
+		return nil
+	}
+	// The granted workers are few, and with many workers most of the time of a plan would pass here.
+	for i := range s.grants {
+		w := s.grantedWorker(i)
+		if w.usableInPlan == c.planNumber && (!requireTickets || c.ticketValid(s.grants[i])) {
+			c.addCandidate(q, w)
 		}
-		list = append(list, cand)
 	}
-	c.candidateBuffer = list
-	return list
+	return c.candidateBuffer
+}
+
+// candidateQuery says which workers are candidates for a step.
+type candidateQuery struct {
+	readyStep
+	step            *step
+	spec            *workload.StepSpec
+	includeFull     bool // also workers without free resources for a task
+	excludeSuspects bool // no workers on which a run of the step is likely to fail
+	lastAttempt     bool // the job fails if the next run of a waiting task fails
+}
+
+// addCandidate adds a worker that can take runs in the current plan to candidateBuffer if it may take
+// tasks of the step.
+func (c *Core) addCandidate(q *candidateQuery, w *worker) {
+	spec := q.spec
+	if !q.includeFull && !spec.Size.Fits(w.freeInPlan) {
+		return
+	}
+	if w.Service != q.job.Queue.Service || !fitsEmptyWorker(w, spec) || q.excludeSuspects && q.step.isSuspect(w, spec, q.lastAttempt) || (q.excludeSuspects || c.capacityScarce) && c.isAvoided(w) {
+		return
+	}
+	cand := candidate{worker: w, free: w.freeInPlan, slow: c.isSlow(w), oneRunOnly: w.onProbation() && (q.excludeSuspects || !spec.Gang), onPreferredRack: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+	if spec.MaxPerWorker > 0 {
+		cand.tasks = c.openTasksOn(q.readyStep, w.ID)
+	}
+	c.candidateBuffer = append(c.candidateBuffer, cand)
 }
 
 // acceptsRuns reports whether a worker may get new runs.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -60,6 +60,7 @@
 // worker is the leader's view of one boot of a worker.
 type worker struct {
 	workload.Worker
+	laterWorker *worker // the next boot under the same ID, nil if there is none
 	// reserved is the sum of the reservations for proposals, for advice calls and for runs that are
 	// closed in the state.
 	reserved     workload.Resources
@@ -179,6 +180,7 @@
 	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{},
 		proposedLateEnds: map[workload.TaskID]lateEnd{}, nextHoldAt: c.now, speed: 1}
 	if existing != nil {
+		existing.laterWorker = created
 		created.reserved, created.expectedUse = existing.reserved, existing.expectedUse
 		for _, r := range existing.runs {
 			created.reserved = created.reserved.Sub(r.reservedSize)
