--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -175,7 +175,10 @@
 	if c.fenced {
 		return
 	}
-	c.processDueWorkers()
+	// The owner ticks again when the leader lease is renewed.
+	if c.mayCallWorkers() {
+		c.processDueWorkers()
+	}
 	c.expireAdviceCalls()
 	c.processDueJobs()
 	c.expireInDoubtStarts()
@@ -209,7 +212,11 @@
 			earliest = at
 		}
 	}
-	consider(c.nextWorkerWake())
+	if c.mayCallWorkers() {
+		consider(c.nextWorkerWake())
+	} else {
+		consider(c.now.Add(callRetryDelay))
+	}
 	consider(c.nextAdviceExpiry)
 	consider(c.nextJobWake)
 	proposalDue := func(at time.Time) {
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -39,9 +39,13 @@
 		report.Outcome = OutcomeNoAnswer
 	}
 	c.holdEnded(w, call, report.Outcome)
-	if report.Outcome == OutcomeNoSocket {
+	switch report.Outcome {
+	case OutcomeNoSocket:
 		c.holdHadNoSocket(w)
 		return
+	case OutcomeNotPermitted:
+		c.holdNotPermitted(w)
+		return
 	}
 	if report.Outcome != OutcomeOK {
 		c.holdFailed(w, call, report.Outcome)
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -128,7 +128,10 @@
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, start.Call)
 	case OutcomeNoSocket:
-		c.startHadNoSocket(w, start.Task, r)
+		c.recordSocketShortage()
+		c.repeatUnsentStart(w, start.Task, r, outcome)
+	case OutcomeNotPermitted:
+		c.repeatUnsentStart(w, start.Task, r, outcome)
 	case OutcomeNoAnswer, OutcomeNotSent, OutcomeLeaseExpired:
 		r.nextCallAt = c.now.Add(callRetryDelay)
 		if r.startAttempts >= maxStartAttempts {
@@ -196,6 +199,8 @@
 		c.handleFenced(w, stop.Call)
 	case OutcomeOtherWorker:
 		c.otherWorkerAnswered(w, stop.Call)
+	case OutcomeNotPermitted:
+		r.nextCallAt = c.now.Add(callRetryDelay)
 	default:
 		r.stopBackoff = min(max(2*r.stopBackoff, callRetryDelay), maxStopRetryDelay)
 		r.nextCallAt = c.now.Add(r.stopBackoff)
--- a/core/dispatch/sockets.go
+++ b/core/dispatch/sockets.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/godwitlink/godwitlink/core/workload"
-)
+import "time"
 
 const (
 	// socketShortagePeriod is how long this process is assumed to have too few sockets after a call was not
@@ -29,20 +25,3 @@
 	w.nextHoldAt = c.now.Add(callRetryDelay)
 	c.scheduleWake(w, w.nextHoldAt)
 }
-
-// startHadNoSocket sends a start again later, until the run has waited for too long. The attempt does not
-// count, and the worker is not avoided.
-func (c *Core) startHadNoSocket(w *worker, id workload.TaskID, r *run) {
-	c.recordSocketShortage()
-	r.startAttempts--
-	r.nextCallAt = c.now.Add(callRetryDelay)
-	c.scheduleWake(w, r.nextCallAt)
-	if r.startAttempts == 0 && c.now.Before(r.giveUpStartAt) || r.startAttempts > 0 {
-		return
-	}
-	c.recordDecision(Decision{
-		Kind: DecisionRefused, Job: id.Job, Step: id.Step, Task: id.Index, Run: r.number, Worker: w.ID, Reason: OutcomeNoSocket.String(),
-	})
-	c.queueEnd(w, id, r, workload.EndNeverStarted, "", 0)
-	c.stopGang(id)
-}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -317,10 +317,6 @@
 		// A worker that has announced that it leaves is not called any more.
 		c.proposeBootEnd(w, bootEndLeaseExpired, w.Draining)
 	}
-	if !c.mayCallWorkers() {
-		c.scheduleWake(w, c.now.Add(callRetryDelay))
-		return
-	}
 	c.stopRunsBeforeLeave(w)
 	// The hold comes last, because it must not extend the lease of a run that these starts begin.
 	if !w.bootEndProposed && w.laterBoot == 0 {
--- a/internal/dispatcher/leasedclient.go
+++ b/internal/dispatcher/leasedclient.go
@@ -27,21 +27,21 @@
 
 func (c leasedClient) Hold(ctx context.Context, hold dispatch.Hold) dispatch.HoldReport {
 	if c.isLeaseOver() {
-		return dispatch.HoldReport{Outcome: dispatch.OutcomeNotSent}
+		return dispatch.HoldReport{Outcome: dispatch.OutcomeNotPermitted}
 	}
 	return c.workers.Hold(ctx, c.isLeaseValid, hold)
 }
 
 func (c leasedClient) Start(ctx context.Context, start dispatch.Start) (outcome dispatch.Outcome, clock int64) {
 	if c.isLeaseOver() {
-		return dispatch.OutcomeNotSent, 0
+		return dispatch.OutcomeNotPermitted, 0
 	}
 	return c.workers.Start(ctx, c.isLeaseValid, start)
 }
 
 func (c leasedClient) Stop(ctx context.Context, stop dispatch.Stop) (outcome dispatch.Outcome, clock int64) {
 	if c.isLeaseOver() {
-		return dispatch.OutcomeNotSent, 0
+		return dispatch.OutcomeNotPermitted, 0
 	}
 	return c.workers.Stop(ctx, c.isLeaseValid, stop)
 }
