--- a/core/replog/core_test.go
+++ b/core/replog/core_test.go
@@ -19,13 +19,19 @@
 // messages of each type.
 func newTestGroup(t *testing.T, snapshotEvery uint64, sent map[replog.MessageType]int) (*logsim.Sim, *logsim.Replica) {
 	t.Helper()
-	x := newRun(1, func(o *logsim.Options) {
+	return startTestGroup(t, func(o *logsim.Options) {
 		o.Config, o.SnapshotEvery = testConfig, snapshotEvery
 		o.Delays = func(m replog.Message) []time.Duration {
 			sent[m.Type]++
 			return []time.Duration{time.Millisecond}
 		}
 	})
+}
+
+// startTestGroup starts three replicas and waits until their leader is ready.
+func startTestGroup(t *testing.T, setOptions func(*logsim.Options)) (*logsim.Sim, *logsim.Replica) {
+	t.Helper()
+	x := newRun(1, setOptions)
 	x.maxLeaderLifetime, x.driftPPM = 0, 0
 	for range 3 {
 		x.addReplica(replog.Membership{Voters: []replog.ReplicaID{1, 2, 3}})
--- a/core/replog/leader.go
+++ b/core/replog/leader.go
@@ -39,7 +39,7 @@
 		peers[id] = c.leaderState.followers[id]
 		if peers[id] == nil {
 			peers[id] = &progress{
-				id: id, nextIndex: c.log.lastIndex() + 1, state: ProgressReplicate, heartbeatDue: c.now,
+				id: id, nextIndex: c.log.lastIndex() + 1, state: ProgressReplicate, window: minWindowBytes, heartbeatDue: c.now,
 			}
 		}
 	}
--- a/core/replog/log.go
+++ b/core/replog/log.go
@@ -49,7 +49,7 @@
 func (l *entryLog) batch(first uint64, maxBytes int) []Entry {
 	end, size := first, 0
 	for end <= l.lastIndex() {
-		size += len(l.entries[end-l.baseIndex-1].Data) + entryOverheadBytes
+		size += l.entries[end-l.baseIndex-1].encodedBytes()
 		if end > first && size > maxBytes {
 			break
 		}
@@ -61,6 +61,18 @@
 // entryOverheadBytes is the approximate encoded size of an entry without its data.
 const entryOverheadBytes = 16
 
+// encodedBytes returns the approximate encoded size of an entry.
+func (e Entry) encodedBytes() int { return len(e.Data) + entryOverheadBytes }
+
+// encodedBytes returns the approximate encoded size of entries.
+func encodedBytes(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += e.encodedBytes()
+	}
+	return size
+}
+
 func (l *entryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
 
 // truncateFrom drops the entry at index and all later entries.
--- a/core/replog/progress.go
+++ b/core/replog/progress.go
@@ -24,8 +24,12 @@
 	matchIndex uint64
 	nextIndex  uint64 // next index to send; always above matchIndex
 	state      ProgressState
-	// inflight holds the last index of each unacknowledged append, oldest first.
-	inflight []uint64
+	inflight   []sentAppend // unacknowledged appends, oldest first
+	// window limits the bytes of entries in unacknowledged appends. While it is in use it grows with what
+	// is acknowledged. It is halved when appends were lost or refused, so that a replica that is slow, or
+	// that this one is slow to reach, gets appends of a size that arrive in time.
+	window        int
+	inflightBytes int
 
 	heartbeatDue      time.Time
 	snapshotDue       time.Time // when to resend the snapshot
@@ -34,20 +38,57 @@
 	readRound         uint64    // last read round that it responded to
 }
 
+// sentAppend is an append with entries that was not acknowledged yet.
+type sentAppend struct {
+	lastIndex uint64
+	bytes     int
+}
+
+// minWindowBytes is the first and the smallest size of the window. It arrives within a request timeout
+// on the slowest link, also while the sender or the receiver is short of processor time.
+const minWindowBytes = 64 << 10
+
 // acknowledge records that the replica's log matches the leader's log up to index.
-func (p *progress) acknowledge(index uint64) {
+func (p *progress) acknowledge(index uint64, maxWindow int) {
 	p.matchIndex = max(p.matchIndex, index)
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
-	for len(p.inflight) > 0 && p.inflight[0] <= index {
+	inUse := 2*p.inflightBytes >= p.window
+	for len(p.inflight) > 0 && p.inflight[0].lastIndex <= index {
+		if inUse {
+			p.window = min(p.window+p.inflight[0].bytes, maxWindow)
+		}
+		p.inflightBytes -= p.inflight[0].bytes
 		p.inflight = p.inflight[1:]
 	}
 }
 
+// sent records an append with entries up to lastIndex.
+func (p *progress) sent(lastIndex uint64, bytes int) {
+	p.nextIndex = lastIndex + 1
+	p.inflight = append(p.inflight, sentAppend{lastIndex, bytes})
+	p.inflightBytes += bytes
+}
+
+// windowLeft returns how many bytes of entries may be sent now. An append is always possible when
+// none is in flight.
+func (p *progress) windowLeft() int {
+	if len(p.inflight) == 0 {
+		return max(p.window, 1)
+	}
+	return p.window - p.inflightBytes
+}
+
+// clearInflight forgets the unacknowledged appends, which were lost or refused.
+func (p *progress) clearInflight() {
+	p.window = max(p.window/2, minWindowBytes)
+	p.inflight, p.inflightBytes = nil, 0
+}
+
 // startProbing switches to searching for the last common entry, starting before next.
 func (p *progress) startProbing(next uint64, now time.Time) {
 	p.state = ProgressProbe
 	p.nextIndex = max(next, p.matchIndex+1)
-	p.inflight = nil
+	p.clearInflight()
 	p.heartbeatDue = now
 }
 
@@ -55,7 +96,6 @@
 func (p *progress) startReplicating(next uint64) {
 	p.state = ProgressReplicate
 	p.nextIndex = next
-	p.inflight = nil
 }
 
 // respondedWithin reports whether a response arrived within the period before now.
--- a/core/replog/replicate.go
+++ b/core/replog/replicate.go
@@ -40,13 +40,12 @@
 	}
 }
 
-// sendEntries sends batches of entries up to the limit of unacknowledged appends.
+// sendEntries sends batches of entries up to the limits of unacknowledged appends.
 func (c *Core) sendEntries(p *progress) {
-	for p.nextIndex <= c.log.lastIndex() && len(p.inflight) < c.cfg.MaxInflight {
-		entries := c.log.batch(p.nextIndex, c.cfg.MaxBatchBytes)
+	for p.nextIndex <= c.log.lastIndex() && len(p.inflight) < c.cfg.MaxInflight && p.windowLeft() > 0 {
+		entries := c.log.batch(p.nextIndex, min(c.cfg.MaxBatchBytes, p.windowLeft()))
 		c.sendAppend(p, entries)
-		p.nextIndex += uint64(len(entries))
-		p.inflight = append(p.inflight, p.nextIndex-1)
+		p.sent(entries[len(entries)-1].Index, encodedBytes(entries))
 	}
 }
 
@@ -102,7 +101,7 @@
 
 func (c *Core) handleAcknowledgement(p *progress, index uint64) {
 	probed := p.state == ProgressProbe && index >= p.nextIndex-1
-	p.acknowledge(index)
+	p.acknowledge(index, c.cfg.MaxInflight*c.cfg.MaxBatchBytes)
 	caughtUp := p.state == ProgressSnapshot && p.matchIndex >= c.log.baseIndex
 	if probed || caughtUp {
 		p.startReplicating(p.matchIndex + 1)
--- a/core/replog/snapshot.go
+++ b/core/replog/snapshot.go
@@ -54,7 +54,7 @@
 		return
 	}
 	p.state = ProgressSnapshot
-	p.inflight = nil
+	p.clearInflight()
 	p.snapshotDue = c.now.Add(snapshotRetryTimeouts * c.cfg.ElectionTimeoutMax)
 	p.heartbeatDue = c.now.Add(c.cfg.HeartbeatInterval)
 	c.send(Message{
