--- a/core/replog/core.go
+++ b/core/replog/core.go
@@ -35,6 +35,7 @@
 	// for ElectionTimeoutMin after it. The start of the replica counts as such a message, because a
 	// restarted replica does not know whether it acknowledged a heartbeat just before.
 	lastLeaderContact time.Time
+	early             earlyAppends // as a follower
 	electionDeadline  time.Time
 	votesReceived     map[ReplicaID]bool // votes received in the current election or pre-election
 
--- a/core/replog/doc.go
+++ b/core/replog/doc.go
@@ -21,5 +21,7 @@
 // same or an earlier batch: it must be installed first.
 //
 // The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, check-quorum, leader lease,
-// pipelined appends, learners, single-step membership changes and leadership transfer.
+// pipelined appends within a window of bytes, learners, single-step membership changes and
+// leadership transfer. Messages may overtake each other: a follower holds appends that arrive before
+// the ones they follow.
 package replog
--- a/core/replog/follower.go
+++ b/core/replog/follower.go
@@ -27,6 +27,8 @@
 	case m.LogIndex < c.commit:
 		// Committed entries are the same on all replicas.
 		response.LogIndex = c.commit
+	case c.awaitsMissing(m):
+		response.LogIndex = c.early.verified
 	case !c.log.matches(m.LogIndex, m.LogTerm):
 		response.Reject = true
 		response.LogIndex = m.LogIndex
@@ -36,8 +38,12 @@
 		if !c.mergeEntries(m.LogIndex, m.Entries) {
 			return
 		}
-		response.LogIndex = m.LogIndex + uint64(len(m.Entries))
-		c.commitTo(min(m.Commit, response.LogIndex))
+		matching := m.LogIndex + uint64(len(m.Entries))
+		c.commitTo(min(m.Commit, matching))
+		var ok bool
+		if response.LogIndex, ok = c.recordMatch(matching); !ok {
+			return
+		}
 	}
 	c.sendAfterSync(response)
 }
