--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -41,10 +41,11 @@
 	c.holdEnded(w, call, report.Outcome)
 	switch report.Outcome {
 	case OutcomeNoSocket:
-		c.holdHadNoSocket(w)
+		c.recordSocketShortage()
+		c.repeatUnsentHold(w)
 		return
 	case OutcomeNotPermitted:
-		c.holdNotPermitted(w)
+		c.repeatUnsentHold(w)
 		return
 	}
 	if report.Outcome != OutcomeOK {
--- a/core/dispatch/sockets.go
+++ b/core/dispatch/sockets.go
@@ -18,10 +18,3 @@
 func (c *Core) recordSocketShortage() {
 	c.socketsShortUntil = c.now.Add(socketShortagePeriod)
 }
-
-// holdHadNoSocket sends a hold again later. The worker is not the cause, so it stays responsive.
-func (c *Core) holdHadNoSocket(w *worker) {
-	c.recordSocketShortage()
-	w.nextHoldAt = c.now.Add(callRetryDelay)
-	c.scheduleWake(w, w.nextHoldAt)
-}
--- a/core/dispatch/leaderlease.go
+++ b/core/dispatch/unsent.go
@@ -2,9 +2,9 @@
 
 import "github.com/godwitlink/godwitlink/core/workload"
 
-// holdNotPermitted sends a hold again that was not sent because the leader lease had ended. The worker is
-// not the cause, so it stays responsive, and its lease is extended by the next hold.
-func (c *Core) holdNotPermitted(w *worker) {
+// repeatUnsentHold sends a hold again later that was not sent for a reason that the worker has no part in.
+// The worker stays responsive, and its lease is extended by the next hold.
+func (c *Core) repeatUnsentHold(w *worker) {
 	w.nextHoldAt = c.now.Add(callRetryDelay)
 	c.scheduleWake(w, w.nextHoldAt)
 }
