core/replog: the window left needs no case for an empty pipeline

The window starts at minWindowBytes and stays above 0, so with nothing in flight what is left is the window.

--- a/core/replog/progress.go
+++ b/core/replog/progress.go
@@ -69,14 +69,8 @@
 	p.inflightBytes += bytes
 }
 
-// windowLeft returns how many bytes of entries may be sent now. An append is always possible when
-// none is in flight.
-func (p *progress) windowLeft() int {
-	if len(p.inflight) == 0 {
-		return max(p.window, 1)
-	}
-	return p.window - p.inflightBytes
-}
+// windowLeft returns how many bytes of entries may be sent now. It is above 0 when none are in flight.
+func (p *progress) windowLeft() int { return p.window - p.inflightBytes }
 
 // clearInflight forgets the unacknowledged appends, which were lost or refused.
 func (p *progress) clearInflight() {
