core/dispatch: one comparison of a time with one that may be unset

The lower bound of the deadlines of advice calls wrote the comparison of the wake-ups and of the next tick again, twice. isEarlier serves all six places. No change of behaviour; the tests of the package are unchanged.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -111,7 +111,7 @@
 		step: id, requester: address, namedWorkers: named, sentAt: c.now, expectedAt: requester.busyUntil, deadline: c.now.Add(timeout + adviceRetryDelay),
 	}
 	c.adviceCalls[c.lastAdviceID] = call
-	if c.nextAdviceExpiry.IsZero() || call.deadline.Before(c.nextAdviceExpiry) {
+	if isEarlier(call.deadline, c.nextAdviceExpiry) {
 		c.nextAdviceExpiry = call.deadline
 	}
 	if s.answeredWorkers == nil {
@@ -209,7 +209,7 @@
 		switch {
 		case !c.now.Before(call.deadline):
 			expired = append(expired, id)
-		case c.nextAdviceExpiry.IsZero() || call.deadline.Before(c.nextAdviceExpiry):
+		case isEarlier(call.deadline, c.nextAdviceExpiry):
 			c.nextAdviceExpiry = call.deadline
 		}
 	}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -208,7 +208,7 @@
 	}
 	var earliest time.Time
 	consider := func(at time.Time) {
-		if !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
+		if !at.IsZero() && isEarlier(at, earliest) {
 			earliest = at
 		}
 	}
--- a/core/dispatch/wake.go
+++ b/core/dispatch/wake.go
@@ -39,9 +39,12 @@
 	return last
 }
 
+// isEarlier reports whether a time is before another one, which is zero if there is none.
+func isEarlier(at, other time.Time) bool { return other.IsZero() || at.Before(other) }
+
 // scheduleWake makes a worker due at the given time or earlier.
 func (c *Core) scheduleWake(w *worker, at time.Time) {
-	if w.nextWake.IsZero() || at.Before(w.nextWake) {
+	if isEarlier(at, w.nextWake) {
 		w.nextWake = at
 		heap.Push(&c.wakeUps, wakeUp{at, w})
 	}
@@ -77,10 +80,10 @@
 // scheduleJobWake requests a plan at the given time or earlier, for a step that is due without an
 // event.
 func (c *Core) scheduleJobWake(j *job, at time.Time) {
-	if j.nextWake.IsZero() || at.Before(j.nextWake) {
+	if isEarlier(at, j.nextWake) {
 		j.nextWake = at
 	}
-	if c.nextJobWake.IsZero() || at.Before(c.nextJobWake) {
+	if isEarlier(at, c.nextJobWake) {
 		c.nextJobWake = at
 	}
 }
