--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -92,13 +92,7 @@
 			core.HoldAnswered(now, hold.Call, dispatch.HoldReport{Clock: now.Sub(epoch).Milliseconds() + 1})
 		}
 		for _, call := range effects.Advice {
-			grant := dispatch.Grant{OK: true, Tickets: map[workload.WorkerID]string{}, TicketTTL: 1500 * time.Millisecond}
-			for i, worker := range call.Workers {
-				if i%3 == 0 {
-					grant.Tickets[worker] = "t"
-				}
-			}
-			core.AdviceAnswered(now, call.ID, grant)
+			core.AdviceAnswered(now, call.ID, grantEvery(3, call, 1500*time.Millisecond))
 		}
 	}
 	for range 500 {
@@ -109,6 +103,17 @@
 	}
 }
 
+// grantEvery grants every nth worker that a call names.
+func grantEvery(n int, call dispatch.AdviceCall, validity time.Duration) dispatch.Grant {
+	grant := dispatch.Grant{OK: true, Tickets: map[workload.WorkerID]string{}, TicketTTL: validity}
+	for i, worker := range call.Workers {
+		if i%n == 0 {
+			grant.Tickets[worker] = "t"
+		}
+	}
+	return grant
+}
+
 // BenchmarkPlanAdvisedBacklog measures one plan, 70 ms after the one before, with a backlog of steps that
 // need advice while all workers are full.
 func BenchmarkPlanAdvisedBacklog(b *testing.B) {
@@ -148,13 +153,7 @@
 		core.SetLeaderLease(now, lease.DeadlineIn(now, time.Minute))
 		core.Apply(now, now, 0, workload.Command{Cancel: &workload.Cancel{ID: "none"}})
 		for _, call := range waiting[now] {
-			grant := dispatch.Grant{OK: true, Tickets: map[workload.WorkerID]string{}, TicketTTL: validity}
-			for i, worker := range call.Workers {
-				if i%2 == 0 {
-					grant.Tickets[worker] = "t"
-				}
-			}
-			core.AdviceAnswered(now, call.ID, grant)
+			core.AdviceAnswered(now, call.ID, grantEvery(2, call, validity))
 		}
 		delete(waiting, now)
 		core.Tick(now)
