--- /dev/null
+++ b/review/standins2/foreign.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	longTask = 9 * time.Second
+	// listedTime is the time after which every hold has listed a run that was begun.
+	listedTime = 2500 * time.Millisecond
+)
+
+// playForeignReport sends a status report of another writer under the id of a worker that runs a task. The
+// report lacks four fields, and one has another type, so it names no worker to use.
+func playForeignReport(o options, r *record) error {
+	if err := configure(o, r, configTimeout); err != nil {
+		return err
+	}
+	f, err := startFleet(o, r, 4)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	time.Sleep(2 * heartbeatInterval)
+	id := newJobID()
+	if err := submit(o, r, id, jobBody(1, longTask)); err != nil {
+		return err
+	}
+	w, err := f.awaitStart(id, 2*time.Second)
+	if err != nil {
+		return err
+	}
+	time.Sleep(listedTime)
+	if o.trouble {
+		if err := f.sendForeignReport(o, w); err != nil {
+			return err
+		}
+	}
+	time.Sleep(longTask)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if first, second := f.overlap(); first != nil {
+		return fmt.Errorf("%w: TWICE: %s ran as run %d on %s and as run %d on %s at the same time, both workers up", errBroken, first.task, first.run, first.worker.id, second.run, second.worker.id)
+	}
+	return nil
+}
+
+func (f *fleet) sendForeignReport(o options, w *worker) error {
+	body, err := json.Marshal(map[string]any{
+		"service": serviceName, "address": w.address, "zone": "z1", "state": "ready", "slots": "eight",
+		"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", "r1"},
+		"born": time.Now().UnixMilli(),
+	})
+	if err != nil {
+		return err
+	}
+	response, err := f.client.Post("http://"+o.controls[0]+"/godwitlink/Instances.Heartbeat/"+w.id, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	f.record.log("report of another writer: %s, answered with %s (%d)", body, http.StatusText(response.StatusCode), response.StatusCode)
+	return nil
+}
+
+// overlap returns two runs of one task that were active at the same time, or nil.
+func (f *fleet) overlap() (first, second *taskRun) {
+	for i, a := range f.runs {
+		for _, b := range f.runs[i+1:] {
+			if a.task == b.task && (a.endedAt.IsZero() || a.endedAt.After(b.startedAt)) {
+				f.record.log("run %d of %s on %s began %.3f s before run %d on %s ended (%s)", b.run, b.task, b.worker.id, a.endedAt.Sub(b.startedAt).Seconds(), a.run, a.worker.id, a.how)
+				return a, b
+			}
+		}
+	}
+	return nil, nil
+}
