--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -75,11 +75,15 @@
 
 func newJobID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// jobBody is a job of one step.
-func jobBody(tasks int, duration time.Duration) []byte {
+const smallMilliCPU = 1000
+
+// jobBody is a job of one step with small tasks.
+func jobBody(tasks int, duration time.Duration) []byte { return jobBodyOf(tasks, smallMilliCPU, duration) }
+
+func jobBodyOf(tasks, milliCPU int, duration time.Duration) []byte {
 	body, err := json.Marshal(map[string]any{
 		"spec":  duration.String(),
-		"steps": []map[string]any{{"count": tasks, "cpu": 1000, "memMb": 512, "estimateMs": duration.Milliseconds()}},
+		"steps": []map[string]any{{"count": tasks, "cpu": milliCPU, "memMb": 512, "estimateMs": duration.Milliseconds()}},
 	})
 	if err != nil {
 		panic(err) // cannot happen: the message has no value that JSON lacks
--- a/review/standins2/foreign.go
+++ b/review/standins2/foreign.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -41,6 +42,9 @@
 		}
 	}
 	time.Sleep(longTask)
+	if err := f.recordUsableWorkers(o); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if first, second := f.overlap(); first != nil {
@@ -49,6 +53,29 @@
 	return nil
 }
 
+// recordUsableWorkers hands in a job with a task for each worker, of which no worker has room for two, and
+// records where its tasks have run. It does not affect the verdict.
+func (f *fleet) recordUsableWorkers(o options) error {
+	id := newJobID()
+	body := jobBodyOf(len(f.workers), workerMilliCPU*2/3, time.Second)
+	if err := submit(o, f.record, id, body); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tasks := map[string]int{}
+	for _, run := range f.runs {
+		if strings.HasPrefix(run.task, id) {
+			tasks[run.worker.id]++
+		}
+	}
+	for _, w := range f.workers {
+		f.record.log("worker %s, which is up and reports, has got %d tasks of the last job", w.id, tasks[w.id])
+	}
+	return nil
+}
+
 func (f *fleet) sendForeignReport(o options, w *worker) error {
 	body, err := json.Marshal(map[string]any{
 		"service": serviceName, "address": w.address, "zone": "z1", "state": "ready", "slots": "eight",
