--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -8,6 +8,8 @@
 work=$(mktemp -d) || exit 2
 mkdir "$work/pids"
 started=""
+job=$(od -An -N8 -tx8 /dev/urandom | tr -d ' ')
+rm -f "$folder/record.txt"
 
 finish() {
 	for pid in $started; do
@@ -54,7 +56,7 @@
 	echo $! >"$work/pids/$2"
 }
 
-start_control() { # NUMBER BOOTSTRAP
+write_control() { # NUMBER BOOTSTRAP
 	ip="$net.$((10 + $1))"
 	{
 		common "core-$1" "$ip"
@@ -67,6 +69,10 @@
 bootstrap = $2
 EOF
 	} >"$work/core-$1.toml"
+}
+
+start_control() { # NUMBER BOOTSTRAP
+	write_control "$1" "$2"
 	mkdir -p "$work/core-$1"
 	start godwit-platform-control "core-$1"
 }
@@ -92,10 +98,23 @@
 	echo "${list#,}"
 }
 
+stop() { # SIGNAL NAME
+	kill "-$1" "$(cat "$work/pids/$2")" 2>/dev/null
+}
+
+note() { # TEXT
+	echo "$(date -u +%H:%M:%S.%3N)  $1" >>"$folder/record.txt"
+}
+
+# Plays a step of a case and returns its exit status.
+step() { # CASE CONTROLS
+	"$root/target/review-2/standins2" --controls "$2" --entries "$(addresses 101 102 "$port_clients")" --ip "$net.1" \
+		--job "$job" --record "$folder/record.txt" --trouble="$([ "$TROUBLE" = 0 ] && echo false || echo true)" "$1"
+}
+
 # Plays a case and ends with its exit status.
 play() { # CASE CONTROLS
-	"$root/target/review-2/standins2" --controls "$2" --entries "$(addresses 101 102 "$port_clients")" --ip "$net.1" \
-		--record "$folder/record.txt" --trouble="$([ "$TROUBLE" = 0 ] && echo false || echo true)" "$1"
+	step "$1" "$2"
 	status=$?
 	[ -n "$KEEP_LOGS" ] && cp "$work"/*.log "$KEEP_LOGS"
 	exit $status
--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -78,7 +78,9 @@
 const smallMilliCPU = 1000
 
 // jobBody is a job of one step with small tasks.
-func jobBody(tasks int, duration time.Duration) []byte { return jobBodyOf(tasks, smallMilliCPU, duration) }
+func jobBody(tasks int, duration time.Duration) []byte {
+	return jobBodyOf(tasks, smallMilliCPU, duration)
+}
 
 func jobBodyOf(tasks, milliCPU int, duration time.Duration) []byte {
 	body, err := json.Marshal(map[string]any{
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -30,11 +30,14 @@
 	entries  []string // addresses for clients
 	ip       string   // loopback address for the workers
 	record   string   // file for what was sent, answered and run
+	job      string   // id of the job that the steps of a case share
 	trouble  bool
 }
 
 var cases = map[string]func(options, *record) error{
 	"first-start":    playFirstStart,
+	"accept":         playAccept,
+	"recover":        playRecover,
 	"lost-worker":    playLostWorker,
 	"foreign-report": playForeignReport,
 }
@@ -48,6 +51,7 @@
 	o := options{}
 	flag.StringVar(&o.ip, "ip", "", "loopback address for the workers")
 	flag.StringVar(&o.record, "record", "record.txt", "file for what was sent, answered and run")
+	flag.StringVar(&o.job, "job", "", "id of the job that the steps of a case share")
 	flag.BoolVar(&o.trouble, "trouble", true, "play the disruption")
 	flag.Parse()
 	o.controls, o.entries = split(*controls), split(*entries)
--- a/review/standins2/record.go
+++ b/review/standins2/record.go
@@ -8,25 +8,24 @@
 	"time"
 )
 
-// record is the file that a case writes. Each line begins with the seconds since the start of the case.
+// record is the file that a case writes. Each line begins with the time of day.
 type record struct {
-	mu      sync.Mutex
-	file    *os.File
-	started time.Time
+	mu   sync.Mutex
+	file *os.File
 }
 
 func newRecord(path string) (*record, error) {
-	file, err := os.Create(path)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, started: time.Now()}, nil
+	return &record{file: file}, nil
 }
 
 func (r *record) log(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	line := fmt.Sprintf("%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	line := fmt.Sprintf("%s  %s\n", time.Now().UTC().Format("15:04:05.000"), fmt.Sprintf(format, args...))
 	// A record that cannot be written shows in the missing lines.
 	_, _ = r.file.WriteString(line)
 }
