--- a/review/standins2/cases.go
+++ b/review/standins2/cases.go
@@ -8,30 +8,10 @@
 
 // Bounds of the deployment.
 const (
-	finishTime  = 14 * time.Second // finish_s
-	idleTime    = 3 * time.Second  // LOST: for 3 s a job has nothing running
-	ackTime     = 4 * time.Second  // ackMs
-	contactTime = 3 * time.Second  // contactMs
+	finishTime = 14 * time.Second // finish_s
+	idleTime   = 3 * time.Second  // LOST: for 3 s a job has nothing running
 )
 
-// playFirstStart judges whether the operator's first configuration is acknowledged in a deployment that is
-// starting for the first time. The script has taken one core machine away meanwhile.
-func playFirstStart(o options, r *record) error {
-	// The core is stable contactMs after the last event. Then the bound is ackMs.
-	if err := configure(o, r, 5*(contactTime+ackTime)); err != nil {
-		return fmt.Errorf("%w: %w", errBroken, err)
-	}
-	f, err := startFleet(o, r, 4)
-	if err != nil {
-		return err
-	}
-	defer f.stop()
-	if err := submit(o, r, newJobID(), jobBody(1, time.Second)); err != nil {
-		return fmt.Errorf("%w: %w", errBroken, err)
-	}
-	return nil
-}
-
 // playLostWorker hands in jobs for some seconds. At the end of the traffic the worker that began the
 // latest task is lost for good.
 func playLostWorker(o options, r *record) error {
--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -83,10 +83,12 @@
 }
 
 func jobBodyOf(tasks, milliCPU int, duration time.Duration) []byte {
-	body, err := json.Marshal(map[string]any{
-		"spec":  duration.String(),
-		"steps": []map[string]any{{"count": tasks, "cpu": milliCPU, "memMb": 512, "estimateMs": duration.Milliseconds()}},
-	})
+	return encodeJob(duration, map[string]any{"count": tasks, "cpu": milliCPU, "memMb": 512, "estimateMs": duration.Milliseconds()})
+}
+
+// encodeJob returns a job of one step.
+func encodeJob(duration time.Duration, step map[string]any) []byte {
+	body, err := json.Marshal(map[string]any{"spec": duration.String(), "steps": []map[string]any{step}})
 	if err != nil {
 		panic(err) // cannot happen: the message has no value that JSON lacks
 	}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -35,9 +35,9 @@
 }
 
 var cases = map[string]func(options, *record) error{
-	"first-start":    playFirstStart,
 	"accept":         playAccept,
 	"recover":        playRecover,
+	"other-kind":     playOtherKind,
 	"lost-worker":    playLostWorker,
 	"foreign-report": playForeignReport,
 }
--- a/review/standins2/worker.go
+++ b/review/standins2/worker.go
@@ -21,6 +21,7 @@
 	workerMilliCPU    = 32_000
 	workerMemoryMB    = 131_072
 	serviceName       = "svc"
+	kindA, kindB      = "a", "b" // kinds of workers
 )
 
 // fleet holds the stand-in workers. One lock covers all of them.
@@ -32,6 +33,8 @@
 	workers  []*worker
 	runs     []*taskRun // all runs, in the order of their starts
 	done     chan struct{}
+	// crashing reports whether a worker ends instead of answering a call.
+	crashing func(w *worker, r *http.Request) bool
 }
 
 // worker is one life of a stand-in worker.
@@ -39,6 +42,7 @@
 	id, address string
 	server      *http.Server
 	bootedAt    time.Time
+	kind        string // its first label
 	lost        bool
 	token       uint64
 	leaseEnd    time.Time
@@ -59,6 +63,7 @@
 	stopAt    time.Time
 	endedAt   time.Time
 	how       string
+	kind      string // of the worker when the run began
 }
 
 type end struct {
@@ -68,14 +73,14 @@
 
 // startFleet starts n workers and their heartbeats.
 func startFleet(o options, r *record, n int) (*fleet, error) {
-	f := &fleet{record: r, controls: o.controls, client: newClient(), done: make(chan struct{})}
+	f := &fleet{record: r, controls: o.controls, client: newClient(), done: make(chan struct{}), crashing: func(*worker, *http.Request) bool { return false }}
 	for i := range n {
 		listener, err := net.Listen("tcp", net.JoinHostPort(o.ip, "0"))
 		if err != nil {
 			return nil, err
 		}
 		w := &worker{
-			id: fmt.Sprintf("i-%06x%02d", rand.Uint32N(1<<24), i), address: listener.Addr().String(), bootedAt: time.Now(),
+			id: fmt.Sprintf("i-%06x%02d", rand.Uint32N(1<<24), i), address: listener.Addr().String(), bootedAt: time.Now(), kind: kindA,
 			active: map[string]*taskRun{}, highestRun: map[string]uint64{}, changed: make(chan struct{}),
 		}
 		w.server = &http.Server{Handler: f.handler(w)}
@@ -96,13 +101,18 @@
 func (f *fleet) lose(w *worker) {
 	f.mu.Lock()
 	w.lost = true
+	f.endBoot(w)
+	f.mu.Unlock()
+	_ = w.server.Close()
+}
+
+// endBoot ends all runs of a worker. Nobody lists them any more.
+func (f *fleet) endBoot(w *worker) {
 	for _, run := range w.active {
 		run.endedAt, run.how = time.Now(), "lost with its worker"
 		f.record.log("run %d of %s on %s: lost with its worker, begun %.3f s before", run.run, run.task, w.id, time.Since(run.startedAt).Seconds())
 	}
 	w.active = map[string]*taskRun{}
-	f.mu.Unlock()
-	_ = w.server.Close()
 }
 
 func (f *fleet) stop() {
@@ -169,6 +179,10 @@
 			return
 		}
 		f.mu.Lock()
+		if f.crashing(w, r) {
+			f.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		status, answer := f.handleCall(w, r, call)
 		wait := strings.HasSuffix(r.URL.Path, "/hold") && status == http.StatusOK && len(w.ends) == 0 && call.WaitMs > 0
 		changed := w.changed
@@ -268,7 +282,7 @@
 	if err != nil {
 		return http.StatusBadRequest, a
 	}
-	run := &taskRun{task: call.Task, run: call.Run, worker: w, startedAt: time.Now(), duration: duration}
+	run := &taskRun{task: call.Task, run: call.Run, worker: w, startedAt: time.Now(), duration: duration, kind: w.kind}
 	w.active[call.Task] = run
 	f.runs = append(f.runs, run)
 	f.record.log("run %d of %s on %s: begins", run.run, run.task, w.id)
@@ -303,10 +317,13 @@
 
 // report sends a report and returns the address for the next one, or "" without an acknowledgement.
 func (f *fleet) report(w *worker, address string, sequence int) (next string) {
+	f.mu.Lock()
+	kind, bootedAt := w.kind, w.bootedAt
+	f.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
 		"service": serviceName, "address": w.address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-		"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0}, "labels": []string{"a", "r1"},
-		"clockMs": w.clock(), "sequence": sequence, "born": w.bootedAt.UnixMilli(),
+		"capacity": map[string]int64{"cpu": workerMilliCPU, "memMb": workerMemoryMB, "gpu": 0}, "labels": []string{kind, "r1"},
+		"clockMs": time.Since(bootedAt).Milliseconds(), "sequence": sequence, "born": bootedAt.UnixMilli(),
 	})
 	if err != nil {
 		return ""
