--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -17,7 +17,7 @@
 	exitBroken    = 1 // the rule was broken
 	exitCouldNot  = 2 // the case could not run
 	broken        = "BROKEN"
-	held          = "HELD"
+	held          = "HELD: no rule was broken in this step"
 	listSeparator = ","
 )
 
