--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -4,7 +4,6 @@
 cd "$(dirname "$0")" || exit 2
 folder=$(pwd)
 root=$(cd ../.. && pwd)
-TROUBLE=${TROUBLE:-1}
 work=$(mktemp -d) || exit 2
 mkdir "$work/pids"
 started=""
@@ -106,15 +105,15 @@
 	echo "$(date -u +%H:%M:%S.%3N)  $1" >>"$folder/record.txt"
 }
 
-# Plays a step of a case and returns its exit status.
-step() { # CASE CONTROLS
+# Plays a step of a case and returns its exit status. With TROUBLE 0 it plays no disruption.
+step() { # CASE CONTROLS TROUBLE
 	"$root/target/review-2/standins2" --controls "$2" --entries "$(addresses 101 102 "$port_clients")" --ip "$net.1" \
-		--job "$job" --record "$folder/record.txt" --trouble="$([ "$TROUBLE" = 0 ] && echo false || echo true)" "$1"
+		--job "$job" --record "$folder/record.txt" --trouble="$([ "$3" = 0 ] && echo false || echo true)" "$1"
 }
 
 # Plays a case and ends with its exit status.
-play() { # CASE CONTROLS
-	step "$1" "$2"
+play() { # CASE CONTROLS TROUBLE
+	step "$1" "$2" "$3"
 	status=$?
 	[ -n "$KEEP_LOGS" ] && cp "$work"/*.log "$KEEP_LOGS"
 	exit $status
