internal/replica: gauge of the members without a known address

Cause: that a replica knows no address of a member of its group shows in one line of the log (event 1401) only. As long as a quorum answers, nothing else differs, although the group bears no further loss.

Change: gauge control_members_without_address, updated every second.

--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -116,8 +116,9 @@
 	})
 }
 
-// logMissingAddresses logs the members whose address this replica does not know.
-func (t *task) logMissingAddresses() {
+// reportMissingAddresses counts the members whose address this replica does not know, and logs those
+// that stay unknown.
+func (t *task) reportMissingAddresses() {
 	former := t.peers.roundsWithoutAddress
 	t.peers.roundsWithoutAddress = map[replog.ReplicaID]int{}
 	for _, id := range slices.Concat(t.status.Membership.Voters, t.status.Membership.Learners) {
@@ -130,4 +131,5 @@
 			t.opts.Logger.Log(eventMemberWithoutAddress, zap.Uint64("replica", uint64(id)))
 		}
 	}
+	t.opts.Metrics.SetGauge(metricMembersWithoutAddress, float64(len(t.peers.roundsWithoutAddress)))
 }
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -316,7 +316,7 @@
 	if t.forgetPeers(now) {
 		t.updatePeers()
 	}
-	t.logMissingAddresses()
+	t.reportMissingAddresses()
 	t.opts.Metrics.SetGauge(metricTerm, float64(t.status.Term))
 	t.opts.Metrics.SetGauge(metricAppliedIndex, float64(t.applied))
 	leader := 0.0
