core/replog: addresses of the members in the membership

Change: a membership may record the address of each member. A change may differ in the addresses alone: the voters stay the same, so its quorums have a replica in common with those before. Without addresses the encoding is what it was, so that versions without them read it.

Nothing records an address yet.

--- a/core/replog/faults_test.go
+++ b/core/replog/faults_test.go
@@ -1,6 +1,7 @@
 package replog_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -234,12 +235,22 @@
 	}
 	leader.Do(func(c *replog.Core, now time.Time) {
 		for range 1 + x.rng.IntN(3) {
-			began = c.ChangeMembership(now, x.randomNextMembership(c.Status().Membership)) == nil || began
+			began = c.ChangeMembership(now, x.withNewAddresses(x.randomNextMembership(c.Status().Membership))) == nil || began
 		}
 	})
 	return began
 }
 
+// withNewAddresses returns m with an address for each member that no membership had before.
+func (x *soakRun) withNewAddresses(m replog.Membership) replog.Membership {
+	x.lastAddress++
+	m.Addresses = nil
+	for _, id := range slices.Sorted(slices.Values(slices.Concat(m.Voters, m.Learners))) {
+		m.Addresses = append(m.Addresses, replog.MemberAddress{ID: id, Address: fmt.Sprintf("address-%d", x.lastAddress)})
+	}
+	return m
+}
+
 const maxReplicas = 8
 
 func (x *soakRun) randomNextMembership(m replog.Membership) replog.Membership {
--- a/core/replog/membership.go
+++ b/core/replog/membership.go
@@ -1,6 +1,7 @@
 package replog
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"slices"
@@ -18,12 +19,28 @@
 // Quorum returns the number of voters that form a quorum.
 func (m Membership) Quorum() int { return len(m.Voters)/2 + 1 }
 
+// Address returns the recorded address of a member, or "".
+func (m Membership) Address(id ReplicaID) string {
+	for _, recorded := range m.Addresses {
+		if recorded.ID == id {
+			return recorded.Address
+		}
+	}
+	return ""
+}
+
+// Equal reports whether two memberships in the same order are the same.
+func (m Membership) Equal(other Membership) bool {
+	return slices.Equal(m.Voters, other.Voters) && slices.Equal(m.Learners, other.Learners) && slices.Equal(m.Addresses, other.Addresses)
+}
+
 // normalized returns a sorted copy of m.
 func (m Membership) normalized() Membership {
-	voters, learners := slices.Clone(m.Voters), slices.Clone(m.Learners)
+	voters, learners, addresses := slices.Clone(m.Voters), slices.Clone(m.Learners), slices.Clone(m.Addresses)
 	slices.Sort(voters)
 	slices.Sort(learners)
-	return Membership{Voters: voters, Learners: learners}
+	slices.SortFunc(addresses, func(a, b MemberAddress) int { return cmp.Compare(a.ID, b.ID) })
+	return Membership{Voters: voters, Learners: learners, Addresses: addresses}
 }
 
 // membersExcept returns all members except id, in a fixed order.
@@ -33,8 +50,13 @@
 	return slices.DeleteFunc(all, func(other ReplicaID) bool { return other == id })
 }
 
+// MaxAddressBytes bounds the address of a member.
+const MaxAddressBytes = 255
+
 // EncodeMembership encodes m for Entry.Data: the number of voters, the voters, the number of
-// learners and the learners, all as unsigned varints.
+// learners and the learners, all as unsigned varints. If there are addresses, their number and for
+// each the id, the length and the bytes follow. Without addresses the encoding is that of versions
+// that cannot decode them.
 func EncodeMembership(m Membership) []byte {
 	var data []byte
 	for _, ids := range [][]ReplicaID{m.Voters, m.Learners} {
@@ -43,36 +65,126 @@
 			data = binary.AppendUvarint(data, uint64(id))
 		}
 	}
+	if len(m.Addresses) == 0 {
+		return data
+	}
+	data = binary.AppendUvarint(data, uint64(len(m.Addresses)))
+	for _, recorded := range m.Addresses {
+		data = binary.AppendUvarint(data, uint64(recorded.ID))
+		data = binary.AppendUvarint(data, uint64(len(recorded.Address)))
+		data = append(data, recorded.Address...)
+	}
 	return data
 }
 
 // DecodeMembership decodes the output of EncodeMembership. Its errors wrap ErrMalformedMembership.
 func DecodeMembership(data []byte) (Membership, error) {
 	var m Membership
-	for _, ids := range []*[]ReplicaID{&m.Voters, &m.Learners} {
-		count, size := binary.Uvarint(data)
-		if size <= 0 || count > uint64(len(data)) {
-			return Membership{}, fmt.Errorf("%w: bad count", ErrMalformedMembership)
-		}
-		data = data[size:]
-		for range count {
-			id, size := binary.Uvarint(data)
-			if size <= 0 || id == 0 {
-				return Membership{}, fmt.Errorf("%w: bad replica id", ErrMalformedMembership)
-			}
-			data = data[size:]
-			*ids = append(*ids, ReplicaID(id))
-		}
+	r := membershipReader{rest: data}
+	m.Voters, m.Learners = r.ids(), r.ids()
+	if len(r.rest) > 0 {
+		m.Addresses = r.addresses()
+	}
+	if r.problem == "" && len(r.rest) > 0 {
+		r.problem = fmt.Sprintf("%d bytes left over", len(r.rest))
+	}
+	if r.problem == "" {
+		r.problem = m.addressProblem()
 	}
-	if len(data) > 0 {
-		return Membership{}, fmt.Errorf("%w: %d bytes left over", ErrMalformedMembership, len(data))
+	if r.problem != "" {
+		return Membership{}, fmt.Errorf("%w: %s", ErrMalformedMembership, r.problem)
 	}
 	return m, nil
 }
 
+// membershipReader reads the parts of an encoded membership. After the first problem it reads
+// nothing more.
+type membershipReader struct {
+	rest    []byte
+	problem string
+}
+
+func (r *membershipReader) fail(problem string) {
+	if r.problem == "" {
+		r.problem = problem
+	}
+	r.rest = nil
+}
+
+func (r *membershipReader) uvarint(what string) uint64 {
+	value, size := binary.Uvarint(r.rest)
+	if size <= 0 {
+		r.fail("bad " + what)
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return value
+}
+
+func (r *membershipReader) count() uint64 {
+	count := r.uvarint("count")
+	// Each element has at least one byte.
+	if count > uint64(len(r.rest)) {
+		r.fail("bad count")
+		return 0
+	}
+	return count
+}
+
+func (r *membershipReader) id() ReplicaID {
+	id := r.uvarint("replica id")
+	if id == 0 {
+		r.fail("bad replica id")
+	}
+	return ReplicaID(id)
+}
+
+func (r *membershipReader) ids() []ReplicaID {
+	var ids []ReplicaID
+	for range r.count() {
+		ids = append(ids, r.id())
+	}
+	return ids
+}
+
+func (r *membershipReader) addresses() []MemberAddress {
+	count := r.count()
+	if count == 0 {
+		r.fail("bad count")
+	}
+	var addresses []MemberAddress
+	for range count {
+		id, length := r.id(), r.uvarint("length")
+		if length > uint64(len(r.rest)) {
+			r.fail("bad length")
+			return nil
+		}
+		addresses = append(addresses, MemberAddress{ID: id, Address: string(r.rest[:length])})
+		r.rest = r.rest[length:]
+	}
+	return addresses
+}
+
+// addressProblem returns what is wrong with the addresses of m, or "".
+func (m Membership) addressProblem() string {
+	former := ReplicaID(0)
+	for _, recorded := range m.Addresses {
+		switch {
+		case !m.Contains(recorded.ID):
+			return fmt.Sprintf("address of replica %d, which is no member", recorded.ID)
+		case recorded.ID <= former:
+			return fmt.Sprintf("address of replica %d is not in order of the ids", recorded.ID)
+		case recorded.Address == "" || len(recorded.Address) > MaxAddressBytes:
+			return fmt.Sprintf("address of replica %d has %d bytes", recorded.ID, len(recorded.Address))
+		}
+		former = recorded.ID
+	}
+	return ""
+}
+
 // checkChange returns an error unless next differs from m by exactly one step: adding a learner,
-// promoting a learner, removing a learner or removing a voter. Any two quorums of memberships that
-// are one step apart have a replica in common.
+// promoting a learner, removing a learner or removing a voter, or in the addresses alone. Any two
+// quorums of memberships that are at most one step apart have a replica in common.
 func (m Membership) checkChange(next Membership) error {
 	if len(next.Voters) == 0 {
 		return fmt.Errorf("%w: no voters", ErrInvalidChange)
@@ -92,9 +204,13 @@
 			steps++
 		}
 	}
-	if steps != 1 || hasDuplicates(next) {
+	addressesOnly := steps == 0 && !slices.Equal(m.Addresses, next.Addresses)
+	if steps != 1 && !addressesOnly || hasDuplicates(next) {
 		return fmt.Errorf("%w: %d replicas change, expected 1", ErrInvalidChange, steps)
 	}
+	if problem := next.addressProblem(); problem != "" {
+		return fmt.Errorf("%w: %s", ErrInvalidChange, problem)
+	}
 	return nil
 }
 
--- a/core/replog/soak_test.go
+++ b/core/replog/soak_test.go
@@ -43,6 +43,7 @@
 	openOperations     map[operationKey]int // operations without a response
 	lastValue          uint32
 	lastReplicaID      replog.ReplicaID
+	lastAddress        int
 	replicaWithoutDisk replog.ReplicaID // replica that lost its disk and does not restart; 0 if none
 	faultsEnded        bool
 
@@ -185,7 +186,7 @@
 }
 
 // endFaultsAndCheckProgress ends all faults and checks that the group commits again and that every
-// member catches up.
+// member catches up, the addresses of the members included.
 func (x *soakRun) endFaultsAndCheckProgress() {
 	x.faultsEnded = true
 	*x.net = *x.newNetwork()
@@ -232,7 +233,7 @@
 	status := leader.Core.Status()
 	for _, f := range status.Followers {
 		r := x.sim.Replica(f.ID)
-		if f.ID != x.replicaWithoutDisk && (r == nil || r.Core == nil || r.Core.View().Commit < status.Commit) {
+		if f.ID != x.replicaWithoutDisk && (r == nil || r.Core == nil || r.Core.View().Commit < status.Commit || !r.Core.Status().Membership.Equal(status.Membership)) {
 			return false
 		}
 	}
--- a/core/replog/types.go
+++ b/core/replog/types.go
@@ -31,10 +31,19 @@
 	Vote ReplicaID // 0 if no vote was granted in Term
 }
 
-// Membership is the set of replicas in the group.
+// Membership is the set of replicas in the group, with the addresses of those whose address is
+// recorded. The log does not interpret addresses. It keeps them so that a replica finds its group
+// again with nothing but its disk.
 type Membership struct {
-	Voters   []ReplicaID
-	Learners []ReplicaID
+	Voters    []ReplicaID
+	Learners  []ReplicaID
+	Addresses []MemberAddress `json:",omitempty"` // by id, at most one for each member
+}
+
+// MemberAddress is the address of a member.
+type MemberAddress struct {
+	ID      ReplicaID
+	Address string // 1 to MaxAddressBytes bytes
 }
 
 // Snapshot replaces the entries up to and including Index.
