core/controlgroup, internal/replica: members find each other from the log

What callers saw: a machine of the core is replaced, the settings name other seeds, and all processes of the core restart.

Cause: the log had the ids of the members, and their addresses were in memory alone. At a start a founder knew the founders of the first start and ignored its seeds; a joined replica knew its seeds, under ids made up from their addresses. Founders and joined members without a common address never met. As long as one set had a quorum, only event 1401 showed it.

Change: the leader records the address of each member with each step of the group, or by a step of its own, and a replica adopts them from its log. Seeds are contacts, addresses without an id, for founders and joined replicas alike. This works because a quorum of every committed membership has the addresses of all its members on disk. Members of an earlier version cannot decode them: none is recorded until all that answer have announced that they can.

--- a/core/controlgroup/directory.go
+++ b/core/controlgroup/directory.go
@@ -36,17 +36,22 @@
 // Directory holds the addresses of the replicas that one replica knows. Ids are never reused and each
 // lost disk gives a new one, so an id that is not a member is forgotten once another id has announced
 // its address, or once nobody has mentioned it for a while.
+//
+// The addresses of the members come from the membership in the log, and from the replicas themselves.
+// Contacts are addresses at which a replica may be found whose id is not known.
 type Directory struct {
-	opts    DirectoryOptions
-	self    replog.ReplicaID
-	members replog.Membership
-	known   map[replog.ReplicaID]*knownReplica
+	opts     DirectoryOptions
+	self     Peer
+	members  replog.Membership
+	known    map[replog.ReplicaID]*knownReplica
+	contacts []string
 }
 
 // knownReplica is what is known about a replica. Times are zero before the first event.
 type knownReplica struct {
 	address        string
 	configured     bool // in the settings; the address never changes
+	readsAddresses bool // announced that it can decode a membership with addresses
 	firstAnnounced time.Time
 	lastAnnounced  time.Time
 	lastReported   time.Time // when another replica passed on its address
@@ -54,15 +59,43 @@
 
 // NewDirectory returns a directory with this replica and the replicas of its settings.
 func NewDirectory(opts DirectoryOptions, self Peer, configured []Peer) *Directory {
-	d := &Directory{opts: opts, self: self.ID, known: map[replog.ReplicaID]*knownReplica{}}
+	d := &Directory{opts: opts, self: self, known: map[replog.ReplicaID]*knownReplica{}}
 	for _, peer := range append([]Peer{self}, configured...) {
 		d.known[peer.ID] = &knownReplica{address: peer.Address, configured: true}
 	}
 	return d
 }
 
-// SetMembers sets the membership that this replica knows.
-func (d *Directory) SetMembers(m replog.Membership) { d.members = m }
+// SetMembers sets the membership that this replica knows. It adopts the recorded addresses of members
+// that have not announced themselves, and reports whether it changed an address.
+func (d *Directory) SetMembers(m replog.Membership) bool {
+	if d.members.Equal(m) {
+		return false
+	}
+	d.members = m
+	changed := false
+	for _, recorded := range m.Addresses {
+		known := d.known[recorded.ID]
+		if recorded.ID == d.self.ID || known != nil && !known.lastAnnounced.IsZero() {
+			continue
+		}
+		changed = d.learn(Peer{ID: recorded.ID, Address: recorded.Address}, true) == LearnChanged || changed
+	}
+	return changed
+}
+
+// SetContacts replaces the addresses at which a replica may be found whose id is not known.
+func (d *Directory) SetContacts(addresses []string) { d.contacts = addresses }
+
+// AnnounceTo returns the addresses to which this replica announces itself, in order.
+func (d *Directory) AnnounceTo() []string {
+	addresses := slices.Clone(d.contacts)
+	for _, peer := range d.Peers() {
+		addresses = append(addresses, peer.Address)
+	}
+	slices.Sort(addresses)
+	return slices.DeleteFunc(slices.Compact(addresses), func(address string) bool { return address == d.self.Address })
+}
 
 // Address returns the address of a replica, or "".
 func (d *Directory) Address(id replog.ReplicaID) string {
@@ -72,14 +105,15 @@
 	return ""
 }
 
-// Announce records that a replica announced itself.
-func (d *Directory) Announce(now time.Time, peer Peer) LearnResult {
-	if peer.ID == d.self {
+// Announce records that a replica announced itself, and whether it can decode a membership with
+// addresses.
+func (d *Directory) Announce(now time.Time, peer Peer, readsAddresses bool) LearnResult {
+	if peer.ID == d.self.ID {
 		return LearnUnchanged
 	}
 	result := d.learn(peer, true)
 	if known := d.known[peer.ID]; known != nil {
-		known.lastAnnounced = now
+		known.lastAnnounced, known.readsAddresses = now, readsAddresses
 		if known.firstAnnounced.IsZero() {
 			known.firstAnnounced = now
 		}
@@ -90,7 +124,7 @@
 // Report records an address that another replica passed on. It replaces no known address. An id whose
 // address another replica has announced is not added again unless it is a member.
 func (d *Directory) Report(now time.Time, peer Peer) LearnResult {
-	if peer.ID == d.self {
+	if peer.ID == d.self.ID {
 		return LearnUnchanged
 	}
 	if d.known[peer.ID] == nil && !d.members.Contains(peer.ID) && d.owner(peer.Address) != 0 {
@@ -184,11 +218,17 @@
 	return !at.IsZero() && now.Sub(at) < d.opts.AnnounceTTL
 }
 
+// ReadAddresses reports whether all given replicas have announced that they can decode a membership
+// with addresses.
+func (d *Directory) ReadAddresses(ids []replog.ReplicaID) bool {
+	return !slices.ContainsFunc(ids, func(id replog.ReplicaID) bool { return d.known[id] == nil || !d.known[id].readsAddresses })
+}
+
 // Replaced returns the replicas whose address another replica has announced since, by id.
 func (d *Directory) Replaced() []replog.ReplicaID {
 	return slices.DeleteFunc(slices.Sorted(maps.Keys(d.known)), func(id replog.ReplicaID) bool {
 		owner := d.owner(d.known[id].address)
-		return owner == 0 || owner == id || id == d.self || !d.known[owner].firstAnnounced.After(d.known[id].lastAnnounced)
+		return owner == 0 || owner == id || id == d.self.ID || !d.known[owner].firstAnnounced.After(d.known[id].lastAnnounced)
 	})
 }
 
--- a/core/controlgroup/doc.go
+++ b/core/controlgroup/doc.go
@@ -7,5 +7,7 @@
 // replica, so a mistake in the file cannot shrink the group below the size that the operator
 // specified.
 //
+// Each step records the addresses of all members in the membership (docs/decisions/member-addresses.md).
+//
 // Directory holds the addresses of the replicas and decides which ones are forgotten.
 package controlgroup
--- a/core/controlgroup/repair.go
+++ b/core/controlgroup/repair.go
@@ -24,11 +24,11 @@
 // successor has caught up, because it may return with its disk.
 func NextRepairStep(v RepairView) Step {
 	for _, choose := range []func(RepairView) Step{
-		removeLostLearner, removeReplacedVoter, promoteCaughtUp, removeUnresponsiveVoter, addAnnounced,
+		removeLostLearner, removeReplacedVoter, promoteCaughtUp, removeUnresponsiveVoter, addAnnounced, recordRepaired,
 	} {
 		step := choose(v)
 		if step.Kind != StepNone && v.keepsQuorum(step.Next) {
-			return step
+			return v.withAddresses(step)
 		}
 	}
 	return Step{}
@@ -95,3 +95,5 @@
 	}
 	return Step{}
 }
+
+func recordRepaired(v RepairView) Step { return recordAddresses(v.View) }
--- a/core/controlgroup/step.go
+++ b/core/controlgroup/step.go
@@ -14,6 +14,10 @@
 	Announced  []replog.ReplicaID // replicas that announced themselves recently
 	Responsive []replog.ReplicaID // followers that responded to the leader recently
 	CaughtUp   []replog.ReplicaID // learners whose log is close to the leader's
+	// Addresses holds the known addresses of replicas.
+	Addresses map[replog.ReplicaID]string
+	// RecordAddresses says that each responsive member can decode a membership with addresses.
+	RecordAddresses bool
 }
 
 // StepKind is the type of a step.
@@ -26,26 +30,58 @@
 	StepPromote  StepKind = "promote"
 	StepRemove   StepKind = "remove"
 	StepTransfer StepKind = "transfer" // a listed voter takes over from an unlisted leader
+	StepRecord   StepKind = "record-addresses"
 )
 
-// Step is a change that affects one replica.
+// Step is a change that affects one replica, or the recorded addresses.
 type Step struct {
 	Kind    StepKind
-	Replica replog.ReplicaID
+	Replica replog.ReplicaID  // 0 for StepRecord
 	Next    replog.Membership // membership to propose; unused by StepTransfer
 }
 
 // NextStep returns the next step. After every step, a quorum of the voters responds.
 func NextStep(v View) Step {
-	for _, choose := range []func(View) Step{removeUnlistedLearner, promoteListed, addListed, removeUnlistedVoter} {
+	for _, choose := range []func(View) Step{removeUnlistedLearner, promoteListed, addListed, removeUnlistedVoter, recordAddresses} {
 		step := choose(v)
 		if step.Kind == StepTransfer || step.Kind != StepNone && v.keepsQuorum(step.Next) {
-			return step
+			return v.withAddresses(step)
 		}
 	}
 	return Step{}
 }
 
+// withAddresses adds the addresses of the members to a step, so that each replica that stores the
+// next membership can reach all members with nothing but its log.
+func (v View) withAddresses(step Step) Step {
+	step.Next.Addresses = v.addressesOf(step.Next)
+	return step
+}
+
+// addressesOf returns the known addresses of the members of m, or none if a responsive member
+// cannot decode them. A group that has recorded addresses once has no such member.
+func (v View) addressesOf(m replog.Membership) []replog.MemberAddress {
+	if !v.RecordAddresses && len(v.Membership.Addresses) == 0 {
+		return nil
+	}
+	var addresses []replog.MemberAddress
+	for _, id := range slices.Sorted(slices.Values(slices.Concat(m.Voters, m.Learners))) {
+		if address := v.Addresses[id]; address != "" {
+			addresses = append(addresses, replog.MemberAddress{ID: id, Address: address})
+		}
+	}
+	return addresses
+}
+
+// recordAddresses records addresses that are new or have changed.
+func recordAddresses(v View) Step {
+	addresses := v.addressesOf(v.Membership)
+	if len(addresses) == 0 || slices.Equal(addresses, v.Membership.Addresses) {
+		return Step{}
+	}
+	return Step{Kind: StepRecord, Next: v.Membership}
+}
+
 // removeUnlistedLearner removes an unlisted learner. Learners have no vote, so the quorum stays the same.
 func removeUnlistedLearner(v View) Step {
 	for _, id := range v.Membership.Learners {
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -145,7 +145,7 @@
 		return nil, merry.Wrap(err)
 	}
 	return replica.New(replica.Options{
-		ID: replog.ReplicaID(self.ID), Voters: self.initialPeers(s), Address: s.ListenInternal, Join: self.Joined, FirstStart: s.Bootstrap,
+		ID: replog.ReplicaID(self.ID), Voters: self.initialVoters(), Contacts: internalAddresses(s.Seeds, s.ListenInternal), Address: s.ListenInternal, Join: self.Joined, FirstStart: s.Bootstrap,
 		Scheme: "http", Client: client, Logger: b.logger, Metrics: b.metrics,
 		Storage: storage.Options{
 			Disk: disk, SegmentBytes: segmentBytes, LimitBytes: limit,
--- a/internal/platformproc/node.go
+++ b/internal/platformproc/node.go
@@ -158,18 +158,11 @@
 	return nil
 }
 
-// initialPeers returns the replicas that a replica knows at its start: the founders, or, for a
-// replica that joins, the seeds except this machine.
-func (i identity) initialPeers(s *ControlSettings) []replication.Peer {
-	founders := i.Founders
-	if i.Joined {
-		founders = foundersFromAddresses(internalAddresses(s.Seeds, s.ListenInternal))
-	}
+// initialVoters returns the voters of the first membership. A replica that joined knows the membership
+// only from its log.
+func (i identity) initialVoters() []replication.Peer {
 	var peers []replication.Peer
-	for _, f := range founders {
-		if i.Joined && f.Address == s.ListenInternal {
-			continue
-		}
+	for _, f := range i.Founders {
 		peers = append(peers, replication.Peer{ID: replog.ReplicaID(f.ID), Address: f.Address})
 	}
 	return peers
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -37,5 +37,10 @@
 			view.CaughtUp = append(view.CaughtUp, follower.ID)
 		}
 	}
+	view.Addresses = map[replog.ReplicaID]string{}
+	for _, peer := range t.peers.directory.Peers() {
+		view.Addresses[peer.ID] = peer.Address
+	}
+	view.RecordAddresses = t.peers.directory.ReadAddresses(view.Responsive)
 	return view
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -14,10 +14,13 @@
 
 // Options configures a replica.
 type Options struct {
-	ID      replog.ReplicaID
-	Voters  []replication.Peer // initial voters; with Join, other replicas of the group
-	Address string             // of this replica, if Voters does not contain it
-	Join    bool               // with an empty folder, join a formed group and never form one
+	ID     replog.ReplicaID
+	Voters []replication.Peer // initial voters; with Join, other replicas of the group
+	// Contacts are addresses at which other replicas of the group may be found. A replica announces
+	// itself there; it learns who answers.
+	Contacts []string
+	Address  string // of this replica, if Voters does not contain it
+	Join     bool   // with an empty folder, join a formed group and never form one
 	// FirstStart means that the whole system starts for the first time, so that an empty folder
 	// cannot be one whose contents were lost.
 	FirstStart bool
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -29,7 +29,7 @@
 type peers struct {
 	self      replication.Peer
 	directory *controlgroup.Directory
-	sending   []replication.Peer // peers of the sender and the announcer, by id
+	sending   []replication.Peer // peers of the sender, by id
 	// roundsWithoutAddress counts the housekeeping rounds in which a member had no address.
 	roundsWithoutAddress map[replog.ReplicaID]int
 }
@@ -42,8 +42,10 @@
 		}
 	}
 	limits := controlgroup.DirectoryOptions{Limit: replication.MaxPeers, AnnounceTTL: announcementTTL, ReportTTL: reportTTL}
+	directory := controlgroup.NewDirectory(limits, self, opts.Voters)
+	directory.SetContacts(opts.Contacts)
 	return peers{
-		self: self, directory: controlgroup.NewDirectory(limits, self, opts.Voters),
+		self: self, directory: directory,
 		sending: otherVoters(opts), roundsWithoutAddress: map[replog.ReplicaID]int{},
 	}
 }
@@ -53,7 +55,7 @@
 // learned that it may join.
 func (t *task) handleAnnouncement(now time.Time, c announceCall) {
 	if !c.from.Joining {
-		t.peerLearned(now, c.from.Peer, t.peers.directory.Announce(now, c.from.Peer))
+		t.peerLearned(now, c.from.Peer, t.peers.directory.Announce(now, c.from.Peer, c.from.ReadsAddresses))
 	}
 	c.send(replication.AnnounceReply{
 		Peers:      t.peers.directory.Shared(now),
@@ -64,7 +66,6 @@
 
 // learnPeers stores the addresses that another replica returned for an announcement.
 func (t *task) learnPeers(now time.Time, result replication.AnnounceResult) {
-	t.peers.directory.SetMembers(t.status.Membership)
 	for _, peer := range result.Reply.Peers {
 		t.peerLearned(now, peer, t.peers.directory.Report(now, peer))
 	}
@@ -85,10 +86,16 @@
 // forgetPeers drops the replicas that were replaced or have not been mentioned for reportTTL, and
 // reports whether there were any. The caller passes the change on with updatePeers.
 func (t *task) forgetPeers(now time.Time) bool {
-	t.peers.directory.SetMembers(t.status.Membership)
 	return t.peers.directory.Forget(now)
 }
 
+// followMembership adopts the membership in the log and the addresses in it.
+func (t *task) followMembership() {
+	if t.peers.directory.SetMembers(t.status.Membership) {
+		t.updatePeers()
+	}
+}
+
 // updatePeers makes the sender and the announcer follow the directory.
 func (t *task) updatePeers() {
 	known := slices.DeleteFunc(t.peers.directory.Peers(), func(peer replication.Peer) bool { return peer.ID == t.opts.ID })
@@ -111,8 +118,8 @@
 // updateAnnouncer updates the announcement and its recipients.
 func (t *task) updateAnnouncer() {
 	t.announcer.SetTargets(replication.AnnounceTargets{
-		Announcement: replication.Announcement{Peer: t.peers.self, Joining: !t.hasIdentity},
-		Peers:        t.peers.sending,
+		Announcement: replication.Announcement{Peer: t.peers.self, Joining: !t.hasIdentity, ReadsAddresses: true},
+		Addresses:    t.peers.directory.AnnounceTo(),
 	})
 }
 
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -150,6 +150,8 @@
 		return err
 	}
 	t.core = core
+	t.status = core.Status()
+	t.followMembership()
 	t.recovered = storage.Recovered{}
 	t.opts.Logger.Log(eventStarted, zap.Uint64("replica", uint64(t.opts.ID)), zap.Uint64("applied", t.applied))
 	return nil
@@ -218,6 +220,7 @@
 	}
 	t.core.Tick(now)
 	t.status = t.core.Status()
+	t.followMembership()
 	calls := t.inbox.calls
 	t.inbox.calls = nil
 	for _, c := range calls {
--- a/internal/replication/announcer.go
+++ b/internal/replication/announcer.go
@@ -20,7 +20,8 @@
 // Announcement is the id and address that a replica announces.
 type Announcement struct {
 	Peer
-	Joining bool // its data folder is empty
+	Joining        bool // its data folder is empty
+	ReadsAddresses bool // it can decode a membership with addresses
 }
 
 // AnnounceReply is the reply to an announcement.
@@ -35,7 +36,7 @@
 // AnnounceTargets holds the announcement of this replica and its recipients.
 type AnnounceTargets struct {
 	Announcement Announcement
-	Peers        []Peer
+	Addresses    []string
 }
 
 // AnnounceResult is an announcement that was sent, with the reply of the recipient.
@@ -90,9 +91,9 @@
 
 // announce starts a call to each recipient. The calls end by their timeout or with ctx.
 func (a *Announcer) announce(ctx context.Context, targets AnnounceTargets) {
-	for _, peer := range targets.Peers {
+	for _, address := range targets.Addresses {
 		go func() {
-			reply, err := a.call(ctx, targets.Announcement, peer)
+			reply, err := a.call(ctx, targets.Announcement, address)
 			if err != nil {
 				return // Sender logs unreachable replicas
 			}
@@ -104,12 +105,12 @@
 	}
 }
 
-func (a *Announcer) call(ctx context.Context, self Announcement, to Peer) (AnnounceReply, error) {
+func (a *Announcer) call(ctx context.Context, self Announcement, to string) (AnnounceReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	client := rpcpb.NewReplicationProtobufClient(a.scheme+"://"+to.Address, a.client)
+	client := rpcpb.NewReplicationProtobufClient(a.scheme+"://"+to, a.client)
 	response, err := client.Announce(callCtx, &rpcpb.AnnounceRequest{
-		ReplicaId: uint64(self.ID), Address: self.Address, Joining: self.Joining,
+		ReplicaId: uint64(self.ID), Address: self.Address, Joining: self.Joining, ReadsMemberAddresses: self.ReadsAddresses,
 	})
 	if err != nil {
 		return AnnounceReply{}, err
--- a/internal/replication/server.go
+++ b/internal/replication/server.go
@@ -95,7 +95,7 @@
 		s.logger.Log(eventMalformedMessage, zap.Uint64("from", request.ReplicaId), zap.String("address", request.Address))
 		return nil, twirp.InvalidArgumentError("address", "must be IP:port of a replica with an id above 0")
 	}
-	reply, err := s.receiver.HandleAnnouncement(ctx, Announcement{Peer: peer, Joining: request.Joining})
+	reply, err := s.receiver.HandleAnnouncement(ctx, Announcement{Peer: peer, Joining: request.Joining, ReadsAddresses: request.ReadsMemberAddresses})
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, "the replica does not answer now")
 	}
