internal/platformproc: running processes use the seeds of a changed settings file

What callers saw: an entry process whose seeds are all gone when it starts stays unready for good, and a control process in the same place never joins its group, although the platform has written other seeds meanwhile.

Cause: SIGHUP was logged and nothing else. The seeds of the start stayed the only addresses outside the group that a process ever tried.

SIGHUP has a receiver from the start of the process on; until now it ended one that waited for room on its disk.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -192,6 +192,16 @@
 	}
 }
 
+// SetConfigured replaces the addresses that the client was created with. It is called by one task and
+// does not wait.
+func (c *Client) SetConfigured(addresses []string) {
+	select {
+	case <-c.directory.configuredUpdates:
+	default:
+	}
+	c.directory.configuredUpdates <- addresses
+}
+
 type call func(ctx context.Context, control rpcpb.Control) error
 
 // callLeader calls the leader and retries until a call is answered, ctx ends or a limit is
--- a/internal/controlclient/directory.go
+++ b/internal/controlclient/directory.go
@@ -13,13 +13,15 @@
 // directory is the task that tracks the addresses of the control replicas and which of them is
 // probably the leader.
 type directory struct {
-	scheme        string
-	httpClient    *http.Client
-	lookups       chan chan target
-	failures      chan failedTarget
-	memberUpdates chan []string
+	scheme            string
+	httpClient        *http.Client
+	lookups           chan chan target
+	failures          chan failedTarget
+	memberUpdates     chan []string
+	configuredUpdates chan []string // holds the latest addresses in the settings
 
 	configured        []string // addresses in the settings
+	members           []string // addresses of the members of the group; nil if unknown
 	addresses         []string // owned by run
 	current           int      // index of the probable leader in addresses; owned by run
 	clients           map[string]rpcpb.Control
@@ -53,6 +55,7 @@
 		lookups:           make(chan chan target),
 		failures:          make(chan failedTarget, failureQueueSize),
 		memberUpdates:     make(chan []string, 1),
+		configuredUpdates: make(chan []string, 1),
 		configured:        addresses,
 		addresses:         append([]string(nil), addresses...),
 		clients:           map[string]rpcpb.Control{},
@@ -69,6 +72,8 @@
 			d.handleFailure(time.Now(), failure)
 		case addresses := <-d.memberUpdates:
 			d.setMembers(addresses)
+		case addresses := <-d.configuredUpdates:
+			d.setConfigured(addresses)
 		case <-ctx.Done():
 			return
 		}
@@ -119,11 +124,23 @@
 	return known
 }
 
-// setMembers replaces the addresses with those of the group members, followed by the addresses in
-// the settings. The latter are useful if every known member has been replaced since.
+// setMembers replaces the addresses of the members of the group.
 func (d *directory) setMembers(members []string) {
+	d.members = members
+	d.mergeAddresses()
+}
+
+// setConfigured replaces the addresses in the settings.
+func (d *directory) setConfigured(addresses []string) {
+	d.configured = addresses
+	d.mergeAddresses()
+}
+
+// mergeAddresses lists the members, followed by the addresses in the settings. The latter are useful
+// if every known member has been replaced since. The selected address stays selected.
+func (d *directory) mergeAddresses() {
 	current := d.addresses[d.current]
-	merged := append([]string(nil), members...)
+	merged := append([]string(nil), d.members...)
 	for _, address := range d.configured {
 		if !slices.Contains(merged, address) {
 			merged = append(merged, address)
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -71,18 +71,25 @@
 	if err != nil || r == nil {
 		return err
 	}
-	control := controlclient.New(controlAddresses(s), "http", client, b.metrics)
+	control := controlclient.New(controlAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	platformClient := platform.NewClient(s.Adviser, b.sockets, b.logger)
 	if err := b.serveControl(s, r, control, platformClient); err != nil {
 		r.Close()
 		return err
 	}
-	b.logHangups(kill)
 	b.logger.Log(eventStarted, zap.Uint64("replica", self.ID), zap.Bool("joined", self.Joined), zap.Bool("bootstrap", s.Bootstrap))
 
 	runCtx, cancel := context.WithCancel(kill)
 	defer cancel()
 	b.tasks.Go(func() { control.Run(runCtx) })
+	watcher := &seedWatcher{
+		file: s.File, hangups: b.hangups, parse: parseControlSeeds, logger: b.logger, metrics: b.metrics, seeds: s.Seeds,
+		apply: func(ctx context.Context, seeds []string) error {
+			control.SetConfigured(controlAddresses(seeds, s.ListenInternal))
+			return r.SetContacts(ctx, internalAddresses(seeds, s.ListenInternal))
+		},
+	}
+	b.tasks.Go(func() { watcher.run(runCtx) })
 	b.tasks.Go(func() {
 		dispatcher.Run(runCtx, dispatcher.Options{
 			Workers: platformClient, Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
@@ -115,8 +122,8 @@
 
 // controlAddresses returns the control replicas that this process knows when it starts. Its own
 // address is the first.
-func controlAddresses(s *ControlSettings) []string {
-	return append([]string{s.ListenInternal}, internalAddresses(s.Seeds, s.ListenInternal)...)
+func controlAddresses(seeds []string, own string) []string {
+	return append([]string{own}, internalAddresses(seeds, own)...)
 }
 
 // openReplica opens the log of the replica. If the log is damaged, it creates a new identity with
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -50,11 +50,18 @@
 	if err := e.listen(s); err != nil {
 		return err
 	}
-	b.logHangups(kill)
 	b.logger.Log(eventStarted)
 	runCtx, cancel := context.WithCancel(kill)
 	defer cancel()
 	b.tasks.Go(func() { control.Run(runCtx) })
+	watcher := &seedWatcher{
+		file: s.File, hangups: b.hangups, parse: parseEntrySeeds, logger: b.logger, metrics: b.metrics, seeds: s.Seeds,
+		apply: func(_ context.Context, seeds []string) error {
+			control.SetConfigured(internalAddresses(seeds, s.ListenInternal))
+			return nil
+		},
+	}
+	b.tasks.Go(func() { watcher.run(runCtx) })
 	b.tasks.Go(func() { jobs.Run(runCtx) })
 	select {
 	case err := <-b.failures:
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -31,7 +31,7 @@
 	eventStopping              = eventlog.Declare(4301, zapcore.InfoLevel, "planned stop begins")
 	eventStopped               = eventlog.Declare(4302, zapcore.InfoLevel, "process ends")
 	eventEndedByError          = eventlog.Declare(4312, zapcore.ErrorLevel, "process ends because of an error")
-	eventHangup                = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the settings are read at the next start; members of the control group are learned from the group")
+	eventHangup                = eventlog.Declare(4303, zapcore.InfoLevel, "SIGHUP: the seeds in the settings file are read again, the other settings at the next start")
 	eventListenerFailed        = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
 	eventConnectionFailed      = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
 	eventConnectionsNotRefused = eventlog.Declare(4311, zapcore.WarnLevel, "new connections could not be refused before the socket was closed; some may have been reset")
@@ -61,6 +61,7 @@
 	servers  []*draining.Server
 	failures chan error
 	tasks    sync.WaitGroup
+	hangups  chan os.Signal // SIGHUP, which would end the process without a receiver
 	closeLog func()
 }
 
@@ -90,7 +91,8 @@
 	done := make(chan struct{})
 	go func() { async.Run(ctx, logger); close(done) }()
 	set := metrics.New()
-	b := &baseProcess{logger: logger, metrics: set, sockets: sockets.New(division, logger, set), failures: make(chan error, 4)}
+	b := &baseProcess{logger: logger, metrics: set, sockets: sockets.New(division, logger, set), failures: make(chan error, 4), hangups: make(chan os.Signal, 1)}
+	signal.Notify(b.hangups, syscall.SIGHUP)
 	b.closeLog = func() {
 		cancel()
 		select {
@@ -106,6 +108,7 @@
 	for _, server := range b.servers {
 		server.Close()
 	}
+	signal.Stop(b.hangups)
 	b.logger.Log(eventStopped)
 	b.closeLog()
 }
@@ -153,23 +156,6 @@
 	return b.serve(openfiles.UseProbes, address, mux)
 }
 
-// logHangups logs SIGHUP until ctx ends. Without a handler the signal would end the process.
-func (b *baseProcess) logHangups(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		defer signal.Stop(hangups)
-		for {
-			select {
-			case <-hangups:
-				b.logger.Log(eventHangup)
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-}
-
 // newHTTPClient returns the client for calls between processes. When a call times out, its
 // connection is closed, so that unresponsive connections are not reused.
 func (b *baseProcess) newHTTPClient(maxIdleConnsPerAddress int) *http.Client {
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -154,6 +154,8 @@
 	switch c := c.(type) {
 	case announceCall:
 		t.handleAnnouncement(time.Now(), c)
+	case contactsCall:
+		t.handleContacts(c)
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
--- a/internal/replica/messages.go
+++ b/internal/replica/messages.go
@@ -96,6 +96,12 @@
 	from replication.Announcement
 }
 
+// contactsCall replaces Options.Contacts.
+type contactsCall struct {
+	reply[struct{}]
+	addresses []string
+}
+
 // stopCall transfers leadership and ends the replica.
 type stopCall struct{ reply[struct{}] }
 
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -64,6 +64,12 @@
 	})
 }
 
+func (t *task) handleContacts(c contactsCall) {
+	t.peers.directory.SetContacts(c.addresses)
+	t.updateAnnouncer()
+	c.send(struct{}{})
+}
+
 // learnPeers stores the addresses that another replica returned for an announcement.
 func (t *task) learnPeers(now time.Time, result replication.AnnounceResult) {
 	for _, peer := range result.Reply.Peers {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -122,6 +122,12 @@
 	return ask(ctx, r, func(reply reply[replication.AnnounceReply]) call { return announceCall{reply, from} })
 }
 
+// SetContacts replaces Options.Contacts.
+func (r *Replica) SetContacts(ctx context.Context, addresses []string) error {
+	_, err := ask(ctx, r, func(reply reply[struct{}]) call { return contactsCall{reply, addresses} })
+	return err
+}
+
 // Deliver implements replication.Receiver.
 func (r *Replica) Deliver(ctx context.Context, messages []replog.Message) error {
 	select {
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -257,6 +257,8 @@
 		t.handleFeed(now, c)
 	case announceCall:
 		t.handleAnnouncement(now, c)
+	case contactsCall:
+		t.handleContacts(c)
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,11 @@
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	return Parse(file, data, into)
+}
+
+// Parse is like Load for the content of a settings file that was read already.
+func Parse(file string, data []byte, into Checker) error {
 	faults := strictconf.Decode(data, into)
 	if len(faults) == 0 {
 		faults = addLineNumbers(data, into.Check())
@@ -50,6 +55,9 @@
 	if len(faults) > 0 {
 		return &FileError{File: file, Faults: faults}
 	}
+	if known, ok := into.(interface{ setFile(string) }); ok {
+		known.setFile(file)
+	}
 	return nil
 }
 
@@ -70,8 +78,12 @@
 	Region        string `toml:"region"`
 	FailureDomain string `toml:"failure_domain"`
 	LogLevel      string `toml:"log_level"`
+
+	File string `toml:"-"` // the settings file; set by Load and Parse
 }
 
+func (c *Common) setFile(file string) { c.File = file }
+
 // Check returns the faults of the common settings.
 func (c Common) Check() strictconf.Faults {
 	faults := CheckNotEmpty("name", c.Name)
