--- a/internal/replica/replace_test.go
+++ b/internal/replica/replace_test.go
@@ -86,6 +86,56 @@
 	}
 }
 
+// Guards against joined replicas that find their group only while their settings name a member of it.
+func TestRestartWithSettingsThatNameFormerReplicas(t *testing.T) {
+	var former []replication.Peer
+	group := startGroup(t, 3, func(o *replica.Options) {
+		if o.Join && former != nil {
+			o.Voters = former
+		}
+	})
+	applyFileWithReplicas(t, group, 1, "[1, 2, 3]")
+	joinEntryProcess(t, group)
+	if granted := commitRequests(t, group, 1, 50); granted != 50 {
+		t.Errorf("%d of 50 requests may be dispatched", granted)
+	}
+	members := []int{0, 1, 2}
+	for i, listed := range []string{"[1, 3, 4]", "[1, 4, 5]"} {
+		if err := group.Kill(1 + i); err != nil {
+			t.Fatal(err)
+		}
+		joined, err := group.Join()
+		if err != nil {
+			t.Fatal(err)
+		}
+		members = append(slices.Delete(members, 1, 2), joined)
+		applyFileWithReplicas(t, group, 2+i, listed)
+		for _, member := range members {
+			awaitVoters(t, group, member, replog.ReplicaID(members[0]+1), replog.ReplicaID(members[1]+1), replog.ReplicaID(members[2]+1))
+		}
+	}
+	former = []replication.Peer{{ID: 2, Address: group.Address(1)}, {ID: 3, Address: group.Address(2)}}
+	for _, member := range members {
+		if err := group.Kill(member); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, member := range members {
+		if err := group.Restart(member); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if again := commitRequests(t, group, 2, 50); again != 0 {
+		t.Errorf("%d requests may be dispatched twice", again)
+	}
+	for _, member := range members {
+		report, err := group.Replica(member).Report(callContext(t))
+		if err != nil || len(report.Addresses) != len(members) {
+			t.Errorf("replica %d knows the addresses %v of its members, error %v", member+1, report.Addresses, err)
+		}
+	}
+}
+
 // Guards against a leader that removes itself while it leads, which would stop the group for an
 // election timeout.
 func TestReplaceLeader(t *testing.T) {
