internal/replica: log the addresses that come from the membership

Cause: event 1400 told of addresses from announcements only; those that a replica takes from its log changed a belief without a line.

Change: Directory.SetMembers returns the replicas whose address it adopted, and event 1400 names the source. forgetPeers, which had become a call of Directory.Forget, is gone.

--- a/core/controlgroup/directory.go
+++ b/core/controlgroup/directory.go
@@ -67,21 +67,24 @@
 }
 
 // SetMembers sets the membership that this replica knows. It adopts the recorded addresses of members
-// that have not announced themselves, and reports whether it changed an address.
-func (d *Directory) SetMembers(m replog.Membership) bool {
+// that have not announced themselves, and returns those that were not known before.
+func (d *Directory) SetMembers(m replog.Membership) []Peer {
 	if d.members.Equal(m) {
-		return false
+		return nil
 	}
 	d.members = m
-	changed := false
+	var adopted []Peer
 	for _, recorded := range m.Addresses {
 		known := d.known[recorded.ID]
 		if recorded.ID == d.self.ID || known != nil && !known.lastAnnounced.IsZero() {
 			continue
 		}
-		changed = d.learn(Peer{ID: recorded.ID, Address: recorded.Address}, true) == LearnChanged || changed
+		peer := Peer{ID: recorded.ID, Address: recorded.Address}
+		if d.learn(peer, true) == LearnChanged {
+			adopted = append(adopted, peer)
+		}
 	}
-	return changed
+	return adopted
 }
 
 // SetContacts replaces the addresses at which a replica may be found whose id is not known.
--- a/core/controlgroup/directory_test.go
+++ b/core/controlgroup/directory_test.go
@@ -107,10 +107,10 @@
 	d, now := controlgroup.NewDirectory(directoryOptions, testPeer(1, 1), nil), time.Unix(0, 0)
 	recorded := []replog.MemberAddress{{ID: 1, Address: "another"}, {ID: 2, Address: "10.0.0.2:7000"}, {ID: 100, Address: "10.0.0.3:7000"}}
 	m := replog.Membership{Voters: []replog.ReplicaID{1, 2, 100}, Addresses: recorded}
-	if !d.SetMembers(m) || d.Address(2) != "10.0.0.2:7000" || d.Address(100) != "10.0.0.3:7000" {
+	if adopted := knownIDs(d.SetMembers(m)); !slices.Equal(adopted, []replog.ReplicaID{2, 100}) || d.Address(2) != "10.0.0.2:7000" || d.Address(100) != "10.0.0.3:7000" {
 		t.Errorf("known %v after the membership was set", d.Peers())
 	}
-	if d.SetMembers(m) || d.Address(1) != testPeer(1, 1).Address {
+	if len(d.SetMembers(m)) > 0 || d.Address(1) != testPeer(1, 1).Address {
 		t.Errorf("known %v after the same membership, want no change", d.Peers())
 	}
 	if shared := knownIDs(d.Shared(now)); !slices.Equal(shared, []replog.ReplicaID{1, 2, 100}) {
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -83,21 +83,23 @@
 	case controlgroup.LearnRefused:
 		t.opts.Logger.Log(eventTooManyPeers, zap.Uint64("replica", uint64(peer.ID)), zap.String("address", peer.Address))
 	case controlgroup.LearnChanged:
-		t.opts.Logger.Log(eventPeerAddressLearned, zap.Uint64("replica", uint64(peer.ID)), zap.String("address", peer.Address))
-		t.forgetPeers(now)
+		t.logLearned(peer, "announcement")
+		t.peers.directory.Forget(now)
 		t.updatePeers()
 	}
 }
 
-// forgetPeers drops the replicas that were replaced or have not been mentioned for reportTTL, and
-// reports whether there were any. The caller passes the change on with updatePeers.
-func (t *task) forgetPeers(now time.Time) bool {
-	return t.peers.directory.Forget(now)
+func (t *task) logLearned(peer replication.Peer, source string) {
+	t.opts.Logger.Log(eventPeerAddressLearned, zap.Uint64("replica", uint64(peer.ID)), zap.String("address", peer.Address), zap.String("source", source))
 }
 
 // followMembership adopts the membership in the log and the addresses in it.
 func (t *task) followMembership() {
-	if t.peers.directory.SetMembers(t.status.Membership) {
+	adopted := t.peers.directory.SetMembers(t.status.Membership)
+	for _, peer := range adopted {
+		t.logLearned(peer, "membership")
+	}
+	if len(adopted) > 0 {
 		t.updatePeers()
 	}
 }
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -318,7 +318,7 @@
 
 // housekeeping updates gauges and reports violated invariants.
 func (t *task) housekeeping(now time.Time) {
-	if t.forgetPeers(now) {
+	if t.peers.directory.Forget(now) {
 		t.updatePeers()
 	}
 	t.reportMissingAddresses()
