internal/platformproc: randomised test of members that find each other

Change: TestMembersFindEachOther replaces machines (killed, or as planned after the new one was added), removes as many disks as the group bears, keeps one member down meanwhile, and restarts all with seeds that are new, former or different for each. After each restart every member must know the address of every other, and the group must keep its commands over the next loss of disks.

--- a/internal/platformproc/group_test.go
+++ b/internal/platformproc/group_test.go
@@ -26,22 +26,25 @@
 
 const (
 	groupSize = 3
+	seedCount = 3
 	// groupTimeout fails a test that hangs. No test checks how long an operation takes.
 	groupTimeout = 30 * time.Second
 )
 
 // testGroup is a group of control replicas, run by RunControl on loopback addresses.
 type testGroup struct {
-	t        *testing.T
-	dir      string
-	machines int // that were added so far
-	members  []*testMember
-	client   *controlclient.Client
+	t         *testing.T
+	dir       string
+	machines  int // that were added so far
+	tolerated int // losses that the group bears
+	members   []*testMember
+	client    *controlclient.Client
 }
 
 type testMember struct {
 	settings *ControlSettings
 	log      *logBuffer
+	stop     context.CancelFunc // begins a planned stop
 	kill     context.CancelFunc
 	ended    chan error
 }
@@ -74,17 +77,18 @@
 	return found
 }
 
-func startTestGroup(t *testing.T) *testGroup {
-	g := &testGroup{t: t, dir: t.TempDir()}
-	var seeds, internal []string
-	for range groupSize {
-		m := g.newMember()
-		seeds = append(seeds, m.settings.ListenControl)
-		internal = append(internal, m.settings.ListenInternal)
+func startTestGroup(t *testing.T) *testGroup { return startTestGroupOf(t, groupSize) }
+
+// startTestGroupOf starts a group of the given size. The first seedCount members are its seeds.
+func startTestGroupOf(t *testing.T, size int) *testGroup {
+	g := &testGroup{t: t, dir: t.TempDir(), tolerated: (size - 1) / 2}
+	for range size {
+		g.newMember()
 	}
+	seeds := controlAddressesOf(g.members[:seedCount])
 	ctx, cancel := context.WithCancel(context.Background())
 	client := &http.Client{}
-	g.client = controlclient.New(internal, "http", client, metrics.New())
+	g.client = controlclient.New(internalAddressesOf(g.members), "http", client, metrics.New())
 	go g.client.Run(ctx)
 	for i, m := range g.members {
 		m.settings.Seeds, m.settings.Bootstrap = seeds, true
@@ -113,7 +117,7 @@
 	m := &testMember{log: &logBuffer{}, settings: &ControlSettings{
 		Common:        settings.Common{Name: fmt.Sprint("control-", g.machines-1), Region: "r", FailureDomain: "z", LogLevel: "info"},
 		ListenControl: ip + ":7001", ListenInternal: ip + ":7002", ListenMetrics: ip + ":7003",
-		MemoryMB: 280, OpenFiles: 4096, TolerateReplicas: 1, DataDir: filepath.Join(g.dir, fmt.Sprint(g.machines-1)), DiskMB: 128,
+		MemoryMB: 280, OpenFiles: 4096, TolerateReplicas: g.tolerated, DataDir: filepath.Join(g.dir, fmt.Sprint(g.machines-1)), DiskMB: 128,
 		WorkerLeaseMax: 6 * time.Second,
 	}}
 	g.members = append(g.members, m)
@@ -122,9 +126,10 @@
 
 func (g *testGroup) start(i int) {
 	m := g.members[i]
+	planned, stop := context.WithCancel(context.Background())
 	ctx, kill := context.WithCancel(context.Background())
-	m.kill, m.ended = kill, make(chan error, 1)
-	go func() { m.ended <- RunControl(context.Background(), ctx, m.settings, m.log) }()
+	m.stop, m.kill, m.ended = stop, kill, make(chan error, 1)
+	go func() { m.ended <- RunControl(planned, ctx, m.settings, m.log) }()
 }
 
 // kill ends a replica without a planned stop and returns the error of RunControl.
