core/replog, internal/platformproc: comments, and a method without users

Cause: a last reading.

Change: one comment wrapped, one that named only the start; Membership.Address, which nothing called, is gone.

Result: builds, the tests of core/replog and core/controlgroup pass.

--- a/core/replog/change.go
+++ b/core/replog/change.go
@@ -11,7 +11,8 @@
 
 // ChangeMembership proposes the next membership. It may differ from the current membership by one
 // step of one replica: adding a learner, promoting a learner or removing a replica, and in the
-// addresses, or in the addresses alone. The next membership takes effect when its entry is appended and becomes final when the entry is committed.
+// addresses, or in the addresses alone. The next membership takes effect when its entry is appended
+// and becomes final when the entry is committed.
 //
 // It returns ErrNotLeader, ErrNotReady, ErrChangePending, ErrInvalidChange or ErrNotCaughtUp. The
 // first change of a term requires a committed entry of that term. Otherwise two leaders could each
--- a/core/replog/membership.go
+++ b/core/replog/membership.go
@@ -19,16 +19,6 @@
 // Quorum returns the number of voters that form a quorum.
 func (m Membership) Quorum() int { return len(m.Voters)/2 + 1 }
 
-// Address returns the recorded address of a member, or "".
-func (m Membership) Address(id ReplicaID) string {
-	for _, recorded := range m.Addresses {
-		if recorded.ID == id {
-			return recorded.Address
-		}
-	}
-	return ""
-}
-
 // Equal reports whether two memberships in the same order are the same.
 func (m Membership) Equal(other Membership) bool {
 	return slices.Equal(m.Voters, other.Voters) && slices.Equal(m.Learners, other.Learners) && slices.Equal(m.Addresses, other.Addresses)
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -120,8 +120,8 @@
 	return errors.Join(err, stopErr)
 }
 
-// controlAddresses returns the control replicas that this process knows when it starts. Its own
-// address is the first.
+// controlAddresses returns the addresses at which this process looks for the leader: its own, then
+// those of the seeds.
 func controlAddresses(seeds []string, own string) []string {
 	return append([]string{own}, internalAddresses(seeds, own)...)
 }
