core/controlgroup: no addresses while a member of an earlier version runs

Cause, found by reading and shown by no run: the leader recorded addresses once every member that had answered its appends within 0.9 s could read them. A member of an earlier version that answers late, in a rolling restart, would reject everything after that entry until its program is exchanged.

Change: members that have announced themselves in the last 5 s count as well.

Result: TestMembersReadAddresses; its last but one check fails with the former condition.

--- a/core/controlgroup/directory.go
+++ b/core/controlgroup/directory.go
@@ -221,10 +221,13 @@
 	return !at.IsZero() && now.Sub(at) < d.opts.AnnounceTTL
 }
 
-// ReadAddresses reports whether all given replicas have announced that they can decode a membership
-// with addresses.
-func (d *Directory) ReadAddresses(ids []replog.ReplicaID) bool {
-	return !slices.ContainsFunc(ids, func(id replog.ReplicaID) bool { return d.known[id] == nil || !d.known[id].readsAddresses })
+// MembersReadAddresses reports whether each member that is responsive or has announced itself within
+// AnnounceTTL can decode a membership with addresses.
+func (d *Directory) MembersReadAddresses(now time.Time, responsive []replog.ReplicaID) bool {
+	heardOf := slices.Concat(responsive, d.RecentlyAnnounced(now))
+	return !slices.ContainsFunc(heardOf, func(id replog.ReplicaID) bool {
+		return d.members.Contains(id) && (d.known[id] == nil || !d.known[id].readsAddresses)
+	})
 }
 
 // Replaced returns the replicas whose address another replica has announced since, by id.
--- a/core/controlgroup/directory_test.go
+++ b/core/controlgroup/directory_test.go
@@ -159,11 +159,30 @@
 	}
 }
 
-func TestReadAddresses(t *testing.T) {
+// Guards against addresses that a member of an earlier version cannot decode, because it answers late
+// or its answers were lost when the leader asked.
+func TestMembersReadAddresses(t *testing.T) {
 	d, now := testDirectory(), time.Unix(0, 0)
 	d.Announce(now, testPeer(2, 2), true)
+	d.Announce(now, testPeer(9, 9), false) // no member
+	for name, c := range map[string]struct {
+		responsive []replog.ReplicaID
+		want       bool
+	}{
+		"only a member that reads addresses":     {[]replog.ReplicaID{2}, true},
+		"a member that has not announced itself": {[]replog.ReplicaID{2, 3}, false},
+		"a replica that is no member":            {[]replog.ReplicaID{2, 9}, true},
+	} {
+		if got := d.MembersReadAddresses(now, c.responsive); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
 	d.Announce(now, testPeer(3, 3), false)
-	if !d.ReadAddresses([]replog.ReplicaID{2}) || d.ReadAddresses([]replog.ReplicaID{2, 3}) || d.ReadAddresses([]replog.ReplicaID{2, 4}) {
-		t.Error("replica 2 reads addresses, 3 does not, 4 is unknown")
+	if d.MembersReadAddresses(now, []replog.ReplicaID{2}) {
+		t.Error("member 3 has announced itself without reading addresses")
+	}
+	now = now.Add(directoryOptions.AnnounceTTL)
+	if !d.MembersReadAddresses(now, []replog.ReplicaID{2}) {
+		t.Error("member 3 is gone")
 	}
 }
--- a/core/controlgroup/step.go
+++ b/core/controlgroup/step.go
@@ -16,7 +16,8 @@
 	CaughtUp   []replog.ReplicaID // learners whose log is close to the leader's
 	// Addresses holds the known addresses of replicas.
 	Addresses map[replog.ReplicaID]string
-	// RecordAddresses says that each responsive member can decode a membership with addresses.
+	// RecordAddresses says that each member that was heard of lately can decode a membership with
+	// addresses.
 	RecordAddresses bool
 }
 
@@ -58,8 +59,8 @@
 	return step
 }
 
-// addressesOf returns the known addresses of the members of m, or none if a responsive member
-// cannot decode them. A group that has recorded addresses once has no such member.
+// addressesOf returns the known addresses of the members of m, or none if a member cannot decode
+// them. A group that has recorded addresses once has no such member.
 func (v View) addressesOf(m replog.Membership) []replog.MemberAddress {
 	if !v.RecordAddresses && len(v.Membership.Addresses) == 0 {
 		return nil
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -41,6 +41,6 @@
 	for _, peer := range t.peers.directory.Peers() {
 		view.Addresses[peer.ID] = peer.Address
 	}
-	view.RecordAddresses = t.peers.directory.ReadAddresses(view.Responsive)
+	view.RecordAddresses = t.peers.directory.MembersReadAddresses(now, view.Responsive)
 	return view
 }
