--- a/internal/platformproc/addresses_test.go
+++ b/internal/platformproc/addresses_test.go
@@ -21,12 +21,17 @@
 	return m
 }
 
+// remove kills a process for good.
+func (g *testGroup) remove(former *testMember) {
+	g.kill(slices.Index(g.members, former))
+	g.members = slices.DeleteFunc(g.members, func(m *testMember) bool { return m == former })
+}
+
 // replace removes a machine for good and waits until a new one, whose seeds are the machines that
 // remain, has taken its place in the group.
 func (g *testGroup) replace(former *testMember) *testMember {
 	g.t.Helper()
-	g.kill(slices.Index(g.members, former))
-	g.members = slices.DeleteFunc(g.members, func(m *testMember) bool { return m == former })
+	g.remove(former)
 	added := g.add(slices.Clone(g.members)...)
 	g.awaitOwnVoters()
 	return added
@@ -203,8 +208,7 @@
 			return
 		}
 		r.logf("%s is down while another machine is replaced", victim.settings.Name)
-		r.kill(slices.Index(r.members, victim))
-		r.members = slices.DeleteFunc(r.members, func(m *testMember) bool { return m == victim })
+		r.remove(victim) // until it starts again below
 		r.remove(r.members[r.random.IntN(len(r.members))])
 		r.addWithSeeds()
 		await(r.t, "the permission to join", func() bool { return r.members[len(r.members)-1].hasJoined() })
@@ -215,16 +219,11 @@
 	r.awaitOwnVoters()
 }
 
-func (r *addressesRun) remove(m *testMember) {
-	r.kill(slices.Index(r.members, m))
-	r.members = slices.DeleteFunc(r.members, func(other *testMember) bool { return other == m })
-}
-
 // addWithSeeds adds a machine with one seed that is a member and others that may be gone. The given
 // members are about to leave.
 func (r *addressesRun) addWithSeeds(leaving ...*testMember) {
 	seeds := r.anyMachines(seedCount - 1)
-	staying := slices.DeleteFunc(slices.Clone(r.members), func(m *testMember) bool { return slices.Contains(leaving, m) })
+	staying := without(r.members, leaving)
 	seeds = append(seeds, staying[r.random.IntN(len(staying))])
 	r.machinesEver = append(r.machinesEver, r.add(seeds...))
 }
@@ -243,7 +242,7 @@
 	for i := range r.members {
 		r.kill(i)
 	}
-	former := slices.DeleteFunc(slices.Clone(r.machinesEver), func(m *testMember) bool { return slices.Contains(r.members, m) })
+	former := without(r.machinesEver, r.members)
 	choice := r.random.IntN(3)
 	for i, m := range r.members {
 		seeds := r.anyMachines(seedCount)
@@ -259,6 +258,10 @@
 	}
 }
 
+func without(all, excluded []*testMember) []*testMember {
+	return slices.DeleteFunc(slices.Clone(all), func(m *testMember) bool { return slices.Contains(excluded, m) })
+}
+
 // anyMachines returns n machines, former ones included.
 func (r *addressesRun) anyMachines(n int) []*testMember {
 	var chosen []*testMember
--- a/internal/platformproc/seedwatcher_test.go
+++ b/internal/platformproc/seedwatcher_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,10 +23,9 @@
 		t.Fatal(err)
 	}
 	rendered := strings.NewReplacer(
-		`["10.1.0.16:8166","10.2.0.33:8166"]`, fmt.Sprintf("[%q]", strings.Join(seeds, `","`)), "10.1.0.16:7720", ip+":7002",
-		"10.1.0.16:", ip+":", "/data/c", filepath.Join(filepath.Dir(file), "data"), "bootstrap = true", "bootstrap = false",
+		`"10.1.0.16:8166","10.2.0.33:8166"`, `"`+strings.Join(seeds, `","`)+`"`, "10.1.0.16:7720", ip+":7002", "10.1.0.16:", ip+":",
+		"/data/c", filepath.Join(filepath.Dir(file), "data"), "bootstrap = true", "bootstrap = false",
 	).Replace(string(text))
-	rendered = strings.ReplaceAll(rendered, `\"`, `"`)
 	if err := os.WriteFile(file, []byte(rendered), 0o600); err != nil {
 		t.Fatal(err)
 	}
