core/workload, core/dispatch, internal/workapi, platform: teams with keys and caps

Cause: the configuration's teams were not read. Calls with keys that no configuration held were answered, and a team ran above its cap. Change: keys are checked by the routing table of each entry process, a job belongs to the team whose key it was accepted with, and the plan and the state keep the open runs of each team within its cap. A configuration without teams is served and stored as before. Checked: unit tests of the state, of the keys and of the access to jobs of other teams.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -53,6 +53,8 @@
 	requesters       map[string]*adviceRequester
 	// grantedShare is, by queue, the mean share of the named workers that the adviser grants.
 	grantedShare map[string]float64
+	// teamReservations is the demand of the assignments that are not committed yet, by team.
+	teamReservations teamReservations
 
 	planNumber       uint64      // number of the current plan
 	usableWorkers    []*worker   // workers that can take runs in the current plan
@@ -102,7 +104,7 @@
 		opts: opts, state: state, now: now, startedAt: now, planNeeded: true,
 		workers: map[workload.WorkerID]*worker{}, jobsByID: map[workload.JobID]*job{},
 		inDoubtStarts: inDoubtStarts{},
-		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, namingIndexes: map[string]*namingIndex{},
+		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{},
 	}
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
 	for _, w := range state.Workers() {
@@ -242,7 +244,9 @@
 type proposal struct {
 	command      workload.Command
 	reservations []reservation
-	ends         []workload.EndedRun
+	// teamReservations is the demand of the proposed assignments, by team.
+	teamReservations teamReservations
+	ends             []workload.EndedRun
 }
 
 // reservation holds resources of a worker for a step.
@@ -301,6 +305,9 @@
 			w.reserved = w.reserved.Sub(reserved.size)
 		}
 	}
+	for team, demand := range p.teamReservations {
+		c.teamReservations.add(team, workload.Resources{}.Sub(demand))
+	}
 }
 
 // maxEndsPerProposal limits the size of one command.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -58,7 +58,7 @@
 		c.nextPlanAt = c.now.Add(callRetryDelay)
 		return
 	}
-	p := &proposal{}
+	p := &proposal{teamReservations: teamReservations{}}
 	decide := &workload.Decide{}
 	c.beginPlan()
 	steps := c.readySteps()
@@ -72,6 +72,9 @@
 		if assign, ok := c.placeStep(r); ok {
 			decide.Assigns = append(decide.Assigns, assign)
 			size := r.job.Spec.Steps[r.index].Size
+			demand := size.Times(len(assign.Members))
+			p.teamReservations.add(r.job.Team, demand)
+			c.teamReservations.add(r.job.Team, demand)
 			for _, m := range assign.Members {
 				p.reservations = append(p.reservations, reservation{m.Worker, size})
 			}
@@ -121,7 +124,7 @@
 	s := &r.job.steps[r.index]
 	spec := &r.job.Spec.Steps[r.index]
 	none := workload.Assign{}
-	if spec.Gang && s.waitingTasks < spec.Tasks || c.placeableTasks(r) == 0 {
+	if spec.Gang && s.waitingTasks < spec.Tasks || c.placeableTasks(r) == 0 || c.isBlockedByTeamCap(r.job, spec) {
 		return none, false
 	}
 	advised := r.job.Queue.Advice != nil
@@ -356,6 +359,7 @@
 // assignTasks assigns the waiting tasks of a step to candidates and reduces their free resources.
 func (c *Core) assignTasks(r readyStep, s *step, spec *workload.StepSpec, candidates []candidate, fastFirst bool) []workload.TaskAssignment {
 	var members []workload.TaskAssignment
+	teamSlots := c.teamSlots(r.job, spec)
 	for index, task := range r.job.Steps[r.index].Tasks {
 		if task.State != workload.TaskPending || task.Open || s.proposed[index] {
 			continue
@@ -364,7 +368,7 @@
 			continue
 		}
 		best := bestFit(candidates, spec, fastFirst)
-		if best == nil {
+		if best == nil || len(members) == teamSlots {
 			break
 		}
 		best.free = best.free.Sub(spec.Size)
--- a/core/state/query.go
+++ b/core/state/query.go
@@ -26,8 +26,13 @@
 // StepWorkerQuery asks for a worker that runs steps of multi-step jobs. The leader calls such workers.
 type StepWorkerQuery struct{ Worker workload.WorkerID }
 
-// StepJobQuery asks for the state of a multi-step job.
-type StepJobQuery struct{ ID workload.JobID }
+// StepJobQuery asks for the state of a multi-step job. Team and AnonymousQueue are those of the
+// workload.Caller. Nothing is found if the caller may not read the job.
+type StepJobQuery struct {
+	ID             workload.JobID
+	Team           workload.TeamName `cbor:",omitempty"`
+	AnonymousQueue string            `cbor:",omitempty"`
+}
 
 // QueueQuery asks for the number of jobs of a queue that have not started.
 type QueueQuery struct{ Name string }
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -24,7 +24,7 @@
 	case q.Members != nil:
 		return Answer{Members: s.memberList()}
 	case q.StepJob != nil:
-		return Answer{StepJob: s.stepJobView(q.StepJob.ID)}
+		return Answer{StepJob: s.stepJobView(*q.StepJob)}
 	case q.Queue != nil:
 		return Answer{Queue: &QueueView{Pending: s.workload.PendingJobs(q.Queue.Name)}}
 	case q.Queues != nil:
@@ -44,8 +44,8 @@
 // Clocks returns the largest command time so far and the retention clock.
 func (s *State) Clocks() (now time.Time, retention time.Duration) { return s.now, s.retentionElapsed() }
 
-func (s *State) stepJobView(id workload.JobID) *StepJobView {
-	job := s.workload.Job(id)
+func (s *State) stepJobView(q StepJobQuery) *StepJobView {
+	job := s.workload.JobFor(q.ID, workload.Caller{Team: q.Team, AnonymousQueue: q.AnonymousQueue})
 	if job == nil {
 		return nil
 	}
--- a/core/workload/assign.go
+++ b/core/workload/assign.go
@@ -70,6 +70,9 @@
 	if len(a.Members) != spec.Tasks {
 		return RefusalInvalid
 	}
+	if !s.fitsTeamCap(job, spec.Size.Times(spec.Tasks)) {
+		return RefusalTeamCap
+	}
 	seen := map[int]bool{}
 	added := map[WorkerID]Resources{}
 	count := map[WorkerID]int{}
@@ -119,6 +122,8 @@
 		return RefusalNoCapacity
 	case spec.MaxPerWorker > 0 && s.countOpenRuns(step, m.Worker) >= spec.MaxPerWorker:
 		return RefusalPerWorkerLimit
+	case !s.fitsTeamCap(job, spec.Size):
+		return RefusalTeamCap
 	}
 	return RefusalNone
 }
@@ -144,5 +149,6 @@
 	w := s.workers[m.Worker]
 	w.runs[id.Task(m.Index)] = run
 	w.used = w.used.Add(spec.Size)
+	s.addTeamUse(job.Team, spec.Size)
 	s.markStarted(job)
 }
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -1,13 +1,17 @@
 package workload
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+)
 
 // Audit returns a description of each violated invariant: the open runs of a worker fit its
-// capacity, each open run is the latest run of its task, no task has two open runs, the listed
+// capacity, the open runs of each team are counted, each open run is the latest run of its task, no task has two open runs, the listed
 // closed runs are closed runs of tasks that are not done, and the pending jobs are counted.
 func (s *State) Audit() []string {
 	var violations []string
 	holder := map[TaskID]WorkerID{}
+	teamUse := map[TeamName]Resources{}
 	for _, w := range s.Workers() {
 		used := Resources{}
 		for _, run := range s.OpenRuns(w.ID) {
@@ -21,6 +25,9 @@
 			}
 			holder[run.Task] = w.ID
 			used = used.Add(job.Spec.Steps[run.Task.Step].Size)
+			if job.Team != "" {
+				teamUse[job.Team] = teamUse[job.Team].Add(job.Spec.Steps[run.Task.Step].Size)
+			}
 		}
 		if used != s.workers[w.ID].used {
 			violations = append(violations, fmt.Sprintf("worker %s: %v reserved, %v counted", w.ID, used, s.workers[w.ID].used))
@@ -29,6 +36,9 @@
 			violations = append(violations, fmt.Sprintf("worker %s: %v reserved of %v", w.ID, used, w.Capacity))
 		}
 	}
+	if !maps.Equal(teamUse, s.teamUse) {
+		violations = append(violations, fmt.Sprintf("teams: %v in use, %v counted", teamUse, s.teamUse))
+	}
 	pending := map[string]int{}
 	s.ForEachJob(func(job *Job) {
 		if job.isPending() {
--- a/core/workload/command.go
+++ b/core/workload/command.go
@@ -15,10 +15,15 @@
 type Submit struct {
 	ID   JobID
 	Spec JobSpec
+	Team TeamName `cbor:",omitempty" json:",omitempty"` // team of the call's key
 }
 
-// Cancel ends a job that has not ended.
-type Cancel struct{ ID JobID }
+// Cancel ends a job that has not ended. Team and AnonymousQueue are those of the Caller.
+type Cancel struct {
+	ID             JobID
+	Team           TeamName `cbor:",omitempty" json:",omitempty"`
+	AnonymousQueue string   `cbor:",omitempty" json:",omitempty"`
+}
 
 // Register adds a worker or a later boot of a known worker.
 type Register struct{ Worker Worker }
@@ -104,6 +109,8 @@
 	RefusalPerWorkerLimit Refusal = "per-worker-limit"
 	RefusalMissingLabel   Refusal = "label"
 	RefusalDependency     Refusal = "order" // a dependency of the step is not done
+	RefusalTeamCap        Refusal = "team-cap"
+	RefusalOtherTeam      Refusal = "other-team" // the id belongs to a job of another team
 )
 
 // Result is the result of a command.
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -59,7 +59,7 @@
 	s.retentionClock, s.steadyClock = snapshot.Clock, snapshot.SteadyClock
 	if snapshot.Config != nil {
 		s.config = snapshot.Config
-		s.indexQueues()
+		s.indexConfig()
 	}
 	for i := range snapshot.Jobs {
 		job := snapshot.Jobs[i]
@@ -81,6 +81,7 @@
 			}
 			restored.runs[run.Task] = run.Run
 			restored.used = restored.used.Add(job.Spec.Steps[run.Task.Step].Size)
+			s.addTeamUse(job.Team, job.Spec.Steps[run.Task.Step].Size)
 		}
 		s.workers[w.Worker.ID] = restored
 	}
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -22,15 +22,17 @@
 	jobOrder       []JobID        // accepted jobs, oldest first
 	pendingJobs    map[string]int // number of pending jobs, by queue
 	workers        map[WorkerID]*workerState
-	retentionClock time.Duration // retention clock of the latest command
-	steadyClock    time.Duration // lower bound of the time that has passed under leaders
+	teams          map[TeamName]*Team     // teams of config, by name
+	teamUse        map[TeamName]Resources // total demand of the open runs, by team
+	retentionClock time.Duration          // retention clock of the latest command
+	steadyClock    time.Duration          // lower bound of the time that has passed under leaders
 }
 
 // New returns the initial state.
 func New() *State {
 	return &State{
 		queues: map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
-		workers: map[WorkerID]*workerState{},
+		workers: map[WorkerID]*workerState{}, teams: map[TeamName]*Team{}, teamUse: map[TeamName]Resources{},
 	}
 }
 
@@ -44,7 +46,7 @@
 	case c.Submit != nil:
 		return s.submit(now, *c.Submit)
 	case c.Cancel != nil:
-		return s.cancel(retentionClock, c.Cancel.ID)
+		return s.cancel(retentionClock, *c.Cancel)
 	case c.Register != nil:
 		return s.register(c.Register.Worker, retentionClock)
 	case c.Drain != nil:
@@ -65,19 +67,26 @@
 		return Result{Version: s.config.Version}
 	}
 	s.config = &c
-	s.indexQueues()
+	s.indexConfig()
 	return Result{Version: c.Version}
 }
 
-func (s *State) indexQueues() {
+func (s *State) indexConfig() {
 	s.queues = map[string]*Queue{}
 	for i := range s.config.Queues {
 		s.queues[s.config.Queues[i].Name] = &s.config.Queues[i]
 	}
+	s.teams = map[TeamName]*Team{}
+	for i := range s.config.Teams {
+		s.teams[s.config.Teams[i].Name] = &s.config.Teams[i]
+	}
 }
 
 func (s *State) submit(now time.Time, c Submit) Result {
 	if job := s.jobs[c.ID]; job != nil {
+		if job.Team != c.Team {
+			return Result{Refusal: RefusalOtherTeam}
+		}
 		return Result{State: job.State}
 	}
 	if s.config == nil {
@@ -90,7 +99,10 @@
 	if !c.Spec.valid() {
 		return Result{Refusal: RefusalInvalid}
 	}
-	job := &Job{ID: c.ID, Spec: c.Spec, Queue: *queue, State: JobQueued, AcceptedAt: now}
+	if s.hasUnrunnableGang(c.Team, c.Spec) {
+		return Result{Refusal: RefusalTeamCap}
+	}
+	job := &Job{ID: c.ID, Spec: c.Spec, Queue: *queue, Team: c.Team, State: JobQueued, AcceptedAt: now}
 	for _, step := range c.Spec.Steps {
 		job.Steps = append(job.Steps, Step{Tasks: make([]Task, step.Tasks), RemainingTasks: step.Tasks})
 	}
@@ -124,8 +136,8 @@
 	return true
 }
 
-func (s *State) cancel(retentionClock time.Duration, id JobID) Result {
-	job := s.jobs[id]
+func (s *State) cancel(retentionClock time.Duration, c Cancel) Result {
+	job := s.JobFor(c.ID, Caller{Team: c.Team, AnonymousQueue: c.AnonymousQueue})
 	if job == nil {
 		return Result{Refusal: RefusalUnknownJob}
 	}
@@ -265,6 +277,7 @@
 	}
 	spec := &job.Spec.Steps[id.Step]
 	w.used = w.used.Sub(spec.Size)
+	s.addTeamUse(job.Team, Resources{}.Sub(spec.Size))
 	task.Open = false
 	step.ClosedAt, step.SteadyClosedAt = s.retentionClock, s.steadyClock
 	switch how {
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -117,6 +117,7 @@
 	Priority      int // 0 is the highest priority
 	MaxAttempts   int
 	Advice        *AdviserConfig `cbor:",omitempty"` // nil if the queue has no adviser, so that any worker may run a step
+	Anonymous     bool           `cbor:",omitempty"` // calls need no key
 }
 
 // Config is one version of the queue configuration.
@@ -125,6 +126,10 @@
 	Queues   []Queue
 	Services []string
 	Document []byte // the configuration as the operator sent it, returned on request
+	// KeysRequired is set if the configuration lists teams: calls to queues that are not anonymous need the
+	// key of a team.
+	KeysRequired bool   `cbor:",omitempty"`
+	Teams        []Team `cbor:",omitempty"`
 }
 
 // JobState is the state of a job as reported to the client.
@@ -179,9 +184,11 @@
 
 // Job is an accepted job.
 type Job struct {
-	ID         JobID
-	Spec       JobSpec
-	Queue      Queue // configuration of the queue when the job was accepted
+	ID    JobID
+	Spec  JobSpec
+	Queue Queue // configuration of the queue when the job was accepted
+	// Team is the team whose key the job was accepted with. It stays when the keys change.
+	Team       TeamName `cbor:",omitempty" json:",omitempty"`
 	State      JobState
 	Started    bool // a run is open, or one was not closed as never started; earlier versions count pending jobs by it
 	Begun      bool // a worker is known to have begun a task
--- a/internal/workapi/events.go
+++ b/internal/workapi/events.go
@@ -15,6 +15,7 @@
 	eventQueuesChanged      = eventlog.Declare(4103, zapcore.InfoLevel, "queue configuration taken over")
 	eventControlUnavailable = eventlog.Declare(4104, zapcore.WarnLevel, "control group does not answer, the queue configuration is kept")
 	eventControlAvailable   = eventlog.Declare(4105, zapcore.InfoLevel, "control group answers again")
+	eventBadKey             = eventlog.Declare(4106, zapcore.InfoLevel, "call rejected, it has no key of a team")
 	eventWorkerReported     = eventlog.Declare(4110, zapcore.InfoLevel, "worker registration answered")
 	eventConfigured         = eventlog.Declare(4111, zapcore.InfoLevel, "queue configuration answered")
 	eventConfigReadFailed   = eventlog.Declare(4112, zapcore.WarnLevel, "queue configuration could not be read")
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -114,10 +114,12 @@
 	Queue      workload.Queue
 	Version    uint64 // version of the configuration that was used
 	PathSuffix string // the part of the path after the queue's prefix
+	Caller     workload.Caller
 }
 
-// FindQueue returns the queue for a host and path.
-func (s *JobService) FindQueue(host, path string) (Route, Outcome) {
+// FindQueue returns the queue for a host and path, and on whose behalf a call with the given key acts. An
+// empty key stands for none.
+func (s *JobService) FindQueue(host, path string, key workload.Key) (Route, Outcome) {
 	routes := s.routes.Load()
 	if routes == nil {
 		return Route{}, s.countOutcome("route", OutcomeNoConfig)
@@ -126,7 +128,12 @@
 	if !ok {
 		return Route{}, s.countOutcome("route", OutcomeNoQueue)
 	}
-	return Route{Queue: queue, Version: routes.version, PathSuffix: rest}, OutcomeOK
+	caller, ok := routes.caller(queue, key)
+	if !ok {
+		s.opts.Logger.Log(eventBadKey, zap.String("queue", queue.Name), zap.Uint64("version", routes.version), zap.Bool("key_sent", key != ""))
+		return Route{}, s.countOutcome("route", OutcomeBadKey)
+	}
+	return Route{Queue: queue, Version: routes.version, PathSuffix: rest, Caller: caller}, OutcomeOK
 }
 
 func (s *JobService) countOutcome(call string, outcome Outcome) Outcome {
@@ -157,11 +164,11 @@
 	}
 	started := time.Now()
 	spec.Queue = route.Queue.Name
-	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}}}
+	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec, Team: route.Caller.Team}}}
 	outcome, err := s.propose(ctx, command, submitLimits)
 	elapsed := time.Since(started)
 	s.opts.Metrics.Observe(metricSubmitDelay, elapsed)
-	s.opts.Logger.Log(eventSubmitted, zap.String("job", string(id)), zap.String("queue", route.Queue.Name),
+	s.opts.Logger.Log(eventSubmitted, zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.String("team", string(route.Caller.Team)),
 		zap.Uint64("version", route.Version), zap.String("outcome", string(outcome)), zap.Int64("took_ms", elapsed.Milliseconds()), zap.Error(err))
 	return s.countOutcome("submit", outcome)
 }
@@ -179,18 +186,20 @@
 }
 
 // Cancel cancels a job.
-func (s *JobService) Cancel(ctx context.Context, id workload.JobID) Outcome {
+func (s *JobService) Cancel(ctx context.Context, route Route, id workload.JobID) Outcome {
 	started := time.Now()
-	outcome, err := s.propose(ctx, state.Command{Workload: &workload.Command{Cancel: &workload.Cancel{ID: id}}}, controlclient.WaitLimits{})
+	command := &workload.Cancel{ID: id, Team: route.Caller.Team, AnonymousQueue: route.Caller.AnonymousQueue}
+	outcome, err := s.propose(ctx, state.Command{Workload: &workload.Command{Cancel: command}}, controlclient.WaitLimits{})
 	s.opts.Logger.Log(eventCancelled, zap.String("job", string(id)), zap.String("outcome", string(outcome)),
 		zap.Int64("took_ms", time.Since(started).Milliseconds()), zap.Error(err))
 	return s.countOutcome("cancel", outcome)
 }
 
 // JobState returns the state of a job.
-func (s *JobService) JobState(ctx context.Context, id workload.JobID) (workload.JobState, Outcome) {
+func (s *JobService) JobState(ctx context.Context, route Route, id workload.JobID) (workload.JobState, Outcome) {
 	started := time.Now()
-	answer, err := s.opts.Control.Read(ctx, state.Query{StepJob: &state.StepJobQuery{ID: id}})
+	query := &state.StepJobQuery{ID: id, Team: route.Caller.Team, AnonymousQueue: route.Caller.AnonymousQueue}
+	answer, err := s.opts.Control.Read(ctx, state.Query{StepJob: query})
 	s.opts.Metrics.Observe(metricReadDelay, time.Since(started))
 	if err != nil {
 		return "", s.readFailed("state", string(id), started, err)
--- a/internal/workapi/outcome.go
+++ b/internal/workapi/outcome.go
@@ -20,6 +20,9 @@
 	OutcomeUnsupported Outcome = "unsupported" // rejected; it was not carried out
 	OutcomeNotAccepted Outcome = "not-taken"   // rejected; it was not carried out and may be retried
 	OutcomeUnknown     Outcome = "unknown"     // it may have been carried out
+	OutcomeBadKey      Outcome = "bad-key"     // the call has no key of a team, and its queue needs one
+	OutcomeOtherTeam   Outcome = "other-team"  // the id belongs to a job of another team
+	OutcomeTeamLimit   Outcome = "team-limit"  // rejected because of a limit of the team; it was not carried out
 )
 
 // outcomeFromError returns the outcome for an error of the control client. Only ErrUnavailable
@@ -43,6 +46,10 @@
 		return OutcomeUnknownJob
 	case workload.RefusalInvalid:
 		return OutcomeInvalid
+	case workload.RefusalOtherTeam:
+		return OutcomeOtherTeam
+	case workload.RefusalTeamCap:
+		return OutcomeTeamLimit
 	default:
 		return OutcomeUnsupported
 	}
--- a/internal/workapi/routes.go
+++ b/internal/workapi/routes.go
@@ -12,11 +12,15 @@
 type RoutingTable struct {
 	version uint64
 	byHost  map[string][]workload.Queue // ordered from the longest prefix to the shortest
+	keys    *keyTable                   // nil if calls need no key
 }
 
 // NewRoutingTable indexes the queues of a configuration by host.
 func NewRoutingTable(config workload.Config) *RoutingTable {
 	r := &RoutingTable{version: config.Version, byHost: map[string][]workload.Queue{}}
+	if config.KeysRequired {
+		r.keys = newKeyTable(config.Teams)
+	}
 	for _, queue := range config.Queues {
 		r.byHost[queue.Host] = append(r.byHost[queue.Host], queue)
 	}
@@ -35,3 +39,18 @@
 	}
 	return workload.Queue{}, "", false
 }
+
+// caller returns on whose behalf a call with the given key acts on a queue, and whether the call is
+// allowed. An empty key stands for none.
+func (r *RoutingTable) caller(queue workload.Queue, key workload.Key) (caller workload.Caller, ok bool) {
+	switch {
+	case r.keys == nil:
+		return workload.Caller{}, true
+	case queue.Anonymous:
+		return workload.Caller{AnonymousQueue: queue.Name}, true
+	case key == "":
+		return workload.Caller{}, false
+	}
+	team, ok := r.keys.find(key)
+	return workload.Caller{Team: team}, ok
+}
