core/dispatch: bound the expected wait of each advice requester

After all control machines were unavailable for some seconds, the leader asked the adviser about all waiting steps at once: fast calls queued at their requesters without limit, and the answers came after their tickets could be used. Only slow calls were bounded.

A call of either kind is now made only if its requester is expected to begin with it within 200 ms (100 ms for slow calls, as before). The expectation includes how much longer the requester's calls take than the adviser alone, learned from answers and lost calls. The timeout of a call follows the same figure. Calls of jobs that have ended are dropped. If most requesters lost a call, they are used all the same, because the leader is the cause.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -77,8 +77,11 @@
 // schedules a wake-up of the job.
 func (c *Core) mayRequestAdvice(r readyStep, s *step) bool {
 	at := s.nextAdviceAt
-	if isSlowAdvice(r.job.Queue.Advice) && c.nextSlowAdviceAt.After(at) {
+	switch slow := isSlowAdvice(r.job.Queue.Advice); {
+	case slow && c.nextSlowAdviceAt.After(at):
 		at = c.nextSlowAdviceAt
+	case !slow && c.nextFastAdviceAt.After(at):
+		at = c.nextFastAdviceAt
 	}
 	if c.now.Before(at) {
 		c.scheduleJobWake(r.job, at)
@@ -96,9 +99,8 @@
 		s.nextAdviceAt = c.now.Add(adviceRetryDelay)
 		return
 	}
-	if wait := requester.nextCallStart(c.now).Sub(c.now); expected >= slowAdviceThreshold && wait > maxSlowAdviceWait {
-		c.nextSlowAdviceAt = c.now.Add(wait - maxSlowAdviceWait)
-		s.nextAdviceAt = c.nextSlowAdviceAt
+	if until, bounded := c.boundAdvice(requester, expected); bounded {
+		s.nextAdviceAt = until
 		return
 	}
 	requester.busyUntil = requester.nextCallStart(c.now).Add(expected)
@@ -106,7 +108,7 @@
 	c.lastAdviceID++
 	s.adviceInFlight = c.lastAdviceID
 	id := j.StepID(index)
-	timeout := requester.busyUntil.Sub(c.now) + adviceTimeoutMargin
+	timeout := requester.busyUntil.Sub(c.now) + requester.timeoutMargin()
 	call := &adviceCall{
 		step: id, requester: address, namedWorkers: named, sentAt: c.now, expectedAt: requester.busyUntil, deadline: c.now.Add(timeout + adviceRetryDelay),
 	}
@@ -129,11 +131,7 @@
 		return
 	}
 	delete(c.adviceCalls, id)
-	for _, expected := range call.expectedUse {
-		if w := c.workers[expected.worker]; w != nil {
-			w.expectedUse = w.expectedUse.Sub(expected.size)
-		}
-	}
+	c.releaseExpectedUse(call)
 	c.planNeeded = true
 	j := c.jobsByID[call.step.Job]
 	if requester := c.requesters[call.requester]; requester != nil {
--- a/core/dispatch/advicerequesters.go
+++ b/core/dispatch/advicerequesters.go
@@ -66,8 +66,9 @@
 // sorted order.
 func (c *Core) availableRequesters() []string {
 	addresses := make([]string, 0, len(c.requesters))
+	useAvoided := c.tooManyAvoidedRequesters()
 	for address, known := range c.requesters {
-		if address == c.opts.SelfAddress || c.now.Sub(known.lastSeenAt) <= requesterTTL && !c.now.Before(known.avoidUntil) {
+		if address == c.opts.SelfAddress || c.now.Sub(known.lastSeenAt) <= requesterTTL && (useAvoided || !c.now.Before(known.avoidUntil)) {
 			addresses = append(addresses, address)
 		}
 	}
@@ -90,6 +91,8 @@
 // callEnded records the end of a call whose answer was expected at expectedAt.
 func (r *adviceRequester) callEnded(now, expectedAt time.Time, lost bool) {
 	r.callsInFlight--
+	sample := max(now.Sub(expectedAt), 0)
+	r.overhead += (sample - r.overhead) / overheadSampleDivisor
 	if lost {
 		// The adviser may still be processing the call.
 		r.avoidUntil = now.Add(lostCallPenalty)
@@ -98,6 +101,4 @@
 	if r.callsInFlight == 0 {
 		r.busyUntil = now
 	}
-	sample := max(now.Sub(expectedAt), 0)
-	r.overhead += (sample - r.overhead) / overheadSampleDivisor
 }
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -71,6 +71,9 @@
 	takenBuffer    []takenWorker           // reused by workersToName
 	// nextSlowAdviceAt is when the next slow advice call may be made; zero if it may be made now.
 	nextSlowAdviceAt time.Time
+	// nextFastAdviceAt is the same for fast calls.
+	nextFastAdviceAt time.Time
+	bounds           bounds
 	// slowSpeedThreshold is the speed below which a worker counts as slow.
 	slowSpeedThreshold float64
 	nextSpeedUpdate    time.Time
@@ -184,6 +187,7 @@
 	c.expireAdviceCalls()
 	c.processDueJobs()
 	c.expireInDoubtStarts()
+	c.endBounds()
 	if c.proposalsDelayed() {
 		return
 	}
@@ -221,6 +225,7 @@
 	}
 	consider(c.nextAdviceExpiry)
 	consider(c.nextJobWake)
+	consider(c.nextBoundEnd())
 	proposalDue := func(at time.Time) {
 		if at.Before(c.nextProposalAt) {
 			at = c.nextProposalAt
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -127,6 +127,7 @@
 	c.liveJobs = slices.DeleteFunc(c.liveJobs, func(j *job) bool { return j == live })
 	for i := range live.steps {
 		c.releaseRenewalReservations(&live.steps[i])
+		c.dropAdviceCall(live.steps[i].adviceInFlight)
 	}
 }
 
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -29,7 +29,7 @@
 	c.planNumber++
 	c.totalMilliCPU, c.claimedMilliCPU = 0, 0
 	free := int64(0)
-	c.planRequesters, c.nextSlowAdviceAt = c.availableRequesters(), time.Time{}
+	c.planRequesters, c.nextSlowAdviceAt, c.nextFastAdviceAt = c.availableRequesters(), time.Time{}, time.Time{}
 	for _, w := range c.sortedWorkers {
 		if !c.acceptsRuns(w) {
 			continue
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -77,8 +77,10 @@
 	Starts    []Start
 	Stops     []Stop
 	Advice    []AdviceCall
-	Decisions []Decision
-	Deadline  time.Time // time of the next call to Tick at the latest; zero if none is needed
+	// DroppedAdvice lists the advice calls whose answers are of no use any more.
+	DroppedAdvice []uint64
+	Decisions     []Decision
+	Deadline      time.Time // time of the next call to Tick at the latest; zero if none is needed
 }
 
 // Proposal is a command to be committed. The ID is passed to ProposalCommitted or ProposalFailed.
@@ -180,4 +182,6 @@
 	DecisionOverlap       DecisionKind = "runs-overlap"
 	DecisionTaskBlocked   DecisionKind = "task-embargoed"
 	DecisionUncountedEnd  DecisionKind = "done-end-uncounted"
+	DecisionBoundBegins   DecisionKind = "bound-begins"
+	DecisionBoundEnds     DecisionKind = "bound-ends"
 )
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -98,6 +98,11 @@
 	leaderLease lease.Deadline
 	// lateHolds cancels, by worker, the last holds that were not answered in time.
 	lateHolds map[workload.WorkerID][]context.CancelFunc
+	// adviceCalls cancels the advice calls in flight.
+	adviceCalls map[uint64]context.CancelFunc
+	// boundsActive and boundHits are what was last published of the core's bounds.
+	boundsActive int
+	boundHits    []uint64
 }
 
 // callResult is the result of a call. deliver passes it to the core.
@@ -196,7 +201,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, lateHolds: map[workload.WorkerID][]context.CancelFunc{}, core: dispatch.New(dispatch.Options{
+	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, lateHolds: map[workload.WorkerID][]context.CancelFunc{}, adviceCalls: map[uint64]context.CancelFunc{}, core: dispatch.New(dispatch.Options{
 		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress,
 	}, restored, now)}
 	l.opts.Logger.Log(eventTermBegins, zap.Uint64("term", lead.Term), zap.Int("workers", len(restored.Workers())))
@@ -208,6 +213,7 @@
 	}
 	l.term.cancel()
 	l.opts.Logger.Log(eventTermEnds, zap.Uint64("term", l.term.number))
+	l.opts.Metrics.SetGauge(metricBounds, 0)
 	l.term = nil
 }
 
@@ -248,6 +254,9 @@
 	for _, call := range e.Advice {
 		l.askAdviser(call)
 	}
+	for _, id := range e.DroppedAdvice {
+		l.term.dropAdviceCall(id)
+	}
 }
 
 // runAsync runs call in a new goroutine and queues its result for the event loop.
@@ -366,15 +375,6 @@
 	})
 }
 
-func (l *eventLoop) askAdviser(call dispatch.AdviceCall) {
-	l.runAsync(call.Timeout, func(ctx context.Context) func(*dispatch.Core, time.Time) {
-		sent := time.Now()
-		grant := l.opts.Adviser.Advise(ctx, call)
-		l.opts.Metrics.Observe(metricAdviceDelay, time.Since(sent))
-		return func(core *dispatch.Core, now time.Time) { core.AdviceAnswered(now, call.ID, grant) }
-	})
-}
-
 // propose passes a command to the replica and waits for its commit in a new goroutine. Commands are
 // passed in the order of the calls to propose.
 func (l *eventLoop) propose(p dispatch.Proposal) {
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -37,6 +37,8 @@
 	dispatch.DecisionOverlap:       eventlog.Declare(4025, zapcore.ErrorLevel, "worker runs what the state has closed while another run of the task is open"),
 	dispatch.DecisionTaskBlocked:   eventlog.Declare(4026, zapcore.InfoLevel, "task is not placed while a lost start may still begin it"),
 	dispatch.DecisionUncountedEnd:  eventlog.Declare(4027, zapcore.ErrorLevel, "a run ended as done and its task is not done"),
+	dispatch.DecisionBoundBegins:   eventlog.Declare(4028, zapcore.WarnLevel, "the leader is late and begins to put off work"),
+	dispatch.DecisionBoundEnds:     eventlog.Declare(4029, zapcore.InfoLevel, "the leader no longer puts off work"),
 }
 
 // Metrics.
--- a/internal/dispatcher/pass.go
+++ b/internal/dispatcher/pass.go
@@ -27,10 +27,11 @@
 	}
 	total := time.Since(p.startedAt)
 	l.opts.Metrics.Observe(metricPassDuration, total)
+	load := l.term.core.Load()
+	l.recordBounds(load)
 	if total < slowPass {
 		return
 	}
-	load := l.term.core.Load()
 	l.opts.Logger.Log(eventSlowPass,
 		zap.Int64("handle_ms", p.handledAt.Sub(p.startedAt).Milliseconds()),
 		zap.Int64("decide_ms", p.decidedAt.Sub(p.handledAt).Milliseconds()),
