core/workload: mark jobs beyond the guaranteed rate of their team

Cause: the weight of a team was stored but not used; nothing told a job that its team is guaranteed from one that is served only when there is room. States without teams are encoded as before.

--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -14,6 +14,7 @@
 	Clock   time.Duration `cbor:",omitempty"` // retention clock
 	// SteadyClock is the steady clock, which is zero in a snapshot of a version that had none.
 	SteadyClock time.Duration `cbor:",omitempty" json:",omitempty"`
+	TeamRates   []TeamRate    `cbor:",omitempty" json:",omitempty"` // sorted by team
 }
 
 // WorkerSnapshot is a worker with its open runs.
@@ -32,7 +33,7 @@
 // Snapshot copies the state. Job specifications, queues and the configuration are immutable and
 // are shared with the state.
 func (s *State) Snapshot() Snapshot {
-	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock}
+	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock, TeamRates: s.rateSnapshot()}
 	for _, id := range s.jobOrder {
 		job := *s.jobs[id]
 		job.Steps = slices.Clone(job.Steps)
@@ -61,6 +62,9 @@
 		s.config = snapshot.Config
 		s.indexConfig()
 	}
+	for _, rate := range snapshot.TeamRates {
+		s.teamRates[rate.Team] = rate.FullAt
+	}
 	for i := range snapshot.Jobs {
 		job := snapshot.Jobs[i]
 		if err := job.checkClosedRuns(); err != nil {
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -24,6 +24,7 @@
 	workers        map[WorkerID]*workerState
 	teams          map[TeamName]*Team     // teams of config, by name
 	teamUse        map[TeamName]Resources // total demand of the open runs, by team
+	teamRates      map[TeamName]time.Time // TeamRate.FullAt, by team
 	retentionClock time.Duration          // retention clock of the latest command
 	steadyClock    time.Duration          // lower bound of the time that has passed under leaders
 }
@@ -33,6 +34,7 @@
 	return &State{
 		queues: map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
 		workers: map[WorkerID]*workerState{}, teams: map[TeamName]*Team{}, teamUse: map[TeamName]Resources{},
+		teamRates: map[TeamName]time.Time{},
 	}
 }
 
@@ -68,6 +70,7 @@
 	}
 	s.config = &c
 	s.indexConfig()
+	s.removeRatesOfUnlistedTeams()
 	return Result{Version: c.Version}
 }
 
@@ -103,6 +106,7 @@
 		return Result{Refusal: RefusalTeamCap}
 	}
 	job := &Job{ID: c.ID, Spec: c.Spec, Queue: *queue, Team: c.Team, State: JobQueued, AcceptedAt: now}
+	job.BeyondShare = c.Team != "" && !s.takeFromRate(c.Team, now)
 	for _, step := range c.Spec.Steps {
 		job.Steps = append(job.Steps, Step{Tasks: make([]Task, step.Tasks), RemainingTasks: step.Tasks})
 	}
--- a/core/workload/types.go
+++ b/core/workload/types.go
@@ -188,13 +188,15 @@
 	Spec  JobSpec
 	Queue Queue // configuration of the queue when the job was accepted
 	// Team is the team whose key the job was accepted with. It stays when the keys change.
-	Team       TeamName `cbor:",omitempty" json:",omitempty"`
-	State      JobState
-	Started    bool // a run is open, or one was not closed as never started; earlier versions count pending jobs by it
-	Begun      bool // a worker is known to have begun a task
-	Steps      []Step
-	AcceptedAt time.Time
-	EndedAt    time.Duration // retention clock when the job ended
+	Team TeamName `cbor:",omitempty" json:",omitempty"`
+	// BeyondShare is set if the team had used up its guaranteed rate when the job was accepted.
+	BeyondShare bool `cbor:",omitempty" json:",omitempty"`
+	State       JobState
+	Started     bool // a run is open, or one was not closed as never started; earlier versions count pending jobs by it
+	Begun       bool // a worker is known to have begun a task
+	Steps       []Step
+	AcceptedAt  time.Time
+	EndedAt     time.Duration // retention clock when the job ended
 }
 
 // StepID returns the id of a step of the job.
