core/fairshare: one comparison of teams for both models of jobs

Cause: core/dispatch is to order teams by weighted dominant resource fairness, which core/cell and core/placement compute already for their own type of resources. Change: the dominant share and its ratio to a weight are functions of a package of their own, which both use. No change of behaviour. Checked: tests of core/cell, core/placement, core/state, core/fairshare.

--- a/core/cell/resources.go
+++ b/core/cell/resources.go
@@ -1,6 +1,10 @@
 package cell
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/godwitlink/godwitlink/core/fairshare"
+)
 
 // Resources is an amount of CPU, memory and accelerators: the capacity of a worker, the size of a task
 // or the quota of a team.
@@ -53,18 +57,13 @@
 }
 
 // DominantShare returns the largest share of total that r uses in any dimension, as defined by
-// dominant resource fairness (Ghodsi et al., NSDI 2011). Dimensions in which total is zero are ignored.
+// dominant resource fairness. Dimensions in which total is zero are ignored.
 func (r Resources) DominantShare(total Resources) float64 {
-	share := ratio(r.MilliCPU, total.MilliCPU)
-	share = max(share, ratio(r.MemoryBytes, total.MemoryBytes))
-	return max(share, ratio(r.Accelerators, total.Accelerators))
-}
-
-func ratio(part, whole int64) float64 {
-	if whole <= 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
+	return fairshare.DominantShare(
+		fairshare.Part{Used: r.MilliCPU, Total: total.MilliCPU},
+		fairshare.Part{Used: r.MemoryBytes, Total: total.MemoryBytes},
+		fairshare.Part{Used: r.Accelerators, Total: total.Accelerators},
+	)
 }
 
 // String formats r for logs and messages, such as "1500m/2048MiB/0acc".
--- a/core/placement/model.go
+++ b/core/placement/model.go
@@ -5,6 +5,7 @@
 
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
+	"github.com/godwitlink/godwitlink/core/fairshare"
 )
 
 // worker is a machine with the resources that are booked on it.
@@ -218,11 +219,8 @@
 	activeIndex  int       // in Scheduler.active, or noIndex
 }
 
-// minShare replaces a share of 0. Such a team may use only what other teams leave.
-const minShare = 1e-6
-
 func (t *team) updateShareRatio(total cell.Resources) {
-	t.shareRatio = t.usage.DominantShare(total) / max(t.share, minShare)
+	t.shareRatio = fairshare.Ratio(t.usage.DominantShare(total), t.share)
 	t.belowShare = t.shareRatio < 1
 	t.orderPenalty = int64(min(max(t.shareRatio-1, 0), maxShareExcess) * float64(overSharePenalty))
 }
