core/dispatch: order ready steps by their teams' shares

Cause: steps were ordered by priority and timeliness only, so a team that sent several times its usual rate delayed all others. Change: within a priority of queues, steps of jobs within their team's guaranteed rate come before those beyond it. Then the team that uses, holds and would get the least for its weight comes first; the other rules order the steps within a team. Jobs without a team count as one team. A cell without teams is ordered as before.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -50,6 +50,8 @@
 	timeliness timeliness
 }
 
+func (r readyStep) spec() *workload.StepSpec { return &r.job.Spec.Steps[r.index] }
+
 // plan places the waiting steps in order of priority. A step that cannot be placed does not block
 // later ones.
 func (c *Core) plan() {
@@ -94,13 +96,16 @@
 }
 
 // readySteps lists the steps with tasks to be placed, the most urgent first. Steps that are
-// obsolete come last. The others are ordered by priority. Within one priority, steps that can still
-// meet their objective come before those that cannot, because under overload all jobs would
-// otherwise be late. Among overdue gangs the smallest come first, so that more of them end in time
-// to be of use.
+// obsolete come last. The others are ordered by priority. Within one priority, steps of jobs within
+// their team's share come before those beyond it, and then teams are ordered by their use
+// (teamOrder). Within one team, steps that can still meet their objective come before those that
+// cannot, because under overload all jobs would otherwise be late. Among overdue gangs the smallest
+// come first, so that more of them end in time to be of use.
 func (c *Core) readySteps() []readyStep {
 	var all []readyStep
+	teams := false
 	for _, j := range c.liveJobs {
+		teams = teams || j.Team != ""
 		for i := range j.steps {
 			if j.steps[i].waitingTasks > 0 && j.DependenciesDone(i) {
 				all = append(all, readyStep{j, i, j.timeliness(i, c.now)})
@@ -109,15 +114,37 @@
 	}
 	slices.SortStableFunc(all, func(a, b readyStep) int {
 		return cmp.Or(
-			cmp.Compare(max(a.timeliness, overdue), max(b.timeliness, overdue)),
-			cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
+			compareRank(a, b),
 			cmp.Compare(a.timeliness, b.timeliness),
 			cmp.Compare(a.overdueGangWork(), b.overdueGangWork()),
 		)
 	})
+	if teams {
+		c.newTeamOrder().order(all)
+	}
 	return all
 }
 
+// compareRank compares steps by the rules that come before the use of their teams.
+func compareRank(a, b readyStep) int {
+	return cmp.Or(
+		cmp.Compare(max(a.timeliness, overdue), max(b.timeliness, overdue)),
+		cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
+		compareBool(a.job.BeyondShare, b.job.BeyondShare),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // placeStep chooses workers for a step. If the step needs tickets and has none, it makes an advice
 // call first.
 func (c *Core) placeStep(r readyStep) (workload.Assign, bool) {
--- a/core/dispatch/teamcap.go
+++ b/core/dispatch/teamcap.go
@@ -7,9 +7,6 @@
 type teamReservations map[workload.TeamName]workload.Resources
 
 func (t teamReservations) add(team workload.TeamName, demand workload.Resources) {
-	if team == "" {
-		return
-	}
 	if sum := t[team].Add(demand); sum != (workload.Resources{}) {
 		t[team] = sum
 	} else {
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -6,8 +6,9 @@
 )
 
 // Audit returns a description of each violated invariant: the open runs of a worker fit its
-// capacity, the open runs of each team are counted, each open run is the latest run of its task, no task has two open runs, the listed
-// closed runs are closed runs of tasks that are not done, and the pending jobs are counted.
+// capacity, the open runs of each team are counted, each open run is the latest run of its task, no
+// task has two open runs, the listed closed runs are closed runs of tasks that are not done, and the
+// pending jobs are counted.
 func (s *State) Audit() []string {
 	var violations []string
 	holder := map[TaskID]WorkerID{}
@@ -25,8 +26,8 @@
 			}
 			holder[run.Task] = w.ID
 			used = used.Add(job.Spec.Steps[run.Task.Step].Size)
-			if job.Team != "" {
-				teamUse[job.Team] = teamUse[job.Team].Add(job.Spec.Steps[run.Task.Step].Size)
+			if use := teamUse[job.Team].Add(job.Spec.Steps[run.Task.Step].Size); use != (Resources{}) {
+				teamUse[job.Team] = use
 			}
 		}
 		if used != s.workers[w.ID].used {
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -23,7 +23,7 @@
 	pendingJobs    map[string]int // number of pending jobs, by queue
 	workers        map[WorkerID]*workerState
 	teams          map[TeamName]*Team     // teams of config, by name
-	teamUse        map[TeamName]Resources // total demand of the open runs, by team
+	teamUse        map[TeamName]Resources // total demand of the open runs, by team; "" for jobs without one
 	teamRates      map[TeamName]time.Time // TeamRate.FullAt, by team
 	retentionClock time.Duration          // retention clock of the latest command
 	steadyClock    time.Duration          // lower bound of the time that has passed under leaders
--- a/core/workload/team.go
+++ b/core/workload/team.go
@@ -1,5 +1,7 @@
 package workload
 
+import "github.com/godwitlink/godwitlink/core/fairshare"
+
 // TeamName names a team. It is empty for jobs that were accepted without a key.
 type TeamName string
 
@@ -57,7 +59,23 @@
 	return Resources{}
 }
 
-// TeamUse returns the total demand of the open runs of a team. A run stays open until its end is committed,
+// TeamWeight returns the weight of a team. Jobs without a team have the mean weight of all teams, and a
+// team that the configuration does not list has none.
+func (s *State) TeamWeight(name TeamName) float64 {
+	if name == "" && len(s.teams) > 0 {
+		sum := 0.0
+		for _, team := range s.config.Teams {
+			sum += team.Weight
+		}
+		return sum / float64(len(s.teams))
+	}
+	if team := s.teams[name]; team != nil {
+		return team.Weight
+	}
+	return 0
+}
+
+// TeamUse returns the total demand of the open runs of a team, or of all jobs without a team. A run stays open until its end is committed,
 // so starts in doubt and runs that are being stopped count.
 func (s *State) TeamUse(name TeamName) Resources { return s.teamUse[name] }
 
@@ -68,9 +86,6 @@
 
 // addTeamUse counts the demand of an opened run, or of a closed one if it is negative.
 func (s *State) addTeamUse(name TeamName, size Resources) {
-	if name == "" {
-		return
-	}
 	if use := s.teamUse[name].Add(size); use != (Resources{}) {
 		s.teamUse[name] = use
 	} else {
@@ -90,6 +105,15 @@
 	return Resources{MilliCPU: r.MilliCPU * int64(n), MemoryMB: r.MemoryMB * int64(n), GPUs: r.GPUs * int64(n)}
 }
 
+// DominantShare returns the largest share of total that r uses in any dimension.
+func (r Resources) DominantShare(total Resources) float64 {
+	return fairshare.DominantShare(
+		fairshare.Part{Used: r.MilliCPU, Total: total.MilliCPU},
+		fairshare.Part{Used: r.MemoryMB, Total: total.MemoryMB},
+		fairshare.Part{Used: r.GPUs, Total: total.GPUs},
+	)
+}
+
 // SlotsWithinCap returns how many tasks of a size, at most most, may be added to used without exceeding
 // limit.
 func SlotsWithinCap(limit, used, size Resources, most int) int {
