--- /dev/null
+++ b/core/callproxy/router.go
@@ -0,0 +1,282 @@
+package callproxy
+
+import (
+	"slices"
+	"time"
+)
+
+// DefaultThreshold is the number of workers above which call proxies are used unless the settings name
+// another one. Up to 1,100 workers are served well by the leader alone.
+const DefaultThreshold = 1200
+
+// Delegates reports whether call proxies are to be used. Once they are, they stay in use until the number
+// of workers is a tenth below the threshold.
+func Delegates(before bool, workers, threshold int) bool {
+	if before {
+		return workers > threshold-threshold/10
+	}
+	return workers > threshold
+}
+
+const (
+	// workersPerProxy is the number of workers that a proxy calls before the leader calls any itself. Four
+	// proxies serve 3,000 workers.
+	workersPerProxy = 800
+	// maxSilence is how long a proxy may stay silent and be used. It sends something every HeartbeatInterval.
+	maxSilence = time.Second
+	// HeartbeatInterval is the longest time between two messages of a proxy to its leader.
+	HeartbeatInterval = 250 * time.Millisecond
+	// ProbeInterval is the longest time between two batches for a proxy, and SessionTimeout the time after
+	// which a proxy without a batch ends the session.
+	ProbeInterval  = 500 * time.Millisecond
+	SessionTimeout = 5 * time.Second
+	// restTime is how long a proxy is not used after a fault.
+	restTime = 3 * time.Second
+	// versionRestTime is the time until a process without the service is asked again.
+	versionRestTime = 10 * time.Second
+	// firstWait is how long a new leader waits for a first proxy before it calls workers itself. Two
+	// messages and a round trip take about 50 ms.
+	firstWait = 500 * time.Millisecond
+	// lossWindow is the time over which lost calls are counted, and minLossSample the least number of ended
+	// calls in it from which a proxy is judged.
+	lossWindow    = time.Second
+	minLossSample = 20
+	// maxTickGap is the time between two calls of Tick from which the leader's own pause is assumed to be
+	// the reason of a silence.
+	maxTickGap = 200 * time.Millisecond
+)
+
+// Fault is why a proxy is not used. Its text is used as a metric label.
+type Fault string
+
+// The faults of a proxy.
+const (
+	FaultUnreachable Fault = "unreachable" // a batch could not be sent or was not answered
+	FaultVersion     Fault = "version"     // the process does not have the service
+	FaultSilent      Fault = "silent"
+	FaultLossy       Fault = "lossy"     // most calls were lost or came back unsent
+	FaultOtherTerm   Fault = "term"      // the proxy serves a later leader
+	FaultNotMember   Fault = "no-member" // it is no control replica any more
+)
+
+// Change is a proxy that is used now, or is not used any more because of a fault.
+type Change struct {
+	Proxy string
+	Used  bool
+	Fault Fault
+}
+
+// Via says how a worker is called.
+type Via uint8
+
+// The ways to call a worker.
+const (
+	ViaLeader Via = iota
+	ViaProxy
+	ViaNobody // no process has descriptors for the worker
+	ViaLater  // it is not known yet which proxies can be used
+)
+
+// proxy is a process that may call workers.
+type proxy struct {
+	used bool
+	// heard and reached say that a message of the proxy has arrived, and that it has taken over a batch,
+	// since its last rest. Both are needed: a link may be cut off in one direction.
+	heard, reached bool
+	heardAt        time.Time
+	restUntil      time.Time
+	probeAt        time.Time // when the next batch is due
+	windowEnd      time.Time
+	ended          int // calls that have ended in the window
+	lost           int // those of them that were lost or came back unsent
+}
+
+// Router decides for one session of a leader which process calls a worker.
+type Router struct {
+	leader     string // address of the leader
+	perProcess int    // workers that a process has descriptors for
+	workers    int
+	startedAt  time.Time
+	tickedAt   time.Time
+	everUsed   bool
+	proxies    map[string]*proxy
+	shares     []share
+	changes    []Change
+}
+
+// nobody is the address of the workers that no process has descriptors for.
+const nobody = ""
+
+// NewRouter returns the router of a new session. perProcess is the number of workers that a process can
+// call with its descriptors.
+func NewRouter(now time.Time, leader string, perProcess int) *Router {
+	r := &Router{leader: leader, perProcess: perProcess, startedAt: now, tickedAt: now, proxies: map[string]*proxy{}}
+	r.updateShares()
+	return r
+}
+
+// SetMembers sets the addresses of the control replicas.
+func (r *Router) SetMembers(now time.Time, addresses []string) {
+	for _, address := range addresses {
+		if address != r.leader && r.proxies[address] == nil {
+			r.proxies[address] = &proxy{probeAt: now}
+		}
+	}
+	for address, p := range r.proxies {
+		if !slices.Contains(addresses, address) {
+			r.fault(now, address, p, FaultNotMember)
+			delete(r.proxies, address)
+		}
+	}
+}
+
+// SetWorkers sets the number of workers.
+func (r *Router) SetWorkers(workers int) {
+	if workers != r.workers {
+		r.workers = workers
+		r.updateShares()
+	}
+}
+
+// Route returns how a worker is called now, and by which proxy if by one.
+func (r *Router) Route(now time.Time, worker string) (via Via, proxy string) {
+	if !r.everUsed && len(r.proxies) > 0 && now.Before(r.startedAt.Add(firstWait)) {
+		return ViaLater, ""
+	}
+	switch chosen := choose(worker, r.shares); {
+	case chosen == r.leader:
+		return ViaLeader, ""
+	case chosen == nobody:
+		return ViaNobody, ""
+	default:
+		return ViaProxy, chosen
+	}
+}
+
+// Heard records a message of a proxy in this session.
+func (r *Router) Heard(now time.Time, address string) {
+	if p := r.proxies[address]; p != nil {
+		p.heardAt = now
+		p.heard = p.heard || !now.Before(p.restUntil)
+		r.use(address, p)
+	}
+}
+
+// Reached records that a proxy has taken over a batch.
+func (r *Router) Reached(now time.Time, address string) {
+	if p := r.proxies[address]; p != nil {
+		p.reached = p.reached || !now.Before(p.restUntil)
+		r.use(address, p)
+	}
+}
+
+// use begins to use a proxy once messages arrive in both directions.
+func (r *Router) use(address string, p *proxy) {
+	if p.used || !p.heard || !p.reached {
+		return
+	}
+	p.used, p.windowEnd, p.ended, p.lost = true, time.Time{}, 0, 0
+	r.everUsed = true
+	r.changes = append(r.changes, Change{Proxy: address, Used: true})
+	r.updateShares()
+}
+
+// Failed records that a batch for a proxy has failed.
+func (r *Router) Failed(now time.Time, address string, fault Fault) {
+	if p := r.proxies[address]; p != nil {
+		r.fault(now, address, p, fault)
+	}
+}
+
+// CallEnded records the end of a call by a proxy. lost means that it got no answer from the proxy in time,
+// or that the proxy could not send it although the leader lease was long enough.
+func (r *Router) CallEnded(now time.Time, address string, lost bool) {
+	p := r.proxies[address]
+	if p == nil || !p.used {
+		return
+	}
+	if !now.Before(p.windowEnd) {
+		p.windowEnd, p.ended, p.lost = now.Add(lossWindow), 0, 0
+	}
+	p.ended++
+	if lost {
+		p.lost++
+	}
+	if p.ended >= minLossSample && 2*p.lost > p.ended {
+		r.fault(now, address, p, FaultLossy)
+	}
+}
+
+// Sent records that a batch is being sent to a proxy.
+func (r *Router) Sent(now time.Time, address string) {
+	if p := r.proxies[address]; p != nil {
+		p.probeAt = now.Add(ProbeInterval)
+	}
+}
+
+// Tick processes what is due and returns the proxies to which a batch must be sent, even an empty one. It
+// must be called at least every maxTickGap/2.
+func (r *Router) Tick(now time.Time) (probes []string) {
+	if gap := now.Sub(r.tickedAt); gap > maxTickGap {
+		for _, p := range r.proxies {
+			p.heardAt = p.heardAt.Add(gap)
+		}
+	}
+	r.tickedAt = now
+	for address, p := range r.proxies {
+		if p.used && now.Sub(p.heardAt) > maxSilence {
+			r.fault(now, address, p, FaultSilent)
+		}
+		if !now.Before(p.probeAt) {
+			probes = append(probes, address)
+		}
+	}
+	slices.Sort(probes)
+	return probes
+}
+
+// Changes returns the changes since the last call.
+func (r *Router) Changes() []Change {
+	changes := r.changes
+	r.changes = nil
+	return changes
+}
+
+// Used returns the number of proxies in use.
+func (r *Router) Used() int {
+	used := 0
+	for _, p := range r.proxies {
+		if p.used {
+			used++
+		}
+	}
+	return used
+}
+
+// fault stops the use of a proxy for a time.
+func (r *Router) fault(now time.Time, address string, p *proxy, fault Fault) {
+	rest := restTime
+	if fault == FaultVersion {
+		rest = versionRestTime
+		p.probeAt = now.Add(rest)
+	}
+	p.restUntil = now.Add(rest)
+	p.heard, p.reached = false, false
+	if !p.used {
+		return
+	}
+	p.used = false
+	r.changes = append(r.changes, Change{Proxy: address, Fault: fault})
+	r.updateShares()
+}
+
+func (r *Router) updateShares() {
+	used := r.Used()
+	eachProxy, leader, none := split(r.workers, used, min(workersPerProxy, r.perProcess), r.perProcess)
+	r.shares = append(r.shares[:0], share{r.leader, leader}, share{nobody, none})
+	for address, p := range r.proxies {
+		if p.used {
+			r.shares = append(r.shares, share{address, eachProxy})
+		}
+	}
+}
--- /dev/null
+++ b/core/callproxy/router_test.go
@@ -0,0 +1,219 @@
+package callproxy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const leaderAddress = "10.0.0.1:7002"
+
+// routing is a router with four followers, and a clock.
+type routing struct {
+	*Router
+	now time.Time
+}
+
+func followers() []string {
+	return []string{"10.0.0.2:7002", "10.0.0.3:7002", "10.0.0.4:7002", "10.0.0.5:7002"}
+}
+
+func newRouting(workers int) *routing {
+	now := time.Unix(1_700_000_000, 0)
+	r := &routing{NewRouter(now, leaderAddress, 1200), now}
+	r.SetMembers(now, append(followers(), leaderAddress))
+	r.SetWorkers(workers)
+	return r
+}
+
+// pass lets time pass, in which messages from and to the given proxies arrive.
+func (r *routing) pass(d time.Duration, heard ...string) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(50 * time.Millisecond)
+		r.Tick(r.now)
+		for _, address := range heard {
+			r.Heard(r.now, address)
+			r.Reached(r.now, address)
+		}
+	}
+}
+
+// routes returns the address that calls each worker; "" for nobody.
+func (r *routing) routes(t *testing.T, workers int) (routes map[string]string, counts map[string]int) {
+	t.Helper()
+	routes, counts = map[string]string{}, map[string]int{}
+	for i := range workers {
+		worker := fmt.Sprint("worker-", i)
+		via, address := r.Route(r.now, worker)
+		switch via {
+		case ViaLeader:
+			address = leaderAddress
+		case ViaLater:
+			t.Fatal("the router waits for a first proxy")
+		}
+		routes[worker] = address
+		counts[address]++
+	}
+	return routes, counts
+}
+
+// Guards against a proxy that gets far more workers than it has descriptors for, and against calls by the
+// leader while the proxies can do them.
+func TestProxiesShareTheWorkers(t *testing.T) {
+	r := newRouting(3000)
+	r.pass(100*time.Millisecond, followers()...)
+	_, counts := r.routes(t, 3000)
+	if counts[leaderAddress] > 0 || counts[""] > 0 {
+		t.Errorf("the leader calls %d workers, nobody calls %d", counts[leaderAddress], counts[""])
+	}
+	for _, address := range followers() {
+		if got := counts[address]; got < 675 || got > 825 {
+			t.Errorf("%s calls %d workers, want 750 within a tenth", address, got)
+		}
+	}
+}
+
+// Guards against a failed proxy whose loss moves the workers of others, which would open connections
+// everywhere.
+func TestFailureMovesOnlyTheWorkersOfTheProxy(t *testing.T) {
+	r := newRouting(2000)
+	r.pass(100*time.Millisecond, followers()...)
+	before, _ := r.routes(t, 2000)
+	failed := followers()[1]
+	r.Failed(r.now, failed, FaultUnreachable)
+	after, _ := r.routes(t, 2000)
+	for worker, address := range before {
+		if address != failed && after[worker] != address {
+			t.Fatalf("%s has moved from %s to %s", worker, address, after[worker])
+		}
+		if after[worker] == failed {
+			t.Fatalf("%s is called by the failed proxy", worker)
+		}
+	}
+}
+
+// Guards against a process that calls more workers than it has descriptors for when others are missing.
+func TestRestIsCalledByTheLeaderWithinItsDescriptors(t *testing.T) {
+	for proxies, want := range map[int][3]float64{ // workers of each proxy, of the leader, of nobody
+		4: {750, 0, 0},
+		3: {800, 600, 0},
+		2: {1000, 1000, 0},
+		1: {1200, 1200, 600},
+		0: {0, 1200, 1800},
+	} {
+		each, leader, none := split(3000, proxies, workersPerProxy, 1200)
+		if got := [3]float64{each, leader, none}; got != want {
+			t.Errorf("%d proxies: %v, want %v", proxies, got, want)
+		}
+	}
+}
+
+// Guards against a proxy that is used although it was never heard in this session, or not for a second.
+func TestSilentProxyIsNotUsed(t *testing.T) {
+	r := newRouting(3000)
+	r.pass(firstWait)
+	if _, counts := r.routes(t, 3000); counts[leaderAddress] < 1080 || counts[leaderAddress] > 1320 || counts[leaderAddress]+counts[""] != 3000 {
+		t.Errorf("without proxies the calls go to %v, want about 1200 from the leader and none from proxies", counts)
+	}
+	r.pass(100*time.Millisecond, followers()...)
+	r.pass(maxSilence+200*time.Millisecond, followers()[1:]...)
+	if _, counts := r.routes(t, 3000); counts[followers()[0]] > 0 {
+		t.Errorf("a silent proxy calls %d workers", counts[followers()[0]])
+	}
+	r.pass(restTime-500*time.Millisecond, followers()...)
+	if r.Used() != 3 {
+		t.Errorf("%d proxies are used before the rest is over, want 3", r.Used())
+	}
+	r.pass(time.Second, followers()...)
+	if r.Used() != 4 {
+		t.Errorf("%d proxies are used after the rest, want 4", r.Used())
+	}
+}
+
+// Guards against a proxy that is used again and again although its link is cut off in one direction.
+func TestProxyIsUsedOnlyWhenBothDirectionsWork(t *testing.T) {
+	for name, message := range map[string]func(r *routing){
+		"only heard":   func(r *routing) { r.Heard(r.now, followers()[0]) },
+		"only reached": func(r *routing) { r.Reached(r.now, followers()[0]) },
+	} {
+		r := newRouting(3000)
+		r.pass(100*time.Millisecond, followers()...)
+		r.Failed(r.now, followers()[0], FaultUnreachable)
+		for range 100 {
+			r.pass(50*time.Millisecond, followers()[1:]...)
+			message(r)
+		}
+		if r.Used() != 3 {
+			t.Errorf("%s: %d proxies are used, want 3", name, r.Used())
+		}
+	}
+}
+
+// Guards against all proxies being given up because the leader itself did not run for a while.
+func TestPauseOfTheLeaderIsNoSilence(t *testing.T) {
+	r := newRouting(3000)
+	r.pass(100*time.Millisecond, followers()...)
+	r.now = r.now.Add(3 * time.Second)
+	r.pass(500 * time.Millisecond) // the messages of the proxies have not been read yet
+	if r.Used() != 4 {
+		t.Errorf("%d proxies are used, want 4", r.Used())
+	}
+}
+
+// Guards against a slow proxy that stays in use while most of its calls are lost, and against one that is
+// given up for a few lost calls.
+func TestProxyThatLosesMostCallsIsNotUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		calls, lost int
+		used        int
+	}{
+		"most lost":      {40, 25, 3},
+		"some lost":      {40, 10, 4},
+		"too few to say": {10, 10, 4},
+	} {
+		r := newRouting(3000)
+		r.pass(100*time.Millisecond, followers()...)
+		for i := range c.calls {
+			r.CallEnded(r.now, followers()[0], i%c.calls < c.lost)
+		}
+		if r.Used() != c.used {
+			t.Errorf("%s: %d proxies are used, want %d", name, r.Used(), c.used)
+		}
+	}
+}
+
+// Guards against a deployment below the threshold that is served in another way than before, and against
+// frequent changes near the threshold.
+func TestThreshold(t *testing.T) {
+	for _, c := range []struct {
+		before  bool
+		workers int
+		want    bool
+	}{{false, 1100, false}, {false, DefaultThreshold, false}, {false, DefaultThreshold + 1, true}, {true, 1100, true}, {true, 1080, false}} {
+		if got := Delegates(c.before, c.workers, DefaultThreshold); got != c.want {
+			t.Errorf("%d workers, before %v: %v, want %v", c.workers, c.before, got, c.want)
+		}
+	}
+}
+
+// Guards against probes that flood an old version, or a proxy that gets none and ends the session.
+func TestProbes(t *testing.T) {
+	r := newRouting(3000)
+	if got := r.Tick(r.now); len(got) != 4 {
+		t.Fatalf("first probes %v, want all four", got)
+	}
+	for _, address := range followers() {
+		r.Sent(r.now, address)
+	}
+	r.Failed(r.now, followers()[0], FaultVersion)
+	for r.now = r.now.Add(maxTickGap / 2); r.now.Before(r.startedAt.Add(versionRestTime)); r.now = r.now.Add(maxTickGap / 2) {
+		for _, address := range r.Tick(r.now) {
+			if address == followers()[0] {
+				t.Fatalf("a process of an earlier version is asked again after %v", r.now.Sub(r.startedAt))
+			}
+		}
+	}
+	if got := r.Tick(r.now); len(got) != 4 {
+		t.Errorf("probes %v after the rest of an earlier version, want all four", got)
+	}
+}
