internal/proxying: the leader's calls to workers go through the other control replicas

Above call_proxy_workers workers (default 1,200) the dispatcher passes its calls to a task that sends them in batches to the follower control replicas, which call the workers and send the answers in batches. The lease of the leader is enforced at the proxy by an exchange of clocks that comes with each batch of answers. Up to 1,200 workers the code path is the former one.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"github.com/godwitlink/godwitlink/core/workload"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
+	"github.com/godwitlink/godwitlink/internal/proxying"
 	"github.com/godwitlink/godwitlink/internal/replica"
 )
 
@@ -36,11 +37,14 @@
 
 // Options configures Run.
 type Options struct {
-	Workers  WorkerClient
-	Adviser  Adviser
-	Proposer Proposer
-	Logger   *eventlog.Logger
-	Metrics  *metrics.Set
+	Workers WorkerClient
+	// Delegate sends the calls to workers if there are more than DelegateAbove; nil if there is none.
+	Delegate      Delegate
+	DelegateAbove int
+	Adviser       Adviser
+	Proposer      Proposer
+	Logger        *eventlog.Logger
+	Metrics       *metrics.Set
 
 	SelfAddress string        // address of this process as an advice requester
 	WorkerLease time.Duration // how far each call extends a worker's lease
@@ -98,6 +102,9 @@
 	leaderLease lease.Deadline
 	// lateHolds cancels, by worker, the last holds that were not answered in time.
 	lateHolds map[workload.WorkerID][]context.CancelFunc
+	// delegates reports whether calls are delegated; delegated receives their results.
+	delegates bool
+	delegated chan proxying.Results
 }
 
 // callResult is the result of a call. deliver passes it to the core.
@@ -236,6 +243,7 @@
 	for _, p := range e.Proposals {
 		l.propose(p)
 	}
+	l.delegateCalls(&e)
 	for _, hold := range e.Holds {
 		l.sendHold(hold)
 	}
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -73,7 +73,8 @@
 	}
 	control := controlclient.New(controlAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	platformClient := platform.NewClient(s.Adviser, b.sockets, b.logger)
-	if err := b.serveControl(s, r, control, platformClient); err != nil {
+	proxies := b.newCallProxies(s, platformClient)
+	if err := b.serveControl(s, r, control, platformClient, proxies); err != nil {
 		r.Close()
 		return err
 	}
@@ -82,6 +83,7 @@
 	runCtx, cancel := context.WithCancel(kill)
 	defer cancel()
 	b.tasks.Go(func() { control.Run(runCtx) })
+	proxies.run(runCtx, b, r)
 	watcher := &seedWatcher{
 		file: s.File, hangups: b.hangups, parse: parseControlSeeds, logger: b.logger, metrics: b.metrics, seeds: s.Seeds,
 		apply: func(ctx context.Context, seeds []string) error {
@@ -92,7 +94,7 @@
 	b.tasks.Go(func() { watcher.run(runCtx) })
 	b.tasks.Go(func() {
 		dispatcher.Run(runCtx, dispatcher.Options{
-			Workers: platformClient, Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
+			Workers: platformClient, Delegate: proxies.leader, DelegateAbove: s.delegateAbove(), Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
 			Adviser:     &dispatcher.RelayAdviser{SelfAddress: s.ListenInternal, Local: platformClient, Client: client},
 			WorkerLease: s.WorkerLeaseMax * leasePercent / 100, MaxLease: s.WorkerLeaseMax, HoldWait: holdWait, ClockLagPPM: maxClockDriftPPM,
 		}, updates)
@@ -163,9 +165,10 @@
 	})
 }
 
-func (b *baseProcess) serveControl(s *ControlSettings, r *replica.Replica, control *controlclient.Client, platformClient *platform.Client) error {
+func (b *baseProcess) serveControl(s *ControlSettings, r *replica.Replica, control *controlclient.Client, platformClient *platform.Client, proxies *callProxies) error {
 	internal := http.NewServeMux()
 	internal.Handle("/", r.Handler())
+	proxies.handle(internal)
 	prefix, relay := dispatcher.NewRelayHandler(platformClient)
 	internal.Handle(prefix, relay)
 	registry := workapi.NewRegistry(workapi.RegistryOptions{Control: control, Local: r, SelfAddress: s.ListenInternal, Logger: b.logger, Metrics: b.metrics})
--- a/internal/platformproc/settings.go
+++ b/internal/platformproc/settings.go
@@ -28,6 +28,9 @@
 	DiskMB           int64         `toml:"disk_mb"` // size of the disk
 	Adviser          string        `toml:"adviser"` // empty if no queue needs advice
 	WorkerLeaseMax   time.Duration `toml:"worker_lease_max"`
+	// CallProxyWorkers is the number of workers above which the other control replicas call workers for the
+	// leader; 0 means callproxy.DefaultThreshold.
+	CallProxyWorkers int `toml:"call_proxy_workers,optional"`
 }
 
 // EntrySettings are the settings of godwit-platform-entry.
@@ -59,6 +62,9 @@
 	if s.TolerateReplicas < 0 {
 		faults = append(faults, strictconf.Fault{Key: "tolerate_replicas", Problem: fmt.Sprintf("is %d", s.TolerateReplicas), Expected: "0 or more"})
 	}
+	if s.CallProxyWorkers < 0 {
+		faults = append(faults, strictconf.Fault{Key: "call_proxy_workers", Problem: fmt.Sprintf("is %d", s.CallProxyWorkers), Expected: "0 or more"})
+	}
 	if s.WorkerLeaseMax <= 0 {
 		faults = append(faults, strictconf.Fault{Key: "worker_lease_max", Problem: fmt.Sprintf("is %v", s.WorkerLeaseMax), Expected: "a duration above 0"})
 	}
