--- a/internal/proxying/harness_test.go
+++ b/internal/proxying/harness_test.go
@@ -95,6 +95,14 @@
 	return l.inner.RoundTrip(r)
 }
 
+func (l *link) set(block func(r *http.Request) error) { l.block.Store(&block) }
+
+// cutOff lets requests wait until they time out.
+func cutOff(r *http.Request) error {
+	<-r.Context().Done()
+	return r.Context().Err()
+}
+
 // testProxy is a call proxy with its fake workers.
 type testProxy struct {
 	*Proxy
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -47,11 +47,11 @@
 func TestSoak(t *testing.T) {
 	programDir := buildPrograms(t)
 	for _, failed := range failedSeeds {
-		t.Run(fmt.Sprint("failed-", failed.seed), func(t *testing.T) { runSoak(t, programDir, failed.seed, false) })
+		t.Run(fmt.Sprint("failed-", failed.seed), func(t *testing.T) { runSoak(t, programDir, failed.seed, soakOptions{}) })
 	}
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, programDir, seed, false) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, programDir, seed, soakOptions{}) })
 	}
 }
 
@@ -60,15 +60,30 @@
 func TestSoakUnnoticedBoots(t *testing.T) {
 	programDir := buildPrograms(t)
 	for _, seed := range []uint64{905, 900, 901} {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, programDir, seed, true) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, programDir, seed, soakOptions{reportUnnoticed: true}) })
 	}
 }
 
+// Guards against calls to workers that are lost, sent twice or sent after the leader's lease when the other
+// control replicas send them.
+func TestSoakCallProxies(t *testing.T) {
+	programDir := buildPrograms(t)
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { runSoak(t, programDir, seed, soakOptions{callProxyWorkers: 1}) })
+	}
+}
+
+// soakOptions are what runs differ in beside the seed.
+type soakOptions struct {
+	reportUnnoticed  bool // violations by boots that the leader had not noticed fail the test
+	callProxyWorkers int  // number of workers above which call proxies are used; 0 means the default
+}
+
 // runSoak injects faults for a while, ends them all, and waits for the accepted jobs to complete.
-// Violations by boots that the leader had not noticed fail the test only if reportUnnoticed is set.
-func runSoak(t *testing.T, programDir string, seed uint64, reportUnnoticed bool) {
+func runSoak(t *testing.T, programDir string, seed uint64, options soakOptions) {
 	a := startAdviser(t)
-	s := startSystem(t, programDir, a.address)
+	s := startSystem(t, programDir, a.address, options.callProxyWorkers)
 	jobs := newJobRegistry()
 	f := newFleet(t, *workerCount, jobs, s.controlAddresses)
 	a.fleet.Store(f)
@@ -98,6 +113,9 @@
 		t.Errorf("%d accepted jobs have not completed: %s", len(pending), strings.Join(pending[:min(len(pending), 5)], ", "))
 	}
 	f.waitForLateCalls()
+	if options.callProxyWorkers > 0 && !s.logged(`"event":4040,`) {
+		t.Error("no call proxy was used")
+	}
 	f.do(func() {
 		for _, p := range s.workerProxies {
 			f.counts["held back from one process"] += int(p.heldBack.Load())
@@ -106,7 +124,7 @@
 			t.Error(violation)
 		}
 		for _, violation := range f.unnoticedBoots {
-			if reportUnnoticed {
+			if options.reportUnnoticed {
 				t.Error(violation)
 			} else {
 				t.Log("open, see TestSoakUnnoticedBoots: ", violation)
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -72,6 +72,20 @@
 	return leader
 }
 
+// logged reports whether the log of a control process contains a text.
+func (s *system) logged(text string) bool {
+	for _, p := range s.controls {
+		content, err := os.ReadFile(p.logFile)
+		if err != nil {
+			s.t.Error(err)
+		}
+		if strings.Contains(string(content), text) {
+			return true
+		}
+	}
+	return false
+}
+
 // cutLast divides a text at the last occurrence of a separator.
 func cutLast(text, separator string) (before, after string, found bool) {
 	i := strings.LastIndex(text, separator)
@@ -133,7 +147,7 @@
 
 // startSystem starts the control and entry processes, and the proxies before the entry processes and
 // before the adviser.
-func startSystem(t *testing.T, programDir, adviser string) *system {
+func startSystem(t *testing.T, programDir, adviser string, callProxyWorkers int) *system {
 	s := &system{t: t, dir: t.TempDir(), programDir: programDir, adviserProxy: startProxy(t, adviser)}
 	var seedAddresses []string
 	for i := range seedAddressCount {
@@ -157,7 +171,8 @@
 data_dir = %q
 disk_mb = 128
 worker_lease_max = "6s"
-bootstrap = `, p.ip, portControl, filepath.Join(s.dir, p.name))
+call_proxy_workers = %d
+bootstrap = `, p.ip, portControl, filepath.Join(s.dir, p.name), callProxyWorkers)
 		s.controls = append(s.controls, p)
 		s.start(p, true)
 	}
