internal/proxying: cost of the leader's side, and a lease end that a pause cannot move

The leader computed the end of its lease on the boot clock from two clock readings between which the process may have been paused. It is now computed when a batch is sent, from a reading of the boot clock that precedes the others, and by the clock on which the lease ends first.

Checked: go test -race ./internal/proxying ./core/lease ./core/callproxy ./internal/dispatcher.

--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -105,7 +105,7 @@
 	OutcomeUnhealthy            // the worker rejected the call because it is unhealthy
 	OutcomeRefused              // the worker did not accept the call
 	OutcomeNoSocket             // this process had no socket for the call, so it was not sent
-	OutcomeNotPermitted         // the leader lease ended before the call was sent
+	OutcomeNotPermitted         // the leader lease ended, or no process could take the call, before it was sent
 )
 
 // HoldReport is the answer to a Hold.
--- a/core/lease/deadline.go
+++ b/core/lease/deadline.go
@@ -37,3 +37,9 @@
 func (d Deadline) PassedOnBootClock(reading time.Duration) bool {
 	return reading-d.bootTime >= d.remaining
 }
+
+// Left returns the time until a deadline from OnBootClock passes, by the clock on which it passes first. It
+// is 0 or less once the deadline has passed.
+func (d Deadline) Left(now time.Time, boot time.Duration) time.Duration {
+	return d.remaining - max(Elapsed(d.readAt, now), boot-d.bootTime)
+}
--- a/core/lease/deadline_test.go
+++ b/core/lease/deadline_test.go
@@ -34,6 +34,9 @@
 	if onBootClock.PassedOnBootClock(time.Hour+399*time.Millisecond) || !onBootClock.PassedOnBootClock(time.Hour+400*time.Millisecond) {
 		t.Error("the deadline does not pass after 400 ms of the boot clock")
 	}
+	if left := onBootClock.Left(start.Add(100*time.Millisecond), time.Hour+250*time.Millisecond); left != 150*time.Millisecond {
+		t.Errorf("%v left, want 150 ms by the boot clock", left)
+	}
 	if !(lease.Deadline{}).Passed(start) {
 		t.Error("the zero deadline has not passed")
 	}
--- a/internal/dispatcher/delegate.go
+++ b/internal/dispatcher/delegate.go
@@ -60,24 +60,30 @@
 
 // handleDelegated passes the results of delegated calls to the core, and sends the calls that no proxy sends.
 func (l *eventLoop) handleDelegated(r proxying.Results, core *dispatch.Core, now time.Time) {
+	var holds, starts, stops outcomeCounts
 	for _, h := range r.Holds {
-		l.opts.Metrics.Add(metricCalls, "hold-"+h.Report.Outcome.String(), 1)
+		holds[h.Report.Outcome]++
 		core.HoldAnswered(now, h.Hold.Call, h.Report)
 	}
 	for _, h := range r.LateHolds {
-		l.opts.Metrics.Add(metricCalls, "hold-late", 1)
 		core.LateHoldAnswered(now, h.Hold.Call, h.Report)
 	}
 	for _, s := range r.Starts {
-		l.opts.Metrics.Add(metricCalls, "start-"+s.Outcome.String(), 1)
+		starts[s.Outcome]++
 		l.opts.Metrics.Observe(metricCallDelay, s.Delay)
 		core.StartAnswered(now, s.Start, s.Outcome, s.Clock)
 	}
 	for _, s := range r.Stops {
-		l.opts.Metrics.Add(metricCalls, "stop-"+s.Outcome.String(), 1)
+		stops[s.Outcome]++
 		l.opts.Metrics.Observe(metricCallDelay, s.Delay)
 		core.StopAnswered(now, s.Stop, s.Outcome, s.Clock)
 	}
+	if len(r.LateHolds) > 0 {
+		l.opts.Metrics.Add(metricCalls, "hold-late", int64(len(r.LateHolds)))
+	}
+	l.countCalls("hold-", holds)
+	l.countCalls("start-", starts)
+	l.countCalls("stop-", stops)
 	for _, hold := range r.OwnHolds {
 		l.sendHold(hold)
 	}
@@ -88,3 +94,15 @@
 		l.sendStop(stop)
 	}
 }
+
+// outcomeCounts is a number of calls by outcome.
+type outcomeCounts [dispatch.OutcomeNotPermitted + 1]int64
+
+// countCalls counts the calls of a batch, which is much cheaper than to count each.
+func (l *eventLoop) countCalls(kind string, counts outcomeCounts) {
+	for outcome, count := range counts {
+		if count > 0 {
+			l.opts.Metrics.Add(metricCalls, kind+dispatch.Outcome(outcome).String(), count)
+		}
+	}
+}
--- a/internal/proxying/harness_test.go
+++ b/internal/proxying/harness_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/callproxy"
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
@@ -207,6 +208,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return leaseIn(clocks, d)
+}
+
+func leaseIn(clocks callproxy.Clocks, d time.Duration) lease.Deadline {
 	return lease.DeadlineIn(clocks.Now, d).OnBootClock(clocks.Boot)
 }
 
--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -39,6 +39,8 @@
 	// enoughLease is the rest of the leader lease, when the batch is sent, from which a call that the proxy
 	// was not permitted to send shows a slow proxy or link. A lease has about 0.4 s when it is renewed.
 	enoughLease = 250 * time.Millisecond
+	// unassignedDelay is after what time a call that no process has descriptors for is reported as unsent.
+	unassignedDelay = 500 * time.Millisecond
 	// tickInterval is the time between two checks of the proxies.
 	tickInterval = 50 * time.Millisecond
 	// mailboxSize is the capacity of a task's mailbox.
@@ -198,8 +200,12 @@
 	due      dueCalls
 	outboxes map[string]*outbox
 	ready    Results
+	routed   [len(viaNames)]int64 // calls since the last tick
 }
 
+// viaNames are the labels of the ways to call a worker.
+var viaNames = [...]string{callproxy.ViaLeader: "leader", callproxy.ViaProxy: "proxy", callproxy.ViaNobody: "nobody", callproxy.ViaLater: "later"}
+
 // pendingCall is a call that a proxy has, or is about to get.
 type pendingCall struct {
 	message callproxy.Call
@@ -211,6 +217,8 @@
 	stop    dispatch.Stop
 	late    bool // a hold that was reported as unanswered
 	ample   bool // the lease had enoughLease left when the batch was sent
+	// unassigned is set for a call that no process has descriptors for.
+	unassigned bool
 }
 
 // outbox holds the calls for one proxy that are not in a batch yet.
@@ -318,33 +326,34 @@
 func (t *leaderTask) route(now time.Time, c *pendingCall) {
 	s := t.session
 	delete(s.pending, c.message.ID)
-	if !permitted(c.lease) {
-		s.finish(c, dispatch.OutcomeNotPermitted, now)
-		return
-	}
-	switch via, proxy := s.router.Route(now, c.message.Worker); via {
+	via, proxy := s.router.Route(now, c.message.Worker)
+	s.routed[via]++
+	switch via {
 	case callproxy.ViaLeader:
-		t.opts.Metrics.Add(metricRouted, "leader", 1)
 		s.giveBack(c)
-	case callproxy.ViaNobody:
-		t.opts.Metrics.Add(metricRouted, "nobody", 1)
-		s.finish(c, dispatch.OutcomeNoSocket, now)
 	case callproxy.ViaLater:
-		t.opts.Metrics.Add(metricRouted, "later", 1)
 		s.finish(c, dispatch.OutcomeNotPermitted, now)
+	case callproxy.ViaNobody:
+		// The dispatcher would repeat the call after a few milliseconds.
+		c.proxy, c.unassigned = "", true
+		s.register(c, now.Add(unassignedDelay))
 	case callproxy.ViaProxy:
-		t.opts.Metrics.Add(metricRouted, "proxy", 1)
 		c.proxy = proxy
-		if c.message.ID == 0 {
-			s.lastID++
-			c.message.ID, c.message.Until = s.lastID, int64(c.lease.EndOnBootClock())
-			s.due.add(now.Add(t.timeoutOf(c)), s.lastID)
-		}
-		s.pending[c.message.ID] = c
+		s.register(c, now.Add(t.timeoutOf(c)))
 		s.outbox(proxy).ids = append(s.outbox(proxy).ids, c.message.ID)
 	}
 }
 
+// register adds a call to the table. A call that was in it before keeps its id and its timeout.
+func (s *leaderSession) register(c *pendingCall, due time.Time) {
+	if c.message.ID == 0 {
+		s.lastID++
+		c.message.ID = s.lastID
+		s.due.add(due, s.lastID)
+	}
+	s.pending[c.message.ID] = c
+}
+
 // timeoutOf returns the time after which a call counts as unanswered.
 func (t *leaderTask) timeoutOf(c *pendingCall) time.Duration {
 	switch c.message.Kind {
@@ -362,6 +371,8 @@
 	return err == nil && clocks.Permitted(until)
 }
 
+// readClocks reads the boot clock first: a pause between the two readings then only shortens what is left
+// of a lease by the other clocks, added to this reading.
 func readClocks() (callproxy.Clocks, error) {
 	boot, err := bootclock.Now()
 	return callproxy.Clocks{Now: time.Now(), Boot: boot}, err
@@ -452,6 +463,12 @@
 	t.logChanges()
 	t.opts.Metrics.SetGauge(metricProxiesUsed, float64(s.router.Used()))
 	t.opts.Metrics.SetGauge(metricInFlight, float64(len(s.pending)))
+	for via, count := range s.routed {
+		if count > 0 {
+			t.opts.Metrics.Add(metricRouted, viaNames[via], count)
+		}
+	}
+	clear(s.routed[:])
 }
 
 func (t *leaderTask) callOverdue(now time.Time, id uint64) {
@@ -461,6 +478,9 @@
 	case c == nil:
 	case c.late:
 		delete(s.pending, id)
+	case c.unassigned:
+		delete(s.pending, id)
+		s.finish(c, dispatch.OutcomeNotPermitted, now)
 	default:
 		t.opts.Metrics.Add(metricLost, "no-answer", 1)
 		s.router.CallEnded(now, c.proxy, true)
--- a/internal/proxying/leaderlink.go
+++ b/internal/proxying/leaderlink.go
@@ -53,12 +53,14 @@
 		if c == nil || c.proxy != proxy || c.late {
 			continue
 		}
-		if clockErr != nil || !clocks.Permitted(c.lease) {
+		left := c.lease.Left(clocks.Now, clocks.Boot)
+		if clockErr != nil || left <= 0 {
 			delete(s.pending, id)
 			s.finish(c, dispatch.OutcomeNotPermitted, now)
 			continue
 		}
-		c.ample = c.lease.EndOnBootClock()-clocks.Boot >= enoughLease
+		c.ample = left >= enoughLease
+		c.message.Until = int64(clocks.Boot + left)
 		batch.Calls = append(batch.Calls, c.message)
 		result.ids = append(result.ids, id)
 	}
