--- a/internal/proxying/cost_test.go
+++ b/internal/proxying/cost_test.go
@@ -1,13 +1,9 @@
 package proxying
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -18,61 +14,6 @@
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
 
-// proxyProcessVariable makes the test program run as a call proxy, so that its processor time is not
-// counted as that of the leader.
-const proxyProcessVariable = "GODWIT_TEST_CALL_PROXY"
-
-func TestMain(m *testing.M) {
-	if os.Getenv(proxyProcessVariable) != "" {
-		runProxyProcess()
-		return
-	}
-	os.Exit(m.Run())
-}
-
-// runProxyProcess serves as a call proxy until the standard input is closed. It prints its address.
-func runProxyProcess() {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	address := listener.Addr().String()
-	p := NewProxy(ProxyOptions{
-		SelfAddress: address, Workers: &fakeWorkers{holdTime: 900 * time.Millisecond}, Logger: eventlog.Nop(), Metrics: metrics.New(),
-		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
-	})
-	go p.Run(context.Background())
-	go func() { panic(http.Serve(listener, p)) }()
-	fmt.Println(address)
-	_, _ = bufio.NewReader(os.Stdin).ReadByte() // ends with the process that started this one
-}
-
-func startProxyProcess(b *testing.B) (address string) {
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), proxyProcessVariable+"=1")
-	in, err := cmd.StdinPipe()
-	if err != nil {
-		b.Fatal(err)
-	}
-	out, err := cmd.StdoutPipe()
-	if err != nil {
-		b.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() {
-		in.Close()
-		if err := cmd.Wait(); err != nil {
-			b.Error(err)
-		}
-	})
-	if _, err := fmt.Fscanln(out, &address); err != nil {
-		b.Fatal(err)
-	}
-	return address
-}
-
 // BenchmarkLeaderCost measures the processor time of the leader's side at 3,000 holds and 1,500 starts a
 // second through four proxies in processes of their own, in cores. The budget is 0.32 cores for all that the
 // leader does for its workers.
@@ -95,7 +36,7 @@
 	go leader.Run(b.Context())
 	var members []string
 	for range 4 {
-		members = append(members, startProxyProcess(b))
+		members = append(members, startProxyProcess(b).address)
 	}
 	leader.SetMembers(b.Context(), members)
 	results := make(chan Results)
--- a/internal/proxying/failures_test.go
+++ b/internal/proxying/failures_test.go
@@ -67,6 +67,24 @@
 	g.wantServed(failed)
 }
 
+// Guards against a machine that takes the place of another one and is never used, or an address that is used
+// although its replica was removed.
+func TestReplacedProxyIsUsed(t *testing.T) {
+	g := startGroup(t, 2)
+	g.workers = 1400
+	g.awaitUsed(2)
+	removed := g.proxies[0]
+	g.proxies = g.proxies[1:]
+	added := g.addProxy()
+	g.setMembers()
+	await(t, "the new proxy to be used", func() bool {
+		g.send(100, longLease)
+		g.collect(300)
+		return added.workers.starts.Load() > 0
+	})
+	g.wantServed(removed)
+}
+
 // Guards against workers that stay without calls while their proxy does not get them, and against a start
 // that is reported as not sent although it may have been.
 func TestProxyCutOffFromTheLeader(t *testing.T) {
@@ -129,6 +147,16 @@
 			t.Errorf("calls were sent: %d, %d and %d", h-holds, s-starts, p-stops)
 		}
 	})
+	t.Run("before the batch is sent", func(t *testing.T) {
+		g := startGroup(t, 1)
+		g.awaitUsed(1)
+		_, starts, _ := g.total()
+		g.send(50, 0)
+		wantTally(t, g.collect(150), tally{"hold-not-permitted": 50, "start-not-permitted": 50, "stop-not-permitted": 50})
+		if _, after, _ := g.total(); after != starts {
+			t.Errorf("%d starts were sent", after-starts)
+		}
+	})
 	t.Run("without an exchange of clocks", func(t *testing.T) {
 		g := startGroup(t, 1)
 		g.proxies[0].link.set(cutOff)
