internal/replica: a read of a job waits briefly for its end

Cause: clients ask for a job's state just when its last task has ended. Change: the leader keeps such a read until the job ends, for 150 ms at most.

--- a/core/state/query.go
+++ b/core/state/query.go
@@ -87,6 +87,10 @@
 	Called  *workload.Worker `cbor:",omitempty"` // worker that the leader calls
 }
 
+// StepJobWait is how long the leader may wait for the end of a job before it answers a StepJobQuery. A
+// caller that asks again every quarter of a second is not slowed down by it.
+const StepJobWait = 150 * time.Millisecond
+
 // StepJobView is the state of a multi-step job as shown to callers.
 type StepJobView struct{ State workload.JobState }
 
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -136,7 +136,11 @@
 		return state.Answer{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	var response *rpcpb.ReadResponse
-	_, err = c.callLeader(ctx, 0, limits, func(ctx context.Context, control rpcpb.Control) error {
+	answerAfter := time.Duration(0)
+	if query.StepJob != nil {
+		answerAfter = state.StepJobWait
+	}
+	_, err = c.callLeader(ctx, answerAfter, limits, func(ctx context.Context, control rpcpb.Control) error {
 		var callErr error
 		response, callErr = control.Read(ctx, &rpcpb.ReadRequest{Query: encoded})
 		return callErr
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -130,7 +130,7 @@
 
 // finishRead answers a read. The current or earlier effects have applied all entries up to the
 // index of its barrier.
-func (t *task) finishRead(read replog.ReadResult) {
+func (t *task) finishRead(now time.Time, read replog.ReadResult) {
 	c, known := t.reads.pending[read.ID]
 	delete(t.reads.pending, read.ID)
 	switch {
@@ -138,7 +138,10 @@
 	case read.Aborted || t.applied < read.Index:
 		c.refuse(t.notLeaderError())
 	default:
-		c.send(readResult{answer: t.answerQuery(c.query), index: t.applied})
+		answer := t.answerQuery(c.query)
+		if !t.waitForJobEnd(now, c, answer) {
+			c.send(readResult{answer: answer, index: t.applied})
+		}
 	}
 }
 
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -64,7 +64,7 @@
 		}
 	}
 	for _, read := range e.Reads {
-		t.finishRead(read)
+		t.finishRead(now, read)
 	}
 	return nil
 }
@@ -317,6 +317,7 @@
 		t.opts.Metrics.Add(metricCommandRefusals, string(result.Refusal), 1)
 	}
 	t.updateAfterApply(now, entry.Index, command, result, events)
+	t.jobWaits.changed = t.jobWaits.changed || command.Workload != nil
 	t.publishApplied(command, pending.tag)
 	if known {
 		pending.complete(proposeResult{result: result, index: entry.Index}, nil)
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -53,6 +53,7 @@
 	proposals proposals
 	reads     reads
 	feeds     feedPolls
+	jobWaits  jobWaits
 	workFeed  workFeed
 	leader    *leaderState // nil if this replica does not lead
 	stopping  *plannedStop
@@ -239,6 +240,7 @@
 	t.publishLeaseEnd(now)
 	t.sendTimeoutNow()
 	t.answerFeeds(now)
+	t.answerJobWaits(now)
 	t.takeSnapshot(now)
 	return nil
 }
@@ -281,7 +283,7 @@
 
 // nextDeadline returns when tick has work to do without a message.
 func (t *task) nextDeadline() time.Time {
-	deadlines := []time.Time{t.nextHousekeeping, t.disk.retryAt, t.feeds.nextDeadline()}
+	deadlines := []time.Time{t.nextHousekeeping, t.disk.retryAt, t.feeds.nextDeadline(), t.jobWaits.nextDeadline()}
 	if len(t.disk.unsynced) < maxUnsyncedAppends {
 		deadlines = append(deadlines, t.coreDeadline)
 	}
@@ -358,6 +360,9 @@
 	for _, c := range t.reads.pending {
 		c.refuse(ErrStopped)
 	}
+	for _, wait := range t.jobWaits.pending {
+		wait.call.send(readResult{answer: t.answerQuery(wait.call.query), index: t.applied})
+	}
 	t.feeds.refuseAll(ErrStopped)
 	if t.stopping != nil {
 		t.stopping.call.send(struct{}{})
