core/workload: refuse jobs beyond a share that find no room

Cause: jobs beyond the guaranteed rate of their team were accepted without bound, although they come last and a hot team sends them for seconds. Change: the state counts the tasks that wait for room by team, service and priority, and the capacity and use of each service. A job beyond its team's share is refused with a time to come back if what is ahead of it, in the cell or under its team's cap, takes longer than the job can wait. A job id that the state knows is not refused.

--- a/core/workload/assign.go
+++ b/core/workload/assign.go
@@ -142,13 +142,14 @@
 func (s *State) openRun(job *Job, id StepID, m TaskAssignment, run RunNumber) {
 	spec := &job.Spec.Steps[id.Step]
 	task := &job.Steps[id.Step].Tasks[m.Index]
+	s.addBacklog(job, spec, -1)
 	task.State = TaskAssigned
 	task.Open = true
 	task.Run = run
 	task.Worker = m.Worker
 	w := s.workers[m.Worker]
 	w.runs[id.Task(m.Index)] = run
-	w.used = w.used.Add(spec.Size)
+	s.addUse(w, spec.Size)
 	s.addTeamUse(job.Team, spec.Size)
 	s.markStarted(job)
 }
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -37,6 +37,7 @@
 			violations = append(violations, fmt.Sprintf("worker %s: %v reserved of %v", w.ID, used, w.Capacity))
 		}
 	}
+	violations = append(violations, s.auditBacklog()...)
 	if !maps.Equal(teamUse, s.teamUse) {
 		violations = append(violations, fmt.Sprintf("teams: %v in use, %v counted", teamUse, s.teamUse))
 	}
@@ -71,3 +72,15 @@
 	}
 	return violations
 }
+
+func (s *State) auditBacklog() []string {
+	counted := New()
+	s.ForEachJob(func(job *Job) { counted.addWaitingTasks(job, 1) })
+	for _, w := range s.workers {
+		counted.addToService(w, 1)
+	}
+	if !maps.Equal(counted.backlogs, s.backlogs) || !maps.Equal(counted.services, s.services) {
+		return []string{fmt.Sprintf("backlog %v and capacity %v, counted %v and %v", s.backlogs, s.services, counted.backlogs, counted.services)}
+	}
+	return nil
+}
--- a/core/workload/command.go
+++ b/core/workload/command.go
@@ -1,5 +1,7 @@
 package workload
 
+import "time"
+
 // Command is one change of the state. Exactly one field is set.
 type Command struct {
 	Configure *Config   `cbor:",omitempty"`
@@ -111,6 +113,8 @@
 	RefusalDependency     Refusal = "order" // a dependency of the step is not done
 	RefusalTeamCap        Refusal = "team-cap"
 	RefusalOtherTeam      Refusal = "other-team" // the id belongs to a job of another team
+	// RefusalNoRoomBeyondShare is given to a new job that its team is not guaranteed and that finds no room.
+	RefusalNoRoomBeyondShare Refusal = "beyond-share"
 )
 
 // Result is the result of a command.
@@ -119,6 +123,8 @@
 	State   JobState       `cbor:",omitempty"` // state of the job, for Submit and Cancel
 	Version uint64         `cbor:",omitempty"` // version in force, for Configure
 	Assigns []AssignResult `cbor:",omitempty"` // one for each of Decide.Assigns
+	// RetryAfter is when a refused Submit may find room, with RefusalNoRoomBeyondShare.
+	RetryAfter time.Duration `cbor:",omitempty"`
 }
 
 // AssignResult is the result of an Assign, with one entry for each of its Members. The tasks of a
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -75,6 +75,7 @@
 		if job.isPending() {
 			s.pendingJobs[job.Queue.Name]++
 		}
+		s.addWaitingTasks(&job, 1)
 	}
 	for _, w := range snapshot.Workers {
 		restored := &workerState{Worker: w.Worker, runs: map[TaskID]RunNumber{}}
@@ -88,6 +89,7 @@
 			s.addTeamUse(job.Team, job.Spec.Steps[run.Task.Step].Size)
 		}
 		s.workers[w.Worker.ID] = restored
+		s.addToService(restored, 1)
 	}
 	return s, nil
 }
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -25,6 +25,8 @@
 	teams          map[TeamName]*Team     // teams of config, by name
 	teamUse        map[TeamName]Resources // total demand of the open runs, by team; "" for jobs without one
 	teamRates      map[TeamName]time.Time // TeamRate.FullAt, by team
+	backlogs       map[backlogKey]backlog // of the jobs that have not ended
+	services       map[string]serviceUse  // by service
 	retentionClock time.Duration          // retention clock of the latest command
 	steadyClock    time.Duration          // lower bound of the time that has passed under leaders
 }
@@ -34,7 +36,7 @@
 	return &State{
 		queues: map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
 		workers: map[WorkerID]*workerState{}, teams: map[TeamName]*Team{}, teamUse: map[TeamName]Resources{},
-		teamRates: map[TeamName]time.Time{},
+		teamRates: map[TeamName]time.Time{}, backlogs: map[backlogKey]backlog{}, services: map[string]serviceUse{},
 	}
 }
 
@@ -110,6 +112,10 @@
 	for _, step := range c.Spec.Steps {
 		job.Steps = append(job.Steps, Step{Tasks: make([]Task, step.Tasks), RemainingTasks: step.Tasks})
 	}
+	if retryAfter, refused := s.refusedBeyondShare(job); refused {
+		return Result{Refusal: RefusalNoRoomBeyondShare, RetryAfter: retryAfter}
+	}
+	s.addWaitingTasks(job, 1)
 	s.jobs[c.ID] = job
 	s.jobOrder = append(s.jobOrder, c.ID)
 	s.pendingJobs[queue.Name]++
@@ -156,6 +162,7 @@
 	if job.isPending() {
 		s.pendingJobs[job.Queue.Name]--
 	}
+	s.addWaitingTasks(job, -1)
 	job.State = state
 	job.EndedAt = retentionClock
 	for i := range job.Steps {
@@ -169,14 +176,16 @@
 		return Result{Refusal: RefusalStaleBoot}
 	}
 	if known == nil {
-		s.workers[w.ID] = &workerState{Worker: w, runs: map[TaskID]RunNumber{}}
+		added := &workerState{Worker: w, runs: map[TaskID]RunNumber{}}
+		s.workers[w.ID] = added
+		s.addToService(added, 1)
 		return Result{}
 	}
 	if w.Boot > known.Boot {
 		// A later boot implies that the previous one and its runs have ended.
 		s.closeRuns(known, retentionClock, EndBoot{Permanent: true})
 		s.forgetFailuresOn(w.ID)
-		known.Worker = w
+		s.replaceWorker(known, w)
 		return Result{}
 	}
 	if known.Draining {
@@ -185,7 +194,7 @@
 	// The capacity of a boot is fixed. A report with a different one comes from another source, and a
 	// capacity below the demand of the open runs would violate the capacity invariant.
 	w.Capacity = known.Capacity
-	known.Worker = w
+	s.replaceWorker(known, w)
 	return Result{}
 }
 
@@ -194,6 +203,7 @@
 	if w == nil || w.Boot != c.Boot {
 		return Result{Refusal: RefusalStaleBoot}
 	}
+	s.addToService(w, -1)
 	w.Draining = true
 	return Result{}
 }
@@ -280,7 +290,7 @@
 		return
 	}
 	spec := &job.Spec.Steps[id.Step]
-	w.used = w.used.Sub(spec.Size)
+	s.addUse(w, Resources{}.Sub(spec.Size))
 	s.addTeamUse(job.Team, Resources{}.Sub(spec.Size))
 	task.Open = false
 	step.ClosedAt, step.SteadyClosedAt = s.retentionClock, s.steadyClock
@@ -296,6 +306,9 @@
 		return
 	}
 	task.State = TaskPending
+	if !job.State.Ended() {
+		s.addBacklog(job, spec, 1)
+	}
 	s.storeCheckpoint(step, spec, task, checkpoint)
 	switch {
 	case how == EndDone || step.hasDoneRun(id.Index):
@@ -339,6 +352,13 @@
 
 // completeTask marks a task as done. The first task of a gang that is done completes the whole gang.
 func (s *State) completeTask(job *Job, step *Step, spec *StepSpec, task *Task, retentionClock time.Duration) {
+	if !job.State.Ended() {
+		done := 1
+		if spec.Gang {
+			done = step.waitingTasks()
+		}
+		s.addBacklog(job, spec, -done)
+	}
 	task.State = TaskDone
 	step.RemainingTasks--
 	if spec.Gang {
@@ -351,6 +371,9 @@
 	if job.State.Ended() {
 		return
 	}
+	if step.RemainingTasks == 0 {
+		s.addDependents(job, step)
+	}
 	for i := range job.Steps {
 		if job.Steps[i].RemainingTasks > 0 {
 			return
@@ -392,6 +415,7 @@
 	}
 	s.closeRuns(w, retentionClock, c)
 	if c.Permanent {
+		s.addToService(w, -1)
 		w.Gone = true
 	}
 	return Result{}
--- a/core/workload/teamrate_test.go
+++ b/core/workload/teamrate_test.go
@@ -13,7 +13,8 @@
 
 var rateEpoch = time.Unix(1_000_000, 0)
 
-// newRateState returns a state with teams of the given weights, named by their position.
+// newRateState returns a state with teams of the given weights, named by their position, and room for all
+// of their jobs.
 func newRateState(weights ...float64) *State {
 	s := New()
 	config := &Config{Version: 1, KeysRequired: true, Queues: []Queue{{Name: teamQueue, Service: "s", MaxAttempts: 3}}}
@@ -21,6 +22,7 @@
 		config.Teams = append(config.Teams, Team{Name: teamNumber(i), Weight: weight})
 	}
 	s.Apply(rateEpoch, 0, Command{Configure: config})
+	s.Apply(rateEpoch, 0, Command{Register: &Register{Worker{ID: "w", Boot: 1, Service: "s", Capacity: Resources{MilliCPU: 10_000_000}}}})
 	return s
 }
 
