internal/workapi, platform: answer jobs beyond a share with 429 and a time

Cause: the refusal of a job that its team is not guaranteed was answered 503 with a fixed Retry-After. Change: it is answered 429 with the time that the state derives from the backlog. Refusals are counted by team and reason, and the log line of a submission has the time. The test of too large jobs takes the second result of Submit. Checked: tests of the entry process and the control handler over loopback: hot team, access by key, revoked key.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -90,6 +90,16 @@
 	s.scopeFor(reason).Gauge(m.Name).Update(value)
 }
 
+// AddForTeam adds n to a counter that has the labels team and reason.
+func (s *Set) AddForTeam(m Metric, team, reason string, n int64) {
+	s.scopeForTeam(team, reason).Counter(m.Name).Inc(n)
+}
+
+// SetGaugeForTeam sets the value of a gauge that has the labels team and reason.
+func (s *Set) SetGaugeForTeam(m Metric, team, reason string, value float64) {
+	s.scopeForTeam(team, reason).Gauge(m.Name).Update(value)
+}
+
 // Observe records a delay in a histogram.
 func (s *Set) Observe(m Metric, delay time.Duration) {
 	s.scope.Histogram(m.Name, delayBuckets).RecordDuration(delay)
@@ -102,6 +112,10 @@
 	return s.scope.Tagged(map[string]string{"reason": reason})
 }
 
+func (s *Set) scopeForTeam(team, reason string) tally.Scope {
+	return s.scope.Tagged(map[string]string{"team": team, "reason": reason})
+}
+
 // Text returns all metrics in the Prometheus text exposition format.
 func (s *Set) Text() string {
 	snapshot := s.scope.Snapshot()
--- a/internal/workapi/events.go
+++ b/internal/workapi/events.go
@@ -24,6 +24,7 @@
 // Metrics.
 var (
 	metricAnswers       = metrics.Declare("job_answers_total", metrics.KindCounter, "answers to requests on jobs and queues, by call and outcome")
+	metricTeamRefusals  = metrics.Declare("team_refusals_total", metrics.KindCounter, "submissions refused because of a limit of their team, by team and reason")
 	metricSubmitDelay   = metrics.Declare("job_submit_delay_seconds", metrics.KindHistogram, "time until a submission was answered")
 	metricReadDelay     = metrics.Declare("job_read_delay_seconds", metrics.KindHistogram, "time until a read of a job was answered")
 	metricRegistrations = metrics.Declare("worker_registrations_total", metrics.KindCounter, "registrations of workers, by outcome")
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -157,39 +157,43 @@
 	return tasks > maxTasksPerJob
 }
 
-// Submit submits a job. OutcomeOK means that the job is stored on a quorum.
-func (s *JobService) Submit(ctx context.Context, route Route, id workload.JobID, spec workload.JobSpec) Outcome {
+// Submit submits a job. OutcomeOK means that the job is stored on a quorum. retryAfter is when a job that was
+// refused may find room, if that is known.
+func (s *JobService) Submit(ctx context.Context, route Route, id workload.JobID, spec workload.JobSpec) (outcome Outcome, retryAfter time.Duration) {
 	if isTooLarge(spec) {
-		return s.countOutcome("submit", OutcomeInvalid)
+		return s.countOutcome("submit", OutcomeInvalid), 0
 	}
 	started := time.Now()
 	spec.Queue = route.Queue.Name
 	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec, Team: route.Caller.Team}}}
-	outcome, err := s.propose(ctx, command, submitLimits)
+	outcome, result, err := s.propose(ctx, command, submitLimits)
 	elapsed := time.Since(started)
 	s.opts.Metrics.Observe(metricSubmitDelay, elapsed)
 	s.opts.Logger.Log(eventSubmitted, zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.String("team", string(route.Caller.Team)),
-		zap.Uint64("version", route.Version), zap.String("outcome", string(outcome)), zap.Int64("took_ms", elapsed.Milliseconds()), zap.Error(err))
-	return s.countOutcome("submit", outcome)
+		zap.Uint64("version", route.Version), zap.String("outcome", string(outcome)), zap.Int64("took_ms", elapsed.Milliseconds()), zap.Int64("retry_after_ms", result.RetryAfter.Milliseconds()), zap.Error(err))
+	if outcome == OutcomeTeamLimit || outcome == OutcomeBeyondShare {
+		s.opts.Metrics.AddForTeam(metricTeamRefusals, string(route.Caller.Team), string(outcome), 1)
+	}
+	return s.countOutcome("submit", outcome), result.RetryAfter
 }
 
 // propose commits a workload command and returns its outcome.
-func (s *JobService) propose(ctx context.Context, command state.Command, limits controlclient.WaitLimits) (Outcome, error) {
+func (s *JobService) propose(ctx context.Context, command state.Command, limits controlclient.WaitLimits) (Outcome, workload.Result, error) {
 	result, err := s.opts.Control.ProposeWithin(ctx, command, limits)
 	switch {
 	case err != nil:
-		return outcomeFromError(err), err
+		return outcomeFromError(err), workload.Result{}, err
 	case result.Workload == nil:
-		return OutcomeUnknown, controlclient.ErrMalformed
+		return OutcomeUnknown, workload.Result{}, controlclient.ErrMalformed
 	}
-	return outcomeFromRefusal(result.Workload.Refusal), nil
+	return outcomeFromRefusal(result.Workload.Refusal), *result.Workload, nil
 }
 
 // Cancel cancels a job.
 func (s *JobService) Cancel(ctx context.Context, route Route, id workload.JobID) Outcome {
 	started := time.Now()
 	command := &workload.Cancel{ID: id, Team: route.Caller.Team, AnonymousQueue: route.Caller.AnonymousQueue}
-	outcome, err := s.propose(ctx, state.Command{Workload: &workload.Command{Cancel: command}}, controlclient.WaitLimits{})
+	outcome, _, err := s.propose(ctx, state.Command{Workload: &workload.Command{Cancel: command}}, controlclient.WaitLimits{})
 	s.opts.Logger.Log(eventCancelled, zap.String("job", string(id)), zap.String("outcome", string(outcome)),
 		zap.Int64("took_ms", time.Since(started).Milliseconds()), zap.Error(err))
 	return s.countOutcome("cancel", outcome)
--- a/internal/workapi/outcome.go
+++ b/internal/workapi/outcome.go
@@ -23,6 +23,9 @@
 	OutcomeBadKey      Outcome = "bad-key"     // the call has no key of a team, and its queue needs one
 	OutcomeOtherTeam   Outcome = "other-team"  // the id belongs to a job of another team
 	OutcomeTeamLimit   Outcome = "team-limit"  // rejected because of a limit of the team; it was not carried out
+	// OutcomeBeyondShare is given to a job that its team is not guaranteed and that finds no room. It was not
+	// carried out.
+	OutcomeBeyondShare Outcome = "beyond-share"
 )
 
 // outcomeFromError returns the outcome for an error of the control client. Only ErrUnavailable
@@ -50,6 +53,8 @@
 		return OutcomeOtherTeam
 	case workload.RefusalTeamCap:
 		return OutcomeTeamLimit
+	case workload.RefusalNoRoomBeyondShare:
+		return OutcomeBeyondShare
 	default:
 		return OutcomeUnsupported
 	}
--- a/internal/workapi/workapi_test.go
+++ b/internal/workapi/workapi_test.go
@@ -89,7 +89,7 @@
 		"all steps": {{Tasks: maxTasksPerJob}, {Tasks: -1}, {Tasks: 1}},
 		"overflow":  {{Tasks: math.MaxInt}, {Tasks: math.MaxInt}},
 	} {
-		if got := service.Submit(t.Context(), Route{}, "j", workload.JobSpec{Steps: steps}); got != OutcomeInvalid {
+		if got, _ := service.Submit(t.Context(), Route{}, "j", workload.JobSpec{Steps: steps}); got != OutcomeInvalid {
 			t.Errorf("%s: outcome %s, want %s", name, got, OutcomeInvalid)
 		}
 	}
