internal/workapi: no call is accepted by a list of keys that may be out of date

Cause: an entry process that was frozen, or cut off from the leader's answers but not from its commits, accepted a revoked key until its next poll. Calls to anonymous queues, and cells without teams, are served as before.

--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -52,7 +52,7 @@
 // other methods are safe for concurrent use.
 type JobService struct {
 	opts   JobServiceOptions
-	routes atomic.Pointer[RoutingTable] // written by Run only; nil until the first configuration arrives
+	routes atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
 }
 
 func NewJobService(opts JobServiceOptions) *JobService { return &JobService{opts: opts} }
@@ -91,6 +91,7 @@
 }
 
 func (s *JobService) poll(ctx context.Context) error {
+	askedAt := time.Now()
 	query := state.Query{Queues: &state.QueuesQuery{Known: s.configVersion(), AdviceRequester: s.opts.SelfAddress}}
 	answer, err := s.opts.Control.ReadWithin(ctx, query, pollLimits)
 	if err != nil {
@@ -101,8 +102,10 @@
 		return controlclient.ErrMalformed
 	}
 	s.opts.Control.SetMembers(view.Replicas)
-	if view.Config != nil && view.Config.Version > s.configVersion() {
-		s.routes.Store(NewRoutingTable(*view.Config))
+	if view.Config == nil || view.Config.Version <= s.configVersion() {
+		s.routes.Store(s.routes.Load().confirmed(view.Version, askedAt))
+	} else {
+		s.routes.Store(&confirmedRoutes{RoutingTable: NewRoutingTable(*view.Config), askedAt: askedAt})
 		s.opts.Metrics.SetGauge(metricQueuesVersion, float64(view.Config.Version))
 		s.opts.Logger.Log(eventQueuesChanged, zap.Uint64("version", view.Config.Version), zap.Int("queues", len(view.Config.Queues)))
 	}
@@ -128,6 +131,9 @@
 	if !ok {
 		return Route{}, s.countOutcome("route", OutcomeNoQueue)
 	}
+	if routes.needsKey(queue) && !routes.keysConfirmed(time.Now()) {
+		return Route{}, s.countOutcome("route", OutcomeOldKeys)
+	}
 	caller, ok := routes.caller(queue, key)
 	if !ok {
 		s.opts.Logger.Log(eventBadKey, zap.String("queue", queue.Name), zap.Uint64("version", routes.version), zap.Bool("key_sent", key != ""))
--- a/internal/workapi/outcome.go
+++ b/internal/workapi/outcome.go
@@ -21,6 +21,7 @@
 	OutcomeNotAccepted Outcome = "not-taken"   // rejected; it was not carried out and may be retried
 	OutcomeUnknown     Outcome = "unknown"     // it may have been carried out
 	OutcomeBadKey      Outcome = "bad-key"     // the call has no key of a team, and its queue needs one
+	OutcomeOldKeys     Outcome = "old-keys"    // the list of keys may be out of date, so the call was not carried out
 	OutcomeOtherTeam   Outcome = "other-team"  // the id belongs to a job of another team
 	OutcomeTeamLimit   Outcome = "team-limit"  // rejected because of a limit of the team; it was not carried out
 	// OutcomeBeyondShare is given to a job that its team is not guaranteed and that finds no room. It was not
--- a/internal/workapi/routes.go
+++ b/internal/workapi/routes.go
@@ -40,13 +40,16 @@
 	return workload.Queue{}, "", false
 }
 
+// needsKey reports whether calls to a queue need the key of a team.
+func (r *RoutingTable) needsKey(queue workload.Queue) bool { return r.keys != nil && !queue.Anonymous }
+
 // caller returns on whose behalf a call with the given key acts on a queue, and whether the call is
 // allowed. An empty key stands for none.
 func (r *RoutingTable) caller(queue workload.Queue, key workload.Key) (caller workload.Caller, ok bool) {
 	switch {
 	case r.keys == nil:
 		return workload.Caller{}, true
-	case queue.Anonymous:
+	case !r.needsKey(queue):
 		return workload.Caller{AnonymousQueue: queue.Name}, true
 	case key == "":
 		return workload.Caller{}, false
