core/dispatch: count the waves of wide steps in the objective

Cause: the objective of a job assumed that all tasks of a step run at the same time, also if they are more than the team's cap admits or than a quarter of all workers takes. Such jobs counted as obsolete too early. Change: the work of a step that is not a gang counts once for each wave.

--- a/core/dispatch/export_test.go
+++ b/core/dispatch/export_test.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/godwitlink/godwitlink/core/workload"
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
 
 // Reserved returns the resources reserved on each worker in addition to its open runs.
 func (c *Core) Reserved() map[workload.WorkerID]workload.Resources {
@@ -12,3 +16,6 @@
 	}
 	return all
 }
+
+// Objective returns the objective of a live job.
+func (c *Core) Objective(id workload.JobID) time.Duration { return c.jobsByID[id].objective }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -60,7 +60,7 @@
 		return
 	}
 	live := &job{Job: j, steps: make([]step, len(j.Steps)), localAcceptedAt: acceptedAt}
-	live.computeObjective()
+	c.computeObjective(live)
 	for i := range live.steps {
 		live.steps[i].proposed = make([]bool, len(j.Steps[i].Tasks))
 	}
--- a/core/dispatch/teamorder_test.go
+++ b/core/dispatch/teamorder_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/core/workload"
@@ -19,6 +20,7 @@
 			{Name: "urgent", Service: "shop", MaxAttempts: 3},
 			{Name: "q", Service: "shop", MaxAttempts: 3, Priority: 1},
 			{Name: "open", Service: "shop", MaxAttempts: 3, Priority: 1, Anonymous: true},
+			{Name: "objective", Service: "shop", MaxAttempts: 3, SlackFactor: 2, TargetLatency: 500 * time.Millisecond},
 		},
 	}}}
 	for i := range workers {
--- a/core/dispatch/urgency.go
+++ b/core/dispatch/urgency.go
@@ -27,9 +27,9 @@
 	estimatedAdviceWorkers = 30
 )
 
-// plannedWork returns how long a step takes once it may start.
-func plannedWork(j *workload.Job, index int) time.Duration {
-	work := j.Spec.Steps[index].Estimate
+// plannedWork returns how long a step takes once it may start, if its tasks run in a number of waves.
+func plannedWork(j *workload.Job, index, waves int) time.Duration {
+	work := time.Duration(waves) * j.Spec.Steps[index].Estimate
 	if j.Queue.Advice != nil {
 		work += adviceTime(j.Queue.Advice, estimatedAdviceWorkers)
 	}
@@ -37,11 +37,11 @@
 }
 
 // computeObjective calculates the objective of a job and the critical path from each step on.
-func (j *job) computeObjective() {
+func (c *Core) computeObjective(j *job) {
 	longest := time.Duration(0)
 	for i := len(j.steps) - 1; i >= 0; i-- {
 		// Steps depend on earlier steps only, so the critical path of this step is complete.
-		j.steps[i].criticalPath += plannedWork(j.Job, i)
+		j.steps[i].criticalPath += plannedWork(j.Job, i, c.waves(j.Job, i))
 		for _, dependency := range j.Spec.Steps[i].DependsOn {
 			j.steps[dependency].criticalPath = max(j.steps[dependency].criticalPath, j.steps[i].criticalPath)
 		}
--- a/core/workload/backlog.go
+++ b/core/workload/backlog.go
@@ -84,6 +84,9 @@
 // runs.
 type serviceUse struct{ capacity, used Resources }
 
+// ServiceCapacity returns the capacity of the workers of a service that may get runs.
+func (s *State) ServiceCapacity(service string) Resources { return s.services[service].capacity }
+
 // addToService counts a worker, or counts it no longer if the sign is negative. A worker must be taken out
 // before it changes.
 func (s *State) addToService(w *workerState, sign int) {
