core/dispatch, internal/dispatcher: figures and log lines of teams

Cause: an operator could not see what a team uses, is guaranteed and waits for, nor that a new configuration leaves a team without a guaranteed rate or without a cap that its jobs fit.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -140,9 +140,12 @@
 func (c *Core) Apply(now time.Time, at time.Time, retentionClock time.Duration, command workload.Command) {
 	c.advanceClock(now)
 	closedRuns := c.runsClosedBy(command)
+	formerConfig := c.state.Config()
 	result := c.state.Apply(at, retentionClock, command)
 	c.planNeeded = true
 	switch {
+	case command.Configure != nil:
+		c.configured(formerConfig, at)
 	case command.Submit != nil:
 		c.jobSubmitted(command.Submit.ID)
 	case command.Cancel != nil:
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -153,6 +153,7 @@
 	Task    int
 	Run     workload.RunNumber
 	Worker  workload.WorkerID
+	Team    workload.TeamName
 	Boot    workload.Boot
 	OpenRun workload.RunNumber // the open run of the task if it is not Run
 	Count   int                // number of tasks, runs or workers, depending on Kind
@@ -182,6 +183,7 @@
 	DecisionOverlap       DecisionKind = "runs-overlap"
 	DecisionTaskBlocked   DecisionKind = "task-embargoed"
 	DecisionUncountedEnd  DecisionKind = "done-end-uncounted"
+	DecisionTeamWarning   DecisionKind = "team-warning"
 	DecisionBoundBegins   DecisionKind = "bound-begins"
 	DecisionBoundEnds     DecisionKind = "bound-ends"
 )
--- a/core/workload/team.go
+++ b/core/workload/team.go
@@ -1,6 +1,10 @@
 package workload
 
-import "github.com/godwitlink/godwitlink/core/fairshare"
+import (
+	"slices"
+
+	"github.com/godwitlink/godwitlink/core/fairshare"
+)
 
 // TeamName names a team. It is empty for jobs that were accepted without a key.
 type TeamName string
@@ -134,10 +138,7 @@
 		return false
 	}
 	limit := s.TeamCap(team)
-	for _, step := range spec.Steps {
-		if step.Gang && !step.Size.Times(step.Tasks).WithinCap(limit) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(spec.Steps, func(step StepSpec) bool {
+		return step.Gang && !step.Size.Times(step.Tasks).WithinCap(limit)
+	})
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -85,6 +85,7 @@
 	updates <-chan replica.WorkUpdate
 	results chan callResult
 	term    *leaderTerm // nil while this process is not the leader
+	teams   teamLoads
 }
 
 // leaderTerm holds the state of one term as leader. Results of calls from an earlier term are
@@ -214,6 +215,7 @@
 	l.term.cancel()
 	l.opts.Logger.Log(eventTermEnds, zap.Uint64("term", l.term.number))
 	l.opts.Metrics.SetGauge(metricBounds, 0)
+	l.publishTeams(nil)
 	l.term = nil
 }
 
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -39,6 +39,7 @@
 	dispatch.DecisionUncountedEnd:  eventlog.Declare(4027, zapcore.ErrorLevel, "a run ended as done and its task is not done"),
 	dispatch.DecisionBoundBegins:   eventlog.Declare(4028, zapcore.WarnLevel, "the leader is late and begins to put off work"),
 	dispatch.DecisionBoundEnds:     eventlog.Declare(4029, zapcore.InfoLevel, "the leader no longer puts off work"),
+	dispatch.DecisionTeamWarning:   eventlog.Declare(4060, zapcore.WarnLevel, "the configuration of a team is probably wrong"),
 }
 
 // Metrics.
@@ -62,6 +63,9 @@
 	if d.Worker != "" {
 		fields = append(fields, zap.String("worker", string(d.Worker)))
 	}
+	if d.Team != "" {
+		fields = append(fields, zap.String("team", string(d.Team)))
+	}
 	if d.Boot != 0 {
 		fields = append(fields, zap.Int64("boot", int64(d.Boot)))
 	}
