core/runtimes: learned run times, used by core/placement

core/placement learned the ratio of measured to declared run times by itself, and core/dispatch is to learn it too.

core/placement decides as before.

--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/runtimes"
 )
 
 // Run time buckets: bucket n stands for 2^n seconds.
@@ -41,49 +42,17 @@
 	name   string
 }
 
-// estimate is the distribution of ln(measured / declared run time) and the mean ratio of measured
-// to declared memory.
+// estimate is the distribution of the run times and the mean ratio of measured to declared memory.
 type estimate struct {
-	samples     int
-	logMean     float64 // mean of ln(measured / declared run time)
-	logVariance float64
+	runTime     runtimes.Moments
 	memoryRatio float64 // measured / declared memory; 0 if not measured
 }
 
-func (e *estimate) observe(logRatio float64) {
-	e.samples++
-	rate := max(estimateWeight, 1/float64(e.samples))
-	diff := logRatio - e.logMean
-	e.logMean += rate * diff
-	e.logVariance = (1 - rate) * (e.logVariance + rate*diff*diff)
-}
-
-// estimateStore keeps estimates in two generations to bound its memory.
-type estimateStore struct{ recent, older map[estimateKey]*estimate }
-
-func newEstimateStore() estimateStore { return estimateStore{recent: map[estimateKey]*estimate{}} }
+// estimateStore holds the estimates.
+type estimateStore = runtimes.Recent[estimateKey, estimate]
 
-func (l *estimateStore) find(key estimateKey) *estimate {
-	if e := l.recent[key]; e != nil {
-		return e
-	}
-	return l.older[key]
-}
-
-// findOrAdd returns the estimate of a key and adds it if needed.
-func (l *estimateStore) findOrAdd(key estimateKey) *estimate {
-	if e := l.recent[key]; e != nil {
-		return e
-	}
-	if len(l.recent) >= maxRecentEstimates {
-		l.older, l.recent = l.recent, map[estimateKey]*estimate{}
-	}
-	e := l.older[key]
-	if e == nil {
-		e = &estimate{}
-	}
-	l.recent[key] = e
-	return e
+func newEstimateStore() estimateStore {
+	return runtimes.NewRecent[estimateKey, estimate](maxRecentEstimates)
 }
 
 func (j *job) estimateKeys() [2]estimateKey {
@@ -108,16 +77,15 @@
 		begin = a.placedAt
 	}
 	run := max(s.now.Sub(begin), time.Millisecond)
-	ratio := math.Log(run.Seconds() / a.job.declaredRunTime().Seconds())
 	for _, key := range a.job.estimateKeys() {
-		s.estimates.findOrAdd(key).observe(ratio)
+		s.estimates.FindOrAdd(key).runTime.Observe(run, a.job.declaredRunTime(), estimateWeight)
 	}
 }
 
 // recordUsage updates the estimates with the measured memory of a task.
 func (s *Scheduler) recordUsage(a *allocation, used cell.Resources) {
 	for _, key := range a.job.estimateKeys() {
-		e := s.estimates.findOrAdd(key)
+		e := s.estimates.FindOrAdd(key)
 		e.memoryRatio = movingAverage(e.memoryRatio, fraction(used.MemoryBytes, a.size.MemoryBytes))
 	}
 }
@@ -135,24 +103,19 @@
 	declared := j.declaredRunTime()
 	least := [2]int{minJobSamples, minPolicySamples}
 	for i, key := range j.estimateKeys() {
-		if e := s.estimates.find(key); e != nil && e.samples >= least[i] {
-			expected = scaleRunTime(declared, e.logMean)
-			return expected, scaleRunTime(declared, e.logMean+upperDeviations*math.Sqrt(e.logVariance))
+		if e := s.estimates.Find(key); e != nil && e.runTime.Samples >= least[i] {
+			return e.runTime.RunTime(declared, 0, serviceRunTime), e.runTime.RunTime(declared, upperDeviations, serviceRunTime)
 		}
 	}
 	return declared, upperFactor * declared
 }
 
-func scaleRunTime(d time.Duration, logRatio float64) time.Duration {
-	return time.Duration(min(float64(d)*math.Exp(logRatio), float64(serviceRunTime)))
-}
-
 // expectedUsage returns the resources that are booked for a task before it is measured: its
 // declared size, with more memory if earlier tasks of its kind have used more.
 func (s *Scheduler) expectedUsage(j *job) cell.Resources {
 	size := j.spec.Size
 	for _, key := range j.estimateKeys() {
-		e := s.estimates.find(key)
+		e := s.estimates.Find(key)
 		if e == nil || e.memoryRatio == 0 {
 			continue
 		}
