core/dispatch: expected run times learned from finished runs

Declared run times are off by up to ten times, and three of a hundred tasks take several times as long as their siblings. A run that took more than three times its estimate, or 1.7 times the mean of its siblings, was given up and its worker avoided, although the next run of the task takes as long.

The leader now learns, by queue, the ratio of measured to declared run times and how far a run may exceed the mean of its siblings, with the speed of the worker factored out, and for each step what its ended tasks say. This gives the expected run times in the critical path and the objective of a job, the order of overdue gangs, the tail by which a run counts as stalled, and whether a run without measured progress ends before its worker leaves. The objective follows the learned ratio because the platform computes it from the true work. A few runs change little: eight runs as declared count beside them.

The speed of a worker follows from all runs, by what was expected of each.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -76,7 +76,10 @@
 	bounds           bounds
 	// slowSpeedThreshold is the speed below which a worker counts as slow.
 	slowSpeedThreshold float64
-	nextSpeedUpdate    time.Time
+	// medianSpeed is the median of the speeds of the workers.
+	medianSpeed     float64
+	runTimes        learnedRunTimes
+	nextSpeedUpdate time.Time
 	// claimedMilliCPU is the part of totalMilliCPU that the current plan keeps for blocked gangs.
 	claimedMilliCPU int64
 	nextPlanAt      time.Time
@@ -107,7 +110,7 @@
 		opts: opts, state: state, now: now, startedAt: now, planNeeded: true,
 		workers: map[workload.WorkerID]*worker{}, jobsByID: map[workload.JobID]*job{},
 		inDoubtStarts: inDoubtStarts{},
-		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{},
+		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, medianSpeed: 1, runTimes: newLearnedRunTimes(), namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{},
 	}
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
 	for _, w := range state.Workers() {
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -36,7 +36,7 @@
 func (c *Core) updateHealth(w *worker, id workload.TaskID, r *run, result workload.RunEnd) {
 	switch result {
 	case workload.EndDone:
-		c.updateSpeed(w, id, r)
+		c.learnFromRun(w, id, r)
 		w.failureEvidence = max(w.failureEvidence-successWeight, 0)
 		if w.failureEvidence == 0 {
 			w.timesAvoided = 0
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -88,6 +88,7 @@
 	}
 	w.holdBackoff = 0
 	c.reconcileRuns(w, report)
+	w.holdAnsweredAt = c.now
 	w.endsListFull = len(report.Ends) >= maxListedEnds
 	if !w.endsListFull {
 		c.removeResolvedStarts(w)
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/runtimes"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
@@ -11,10 +12,12 @@
 type job struct {
 	*workload.Job
 	steps           []step
-	nextWake        time.Time     // next time at which a step is due without an event
-	localAcceptedAt time.Time     // by the clock of this process, if it saw the job being accepted
-	objective       time.Duration // allowed time from acceptance to the end of the last step
-	begunRecorded   bool          // it is to be reported, or was proposed, that a worker has begun a task
+	nextWake        time.Time       // next time at which a step is due without an event
+	localAcceptedAt time.Time       // by the clock of this process, if it saw the job being accepted
+	objective       time.Duration   // allowed time from acceptance to the end of the last step
+	begunRecorded   bool            // it is to be reported, or was proposed, that a worker has begun a task
+	group           *runtimes.Group // what is learned about the run times of its queue
+	groupRatio      float64         // ratio of the group when the expected run times were last calculated
 }
 
 // step is the leader's view of a step, in addition to the replicated state of its tasks.
@@ -24,6 +27,10 @@
 	// reportedFailures are failed ends that were listed by a worker and are not committed yet.
 	reportedFailures map[failedRun]bool
 	waitingTasks     int // number of tasks that are pending and not proposed
+	// expected is the expected run time of a task on a worker of the usual speed, and siblings the run
+	// times of the tasks that have ended.
+	expected time.Duration
+	siblings runtimes.Siblings
 	// criticalPath is the longest chain of work from the start of this step to the end of the job.
 	criticalPath time.Duration
 
@@ -59,8 +66,8 @@
 	if j.State.Ended() {
 		return
 	}
-	live := &job{Job: j, steps: make([]step, len(j.Steps)), localAcceptedAt: acceptedAt}
-	live.computeObjective()
+	live := &job{Job: j, steps: make([]step, len(j.Steps)), localAcceptedAt: acceptedAt, group: c.runTimes.groupOf(j.Queue.Name)}
+	live.expectRunTimes()
 	for i := range live.steps {
 		live.steps[i].proposed = make([]bool, len(j.Steps[i].Tasks))
 	}
--- a/core/dispatch/leave.go
+++ b/core/dispatch/leave.go
@@ -45,12 +45,15 @@
 	if !spec.Gang {
 		rate := r.rate()
 		if rate == 0 && rates.count >= minRateSamples {
-			rate = rates.mean() * w.speed
+			rate = rates.mean() * c.relativeSpeed(w)
+		}
+		if rate == 0 {
+			return c.expectedRemainingTime(j, w, id, r)
 		}
 		return c.remainingTimeAt(rate, w, r)
 	}
 	if rates.gangRun != r.number || rates.gangStartedAt.IsZero() {
-		return spec.Estimate, spec.Estimate > 0
+		return j.steps[id.Step].expected, spec.Estimate > 0
 	}
 	for i, task := range j.Steps[id.Step].Tasks {
 		id.Index = i
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -41,6 +41,7 @@
 	}
 	c.capacityScarce = free*100 < c.totalMilliCPU*scarceFreePercent
 	c.updateSlowThreshold()
+	c.refreshExpectations()
 }
 
 // readyStep is a step that has tasks to be placed.
@@ -526,5 +527,5 @@
 	if !spec.Gang || r.timeliness == onTime {
 		return 0
 	}
-	return int64(spec.Tasks) * spec.Size.MilliCPU * spec.Estimate.Milliseconds()
+	return int64(spec.Tasks) * spec.Size.MilliCPU * r.job.steps[r.index].expected.Milliseconds()
 }
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -17,23 +17,18 @@
 	// checkpointLoss is the work that a run with a checkpoint loses when it is restarted. The
 	// platform saves once a second and restores within 0.6 s.
 	checkpointLoss = 1600 * time.Millisecond
-	// maxEstimateFactor is the multiple of its estimate that a run may take. On the measured days,
-	// one of twenty runs took three times its estimate.
+	// maxEstimateFactor is the multiple of its estimate that a run may take while the tail of the run
+	// times of its queue is not known. On the measured days, one of twenty runs took three times its
+	// estimate.
 	maxEstimateFactor = 3
-	// minHealthyRateShare is the minimum rate of a healthy run relative to the mean of its step. A
-	// slow type of worker takes 1.3 times as long, and tasks differ.
+	// minHealthyRateShare is the minimum rate of a healthy run relative to the mean of its step, unless
+	// the queue is known to have longer tasks. A slow type of worker takes 1.3 times as long, and tasks
+	// differ.
 	minHealthyRateShare = 0.6
 	// minRateSamples is the minimum number of runs before the mean rate of a step is used.
 	minRateSamples = 3
 	// minMeasuredPercent is the minimum progress, in percentage points, to calculate a rate from.
 	minMeasuredPercent = 10
-	// gangSpeedWeight and speedWeight are the weights of a new run in a worker's speed. Members of
-	// a gang have equal work, other tasks of a step differ.
-	gangSpeedWeight = 0.5
-	speedWeight     = 0.125
-	// minSpeed and maxSpeed limit the speed that is derived from one run.
-	minSpeed = 0.25
-	maxSpeed = 2.0
 	// slowSpeedPercent is the speed, in percent of the median, below which a worker counts as slow.
 	slowSpeedPercent = 90
 	// speedUpdateInterval is the minimum time between two calculations of the median speed.
@@ -84,9 +79,10 @@
 		r.latestReport = progress{clock, percent}
 	}
 	if rate := r.rate(); spec.Gang && rate > s.rates.gangBestRate {
-		s.rates.gangBestRate, s.rates.gangBestSpeed = rate, w.speed
+		s.rates.gangBestRate, s.rates.gangBestSpeed = rate, c.relativeSpeed(w)
 	}
-	if percent < 100 && c.isStalled(w, r, s, spec) {
+	if percent < 100 && c.isStalled(r, j, id.Step) {
+		c.learnFromStalledRun(w, id, r)
 		c.stopStalledRun(w, id, r, s)
 	}
 }
@@ -103,16 +99,17 @@
 // isStalled reports whether a run has lost so much time that it should be restarted on another
 // worker. The run is given up once the lost time equals the cost of a restart, so waiting at most
 // doubles that cost.
-func (c *Core) isStalled(w *worker, r *run, s *step, spec *workload.StepSpec) bool {
+func (c *Core) isStalled(r *run, j *job, index int) bool {
+	s, spec := &j.steps[index], &j.Spec.Steps[index]
 	if spec.Estimate <= 0 {
 		return false
 	}
-	minRate := 100 / (maxEstimateFactor * float64(spec.Estimate.Milliseconds()))
+	minRate := 100 / (j.estimateTail() * float64(spec.Estimate.Milliseconds()))
 	switch {
 	case spec.Gang && s.rates.gangBestRate > 0:
 		minRate = minHealthyRateShare * s.rates.gangBestRate
 	case !spec.Gang && s.rates.count >= minRateSamples:
-		minRate = minHealthyRateShare * s.rates.mean()
+		minRate = j.siblingRateShare() * s.rates.mean()
 	}
 	from := r.firstAdvance
 	if from.clock == 0 {
@@ -147,37 +144,6 @@
 	c.stopGang(id)
 }
 
-// updateSpeed adjusts the speed of a worker after a successful run: by the rate of the run relative
-// to the fastest member of its gang, or to the mean of the tasks of its step.
-func (c *Core) updateSpeed(w *worker, id workload.TaskID, r *run) {
-	j := c.jobsByID[id.Job]
-	if j == nil || !r.openedThisTerm || !r.confirmed {
-		return
-	}
-	rates := &j.steps[id.Step].rates
-	if j.Spec.Steps[id.Step].Gang {
-		if rate := r.rate(); rate > 0 && rates.gangRun == r.number {
-			w.addSpeedSample(rate/rates.gangBestRate*rates.gangBestSpeed, gangSpeedWeight)
-		}
-		return
-	}
-	elapsed := c.now.Sub(r.confirmedAt).Milliseconds()
-	if r.checkpoint != "" || elapsed <= 0 {
-		return
-	}
-	rate := 100 / float64(elapsed)
-	previousSpeed := w.speed
-	if rates.count >= minRateSamples {
-		w.addSpeedSample(rate/rates.mean(), speedWeight)
-	}
-	rates.sum += rate / previousSpeed
-	rates.count++
-}
-
-func (w *worker) addSpeedSample(sample, weight float64) {
-	w.speed += (min(max(sample, minSpeed), maxSpeed) - w.speed) * weight
-}
-
 // updateSlowThreshold updates the speed below which a worker counts as slow.
 func (c *Core) updateSlowThreshold() {
 	if c.now.Before(c.nextSpeedUpdate) || len(c.usableWorkers) == 0 {
@@ -186,11 +152,12 @@
 	c.nextSpeedUpdate = c.now.Add(speedUpdateInterval)
 	speeds := make([]float64, 0, len(c.usableWorkers))
 	for _, w := range c.usableWorkers {
-		speeds = append(speeds, w.speed)
+		speeds = append(speeds, w.speed.Value())
 	}
 	slices.Sort(speeds)
-	c.slowSpeedThreshold = speeds[len(speeds)/2] * slowSpeedPercent / 100
+	c.medianSpeed = speeds[len(speeds)/2]
+	c.slowSpeedThreshold = c.medianSpeed * slowSpeedPercent / 100
 }
 
 // isSlow reports whether runs take considerably longer on a worker than on most others.
-func (c *Core) isSlow(w *worker) bool { return w.speed < c.slowSpeedThreshold }
+func (c *Core) isSlow(w *worker) bool { return w.speed.Value() < c.slowSpeedThreshold }
--- a/core/dispatch/urgency.go
+++ b/core/dispatch/urgency.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // timeliness classifies a job by whether it can still end in time.
@@ -28,8 +26,8 @@
 )
 
 // plannedWork returns how long a step takes once it may start.
-func plannedWork(j *workload.Job, index int) time.Duration {
-	work := j.Spec.Steps[index].Estimate
+func plannedWork(j *job, index int) time.Duration {
+	work := j.steps[index].expected
 	if j.Queue.Advice != nil {
 		work += adviceTime(j.Queue.Advice, estimatedAdviceWorkers)
 	}
@@ -41,7 +39,7 @@
 	longest := time.Duration(0)
 	for i := len(j.steps) - 1; i >= 0; i-- {
 		// Steps depend on earlier steps only, so the critical path of this step is complete.
-		j.steps[i].criticalPath += plannedWork(j.Job, i)
+		j.steps[i].criticalPath += plannedWork(j, i)
 		for _, dependency := range j.Spec.Steps[i].DependsOn {
 			j.steps[dependency].criticalPath = max(j.steps[dependency].criticalPath, j.steps[i].criticalPath)
 		}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/runtimes"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
@@ -76,6 +77,10 @@
 	holdInFlight     bool // a hold is in flight
 	nextHoldAt       time.Time
 	holdSentAt       time.Time // send time of the hold in flight
+	// holdAnsweredAt is when the last hold was answered, and holdGap the time from then until the hold in
+	// flight was sent. A run that has ended in this time is reported later than it ended.
+	holdAnsweredAt time.Time
+	holdGap        time.Duration
 	// tokenCount increases with each ended boot of this worker ID that this leader knows of, and with
 	// starts that are to be carried out before earlier calls. tokenAccepted is true after the worker has
 	// answered a call with bootToken, the first token after the last ended boot, or a higher one.
@@ -118,7 +123,7 @@
 	runs             map[workload.TaskID]*run
 	// inDoubtTasks are the tasks with a start that this boot, or a later one, may still carry out.
 	inDoubtTasks map[workload.TaskID]bool
-	speed        float64 // speed of its runs relative to other runs of the same steps
+	speed        runtimes.Speed // speed of its runs, of which only the relation to other workers counts
 	// failureEvidence is the log-likelihood ratio of the assumption that the worker causes its runs
 	// to fail; 0 means no evidence.
 	failureEvidence float64
@@ -178,7 +183,7 @@
 		return
 	}
 	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{},
-		proposedLateEnds: map[workload.TaskID]lateEnd{}, nextHoldAt: c.now, speed: 1}
+		proposedLateEnds: map[workload.TaskID]lateEnd{}, nextHoldAt: c.now}
 	if existing != nil {
 		existing.laterWorker = created
 		created.reserved, created.expectedUse = existing.reserved, existing.expectedUse
@@ -368,6 +373,7 @@
 	}
 	w.holdInFlight = true
 	w.holdSentAt = c.now
+	w.holdGap = c.now.Sub(w.holdAnsweredAt)
 	w.ackSent = w.ackToSend()
 	lease := c.leaseOfHold(w)
 	if lease > 0 {
--- a/core/runtimes/group.go
+++ b/core/runtimes/group.go
@@ -16,9 +16,11 @@
 	// minVariance is the lowest variance of the logarithm of a ratio that is assumed, that of run
 	// times which differ by a twentieth. It covers the delay of the answers of workers.
 	minVariance = 0.0025
-	// priorSpread is the variance that is assumed for the declared run times of a group before it is
-	// known, that of a run time that is off by half.
+	// priorSpread and priorWithin are the variances of the logarithm of the ratio that are assumed
+	// between the steps of a group and within a step: those of run times that are off by half and by a
+	// fifth.
 	priorSpread = 0.16
+	priorWithin = 0.04
 )
 
 // Group is what is learned about a group of runs. The zero value has learned nothing.
@@ -94,21 +96,21 @@
 
 // variances returns the variance of the logarithm of the ratio within a step and between steps.
 func (g *Group) variances() (within, between float64) {
-	within, total := max(g.Within.LogVariance(), minVariance), g.Declared.LogVariance()
-	if !g.Known() {
-		return within, priorSpread
-	}
-	return within, max(total-within, minVariance)
+	within = withPrior(&g.Within, g.Within.LogVariance(), priorWithin)
+	between = withPrior(&g.Declared, g.Declared.LogVariance()-g.Within.LogVariance(), priorSpread)
+	return within, between
+}
+
+// withPrior returns a learned variance, to which priorRuns runs with the prior one contribute.
+func withPrior(h *Histogram, learned, prior float64) float64 {
+	n := float64(h.Total())
+	return max((n*learned+priorRuns*prior)/(n+priorRuns), minVariance)
 }
 
 // Noise returns the variance of the logarithm of the time that a run takes on a worker of speed 1, as
 // far as the group and the siblings say. missed is the time that the measurement may be off.
 func (g *Group) Noise(s *Siblings, measured, missed time.Duration) float64 {
 	within, between := g.variances()
-	if g.Within.Total() < minTailSamples {
-		// A variance of few runs is uncertain. Without a long tail, tasks differ by a fifth.
-		within = max(within, priorWithin)
-	}
 	share := missed.Seconds() / max(measured, time.Millisecond).Seconds()
 	noise := within + share*share
 	if s.count == 0 {
@@ -117,9 +119,6 @@
 	return noise + 1/(1/between+float64(s.count)/within)
 }
 
-// priorWithin is the variance that is assumed within a step before it is known.
-const priorWithin = 0.04
-
 // Tail returns the multiple of its declared run time that hardly any run of the group exceeds, and
 // prior while that is not known.
 func (g *Group) Tail(prior float64) float64 { return tail(&g.Declared, prior) }
