core/dispatch: work that could be late takes the fastest workers

A worker was either slow or not, by its gangs above all. It now belongs to one of three classes, by its learned speed in relation to the median. Steps that could be late, and gangs that could be late, take the fastest free workers, and others the slowest, so that no worker stays idle for its speed.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -76,6 +76,8 @@
 	bounds           bounds
 	// slowSpeedThreshold is the speed below which a worker counts as slow.
 	slowSpeedThreshold float64
+	// fastSpeedThreshold is the speed above which a worker counts as fast.
+	fastSpeedThreshold float64
 	// medianSpeed is the median of the speeds of the workers.
 	medianSpeed     float64
 	runTimes        learnedRunTimes
--- a/core/dispatch/naming.go
+++ b/core/dispatch/naming.go
@@ -67,7 +67,7 @@
 		switch {
 		case !c.acceptsRuns(w) || c.isAvoided(w):
 			index.unusable = append(index.unusable, w)
-		case c.isSlow(w):
+		case c.speedClassOf(w) == speedSlow:
 			index.slow = append(index.slow, w)
 		default:
 			index.fast = append(index.fast, w)
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -40,7 +40,7 @@
 		free += w.freeInPlan.MilliCPU
 	}
 	c.capacityScarce = free*100 < c.totalMilliCPU*scarceFreePercent
-	c.updateSlowThreshold()
+	c.updateSpeedClasses()
 	c.refreshExpectations()
 }
 
@@ -332,14 +332,13 @@
 	free            workload.Resources
 	tasks           int // tasks of the step on the worker
 	onPreferredRack bool
-	slow            bool
+	speed           speedClass
 	oneRunOnly      bool // the worker gets one run at a time
 }
 
 // chooseWorkers picks a worker for each waiting task while free resources remain. If requireTickets
-// is set, only workers with a valid ticket count. A gang is as slow as its slowest member, so it
-// uses slow workers only if it does not fit on the others. Other steps leave the fast workers to
-// gangs unless they would be late.
+// is set, only workers with a valid ticket count. Steps that would not be late leave the faster workers
+// to others.
 func (c *Core) chooseWorkers(r readyStep, s *step, spec *workload.StepSpec, requireTickets bool) []workload.TaskAssignment {
 	candidates := c.candidates(r, s, spec, requireTickets, false)
 	if !spec.Gang {
@@ -348,16 +347,7 @@
 	if !allTasksFit(candidates, spec) {
 		return nil
 	}
-	c.fastBuffer = c.fastBuffer[:0]
-	for _, cand := range candidates {
-		if !cand.slow {
-			c.fastBuffer = append(c.fastBuffer, cand)
-		}
-	}
-	if allTasksFit(c.fastBuffer, spec) {
-		candidates = c.fastBuffer
-	}
-	return c.assignTasks(r, s, spec, candidates, false)
+	return c.assignTasks(r, s, spec, c.fasterCandidates(r, candidates), r.job.needsFastWorkers(r.index, c.now))
 }
 
 // allTasksFit reports whether all tasks of a step fit on the candidates.
@@ -471,7 +461,7 @@
 	if w.Service != q.job.Queue.Service || !fitsEmptyWorker(w, spec) || q.excludeSuspects && q.step.isSuspect(w, spec, q.lastAttempt) || (q.excludeSuspects || c.capacityScarce) && c.isAvoided(w) {
 		return
 	}
-	cand := candidate{worker: w, free: w.freeInPlan, slow: c.isSlow(w), oneRunOnly: w.onProbation() && (q.excludeSuspects || !spec.Gang), onPreferredRack: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
+	cand := candidate{worker: w, free: w.freeInPlan, speed: c.speedClassOf(w), oneRunOnly: w.onProbation() && (q.excludeSuspects || !spec.Gang), onPreferredRack: spec.PreferredRack == "" || slices.Contains(w.Labels, spec.PreferredRack)}
 	if spec.MaxPerWorker > 0 {
 		cand.tasks = c.openTasksOn(q.readyStep, w.ID)
 	}
@@ -494,8 +484,8 @@
 }
 
 // bestFit returns the candidate with the least free resources that fits a task, so that large tasks
-// find empty workers. Candidates on the preferred rack come first, then slow ones, or fast ones if
-// fastFirst is set.
+// find empty workers. Candidates on the preferred rack come first, then the slowest ones, or the
+// fastest ones if fastFirst is set.
 func bestFit(candidates []candidate, spec *workload.StepSpec, fastFirst bool) *candidate {
 	var best *candidate
 	for i := range candidates {
@@ -514,8 +504,8 @@
 	switch {
 	case cand.onPreferredRack != other.onPreferredRack:
 		return cand.onPreferredRack
-	case cand.slow != other.slow:
-		return cand.slow != fastFirst
+	case cand.speed != other.speed:
+		return cand.speed > other.speed == fastFirst
 	}
 	return cand.free.MilliCPU < other.free.MilliCPU
 }
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/workload"
@@ -29,8 +28,6 @@
 	minRateSamples = 3
 	// minMeasuredPercent is the minimum progress, in percentage points, to calculate a rate from.
 	minMeasuredPercent = 10
-	// slowSpeedPercent is the speed, in percent of the median, below which a worker counts as slow.
-	slowSpeedPercent = 90
 	// speedUpdateInterval is the minimum time between two calculations of the median speed.
 	speedUpdateInterval = time.Second
 )
@@ -143,21 +140,3 @@
 	c.requestStop(w, r, "stalled")
 	c.stopGang(id)
 }
-
-// updateSlowThreshold updates the speed below which a worker counts as slow.
-func (c *Core) updateSlowThreshold() {
-	if c.now.Before(c.nextSpeedUpdate) || len(c.usableWorkers) == 0 {
-		return
-	}
-	c.nextSpeedUpdate = c.now.Add(speedUpdateInterval)
-	speeds := make([]float64, 0, len(c.usableWorkers))
-	for _, w := range c.usableWorkers {
-		speeds = append(speeds, w.speed.Value())
-	}
-	slices.Sort(speeds)
-	c.medianSpeed = speeds[len(speeds)/2]
-	c.slowSpeedThreshold = c.medianSpeed * slowSpeedPercent / 100
-}
-
-// isSlow reports whether runs take considerably longer on a worker than on most others.
-func (c *Core) isSlow(w *worker) bool { return w.speed.Value() < c.slowSpeedThreshold }
