core/dispatch: workers that become slow, and a test of learned run times

The played cell offers 80 to 110 percent of its capacity in three queues of different priority, on workers of speed 0.8, 1 and 1.25, with declared run times that are off by up to 0.9 and 3 percent of long tasks.

The play showed two faults. The mean of the ratio is far above what most jobs take, so jobs counted as on time that were not; the mean of its logarithm is used. And the learned tail excused workers that had become slow for seconds: a drop of the rate of a run now shows such a worker, which counts as slow, gets the former thresholds, and teaches nothing.

--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -59,7 +59,7 @@
 		return
 	}
 	s := &j.steps[id.Step]
-	if missed, known := c.missedTime(w, r); known && missed.Seconds() <= maxMissedShare*elapsed.Seconds() {
+	if missed, known := c.missedTime(w, r); known && !r.slowdown.seen && missed.Seconds() <= maxMissedShare*elapsed.Seconds() {
 		c.learnRunTime(w, j, id.Step, elapsed, missed)
 	}
 	s.rates.sum += 100 / float64(elapsed.Milliseconds()+1) / c.relativeSpeed(w)
@@ -82,7 +82,7 @@
 // before.
 func (c *Core) learnRunTime(w *worker, j *job, index int, elapsed, missed time.Duration) {
 	declared := j.Spec.Steps[index].Estimate
-	if declared <= 0 {
+	if declared <= 0 || c.opts.TrustDeclared {
 		return
 	}
 	s := &j.steps[index]
@@ -106,7 +106,7 @@
 	if rate > 0 {
 		w.speed.Observe(rate/rates.gangBestRate*rates.gangBestSpeed*c.medianSpeed, gangNoise)
 	}
-	if declared := j.Spec.Steps[index].Estimate; declared > 0 && s.siblings.Count() == 0 {
+	if declared := j.Spec.Steps[index].Estimate; declared > 0 && s.siblings.Count() == 0 && !c.opts.TrustDeclared {
 		took := time.Duration(100 / rates.gangBestRate * rates.gangBestSpeed * float64(time.Millisecond))
 		j.group.Add(s.siblings.Observe(took, declared))
 		j.expectRunTimes()
@@ -118,7 +118,7 @@
 func (c *Core) learnFromStalledRun(w *worker, id workload.TaskID, r *run) {
 	j := c.jobsByID[id.Job]
 	spec, rate := &j.Spec.Steps[id.Step], r.rate()
-	if spec.Gang || rate == 0 {
+	if spec.Gang || rate == 0 || c.hasSlowedDown(w) || c.opts.TrustDeclared {
 		return
 	}
 	takes := time.Duration(100 / rate * c.relativeSpeed(w) * float64(time.Millisecond))
@@ -150,11 +150,20 @@
 	}
 }
 
-// estimateTail returns the multiple of its estimate that a run of a job may take.
-func (j *job) estimateTail() float64 { return max(j.group.Tail(maxEstimateFactor), minTailFactor) }
+// estimateTail returns the multiple of its estimate that a run may take on a worker. What is learned about
+// long tasks does not excuse a worker that has become slow.
+func (c *Core) estimateTail(w *worker, j *job) float64 {
+	if c.hasSlowedDown(w) {
+		return maxEstimateFactor
+	}
+	return max(j.group.Tail(maxEstimateFactor), minTailFactor)
+}
 
 // siblingRateShare returns the minimum rate of a healthy run in relation to the mean of its step.
-func (j *job) siblingRateShare() float64 {
+func (c *Core) siblingRateShare(w *worker, j *job) float64 {
+	if c.hasSlowedDown(w) {
+		return minHealthyRateShare
+	}
 	return min(1/j.group.WithinTail(1/minHealthyRateShare), minHealthyRateShare)
 }
 
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -75,10 +75,13 @@
 	if percent < 100 {
 		r.latestReport = progress{clock, percent}
 	}
+	if !spec.Gang {
+		c.observeSlowdown(w, r, progress{clock, percent})
+	}
 	if rate := r.rate(); spec.Gang && rate > s.rates.gangBestRate {
 		s.rates.gangBestRate, s.rates.gangBestSpeed = rate, c.relativeSpeed(w)
 	}
-	if percent < 100 && c.isStalled(r, j, id.Step) {
+	if percent < 100 && c.isStalled(w, r, j, id.Step) {
 		c.learnFromStalledRun(w, id, r)
 		c.stopStalledRun(w, id, r, s)
 	}
@@ -96,17 +99,17 @@
 // isStalled reports whether a run has lost so much time that it should be restarted on another
 // worker. The run is given up once the lost time equals the cost of a restart, so waiting at most
 // doubles that cost.
-func (c *Core) isStalled(r *run, j *job, index int) bool {
+func (c *Core) isStalled(w *worker, r *run, j *job, index int) bool {
 	s, spec := &j.steps[index], &j.Spec.Steps[index]
 	if spec.Estimate <= 0 {
 		return false
 	}
-	minRate := 100 / (j.estimateTail() * float64(spec.Estimate.Milliseconds()))
+	minRate := 100 / (c.estimateTail(w, j) * float64(spec.Estimate.Milliseconds()))
 	switch {
 	case spec.Gang && s.rates.gangBestRate > 0:
 		minRate = minHealthyRateShare * s.rates.gangBestRate
 	case !spec.Gang && s.rates.count >= minRateSamples:
-		minRate = j.siblingRateShare() * s.rates.mean()
+		minRate = c.siblingRateShare(w, j) * s.rates.mean()
 	}
 	from := r.firstAdvance
 	if from.clock == 0 {
--- /dev/null
+++ b/core/dispatch/runtimes_test.go
@@ -0,0 +1,165 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// threeQueues are queues of different priority.
+func threeQueues() []workload.Queue {
+	return []workload.Queue{
+		{Name: "urgent", Service: "shop", MaxAttempts: 5, Priority: 0, SlackFactor: 1.5, TargetLatency: 400 * time.Millisecond},
+		{Name: "usual", Service: "shop", MaxAttempts: 5, Priority: 1, SlackFactor: 2, TargetLatency: time.Second},
+		{Name: "slow", Service: "shop", MaxAttempts: 5, Priority: 2, SlackFactor: 3, TargetLatency: 2 * time.Second},
+	}
+}
+
+// playSeeds plays a cell several times and adds up the results, by queue.
+func playSeeds(load cellLoad, seeds int, trustDeclared bool) map[string]cellResult {
+	sums := map[string]cellResult{}
+	for seed := range seeds {
+		for name, r := range playCell(load, uint64(seed), func(o *dispatch.Options) { o.TrustDeclared = trustDeclared }) {
+			sum := sums[name]
+			sum.add(*r)
+			sums[name] = sum
+		}
+	}
+	return sums
+}
+
+func (r *cellResult) add(o cellResult) {
+	r.jobs, r.inTime, r.worth, r.stalled = r.jobs+o.jobs, r.inTime+o.inTime, r.worth+o.worth, r.stalled+o.stalled
+	if r.starts == nil {
+		r.starts = map[float64]int{}
+	}
+	for speed, n := range o.starts {
+		r.starts[speed] += n
+	}
+}
+
+// noise returns two standard errors of the difference of two shares of so many jobs each.
+func noise(share float64, jobs int) float64 {
+	return 2 * math.Sqrt(2*share*(1-share)/float64(jobs))
+}
+
+// comparison is what the clients get with and without learning, by queue and for all queues together.
+type comparison struct{ learned, declared cellResult }
+
+func compare(t *testing.T, load cellLoad, seeds int) map[string]comparison {
+	learned, declared := playSeeds(load, seeds, false), playSeeds(load, seeds, true)
+	all := comparison{}
+	result := map[string]comparison{}
+	for _, q := range load.queues {
+		c := comparison{learned[q.Name], declared[q.Name]}
+		result[q.Name] = c
+		all.learned.add(c.learned)
+		all.declared.add(c.declared)
+	}
+	result["all"] = all
+	for name, c := range result {
+		t.Logf("%s: %d jobs, in time %.3f (%.3f as declared), worth %.3f (%.3f), given up %d (%d)", name, c.learned.jobs,
+			c.learned.inTimeShare(), c.declared.inTimeShare(), c.learned.meanWorth(), c.declared.meanWorth(), c.learned.stalled, c.declared.stalled)
+	}
+	return result
+}
+
+func (c comparison) gain() float64  { return c.learned.meanWorth() - c.declared.meanWorth() }
+func (c comparison) noise() float64 { return noise(c.declared.meanWorth(), c.declared.jobs) }
+
+// threeSpeeds are the kinds of workers of the platform.
+var threeSpeeds = []float64{0.8, 1, 1.25}
+
+// The load of these tests: a cell at 80 to 110 percent of its capacity, queues of three priorities, and
+// declared run times that are off by a factor of 0.1 to 1.9.
+func loadedCell(load float64) cellLoad {
+	return cellLoad{workers: 20, speeds: threeSpeeds, load: load, duration: 40 * time.Second, queues: threeQueues(), gangs: 0.15}
+}
+
+// Learning must lose nothing where declared run times are right: a cell must serve its clients as
+// before.
+func TestRightRunTimesAreServedAsDeclared(t *testing.T) {
+	for _, load := range []float64{0.8, 0.95, 1.1} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			t.Parallel()
+			cell := loadedCell(load)
+			cell.speeds = []float64{1}
+			for name, c := range compare(t, cell, 4) {
+				if math.Abs(c.gain()) > c.noise() {
+					t.Errorf("%s: worth changes by %.3f, noise is %.3f", name, c.gain(), c.noise())
+				}
+			}
+		})
+	}
+}
+
+// Learning must gain where declared run times are wrong and tasks have a long tail, and must not lose in
+// any queue. Without learning, long tasks were given up again and again.
+func TestLearnedRunTimesGain(t *testing.T) {
+	for _, load := range []float64{0.8, 0.95, 1.1} {
+		for _, slowEvery := range []time.Duration{0, time.Minute} {
+			t.Run(fmt.Sprint(load, slowEvery), func(t *testing.T) {
+				t.Parallel()
+				cell := loadedCell(load)
+				cell.error, cell.longTasks, cell.slowEvery = 0.9, 0.03, slowEvery
+				results := compare(t, cell, 4)
+				for name, c := range results {
+					if c.gain() < -c.noise() {
+						t.Errorf("%s: worth falls by %.3f, noise is %.3f", name, -c.gain(), c.noise())
+					}
+				}
+				if all := results["all"]; all.gain() < all.noise() {
+					t.Errorf("worth changes by %.3f, noise is %.3f", all.gain(), all.noise())
+				}
+			})
+		}
+	}
+}
+
+// Learning must not lose where only one thing is wrong: the declared run times by half, or by nearly all,
+// workers that become slow for seconds, or all run times by the same factor.
+func TestLearnedRunTimesLoseNowhere(t *testing.T) {
+	for name, change := range map[string]func(*cellLoad){
+		"off by half":      func(c *cellLoad) { c.error = 0.5 },
+		"off by 0.9":       func(c *cellLoad) { c.error = 0.9 },
+		"slow workers":     func(c *cellLoad) { c.slowEvery = time.Minute },
+		"all a third":      func(c *cellLoad) { c.scale = 0.33 },
+		"all three times":  func(c *cellLoad) { c.scale = 3 },
+		"long tasks alone": func(c *cellLoad) { c.longTasks = 0.03 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cell := loadedCell(0.95)
+			change(&cell)
+			for name, c := range compare(t, cell, 4) {
+				if c.gain() < -c.noise() {
+					t.Errorf("%s: worth falls by %.3f, noise is %.3f", name, -c.gain(), c.noise())
+				}
+			}
+		})
+	}
+}
+
+// Urgent work must run on fast workers and work with slack on slow ones, and the slow ones must not stay
+// idle.
+func TestUrgentWorkRunsOnFastWorkers(t *testing.T) {
+	cell := loadedCell(0.6)
+	cell.queues[0].SlackFactor, cell.queues[2].SlackFactor = 1.2, 8
+	results := playSeeds(cell, 4, false)
+	share := func(queue string, speed float64) float64 {
+		starts := results[queue].starts
+		return float64(starts[speed]) / float64(starts[0.8]+starts[1]+starts[1.25])
+	}
+	urgent, slack := share("urgent", 1.25), share("slow", 1.25)
+	t.Logf("on fast workers: %.2f of the urgent runs, %.2f of those with slack; on slow ones %.2f and %.2f", urgent, slack, share("urgent", 0.8), share("slow", 0.8))
+	if urgent < 0.4 || slack > 0.3 {
+		t.Errorf("%.2f of the urgent runs and %.2f of those with slack are on fast workers", urgent, slack)
+	}
+	if share("slow", 0.8) < 1.0/3 {
+		t.Errorf("%.2f of the runs with slack are on slow workers", share("slow", 0.8))
+	}
+}
--- a/core/dispatch/speedclass.go
+++ b/core/dispatch/speedclass.go
@@ -23,7 +23,7 @@
 // speedClassOf returns the class of a worker by what is known about its speed.
 func (c *Core) speedClassOf(w *worker) speedClass {
 	switch speed := w.speed.Value(); {
-	case speed < c.slowSpeedThreshold:
+	case speed < c.slowSpeedThreshold, c.hasSlowedDown(w):
 		return speedSlow
 	case speed > c.fastSpeedThreshold && c.fastSpeedThreshold > 0:
 		return speedFast
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -24,6 +24,8 @@
 	ClockLagPPM int64
 	// SelfAddress is the address of this process as an advice requester.
 	SelfAddress string
+	// TrustDeclared is set if run times are expected as declared, whatever finished runs have taken.
+	TrustDeclared bool
 }
 
 // Call identifies the worker that a call goes to and carries the fencing token.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -124,6 +124,9 @@
 	// inDoubtTasks are the tasks with a start that this boot, or a later one, may still carry out.
 	inDoubtTasks map[workload.TaskID]bool
 	speed        runtimes.Speed // speed of its runs, of which only the relation to other workers counts
+	// slowUntil is until when the worker counts as slow, and slowedBy the run that showed it last.
+	slowUntil time.Time
+	slowedBy  *run
 	// failureEvidence is the log-likelihood ratio of the assumption that the worker causes its runs
 	// to fail; 0 means no evidence.
 	failureEvidence float64
@@ -170,6 +173,7 @@
 	firstReport    progress // first report of the run
 	firstAdvance   progress // first report in which the run had advanced
 	latestReport   progress // latest report below 100 percent
+	slowdown       slowdown
 }
 
 // updateWorker follows a change of a registered worker in the state.
--- a/core/runtimes/group.go
+++ b/core/runtimes/group.go
@@ -51,8 +51,8 @@
 
 // Siblings are the ended runs of one step, whose tasks have the same declared run time.
 type Siblings struct {
-	count int
-	sum   float64 // of the ratios
+	count  int
+	logSum float64 // of the ratios
 }
 
 // minSiblings is the number of ended siblings from which a run is compared with their mean.
@@ -62,18 +62,17 @@
 // it adds to the group of the step.
 func (s *Siblings) Observe(measured, declared time.Duration) Sample {
 	sample := s.Sample(measured, declared)
-	// A single run of a long tail must not change the expectation of all others for good.
-	s.sum += min(measured.Seconds()/declared.Seconds(), bucketRatios[bucketCount-1])
+	s.logSum += math.Log(ratioOf(measured, declared))
 	s.count++
 	return sample
 }
 
 // Sample returns what a run adds to the group of the step if it takes measured.
 func (s *Siblings) Sample(measured, declared time.Duration) Sample {
-	sample := Sample{Declared: BucketOf(measured, declared)}
-	if s.count >= minSiblings && s.sum > 0 {
-		ratio := measured.Seconds() / declared.Seconds()
-		sample.Within, sample.HasWithin = bucketOfRatio(ratio*float64(s.count)/s.sum), true
+	ratio := ratioOf(measured, declared)
+	sample := Sample{Declared: bucketOf(ratio)}
+	if s.count >= minSiblings {
+		sample.Within, sample.HasWithin = bucketOf(ratio/math.Exp(s.logSum/float64(s.count))), true
 	}
 	return sample
 }
@@ -83,15 +82,19 @@
 
 // Ratio returns the expected ratio of a run: that of its group and that of its siblings, by the
 // credibility of the latter. It grows with their number, and with the spread between the steps of
-// the group in relation to that within a step (Bühlmann's credibility factor).
+// the group in relation to that within a step (Bühlmann's credibility factor). The mean is that of the
+// logarithm, which half of the runs exceed and a few long ones hardly change.
 func (g *Group) Ratio(s *Siblings) float64 {
-	mean := g.Declared.Mean(priorRuns)
-	if s.count == 0 {
-		return mean
+	logMean := g.Declared.LogMean(priorRuns)
+	if s.count > 0 {
+		within, between := g.variances()
+		credibility := float64(s.count) / (float64(s.count) + within/between)
+		logMean += credibility * (s.logSum/float64(s.count) - logMean)
 	}
-	within, between := g.variances()
-	credibility := float64(s.count) / (float64(s.count) + within/between)
-	return mean + credibility*(s.sum/float64(s.count)-mean)
+	if logMean == 0 {
+		return 1
+	}
+	return math.Exp(logMean)
 }
 
 // variances returns the variance of the logarithm of the ratio within a step and between steps.
--- a/core/runtimes/histogram.go
+++ b/core/runtimes/histogram.go
@@ -31,12 +31,11 @@
 	return ratios
 }()
 
-// BucketOf returns the bucket of the ratio of a measured to a declared run time.
-func BucketOf(measured, declared time.Duration) Bucket {
-	return bucketOfRatio(measured.Seconds() / max(declared, time.Nanosecond).Seconds())
+func ratioOf(measured, declared time.Duration) float64 {
+	return max(measured, time.Microsecond).Seconds() / max(declared, time.Microsecond).Seconds()
 }
 
-func bucketOfRatio(ratio float64) Bucket {
+func bucketOf(ratio float64) Bucket {
 	if ratio <= bucketRatios[0] {
 		return -maxBucket
 	}
@@ -50,9 +49,8 @@
 type Histogram struct {
 	counts [bucketCount]uint16 // in units of 1/sampleUnits
 	total  int                 // sum of the counts
-	// sum and logSum, logSquares are the sums of the ratios, of the bucket numbers and of their
-	// squares. They follow from the counts.
-	sum                float64
+	// logSum and logSquares are the sums of the bucket numbers and of their squares. They follow from the
+	// counts.
 	logSum, logSquares int
 }
 
@@ -70,7 +68,6 @@
 
 func (h *Histogram) addToSums(b Bucket, count int) {
 	h.total += count
-	h.sum += float64(count) * bucketRatios[b+maxBucket]
 	h.logSum += count * int(b)
 	h.logSquares += count * int(b) * int(b)
 }
@@ -117,23 +114,24 @@
 	return h
 }
 
-// Mean returns the mean ratio of the counted ones and a number of ratios of 1, or 1 without any.
-func (h *Histogram) Mean(ones int) float64 {
-	ones *= sampleUnits
-	if h.total+ones == 0 {
-		return 1
+// LogMean returns the mean of the logarithm of the counted ratios and of a number of ratios of 1.
+func (h *Histogram) LogMean(ones int) float64 {
+	if h.total == 0 {
+		return 0
 	}
-	return (h.sum + float64(ones)) / float64(h.total+ones)
+	return bucketLog * float64(h.logSum) / float64(h.total+ones*sampleUnits)
 }
 
+// bucketLog is the logarithm of the ratio of two neighbouring buckets.
+const bucketLog = math.Ln2 / bucketsPerDoubling
+
 // LogVariance returns the variance of the logarithm of the ratio.
 func (h *Histogram) LogVariance() float64 {
 	if h.total == 0 {
 		return 0
 	}
 	mean := float64(h.logSum) / float64(h.total)
-	const unit = math.Ln2 / bucketsPerDoubling
-	return max(float64(h.logSquares)/float64(h.total)-mean*mean, 0) * unit * unit
+	return max(float64(h.logSquares)/float64(h.total)-mean*mean, 0) * bucketLog * bucketLog
 }
 
 // Quantile returns the upper bound of the bucket in which the given share of the ratios ends.
