core/workload, core/dispatch: a new leader knows the learned run times

A new leader began with the declared run times and gave up long tasks until it had seen fifty runs of a queue. The leader now reports what ended runs say once a second, with proposals that it makes anyway, as an entry of Decide.Ends that earlier versions ignore.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -114,6 +114,7 @@
 		inDoubtStarts: inDoubtStarts{},
 		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, medianSpeed: 1, runTimes: newLearnedRunTimes(), namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{},
 	}
+	c.recoverRunTimes()
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
 	for _, w := range state.Workers() {
 		c.updateWorker(w)
@@ -325,7 +326,7 @@
 
 func (c *Core) proposeEnds() {
 	if len(c.pendingEnds) > 0 || c.begunReportsDue() {
-		c.queueBegunReports()
+		c.queueReports()
 	}
 	if len(c.pendingEnds) > 0 {
 		c.nextEndsAt = c.now.Add(endsInterval)
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -33,10 +33,14 @@
 type learnedRunTimes struct {
 	groups      runtimes.Recent[string, runtimes.Group]
 	nextRefresh time.Time
+	reports     runTimeReports
 }
 
 func newLearnedRunTimes() learnedRunTimes {
-	return learnedRunTimes{groups: runtimes.NewRecent[string, runtimes.Group](maxLearnedQueues / 2)}
+	return learnedRunTimes{
+		groups:  runtimes.NewRecent[string, runtimes.Group](maxLearnedQueues / 2),
+		reports: runTimeReports{samples: map[string][]runtimes.Sample{}},
+	}
 }
 
 func (l *learnedRunTimes) groupOf(queue string) *runtimes.Group { return l.groups.FindOrAdd(queue) }
@@ -91,7 +95,7 @@
 		shown := j.group.Ratio(&s.siblings) * declared.Seconds() / elapsed.Seconds()
 		w.speed.Observe(shown*c.medianSpeed, j.group.Noise(&s.siblings, elapsed, missed))
 	}
-	j.group.Add(s.siblings.Observe(runtimes.Scale(elapsed, relative), declared))
+	c.addSample(j, s.siblings.Observe(runtimes.Scale(elapsed, relative), declared))
 	j.expectRunTimes()
 }
 
@@ -108,7 +112,7 @@
 	}
 	if declared := j.Spec.Steps[index].Estimate; declared > 0 && s.siblings.Count() == 0 && !c.opts.TrustDeclared {
 		took := time.Duration(100 / rates.gangBestRate * rates.gangBestSpeed * float64(time.Millisecond))
-		j.group.Add(s.siblings.Observe(took, declared))
+		c.addSample(j, s.siblings.Observe(took, declared))
 		j.expectRunTimes()
 	}
 }
@@ -122,7 +126,7 @@
 		return
 	}
 	takes := time.Duration(100 / rate * c.relativeSpeed(w) * float64(time.Millisecond))
-	j.group.Add(j.steps[id.Step].siblings.Sample(takes, spec.Estimate))
+	c.addSample(j, j.steps[id.Step].siblings.Sample(takes, spec.Estimate))
 }
 
 // expectRunTimes calculates the expected run times of the steps, the critical path and the objective.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -86,7 +86,7 @@
 	if len(decide.Assigns) == 0 {
 		return
 	}
-	c.queueBegunReports()
+	c.queueReports()
 	// The ends come first, because they free resources that the assignments may use.
 	n := min(len(c.pendingEnds), maxEndsPerProposal)
 	decide.Ends = slices.Clone(c.pendingEnds[:n])
--- a/core/dispatch/runtimes_test.go
+++ b/core/dispatch/runtimes_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/runtimes"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
 
@@ -163,3 +164,52 @@
 		t.Errorf("%.2f of the runs with slack are on slow workers", share("slow", 0.8))
 	}
 }
+
+// A new leader must know the run times that its predecessors have learned: it must not give up tasks that
+// take several times their estimate in a queue in which many do.
+func TestNewLeaderKnowsRunTimes(t *testing.T) {
+	step := workload.StepSpec{Tasks: 1, Size: wholeWorker, Estimate: time.Second}
+	samples := make([]runtimes.Sample, 100)
+	for i := range samples[:5] {
+		samples[i].Declared = 11
+	}
+	for _, known := range []bool{false, true} {
+		teams := configureQueues(workload.Queue{Name: "q", Service: "shop", MaxAttempts: 3})
+		teams.Configure.Version, teams.Configure.Teams = 2, []workload.Team{{Name: "a"}}
+		commands := []workload.Command{teams, submitJob("j", step), registerWorker("w0", 1), registerWorker("w1", 1)}
+		if known {
+			commands = append(commands, workload.Command{Decide: &workload.Decide{Ends: []workload.EndedRun{workload.RunTimeReport("q", samples)}}})
+		}
+		b := newTestbed(t, commands...)
+		b.tick(0)
+		b.answerHolds(dispatch.HoldReport{})
+		starts := b.commit(b.tick(replanDelay)).Starts
+		if len(starts) != 1 {
+			t.Fatalf("starts %+v", starts)
+		}
+		b.core.StartAnswered(b.now, starts[0], dispatch.OutcomeOK, 0)
+		stops, after := b.runUntilStop(6*time.Second, starts, func(_ dispatch.Start, after time.Duration) int { return min(int(after*100/(9*step.Estimate)), 99) })
+		if stopped := len(stops) > 0; stopped == known {
+			t.Errorf("run times known: %v, stops %+v after %v", known, stops, after)
+		}
+	}
+}
+
+// What was learned must reach the replicas, so that the next leader has it.
+func TestRunTimesAreReported(t *testing.T) {
+	cell := loadedCell(0.8)
+	cell.workers, cell.duration, cell.scale = 5, 20*time.Second, 0.5
+	cell.teams = []workload.Team{{Name: "a"}}
+	s := newLoadSim(cell, 1, nil)
+	s.play()
+	queues := 0
+	s.mirror.RunTimes(func(queue string, group runtimes.Group) {
+		queues++
+		if ratio := group.Ratio(&runtimes.Siblings{}); ratio < 1.5 || ratio > 2.5 {
+			t.Errorf("queue %s: run times are %.2f of the declared ones, want 2", queue, ratio)
+		}
+	})
+	if queues != 3 {
+		t.Errorf("run times of %d queues, want 3", queues)
+	}
+}
--- a/core/dispatch/runtimesim_test.go
+++ b/core/dispatch/runtimesim_test.go
@@ -22,6 +22,7 @@
 	longTasks float64   // share of the tasks that take up to seven times as long
 	duration  time.Duration
 	queues    []workload.Queue
+	teams     []workload.Team
 	gangs     float64       // share of the steps that are gangs
 	slowEvery time.Duration // mean time until a worker becomes slow for some seconds; 0 is never
 }
@@ -91,6 +92,12 @@
 }
 
 func playCell(load cellLoad, seed uint64, options func(*dispatch.Options)) map[string]*cellResult {
+	s := newLoadSim(load, seed, options)
+	s.play()
+	return s.results
+}
+
+func newLoadSim(load cellLoad, seed uint64, options func(*dispatch.Options)) *loadSim {
 	s := &loadSim{
 		cellLoad: load, rng: rand.New(rand.NewPCG(seed, 99)), mirror: workload.New(),
 		workers: map[workload.WorkerID]*loadWorker{}, jobs: map[workload.JobID]*loadJob{}, results: map[string]*cellResult{},
@@ -100,7 +107,9 @@
 		initial.Apply(epoch, 0, c)
 		s.mirror.Apply(epoch, 0, c)
 	}
-	apply(configureQueues(load.queues...))
+	configuration := configureQueues(load.queues...)
+	configuration.Configure.Teams = load.teams
+	apply(configuration)
 	for _, q := range load.queues {
 		s.results[q.Name] = &cellResult{starts: map[float64]int{}}
 	}
@@ -123,13 +132,16 @@
 			s.after(time.Duration(s.rng.ExpFloat64()*float64(s.slowEvery)), func() { s.slowDown(w) })
 		}
 	}
+	return s
+}
+
+func (s *loadSim) play() {
 	for len(s.events) > 0 && s.now < s.duration+cellDrainTime {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.do()
 		s.runLeader()
 	}
-	return s.results
 }
 
 func (s *loadSim) clock() time.Time { return epoch.Add(s.now) }
--- a/core/workload/command.go
+++ b/core/workload/command.go
@@ -35,7 +35,8 @@
 }
 
 // Decide is a batch of decisions of the leader: the runs to close as their workers reported, and
-// then the runs to open. Ends also contains the reports that jobs have begun (BegunReport).
+// then the runs to open. Ends also contains the reports that jobs have begun (BegunReport)
+// and how long runs have taken (RunTimeReport).
 type Decide struct {
 	Ends    []EndedRun
 	Assigns []Assign
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -13,8 +13,9 @@
 	Workers []WorkerSnapshot
 	Clock   time.Duration `cbor:",omitempty"` // retention clock
 	// SteadyClock is the steady clock, which is zero in a snapshot of a version that had none.
-	SteadyClock time.Duration `cbor:",omitempty" json:",omitempty"`
-	TeamRates   []TeamRate    `cbor:",omitempty" json:",omitempty"` // sorted by team
+	SteadyClock time.Duration   `cbor:",omitempty" json:",omitempty"`
+	TeamRates   []TeamRate      `cbor:",omitempty" json:",omitempty"` // sorted by team
+	RunTimes    []QueueRunTimes `cbor:",omitempty" json:",omitempty"` // sorted by queue
 }
 
 // WorkerSnapshot is a worker with its open runs.
@@ -33,7 +34,7 @@
 // Snapshot copies the state. Job specifications, queues and the configuration are immutable and
 // are shared with the state.
 func (s *State) Snapshot() Snapshot {
-	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock, TeamRates: s.rateSnapshot()}
+	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock, TeamRates: s.rateSnapshot(), RunTimes: s.runTimeSnapshot()}
 	for _, id := range s.jobOrder {
 		job := *s.jobs[id]
 		job.Steps = slices.Clone(job.Steps)
@@ -65,6 +66,7 @@
 	for _, rate := range snapshot.TeamRates {
 		s.teamRates[rate.Team] = rate.FullAt
 	}
+	s.restoreRunTimes(snapshot.RunTimes)
 	for i := range snapshot.Jobs {
 		job := snapshot.Jobs[i]
 		if err := job.checkClosedRuns(); err != nil {
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/godwitlink/godwitlink/core/runtimes"
 )
 
 // AdvanceInterval is the step of the steady clock. A leader proposes an Advance at the earliest one
@@ -22,17 +24,19 @@
 	jobOrder       []JobID        // accepted jobs, oldest first
 	pendingJobs    map[string]int // number of pending jobs, by queue
 	workers        map[WorkerID]*workerState
-	teams          map[TeamName]*Team     // teams of config, by name
-	teamUse        map[TeamName]Resources // total demand of the open runs, by team; "" for jobs without one
-	teamRates      map[TeamName]time.Time // TeamRate.FullAt, by team
-	retentionClock time.Duration          // retention clock of the latest command
-	steadyClock    time.Duration          // lower bound of the time that has passed under leaders
+	teams          map[TeamName]*Team         // teams of config, by name
+	teamUse        map[TeamName]Resources     // total demand of the open runs, by team; "" for jobs without one
+	teamRates      map[TeamName]time.Time     // TeamRate.FullAt, by team
+	retentionClock time.Duration              // retention clock of the latest command
+	steadyClock    time.Duration              // lower bound of the time that has passed under leaders
+	runTimes       map[string]*runtimes.Group // what is known about the run times, by queue
 }
 
 // New returns the initial state.
 func New() *State {
 	return &State{
-		queues: map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
+		runTimes: map[string]*runtimes.Group{},
+		queues:   map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
 		workers: map[WorkerID]*workerState{}, teams: map[TeamName]*Team{}, teamUse: map[TeamName]Resources{},
 		teamRates: map[TeamName]time.Time{},
 	}
@@ -71,6 +75,7 @@
 	s.config = &c
 	s.indexConfig()
 	s.removeRatesOfUnlistedTeams()
+	s.removeUnlistedRunTimes()
 	return Result{Version: c.Version}
 }
 
@@ -200,11 +205,14 @@
 
 func (s *State) decide(retentionClock time.Duration, c Decide) Result {
 	for _, ending := range c.Ends {
-		if ending.How == reportBegun {
+		switch ending.How {
+		case reportBegun:
 			s.reportedBegun(ending.Task)
-			continue
+		case reportRunTimes:
+			s.addRunTimes(ending)
+		default:
+			s.endRun(retentionClock, ending)
 		}
-		s.endRun(retentionClock, ending)
 	}
 	result := Result{}
 	for _, assign := range c.Assigns {
