test/platformsoak, platform: thousands of light workers, and idle connections of a leader that calls nobody

TestManyWorkers showed that a leader kept 1,202 connections to the workers that it had called before there were enough for call proxies: idle connections were searched for by calls only. They are searched for by a task now.

--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -83,6 +83,7 @@
 	runCtx, cancel := context.WithCancel(kill)
 	defer cancel()
 	b.tasks.Go(func() { control.Run(runCtx) })
+	b.tasks.Go(func() { platformClient.Run(runCtx) })
 	proxies.run(runCtx, b, r)
 	watcher := &seedWatcher{
 		file: s.File, hangups: b.hangups, parse: parseControlSeeds, logger: b.logger, metrics: b.metrics, seeds: s.Seeds,
