core/callproxy: a new leader waits for its proxies, three proxies serve 3,000 workers

A new leader used the first proxy that answered, and called the workers of the others itself or not at all for the milliseconds until they answered too. It keeps its calls back for up to 0.1 s after the first proxy now. Calls without a proxy came back every 50 ms; they wait in the task instead. A proxy takes up to 1,000 workers before the leader calls any: with 800, the loss of one of four proxies made the leader call 600.

--- a/core/callproxy/router.go
+++ b/core/callproxy/router.go
@@ -20,8 +20,8 @@
 
 const (
 	// workersPerProxy is the number of workers that a proxy calls before the leader calls any itself. Four
-	// proxies serve 3,000 workers.
-	workersPerProxy = 800
+	// proxies have 750 each of 3,000; three can still serve all, with two connections to each worker.
+	workersPerProxy = 1000
 	// maxSilence is how long a proxy may stay silent and be used. It sends something every HeartbeatInterval.
 	maxSilence = time.Second
 	// HeartbeatInterval is the longest time between two messages of a proxy to its leader.
@@ -37,6 +37,8 @@
 	// firstWait is how long a new leader waits for a first proxy before it calls workers itself. Two
 	// messages and a round trip take about 50 ms.
 	firstWait = 500 * time.Millisecond
+	// settleTime is how long it then waits for the other proxies. The longest round trip takes 16 ms.
+	settleTime = 100 * time.Millisecond
 	// lossWindow is the time over which lost calls are counted, and minLossSample the least number of ended
 	// calls in it from which a proxy is judged.
 	lossWindow    = time.Second
@@ -98,7 +100,7 @@
 	workers    int
 	startedAt  time.Time
 	tickedAt   time.Time
-	everUsed   bool
+	usedAt     time.Time // when the first proxy was used; zero before
 	proxies    map[string]*proxy
 	shares     []share
 	changes    []Change
@@ -138,9 +140,21 @@
 	}
 }
 
+// Settled reports whether it is known which proxies can be used. A new leader waits for them a short time.
+// If it called the workers itself meanwhile, it would open thousands of connections.
+func (r *Router) Settled(now time.Time) bool {
+	switch {
+	case r.Used() == len(r.proxies) || !now.Before(r.startedAt.Add(firstWait)):
+		return true
+	case r.usedAt.IsZero():
+		return false
+	}
+	return !now.Before(r.usedAt.Add(settleTime))
+}
+
 // Route returns how a worker is called now, and by which proxy if by one.
 func (r *Router) Route(now time.Time, worker string) (via Via, proxy string) {
-	if !r.everUsed && len(r.proxies) > 0 && now.Before(r.startedAt.Add(firstWait)) {
+	if !r.Settled(now) {
 		return ViaLater, ""
 	}
 	switch chosen := choose(worker, r.shares); {
@@ -158,7 +172,7 @@
 	if p := r.proxies[address]; p != nil {
 		p.heardAt = now
 		p.heard = p.heard || !now.Before(p.restUntil)
-		r.use(address, p)
+		r.use(now, address, p)
 	}
 }
 
@@ -166,17 +180,19 @@
 func (r *Router) Reached(now time.Time, address string) {
 	if p := r.proxies[address]; p != nil {
 		p.reached = p.reached || !now.Before(p.restUntil)
-		r.use(address, p)
+		r.use(now, address, p)
 	}
 }
 
 // use begins to use a proxy once messages arrive in both directions.
-func (r *Router) use(address string, p *proxy) {
+func (r *Router) use(now time.Time, address string, p *proxy) {
 	if p.used || !p.heard || !p.reached {
 		return
 	}
 	p.used, p.windowEnd, p.ended, p.lost = true, time.Time{}, 0, 0
-	r.everUsed = true
+	if r.usedAt.IsZero() {
+		r.usedAt = now
+	}
 	r.changes = append(r.changes, Change{Proxy: address, Used: true})
 	r.updateShares()
 }
--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -199,6 +199,7 @@
 	pending  map[uint64]*pendingCall
 	due      dueCalls
 	outboxes map[string]*outbox
+	parked   []*pendingCall // calls that wait until it is known which proxies can be used
 	ready    Results
 	routed   [len(viaNames)]int64 // calls since the last tick
 }
@@ -269,6 +270,21 @@
 		}
 	}
 	t.logChanges()
+	t.routeParked(now)
+}
+
+// routeParked routes the calls that have waited until it is known which proxies can be used. Those for which
+// the leader lease has ended meanwhile are found when their batch is sent.
+func (t *leaderTask) routeParked(now time.Time) {
+	s := t.session
+	if s == nil || len(s.parked) == 0 || !s.router.Settled(now) {
+		return
+	}
+	parked := s.parked
+	s.parked = nil
+	for _, c := range parked {
+		t.route(now, c)
+	}
 }
 
 func (t *leaderTask) handleCalls(now time.Time, calls Calls) {
@@ -332,7 +348,7 @@
 	case callproxy.ViaLeader:
 		s.giveBack(c)
 	case callproxy.ViaLater:
-		s.finish(c, dispatch.OutcomeNotPermitted, now)
+		s.parked = append(s.parked, c)
 	case callproxy.ViaNobody:
 		// The dispatcher would repeat the call after a few milliseconds.
 		c.proxy, c.unassigned = "", true
@@ -449,7 +465,7 @@
 	if s == nil {
 		return
 	}
-	if now.Sub(s.lastSend) > callproxy.SessionTimeout && len(s.pending) == 0 && s.ready.empty() {
+	if now.Sub(s.lastSend) > callproxy.SessionTimeout && len(s.pending)+len(s.parked) == 0 && s.ready.empty() {
 		// The leader calls all workers itself: there are few again.
 		t.endSession()
 		return
@@ -461,6 +477,7 @@
 		s.outbox(proxy).probe = true
 	}
 	t.logChanges()
+	t.routeParked(now)
 	t.opts.Metrics.SetGauge(metricProxiesUsed, float64(s.router.Used()))
 	t.opts.Metrics.SetGauge(metricInFlight, float64(len(s.pending)))
 	for via, count := range s.routed {
