--- a/test/platformsoak/manyworkers_test.go
+++ b/test/platformsoak/manyworkers_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -46,6 +47,8 @@
 	lastEnd  uint64
 	changed  chan struct{} // closed at the next end
 	held     atomic.Int64  // holds
+	heldAt   time.Time     // when the last hold came or ended
+	maxGap   time.Duration // longest time without a hold since resetGap
 	started  *atomic.Int64
 	accepted *atomic.Int64 // connections, of all workers
 }
@@ -70,6 +73,8 @@
 
 // hold waits for an end and returns the active runs and the ends that are not acknowledged.
 func (w *lightWorker) hold(r *http.Request, call workerCall) (active, ends [][]any) {
+	w.noteHold()
+	defer w.noteHold()
 	timeout := time.After(time.Duration(call.WaitMs) * time.Millisecond)
 	for waiting := true; ; {
 		w.mu.Lock()
@@ -96,6 +101,26 @@
 	}
 }
 
+// noteHold measures the time without a hold.
+func (w *lightWorker) noteHold() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if !w.heldAt.IsZero() {
+		w.maxGap = max(w.maxGap, now.Sub(w.heldAt))
+	}
+	w.heldAt = now
+}
+
+// resetGap begins a new measurement of the longest time without a hold and returns the former one.
+func (w *lightWorker) resetGap() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	gap := w.maxGap
+	w.maxGap = 0
+	return gap
+}
+
 func (w *lightWorker) start(run runKey) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -292,6 +317,75 @@
 	}
 }
 
+// Guards against workers that stay without calls when a process that calls them ends or is frozen.
+func TestManyWorkersLoseAProxy(t *testing.T) {
+	a := startAdviser(t)
+	s := startSystem(t, buildPrograms(t), a.address, *manyThreshold)
+	if err := s.applyConfig(1, readyTimeout); err != nil {
+		t.Fatal(err)
+	}
+	workers, _, _ := startLightWorkers(t, *manyCount, s.controlAddresses())
+	// awaitHolds waits until each worker has been held once more.
+	awaitHolds := func() {
+		before := make([]int64, len(workers))
+		for i, w := range workers {
+			before[i] = w.held.Load()
+		}
+		for end := time.Now().Add(completionTimeout); ; time.Sleep(50 * time.Millisecond) {
+			missing := 0
+			for i, w := range workers {
+				if w.held.Load() == before[i] {
+					missing++
+				}
+			}
+			if missing == 0 {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d of %d workers are not called any more", missing, len(workers))
+			}
+		}
+	}
+	awaitHolds()
+	submitTasks(t, s, *manyDuration/2)
+	for _, fault := range []string{"killed", "frozen"} {
+		for _, w := range workers {
+			w.resetGap()
+		}
+		leader := s.leader()
+		p := s.controls[0]
+		if p == leader {
+			p = s.controls[1]
+		}
+		if fault == "killed" {
+			p.kill()
+		} else {
+			p.signal(syscall.SIGSTOP)
+		}
+		at := time.Now()
+		awaitHolds()
+		submitTasks(t, s, *manyDuration/2)
+		awaitHolds()
+		if fault == "killed" {
+			s.start(p, false)
+		} else {
+			p.signal(syscall.SIGCONT)
+		}
+		var longest time.Duration
+		late := 0
+		for _, w := range workers {
+			gap := w.resetGap()
+			longest = max(longest, gap)
+			if gap > 2*time.Second {
+				late++
+			}
+		}
+		t.Logf("%s %s for %v: the longest time of a worker without a hold was %v, %d were without one for 2 s; leader before %s, after %s", p.name, fault, time.Since(at), longest, late, leader.name, s.leader().name)
+		submitTasks(t, s, *manyDuration/2)
+		awaitHolds()
+	}
+}
+
 // submitTasks submits jobs at a constant rate and returns the number of tasks in those that were accepted.
 func submitTasks(t *testing.T, s *system, d time.Duration) (tasks int) {
 	client := &http.Client{Timeout: 2 * time.Second}
