--- a/core/workload/assign.go
+++ b/core/workload/assign.go
@@ -150,6 +150,6 @@
 	w := s.workers[m.Worker]
 	w.runs[id.Task(m.Index)] = run
 	s.addUse(w, spec.Size)
-	s.addTeamUse(job.Team, spec.Size)
+	s.addTeamUse(job, spec.Size)
 	s.markStarted(job)
 }
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -13,6 +13,7 @@
 	var violations []string
 	holder := map[TaskID]WorkerID{}
 	teamUse := map[TeamName]Resources{}
+	counted := New()
 	for _, w := range s.Workers() {
 		used := Resources{}
 		for _, run := range s.OpenRuns(w.ID) {
@@ -26,6 +27,7 @@
 			}
 			holder[run.Task] = w.ID
 			used = used.Add(job.Spec.Steps[run.Task.Step].Size)
+			counted.addBeyondUse(job, job.Spec.Steps[run.Task.Step].Size)
 			if use := teamUse[job.Team].Add(job.Spec.Steps[run.Task.Step].Size); use != (Resources{}) {
 				teamUse[job.Team] = use
 			}
@@ -37,7 +39,7 @@
 			violations = append(violations, fmt.Sprintf("worker %s: %v reserved of %v", w.ID, used, w.Capacity))
 		}
 	}
-	violations = append(violations, s.auditBacklog()...)
+	violations = append(violations, s.auditBacklog(counted)...)
 	if !maps.Equal(teamUse, s.teamUse) {
 		violations = append(violations, fmt.Sprintf("teams: %v in use, %v counted", teamUse, s.teamUse))
 	}
@@ -73,14 +75,15 @@
 	return violations
 }
 
-func (s *State) auditBacklog() []string {
-	counted := New()
+// auditBacklog compares the counts that decide on jobs beyond a share. counted has the open runs of such jobs.
+func (s *State) auditBacklog(counted *State) []string {
 	s.ForEachJob(func(job *Job) { counted.addWaitingTasks(job, 1) })
 	for _, w := range s.workers {
 		counted.addToService(w, 1)
 	}
-	if !maps.Equal(counted.backlogs, s.backlogs) || !maps.Equal(counted.services, s.services) {
-		return []string{fmt.Sprintf("backlog %v and capacity %v, counted %v and %v", s.backlogs, s.services, counted.backlogs, counted.services)}
+	if !maps.Equal(counted.backlogs, s.backlogs) || !maps.Equal(counted.services, s.services) || !maps.Equal(counted.beyondUse, s.beyondUse) {
+		return []string{fmt.Sprintf("backlog %v, use beyond the shares %v, capacity %v; counted %v, %v and %v",
+			s.backlogs, s.beyondUse, s.services, counted.backlogs, counted.beyondUse, counted.services)}
 	}
 	return nil
 }
--- a/core/workload/backlog.go
+++ b/core/workload/backlog.go
@@ -115,3 +115,17 @@
 	known.Worker = w
 	s.addToService(known, 1)
 }
+
+// addBeyondUse counts the demand of an opened run of a job beyond its team's share, or of a closed one if it is
+// negative.
+func (s *State) addBeyondUse(job *Job, demand Resources) {
+	if !job.BeyondShare {
+		return
+	}
+	key := job.backlogKey()
+	if use := s.beyondUse[key].Add(demand); use != (Resources{}) {
+		s.beyondUse[key] = use
+	} else {
+		delete(s.beyondUse, key)
+	}
+}
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -88,7 +88,7 @@
 			}
 			restored.runs[run.Task] = run.Run
 			restored.used = restored.used.Add(job.Spec.Steps[run.Task.Step].Size)
-			s.addTeamUse(job.Team, job.Spec.Steps[run.Task.Step].Size)
+			s.addTeamUse(job, job.Spec.Steps[run.Task.Step].Size)
 		}
 		s.workers[w.Worker.ID] = restored
 		s.addToService(restored, 1)
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -28,6 +28,7 @@
 	teamUse        map[TeamName]Resources     // total demand of the open runs, by team; "" for jobs without one
 	teamRates      map[TeamName]time.Time     // TeamRate.FullAt, by team
 	backlogs       map[backlogKey]backlog     // of the jobs that have not ended
+	beyondUse      map[backlogKey]Resources   // demand of the open runs of jobs beyond their team's share
 	services       map[string]serviceUse      // by service
 	retentionClock time.Duration              // retention clock of the latest command
 	steadyClock    time.Duration              // lower bound of the time that has passed under leaders
@@ -40,7 +41,7 @@
 		runTimes: map[string]*runtimes.Group{},
 		queues:   map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
 		workers: map[WorkerID]*workerState{}, teams: map[TeamName]*Team{}, teamUse: map[TeamName]Resources{},
-		teamRates: map[TeamName]time.Time{}, backlogs: map[backlogKey]backlog{}, services: map[string]serviceUse{},
+		teamRates: map[TeamName]time.Time{}, backlogs: map[backlogKey]backlog{}, beyondUse: map[backlogKey]Resources{}, services: map[string]serviceUse{},
 	}
 }
 
@@ -299,7 +300,7 @@
 	}
 	spec := &job.Spec.Steps[id.Step]
 	s.addUse(w, Resources{}.Sub(spec.Size))
-	s.addTeamUse(job.Team, Resources{}.Sub(spec.Size))
+	s.addTeamUse(job, Resources{}.Sub(spec.Size))
 	task.Open = false
 	step.ClosedAt, step.SteadyClosedAt = s.retentionClock, s.steadyClock
 	switch how {
--- a/core/workload/team.go
+++ b/core/workload/team.go
@@ -88,13 +88,14 @@
 	return j.Team == "" || s.teamUse[j.Team].Add(added).WithinCap(s.TeamCap(j.Team))
 }
 
-// addTeamUse counts the demand of an opened run, or of a closed one if it is negative.
-func (s *State) addTeamUse(name TeamName, size Resources) {
-	if use := s.teamUse[name].Add(size); use != (Resources{}) {
-		s.teamUse[name] = use
+// addTeamUse counts the demand of an opened run of a job, or of a closed one if it is negative.
+func (s *State) addTeamUse(job *Job, demand Resources) {
+	if use := s.teamUse[job.Team].Add(demand); use != (Resources{}) {
+		s.teamUse[job.Team] = use
 	} else {
-		delete(s.teamUse, name)
+		delete(s.teamUse, job.Team)
 	}
+	s.addBeyondUse(job, demand)
 }
 
 // WithinCap reports whether r is at most limit in every dimension in which limit is not 0.
