core/dispatch: caps hold when they are cut and for starts in doubt

Cause: runs that were opened just before a team's cap was cut were started afterwards, far above the cap. And a start for a boot that had ended, carried out by a later boot before the leader knew of that one, went on while the state closed it, so that its team got another run in its place. Change: while the open runs of a team exceed its cap, its runs without a confirmed start are closed or, if a start may still be carried out, stopped. The plan counts starts in doubt and runs that the state has closed while a worker still has them. TestSoakTeams runs teams whose caps change at any time under all faults of the soak and checks the rule on caps at each start.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -55,6 +55,8 @@
 	grantedShare map[string]float64
 	// teamReservations is the demand of the assignments that are not committed yet, by team.
 	teamReservations teamReservations
+	// teamsInDoubt is, by team, the demand of runs that the state has closed and that may be active.
+	teamsInDoubt map[workload.TeamName]workload.Resources
 
 	planNumber       uint64      // number of the current plan
 	usableWorkers    []*worker   // workers that can take runs in the current plan
@@ -112,7 +114,7 @@
 		opts: opts, state: state, now: now, startedAt: now, planNeeded: true,
 		workers: map[workload.WorkerID]*worker{}, jobsByID: map[workload.JobID]*job{},
 		inDoubtStarts: inDoubtStarts{},
-		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, medianSpeed: 1, runTimes: newLearnedRunTimes(), namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{},
+		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, medianSpeed: 1, runTimes: newLearnedRunTimes(), namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{}, teamsInDoubt: map[workload.TeamName]workload.Resources{},
 	}
 	c.recoverRunTimes()
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
--- a/core/dispatch/export_test.go
+++ b/core/dispatch/export_test.go
@@ -19,3 +19,6 @@
 
 // Objective returns the objective of a live job.
 func (c *Core) Objective(id workload.JobID) time.Duration { return c.jobsByID[id].objective }
+
+// StateSnapshot returns a snapshot of the state.
+func (c *Core) StateSnapshot() workload.Snapshot { return c.state.Snapshot() }
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -40,6 +40,7 @@
 		free += w.freeInPlan.MilliCPU
 	}
 	c.capacityScarce = free*100 < c.totalMilliCPU*scarceFreePercent
+	c.updateTeamsInDoubt()
 	c.updateSpeedClasses()
 	c.refreshExpectations()
 }
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -36,6 +36,10 @@
 			c.withdrawRun(w, id, r, stopReasonTaskFailed)
 			return
 		}
+		if c.exceedsTeamCap(job) {
+			c.withdrawRun(w, id, r, stopReasonTeamCap)
+			return
+		}
 		if _, blocked := c.blockingStart(id); blocked && r.startAttempts == 0 || w.Draining {
 			// After the assignment was proposed, an earlier run of the task was found or the worker
 			// began to leave.
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -155,6 +155,7 @@
 	rulesRNG *rand.Rand
 	// gangCheckpoints are the checkpoints with which the runs of gangs have started.
 	gangCheckpoints map[string]string
+	teams           *simTeams // nil if jobs have no teams
 }
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -254,6 +255,9 @@
 
 // commit applies a command to the log and to the current leader.
 func (s *sim) commit(from *leader, tag uint64, c workload.Command) workload.Result {
+	if s.teams != nil {
+		c = s.addTeam(c)
+	}
 	s.traceCommand(c)
 	if c.EndBoot != nil {
 		s.worker(c.EndBoot.Worker).bootEnded(c.EndBoot.Boot, s.now)
@@ -312,6 +316,9 @@
 	if job.Queue.Advice != nil && st.Ticket == "" {
 		s.addViolation("%v starts without a ticket", st.Task)
 	}
+	if s.teams != nil {
+		s.checkTeamCap(st, job, late)
+	}
 	s.checkCheckpoint(st, job.Spec.Steps[st.Task.Step].Gang)
 	r := w.runs[st.Task]
 	r.result = workload.EndDone
@@ -468,7 +475,10 @@
 	if s.rng.IntN(3) == 0 {
 		spec.Steps = append(spec.Steps, workload.StepSpec{Tasks: 2, Size: workload.Resources{MilliCPU: 300}, DependsOn: []int{0}})
 	}
-	s.commit(nil, 0, workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}})
+	if result := s.commit(nil, 0, workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}}); result.Refusal != workload.RefusalNone {
+		s.after(s.randomDuration(100*time.Millisecond, 600*time.Millisecond), s.submitJobs)
+		return
+	}
 	s.jobs = append(s.jobs, id)
 	if s.rng.IntN(8) == 0 {
 		s.after(s.randomDuration(0, 2*time.Second), func() {
--- a/core/dispatch/teamcap.go
+++ b/core/dispatch/teamcap.go
@@ -19,7 +19,7 @@
 	if j.Team == "" {
 		return spec.Tasks
 	}
-	used := c.state.TeamUse(j.Team).Add(c.teamReservations[j.Team])
+	used := c.state.TeamUse(j.Team).Add(c.teamReservations[j.Team]).Add(c.teamsInDoubt[j.Team])
 	return workload.SlotsWithinCap(c.state.TeamCap(j.Team), used, spec.Size, spec.Tasks)
 }
 
@@ -28,3 +28,43 @@
 	slots := c.teamSlots(j, spec)
 	return slots == 0 || spec.Gang && slots < spec.Tasks
 }
+
+// stopReasonTeamCap is the reason for stopping a run whose start got no answer when its team's cap was cut.
+const stopReasonTeamCap = "team-cap"
+
+// exceedsTeamCap reports whether the open runs of a job's team exceed its cap, because it was cut. Runs that
+// have begun go on, but no start is sent that would add to them.
+func (c *Core) exceedsTeamCap(j *workload.Job) bool {
+	return j.Team != "" && !c.state.TeamUse(j.Team).WithinCap(c.state.TeamCap(j.Team))
+}
+
+// updateTeamsInDoubt determines, by team, the demand of runs that the state has closed and that may be active
+// all the same: a boot that the leader had not noticed may have carried out a start for its former boot, and
+// its registration closes that run.
+func (c *Core) updateTeamsInDoubt() {
+	clear(c.teamsInDoubt)
+	if config := c.state.Config(); config == nil || len(config.Teams) == 0 {
+		return
+	}
+	add := func(id workload.TaskID) {
+		if job := c.state.Job(id.Job); job != nil && job.Team != "" {
+			c.teamsInDoubt[job.Team] = c.teamsInDoubt[job.Team].Add(job.Spec.Steps[id.Step].Size)
+		}
+	}
+	for id, starts := range c.inDoubtStarts {
+		task := c.state.Task(id)
+		for _, start := range starts {
+			counted := task != nil && task.Open && task.Worker == start.worker.ID
+			if !counted && c.mayBeActive(start) {
+				add(id)
+			}
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		for id, r := range w.runs {
+			if r.closedInState && !w.inDoubtTasks[id] {
+				add(id)
+			}
+		}
+	}
+}
