core/dispatch: judge tickets by what commits and starts take, ask for those that will be used

A ticket was used if it outlived a fixed 250 ms. When commits or the leader are slow, starts came after the expiry and were refused, and each refusal cost two commits and a call. The margin is now a 95th percentile of the commits and starts of the last 5 s, with 250 ms as the floor and three quarters of the ticket's life as the ceiling. A ticket that was refused earlier than expected raises it. The life of a ticket counts from the arrival of the answer at this process instead of its handling. A first start whose ticket has expired is not sent.

A first call is made only while the steps that already wait for an answer or hold valid tickets leave room that is free or becomes free while the tickets are valid; a call about further workers only while more room is free than calls in flight need. Before, all blocked steps asked about the same free workers.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -61,6 +61,9 @@
 	// expectedUse is the expected resource use of the step on the named workers.
 	expectedUse []reservation
 	deadline    time.Time
+	// ticketDemand is what the step of a first or further call needs of a service, in millicores.
+	service      string
+	ticketDemand int64
 }
 
 // adviceTime returns how long the adviser takes to process a call.
@@ -168,7 +171,7 @@
 	for _, id := range named {
 		s.answeredWorkers[id] = true
 	}
-	s.ticketsExpireAt = c.now.Add(answer.TicketTTL)
+	s.ticketsExpireAt = answer.receivedAt(c.now).Add(answer.TicketTTL)
 	s.maxTicketTTL = max(s.maxTicketTTL, answer.TicketTTL)
 	for id, ticket := range answer.Tickets {
 		w := c.workers[id]
@@ -188,12 +191,12 @@
 	return slices.BinarySearchFunc(s.grants, id, func(g grant, id workload.WorkerID) int { return cmp.Compare(g.worker.ID, id) })
 }
 
-// ticketFor returns the last ticket for a worker, or "" if there is none.
-func (s *step) ticketFor(id workload.WorkerID) string {
+// ticketFor returns the last ticket for a worker and its expiry, or "" if there is none.
+func (s *step) ticketFor(id workload.WorkerID) (ticket string, expiresAt time.Time) {
 	if at, found := s.findGrant(id); found {
-		return s.grants[at].ticket
+		return s.grants[at].ticket, s.grants[at].expiresAt
 	}
-	return ""
+	return "", time.Time{}
 }
 
 // expireAdviceCalls treats calls that were not answered in time as failed.
@@ -305,7 +308,7 @@
 	}
 	// Every plan calls this function for every blocked gang, so the workers are inspected only when
 	// a call is due.
-	if refreshAt := s.ticketsExpireAt.Add(-expected - startDeliveryMargin); c.now.Before(refreshAt) {
+	if refreshAt := s.ticketsExpireAt.Add(-expected - c.startDelay(s.maxTicketTTL)); c.now.Before(refreshAt) {
 		c.scheduleJobWake(r.job, refreshAt)
 		return
 	}
--- a/core/dispatch/advicebound.go
+++ b/core/dispatch/advicebound.go
@@ -86,6 +86,7 @@
 
 // releaseExpectedUse removes the expected use of a call that has ended.
 func (c *Core) releaseExpectedUse(call *adviceCall) {
+	c.releaseTicketDemand(call)
 	for _, expected := range call.expectedUse {
 		if w := c.workers[expected.worker]; w != nil {
 			w.expectedUse = w.expectedUse.Sub(expected.size)
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -74,6 +74,8 @@
 	// nextFastAdviceAt is the same for fast calls.
 	nextFastAdviceAt time.Time
 	bounds           bounds
+	startDelays      startDelays
+	ticketRooms      ticketRooms
 	// slowSpeedThreshold is the speed below which a worker counts as slow.
 	slowSpeedThreshold float64
 	// fastSpeedThreshold is the speed above which a worker counts as fast.
@@ -197,6 +199,9 @@
 	c.processDueJobs()
 	c.expireInDoubtStarts()
 	c.endBounds()
+	if at := c.ticketRooms.nextPlanAt; !at.IsZero() && !c.now.Before(at) {
+		c.planNeeded, c.ticketRooms.nextPlanAt = true, time.Time{}
+	}
 	if c.proposalsDelayed() {
 		return
 	}
@@ -244,6 +249,9 @@
 	if c.planNeeded {
 		proposalDue(c.nextPlanAt)
 	}
+	if at := c.ticketRooms.nextPlanAt; !at.IsZero() {
+		proposalDue(at)
+	}
 	if len(c.pendingEnds) > 0 {
 		proposalDue(c.nextEndsAt)
 	}
@@ -261,6 +269,7 @@
 	// teamReservations is the demand of the proposed assignments, by team.
 	teamReservations teamReservations
 	ends             []workload.EndedRun
+	proposedAt       time.Time
 }
 
 // reservation holds resources of a worker for a step.
@@ -271,6 +280,7 @@
 
 func (c *Core) propose(p *proposal) {
 	c.lastProposalID++
+	p.proposedAt = c.now
 	c.proposals[c.lastProposalID] = p
 	c.pendingEffects.Proposals = append(c.pendingEffects.Proposals, Proposal{ID: c.lastProposalID, Command: p.command})
 }
@@ -279,6 +289,9 @@
 func (c *Core) ProposalCommitted(now time.Time, id uint64) {
 	c.advanceClock(now)
 	c.proposalBackoff = 0
+	if p := c.proposals[id]; p != nil {
+		c.startDelays.commits.add(c.now, c.now.Sub(p.proposedAt))
+	}
 	c.finishProposal(id)
 }
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -287,7 +287,7 @@
 	}
 	r := &run{number: number, openedThisTerm: true, nextCallAt: c.now}
 	if live != nil {
-		r.ticket = live.steps[id.Step].ticketFor(m.Worker)
+		r.ticket, r.ticketExpiresAt = live.steps[id.Step].ticketFor(m.Worker)
 	} else {
 		r.stopRequested, r.stopReason = true, "job-ended"
 	}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -30,6 +30,7 @@
 	c.totalMilliCPU, c.claimedMilliCPU = 0, 0
 	free := int64(0)
 	c.planRequesters, c.nextSlowAdviceAt, c.nextFastAdviceAt = c.availableRequesters(), time.Time{}, time.Time{}
+	c.beginTicketRooms()
 	for _, w := range c.sortedWorkers {
 		if !c.acceptsRuns(w) {
 			continue
@@ -38,10 +39,12 @@
 		c.usableWorkers = append(c.usableWorkers, w)
 		c.totalMilliCPU += w.Capacity.MilliCPU
 		free += w.freeInPlan.MilliCPU
+		c.addTicketRoom(w)
 	}
 	c.capacityScarce = free*100 < c.totalMilliCPU*scarceFreePercent
 	c.updateSpeedClasses()
 	c.refreshExpectations()
+	c.updateStartDelay()
 }
 
 // readyStep is a step that has tasks to be placed.
@@ -157,7 +160,7 @@
 	}
 	advised := r.job.Queue.Advice != nil
 	if advised && s.answeredWorkers == nil {
-		if s.adviceInFlight == 0 {
+		if s.adviceInFlight == 0 && c.hasTicketRoom(r, spec) {
 			c.requestFirstAdvice(r, s, spec)
 		}
 		return none, false
@@ -168,6 +171,9 @@
 	if s.blockedSince.IsZero() {
 		s.blockedSince = c.now
 	}
+	if advised {
+		c.awaitRoom(r, s, spec)
+	}
 	if c.excludesSuspects(s) {
 		// A job has a single wake-up time, and an earlier one replaces this. It is therefore
 		// scheduled again in each plan.
@@ -218,7 +224,7 @@
 
 // requestFurtherAdvice makes a call about workers that the adviser has not answered for.
 func (c *Core) requestFurtherAdvice(r readyStep, s *step, spec *workload.StepSpec) {
-	if s.allNamedRegistrations == c.registrations || !c.mayRequestAdvice(r, s) {
+	if s.allNamedRegistrations == c.registrations || !c.mayRequestAdvice(r, s) || !c.hasRoomForFurther(r, spec) {
 		return
 	}
 	// A gang waits for the room of many workers, so it names full ones ahead. Other steps gain nothing
@@ -232,6 +238,9 @@
 	}
 	s.nextAdviceAt = c.now.Add(furtherAdviceInterval)
 	c.requestAdvice(r.job, r.index, named)
+	if s.adviceInFlight != 0 {
+		c.addTicketDemand(r, s, spec)
+	}
 }
 
 func (c *Core) requestFirstAdvice(r readyStep, s *step, spec *workload.StepSpec) {
@@ -241,7 +250,9 @@
 	c.requestAdvice(r.job, r.index, c.workersToName(r.job, r.index, spec, false))
 	if s.adviceInFlight == 0 {
 		c.scheduleJobWake(r.job, s.nextAdviceAt)
+		return
 	}
+	c.addTicketDemand(r, s, spec)
 }
 
 // renewTickets requests new tickets for the chosen workers and reserves their resources until the
@@ -269,24 +280,16 @@
 		c.scheduleJobWake(r.job, s.nextAdviceAt)
 		return
 	}
-	c.reserveForRenewal(s, members, r.job.Spec.Steps[r.index].Size)
+	size := r.job.Spec.Steps[r.index].Size
+	c.takeRoom(r.job, int64(len(members))*size.MilliCPU)
+	c.reserveForRenewal(s, members, size)
 }
 
 // hasValidTicket reports whether a step has a ticket for a worker that is still valid when a start
 // arrives there.
 func (c *Core) hasValidTicket(s *step, worker workload.WorkerID) bool {
 	at, found := s.findGrant(worker)
-	return found && c.ticketValid(s.grants[at])
-}
-
-// ticketValid reports whether the ticket of a grant is still valid when a start arrives.
-func (c *Core) ticketValid(g grant) bool {
-	return c.now.Add(startDeliveryMargin).Before(g.expiresAt)
-}
-
-// ticketsValid reports whether any ticket of a step is still valid when a start arrives.
-func (c *Core) ticketsValid(s *step) bool {
-	return c.now.Add(startDeliveryMargin).Before(s.ticketsExpireAt)
+	return found && c.ticketValid(s, s.grants[at])
 }
 
 // reserveMembers reserves the chosen workers for the step.
@@ -296,6 +299,7 @@
 		c.workers[m.Worker].reserve(spec.Size)
 	}
 	s.waitingTasks -= len(members)
+	c.takeRoom(r.job, int64(len(members))*spec.Size.MilliCPU)
 	waited := time.Duration(0)
 	if !s.blockedSince.IsZero() {
 		waited = c.now.Sub(s.blockedSince)
@@ -434,7 +438,7 @@
 	// The granted workers are few, and with many workers most of the time of a plan would pass here.
 	for i := range s.grants {
 		w := s.grantedWorker(i)
-		if w.usableInPlan == c.planNumber && (!requireTickets || c.ticketValid(s.grants[i])) {
+		if w.usableInPlan == c.planNumber && (!requireTickets || c.ticketValid(s, s.grants[i])) {
 			c.addCandidate(q, w)
 		}
 	}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -42,6 +42,10 @@
 			c.withdrawRun(w, id, r, "draining")
 			return
 		}
+		if c.hasExpiredTicket(r) {
+			c.withdrawExpired(w, id, r)
+			return
+		}
 		if r.startOutcome == OutcomeNoAnswer && !w.clockReadAt.After(r.startSentAt) {
 			c.delayRepeatedStart(w, id, r)
 			return
@@ -116,6 +120,7 @@
 	}
 	r.callInFlight, r.startInFlight = false, false
 	r.startOutcome = outcome
+	c.recordStart(r, outcome)
 	if r.confirmed || r.endProposed {
 		return
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -144,6 +144,17 @@
 	Busy      bool // the adviser rejected the call because too many calls are waiting
 	Tickets   map[workload.WorkerID]string
 	TicketTTL time.Duration
+	// ReceivedAt is when the answer arrived at this process, which may be some time before it is passed to
+	// the core. Zero stands for the latter time.
+	ReceivedAt time.Time
+}
+
+// receivedAt returns when a grant arrived that is passed to the core now.
+func (g Grant) receivedAt(now time.Time) time.Time {
+	if g.ReceivedAt.IsZero() || g.ReceivedAt.After(now) {
+		return now
+	}
+	return g.ReceivedAt
 }
 
 // Decision is a decision of the dispatcher or a change in its view of a worker, for the process
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -53,9 +53,6 @@
 	// maxCallDelay is how long an unanswered call may still be carried out. The platform specifies
 	// 12 s.
 	maxCallDelay = 13 * time.Second
-	// startDeliveryMargin is the time from a placement to the arrival of the start at the worker: a
-	// commit across two regions and the call itself.
-	startDeliveryMargin = 250 * time.Millisecond
 )
 
 // worker is the leader's view of one boot of a worker.
@@ -168,12 +165,14 @@
 	closedInState  bool               // the run is closed in the state and is only to be stopped
 	reservedSize   workload.Resources // resources reserved for a run that is closed in the state
 	ticket         string
-	checkpoint     string
-	stopReason     string
-	firstReport    progress // first report of the run
-	firstAdvance   progress // first report in which the run had advanced
-	latestReport   progress // latest report below 100 percent
-	slowdown       slowdown
+	// ticketExpiresAt is when the ticket is expected to expire; zero if the run needs none.
+	ticketExpiresAt time.Time
+	checkpoint      string
+	stopReason      string
+	firstReport     progress // first report of the run
+	firstAdvance    progress // first report in which the run had advanced
+	latestReport    progress // latest report below 100 percent
+	slowdown        slowdown
 }
 
 // updateWorker follows a change of a registered worker in the state.
--- a/internal/dispatcher/advicecalls.go
+++ b/internal/dispatcher/advicecalls.go
@@ -16,6 +16,7 @@
 		defer cancel()
 		sent := time.Now()
 		grant := l.opts.Adviser.Advise(ctx, call)
+		grant.ReceivedAt = time.Now()
 		l.opts.Metrics.Observe(metricAdviceDelay, time.Since(sent))
 		l.deliver(term, func(core *dispatch.Core, now time.Time) {
 			delete(term.adviceCalls, call.ID)
