core/callproxy, internal/proxying: a slow leader gives up no proxy for its own slowness

If the leader was short of processor time, its batches arrived late at all proxies, all were given up, and the leader called the workers itself, with less time than before. Losses are judged once a second now, and only against another proxy that does well. A batch that found no socket in the leader is sent again later.

Checked: go test -race ./core/callproxy ./internal/proxying, staticcheck, shapecheck.

--- a/core/callproxy/router.go
+++ b/core/callproxy/router.go
@@ -89,9 +89,8 @@
 	heardAt        time.Time
 	restUntil      time.Time
 	probeAt        time.Time // when the next batch is due
-	windowEnd      time.Time
-	ended          int // calls that have ended in the window
-	lost           int // those of them that were lost or came back unsent
+	ended          int       // calls that have ended in the window
+	lost           int       // those of them that were lost or came back unsent
 }
 
 // Router decides for one session of a leader which process calls a worker.
@@ -101,6 +100,7 @@
 	workers    int
 	startedAt  time.Time
 	tickedAt   time.Time
+	windowEnd  time.Time // when the losses are judged next
 	usedAt     time.Time // when the first proxy was used; zero before
 	proxies    map[string]*proxy
 	shares     []share
@@ -190,7 +190,7 @@
 	if p.used || !p.heard || !p.reached {
 		return
 	}
-	p.used, p.windowEnd, p.ended, p.lost = true, time.Time{}, 0, 0
+	p.used, p.ended, p.lost = true, 0, 0
 	if r.usedAt.IsZero() {
 		r.usedAt = now
 	}
@@ -207,20 +207,32 @@
 
 // CallEnded records the end of a call by a proxy. lost means that it got no answer from the proxy in time,
 // or that the proxy could not send it although the leader lease was long enough.
-func (r *Router) CallEnded(now time.Time, address string, lost bool) {
-	p := r.proxies[address]
-	if p == nil || !p.used {
-		return
-	}
-	if !now.Before(p.windowEnd) {
-		p.windowEnd, p.ended, p.lost = now.Add(lossWindow), 0, 0
+func (r *Router) CallEnded(address string, lost bool) {
+	if p := r.proxies[address]; p != nil {
+		p.ended++
+		if lost {
+			p.lost++
+		}
 	}
-	p.ended++
-	if lost {
-		p.lost++
+}
+
+// judgeLosses stops the use of proxies that have lost most calls of the window that ends. While no proxy does
+// well, the leader itself or its link is slow, and to call the workers itself would make it slower.
+func (r *Router) judgeLosses(now time.Time) {
+	used, good := 0, 0
+	for _, p := range r.proxies {
+		if p.used {
+			used++
+			if p.ended >= minLossSample && 4*p.lost <= p.ended {
+				good++
+			}
+		}
 	}
-	if p.ended >= minLossSample && 2*p.lost > p.ended {
-		r.fault(now, address, p, FaultLossy)
+	for address, p := range r.proxies {
+		if p.ended >= minLossSample && 2*p.lost > p.ended && (good > 0 || used == 1) {
+			r.fault(now, address, p, FaultLossy)
+		}
+		p.ended, p.lost = 0, 0
 	}
 }
 
@@ -240,6 +252,10 @@
 		}
 	}
 	r.tickedAt = now
+	if !now.Before(r.windowEnd) {
+		r.judgeLosses(now)
+		r.windowEnd = now.Add(lossWindow)
+	}
 	for address, p := range r.proxies {
 		if p.used && now.Sub(p.heardAt) > maxSilence {
 			r.fault(now, address, p, FaultSilent)
--- a/internal/proxying/failures_test.go
+++ b/internal/proxying/failures_test.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/callproxy"
 	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/internal/sockets"
 )
 
 // total returns the calls that have reached workers, of all proxies.
@@ -198,6 +201,25 @@
 	g.wantServed(failed)
 }
 
+// Guards against proxies that are given up because the leader has no socket for its batches: it would need
+// more sockets to call the workers itself.
+func TestLackOfSocketsIsNotTheProxysFault(t *testing.T) {
+	g := startGroup(t, 2)
+	g.awaitUsed(2)
+	var refused atomic.Int64
+	g.link.set(func(*http.Request) error {
+		if refused.Add(1) <= 5 {
+			return sockets.ErrNone
+		}
+		return nil
+	})
+	g.send(100, longLease)
+	wantTally(t, g.collect(300), tally{"hold-ok": 100, "start-ok": 100, "stop-old": 100})
+	if got := refused.Load(); got < 5 || strings.Contains(g.metrics.Text(), "call_proxy_faults_total") {
+		t.Errorf("%d batches were tried, and a proxy was given up:\n%s", got, g.metrics.Text())
+	}
+}
+
 // Guards against a call that reaches no worker, or is reported as unanswered, because a replica has an
 // earlier version.
 func TestEarlierVersionIsNotUsed(t *testing.T) {
--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -147,8 +147,8 @@
 		session uint64
 		proxy   string
 		ids     []uint64
-		fault   callproxy.Fault // empty if the batch was taken over
-		unsent  bool            // it certainly was not
+		fault   callproxy.Fault // of the proxy, if any
+		unsent  bool            // the batch certainly was not taken over
 	}
 )
 
@@ -456,7 +456,7 @@
 		if refused {
 			t.opts.Metrics.Add(metricLost, "not-permitted", 1)
 		}
-		s.router.CallEnded(now, batch.Proxy, refused)
+		s.router.CallEnded(batch.Proxy, refused)
 	}
 }
 
@@ -501,7 +501,7 @@
 		s.finish(c, dispatch.OutcomeNotPermitted, now)
 	default:
 		t.opts.Metrics.Add(metricLost, "no-answer", 1)
-		s.router.CallEnded(now, c.proxy, true)
+		s.router.CallEnded(c.proxy, true)
 		t.giveUp(now, id, c)
 	}
 }
--- a/internal/proxying/leaderlink.go
+++ b/internal/proxying/leaderlink.go
@@ -77,7 +77,8 @@
 	}()
 }
 
-// post sends a batch. unsent means that the proxy certainly has not taken it over.
+// post sends a batch. unsent means that the proxy certainly has not taken it over. The fault is empty if the
+// proxy has taken it over, or has no part in the failure.
 func (t *leaderTask) post(ctx context.Context, proxy string, batch callproxy.CallBatch) (fault callproxy.Fault, unsent bool) {
 	body, err := codec.EncodeCallBatch(batch)
 	if err != nil {
@@ -88,6 +89,10 @@
 	status, _, err := post(ctx, t.opts.Client, proxy, CallsPath, body)
 	t.opts.Metrics.Observe(metricRoundTrip, time.Since(started))
 	switch {
+	case errors.Is(err, sockets.ErrNone):
+		// The proxy has no part in it. If it were not used, this process would need more sockets.
+		t.opts.Metrics.Add(metricBatches, "calls-no-socket", 1)
+		return "", true
 	case err != nil:
 		fault, unsent = callproxy.FaultUnreachable, notConnected(err)
 	case status == http.StatusOK:
@@ -131,17 +136,18 @@
 // notConnected reports whether a request failed before a connection was opened.
 func notConnected(err error) bool {
 	var opening *net.OpError
-	return errors.As(err, &opening) && opening.Op == "dial" || errors.Is(err, sockets.ErrNone)
+	return errors.As(err, &opening) && opening.Op == "dial"
 }
 
 func (t *leaderTask) handleBatchResult(now time.Time, m batchResult) {
 	s := t.session
 	s.outbox(m.proxy).inFlight--
-	if m.fault == "" {
+	switch {
+	case m.fault != "":
+		s.router.Failed(now, m.proxy, m.fault)
+	case !m.unsent:
 		s.router.Reached(now, m.proxy)
-		return
 	}
-	s.router.Failed(now, m.proxy, m.fault)
 	if !m.unsent {
 		return
 	}
