--- a/internal/proxying/events.go
+++ b/internal/proxying/events.go
@@ -1,6 +1,10 @@
 package proxying
 
 import (
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/godwitlink/godwitlink/internal/eventlog"
@@ -30,3 +34,20 @@
 	metricServed      = metrics.Declare("call_proxy_served_total", metrics.KindCounter, "calls sent for a leader, by outcome")
 	metricRoundTrip   = metrics.Declare("call_proxy_batch_delay_seconds", metrics.KindHistogram, "time until a batch of calls was taken over by a call proxy")
 )
+
+// badMessageInterval is the least time between two log lines about messages that cannot be used. A process of
+// a version that does not fit could send hundreds a second.
+const badMessageInterval = 5 * time.Second
+
+// badMessages logs some of the messages that cannot be used. Handlers and tasks share it.
+type badMessages struct {
+	logger *eventlog.Logger
+	next   atomic.Int64 // earliest time of the next line, in Unix nanoseconds
+}
+
+func (b *badMessages) log(address string, err error) {
+	now := time.Now()
+	if next := b.next.Load(); now.UnixNano() >= next && b.next.CompareAndSwap(next, now.Add(badMessageInterval).UnixNano()) {
+		b.logger.Log(eventBadMessage, zap.String("address", address), zap.Error(err))
+	}
+}
--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -64,6 +64,7 @@
 type Leader struct {
 	opts    LeaderOptions
 	mailbox chan any
+	bad     *badMessages
 }
 
 // Calls are calls that the leader has decided at the same time.
@@ -117,7 +118,7 @@
 
 // NewLeader returns the leader's side. Run must be called for it to work.
 func NewLeader(opts LeaderOptions) *Leader {
-	return &Leader{opts: opts, mailbox: make(chan any, mailboxSize)}
+	return &Leader{opts: opts, mailbox: make(chan any, mailboxSize), bad: &badMessages{logger: opts.Logger}}
 }
 
 // Send passes calls to the task. It waits for room in its mailbox; the task never waits for its senders.
@@ -154,7 +155,7 @@
 
 // Run processes the messages until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
-	t := &leaderTask{opts: l.opts, mailbox: l.mailbox}
+	t := &leaderTask{opts: l.opts, mailbox: l.mailbox, bad: l.bad}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	flush := time.NewTimer(time.Hour)
@@ -184,6 +185,7 @@
 type leaderTask struct {
 	opts    LeaderOptions
 	mailbox chan any
+	bad     *badMessages
 	members []string
 	session *leaderSession // nil while no calls are delegated
 }
--- a/internal/proxying/leaderlink.go
+++ b/internal/proxying/leaderlink.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/godwitlink/godwitlink/core/callproxy"
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/internal/bootclock"
@@ -82,7 +80,7 @@
 func (t *leaderTask) post(ctx context.Context, proxy string, batch callproxy.CallBatch) (fault callproxy.Fault, unsent bool) {
 	body, err := codec.EncodeCallBatch(batch)
 	if err != nil {
-		t.opts.Logger.Log(eventBadMessage, zap.String("address", proxy), zap.Int("calls", len(batch.Calls)), zap.Error(err))
+		t.bad.log(proxy, err)
 		return callproxy.FaultUnreachable, true
 	}
 	started := time.Now()
@@ -169,7 +167,7 @@
 	}
 	batch, err := codec.DecodeAnswerBatch(body)
 	if err != nil {
-		l.opts.Logger.Log(eventBadMessage, zap.String("address", r.RemoteAddr), zap.Error(err))
+		l.bad.log(r.RemoteAddr, err)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/internal/proxying/proxy.go
+++ b/internal/proxying/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -38,12 +39,13 @@
 	batches  chan batchMessage
 	finished chan finishedCall
 	posted   chan postedAnswers
+	bad      *badMessages
 }
 
 // NewProxy returns a proxy. Run must be called for it to work.
 func NewProxy(opts ProxyOptions) *Proxy {
 	return &Proxy{
-		opts: opts, batches: make(chan batchMessage, mailboxSize), finished: make(chan finishedCall, mailboxSize), posted: make(chan postedAnswers, mailboxSize),
+		opts: opts, batches: make(chan batchMessage, mailboxSize), finished: make(chan finishedCall, mailboxSize), posted: make(chan postedAnswers, mailboxSize), bad: &badMessages{logger: opts.Logger},
 	}
 }
 
@@ -182,7 +184,7 @@
 	s := t.session
 	for _, c := range calls {
 		if !wellFormed(c) {
-			t.opts.Logger.Log(eventBadMessage, zap.String("address", s.replyTo), zap.Uint8("kind", c.Kind))
+			t.bad.log(s.replyTo, fmt.Errorf("call of kind %d", c.Kind))
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(s.ctx, time.Duration(c.TimeoutMs)*time.Millisecond)
@@ -330,7 +332,7 @@
 	}
 	body, err := codec.EncodeAnswerBatch(batch)
 	if err != nil {
-		p.opts.Logger.Log(eventBadMessage, zap.String("address", replyTo), zap.Int("answers", len(batch.Answers)), zap.Error(err))
+		p.bad.log(replyTo, err)
 		return http.StatusBadRequest, nil
 	}
 	asked, err := readClocks()
@@ -349,7 +351,7 @@
 	p.opts.Metrics.Add(metricBatches, "answers-ok", 1)
 	reading, err := codec.DecodeClockReading(reply)
 	if err != nil {
-		p.opts.Logger.Log(eventBadMessage, zap.String("address", replyTo), zap.Error(err))
+		p.bad.log(replyTo, err)
 		return status, nil
 	}
 	return status, &callproxy.Exchange{Asked: asked, Leader: time.Duration(reading.Clock)}
@@ -397,7 +399,7 @@
 	}
 	batch, err := codec.DecodeCallBatch(body)
 	if err != nil {
-		p.opts.Logger.Log(eventBadMessage, zap.String("address", r.RemoteAddr), zap.Error(err))
+		p.bad.log(r.RemoteAddr, err)
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
