--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -64,6 +64,7 @@
 type Leader struct {
 	opts    LeaderOptions
 	mailbox chan any
+	bad     *badMessages
 }
 
 // Calls are calls that the leader has decided at the same time.
@@ -117,7 +118,7 @@
 
 // NewLeader returns the leader's side. Run must be called for it to work.
 func NewLeader(opts LeaderOptions) *Leader {
-	return &Leader{opts: opts, mailbox: make(chan any, mailboxSize)}
+	return &Leader{opts: opts, mailbox: make(chan any, mailboxSize), bad: &badMessages{logger: opts.Logger}}
 }
 
 // Send passes calls to the task. It waits for room in its mailbox; the task never waits for its senders.
@@ -147,14 +148,14 @@
 		session uint64
 		proxy   string
 		ids     []uint64
-		fault   callproxy.Fault // empty if the batch was taken over
-		unsent  bool            // it certainly was not
+		fault   callproxy.Fault // of the proxy, if any
+		unsent  bool            // the batch certainly was not taken over
 	}
 )
 
 // Run processes the messages until ctx ends.
 func (l *Leader) Run(ctx context.Context) {
-	t := &leaderTask{opts: l.opts, mailbox: l.mailbox}
+	t := &leaderTask{opts: l.opts, mailbox: l.mailbox, bad: l.bad}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	flush := time.NewTimer(time.Hour)
@@ -184,6 +185,7 @@
 type leaderTask struct {
 	opts    LeaderOptions
 	mailbox chan any
+	bad     *badMessages
 	members []string
 	session *leaderSession // nil while no calls are delegated
 }
@@ -456,7 +458,7 @@
 		if refused {
 			t.opts.Metrics.Add(metricLost, "not-permitted", 1)
 		}
-		s.router.CallEnded(now, batch.Proxy, refused)
+		s.router.CallEnded(batch.Proxy, refused)
 	}
 }
 
@@ -501,7 +503,7 @@
 		s.finish(c, dispatch.OutcomeNotPermitted, now)
 	default:
 		t.opts.Metrics.Add(metricLost, "no-answer", 1)
-		s.router.CallEnded(now, c.proxy, true)
+		s.router.CallEnded(c.proxy, true)
 		t.giveUp(now, id, c)
 	}
 }
