core/callproxy: a silent proxy is noticed after 0.4 s, a slow leader blames none

Starts that a frozen proxy gets before it is noticed are in doubt for many seconds. A proxy sends something every 100 ms now instead of 250 ms, and is not used after 400 ms of silence instead of 1 s, or when a batch was not taken over in 500 ms instead of 1 s, each only while other proxies respond: otherwise the leader may be slow itself, and must not call the workers in addition.

--- a/core/callproxy/router.go
+++ b/core/callproxy/router.go
@@ -23,10 +23,17 @@
 	// workersPerProxy is the number of workers that a proxy calls before the leader calls any itself. Four
 	// proxies have 750 each of 3,000; three can still serve all, with two connections to each worker.
 	workersPerProxy = 1000
-	// maxSilence is how long a proxy may stay silent and be used. It sends something every HeartbeatInterval.
-	maxSilence = time.Second
 	// HeartbeatInterval is the longest time between two messages of a proxy to its leader.
-	HeartbeatInterval = 250 * time.Millisecond
+	HeartbeatInterval = 100 * time.Millisecond
+	// maxSilence is how long a proxy may stay silent and be used while another one is heard, within the last
+	// recentlyHeard. Starts that a frozen proxy gets meanwhile are in doubt for many seconds. If no proxy is
+	// heard, the leader may be slow to read their messages, and waits for maxCommonSilence.
+	maxSilence       = 400 * time.Millisecond
+	recentlyHeard    = 150 * time.Millisecond
+	maxCommonSilence = 1500 * time.Millisecond
+	// recentlyReached is how long ago another proxy may have taken over a batch when one proxy does not. A
+	// batch is due every 10 ms.
+	recentlyReached = 250 * time.Millisecond
 	// ProbeInterval is the longest time between two batches for a proxy, and SessionTimeout the time after
 	// which a proxy without a batch ends the session.
 	ProbeInterval  = 500 * time.Millisecond
@@ -87,6 +94,7 @@
 	// since its last rest. Both are needed: a link may be cut off in one direction.
 	heard, reached bool
 	heardAt        time.Time
+	reachedAt      time.Time
 	restUntil      time.Time
 	probeAt        time.Time // when the next batch is due
 	ended          int       // calls that have ended in the window
@@ -180,6 +188,7 @@
 // Reached records that a proxy has taken over a batch.
 func (r *Router) Reached(now time.Time, address string) {
 	if p := r.proxies[address]; p != nil {
+		p.reachedAt = now
 		p.reached = p.reached || !now.Before(p.restUntil)
 		r.use(now, address, p)
 	}
@@ -205,6 +214,24 @@
 	}
 }
 
+// TimedOut records that a proxy has not taken over a batch in time. While no other proxy takes over batches
+// either, the leader itself may be slow.
+func (r *Router) TimedOut(now time.Time, address string) {
+	p, others, reached := r.proxies[address], 0, false
+	if p == nil {
+		return
+	}
+	for _, other := range r.proxies {
+		if other != p && other.used {
+			others++
+			reached = reached || now.Sub(other.reachedAt) <= recentlyReached
+		}
+	}
+	if reached || others == 0 {
+		r.fault(now, address, p, FaultUnreachable)
+	}
+}
+
 // CallEnded records the end of a call by a proxy. lost means that it got no answer from the proxy in time,
 // or that the proxy could not send it although the leader lease was long enough.
 func (r *Router) CallEnded(address string, lost bool) {
@@ -257,7 +284,7 @@
 		r.windowEnd = now.Add(lossWindow)
 	}
 	for address, p := range r.proxies {
-		if p.used && now.Sub(p.heardAt) > maxSilence {
+		if silence := now.Sub(p.heardAt); p.used && silence > maxSilence && (r.heardRecently(now) || silence > maxCommonSilence) {
 			r.fault(now, address, p, FaultSilent)
 		}
 		if !now.Before(p.probeAt) {
@@ -268,6 +295,16 @@
 	return probes
 }
 
+// heardRecently reports whether messages of proxies are being read.
+func (r *Router) heardRecently(now time.Time) bool {
+	for _, p := range r.proxies {
+		if p.used && now.Sub(p.heardAt) <= recentlyHeard {
+			return true
+		}
+	}
+	return false
+}
+
 // Changes returns the changes since the last call.
 func (r *Router) Changes() []Change {
 	changes := r.changes
--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -30,8 +30,10 @@
 	// maxBatchesInFlight is the number of unanswered batches for one receiver. Further calls or answers
 	// are added to the next batch.
 	maxBatchesInFlight = 4
-	// batchTimeout limits the wait until a batch is taken over.
-	batchTimeout = time.Second
+	// batchTimeout limits the wait until a batch is taken over, and answersTimeout the wait until answers are
+	// confirmed, which a slow leader does late.
+	batchTimeout   = 500 * time.Millisecond
+	answersTimeout = time.Second
 	// maxCallsPerBatch bounds the size of a batch. A payload may have 4 KB.
 	maxCallsPerBatch = 500
 	// answerGrace is how long after its timeout a call may still be answered by its proxy, which measures
@@ -149,6 +151,7 @@
 		proxy   string
 		ids     []uint64
 		fault   callproxy.Fault // of the proxy, if any
+		late    bool            // the batch was not taken over in time
 		unsent  bool            // the batch certainly was not taken over
 	}
 )
--- a/internal/proxying/leaderlink.go
+++ b/internal/proxying/leaderlink.go
@@ -67,7 +67,7 @@
 	box.inFlight++
 	s.router.Sent(now, proxy)
 	go func() {
-		result.fault, result.unsent = t.post(ctx, proxy, batch)
+		result.fault, result.late, result.unsent = t.post(ctx, proxy, batch)
 		select {
 		case t.mailbox <- result:
 		case <-ctx.Done():
@@ -75,22 +75,25 @@
 	}()
 }
 
-// post sends a batch. unsent means that the proxy certainly has not taken it over. The fault is empty if the
-// proxy has taken it over, or has no part in the failure.
-func (t *leaderTask) post(ctx context.Context, proxy string, batch callproxy.CallBatch) (fault callproxy.Fault, unsent bool) {
+// post sends a batch. The fault is empty if the proxy has taken it over or may have no part in the failure. late
+// means that there was no response in time, unsent that the proxy certainly has not taken the batch over.
+func (t *leaderTask) post(ctx context.Context, proxy string, batch callproxy.CallBatch) (fault callproxy.Fault, late, unsent bool) {
 	body, err := codec.EncodeCallBatch(batch)
 	if err != nil {
 		t.bad.log(proxy, err)
-		return callproxy.FaultUnreachable, true
+		return callproxy.FaultUnreachable, false, true
 	}
 	started := time.Now()
-	status, _, err := post(ctx, t.opts.Client, proxy, CallsPath, body)
+	status, _, err := post(ctx, t.opts.Client, batchTimeout, proxy, CallsPath, body)
 	t.opts.Metrics.Observe(metricRoundTrip, time.Since(started))
 	switch {
 	case errors.Is(err, sockets.ErrNone):
 		// The proxy has no part in it. If it were not used, this process would need more sockets.
 		t.opts.Metrics.Add(metricBatches, "calls-no-socket", 1)
-		return "", true
+		return "", false, true
+	case errors.Is(err, context.DeadlineExceeded) && !notConnected(err):
+		t.opts.Metrics.Add(metricBatches, "calls-late", 1)
+		return "", true, false
 	case err != nil:
 		fault, unsent = callproxy.FaultUnreachable, notConnected(err)
 	case status == http.StatusOK:
@@ -108,12 +111,12 @@
 		label = "calls-" + string(fault)
 	}
 	t.opts.Metrics.Add(metricBatches, label, 1)
-	return fault, unsent
+	return fault, false, unsent
 }
 
 // post sends a message and returns the answer.
-func post(ctx context.Context, client *http.Client, address, path string, body []byte) (status int, answer []byte, err error) {
-	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+func post(ctx context.Context, client *http.Client, timeout time.Duration, address, path string, body []byte) (status int, answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
@@ -143,6 +146,8 @@
 	switch {
 	case m.fault != "":
 		s.router.Failed(now, m.proxy, m.fault)
+	case m.late:
+		s.router.TimedOut(now, m.proxy)
 	case !m.unsent:
 		s.router.Reached(now, m.proxy)
 	}
--- a/internal/proxying/proxy.go
+++ b/internal/proxying/proxy.go
@@ -339,7 +339,7 @@
 	if err != nil {
 		return 0, nil
 	}
-	status, reply, err := post(ctx, p.opts.Client, replyTo, AnswersPath, body)
+	status, reply, err := post(ctx, p.opts.Client, answersTimeout, replyTo, AnswersPath, body)
 	if err != nil {
 		p.opts.Metrics.Add(metricBatches, "answers-failed", 1)
 		return 0, nil
