internal/proxying: a planned stop of a call proxy loses no call

The calls that a stopping replica had taken over ended without an answer: starts were in doubt, and the workers of its holds counted as unresponsive. It takes over no more now, and waits up to 1.3 s until the leader has its answers.

Checked: go test -race -count=2 ./internal/proxying; go test -run 'Stop|Transfer|Settings' ./internal/platformproc.

--- a/core/callproxy/router.go
+++ b/core/callproxy/router.go
@@ -67,6 +67,7 @@
 	FaultLossy       Fault = "lossy"     // most calls were lost or came back unsent
 	FaultOtherTerm   Fault = "term"      // the proxy serves a later leader
 	FaultNotMember   Fault = "no-member" // it is no control replica any more
+	FaultStopping    Fault = "stopping"  // its planned stop has begun; it answers the calls that it has
 )
 
 // Change is a proxy that is used now, or is not used any more because of a fault.
--- a/internal/platformproc/callproxies.go
+++ b/internal/platformproc/callproxies.go
@@ -18,6 +18,9 @@
 	maxIdleConnsToProxy = 4
 	// membersInterval is the time between two readings of the members of the control group.
 	membersInterval = time.Second
+	// callsStopTimeout limits the wait for the answers of workers at a planned stop. A hold takes up to a
+	// second.
+	callsStopTimeout = 1300 * time.Millisecond
 	// connsPerCalledWorker is the number of connections to a worker: one for a hold, one for a start.
 	connsPerCalledWorker = 2
 )
@@ -72,6 +75,13 @@
 	b.tasks.Go(func() { c.followMembers(ctx, r) })
 }
 
+// stop waits until the calls that were taken over for another leader are answered.
+func (c *callProxies) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callsStopTimeout)
+	defer cancel()
+	c.proxy.Stop(ctx)
+}
+
 // followMembers passes the addresses of the other control replicas on.
 func (c *callProxies) followMembers(ctx context.Context, r *replica.Replica) {
 	for ctx.Err() == nil {
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -113,6 +113,7 @@
 	b.logger.Log(eventStopping)
 	transferCtx, cancelTransfer := context.WithTimeout(kill, transferTimeout)
 	defer cancelTransfer()
+	proxies.stop(transferCtx)
 	stopErr := r.Stop(transferCtx)
 	cancel()
 	err = <-ended
--- a/internal/proxying/failures_test.go
+++ b/internal/proxying/failures_test.go
@@ -88,6 +88,31 @@
 	g.wantServed(removed)
 }
 
+// Guards against calls that are lost, or counted as unanswered, because a proxy's planned stop ends them, and
+// against a planned stop that waits although nothing is to be answered.
+func TestPlannedStopOfAProxyLosesNoCall(t *testing.T) {
+	g := startGroup(t, 3)
+	g.workers = 1400
+	g.awaitUsed(3)
+	stopping := g.proxies[0]
+	stopping.workers.holdTime = 200 * time.Millisecond
+	holds := stopping.workers.holds.Load()
+	g.send(100, longLease)
+	await(t, "holds that wait", func() bool { return stopping.workers.holds.Load() > holds })
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	stopped := make(chan struct{})
+	go func() { stopping.Stop(ctx); close(stopped) }()
+	got := g.collect(300)
+	wantTally(t, got, tally{"hold-ok": 100, "start-ok": 100, "stop-old": 100})
+	<-stopped
+	if ctx.Err() != nil {
+		t.Error("the stop has not ended")
+	}
+	g.wantServed(stopping)
+	stopping.kill()
+}
+
 // Guards against workers that stay without calls while their proxy does not get them, and against a start
 // that is reported as not sent although it may have been.
 func TestProxyCutOffFromTheLeader(t *testing.T) {
--- a/internal/proxying/leader.go
+++ b/internal/proxying/leader.go
@@ -523,8 +523,8 @@
 	s.due.add(now.Add(t.opts.LateHold), id)
 }
 
-// logChanges logs which proxies are used. The holds of a proxy that is no longer used count as unanswered
-// at once, so that another process calls its workers.
+// logChanges logs which proxies are used. The holds of a proxy that has failed count as unanswered at once, so
+// that another process calls its workers.
 func (t *leaderTask) logChanges() {
 	s := t.session
 	if s == nil {
@@ -538,12 +538,13 @@
 		}
 		t.opts.Metrics.Add(metricFaults, string(change.Fault), 1)
 		t.opts.Logger.Log(eventProxyNotUsed, zap.String("address", change.Proxy), zap.String("reason", string(change.Fault)), zap.Int("used", s.router.Used()))
-		t.abandon(now, change.Proxy)
+		t.abandon(now, change.Proxy, change.Fault != callproxy.FaultStopping)
 	}
 }
 
-// abandon routes the calls again that are still in the outbox of a proxy, and gives its holds up.
-func (t *leaderTask) abandon(now time.Time, proxy string) {
+// abandon routes the calls again that are still in the outbox of a proxy, and gives its holds up if it has
+// failed.
+func (t *leaderTask) abandon(now time.Time, proxy string, failed bool) {
 	s := t.session
 	waiting := s.outbox(proxy).ids
 	s.outbox(proxy).ids = nil
@@ -552,6 +553,9 @@
 			t.route(now, c)
 		}
 	}
+	if !failed {
+		return
+	}
 	for id, c := range s.pending {
 		if c.proxy == proxy && !c.late && c.message.Kind == callproxy.KindHold {
 			t.giveUp(now, id, c)
--- a/internal/proxying/leaderlink.go
+++ b/internal/proxying/leaderlink.go
@@ -101,6 +101,8 @@
 		fault, unsent = callproxy.FaultVersion, true
 	case status == http.StatusConflict:
 		fault, unsent = callproxy.FaultOtherTerm, true
+	case status == http.StatusGone:
+		fault, unsent = callproxy.FaultStopping, true
 	case status == http.StatusServiceUnavailable:
 		fault, unsent = callproxy.FaultUnreachable, true
 	default:
--- a/internal/proxying/proxy.go
+++ b/internal/proxying/proxy.go
@@ -39,6 +39,7 @@
 	batches  chan batchMessage
 	finished chan finishedCall
 	posted   chan postedAnswers
+	stops    chan chan<- struct{}
 	bad      *badMessages
 }
 
@@ -46,6 +47,21 @@
 func NewProxy(opts ProxyOptions) *Proxy {
 	return &Proxy{
 		opts: opts, batches: make(chan batchMessage, mailboxSize), finished: make(chan finishedCall, mailboxSize), posted: make(chan postedAnswers, mailboxSize), bad: &badMessages{logger: opts.Logger},
+		stops: make(chan chan<- struct{}),
+	}
+}
+
+// Stop takes over no more calls and waits until those that were taken over are answered, or ctx ends.
+func (p *Proxy) Stop(ctx context.Context) {
+	done := make(chan struct{})
+	select {
+	case p.stops <- done:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
 	}
 }
 
@@ -93,6 +109,8 @@
 	*Proxy
 	session    *proxySession // nil without a leader
 	nextReport time.Time
+	stopping   bool
+	stopped    chan<- struct{} // closed when all calls are answered; nil before Stop
 }
 
 // proxySession is the state of the session of a leader.
@@ -106,6 +124,7 @@
 	exchange  *callproxy.Exchange // nil before the first one
 	waiting   []callproxy.Call    // calls that wait for an exchange of clocks
 	holds     map[string][]sentHold
+	running   int // calls that have not ended
 	answers   []timedAnswer
 	inFlight  int // posts
 	lastPost  time.Time
@@ -134,17 +153,35 @@
 			t.handleFinished(m)
 		case m := <-p.posted:
 			t.handlePosted(ctx, m)
+		case t.stopped = <-p.stops:
+			t.stopping = true
 		case <-timer.C:
 		}
 		if t.session != nil {
 			timer.Reset(t.postDue(ctx, time.Now()))
 		}
+		t.endStop()
+	}
+}
+
+// endStop ends Stop once no call waits for its answer to arrive at the leader.
+func (t *proxyTask) endStop() {
+	if t.stopped == nil {
+		return
+	}
+	if s := t.session; s == nil || s.running+len(s.waiting)+len(s.answers)+s.inFlight == 0 {
+		t.endSession("planned stop")
+		close(t.stopped)
+		t.stopped = nil
 	}
 }
 
 // handleBatch takes over a batch and returns the status of the response.
 func (t *proxyTask) handleBatch(ctx context.Context, batch callproxy.CallBatch) int {
 	now := time.Now()
+	if t.stopping {
+		return http.StatusGone
+	}
 	if s := t.session; s == nil || s.id != batch.Session {
 		if s != nil && batch.Term < s.term {
 			return http.StatusConflict
@@ -191,6 +228,7 @@
 		if c.Kind == callproxy.KindHold {
 			s.holds[c.Worker] = append(s.holds[c.Worker], sentHold{c.ID, cancel})
 		}
+		s.running++
 		deadline := s.exchange.Deadline(time.Duration(c.Until))
 		go func() {
 			defer cancel()
@@ -229,6 +267,7 @@
 	if s == nil || s.id != m.session {
 		return
 	}
+	s.running--
 	if m.call.Kind == callproxy.KindHold {
 		s.holdEnded(m.call.Worker, m.call.ID, dispatch.Outcome(m.answer.Outcome) == dispatch.OutcomeOK)
 	}
