--- a/core/callproxy/router.go
+++ b/core/callproxy/router.go
@@ -5,20 +5,6 @@
 	"time"
 )
 
-// DefaultThreshold is the number of workers above which call proxies are used unless the settings name
-// another one. The leader of 48 workers needs little for its calls. With 350 workers and 0.64 cores, calls
-// and submissions in a burst exceed its processor share, and callers wait 0.3 s longer for every commit.
-const DefaultThreshold = 200
-
-// Delegates reports whether call proxies are to be used. Once they are, they stay in use until the number
-// of workers is a tenth below the threshold.
-func Delegates(before bool, workers, threshold int) bool {
-	if before {
-		return workers > threshold-threshold/10
-	}
-	return workers > threshold
-}
-
 const (
 	// workersPerProxy is the number of workers that a proxy calls before the leader calls any itself. Four
 	// proxies have 750 each of 3,000; three can still serve all, with two connections to each worker.
--- a/core/dispatch/startdelay.go
+++ b/core/dispatch/startdelay.go
@@ -68,16 +68,20 @@
 	// long to arrive after they were issued.
 	tickets  recentDelays
 	expected time.Duration // for the current plan
+	commit   time.Duration // part of it that commits take
 }
 
 // updateStartDelay calculates the expected delay for a plan. A proposal that waits already longer than earlier
 // ones have taken counts as one that took as long.
 func (c *Core) updateStartDelay() {
 	d := &c.startDelays
-	commit := max(d.commits.highPercentile(c.now), c.oldestProposalAge())
-	d.expected = max(minStartDelay, commit+d.starts.highPercentile(c.now)+d.tickets.highPercentile(c.now))
+	d.commit = max(d.commits.highPercentile(c.now), c.oldestProposalAge())
+	d.expected = max(minStartDelay, d.commit+d.starts.highPercentile(c.now)+d.tickets.highPercentile(c.now))
 }
 
+// CommitTime returns how long commits took before the current plan, as a high percentile.
+func (c *Core) CommitTime() time.Duration { return c.startDelays.commit }
+
 // startDelay returns the expected time from a placement to the arrival of a start of a step, whose tickets are
 // valid for a time.
 func (c *Core) startDelay(validity time.Duration) time.Duration {
--- a/internal/dispatcher/delegate.go
+++ b/internal/dispatcher/delegate.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/godwitlink/godwitlink/core/callproxy"
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/internal/proxying"
 )
@@ -25,14 +24,13 @@
 const delegatedResultsSize = 4
 
 // delegateCalls passes the calls to workers to the delegate and removes them from the effects, if there
-// are more workers than the leader calls itself.
+// are more workers than the leader calls itself, or if it is late.
 func (l *eventLoop) delegateCalls(e *dispatch.Effects) {
 	if l.opts.Delegate == nil || len(e.Holds)+len(e.Starts)+len(e.Stops) == 0 {
 		return
 	}
 	term, workers := l.term, l.term.core.WorkerCount()
-	term.delegates = callproxy.Delegates(term.delegates, workers, l.opts.DelegateAbove)
-	if !term.delegates {
+	if !term.delegation.Update(time.Now(), workers, l.opts.DelegateAbove, l.term.core.CommitTime()) {
 		return
 	}
 	if term.delegated == nil {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/callproxy"
 	"github.com/godwitlink/godwitlink/core/dispatch"
 	"github.com/godwitlink/godwitlink/core/lease"
 	"github.com/godwitlink/godwitlink/core/workload"
@@ -38,7 +39,8 @@
 // Options configures Run.
 type Options struct {
 	Workers WorkerClient
-	// Delegate sends the calls to workers if there are more than DelegateAbove; nil if there is none.
+	// Delegate sends the calls to workers if there are more than DelegateAbove, or if the leader is late;
+	// nil if there is none.
 	Delegate      Delegate
 	DelegateAbove int
 	Adviser       Adviser
@@ -108,9 +110,9 @@
 	// boundsActive and boundHits are what was last published of the core's bounds.
 	boundsActive int
 	boundHits    []uint64
-	// delegates reports whether calls are delegated; delegated receives their results.
-	delegates bool
-	delegated chan proxying.Results
+	// delegation decides whether calls are delegated; delegated receives their results.
+	delegation callproxy.Delegation
+	delegated  chan proxying.Results
 }
 
 // callResult is the result of a call. deliver passes it to the core.
