--- a/test/platformsoak/manyworkers_test.go
+++ b/test/platformsoak/manyworkers_test.go
@@ -317,7 +317,8 @@
 	}
 }
 
-// Guards against workers that stay without calls when a process that calls them ends or is frozen.
+// Guards against workers that stay without calls when a process that calls them ends or is frozen, or when the
+// leader changes.
 func TestManyWorkersLoseAProxy(t *testing.T) {
 	a := startAdviser(t)
 	s := startSystem(t, buildPrograms(t), a.address, *manyThreshold)
@@ -348,7 +349,7 @@
 	}
 	awaitHolds()
 	submitTasks(t, s, *manyDuration/2)
-	for _, fault := range []string{"killed", "frozen"} {
+	for _, fault := range []string{"killed", "frozen", "killed as the leader"} {
 		for _, w := range workers {
 			w.resetGap()
 		}
@@ -357,19 +358,23 @@
 		if p == leader {
 			p = s.controls[1]
 		}
-		if fault == "killed" {
+		switch fault {
+		case "killed as the leader":
+			p = leader
 			p.kill()
-		} else {
+		case "killed":
+			p.kill()
+		case "frozen":
 			p.signal(syscall.SIGSTOP)
 		}
 		at := time.Now()
 		awaitHolds()
 		submitTasks(t, s, *manyDuration/2)
 		awaitHolds()
-		if fault == "killed" {
-			s.start(p, false)
-		} else {
+		if fault == "frozen" {
 			p.signal(syscall.SIGCONT)
+		} else {
+			s.start(p, false)
 		}
 		var longest time.Duration
 		late := 0
