--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -31,6 +31,7 @@
 	// times of the tasks that have ended.
 	expected time.Duration
 	siblings runtimes.Siblings
+	longest  time.Duration // of the run times that were measured, on a worker of the usual speed
 	// criticalPath is the longest chain of work from the start of this step to the end of the job.
 	criticalPath time.Duration
 
@@ -108,6 +109,9 @@
 		}
 		return
 	}
+	if live := c.jobsByID[id]; live != nil {
+		c.recordLateJob(live)
+	}
 	c.untrackJob(id)
 	if j.State == workload.JobCompleted {
 		return
--- a/core/dispatch/learn.go
+++ b/core/dispatch/learn.go
@@ -95,7 +95,10 @@
 		shown := j.group.Ratio(&s.siblings) * declared.Seconds() / elapsed.Seconds()
 		w.speed.Observe(shown*c.medianSpeed, j.group.Noise(&s.siblings, elapsed, missed))
 	}
-	c.addSample(j, s.siblings.Observe(runtimes.Scale(elapsed, relative), declared))
+	measured := runtimes.Scale(elapsed, relative)
+	s.longest = max(s.longest, measured)
+	c.recordRunTime(j, s.expected, measured)
+	c.addSample(j, s.siblings.Observe(measured, declared))
 	c.expectRunTimes(j)
 }
 
@@ -112,6 +115,7 @@
 	}
 	if declared := j.Spec.Steps[index].Estimate; declared > 0 && s.siblings.Count() == 0 && !c.opts.TrustDeclared {
 		took := time.Duration(100 / rates.gangBestRate * rates.gangBestSpeed * float64(time.Millisecond))
+		c.recordRunTime(j, s.expected, took)
 		c.addSample(j, s.siblings.Observe(took, declared))
 		c.expectRunTimes(j)
 	}
--- a/core/dispatch/leave.go
+++ b/core/dispatch/leave.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		if remaining, known := c.remainingTime(w, id, r); known && c.now.Add(remaining).After(w.leavesAt) {
+			c.recordGivenUpRun(w, id, r, "worker-leaves", remaining)
 			c.requestStop(w, r, "worker-leaves")
 			c.stopGang(id)
 		}
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -140,6 +140,8 @@
 		}
 	}
 	s.excludeWorker(w.ID)
+	remaining, _ := c.remainingTimeAt(r.rate(), w, r)
+	c.recordGivenUpRun(w, id, r, "stalled", remaining)
 	c.requestStop(w, r, "stalled")
 	c.stopGang(id)
 }
--- a/core/dispatch/runtimes_test.go
+++ b/core/dispatch/runtimes_test.go
@@ -213,3 +213,39 @@
 		t.Errorf("run times of %d queues, want 3", queues)
 	}
 }
+
+// An operator must see in the metrics how many jobs are late and why, and in the log which runs were given
+// up and what was expected of them.
+func TestLateJobsAndGivenUpRunsAreReported(t *testing.T) {
+	cell := loadedCell(1.1)
+	cell.speeds = []float64{1}
+	s := newLoadSim(cell, 1, nil)
+	s.play()
+	late, reported := 0, 0
+	for _, r := range s.results {
+		late += r.jobs - r.inTime
+	}
+	for _, n := range s.late {
+		reported += n
+	}
+	if reported < late*8/10 || reported > late*12/10 || s.late[dispatch.LateWaited] < reported*9/10 {
+		t.Errorf("late by cause %v, but %d jobs are late for a lack of workers", s.late, late)
+	}
+	if s.runTimes == 0 || s.mispredicted*20 > s.runTimes {
+		t.Errorf("%d of %d run times are off by more than two times", s.mispredicted, s.runTimes)
+	}
+
+	cell.longTasks, cell.load = 0.03, 0.6
+	s = newLoadSim(cell, 1, func(o *dispatch.Options) { o.TrustDeclared = true })
+	s.play()
+	stalled := 0
+	for _, r := range s.results {
+		stalled += r.stalled
+	}
+	if s.late[dispatch.LateRestarted] == 0 {
+		t.Errorf("late by cause %v, but %d runs were given up", s.late, stalled)
+	}
+	if len(s.givenUp) == 0 || len(s.givenUp) < stalled || s.givenUp[0].Remaining <= 0 || s.givenUp[0].Expected <= 0 {
+		t.Errorf("%d runs were given up, reported %+v", stalled, s.givenUp)
+	}
+}
--- a/core/dispatch/runtimesim_test.go
+++ b/core/dispatch/runtimesim_test.go
@@ -60,7 +60,13 @@
 	order    []*loadWorker
 	jobs     map[workload.JobID]*loadJob
 	wakeAt   time.Duration
-	results  map[string]*cellResult
+	// What the leader reports: late jobs by cause, the run times and those off by more than two times,
+	// and the runs that it gave up.
+	late         map[dispatch.LateCause]int
+	runTimes     int
+	mispredicted int
+	givenUp      []dispatch.Decision
+	results      map[string]*cellResult
 }
 
 type loadWorker struct {
@@ -99,7 +105,7 @@
 
 func newLoadSim(load cellLoad, seed uint64, options func(*dispatch.Options)) *loadSim {
 	s := &loadSim{
-		cellLoad: load, rng: rand.New(rand.NewPCG(seed, 99)), mirror: workload.New(),
+		cellLoad: load, late: map[dispatch.LateCause]int{}, rng: rand.New(rand.NewPCG(seed, 99)), mirror: workload.New(),
 		workers: map[workload.WorkerID]*loadWorker{}, jobs: map[workload.JobID]*loadJob{}, results: map[string]*cellResult{},
 	}
 	initial := workload.New()
@@ -167,7 +173,19 @@
 	for _, st := range e.Stops {
 		s.after(cellCallTime, func() { s.stop(s.workers[st.Worker], st) })
 	}
+	for _, late := range e.LateJobs {
+		s.late[late.Cause]++
+	}
+	for _, r := range e.RunTimes {
+		s.runTimes++
+		if r.Measured > 2*r.Predicted || r.Predicted > 2*r.Measured {
+			s.mispredicted++
+		}
+	}
 	for _, d := range e.Decisions {
+		if d.Kind == dispatch.DecisionRunGivenUp {
+			s.givenUp = append(s.givenUp, d)
+		}
 		if d.Kind == dispatch.DecisionRunStopped && d.Reason == "stalled" {
 			s.results[s.jobs[d.Job].queue].stalled++
 		}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -82,6 +82,8 @@
 	// DroppedAdvice lists the advice calls whose answers are of no use any more.
 	DroppedAdvice []uint64
 	Decisions     []Decision
+	RunTimes      []RunTime
+	LateJobs      []LateJob
 	Deadline      time.Time // time of the next call to Tick at the latest; zero if none is needed
 }
 
@@ -172,6 +174,9 @@
 	Count   int                // number of tasks, runs or workers, depending on Kind
 	Reason  string
 	Age     time.Duration // age of the information that the decision is based on
+	// Remaining is how long a run would still have taken, and Expected how long a run of its step takes; 0
+	// if unknown.
+	Remaining, Expected time.Duration
 }
 
 // DecisionKind is the type of a decision. Its text is used as a metric label.
@@ -195,6 +200,7 @@
 	DecisionClosedRun     DecisionKind = "closed-run-found"
 	DecisionOverlap       DecisionKind = "runs-overlap"
 	DecisionTaskBlocked   DecisionKind = "task-embargoed"
+	DecisionRunGivenUp    DecisionKind = "run-given-up"
 	DecisionUncountedEnd  DecisionKind = "done-end-uncounted"
 	DecisionTeamWarning   DecisionKind = "team-warning"
 	DecisionBoundBegins   DecisionKind = "bound-begins"
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -85,11 +85,12 @@
 
 // eventLoop owns the core of the current term.
 type eventLoop struct {
-	opts    Options
-	updates <-chan replica.WorkUpdate
-	results chan callResult
-	term    *leaderTerm // nil while this process is not the leader
-	teams   teamLoads
+	opts        Options
+	updates     <-chan replica.WorkUpdate
+	results     chan callResult
+	term        *leaderTerm     // nil while this process is not the leader
+	queueLabels map[string]bool // queues with a label of their own in the metrics
+	teams       teamLoads
 }
 
 // leaderTerm holds the state of one term as leader. Results of calls from an earlier term are
@@ -248,6 +249,7 @@
 	for _, d := range e.Decisions {
 		l.logDecision(d)
 	}
+	l.recordRunTimes(e)
 	for _, p := range e.Proposals {
 		l.propose(p)
 	}
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -37,6 +37,7 @@
 	dispatch.DecisionOverlap:       eventlog.Declare(4025, zapcore.ErrorLevel, "worker runs what the state has closed while another run of the task is open"),
 	dispatch.DecisionTaskBlocked:   eventlog.Declare(4026, zapcore.InfoLevel, "task is not placed while a lost start may still begin it"),
 	dispatch.DecisionUncountedEnd:  eventlog.Declare(4027, zapcore.ErrorLevel, "a run ended as done and its task is not done"),
+	dispatch.DecisionRunGivenUp:    eventlog.Declare(4030, zapcore.InfoLevel, "run is given up for its predicted end"),
 	dispatch.DecisionBoundBegins:   eventlog.Declare(4028, zapcore.WarnLevel, "the leader is late and begins to put off work"),
 	dispatch.DecisionBoundEnds:     eventlog.Declare(4029, zapcore.InfoLevel, "the leader no longer puts off work"),
 	dispatch.DecisionTeamWarning:   eventlog.Declare(4060, zapcore.WarnLevel, "the configuration of a team is probably wrong"),
@@ -81,5 +82,11 @@
 	if d.Age != 0 {
 		fields = append(fields, zap.Int64("age_ms", d.Age.Milliseconds()))
 	}
+	if d.Remaining != 0 {
+		fields = append(fields, zap.Int64("remaining_ms", d.Remaining.Milliseconds()))
+	}
+	if d.Expected != 0 {
+		fields = append(fields, zap.Int64("expected_ms", d.Expected.Milliseconds()))
+	}
 	l.opts.Logger.Log(decisionEvents[d.Kind], fields...)
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -105,6 +107,14 @@
 	s.scope.Histogram(m.Name, delayBuckets).RecordDuration(delay)
 }
 
+// ratioBuckets are the bucket bounds of all histograms of ratios.
+var ratioBuckets = tally.ValueBuckets{0.1, 0.25, 0.5, 0.7, 0.85, 1, 1.15, 1.4, 2, 4, 10}
+
+// ObserveRatioFor records a ratio in a histogram that has the label reason.
+func (s *Set) ObserveRatioFor(m Metric, reason string, ratio float64) {
+	s.scopeFor(reason).Histogram(m.Name, ratioBuckets).RecordValue(ratio)
+}
+
 func (s *Set) scopeFor(reason string) tally.Scope {
 	if reason == "" {
 		return s.scope
@@ -127,6 +137,10 @@
 		lines = append(lines, fmt.Sprintf("%s%s %g", g.Name(), labels(g.Tags()), g.Value()))
 	}
 	for _, h := range snapshot.Histograms() {
+		if len(h.Values()) > 0 {
+			lines = append(lines, ratioLines(h)...)
+			continue
+		}
 		lines = append(lines, histogramLines(h)...)
 	}
 	sort.Strings(lines)
@@ -148,6 +162,24 @@
 	return append(lines, fmt.Sprintf("%s_count %d", h.Name(), cumulative))
 }
 
+// ratioLines returns the lines of a histogram of ratios.
+func ratioLines(h tally.HistogramSnapshot) []string {
+	bounds := slices.Sorted(maps.Keys(h.Values()))
+	tags := map[string]string{}
+	maps.Copy(tags, h.Tags())
+	var lines []string
+	var cumulative int64
+	for _, bound := range bounds {
+		cumulative += h.Values()[bound]
+		tags["le"] = "+Inf"
+		if bound <= ratioBuckets[len(ratioBuckets)-1] {
+			tags["le"] = fmt.Sprintf("%g", bound)
+		}
+		lines = append(lines, fmt.Sprintf("%s_bucket%s %d", h.Name(), labels(tags), cumulative))
+	}
+	return append(lines, fmt.Sprintf("%s_count%s %d", h.Name(), labels(h.Tags()), cumulative))
+}
+
 func bucketLabel(bound time.Duration) string {
 	if bound > delayBuckets[len(delayBuckets)-1] {
 		return "+Inf"
