core/dispatch: gangs that cannot end in time keep no workers free

A blocked gang keeps workers free until it fits, also when its job can no longer end within its objective.

--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -20,7 +20,15 @@
 // claimForGang keeps resources free for a blocked gang, on the workers that lack the least to take
 // its tasks. Otherwise smaller tasks would fill each gap, and a large gang would wait until the
 // load falls.
+//
+// A gang that can no longer end within its objective claims nothing. Under a load of 110 percent, with
+// gangs as wide as a fifth of the cell, what such claims keep idle would serve more jobs than the gang: the
+// least urgent queue got 0.62 of the worth with them and 0.69 without, and gangs of the urgent queue lost
+// nothing.
 func (c *Core) claimForGang(r readyStep, s *step, spec *workload.StepSpec) {
+	if r.timeliness != onTime {
+		return
+	}
 	needed := int64(spec.Tasks) * spec.Size.MilliCPU
 	maxClaim := c.totalMilliCPU * maxClaimedPercent / 100
 	if c.claimedMilliCPU == 0 {
--- a/core/dispatch/joborder_test.go
+++ b/core/dispatch/joborder_test.go
@@ -89,3 +89,57 @@
 		}
 	}
 }
+
+// Claims must let the gangs of the urgent queue run in time under a load of 110 percent, and the callers of
+// all queues must still get nearly as much as the workers can do. Without claims, 0.53 of these gangs were
+// in time.
+func TestClaimsServeUrgentGangs(t *testing.T) {
+	cell := loadedCell(1.1)
+	cell.gangs, cell.gangWidth = 0.1, 15
+	all, gangs := cellResult{}, cellResult{}
+	for seed := range uint64(4) {
+		s := newLoadSim(cell, seed, nil)
+		s.play()
+		for _, r := range s.results {
+			all.add(*r)
+		}
+		for _, j := range s.jobs {
+			if j.queue == "urgent" && slices.ContainsFunc(j.spec.Steps, func(spec workload.StepSpec) bool { return spec.Gang }) {
+				gangs.jobs++
+				if j.inTime {
+					gangs.inTime++
+				}
+			}
+		}
+	}
+	t.Logf("worth %.3f, urgent gangs in time %.2f of %d", all.meanWorth(), gangs.inTimeShare(), gangs.jobs)
+	if gangs.inTimeShare() < 0.8 {
+		t.Errorf("%.2f of the urgent gangs are in time", gangs.inTimeShare())
+	}
+	if least := servedShare / cell.load; all.meanWorth() < least {
+		t.Errorf("worth %.3f, want %.3f", all.meanWorth(), least)
+	}
+}
+
+// A gang that is overdue must not keep workers idle that a job in time can use.
+func TestOverdueGangClaimsNothing(t *testing.T) {
+	for name, target := range map[string]time.Duration{"in time": time.Minute, "overdue": time.Second} {
+		b, filled := newFilledTestbed(t)
+		queues := configureQueues(
+			workload.Queue{Name: "gangs", Service: "shop", MaxAttempts: 1, TargetLatency: target, SlackFactor: 1},
+			workload.Queue{Name: "batch", Service: "shop", MaxAttempts: 1, Priority: 1},
+		)
+		queues.Configure.Version = 3
+		b.apply(queues)
+		b.apply(submitJobTo("gangs", "gang", workload.StepSpec{Tasks: 3, Size: workload.Resources{MilliCPU: 2000}, Gang: true, Estimate: time.Second}))
+		b.tick(1500 * time.Millisecond)
+		b.answerHolds(dispatch.HoldReport{})
+		b.apply(submitJobTo("batch", "small", workload.StepSpec{Tasks: 1, Size: workload.Resources{MilliCPU: 1500}}))
+		ended := filled[0]
+		b.apply(workload.Command{Decide: &workload.Decide{Ends: []workload.EndedRun{{Worker: ended.Worker, Boot: 1, Task: ended.Task, Run: 1, How: workload.EndDone}}}})
+		starts := b.commit(b.tick(replanDelay)).Starts
+		if started := len(starts) == 1 && starts[0].Task.Job == "small"; started != (name == "overdue") {
+			t.Errorf("gang %s: starts %+v", name, starts)
+		}
+	}
+}
