core/workload, godwitctl: where a job would go now

An operator could see from the log why a job waits, but not where it would go or what a job that is not sent would be told. State.Explain says it by the checks of an assignment: the refusal, the team's use and cap, the workers that fit and those that do not by reason, the expected run times, wait and end. Control replicas serve it at listen_metrics, leading or not, with the time of their latest command, and godwitctl where prints it.

Advice, avoided workers and speeds are known to the leader alone and are not part of the answer.

--- a/core/state/query.go
+++ b/core/state/query.go
@@ -17,10 +17,11 @@
 	Members *MembersQuery `cbor:",omitempty"`
 	Explain *ExplainQuery `cbor:",omitempty"`
 
-	StepJob *StepJobQuery    `cbor:",omitempty"`
-	Queue   *QueueQuery      `cbor:",omitempty"`
-	Queues  *QueuesQuery     `cbor:",omitempty"`
-	Called  *StepWorkerQuery `cbor:",omitempty"` // worker that the leader calls
+	StepJob *StepJobQuery          `cbor:",omitempty"`
+	Queue   *QueueQuery            `cbor:",omitempty"`
+	Queues  *QueuesQuery           `cbor:",omitempty"`
+	Called  *StepWorkerQuery       `cbor:",omitempty"` // worker that the leader calls
+	Where   *workload.ExplainQuery `cbor:",omitempty"` // where a multi-step job would go now
 }
 
 // StepWorkerQuery asks for a worker that runs steps of multi-step jobs. The leader calls such workers.
@@ -85,6 +86,13 @@
 	Queue   *QueueView       `cbor:",omitempty"`
 	Queues  *QueuesView      `cbor:",omitempty"`
 	Called  *workload.Worker `cbor:",omitempty"` // worker that the leader calls
+	Where   *WhereView       `cbor:",omitempty"`
+}
+
+// WhereView says where a multi-step job would go.
+type WhereView struct {
+	Explanation workload.Explanation
+	AsOf        time.Time // time of the latest command that the replica has applied
 }
 
 // StepJobWait is how long the leader may wait for the end of a job before it answers a StepJobQuery. A
--- a/core/state/view.go
+++ b/core/state/view.go
@@ -25,6 +25,8 @@
 		return Answer{Members: s.memberList()}
 	case q.StepJob != nil:
 		return Answer{StepJob: s.stepJobView(*q.StepJob)}
+	case q.Where != nil:
+		return Answer{Where: &WhereView{Explanation: s.workload.Explain(s.now, *q.Where), AsOf: s.now}}
 	case q.Queue != nil:
 		return Answer{Queue: &QueueView{Pending: s.workload.PendingJobs(q.Queue.Name)}}
 	case q.Queues != nil:
--- a/core/workload/teamrate.go
+++ b/core/workload/teamrate.go
@@ -26,21 +26,30 @@
 // takeFromRate takes one job at a time from a team's guaranteed rate. It reports false, and takes nothing,
 // if the rate is used up. A team that the configuration does not list is guaranteed nothing.
 func (s *State) takeFromRate(name TeamName, now time.Time) bool {
+	fullAt, within := s.rateAfterJob(name, now)
+	if within {
+		s.teamRates[name] = fullAt
+	}
+	return within
+}
+
+// rateAfterJob returns when the bucket of a team is full again if it submits a job, and whether the job is
+// within its rate.
+func (s *State) rateAfterJob(name TeamName, now time.Time) (fullAt time.Time, within bool) {
 	team := s.teams[name]
 	if team == nil || !(team.Weight > 0) {
-		return false
+		return time.Time{}, false
 	}
 	interval := team.jobInterval()
-	fullAt := s.teamRates[name]
+	fullAt = s.teamRates[name]
 	if fullAt.Before(now) {
 		fullAt = now
 	}
 	fullAt = fullAt.Add(interval)
 	if fullAt.Sub(now) > max(rateBurst, minBurstJobs*interval) {
-		return false
+		return time.Time{}, false
 	}
-	s.teamRates[name] = fullAt
-	return true
+	return fullAt, true
 }
 
 // maxJobInterval limits the interval of a tiny weight, so that times do not overflow.
--- a/internal/ctl/command.go
+++ b/internal/ctl/command.go
@@ -96,7 +96,7 @@
 	flags.StringVar(&o.keys.Key, "key", "", "key of the certificate (PEM)")
 	flags.StringVar(&o.keys.Authorities, "authorities", "", "certificates that sign the entry processes' (PEM)")
 	root.AddCommand(o.applyCommand(), o.checkCommand(), o.diffCommand(), o.getCommand(),
-		o.statusCommand(), o.explainCommand(), o.watchCommand())
+		o.statusCommand(), o.explainCommand(), o.whereCommand(), o.watchCommand())
 	return root
 }
 
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/api"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
@@ -184,5 +185,5 @@
 	if err := b.serve(openfiles.UseCallers, s.ListenControl, external); err != nil {
 		return err
 	}
-	return b.serveMetrics(s.ListenMetrics)
+	return b.serveMetrics(s.ListenMetrics, route{"GET " + api.WherePath, workapi.WhereHandler(r)})
 }
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -149,10 +149,19 @@
 	return len(line), nil
 }
 
-// serveMetrics opens the listener for metrics.
-func (b *baseProcess) serveMetrics(address string) error {
+// route is what a listener serves at a pattern of http.ServeMux.
+type route struct {
+	pattern string
+	handler http.Handler
+}
+
+// serveMetrics opens the listener for metrics and other questions of operators.
+func (b *baseProcess) serveMetrics(address string, more ...route) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", b.metrics)
+	for _, r := range more {
+		mux.Handle(r.pattern, r.handler)
+	}
 	return b.serve(openfiles.UseProbes, address, mux)
 }
 
