core/dispatch: the order of waiting steps is computed once for each plan

Each comparison of two steps read both jobs, and all rules were evaluated although the first one decides in most cases. Steps of jobs with and without an objective were not ordered consistently: each of the former could precede one of the latter that precedes another one of the former. A step now carries what decides its place, jobs without an objective follow the others of their priority, and the order of arrival is the last rule.

--- a/core/dispatch/joborder.go
+++ b/core/dispatch/joborder.go
@@ -24,16 +24,55 @@
 	j.sizeClass = bits.Len64(work) / 2
 }
 
-// latestStart returns when a step must start for its job to end within its objective, in Unix nanoseconds.
-func (j *job) latestStart(index int) int64 {
-	return j.localAcceptedAt.UnixNano() + int64(j.objective-j.steps[index].criticalPath)
+// place holds what decides the order of a waiting step, computed once for each plan. A plan compares
+// thousands of steps, and reading their jobs for each comparison takes longer than the comparison.
+type place struct {
+	rank       int64 // rules that come before the use of the teams: usefulness, priority, share
+	timeliness timeliness
+	sizeClass  int8
+	gangWork   int64 // work of an overdue gang
+	// latestStart is when the step must start for its job to end within its objective, in Unix nanoseconds.
+	latestStart int64
+	position    int // in order of arrival
 }
 
-// compareJobs orders steps by the size of their jobs, and then by their latest start. Steps without an
-// objective keep their order.
-func compareJobs(a, b readyStep) int {
-	if a.job.objective <= 0 || b.job.objective <= 0 {
-		return 0
+const (
+	// maxPriority bounds the part of the priority in a rank. Priorities above it count as equal.
+	maxPriority = 1 << 30
+	// noObjective is the size class of jobs without an objective. Under load they go after the others of
+	// their priority, in order of arrival.
+	noObjective = 127
+)
+
+func newReadyStep(j *job, index int, t timeliness, position int) readyStep {
+	r := readyStep{job: j, index: index, timeliness: t}
+	r.place = place{
+		rank: int64(max(t, overdue))<<40 + int64(min(max(j.Queue.Priority, -maxPriority), maxPriority))<<1, timeliness: t,
+		sizeClass: int8(j.sizeClass), gangWork: r.overdueGangWork(), position: position,
+	}
+	if j.BeyondShare {
+		r.place.rank++
+	}
+	if j.objective > 0 {
+		r.place.latestStart = j.localAcceptedAt.UnixNano() + int64(j.objective-j.steps[index].criticalPath)
+	} else {
+		r.place.sizeClass = noObjective
+	}
+	return r
+}
+
+func (p *place) compare(o *place) int {
+	switch {
+	case p.rank != o.rank:
+		return cmp.Compare(p.rank, o.rank)
+	case p.timeliness != o.timeliness:
+		return cmp.Compare(p.timeliness, o.timeliness)
+	case p.gangWork != o.gangWork:
+		return cmp.Compare(p.gangWork, o.gangWork)
+	case p.sizeClass != o.sizeClass:
+		return cmp.Compare(p.sizeClass, o.sizeClass)
+	case p.latestStart != o.latestStart:
+		return cmp.Compare(p.latestStart, o.latestStart)
 	}
-	return cmp.Or(cmp.Compare(a.job.sizeClass, b.job.sizeClass), cmp.Compare(a.latestStart, b.latestStart))
+	return cmp.Compare(p.position, o.position)
 }
--- a/core/dispatch/joborder_test.go
+++ b/core/dispatch/joborder_test.go
@@ -57,27 +57,29 @@
 }
 
 // A small job must overtake one that needs at least four times as much, but not one of similar size that
-// must start earlier.
+// must start earlier. A job without an objective must not delay one that has one.
 func TestSmallJobOvertakesLargerOne(t *testing.T) {
 	queue := workload.Queue{Name: "q", Service: "shop", MaxAttempts: 3, SlackFactor: 3, TargetLatency: time.Second}
 	for name, c := range map[string]struct {
 		first, second time.Duration // run times of the jobs in order of their arrival
+		firstQueue    string
 		want          workload.JobID
 	}{
-		"much smaller": {8 * time.Second, 500 * time.Millisecond, "second"},
-		"similar":      {1100 * time.Millisecond, 1150 * time.Millisecond, "first"},
+		"much smaller": {8 * time.Second, 500 * time.Millisecond, "q", "second"},
+		"similar":      {1100 * time.Millisecond, 1150 * time.Millisecond, "q", "first"},
+		"no objective": {500 * time.Millisecond, 500 * time.Millisecond, "idle", "second"},
 	} {
 		step := func(estimate time.Duration) workload.StepSpec {
 			return workload.StepSpec{Tasks: 1, Size: wholeWorker, Estimate: estimate}
 		}
-		configuration := configureQueues(queue)
+		configuration := configureQueues(queue, workload.Queue{Name: "idle", Service: "shop", MaxAttempts: 3})
 		configuration.Configure.Version = 2
 		b := newTestbed(t, configuration, registerWorker("w", 1), submitJob("running", step(time.Second)))
 		b.tick(0)
 		b.answerHolds(dispatch.HoldReport{})
 		running := b.commit(b.tick(replanDelay)).Starts
 		b.core.StartAnswered(b.now, running[0], dispatch.OutcomeOK, 0)
-		b.core.Apply(b.now, b.now, 0, submitJob("first", step(c.first)))
+		b.core.Apply(b.now, b.now, 0, submitJobTo(c.firstQueue, "first", step(c.first)))
 		b.tick(50 * time.Millisecond)
 		b.core.Apply(b.now, b.now, 0, submitJob("second", step(c.second)))
 		b.tick(50 * time.Millisecond)
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -53,8 +53,7 @@
 	job        *job
 	index      int
 	timeliness timeliness
-	// latestStart is when the step must start for its job to end within its objective, in Unix nanoseconds.
-	latestStart int64
+	place      place
 }
 
 func (r readyStep) spec() *workload.StepSpec { return &r.job.Spec.Steps[r.index] }
@@ -107,26 +106,19 @@
 // their team's share come before those beyond it, and then teams are ordered by their use
 // (teamOrder). Within one team, steps that can still meet their objective come before those that
 // cannot, because under overload all jobs would otherwise be late. Among overdue gangs the smallest
-// come first, so that more of them end in time to be of use. Other rules leave the rest to compareJobs.
+// come first, so that more of them end in time to be of use. The rest goes by the size of the jobs (place).
 func (c *Core) readySteps() []readyStep {
-	var all []readyStep
+	all := make([]readyStep, 0, c.readyStepsInPlan)
 	teams := false
 	for _, j := range c.liveJobs {
 		teams = teams || j.Team != ""
 		for i := range j.steps {
 			if j.steps[i].waitingTasks > 0 && j.DependenciesDone(i) {
-				all = append(all, readyStep{j, i, j.timeliness(i, c.now), j.latestStart(i)})
+				all = append(all, newReadyStep(j, i, j.timeliness(i, c.now), len(all)))
 			}
 		}
 	}
-	slices.SortStableFunc(all, func(a, b readyStep) int {
-		return cmp.Or(
-			compareRank(a, b),
-			cmp.Compare(a.timeliness, b.timeliness),
-			cmp.Compare(a.overdueGangWork(), b.overdueGangWork()),
-			compareJobs(a, b),
-		)
-	})
+	slices.SortFunc(all, func(a, b readyStep) int { return a.place.compare(&b.place) })
 	if teams {
 		c.newTeamOrder().order(all)
 	}
@@ -135,22 +127,7 @@
 
 // compareRank compares steps by the rules that come before the use of their teams.
 func compareRank(a, b readyStep) int {
-	return cmp.Or(
-		cmp.Compare(max(a.timeliness, overdue), max(b.timeliness, overdue)),
-		cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
-		compareBool(a.job.BeyondShare, b.job.BeyondShare),
-	)
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
+	return cmp.Compare(a.place.rank, b.place.rank)
 }
 
 // placeStep chooses workers for a step. If the step needs tickets and has none, it makes an advice
