core/dispatch: play the loaded cell with an adviser

The played cell had no adviser, and most queues have one. It now answers calls late, for half of the workers, and the objective includes the call that the platform allows for.

--- a/core/dispatch/runtimes_test.go
+++ b/core/dispatch/runtimes_test.go
@@ -133,6 +133,7 @@
 		"slow workers":     func(c *cellLoad) { c.slowEvery = time.Minute },
 		"all a third":      func(c *cellLoad) { c.scale = 0.33 },
 		"all three times":  func(c *cellLoad) { c.scale = 3 },
+		"advised":          adviseJobs,
 		"long tasks alone": func(c *cellLoad) { c.longTasks = 0.03 },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -148,6 +149,14 @@
 	}
 }
 
+// adviseJobs lets an adviser decide which workers may run the steps of a cell.
+func adviseJobs(c *cellLoad) {
+	c.requesters, c.error, c.longTasks = 20, 0.9, 0.03
+	for i := range c.queues {
+		c.queues[i].Advice = &workload.AdviserConfig{Base: 20 * time.Millisecond, PerWorker: time.Millisecond, TicketTTL: 2 * time.Second}
+	}
+}
+
 // Urgent work must run on fast workers and work with slack on slow ones, and the slow ones must not stay
 // idle.
 func TestUrgentWorkRunsOnFastWorkers(t *testing.T) {
--- a/core/dispatch/runtimesim_test.go
+++ b/core/dispatch/runtimesim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -23,9 +24,11 @@
 	duration  time.Duration
 	queues    []workload.Queue
 	teams     []workload.Team
-	gangs     float64       // share of the steps that are gangs
-	gangWidth int           // maximum number of the tasks of a gang; 0 is that of other steps
-	slowEvery time.Duration // mean time until a worker becomes slow for some seconds; 0 is never
+	// requesters is the number of processes that call the adviser, beside the leader.
+	requesters int
+	gangs      float64       // share of the steps that are gangs
+	gangWidth  int           // maximum number of the tasks of a gang; 0 is that of other steps
+	slowEvery  time.Duration // mean time until a worker becomes slow for some seconds; 0 is never
 }
 
 // cellResult is what the clients of a queue get.
@@ -161,9 +164,15 @@
 }
 
 func (s *loadSim) runLeader() {
+	for i := range s.requesters {
+		s.core.RequesterSeen(s.clock(), fmt.Sprint("requester", i))
+	}
 	s.core.SetLeaderLease(s.clock(), lease.DeadlineIn(s.clock(), leaderLease))
 	s.core.Tick(s.clock())
 	e := s.core.Effects()
+	for _, call := range e.Advice {
+		s.advise(call)
+	}
 	for _, p := range e.Proposals {
 		s.after(cellCommitTime, func() { s.commit(p) })
 	}
@@ -199,6 +208,22 @@
 	}
 }
 
+// advise answers an advice call after the time that it takes at the adviser, with tickets for every other
+// worker.
+func (s *loadSim) advise(call dispatch.AdviceCall) {
+	advice := s.mirror.Job(call.Step.Job).Queue.Advice
+	grant := dispatch.Grant{OK: true, Tickets: map[workload.WorkerID]string{}, TicketTTL: advice.TicketTTL}
+	for _, id := range call.Workers {
+		hash := fnv.New32a()
+		fmt.Fprint(hash, call.Step, id)
+		if hash.Sum32()%2 == 0 {
+			grant.Tickets[id] = "t"
+		}
+	}
+	takes := advice.Base + time.Duration(len(call.Workers))*advice.PerWorker + 2*cellCallTime
+	s.after(takes, func() { s.core.AdviceAnswered(s.clock(), call.ID, grant) })
+}
+
 func (s *loadSim) commit(p dispatch.Proposal) {
 	s.apply(p.Command)
 	s.core.ProposalCommitted(s.clock(), p.ID)
@@ -275,6 +300,10 @@
 			work += takes.Seconds() * float64(spec.Size.MilliCPU)
 		}
 		path += longest
+		if q.Advice != nil {
+			// The platform allows for a call that names 30 workers.
+			path += q.Advice.Base + 30*q.Advice.PerWorker
+		}
 		j.work = append(j.work, tasks)
 		j.spec.Steps = append(j.spec.Steps, spec)
 	}
