internal/platformproc: a setting that turns learned run times off

An operator could not compare a cell with and without learned run times. The setting trust_declared_run_times of the control replicas (default false) turns learning off while the replica leads.

--- a/core/runtimes/histogram.go
+++ b/core/runtimes/histogram.go
@@ -111,6 +111,9 @@
 			h.addToSums(Bucket(at-maxBucket), int(count))
 		}
 	}
+	for h.total >= maxHistogramSamples*sampleUnits {
+		h.halve()
+	}
 	return h
 }
 
--- a/core/runtimes/runtimes_test.go
+++ b/core/runtimes/runtimes_test.go
@@ -158,3 +158,21 @@
 		t.Errorf("%d keys are kept", known)
 	}
 }
+
+// A damaged snapshot must not let a count overflow.
+func TestRestoredHistogramIsBounded(t *testing.T) {
+	counts := make([]uint16, 100)
+	for i := range counts {
+		counts[i] = math.MaxUint16
+	}
+	h := runtimes.HistogramOf(-20, counts)
+	if h.Total() > 600 {
+		t.Fatalf("%d ratios count", h.Total())
+	}
+	for range 2000 {
+		h.Add(0)
+		if h.Total() > 600 {
+			t.Fatalf("%d ratios count", h.Total())
+		}
+	}
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -46,11 +46,13 @@
 	Logger        *eventlog.Logger
 	Metrics       *metrics.Set
 
-	SelfAddress string        // address of this process as an advice requester
-	WorkerLease time.Duration // how far each call extends a worker's lease
-	MaxLease    time.Duration // longest lease that a worker accepts
-	HoldWait    time.Duration
-	ClockLagPPM int64 // maximum rate by which a worker's clock may run slower than the leader's
+	SelfAddress string // address of this process as an advice requester
+	// TrustDeclaredRunTimes is dispatch.Options.TrustDeclared.
+	TrustDeclaredRunTimes bool
+	WorkerLease           time.Duration // how far each call extends a worker's lease
+	MaxLease              time.Duration // longest lease that a worker accepts
+	HoldWait              time.Duration
+	ClockLagPPM           int64 // maximum rate by which a worker's clock may run slower than the leader's
 }
 
 const (
@@ -211,7 +213,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, lateHolds: map[workload.WorkerID][]context.CancelFunc{}, adviceCalls: map[uint64]context.CancelFunc{}, core: dispatch.New(dispatch.Options{
-		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress,
+		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress, TrustDeclared: l.opts.TrustDeclaredRunTimes,
 	}, restored, now)}
 	l.opts.Logger.Log(eventTermBegins, zap.Uint64("term", lead.Term), zap.Int("workers", len(restored.Workers())))
 }
--- a/internal/platformproc/settings.go
+++ b/internal/platformproc/settings.go
@@ -31,6 +31,8 @@
 	// CallProxyWorkers is the number of workers above which the other control replicas call workers for the
 	// leader; 0 means callproxy.DefaultThreshold.
 	CallProxyWorkers int `toml:"call_proxy_workers,optional"`
+	// TrustDeclaredRunTimes turns off the learning of run times while this replica leads.
+	TrustDeclaredRunTimes bool `toml:"trust_declared_run_times,optional"`
 }
 
 // EntrySettings are the settings of godwit-platform-entry.
