--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -17,6 +17,7 @@
 	objective       time.Duration   // allowed time from acceptance to the end of the last step
 	begunRecorded   bool            // it is to be reported, or was proposed, that a worker has begun a task
 	group           *runtimes.Group // what is learned about the run times of its queue
+	sizeClass       int             // logarithm of the expected work of the remaining tasks
 	groupRatio      float64         // ratio of the group when the expected run times were last calculated
 }
 
@@ -31,6 +32,7 @@
 	// times of the tasks that have ended.
 	expected time.Duration
 	siblings runtimes.Siblings
+	longest  time.Duration // of the run times that were measured, on a worker of the usual speed
 	// criticalPath is the longest chain of work from the start of this step to the end of the job.
 	criticalPath time.Duration
 
@@ -87,6 +89,7 @@
 		}
 		j.steps[i].waitingTasks = waiting
 	}
+	j.updateSizeClass()
 }
 
 func (c *Core) jobSubmitted(id workload.JobID) {
@@ -108,6 +111,9 @@
 		}
 		return
 	}
+	if live := c.jobsByID[id]; live != nil {
+		c.recordLateJob(live)
+	}
 	c.untrackJob(id)
 	if j.State == workload.JobCompleted {
 		return
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -48,11 +48,13 @@
 	Logger        *eventlog.Logger
 	Metrics       *metrics.Set
 
-	SelfAddress string        // address of this process as an advice requester
-	WorkerLease time.Duration // how far each call extends a worker's lease
-	MaxLease    time.Duration // longest lease that a worker accepts
-	HoldWait    time.Duration
-	ClockLagPPM int64 // maximum rate by which a worker's clock may run slower than the leader's
+	SelfAddress string // address of this process as an advice requester
+	// TrustDeclaredRunTimes is dispatch.Options.TrustDeclared.
+	TrustDeclaredRunTimes bool
+	WorkerLease           time.Duration // how far each call extends a worker's lease
+	MaxLease              time.Duration // longest lease that a worker accepts
+	HoldWait              time.Duration
+	ClockLagPPM           int64 // maximum rate by which a worker's clock may run slower than the leader's
 }
 
 const (
@@ -87,11 +89,12 @@
 
 // eventLoop owns the core of the current term.
 type eventLoop struct {
-	opts    Options
-	updates <-chan replica.WorkUpdate
-	results chan callResult
-	term    *leaderTerm // nil while this process is not the leader
-	teams   teamLoads
+	opts        Options
+	updates     <-chan replica.WorkUpdate
+	results     chan callResult
+	term        *leaderTerm     // nil while this process is not the leader
+	queueLabels map[string]bool // queues with a label of their own in the metrics
+	teams       teamLoads
 }
 
 // leaderTerm holds the state of one term as leader. Results of calls from an earlier term are
@@ -212,7 +215,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.term = &leaderTerm{number: lead.Term, ctx: ctx, cancel: cancel, lateHolds: map[workload.WorkerID][]context.CancelFunc{}, adviceCalls: map[uint64]context.CancelFunc{}, core: dispatch.New(dispatch.Options{
-		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress,
+		Term: lead.Term, Lease: l.opts.WorkerLease, MaxLease: l.opts.MaxLease, HoldWait: l.opts.HoldWait, LateAnswerTime: lateAnswerTime, ClockLagPPM: l.opts.ClockLagPPM, SelfAddress: l.opts.SelfAddress, TrustDeclared: l.opts.TrustDeclaredRunTimes,
 	}, restored, now)}
 	l.opts.Logger.Log(eventTermBegins, zap.Uint64("term", lead.Term), zap.Int("workers", len(restored.Workers())))
 }
@@ -250,6 +253,7 @@
 	for _, d := range e.Decisions {
 		l.logDecision(d)
 	}
+	l.recordRunTimes(e)
 	for _, p := range e.Proposals {
 		l.propose(p)
 	}
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -13,6 +13,7 @@
 
 	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/core/replog"
+	"github.com/godwitlink/godwitlink/internal/api"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
@@ -95,7 +96,7 @@
 	b.tasks.Go(func() { watcher.run(runCtx) })
 	b.tasks.Go(func() {
 		dispatcher.Run(runCtx, dispatcher.Options{
-			Workers: platformClient, Delegate: proxies.leader, DelegateAbove: s.delegateAbove(), Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
+			Workers: platformClient, Delegate: proxies.leader, DelegateAbove: s.delegateAbove(), Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal, TrustDeclaredRunTimes: s.TrustDeclaredRunTimes,
 			Adviser:     &dispatcher.RelayAdviser{SelfAddress: s.ListenInternal, Local: platformClient, Client: client},
 			WorkerLease: s.WorkerLeaseMax * leasePercent / 100, MaxLease: s.WorkerLeaseMax, HoldWait: holdWait, ClockLagPPM: maxClockDriftPPM,
 		}, updates)
@@ -184,5 +185,5 @@
 	if err := b.serve(openfiles.UseCallers, s.ListenControl, external); err != nil {
 		return err
 	}
-	return b.serveMetrics(s.ListenMetrics)
+	return b.serveMetrics(s.ListenMetrics, route{"GET " + api.WherePath, workapi.WhereHandler(r)})
 }
