--- a/core/dispatch/teamcap.go
+++ b/core/dispatch/teamcap.go
@@ -40,7 +40,7 @@
 
 // updateTeamsInDoubt determines, by team, the demand of runs that the state has closed and that may be active
 // all the same: a boot that the leader had not noticed may have carried out a start for its former boot, and
-// its registration closes that run.
+// its registration closes that run. A start does not count any more once its worker is known to refuse it.
 func (c *Core) updateTeamsInDoubt() {
 	clear(c.teamsInDoubt)
 	if config := c.state.Config(); config == nil || len(config.Teams) == 0 {
@@ -55,7 +55,7 @@
 		task := c.state.Task(id)
 		for _, start := range starts {
 			counted := task != nil && task.Open && task.Worker == start.worker.ID
-			if !counted && c.mayBeActive(start) {
+			if !counted && !start.worker.refusesStartsOf(id) && c.mayBeActive(start) {
 				add(id)
 			}
 		}
