test/platformsoak: teams, and keys that come and go

Cause: the soak of the programs had no teams. Change: TestSoakTeams gives each client the key of a team, changes the keys every 1.5 s, probes old, new, unknown and other teams' keys, and checks the rule on caps at each start.

--- a/test/platformsoak/clients_test.go
+++ b/test/platformsoak/clients_test.go
@@ -29,6 +29,8 @@
 	httpClient      *http.Client
 	random          *rand.Rand
 	reportViolation func(format string, args ...any)
+	team            int
+	key             string // empty if calls need no key
 }
 
 // runClients starts clients that submit jobs until ctx is cancelled.
@@ -39,6 +41,9 @@
 			system: s, jobs: jobs, reportViolation: reportViolation, random: rand.New(rand.NewPCG(seed, uint64(100+i))),
 			httpClient: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		}
+		if s.teams != nil {
+			c.team, c.key = teamOfClient(i), teamKey(teamOfClient(i))
+		}
 		running.Go(func() {
 			for ctx.Err() == nil {
 				c.submitRandomJob()
@@ -60,6 +65,9 @@
 	}
 	request.Host = host
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(clientTimeout.Milliseconds()))
+	if c.key != "" {
+		request.Header.Set("Authorization", "Token "+c.key)
+	}
 	response, err := c.httpClient.Do(request)
 	if err != nil {
 		return 0, nil
@@ -100,11 +108,16 @@
 		c.reportViolation("client: %v", err)
 		return
 	}
-	c.jobs.update(id, func(job *submittedJob) { job.payload, job.firstStepTasks, job.host = string(encoded), taskCount, host })
+	c.jobs.update(id, func(job *submittedJob) {
+		job.payload, job.firstStepTasks, job.host, job.team, job.key = string(encoded), taskCount, host, c.team, c.key
+	})
 	body := fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, encoded, steps)
 	if !c.submit(host, id, body) {
 		return
 	}
+	if c.key != "" && c.random.IntN(100) < probePercent {
+		c.probeKeys(id, host)
+	}
 	if c.random.IntN(100) < cancelPercent {
 		if status, _ := c.call(http.MethodDelete, host, jobPath+id, ""); status == http.StatusOK || status == http.StatusGone {
 			c.jobs.update(id, func(job *submittedJob) { job.cancelled = time.Now() })
@@ -150,6 +163,7 @@
 			if job.accepted.IsZero() || !job.cancelled.IsZero() || job.cancelUnknown || job.state == "completed" {
 				continue
 			}
+			c.key = job.key
 			status, content := c.call(http.MethodGet, job.host, jobPath+id, "")
 			var jobStatus struct {
 				State string `json:"state"`
--- a/test/platformsoak/fleet_test.go
+++ b/test/platformsoak/fleet_test.go
@@ -805,6 +805,8 @@
 	cancelUnknown  bool // a cancellation got no conclusive response
 	host           string
 	state          string
+	team           int
+	key            string // of the team; empty if calls need no key
 }
 
 func newJobRegistry() *jobRegistry { return &jobRegistry{jobs: map[string]*submittedJob{}} }
--- a/test/platformsoak/rules_test.go
+++ b/test/platformsoak/rules_test.go
@@ -92,6 +92,9 @@
 		f.reportViolation("LIMIT: %d of %d milli-CPU in use on %s with %s", milliCPU, workerMilliCPU, w.id, call.Task)
 	}
 	job := f.jobs.get(jobID)
+	if job != nil {
+		f.checkCap(*job, call.Task, payload.MilliCPU)
+	}
 	late := call.late || w.link != nil && now.UnixMilli()-w.link.releasedAt.Load() < releaseTime.Milliseconds()
 	switch {
 	case job == nil:
--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -76,14 +76,16 @@
 
 // soakOptions are what runs differ in beside the seed.
 type soakOptions struct {
-	reportUnnoticed  bool // violations by boots that the leader had not noticed fail the test
-	callProxyWorkers int  // number of workers above which call proxies are used; 0 means the default
+	reportUnnoticed  bool      // violations by boots that the leader had not noticed fail the test
+	callProxyWorkers int       // number of workers above which call proxies are used; 0 means the default
+	teams            *teamKeys // nil if the configuration lists no teams
 }
 
 // runSoak injects faults for a while, ends them all, and waits for the accepted jobs to complete.
 func runSoak(t *testing.T, programDir string, seed uint64, options soakOptions) {
 	a := startAdviser(t)
 	s := startSystem(t, programDir, a.address, options.callProxyWorkers)
+	s.teams = options.teams
 	jobs := newJobRegistry()
 	f := newFleet(t, *workerCount, jobs, s.controlAddresses)
 	a.fleet.Store(f)
@@ -116,6 +118,9 @@
 	if options.callProxyWorkers > 0 && !s.logged(`"event":4040,`) {
 		t.Error("no call proxy was used")
 	}
+	if options.teams != nil && !s.logged(`"event":4061,`) {
+		t.Error("no team was at its cap")
+	}
 	f.do(func() {
 		for _, p := range s.workerProxies {
 			f.counts["held back from one process"] += int(p.heldBack.Load())
@@ -160,13 +165,29 @@
 // run starts faults at random intervals for the given duration.
 func (in *faultInjector) run(duration time.Duration) {
 	in.faultCounts, in.disturbed, in.cut = map[string]int{}, map[*process]bool{}, map[*proxy]bool{}
+	keysChangedAt := time.Now()
 	for deadline := time.Now().Add(duration); time.Now().Before(deadline); {
 		in.endDueFaults(time.Now())
+		if in.system.teams != nil && time.Since(keysChangedAt) > keyChangeInterval {
+			keysChangedAt = time.Now()
+			in.changeConfig()
+		}
 		in.injectFault()
 		time.Sleep(time.Duration(in.random.Int64N(int64(2 * meanFaultInterval))))
 	}
 }
 
+// changeConfig applies a new configuration in the background.
+func (in *faultInjector) changeConfig() {
+	in.configVersion++
+	version := in.configVersion
+	go func() {
+		// This may fail because a later configuration was applied first or because no control process is
+		// reachable. Only the last configuration of a run is checked.
+		_ = in.system.applyConfig(version, 2*time.Second)
+	}()
+}
+
 // endDueFaults ends the faults whose end time has passed.
 func (in *faultInjector) endDueFaults(now time.Time) {
 	var remaining []activeFault
@@ -238,13 +259,7 @@
 		name = in.delayCalls(in.pickWorker())
 	case 9:
 		name = "configuration"
-		in.configVersion++
-		version := in.configVersion
-		go func() {
-			// This may fail because a later configuration was applied first or because no
-			// control process is reachable. Only the last configuration of a run is checked.
-			_ = s.applyConfig(version, 2*time.Second)
-		}()
+		in.changeConfig()
 	case 10:
 		name = "worker rejecting"
 		w := in.pickWorker()
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -48,7 +48,8 @@
 	entries         []*process
 	entryProxies    []*proxy // between the clients and the entry processes
 	adviserProxy    *proxy
-	workerProxies   []*proxy // between the control processes and the workers
+	teams           *teamKeys // nil if the configuration lists no teams
+	workerProxies   []*proxy  // between the control processes and the workers
 }
 
 // leader returns the control process that has begun to dispatch last, by its log, or nil.
@@ -317,13 +318,22 @@
 
 const jobPath = "/q/"
 
+// tenants returns the teams of a version of the configuration that is sent now.
+func (s *system) tenants(version int) string {
+	if s.teams == nil {
+		return ""
+	}
+	s.teams.configSent(version)
+	return s.teams.tenants(version)
+}
+
 // applyConfig submits a configuration to the control processes in turn until one acknowledges it.
 func (s *system) applyConfig(version int, timeout time.Duration) error {
 	body := fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"q","host":"h","pathPrefix":%q,"kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":400,"priority":0,"service":%q,"maxAttempts":3,"slackFactor":1.5},
 {"name":"a","host":"a","pathPrefix":%q,"kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":%q,"maxAttempts":3,"slackFactor":3,
-"advice":{"decideMs":10,"periodMs":0.1,"validMs":1500}}],"services":[{"name":%q,"maxConns":64}]}`,
-		version, jobPath, serviceName, jobPath, serviceName, serviceName)
+"advice":{"decideMs":10,"periodMs":0.1,"validMs":1500}}],"services":[{"name":%q,"maxConns":64}]%s}`,
+		version, jobPath, serviceName, jobPath, serviceName, serviceName, s.tenants(version))
 	client := &http.Client{Timeout: time.Second}
 	var lastErr error
 	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); {
@@ -335,6 +345,9 @@
 			}
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
+				if s.teams != nil {
+					s.teams.configAcked(version)
+				}
 				return nil
 			}
 			lastErr = fmt.Errorf("status %d", response.StatusCode)
