internal/workapi: confirm the keys soon after the leader is back

Cause: after a poll that found no leader, an entry process waited 0.5 s for the next one, and rejected calls with keys meanwhile. Change: with keys, the next poll follows after 0.1 s. Without them nothing changes. Checked: unit test; tests of platform and internal/workapi.

--- a/internal/workapi/confirmedroutes.go
+++ b/internal/workapi/confirmedroutes.go
@@ -26,3 +26,16 @@
 
 // keysConfirmed reports whether the list of keys may be used.
 func (r *confirmedRoutes) keysConfirmed(now time.Time) bool { return now.Sub(r.askedAt) < maxKeysAge }
+
+// retryInterval is the time between two polls of a process whose list of keys is to be confirmed and whose
+// last poll failed. Each poll searches for a leader by itself; a longer interval would prolong the time for
+// which calls are rejected after a change of the leader.
+const retryInterval = 100 * time.Millisecond
+
+// nextPoll returns the time until the next poll after one that ended with the given error.
+func (r *confirmedRoutes) nextPoll(err error) time.Duration {
+	if err != nil && r != nil && r.keys != nil {
+		return retryInterval
+	}
+	return pollInterval
+}
--- a/internal/workapi/confirmedroutes_test.go
+++ b/internal/workapi/confirmedroutes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
@@ -53,3 +54,22 @@
 		t.Error("a table out of nothing")
 	}
 }
+
+// Guards against calls that are rejected for longer than needed after the leader is back, and against more
+// polls of processes that need no keys.
+func TestPollsAfterAFailure(t *testing.T) {
+	withKeys := &confirmedRoutes{RoutingTable: NewRoutingTable(workload.Config{KeysRequired: true})}
+	without := &confirmedRoutes{RoutingTable: NewRoutingTable(workload.Config{})}
+	for _, c := range []struct {
+		routes *confirmedRoutes
+		err    error
+		want   time.Duration
+	}{
+		{withKeys, nil, pollInterval}, {withKeys, controlclient.ErrUnavailable, retryInterval},
+		{without, controlclient.ErrUnavailable, pollInterval}, {nil, controlclient.ErrUnavailable, pollInterval},
+	} {
+		if got := c.routes.nextPoll(c.err); got != c.want {
+			t.Errorf("error %v: next poll after %v, want %v", c.err, got, c.want)
+		}
+	}
+}
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -77,7 +77,7 @@
 				s.opts.Logger.Log(eventControlAvailable, zap.Uint64("version", s.configVersion()))
 			}
 		}
-		if pause.For(ctx, pollInterval) != nil {
+		if pause.For(ctx, s.routes.Load().nextPoll(err)) != nil {
 			return
 		}
 	}
