core/dispatch: urgent work preempts checkpointed runs of teams above their share

Cause: in a cell that is full of long runs of a hot team, tasks of a queue of higher priority waited for a run to end. Change: after a plan, a step within its team's share that has waited for room for 0.2 s stops runs of queues of lower priority that save their progress, of teams that use more than their part of all weights. A step is preempted once, gangs are left alone. Cells without teams are not affected.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -46,6 +46,8 @@
 	nextAdviceAt          time.Time                  // earliest time of the next advice call
 	renewalReservations   []reservation
 	blockedSince          time.Time // time of the first plan that found too few free resources
+	nextPreemptAt         time.Time // earliest time at which runs are preempted for the step again
+	preempted             bool      // a run of the step was preempted
 	// failedWorkers are the workers on which a run of the step has failed or stalled.
 	failedWorkers map[workload.WorkerID]bool
 	rates         runRates
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -87,6 +87,7 @@
 			}
 		}
 	}
+	c.preempt(steps)
 	if len(decide.Assigns) == 0 {
 		return
 	}
