--- a/core/dispatch/teamcap.go
+++ b/core/dispatch/teamcap.go
@@ -40,30 +40,21 @@
 
 // updateTeamsInDoubt determines, by team, the demand of runs that the state has closed and that may be active
 // all the same: a boot that the leader had not noticed may have carried out a start for its former boot, and
-// its registration closes that run.
+// its registration closes that run. A start does not count any more once its worker is known to refuse it.
 func (c *Core) updateTeamsInDoubt() {
 	clear(c.teamsInDoubt)
 	if config := c.state.Config(); config == nil || len(config.Teams) == 0 {
 		return
 	}
-	add := func(id workload.TaskID) {
-		if job := c.state.Job(id.Job); job != nil && job.Team != "" {
-			c.teamsInDoubt[job.Team] = c.teamsInDoubt[job.Team].Add(job.Spec.Steps[id.Step].Size)
-		}
-	}
 	for id, starts := range c.inDoubtStarts {
-		task := c.state.Task(id)
 		for _, start := range starts {
-			counted := task != nil && task.Open && task.Worker == start.worker.ID
-			if !counted && c.mayBeActive(start) {
-				add(id)
+			if start.worker.refusesStartsOf(id) || !c.mayBeActive(start) {
+				continue
 			}
-		}
-	}
-	for _, w := range c.sortedWorkers {
-		for id, r := range w.runs {
-			if r.closedInState && !w.inDoubtTasks[id] {
-				add(id)
+			job, task := c.state.Job(id.Job), c.state.Task(id)
+			counted := task != nil && task.Open && task.Worker == start.worker.ID
+			if job != nil && job.Team != "" && !counted {
+				c.teamsInDoubt[job.Team] = c.teamsInDoubt[job.Team].Add(job.Spec.Steps[id.Step].Size)
 			}
 		}
 	}
