core/acceptance: refuse jobs that could not end in time

While more work is accepted than the workers can do, or the leader is late, jobs were accepted that end long after their result is of use, and the work on them was missing elsewhere.

core/dispatch calculates the least wait of a new job by queue: how late the leader is, and the ready work of queues of the same or a higher priority against all workers. The dispatching task publishes it by message to the replica task, which refuses a job that could not end within three times its objective before it is in the log, with the result of a refused command and a time to come back. A job that the state knows, or that is pending in the log, is not refused, nor is any by a wait that is older than 1.5 s or of another term. Entry processes get the waits with their poll, only while some queue is refused, and refuse such a job at once unless they have proposed it in the last minute.

Checked: tests of the decision, of the waits, of the replica task and of the entry's task; go test of internal/replica, internal/workapi, internal/platformproc, platform, core/state, internal/dispatcher, internal/catalogue pass. One run of go test -race ./internal/replica beside load failed with the output cut off; it passed without -race.

--- /dev/null
+++ b/core/acceptance/acceptance.go
@@ -0,0 +1,109 @@
+// Package acceptance decides which jobs are refused because the cell is overloaded. It does no input or
+// output and reads no clock.
+//
+// It is made for more work than the workers can do, and for a leader that is late, for example after all
+// control machines were unavailable and clients send what they have kept. Callers need jobs that end in
+// time: a job that ends later than MaxLateness times its objective is of no use, and the work spent on it is
+// missing elsewhere. Such a job is refused when it is submitted, so that the client can act on it at once. A
+// job that may still end in time is never refused.
+//
+// The leader's dispatcher calculates the wait of each queue from the work that is accepted and comes before
+// a new job there (core/dispatch). Work of queues with lower priority does not count, so urgent queues are
+// refused last. Check adds the job's own work, so small jobs are refused later than large ones of the same
+// queue. A wait is a figure of one moment and has no memory: once the work is done, jobs are accepted.
+package acceptance
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+const (
+	// MaxLateness is the multiple of its objective within which the end of a job is of use. The platform
+	// specifies three times.
+	MaxLateness = 3
+	// MaxAge is how long a wait may be used after it was calculated. It covers three polls of the entry
+	// processes.
+	MaxAge = 1500 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound when a refused job may be sent again. The work that waits now
+	// says little about a later time.
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+	// adviceWorkers is the number of workers in the advice call that the platform adds to the work of each
+	// step, maxStepDivisor the part of all workers, 1/maxStepDivisor, that a step is assumed to get.
+	adviceWorkers  = 30
+	maxStepDivisor = 4
+)
+
+// QueueWait is how long the tasks of a new job of a queue wait at least. It is published only for queues of
+// which some jobs are to be refused.
+type QueueWait struct {
+	Queue string
+	Wait  time.Duration
+	// Capacity is that of all workers of the queue's service.
+	Capacity workload.Resources
+}
+
+// Find returns the wait of a queue.
+func Find(waits []QueueWait, queue string) (QueueWait, bool) {
+	for _, w := range waits {
+		if w.Queue == queue {
+			return w, true
+		}
+	}
+	return QueueWait{}, false
+}
+
+// Relevant reports whether the wait is so long that some jobs of the queue could not end in time.
+func Relevant(queue *workload.Queue, wait time.Duration) bool {
+	return queue.TargetLatency > 0 && wait > MaxLateness*queue.TargetLatency
+}
+
+// Check reports whether a job could not end in time, and if so when it may be sent again. teamCap is the
+// cap of the job's team; zero dimensions are not limited.
+func Check(w QueueWait, queue *workload.Queue, spec *workload.JobSpec, teamCap workload.Resources) (retryAfter time.Duration, refused bool) {
+	path, ok := criticalPath(w, queue, spec, teamCap)
+	if !ok {
+		return 0, false
+	}
+	objective := time.Duration(queue.SlackFactor*float64(path)) + queue.TargetLatency
+	excess := w.Wait + path - MaxLateness*objective
+	if objective <= 0 || excess <= 0 {
+		return 0, false
+	}
+	return min(max(excess, minRetryAfter), maxRetryAfter), true
+}
+
+// criticalPath returns the longest chain of work of a job. ok is false for a job that the state would refuse
+// for another reason.
+func criticalPath(w QueueWait, queue *workload.Queue, spec *workload.JobSpec, teamCap workload.Resources) (longest time.Duration, ok bool) {
+	ends := make([]time.Duration, len(spec.Steps))
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		begin := time.Duration(0)
+		for _, dependency := range step.DependsOn {
+			if dependency < 0 || dependency >= i {
+				return 0, false
+			}
+			begin = max(begin, ends[dependency])
+		}
+		ends[i] = begin + time.Duration(rounds(w.Capacity, step, teamCap))*step.Estimate
+		if queue.Advice != nil {
+			ends[i] += queue.Advice.Base + adviceWorkers*queue.Advice.PerWorker
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest, true
+}
+
+// rounds returns in how many rounds the tasks of a step run, as the platform counts them.
+func rounds(capacity workload.Resources, step *workload.StepSpec, teamCap workload.Resources) int {
+	if step.Gang || step.Tasks <= 1 {
+		return 1
+	}
+	atOnce := workload.SlotsWithinCap(teamCap, workload.Resources{}, step.Size, step.Tasks)
+	part := workload.Resources{MilliCPU: capacity.MilliCPU / maxStepDivisor, MemoryMB: capacity.MemoryMB / maxStepDivisor, GPUs: capacity.GPUs / maxStepDivisor}
+	atOnce = max(workload.SlotsWithinCap(part, workload.Resources{}, step.Size, atOnce), 1)
+	return (step.Tasks + atOnce - 1) / atOnce
+}
--- a/core/workload/command.go
+++ b/core/workload/command.go
@@ -116,6 +116,8 @@
 	RefusalOtherTeam      Refusal = "other-team" // the id belongs to a job of another team
 	// RefusalNoRoomBeyondShare is given to a new job that its team is not guaranteed and that finds no room.
 	RefusalNoRoomBeyondShare Refusal = "beyond-share"
+	// RefusalOverloaded is given by the leader, before the log, to a new job that could not end in time.
+	RefusalOverloaded Refusal = "overloaded"
 )
 
 // Result is the result of a command.
@@ -124,7 +126,8 @@
 	State   JobState       `cbor:",omitempty"` // state of the job, for Submit and Cancel
 	Version uint64         `cbor:",omitempty"` // version in force, for Configure
 	Assigns []AssignResult `cbor:",omitempty"` // one for each of Decide.Assigns
-	// RetryAfter is when a refused Submit may find room, with RefusalNoRoomBeyondShare.
+	// RetryAfter is when a refused Submit may find room, with RefusalNoRoomBeyondShare and
+	// RefusalOverloaded.
 	RetryAfter time.Duration `cbor:",omitempty"`
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -43,6 +43,7 @@
 	DelegateAbove int
 	Adviser       Adviser
 	Proposer      Proposer
+	Acceptor      Acceptor // may be nil
 	Logger        *eventlog.Logger
 	Metrics       *metrics.Set
 
@@ -107,6 +108,7 @@
 	adviceCalls map[uint64]context.CancelFunc
 	// boundsActive and boundHits are what was last published of the core's bounds.
 	boundsActive int
+	waits        publishedWaits
 	boundHits    []uint64
 	// delegates reports whether calls are delegated; delegated receives their results.
 	delegates bool
@@ -222,6 +224,7 @@
 	l.term.cancel()
 	l.opts.Logger.Log(eventTermEnds, zap.Uint64("term", l.term.number))
 	l.opts.Metrics.SetGauge(metricBounds, 0)
+	l.opts.Metrics.SetGauge(metricRefusingQueues, 0)
 	l.publishTeams(nil)
 	l.term = nil
 }
--- a/internal/dispatcher/pass.go
+++ b/internal/dispatcher/pass.go
@@ -29,6 +29,7 @@
 	l.opts.Metrics.Observe(metricPassDuration, total)
 	load := l.term.core.Load()
 	l.recordBounds(load)
+	l.publishWaits(time.Now(), total)
 	l.recordTeams(p.decidedAt)
 	if total < slowPass {
 		return
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -95,7 +95,7 @@
 	b.tasks.Go(func() { watcher.run(runCtx) })
 	b.tasks.Go(func() {
 		dispatcher.Run(runCtx, dispatcher.Options{
-			Workers: platformClient, Delegate: proxies.leader, DelegateAbove: s.delegateAbove(), Proposer: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
+			Workers: platformClient, Delegate: proxies.leader, DelegateAbove: s.delegateAbove(), Proposer: r, Acceptor: r, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal,
 			Adviser:     &dispatcher.RelayAdviser{SelfAddress: s.ListenInternal, Local: platformClient, Client: client},
 			WorkerLease: s.WorkerLeaseMax * leasePercent / 100, MaxLease: s.WorkerLeaseMax, HoldWait: holdWait, ClockLagPPM: maxClockDriftPPM,
 		}, updates)
--- /dev/null
+++ b/internal/replica/acceptance.go
@@ -0,0 +1,99 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/acceptance"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+var metricJobRefusals = metrics.Declare("control_job_refusals_total", metrics.KindCounter, "new jobs that the leader refused before they were in the log, by queue")
+
+// queueWaits are the waits of queues that the dispatching task has published in a term. They are not part
+// of the replicated state.
+type queueWaits struct {
+	term  uint64
+	at    time.Time
+	waits []acceptance.QueueWait
+}
+
+// waitsCall replaces the waits of the queues. It expects no reply.
+type waitsCall struct{ queueWaits }
+
+func (waitsCall) refuse(error) {}
+
+// PublishWaits replaces the waits of the queues while this replica leads in a term. While too many calls
+// wait, the earlier waits stay until they are too old.
+func (r *Replica) PublishWaits(term uint64, waits []acceptance.QueueWait) {
+	select {
+	case r.calls <- waitsCall{queueWaits{term: term, at: time.Now(), waits: waits}}:
+	default:
+	}
+}
+
+// currentWaits returns the waits of the queues, none if this replica does not lead or they are too old.
+func (t *task) currentWaits(now time.Time) []acceptance.QueueWait {
+	if t.leader == nil || t.waits.term != t.leader.term || now.Sub(t.waits.at) > acceptance.MaxAge {
+		return nil
+	}
+	return t.waits.waits
+}
+
+// refuseLateJob refuses a new job that could not end in time, before it is in the log. The result is that of
+// a command that the state has refused, so that the caller treats it as final only if no earlier copy of the
+// command may have been accepted. A job that the state knows or that is in the log is not refused. All
+// entries of earlier terms are applied while this replica leads, and those of this term are pending.
+func (t *task) refuseLateJob(now time.Time, c proposeCall) bool {
+	if c.command.Workload == nil || c.command.Workload.Submit == nil {
+		return false
+	}
+	submit := c.command.Workload.Submit
+	wait, found := acceptance.Find(t.currentWaits(now), submit.Spec.Queue)
+	if !found || t.state.Workload().Job(submit.ID) != nil || t.proposals.hasJob(submit.ID) {
+		return false
+	}
+	queue := findQueue(t.state.Workload().Config(), submit.Spec.Queue)
+	if queue == nil {
+		return false
+	}
+	retryAfter, refused := acceptance.Check(wait, queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
+	if !refused {
+		return false
+	}
+	t.opts.Metrics.Add(metricJobRefusals, queue.Name, 1)
+	c.send(proposeResult{index: t.applied, result: state.Result{Workload: &workload.Result{Refusal: workload.RefusalOverloaded, RetryAfter: retryAfter}}})
+	return true
+}
+
+func findQueue(config *workload.Config, name string) *workload.Queue {
+	if config == nil {
+		return nil
+	}
+	for i := range config.Queues {
+		if config.Queues[i].Name == name {
+			return &config.Queues[i]
+		}
+	}
+	return nil
+}
+
+// hasJob reports whether the submission of a job is in the log or waits for it.
+func (p *proposals) hasJob(id workload.JobID) bool {
+	for _, pending := range p.pending {
+		if submits(pending.command, id) {
+			return true
+		}
+	}
+	for _, queued := range p.queued {
+		if submits(queued.command, id) {
+			return true
+		}
+	}
+	return false
+}
+
+func submits(command state.Command, id workload.JobID) bool {
+	return command.Workload != nil && command.Workload.Submit != nil && command.Workload.Submit.ID == id
+}
--- /dev/null
+++ b/internal/replica/acceptance_test.go
@@ -0,0 +1,95 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/acceptance"
+	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/core/workload"
+	"github.com/godwitlink/godwitlink/internal/metrics"
+)
+
+// newRefusingTask returns a leader of term 2 whose dispatching task has just published a wait of a minute.
+func newRefusingTask(now time.Time) *task {
+	leader := &task{state: state.New(), leader: &leaderState{term: 2}, opts: Options{Metrics: metrics.New()}}
+	queue := workload.Queue{Name: "q", Service: "s", MaxAttempts: 1, SlackFactor: 1, TargetLatency: time.Second}
+	leader.applyWorkload(workload.Command{Configure: &workload.Config{Version: 1, Queues: []workload.Queue{queue}}})
+	leader.applyWorkload(*submitCommand("known").Workload)
+	leader.proposals.pending = map[uint64]pendingProposal{7: {term: 2, command: submitCommand("in-log")}}
+	leader.handle(now, waitsCall{queueWaits{term: 2, at: now, waits: []acceptance.QueueWait{{Queue: "q", Wait: time.Minute}}}})
+	return leader
+}
+
+func submitCommand(id workload.JobID) state.Command {
+	spec := workload.JobSpec{Queue: "q", Steps: []workload.StepSpec{{Tasks: 1, Estimate: time.Second}}}
+	return state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec}}}
+}
+
+// Guards against a refusal, which promises that a job has not run, of one that is accepted already or may
+// still be, and against refusals by a figure that no longer holds.
+func TestOnlyNewJobsAreRefusedAsLate(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for name, c := range map[string]struct {
+		id      workload.JobID
+		prepare func(leader *task)
+		after   time.Duration
+		want    bool
+	}{
+		"new":                {id: "new", want: true},
+		"shortly before":     {id: "new", after: acceptance.MaxAge, want: true},
+		"known to the state": {id: "known"},
+		"in the log":         {id: "in-log"},
+		"queued":             {id: "queued", prepare: func(l *task) { l.proposals.queued = []proposeCall{{command: submitCommand("queued")}} }},
+		"old figure":         {id: "new", after: acceptance.MaxAge + time.Millisecond},
+		"figure of a term":   {id: "new", prepare: func(l *task) { l.leader.term = 3 }},
+		"no longer leading":  {id: "new", prepare: func(l *task) { l.leader = nil }},
+		"figure of no queue": {id: "new", prepare: func(l *task) { l.handle(now, waitsCall{queueWaits{term: 2, at: now}}) }},
+	} {
+		leader := newRefusingTask(now)
+		if c.prepare != nil {
+			c.prepare(leader)
+		}
+		call := proposeCall{reply: newReply[proposeResult](), command: submitCommand(c.id)}
+		refused := leader.refuseLateJob(now.Add(c.after), call)
+		if refused != c.want {
+			t.Errorf("%s: refused %t, want %t", name, refused, c.want)
+		}
+		if !refused {
+			continue
+		}
+		got := (<-call.reply).value.result.Workload
+		if got == nil || got.Refusal != workload.RefusalOverloaded || got.RetryAfter < time.Second {
+			t.Errorf("%s: result %+v", name, got)
+		}
+	}
+}
+
+// Guards against refused commands that are not new jobs.
+func TestOtherCommandsAreNotRefusedAsLate(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	leader := newRefusingTask(now)
+	for _, command := range []state.Command{
+		{Advance: &state.Advance{}},
+		{Workload: &workload.Command{Cancel: &workload.Cancel{ID: "known"}}},
+		{Workload: &workload.Command{Decide: &workload.Decide{}}},
+	} {
+		if leader.refuseLateJob(now, proposeCall{reply: newReply[proposeResult](), command: command}) {
+			t.Errorf("%+v is refused", command)
+		}
+	}
+}
+
+// Guards against entry processes that do not learn of refusals, and against an answer with a field that
+// older ones do not know while nothing is refused.
+func TestWaitsAreAddedToTheQueues(t *testing.T) {
+	leader := newRefusingTask(time.Now())
+	query := state.Query{Queues: &state.QueuesQuery{}}
+	if waits := leader.answerQuery(query).Queues.Waits; len(waits) != 1 {
+		t.Errorf("waits %v, want that of the queue", waits)
+	}
+	leader.waits = queueWaits{}
+	if waits := leader.answerQuery(query).Queues.Waits; waits != nil {
+		t.Errorf("waits %v, want none", waits)
+	}
+}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -51,6 +51,9 @@
 		c.refuse(context.Canceled)
 		return
 	}
+	if t.refuseLateJob(now, c) {
+		return
+	}
 	if t.opts.DisableBatching {
 		t.proposals.queued = append(t.proposals.queued, c)
 		return
@@ -150,6 +153,7 @@
 	answer := t.state.Query(q)
 	if answer.Queues != nil {
 		answer.Queues.Replicas = t.replicaAddresses()
+		answer.Queues.Waits = t.currentWaits(time.Now())
 		t.publishAdviceRequester(q.Queues.AdviceRequester)
 	}
 	if t.leader == nil {
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -55,6 +55,7 @@
 	feeds     feedPolls
 	jobWaits  jobWaits
 	workFeed  workFeed
+	waits     queueWaits
 	leader    *leaderState // nil if this replica does not lead
 	stopping  *plannedStop
 
@@ -261,6 +262,8 @@
 		t.handleAnnouncement(now, c)
 	case contactsCall:
 		t.handleContacts(c)
+	case waitsCall:
+		t.waits = c.queueWaits
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -51,11 +51,14 @@
 // JobService handles requests on jobs and queues. Run keeps the queue configuration up to date; the
 // other methods are safe for concurrent use.
 type JobService struct {
-	opts   JobServiceOptions
-	routes atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
+	opts     JobServiceOptions
+	routes   atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
+	overload *overload
 }
 
-func NewJobService(opts JobServiceOptions) *JobService { return &JobService{opts: opts} }
+func NewJobService(opts JobServiceOptions) *JobService {
+	return &JobService{opts: opts, overload: newOverload()}
+}
 
 // Ready reports whether a queue configuration is known.
 func (s *JobService) Ready() bool { return s.routes.Load() != nil }
@@ -63,6 +66,7 @@
 // Run polls the queue configuration until ctx ends. A configuration with a lower version than the
 // current one is ignored.
 func (s *JobService) Run(ctx context.Context) {
+	go s.overload.run(ctx.Done())
 	unavailable := false
 	for ctx.Err() == nil {
 		err := s.poll(ctx)
@@ -102,6 +106,7 @@
 		return controlclient.ErrMalformed
 	}
 	s.opts.Control.SetMembers(view.Replicas)
+	s.overload.receive(receivedWaits{askedAt: askedAt, waits: view.Waits})
 	if view.Config == nil || view.Config.Version <= s.configVersion() {
 		s.routes.Store(s.routes.Load().confirmed(view.Version, askedAt))
 	} else {
@@ -171,6 +176,10 @@
 	}
 	started := time.Now()
 	spec.Queue = route.Queue.Name
+	if got := s.overload.submit(submission{now: started, route: route, id: id, spec: spec}); got.refused {
+		s.opts.Logger.Log(eventRefusedAtOnce, zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.String("team", string(route.Caller.Team)), zap.Int64("retry_after_ms", got.retryAfter.Milliseconds()))
+		return s.countOutcome("submit-at-once", OutcomeOverloaded), got.retryAfter
+	}
 	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec, Team: route.Caller.Team}}}
 	outcome, result, err := s.propose(ctx, command, submitLimits)
 	elapsed := time.Since(started)
--- a/internal/workapi/outcome.go
+++ b/internal/workapi/outcome.go
@@ -27,6 +27,8 @@
 	// OutcomeBeyondShare is given to a job that its team is not guaranteed and that finds no room. It was not
 	// carried out.
 	OutcomeBeyondShare Outcome = "beyond-share"
+	// OutcomeOverloaded is given to a job that could not end in time. It was not carried out.
+	OutcomeOverloaded Outcome = "overloaded"
 )
 
 // outcomeFromError returns the outcome for an error of the control client. Only ErrUnavailable
@@ -56,6 +58,8 @@
 		return OutcomeTeamLimit
 	case workload.RefusalNoRoomBeyondShare:
 		return OutcomeBeyondShare
+	case workload.RefusalOverloaded:
+		return OutcomeOverloaded
 	default:
 		return OutcomeUnsupported
 	}
