core/dispatch: fewer and larger proposals while commits are late, first calls in portions

While the log is slow, each plan and each batch of ends became a proposal of its own, which costs the group the same whatever it contains. With the oldest one older than 250 ms and four decisions in flight, further decisions are now collected until one is committed. A new leader called all workers at once; it now has 400 first calls in flight at most, so cells of up to 400 workers are taken up as before.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -76,6 +76,7 @@
 	// nextFastAdviceAt is the same for fast calls.
 	nextFastAdviceAt time.Time
 	bounds           bounds
+	firstHolds       int // first holds to workers that are in flight
 	startDelays      startDelays
 	ticketRooms      ticketRooms
 	// slowSpeedThreshold is the speed below which a worker counts as slow.
@@ -204,7 +205,7 @@
 	if at := c.ticketRooms.nextPlanAt; !at.IsZero() && !c.now.Before(at) {
 		c.planNeeded, c.ticketRooms.nextPlanAt = true, time.Time{}
 	}
-	if c.proposalsDelayed() {
+	if c.proposalsDelayed() || c.holdsBackProposals() {
 		return
 	}
 	if c.planNeeded && !c.now.Before(c.nextPlanAt) {
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.holdInFlight = false
+	c.endFirstHold(w)
 	switch {
 	case report.Outcome != OutcomeOK:
 	case report.Boot > w.Boot:
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -72,8 +72,10 @@
 	unresponsive     bool // the last hold failed
 	bootEndProposed  bool // an EndBoot command has been proposed
 	holdInFlight     bool // a hold is in flight
-	nextHoldAt       time.Time
-	holdSentAt       time.Time // send time of the hold in flight
+	// firstHoldInFlight is true while the hold in flight is the first one of this leader.
+	firstHoldInFlight bool
+	nextHoldAt        time.Time
+	holdSentAt        time.Time // send time of the hold in flight
 	// holdAnsweredAt is when the last hold was answered, and holdGap the time from then until the hold in
 	// flight was sent. A run that has ended in this time is reported later than it ended.
 	holdAnsweredAt time.Time
@@ -188,6 +190,7 @@
 	created := &worker{Worker: w, runs: map[workload.TaskID]*run{}, inDoubtTasks: map[workload.TaskID]bool{},
 		proposedLateEnds: map[workload.TaskID]lateEnd{}, nextHoldAt: c.now}
 	if existing != nil {
+		c.endFirstHold(existing)
 		existing.laterWorker = created
 		created.reserved, created.expectedUse = existing.reserved, existing.expectedUse
 		for _, r := range existing.runs {
@@ -335,7 +338,7 @@
 	if !w.holdInFlight {
 		if c.now.Before(w.nextHoldAt) {
 			c.scheduleWake(w, w.nextHoldAt)
-		} else {
+		} else if !c.delaysFirstHold(w) {
 			c.sendHold(w)
 		}
 	}
@@ -375,6 +378,7 @@
 		wait = min(wait, shortHoldWait)
 	}
 	w.holdInFlight = true
+	c.countFirstHold(w)
 	w.holdSentAt = c.now
 	w.holdGap = c.now.Sub(w.holdAnsweredAt)
 	w.ackSent = w.ackToSend()
