core/acceptance, core/dispatch: waits and room follow the learned run times

The wait of a queue and the room that becomes free were calculated from declared estimates, which are off by up to a factor of ten. They use the expected run times now, and a job of a queue whose tasks take longer than declared gets the longer objective that follows from its true work.

--- a/core/acceptance/acceptance.go
+++ b/core/acceptance/acceptance.go
@@ -43,6 +43,9 @@
 	Wait  time.Duration
 	// Capacity is that of all workers of the queue's service.
 	Capacity workload.Resources
+	// Ratio is how much longer than declared the tasks of the queue take, if that is known and more than 1.
+	// The objective follows the true work, so a job that is declared too short has more time.
+	Ratio float64 `cbor:",omitempty"`
 }
 
 // Find returns the wait of a queue.
@@ -88,7 +91,8 @@
 			}
 			begin = max(begin, ends[dependency])
 		}
-		ends[i] = begin + time.Duration(rounds(w.Capacity, step, teamCap))*step.Estimate
+		estimate := time.Duration(float64(step.Estimate) * max(w.Ratio, 1))
+		ends[i] = begin + time.Duration(rounds(w.Capacity, step, teamCap))*estimate
 		if queue.Advice != nil {
 			ends[i] += queue.Advice.Base + adviceWorkers*queue.Advice.PerWorker
 		}
--- a/core/acceptance/acceptance_test.go
+++ b/core/acceptance/acceptance_test.go
@@ -20,6 +20,7 @@
 		steps []workload.StepSpec
 		queue *workload.Queue
 		cap   workload.Resources
+		ratio float64
 		want  time.Duration // 0 if the job is accepted
 	}{
 		// 3 times the objective of 4 s, less the work of 1 s.
@@ -30,6 +31,8 @@
 		"a chain":            {wait: 16 * time.Second, steps: []workload.StepSpec{step(1, time.Second), step(1, time.Second, 0)}},
 		"two rounds":         {wait: 16 * time.Second, steps: []workload.StepSpec{step(20, time.Second)}},
 		"two for its team":   {wait: 16 * time.Second, steps: []workload.StepSpec{step(4, time.Second)}, cap: workload.Resources{MilliCPU: 2000}},
+		"declared short":     {wait: 16 * time.Second, steps: []workload.StepSpec{step(1, time.Second)}, ratio: 2},
+		"declared long":      {wait: 16 * time.Second, steps: []workload.StepSpec{step(1, time.Second)}, ratio: 0.5, want: 5 * time.Second},
 		"no objective":       {wait: time.Hour, steps: []workload.StepSpec{step(1, time.Second)}, queue: &workload.Queue{}},
 		"invalid dependency": {wait: time.Hour, steps: []workload.StepSpec{step(1, time.Second, 3)}},
 	} {
@@ -37,7 +40,7 @@
 		if c.queue != nil {
 			q = c.queue
 		}
-		retryAfter, refused := Check(QueueWait{Queue: "q", Wait: c.wait, Capacity: capacity}, q, &workload.JobSpec{Steps: c.steps}, c.cap)
+		retryAfter, refused := Check(QueueWait{Queue: "q", Wait: c.wait, Capacity: capacity, Ratio: c.ratio}, q, &workload.JobSpec{Steps: c.steps}, c.cap)
 		if retryAfter != c.want || refused != (c.want > 0) {
 			t.Errorf("%s: refused %t, retry after %v; want %v", name, refused, retryAfter, c.want)
 		}
--- a/core/dispatch/acceptance.go
+++ b/core/dispatch/acceptance.go
@@ -26,7 +26,7 @@
 	if config == nil || c.readyStepsInPlan == 0 && late < slowLeaderThreshold {
 		return nil
 	}
-	work := c.readyWork()
+	work, ratios := c.readyWork()
 	var waits []acceptance.QueueWait
 	for i := range config.Queues {
 		queue := &config.Queues[i]
@@ -37,7 +37,7 @@
 			}
 		}
 		if acceptance.Relevant(queue, wait) {
-			waits = append(waits, acceptance.QueueWait{Queue: queue.Name, Wait: wait, Capacity: c.state.ServiceCapacity(queue.Service)})
+			waits = append(waits, acceptance.QueueWait{Queue: queue.Name, Wait: wait, Capacity: c.state.ServiceCapacity(queue.Service), Ratio: ratios[queue.Name]})
 		}
 	}
 	return waits
@@ -47,10 +47,12 @@
 // fraction of the shortest objectives.
 const slowLeaderThreshold = 250 * time.Millisecond
 
-// readyWork returns, by class, how long all workers of its service need for the tasks that can run.
-func (c *Core) readyWork() map[queueClass]time.Duration {
-	work := map[queueClass]time.Duration{}
+// readyWork returns, by class, how long all workers of its service need for the tasks that can run, and by
+// queue how much longer its tasks take than declared, as far as that is learned.
+func (c *Core) readyWork() (work map[queueClass]time.Duration, ratios map[string]float64) {
+	work, ratios = map[queueClass]time.Duration{}, map[string]float64{}
 	for _, j := range c.liveJobs {
+		ratios[j.Queue.Name] = j.groupRatio
 		if j.BeyondShare {
 			continue
 		}
@@ -61,10 +63,10 @@
 				continue
 			}
 			share := shareOf(spec.Size, capacity)
-			work[queueClass{j.Queue.Service, j.Queue.Priority}] += time.Duration(float64(s.waitingTasks) * share * float64(spec.Estimate))
+			work[queueClass{j.Queue.Service, j.Queue.Priority}] += time.Duration(float64(s.waitingTasks) * share * float64(s.expected))
 		}
 	}
-	return work
+	return work, ratios
 }
 
 // shareOf returns the largest share of a capacity that a size takes in any dimension, 0 without a capacity.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -161,7 +161,7 @@
 	}
 	advised := r.job.Queue.Advice != nil
 	if advised && s.answeredWorkers == nil {
-		if s.adviceInFlight == 0 && c.hasTicketRoom(r, spec) {
+		if s.adviceInFlight == 0 && c.hasTicketRoom(r) {
 			c.requestFirstAdvice(r, s, spec)
 		}
 		return none, false
--- a/core/dispatch/ticketroom.go
+++ b/core/dispatch/ticketroom.go
@@ -92,9 +92,9 @@
 
 // hasTicketRoom reports whether the tickets of a first call of a step would probably be used. If not, the
 // step is considered again in a later plan.
-func (c *Core) hasTicketRoom(r readyStep, spec *workload.StepSpec) bool {
+func (c *Core) hasTicketRoom(r readyStep) bool {
 	room := c.ticketRoom(r.job.Queue.Service)
-	if room.total == 0 || c.hasFreeRoom(r.job, room) || room.uncommitted+c.roomAhead(r.job, room, spec) > 0 {
+	if room.total == 0 || c.hasFreeRoom(r.job, room) || room.uncommitted+c.roomAhead(r.job, r.index, room) > 0 {
 		return true
 	}
 	c.recordNoRoom(room)
@@ -129,14 +129,15 @@
 
 // roomAhead returns the room that probably becomes free until the tickets of a first call can no longer be
 // used.
-func (c *Core) roomAhead(j *job, room *serviceRoom, spec *workload.StepSpec) int64 {
+func (c *Core) roomAhead(j *job, index int, room *serviceRoom) int64 {
 	ahead := room.total * minRoomAheadPercent / 100
-	if spec.Estimate <= 0 {
+	runTime := j.steps[index].expected
+	if runTime <= 0 {
 		return ahead
 	}
 	advice := j.Queue.Advice
 	useful := adviceTime(advice, minNamedWorkers) + advice.TicketTTL - c.startDelay(advice.TicketTTL)
-	return max(ahead, int64(float64(room.total)*min(float64(useful)/float64(spec.Estimate), 1)))
+	return max(ahead, int64(float64(room.total)*min(float64(useful)/float64(runTime), 1)))
 }
 
 // addTicketDemand counts what a step needs for as long as its call is in flight.
