core/acceptance, core/dispatch: a wait for jobs on time and one for overdue jobs

A job was refused by the work of all jobs that are still of use, although one that can meet its objective is placed before those that cannot. It was also accepted behind that work although newer jobs come before it once it is overdue. There are two waits now: that of a job on time, and that of an overdue job on what the work that arrived in the last 10 s leaves of the workers. A job is refused if it can neither meet its objective by the first nor end in time by the second.

--- a/core/acceptance/acceptance.go
+++ b/core/acceptance/acceptance.go
@@ -7,10 +7,11 @@
 // missing elsewhere. Such a job is refused when it is submitted, so that the client can act on it at once. A
 // job that may still end in time is never refused.
 //
-// The leader's dispatcher calculates the wait of each queue from the work that is accepted and comes before
-// a new job there (core/dispatch). Work of queues with lower priority does not count, so urgent queues are
-// refused last. Check adds the job's own work, so small jobs are refused later than large ones of the same
-// queue. A wait is a figure of one moment and has no memory: once the work is done, jobs are accepted.
+// The leader's dispatcher calculates two waits of each queue from the work that is accepted (core/dispatch).
+// A job that can still meet its objective comes before those that cannot, so it waits for a short time or,
+// once it is overdue, for what newer jobs leave of the workers. Work of queues with lower priority does not
+// count, so urgent queues are refused last. Check adds the job's own work, so small jobs are refused later
+// than large ones of the same queue. The waits follow the work: once it is done, jobs are accepted.
 package acceptance
 
 import (
@@ -36,11 +37,14 @@
 	maxStepDivisor = 4
 )
 
-// QueueWait is how long the tasks of a new job of a queue wait at least. It is published only for queues of
-// which some jobs are to be refused.
+// QueueWait is how long the tasks of a new job of a queue wait. It is published only for queues of which some
+// jobs are to be refused.
 type QueueWait struct {
 	Queue string
-	Wait  time.Duration
+	// OnTime is the wait behind more urgent work and jobs that can still meet their objective.
+	OnTime time.Duration
+	// Overdue is the wait of a job that cannot meet its objective any more.
+	Overdue time.Duration
 	// Capacity is that of all workers of the queue's service.
 	Capacity workload.Resources
 	// Ratio is how much longer than declared the tasks of the queue take, if that is known and more than 1.
@@ -59,8 +63,8 @@
 }
 
 // Relevant reports whether the wait is so long that some jobs of the queue could not end in time.
-func Relevant(queue *workload.Queue, wait time.Duration) bool {
-	return queue.TargetLatency > 0 && wait > MaxLateness*queue.TargetLatency
+func (w QueueWait) Relevant(queue *workload.Queue) bool {
+	return queue.TargetLatency > 0 && w.OnTime > queue.TargetLatency && w.Overdue > MaxLateness*queue.TargetLatency
 }
 
 // Check reports whether a job could not end in time, and if so when it may be sent again. teamCap is the
@@ -71,8 +75,8 @@
 		return 0, false
 	}
 	objective := time.Duration(queue.SlackFactor*float64(path)) + queue.TargetLatency
-	excess := w.Wait + path - MaxLateness*objective
-	if objective <= 0 || excess <= 0 {
+	excess := w.Overdue + path - MaxLateness*objective
+	if objective <= 0 || w.OnTime+path <= objective || excess <= 0 {
 		return 0, false
 	}
 	return min(max(excess, minRetryAfter), maxRetryAfter), true
--- a/core/dispatch/acceptance.go
+++ b/core/dispatch/acceptance.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/acceptance"
@@ -13,12 +14,56 @@
 	priority int
 }
 
+const (
+	// slowLeaderThreshold is from when on the lateness of a leader without a backlog matters for jobs. It is
+	// a fraction of the shortest objectives.
+	slowLeaderThreshold = 250 * time.Millisecond
+	// arrivalPeriod is the time over which the arrival of work is averaged. It is as long as the usual
+	// objectives.
+	arrivalPeriod = 10 * time.Second
+	// minOverdueShare is the least share of the workers that is assumed to be left for overdue jobs.
+	minOverdueShare = 0.2
+)
+
+// arrivals is the work that was accepted lately, weighted by exp(-age/arrivalPeriod), as the time that all
+// workers need for it.
+type arrivals struct {
+	work time.Duration
+	at   time.Time
+}
+
+func (a *arrivals) add(now time.Time, work time.Duration) {
+	a.work = time.Duration(float64(a.work)*a.weight(now)) + work
+	a.at = now
+}
+
+// share returns the share of all workers that the arriving work needs.
+func (a *arrivals) share(now time.Time) float64 {
+	return float64(a.work) * a.weight(now) / float64(arrivalPeriod)
+}
+
+func (a *arrivals) weight(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(a.at)) / float64(arrivalPeriod))
+}
+
+// recordArrival counts the work of a job that was accepted.
+func (c *Core) recordArrival(j *job) {
+	work := time.Duration(0)
+	for i := range j.steps {
+		work += c.workersTime(j, i, j.Spec.Steps[i].Tasks)
+	}
+	class := classOf(j)
+	if c.arrivals[class] == nil {
+		c.arrivals[class] = &arrivals{at: c.now}
+	}
+	c.arrivals[class].add(c.now, work)
+}
+
 // QueueWaits returns the waits of the queues of which some jobs could not end in time any more (package
-// acceptance). passLength is how long the owner's last pass took. The wait of a new job is how late this
-// leader is, and the time that all workers of the service need for the tasks that can run, are of use and
-// come before it: those of queues with a higher or the same priority. It is a lower bound: work that follows
-// steps in progress is not counted, nor are tasks that run, jobs that their team is not guaranteed, or steps
-// that the cap of their team blocks.
+// acceptance). passLength is how long the owner's last pass took. Each wait is how late this leader is, and
+// the time that all workers of the service need for the ready work that comes first. Work that follows steps
+// in progress is not counted, nor are tasks that run, jobs that their team is not guaranteed, or steps that
+// the cap of their team blocks.
 func (c *Core) QueueWaits(now time.Time, passLength time.Duration) []acceptance.QueueWait {
 	c.advanceClock(now)
 	config := c.state.Config()
@@ -30,45 +75,73 @@
 	var waits []acceptance.QueueWait
 	for i := range config.Queues {
 		queue := &config.Queues[i]
-		wait := late
+		onTimeWait, allWork, arriving := late, time.Duration(0), 0.0
 		for class, w := range work {
+			switch {
+			case class.service != queue.Service || class.priority > queue.Priority:
+				continue
+			case class.priority < queue.Priority:
+				onTimeWait += w.all
+			default:
+				onTimeWait += w.onTime
+			}
+			allWork += w.all
+		}
+		for class, a := range c.arrivals {
 			if class.service == queue.Service && class.priority <= queue.Priority {
-				wait += w
+				arriving += a.share(c.now)
 			}
 		}
-		if acceptance.Relevant(queue, wait) {
-			waits = append(waits, acceptance.QueueWait{Queue: queue.Name, Wait: wait, Capacity: c.state.ServiceCapacity(queue.Service), Ratio: ratios[queue.Name]})
+		wait := acceptance.QueueWait{
+			Queue: queue.Name, OnTime: onTimeWait, Overdue: late + time.Duration(float64(allWork)/max(1-arriving, minOverdueShare)),
+			Capacity: c.state.ServiceCapacity(queue.Service), Ratio: ratios[queue.Name],
+		}
+		if wait.Relevant(queue) {
+			waits = append(waits, wait)
 		}
 	}
 	return waits
 }
 
-// slowLeaderThreshold is from when on the lateness of a leader without a backlog matters for jobs. It is a
-// fraction of the shortest objectives.
-const slowLeaderThreshold = 250 * time.Millisecond
+// classWork is the ready work of a class, as the time that all workers of its service need for it.
+type classWork struct{ onTime, all time.Duration }
 
-// readyWork returns, by class, how long all workers of its service need for the tasks that can run, and by
-// queue how much longer its tasks take than declared, as far as that is learned.
-func (c *Core) readyWork() (work map[queueClass]time.Duration, ratios map[string]float64) {
-	work, ratios = map[queueClass]time.Duration{}, map[string]float64{}
+// readyWork returns the work by class, and by queue how much longer its tasks take than declared, as far as
+// that is learned.
+func (c *Core) readyWork() (work map[queueClass]classWork, ratios map[string]float64) {
+	work, ratios = map[queueClass]classWork{}, map[string]float64{}
 	for _, j := range c.liveJobs {
 		ratios[j.Queue.Name] = j.groupRatio
 		if j.BeyondShare {
 			continue
 		}
-		capacity := c.state.ServiceCapacity(j.Queue.Service)
 		for i := range j.steps {
-			s, spec := &j.steps[i], &j.Spec.Steps[i]
-			if s.waitingTasks == 0 || !j.DependenciesDone(i) || j.timeliness(i, c.now) == obsolete || c.isBlockedByTeamCap(j, spec) {
+			s := &j.steps[i]
+			if s.waitingTasks == 0 || !j.DependenciesDone(i) || c.isBlockedByTeamCap(j, &j.Spec.Steps[i]) {
 				continue
 			}
-			share := shareOf(spec.Size, capacity)
-			work[queueClass{j.Queue.Service, j.Queue.Priority}] += time.Duration(float64(s.waitingTasks) * share * float64(s.expected))
+			added, sum := c.workersTime(j, i, s.waitingTasks), work[classOf(j)]
+			switch j.timeliness(i, c.now) {
+			case onTime:
+				sum.onTime += added
+				sum.all += added
+			case overdue:
+				sum.all += added
+			}
+			work[classOf(j)] = sum
 		}
 	}
 	return work, ratios
 }
 
+func classOf(j *job) queueClass { return queueClass{j.Queue.Service, j.Queue.Priority} }
+
+// workersTime returns how long all workers of the service of a step need for a number of its tasks.
+func (c *Core) workersTime(j *job, index, tasks int) time.Duration {
+	share := shareOf(j.Spec.Steps[index].Size, c.state.ServiceCapacity(j.Queue.Service))
+	return time.Duration(float64(tasks) * share * float64(j.steps[index].expected))
+}
+
 // shareOf returns the largest share of a capacity that a size takes in any dimension, 0 without a capacity.
 func shareOf(size, capacity workload.Resources) float64 {
 	share := 0.0
--- /dev/null
+++ b/core/dispatch/overloadaccept_test.go
@@ -0,0 +1,117 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/godwitlink/godwitlink/core/acceptance"
+	"github.com/godwitlink/godwitlink/core/dispatch"
+	"github.com/godwitlink/godwitlink/core/workload"
+)
+
+// acceptedJob is a job of an overloadedCell that was accepted.
+type acceptedJob struct {
+	id        workload.JobID
+	at        time.Duration
+	doneTasks int
+	endedAt   time.Duration
+}
+
+// acceptanceCell submits jobs as clients do that are refused by the waits of the leader.
+type acceptanceCell struct {
+	*overloadedCell
+	refuses  bool
+	waits    []acceptance.QueueWait
+	accepted map[workload.JobID]*acceptedJob
+	refused  int
+}
+
+func (c *acceptanceCell) updateWaits() {
+	c.waits = nil
+	if c.core != nil {
+		c.waits = c.core.QueueWaits(c.time(), min(c.lastPass, c.passBefore))
+	}
+	c.after(250*time.Millisecond, c.updateWaits)
+}
+
+func (c *acceptanceCell) submitOrRefuse() {
+	if c.core == nil {
+		return
+	}
+	spec := workload.JobSpec{Steps: []workload.StepSpec{{Tasks: tasksPerJob, Size: workload.Resources{MilliCPU: 1000}, Estimate: overloadRunTime}}}
+	queue := &c.committed.Config().Queues[0]
+	if wait, found := acceptance.Find(c.waits, queue.Name); found && c.refuses {
+		if _, refused := acceptance.Check(wait, queue, &spec, workload.Resources{}); refused {
+			c.refused++
+			return
+		}
+	}
+	c.submit()
+	id := c.jobs[len(c.jobs)-1]
+	c.accepted[id] = &acceptedJob{id: id, at: c.now}
+}
+
+func (c *acceptanceCell) submitAtRate(interval, until time.Duration) {
+	if c.now < until {
+		c.submitOrRefuse()
+		c.after(interval, func() { c.submitAtRate(interval, until) })
+	}
+}
+
+// playAcceptance plays the outage with a queue of which jobs are of use for 21 s, and returns how many of the
+// jobs that were accepted after it, early enough to be judged, ended in time, and how many were accepted.
+func playAcceptance(t *testing.T, refuses bool) (c *acceptanceCell, inTime, accepted int) {
+	const objective = 7 * time.Second // target latency and one run
+	c = &acceptanceCell{overloadedCell: newOverloadedCell(), refuses: refuses, accepted: map[workload.JobID]*acceptedJob{}}
+	c.apply(workload.Command{Configure: &workload.Config{Version: 3, Queues: []workload.Queue{{
+		Name: "fast", Service: "shop", MaxAttempts: 5, SlackFactor: 1, TargetLatency: objective - overloadRunTime,
+		Advice: &workload.AdviserConfig{Base: 14 * time.Millisecond, PerWorker: 200 * time.Microsecond, TicketTTL: overloadTicketTTL},
+	}}}})
+	for _, w := range c.workers {
+		count := w.onEnd
+		w.onEnd = func(end dispatch.ListedEnd) {
+			before := len(c.doneAt)
+			count(end)
+			if job := c.accepted[end.Task.Job]; job != nil && len(c.doneAt) > before {
+				job.doneTasks++
+				job.endedAt = c.now
+			}
+		}
+	}
+	c.elect(t)
+	c.updateWaits()
+	const judged, horizon = outageEnd + 24*time.Second, outageEnd + 46*time.Second
+	c.submitAtRate(time.Second*tasksPerJob*10/(taskRate*8), horizon)
+	c.runUntil(outageBegin)
+	if c.refused > 0 {
+		t.Errorf("%d jobs are refused before the outage", c.refused)
+	}
+	c.core = nil
+	c.runUntil(outageEnd)
+	c.elect(t)
+	for i := range backlogJobs {
+		c.after(time.Duration(i)*time.Second/500, c.submitOrRefuse)
+	}
+	c.runUntil(horizon)
+	for _, job := range c.accepted {
+		if job.at < outageEnd || job.at > judged {
+			continue
+		}
+		accepted++
+		if job.doneTasks == tasksPerJob && job.endedAt-job.at <= acceptance.MaxLateness*objective {
+			inTime++
+		}
+	}
+	return c, inTime, accepted
+}
+
+// Guards against jobs that are accepted after an outage and end when they are of no use any more. Clients
+// need an answer at once for what cannot be done, and the end in time of what was accepted.
+func TestAcceptedJobsEndInTimeAfterAnOutage(t *testing.T) {
+	_, inTimeBefore, acceptedBefore := playAcceptance(t, false)
+	c, inTime, accepted := playAcceptance(t, true)
+	t.Logf("without refusals %d of %d jobs end in time, with %d refusals %d of %d", inTimeBefore, acceptedBefore, c.refused, inTime, accepted)
+	if c.refused == 0 || inTime*100 < accepted*servedPercent {
+		t.Errorf("%d of %d accepted jobs end in time, %d are refused; want %d percent", inTime, accepted, c.refused, servedPercent)
+	}
+}
--- a/internal/dispatcher/acceptance.go
+++ b/internal/dispatcher/acceptance.go
@@ -53,7 +53,7 @@
 	}
 	longest := time.Duration(0)
 	for _, w := range waits {
-		longest = max(longest, w.Wait)
+		longest = max(longest, w.Overdue)
 	}
 	switch {
 	case published.refusing == 0:
