core/acceptance, internal/replica: waits count the jobs accepted since

After an outage jobs come in faster than the dispatching task learns of them, and the replica accepted a burst by waits that did not contain its first jobs. The dispatching task now states up to which entry the waits count, and the replica task adds the jobs that it has put into the log since.

--- a/core/acceptance/acceptance.go
+++ b/core/acceptance/acceptance.go
@@ -45,6 +45,8 @@
 	OnTime time.Duration
 	// Overdue is the wait of a job that cannot meet its objective any more.
 	Overdue time.Duration
+	// Left is the share of the workers that is left for overdue jobs.
+	Left float64 `cbor:",omitempty"`
 	// Capacity is that of all workers of the queue's service.
 	Capacity workload.Resources
 	// Ratio is how much longer than declared the tasks of the queue take, if that is known and more than 1.
--- a/core/dispatch/acceptance.go
+++ b/core/dispatch/acceptance.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/acceptance"
-	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // queueClass is the queues of which the jobs wait for the same workers in the same order.
@@ -92,8 +91,9 @@
 				arriving += a.share(c.now)
 			}
 		}
+		left := max(1-arriving, minOverdueShare)
 		wait := acceptance.QueueWait{
-			Queue: queue.Name, OnTime: onTimeWait, Overdue: late + time.Duration(float64(allWork)/max(1-arriving, minOverdueShare)),
+			Queue: queue.Name, OnTime: onTimeWait, Overdue: late + time.Duration(float64(allWork)/left), Left: left,
 			Capacity: c.state.ServiceCapacity(queue.Service), Ratio: ratios[queue.Name],
 		}
 		if wait.Relevant(queue) {
@@ -138,17 +138,6 @@
 
 // workersTime returns how long all workers of the service of a step need for a number of its tasks.
 func (c *Core) workersTime(j *job, index, tasks int) time.Duration {
-	share := shareOf(j.Spec.Steps[index].Size, c.state.ServiceCapacity(j.Queue.Service))
+	share := acceptance.Share(j.Spec.Steps[index].Size, c.state.ServiceCapacity(j.Queue.Service))
 	return time.Duration(float64(tasks) * share * float64(j.steps[index].expected))
 }
-
-// shareOf returns the largest share of a capacity that a size takes in any dimension, 0 without a capacity.
-func shareOf(size, capacity workload.Resources) float64 {
-	share := 0.0
-	for _, d := range [][2]int64{{size.MilliCPU, capacity.MilliCPU}, {size.MemoryMB, capacity.MemoryMB}, {size.GPUs, capacity.GPUs}} {
-		if d[1] > 0 {
-			share = max(share, float64(d[0])/float64(d[1]))
-		}
-	}
-	return share
-}
--- a/core/dispatch/overloadaccept_test.go
+++ b/core/dispatch/overloadaccept_test.go
@@ -20,15 +20,20 @@
 // acceptanceCell submits jobs as clients do that are refused by the waits of the leader.
 type acceptanceCell struct {
 	*overloadedCell
-	refuses  bool
-	waits    []acceptance.QueueWait
-	accepted map[workload.JobID]*acceptedJob
-	refused  int
+	refuses bool
+	waits   []acceptance.QueueWait
+	// uncounted are the jobs that were accepted since, submitted the number of accepted jobs.
+	uncounted acceptance.Uncounted
+	submitted uint64
+	applied   uint64 // number of the last one that the leader knows
+	accepted  map[workload.JobID]*acceptedJob
+	refused   int
 }
 
 func (c *acceptanceCell) updateWaits() {
 	c.waits = nil
 	if c.core != nil {
+		c.uncounted.Counted(c.applied)
 		c.waits = c.core.QueueWaits(c.time(), min(c.lastPass, c.passBefore))
 	}
 	c.after(250*time.Millisecond, c.updateWaits)
@@ -41,12 +46,17 @@
 	spec := workload.JobSpec{Steps: []workload.StepSpec{{Tasks: tasksPerJob, Size: workload.Resources{MilliCPU: 1000}, Estimate: overloadRunTime}}}
 	queue := &c.committed.Config().Queues[0]
 	if wait, found := acceptance.Find(c.waits, queue.Name); found && c.refuses {
-		if _, refused := acceptance.Check(wait, queue, &spec, workload.Resources{}); refused {
+		if _, refused := acceptance.Check(c.uncounted.AddTo(wait, queue), queue, &spec, workload.Resources{}); refused {
 			c.refused++
 			return
 		}
 	}
 	c.submit()
+	c.submitted++
+	c.uncounted.Add(c.submitted, queue, &spec, c.committed.ServiceCapacity(queue.Service))
+	last, number := &c.inbox[len(c.inbox)-1], c.submitted
+	apply := last.do
+	last.do = func(now time.Time) { apply(now); c.applied = number }
 	id := c.jobs[len(c.jobs)-1]
 	c.accepted[id] = &acceptedJob{id: id, at: c.now}
 }
--- a/internal/dispatcher/acceptance.go
+++ b/internal/dispatcher/acceptance.go
@@ -13,8 +13,9 @@
 
 // Acceptor refuses the jobs that could not end in time (package acceptance).
 type Acceptor interface {
-	// PublishWaits replaces the waits of the queues while this process leads in a term.
-	PublishWaits(term uint64, waits []acceptance.QueueWait)
+	// PublishWaits replaces the waits of the queues while this process leads in a term. counted is the index
+	// of the last entry that they count.
+	PublishWaits(term, counted uint64, waits []acceptance.QueueWait)
 }
 
 // acceptanceInterval is the time between two calculations of the waits. It is a fraction of
@@ -65,5 +66,5 @@
 	published.refusing = len(waits)
 	l.opts.Metrics.SetGauge(metricRefusingQueues, float64(len(waits)))
 	l.opts.Metrics.SetGauge(metricLongestWait, longest.Seconds())
-	l.opts.Acceptor.PublishWaits(l.term.number, waits)
+	l.opts.Acceptor.PublishWaits(l.term.number, l.term.applied, waits)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -109,6 +109,7 @@
 	// boundsActive and boundHits are what was last published of the core's bounds.
 	boundsActive int
 	waits        publishedWaits
+	applied      uint64 // index of the last entry that the core knows
 	boundHits    []uint64
 	// delegates reports whether calls are delegated; delegated receives their results.
 	delegates bool
@@ -183,6 +184,7 @@
 	}
 	core := l.term.core
 	for _, applied := range update.Applied {
+		l.term.applied = applied.Index
 		if applied.Expire {
 			core.Expire(applied.Retained, applied.Steady)
 			continue
--- a/internal/replica/acceptance.go
+++ b/internal/replica/acceptance.go
@@ -17,6 +17,8 @@
 	term  uint64
 	at    time.Time
 	waits []acceptance.QueueWait
+	// counted is the index of the last entry whose job the waits count.
+	counted uint64
 }
 
 // waitsCall replaces the waits of the queues. It expects no reply.
@@ -24,11 +26,12 @@
 
 func (waitsCall) refuse(error) {}
 
-// PublishWaits replaces the waits of the queues while this replica leads in a term. While too many calls
+// PublishWaits replaces the waits of the queues while this replica leads in a term. counted is the index of
+// the last entry that they count. While too many calls
 // wait, the earlier waits stay until they are too old.
-func (r *Replica) PublishWaits(term uint64, waits []acceptance.QueueWait) {
+func (r *Replica) PublishWaits(term, counted uint64, waits []acceptance.QueueWait) {
 	select {
-	case r.calls <- waitsCall{queueWaits{term: term, at: time.Now(), waits: waits}}:
+	case r.calls <- waitsCall{queueWaits{term: term, at: time.Now(), waits: waits, counted: counted}}:
 	default:
 	}
 }
@@ -41,6 +44,42 @@
 	return t.waits.waits
 }
 
+// receiveWaits replaces the waits of the queues.
+func (t *task) receiveWaits(waits queueWaits) {
+	t.waits = waits
+	t.uncounted.Counted(waits.counted)
+	if len(waits.waits) == 0 {
+		t.uncounted.Clear()
+	}
+}
+
+// countAccepted adds a job that is in the log now to the waits, while there are some. The dispatching task
+// counts it later.
+func (t *task) countAccepted(now time.Time, index uint64, command state.Command) {
+	if command.Workload == nil || command.Workload.Submit == nil {
+		return
+	}
+	if len(t.currentWaits(now)) == 0 {
+		t.uncounted.Clear()
+		return
+	}
+	spec := &command.Workload.Submit.Spec
+	if queue := findQueue(t.state.Workload().Config(), spec.Queue); queue != nil {
+		t.uncounted.Add(index, queue, spec, t.state.Workload().ServiceCapacity(queue.Service))
+	}
+}
+
+// waitsForEntries returns the waits of the queues with the jobs that the dispatching task has not counted.
+func (t *task) waitsForEntries(now time.Time) []acceptance.QueueWait {
+	var all []acceptance.QueueWait
+	for _, wait := range t.currentWaits(now) {
+		if queue := findQueue(t.state.Workload().Config(), wait.Queue); queue != nil {
+			all = append(all, t.uncounted.AddTo(wait, queue))
+		}
+	}
+	return all
+}
+
 // refuseLateJob refuses a new job that could not end in time, before it is in the log. The result is that of
 // a command that the state has refused, so that the caller treats it as final only if no earlier copy of the
 // command may have been accepted. A job that the state knows or that is in the log is not refused. All
@@ -58,7 +97,7 @@
 	if queue == nil {
 		return false
 	}
-	retryAfter, refused := acceptance.Check(wait, queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
+	retryAfter, refused := acceptance.Check(t.uncounted.AddTo(wait, queue), queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
 	if !refused {
 		return false
 	}
--- a/internal/replica/acceptance_test.go
+++ b/internal/replica/acceptance_test.go
@@ -80,6 +80,36 @@
 	}
 }
 
+// Guards against a burst of jobs that is accepted before the dispatching task has counted the first of them.
+func TestAcceptedJobsCountAtOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	leader := newRefusingTask(now)
+	leader.applyWorkload(workload.Command{Register: &workload.Register{Worker: workload.Worker{ID: "w", Boot: 1, Service: "s", Capacity: workload.Resources{MilliCPU: 1000}}}})
+	publish := func(counted uint64) {
+		waits := []acceptance.QueueWait{{Queue: "q", OnTime: time.Second, Overdue: time.Second, Left: 1}}
+		leader.handle(now, waitsCall{queueWaits{term: 2, at: now, waits: waits, counted: counted}})
+	}
+	publish(0)
+	command := submitCommand("new")
+	command.Workload.Submit.Spec.Steps[0].Size.MilliCPU = 1000
+	for index := range uint64(5) {
+		leader.countAccepted(now, 10+index, command)
+	}
+	if got := leader.waitsForEntries(now)[0]; got.OnTime != 6*time.Second || got.Overdue != 6*time.Second {
+		t.Errorf("wait %+v after 5 accepted jobs of 1 s", got)
+	}
+	publish(13)
+	if got := leader.waitsForEntries(now)[0]; got.OnTime != 2*time.Second {
+		t.Errorf("wait %+v after 4 of them were counted", got)
+	}
+	leader.handle(now, waitsCall{queueWaits{term: 2, at: now}})
+	leader.countAccepted(now, 15, command)
+	publish(0)
+	if got := leader.waitsForEntries(now)[0]; got.OnTime != time.Second {
+		t.Errorf("wait %+v after a time without waits", got)
+	}
+}
+
 // Guards against entry processes that do not learn of refusals, and against an answer with a field that
 // older ones do not know while nothing is refused.
 func TestWaitsAreAddedToTheQueues(t *testing.T) {
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -114,6 +114,7 @@
 		former.complete(proposeResult{}, ErrOutcomeUnknown)
 	}
 	t.proposals.pending[index] = pendingProposal{term: term, command: command, tag: tag, complete: complete}
+	t.countAccepted(now, index, command)
 }
 
 // reads holds the reads that wait for their read barrier.
@@ -153,7 +154,7 @@
 	answer := t.state.Query(q)
 	if answer.Queues != nil {
 		answer.Queues.Replicas = t.replicaAddresses()
-		answer.Queues.Waits = t.currentWaits(time.Now())
+		answer.Queues.Waits = t.waitsForEntries(time.Now())
 		t.publishAdviceRequester(q.Queues.AdviceRequester)
 	}
 	if t.leader == nil {
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/acceptance"
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -56,7 +57,8 @@
 	jobWaits  jobWaits
 	workFeed  workFeed
 	waits     queueWaits
-	leader    *leaderState // nil if this replica does not lead
+	uncounted acceptance.Uncounted // jobs that waits do not count
+	leader    *leaderState         // nil if this replica does not lead
 	stopping  *plannedStop
 
 	nextHousekeeping      time.Time
@@ -263,7 +265,7 @@
 	case contactsCall:
 		t.handleContacts(c)
 	case waitsCall:
-		t.waits = c.queueWaits
+		t.receiveWaits(c.queueWaits)
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
--- a/internal/replica/workfeed.go
+++ b/internal/replica/workfeed.go
@@ -40,6 +40,7 @@
 	Command  workload.Command
 	Expire   bool   // only the clocks advanced; there is no command
 	Tag      uint64 // tag of the ProposeWork call of this process, otherwise 0
+	Index    uint64 // of the entry
 }
 
 // workFeed holds the updates that the dispatching task has not received yet. The replica task
@@ -89,7 +90,7 @@
 		return
 	}
 	now, retained := t.state.Clocks()
-	applied := AppliedWork{At: now, Retained: retained, Steady: t.state.Workload().SteadyClock(), Expire: command.Advance != nil, Tag: tag}
+	applied := AppliedWork{At: now, Retained: retained, Steady: t.state.Workload().SteadyClock(), Expire: command.Advance != nil, Tag: tag, Index: t.applied}
 	if command.Workload != nil {
 		applied.Command = *command.Workload
 	}
