--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -45,6 +45,7 @@
 	DelegateAbove int
 	Adviser       Adviser
 	Proposer      Proposer
+	Acceptor      Acceptor // may be nil
 	Logger        *eventlog.Logger
 	Metrics       *metrics.Set
 
@@ -112,6 +113,8 @@
 	adviceCalls map[uint64]context.CancelFunc
 	// boundsActive and boundHits are what was last published of the core's bounds.
 	boundsActive int
+	waits        publishedWaits
+	applied      uint64 // index of the last entry that the core knows
 	boundHits    []uint64
 	// delegation decides whether calls are delegated; delegated receives their results.
 	delegation callproxy.Delegation
@@ -186,6 +189,7 @@
 	}
 	core := l.term.core
 	for _, applied := range update.Applied {
+		l.term.applied = applied.Index
 		if applied.Expire {
 			core.Expire(applied.Retained, applied.Steady)
 			continue
@@ -227,6 +231,7 @@
 	l.term.cancel()
 	l.opts.Logger.Log(eventTermEnds, zap.Uint64("term", l.term.number))
 	l.opts.Metrics.SetGauge(metricBounds, 0)
+	l.opts.Metrics.SetGauge(metricRefusingQueues, 0)
 	l.publishTeams(nil)
 	l.term = nil
 }
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
+	"github.com/godwitlink/godwitlink/core/acceptance"
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/core/replog"
@@ -55,7 +56,9 @@
 	feeds     feedPolls
 	jobWaits  jobWaits
 	workFeed  workFeed
-	leader    *leaderState // nil if this replica does not lead
+	waits     queueWaits
+	uncounted acceptance.Uncounted // jobs that waits do not count
+	leader    *leaderState         // nil if this replica does not lead
 	stopping  *plannedStop
 
 	nextHousekeeping      time.Time
@@ -261,6 +264,8 @@
 		t.handleAnnouncement(now, c)
 	case contactsCall:
 		t.handleContacts(c)
+	case waitsCall:
+		t.receiveWaits(c.queueWaits)
 	case statusCall:
 		c.send(t.report())
 	case stopCall:
