core/memorybudget: other processes do not give way to clients

An idle connection between replicas is stalled by the same measure as a client that has stopped, so a crowd could make a process close it. Connections of other processes of the system now give way only to other processes.

Checked: go test -race ./core/memorybudget.

--- a/core/memorybudget/ledger.go
+++ b/core/memorybudget/ledger.go
@@ -27,6 +27,7 @@
 	// stallable is the place of a connection whose memory can be taken back in the list of all of these,
 	// and nil while its request is worked on.
 	stallable *list.Element
+	process   bool // is of another process of the system
 	oversize  bool // holds a message above the limit, which is not counted in Ledger.used
 }
 
@@ -53,7 +54,7 @@
 	if !decision.Granted {
 		return decision
 	}
-	c := &connection{id: id, progress: now}
+	c := &connection{id: id, progress: now, process: use == UseProcesses}
 	l.add(c, use, bytes)
 	l.connections[id] = c
 	c.stallable = l.stallable.PushBack(c)
@@ -165,19 +166,20 @@
 	delete(l.connections, id)
 }
 
-// CloseStalled takes back the memory of the connection without progress for the longest time, if that is
-// longer than StallTime. It makes room for a connection that waits for something else, such as a descriptor.
+// CloseStalled takes back the memory of the client without progress for the longest time, if that is longer than
+// StallTime. It makes room for a connection that waits for something else, such as a descriptor.
 func (l *Ledger) CloseStalled(now time.Time) (id ID, ok bool) {
-	front := l.stallable.Front()
-	if front == nil {
-		return 0, false
-	}
-	c := front.Value.(*connection)
-	if now.Sub(c.progress) < StallTime {
-		return 0, false
+	for e := l.stallable.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*connection)
+		if now.Sub(c.progress) < StallTime {
+			break
+		}
+		if !c.process {
+			l.Close(c.id)
+			return c.id, true
+		}
 	}
-	l.Close(c.id)
-	return c.id, true
+	return 0, false
 }
 
 // makeRoom decides whether bytes are available, if need be after connections without progress are closed.
@@ -223,8 +225,11 @@
 }
 
 // helps reports whether closing a connection makes more room for a use: it holds memory of the same use or of
-// one that takes from the shared part.
+// one that takes from the shared part. Other processes of the system do not give way to clients.
 func (l *Ledger) helps(c *connection, used [UseCount]int64, use Use) bool {
+	if c.process && use != UseProcesses && use != UseMessages {
+		return false
+	}
 	for u, held := range c.held {
 		if held > 0 && (Use(u) == use || used[u] > l.division.Reserved[u]) {
 			return true
--- a/core/memorybudget/ledger_test.go
+++ b/core/memorybudget/ledger_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// Guards against idle connections between replicas that are closed for clients.
+func TestProcessesDoNotGiveWayToClients(t *testing.T) {
+	l := newTestLedger(t)
+	l.Open(start, 1, UseProcesses, l.division.Limit(UseProcesses))
+	l.Open(start, 2, UseConnections, 1)
+	later := start.Add(time.Hour)
+	l.Progress(later, 2)
+	if d := l.Grow(later, 2, UseBodies, l.division.Limit(UseBodies)); d.Granted {
+		t.Errorf("%+v", d)
+	}
+	if id, ok := l.CloseStalled(later); ok {
+		t.Errorf("connection %d of a process is closed for a descriptor", id)
+	}
+	if d := l.Open(later, 3, UseProcesses, 20<<10); !d.Granted || !slices.Equal(d.Close, []ID{1}) {
+		t.Errorf("%+v, want the idle connection of a process closed for another one", d)
+	}
+}
+
 // Guards against connections that are closed although the request that asks gets no room all the same.
 func TestNothingIsClosedInVain(t *testing.T) {
 	l := newTestLedger(t)
