internal/connmemory: one budget of memory for what connections hold

Clients that stop just short of the end of heads or bodies, or do not read their answers, made processes use several times the memory of their machines; requests that stop on all sockets shut out everyone else.

A task now owns the ledger of core/memorybudget, a quarter of the memory limit of the settings. What gets no room is answered with 503 before anything has run; heads above the limit get 431, bodies 413. If memory or a descriptor is needed, the connection without progress for the longest time, at least 2 s, is closed. Large messages of other processes have a part of their own, so that votes and heartbeats never wait for them.

--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/openfiles"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
 	"github.com/godwitlink/godwitlink/internal/draining"
@@ -91,7 +92,7 @@
 		return err
 	}
 	var err error
-	e.clients, err = e.serveDraining(openfiles.UseCallers, s.ListenClients, platform.NewClientHandler(e.jobs, e.logger), &e.drain)
+	e.clients, err = e.serveDraining(openfiles.UseCallers, connmemory.PeerClients, s.ListenClients, platform.NewClientHandler(e.jobs, e.logger), &e.drain)
 	if err != nil {
 		return err
 	}
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -18,7 +18,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/godwitlink/godwitlink/core/memorybudget"
 	"github.com/godwitlink/godwitlink/core/openfiles"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
@@ -58,6 +60,7 @@
 	logger   *eventlog.Logger
 	metrics  *metrics.Set
 	sockets  *sockets.Budget
+	memory   *connmemory.Budget
 	servers  []*draining.Server
 	failures chan error
 	tasks    sync.WaitGroup
@@ -69,6 +72,12 @@
 // in percent. The remainder is for stacks, sockets and files.
 const heapPercent = 50
 
+// connectionPercent is the share of the memory limit that connections may hold, in percent. It is half of the
+// heap: the rest is for the state of the process and for what is garbage.
+const connectionPercent = 25
+
+func connectionMemoryBytes(memoryMB int64) int64 { return memoryMB << 20 * connectionPercent / 100 }
+
 // heapGrowthPercent is how far the heap may grow between two garbage collections below the limit.
 // It is high because processor time is far scarcer here than memory.
 const heapGrowthPercent = 300
@@ -80,6 +89,10 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
+	memory, err := memorybudget.Divide(connectionMemoryBytes(memoryMB))
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
 	debug.SetMemoryLimit(memoryMB << 20 * heapPercent / 100)
 	debug.SetGCPercent(heapGrowthPercent)
 	async := eventlog.NewAsyncWriter(out)
@@ -92,6 +105,14 @@
 	go func() { async.Run(ctx, logger); close(done) }()
 	set := metrics.New()
 	b := &baseProcess{logger: logger, metrics: set, sockets: sockets.New(division, logger, set), failures: make(chan error, 4), hangups: make(chan os.Signal, 1)}
+	b.memory = connmemory.New(memory, logger, set)
+	b.sockets.OnShortage(func() {
+		// A client that waits for a descriptor gets that of one without progress.
+		if b.sockets.Short(openfiles.UseCallers) {
+			b.memory.CloseStalled()
+		}
+	})
+	go b.memory.Run(ctx)
 	signal.Notify(b.hangups, syscall.SIGHUP)
 	b.closeLog = func() {
 		cancel()
@@ -115,21 +136,29 @@
 
 // serve opens a listener and serves handler on it.
 func (b *baseProcess) serve(use openfiles.Use, address string, handler http.Handler) error {
-	_, err := b.serveDraining(use, address, handler, &draining.Flag{})
+	peer := connmemory.PeerProcesses
+	if use == openfiles.UseCallers {
+		peer = connmemory.PeerOperators
+	}
+	_, err := b.serveDraining(use, peer, address, handler, &draining.Flag{})
 	return err
 }
 
 // serveDraining opens a listener and serves handler on it. Once flag is set, each connection is
-// closed after its next response. The connections draw on the sockets of the given use.
-func (b *baseProcess) serveDraining(use openfiles.Use, address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
+// closed after its next response. The connections draw on the sockets of the given use, and on the memory for
+// the given kind of peers.
+func (b *baseProcess) serveDraining(use openfiles.Use, peer connmemory.Peer, address string, handler http.Handler, flag *draining.Flag) (*draining.Server, error) {
 	socket, err := draining.Listen(address)
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
-	limit := func(l net.Listener) net.Listener { return b.sockets.Limit(use, l) }
-	server := draining.NewServer(socket, limit, &http.Server{
-		Handler: b.sockets.CloseWhenShort(use, handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout, ErrorLog: log.New(serverLogWriter{b.logger}, "", 0),
-	}, flag)
+	limit := func(l net.Listener) net.Listener { return b.memory.Limit(peer, b.sockets.Limit(use, l)) }
+	httpServer := &http.Server{
+		Handler: b.memory.Handler(peer, b.sockets.CloseWhenShort(use, handler)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
+		MaxHeaderBytes: connmemory.MaxHeadBytes, ErrorLog: log.New(serverLogWriter{b.logger}, "", 0),
+	}
+	connmemory.Attach(httpServer)
+	server := draining.NewServer(socket, limit, httpServer, flag)
 	b.servers = append(b.servers, server)
 	go func() {
 		if err := server.Serve(); err != nil {
