platform, internal/replica: limits of the configuration are in force

A configuration states limits of clients' requests, which nobody read. They are now decoded and checked in platform/limits.go, and entry processes put them in force with the version of the configuration that they take over, lowered to what the memory allows.

They are not stored in workload.Config: replicas of an older version reject unknown fields, and deployments already send limits. The replica takes them from the document whenever the version changes and passes them on in the Document field of the answer to a poll, which all versions know and which was empty there.

--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -164,7 +164,7 @@
 		},
 		ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax, HeartbeatInterval: heartbeatInterval,
 		MaxClockDriftPPM: maxClockDriftPPM, SnapshotEveryEntries: snapshotEveryEntries, Seed: uint64(time.Now().UnixNano()),
-		AutoVoters: 2*s.TolerateReplicas + 1, WorkUpdates: updates,
+		AutoVoters: 2*s.TolerateReplicas + 1, WorkUpdates: updates, EntryDocument: platform.EntryDocument,
 	})
 }
 
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -46,7 +46,7 @@
 func (b *baseProcess) runEntry(stop, kill context.Context, s *EntrySettings) error {
 	client := b.newHTTPClient(maxIdleConnsToLeader)
 	control := controlclient.New(internalAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
-	jobs := workapi.NewJobService(workapi.JobServiceOptions{Control: control, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal})
+	jobs := workapi.NewJobService(workapi.JobServiceOptions{Control: control, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal, Document: b.setLimits})
 	e := &entry{baseProcess: b, jobs: jobs}
 	if err := e.listen(s); err != nil {
 		return err
@@ -127,3 +127,13 @@
 	}
 	return nil
 }
+
+// setLimits puts the limits of a configuration in force.
+func (b *baseProcess) setLimits(document []byte) {
+	limits, err := platform.DecodeLimits(document)
+	if err != nil {
+		b.logger.Log(eventLimitsUnreadable, zap.Error(err))
+		return
+	}
+	b.memory.SetLimits(limits)
+}
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -37,6 +37,7 @@
 	eventListenerFailed        = eventlog.Declare(4304, zapcore.ErrorLevel, "listener failed")
 	eventConnectionFailed      = eventlog.Declare(4306, zapcore.WarnLevel, "connection failed")
 	eventConnectionsNotRefused = eventlog.Declare(4311, zapcore.WarnLevel, "new connections could not be refused before the socket was closed; some may have been reset")
+	eventLimitsUnreadable      = eventlog.Declare(4332, zapcore.WarnLevel, "limits of clients' requests cannot be read, the former ones stay")
 	eventConnectionsAborted    = eventlog.Declare(4305, zapcore.WarnLevel, "connections were still open at the end of a planned stop")
 )
 
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -155,6 +155,7 @@
 	if answer.Queues != nil {
 		answer.Queues.Replicas = t.replicaAddresses()
 		answer.Queues.Waits = t.waitsForEntries(time.Now())
+		t.addEntryDocument(*q.Queues, answer.Queues)
 		t.publishAdviceRequester(q.Queues.AdviceRequester)
 	}
 	if t.leader == nil {
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -45,6 +45,10 @@
 	// has no buffer, so that the task has received what was sent before leadership is transferred.
 	WorkUpdates chan<- WorkUpdate
 
+	// EntryDocument returns the part of a configuration document that entry processes need. They get it as
+	// the document of the configuration that they ask for, a field that all versions know. It may be nil.
+	EntryDocument func(document []byte) []byte
+
 	// DisableBatching makes the replica propose a command only after the one before it is
 	// committed, and plan one placement at a time. With storage.Options.EntriesPerSync 1 it is the
 	// baseline that benchmarks compare with.
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -64,6 +64,8 @@
 	nextHousekeeping      time.Time
 	reportedViolations    int // violations of the cell state that were logged
 	reportedLogViolations map[replog.Invariant]int
+
+	entryDocument entryDocument
 }
 
 func newTask(r *Replica, recovered storage.Recovered, client *http.Client) (*task, error) {
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -46,6 +46,9 @@
 	// SelfAddress is the internal address at which this process accepts the leader's requests to
 	// call the adviser.
 	SelfAddress string
+	// Document is called by Run with the document of each new configuration: the part of it that the
+	// control replica passes on to entry processes. It may be nil.
+	Document func(document []byte)
 }
 
 // JobService handles requests on jobs and queues. Run keeps the queue configuration up to date; the
@@ -112,6 +115,10 @@
 	} else {
 		s.routes.Store(&confirmedRoutes{RoutingTable: NewRoutingTable(*view.Config), askedAt: askedAt})
 		s.opts.Metrics.SetGauge(metricQueuesVersion, float64(view.Config.Version))
+		// A replica of an older version passes on no document.
+		if s.opts.Document != nil && view.Config.Document != nil {
+			s.opts.Document(view.Config.Document)
+		}
 		s.opts.Logger.Log(eventQueuesChanged, zap.Uint64("version", view.Config.Version), zap.Int("queues", len(view.Config.Queues)))
 	}
 	return nil
--- a/test/hostileclients/system_test.go
+++ b/test/hostileclients/system_test.go
@@ -242,14 +242,22 @@
 	queuePath = "/q/"
 )
 
+// platformLimits are those of the platform's configurations.
+const platformLimits = `{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`
+
 // configure puts a configuration in force. padding makes its document larger.
 func (s *system) configure(version int, padding string) {
+	s.t.Helper()
+	s.configureLimits(version, platformLimits, padding)
+}
+
+func (s *system) configureLimits(version int, limits, padding string) {
 	s.t.Helper()
 	body := fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"q","host":%q,"pathPrefix":%q,"timeoutMs":30000,"targetLatencyMs":400,"priority":0,"service":"s","maxAttempts":3,"slackFactor":1.5}],
 "services":[{"name":"s"}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"note":%q}`,
-		version, queueHost, queuePath, padding)
+"limits":%s,"note":%q}`,
+		version, queueHost, queuePath, limits, padding)
 	s.expectAnswer(http.MethodPost, "http://"+s.controlAddress()+"/godwitlink/Config.Replace", "", func() string { return body })
 }
 
