--- a/internal/connmemory/request.go
+++ b/internal/connmemory/request.go
@@ -15,9 +15,8 @@
 	ClientRequestFactor = 3
 	// OperatorRequestFactor is the same for reports and configurations, of which the document is kept as it is.
 	OperatorRequestFactor = 2
-	// messageFactor is the same for a message of another process, which twirp reads into a buffer that grows
-	// and then decodes.
-	messageFactor = 3
+	// messageFactor is the same for a message of another process: what twirp reads and what it decodes.
+	messageFactor = 2
 	// smallMessageBytes divides the messages of other processes. Smaller ones need no memory beside that of
 	// their connection, so that votes and heartbeats never wait for large messages.
 	smallMessageBytes = 16 << 10
