test/hostileclients: the entry process of a cell

godwit-entry bounds the number of its connections and the size of each head and body, but not what all hold together. Its settings name no memory yet; the bound is the same as for the other programs.

--- a/test/hostileclients/system_test.go
+++ b/test/hostileclients/system_test.go
@@ -71,7 +71,7 @@
 		if programDir, buildErr = os.MkdirTemp("", "hostileclients"); buildErr != nil {
 			return
 		}
-		out, err := exec.Command("go", "build", "-o", programDir, "../../cmd/godwit-platform-control", "../../cmd/godwit-platform-entry").CombinedOutput()
+		out, err := exec.Command("go", "build", "-o", programDir, "../../cmd/godwit-platform-control", "../../cmd/godwit-platform-entry", "../../cmd/godwit-entry").CombinedOutput()
 		if err != nil {
 			buildErr = fmt.Errorf("build: %w\n%s", err, out)
 		}
@@ -173,7 +173,7 @@
 // stop kills both processes, and shows the end of their logs if the test has failed.
 func (s *system) stop() {
 	for _, p := range []*process{s.entry, s.control} {
-		if p.cmd == nil || p.cmd.Process == nil {
+		if p == nil || p.cmd == nil || p.cmd.Process == nil {
 			continue
 		}
 		_ = p.cmd.Process.Kill() // it may have ended
