internal/entry, internal/gateway: godwit-entry uses the budget of memory

godwit-entry bounded the number of its connections and the size of each head and body, but not what all hold. It now has the setting memory_mb, and its listeners draw on the same budget as those of the platform's programs: callers beneath the gateway's own wrapper, and the others while they are in plain text. With mutual TLS only peers with a certificate send requests. Bodies are read through connmemory.ReadBody; without room the answer is 503 with reason overloaded, and the outcome that the earlier refusals of this kind had. An idle connection of a caller no longer keeps the buffer of a large head. The check of memory_mb moves to internal/settings.

--- a/cmd/godwit-entry/main.go
+++ b/cmd/godwit-entry/main.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"io"
+	"runtime/debug"
 
 	"github.com/godwitlink/godwitlink/internal/cli"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/entry"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/settings"
@@ -27,6 +29,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(connmemory.HeapBytes(s.MemoryMB))
 	process, err := entry.New(*s, logger)
 	if err != nil {
 		return err
--- a/internal/bench/controlbench/cell.go
+++ b/internal/bench/controlbench/cell.go
@@ -160,7 +160,7 @@
 		process, err := entry.New(entry.Settings{
 			Common:        commonSettings(fmt.Sprintf("entry-%d", i+1)),
 			ListenCallers: addresses[0], ListenPlatform: addresses[1], ListenInternal: addresses[2], ListenMetrics: addresses[3],
-			ListenOperators: addresses[4], MaxConnections: 1000,
+			ListenOperators: addresses[4], MaxConnections: 1000, MemoryMB: 512,
 			CallersTLS: plain, OperatorsTLS: plain, InternalTLS: plain,
 			ControlAddresses: controls, StopGrace: time.Second,
 		}, eventlog.Nop())
--- a/internal/connmemory/conn.go
+++ b/internal/connmemory/conn.go
@@ -20,8 +20,8 @@
 	freeHeadBytes = 4 << 10
 	freeHeadLines = 32
 	// headByteCost and headLineCost are what net/http allocates for a head: its lines are copied into strings
-	// of their own, and each field takes an entry of a map and a slice.
-	headByteCost = 2
+	// of their own, and each field takes an entry of a map and a slice. internal/gateway keeps another copy.
+	headByteCost = 3
 	headLineCost = 200
 	// headQuantum is the step in which memory for a head is asked for.
 	headQuantum = 8 << 10
@@ -57,6 +57,7 @@
 	id     memorybudget.ID
 	peer   string // host
 	kind   Peer
+	noRoom string // answer to a head without room
 	closed atomic.Bool
 	// inHead is set while the head of a request is awaited or read.
 	inHead atomic.Bool
@@ -70,13 +71,20 @@
 
 // Limit returns a listener whose connections draw on the budget. A connection without room is closed.
 func (b *Budget) Limit(kind Peer, inner net.Listener) net.Listener {
-	return &listener{Listener: inner, budget: b, kind: kind}
+	return b.LimitAnswering(kind, inner, answerNoRoom)
+}
+
+// LimitAnswering is like Limit with the answer to a head without room, for protocols that need more than a
+// status.
+func (b *Budget) LimitAnswering(kind Peer, inner net.Listener, noRoom string) net.Listener {
+	return &listener{Listener: inner, budget: b, kind: kind, noRoom: noRoom}
 }
 
 type listener struct {
 	net.Listener
 	budget *Budget
 	kind   Peer
+	noRoom string
 }
 
 // Accept implements net.Listener.
@@ -86,7 +94,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: accepted, budget: l.budget, id: memorybudget.ID(l.budget.nextID.Add(1)), peer: peerHost(accepted.RemoteAddr()), kind: l.kind}
+		c := &conn{Conn: accepted, budget: l.budget, id: memorybudget.ID(l.budget.nextID.Add(1)), peer: peerHost(accepted.RemoteAddr()), kind: l.kind, noRoom: l.noRoom}
 		c.inHead.Store(true)
 		if l.budget.ask(message{kind: kindOpen, conn: c, use: l.kind.use(memorybudget.UseConnections), bytes: connectionBytes}) {
 			return c, nil
@@ -177,7 +185,7 @@
 	}
 	missing = max(missing, headQuantum)
 	if !c.grow(c.kind.use(memorybudget.UseHeads), missing) {
-		return answerNoRoom
+		return c.noRoom
 	}
 	c.headPaid += missing
 	return ""
@@ -237,20 +245,53 @@
 // Attach makes a server tell the budget about the requests on its connections. Its listener must be one of
 // Limit, and its handler one of Handler.
 func Attach(server *http.Server) {
+	nextContext, nextState := server.ConnContext, server.ConnState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, c)
+		if nextContext != nil {
+			ctx = nextContext(ctx, c)
+		}
+		if held := find(c); held != nil {
+			ctx = context.WithValue(ctx, connKey{}, held)
+		}
+		return ctx
 	}
-	next := server.ConnState
 	server.ConnState = func(c net.Conn, state http.ConnState) {
-		if next != nil {
-			next(c, state)
+		if nextState != nil {
+			nextState(c, state)
 		}
-		if held, ok := c.(*conn); ok && state == http.StateIdle {
+		if held := find(c); held != nil && state == http.StateIdle {
 			held.awaitRequest()
 		}
 	}
 }
 
+// inner is implemented by connections that wrap another one, such as *tls.Conn.
+type inner interface{ NetConn() net.Conn }
+
+// find returns the connection of the budget that c is or wraps, or nil.
+func find(c net.Conn) *conn {
+	for {
+		if held, ok := c.(*conn); ok {
+			return held
+		}
+		wrapping, ok := c.(inner)
+		if !ok {
+			return nil
+		}
+		c = wrapping.NetConn()
+	}
+}
+
+// closeSocket closes the innermost connection. Closing one with TLS would wait for a peer that does not read.
+func (c *conn) closeSocket() {
+	innermost := c.Conn
+	for wrapping, ok := innermost.(inner); ok; wrapping, ok = innermost.(inner) {
+		innermost = wrapping.NetConn()
+	}
+	// The owner of the connection sees an error at its next read or write. It may be closed already.
+	_ = innermost.Close()
+}
+
 // awaitRequest resets the account of the head. The server reads nothing meanwhile.
 func (c *conn) awaitRequest() {
 	c.headBytes, c.headLines, c.headPaid = 0, 0, 0
--- a/internal/connmemory/request.go
+++ b/internal/connmemory/request.go
@@ -137,6 +137,9 @@
 	if !ok {
 		return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	}
+	if r.Method != http.MethodPost {
+		b.conn.tell(kindAwait) // Handler takes only a POST to have a body
+	}
 	if b.conn.kind == PeerClients {
 		limit = min(limit, b.conn.budget.Limits().BodyBytes)
 	}
--- a/internal/connmemory/task.go
+++ b/internal/connmemory/task.go
@@ -151,8 +151,7 @@
 		return
 	}
 	o.refused(reason, c.peer)
-	// The owner of the connection sees an error at its next read or write. It may be closed already.
-	_ = c.Conn.Close()
+	c.closeSocket()
 }
 
 // refused counts a refusal for the metrics and the log.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,7 +15,9 @@
 	"go.uber.org/zap"
 
 	"github.com/godwitlink/godwitlink/core/cell"
+	"github.com/godwitlink/godwitlink/core/memorybudget"
 	"github.com/godwitlink/godwitlink/core/state"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/endpoint"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
@@ -38,6 +40,7 @@
 	self      state.Member
 	client    *controlclient.Client
 	gateway   *gateway.Gateway
+	memory    *connmemory.Budget
 	health    *health
 	relay     *relayTask
 	feed      *feed
@@ -50,6 +53,10 @@
 // after Run is called.
 func New(s Settings, logger *eventlog.Logger) (*Entry, error) {
 	set := metrics.New()
+	division, err := memorybudget.Divide(connmemory.Bytes(s.MemoryMB))
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
 		settings: s, logger: logger, metrics: set,
 		self: state.Member{
@@ -57,6 +64,7 @@
 			Address: s.ListenInternal,
 			Region:  cell.Region(s.Region), FailureDomain: cell.FailureDomain(s.FailureDomain),
 		},
+		memory:    connmemory.New(division, logger, set),
 		health:    newHealth(),
 		listeners: listeners{logger: logger},
 		stopping:  make(chan struct{}),
@@ -123,24 +131,37 @@
 		return err
 	}
 	limit := func(l net.Listener) net.Listener {
-		return e.gateway.CallerListener(addTLS(l), e.settings.MaxConnections)
+		limited := e.memory.LimitAnswering(connmemory.PeerOperators, addTLS(l), gateway.OverloadedAnswer)
+		return e.gateway.CallerListener(limited, e.settings.MaxConnections)
 	}
-	e.listeners.add(callers, limit, e.gateway.CallerServer(e.callersHandler()))
+	server := e.gateway.CallerServer(e.callersHandler())
+	server.Handler = e.memory.Handler(connmemory.PeerOperators, server.Handler)
+	connmemory.Attach(server)
+	e.listeners.add(callers, limit, server)
 	for _, l := range []struct {
 		endpoint *endpoint.Endpoint
+		mode     settings.TLSMode
+		peer     connmemory.Peer
 		address  string
 		handler  http.Handler
 	}{
-		{e.endpoints.operators, e.settings.ListenOperators, e.operatorsHandler()},
-		{e.endpoints.plain, e.settings.ListenPlatform, e.platformHandler()},
-		{e.endpoints.internal, e.settings.ListenInternal, rpcpb.NewPeerServer(e.gateway.PeerServer())},
-		{e.endpoints.plain, e.settings.ListenMetrics, e.monitoringHandler()},
+		{e.endpoints.operators, e.settings.OperatorsTLS.Mode, connmemory.PeerOperators, e.settings.ListenOperators, e.operatorsHandler()},
+		{e.endpoints.plain, settings.TLSPlain, connmemory.PeerOperators, e.settings.ListenPlatform, e.platformHandler()},
+		{e.endpoints.internal, e.settings.InternalTLS.Mode, connmemory.PeerProcesses, e.settings.ListenInternal, rpcpb.NewPeerServer(e.gateway.PeerServer())},
+		{e.endpoints.plain, settings.TLSPlain, connmemory.PeerProcesses, e.settings.ListenMetrics, e.monitoringHandler()},
 	} {
 		socket, layer, err := l.endpoint.ListenLayered(l.address)
 		if err != nil {
 			return err
 		}
-		e.listeners.add(socket, layer, newServer(l.handler))
+		server := newServer(l.handler)
+		// With mutual TLS only peers with a certificate of the cell send requests.
+		if l.mode == settings.TLSPlain {
+			server.Handler = e.memory.Handler(l.peer, server.Handler)
+			connmemory.Attach(server)
+			layer = func(inner net.Listener) net.Listener { return e.memory.Limit(l.peer, inner) }
+		}
+		e.listeners.add(socket, layer, server)
 	}
 	return nil
 }
@@ -189,6 +210,7 @@
 	for _, ep := range []*endpoint.Endpoint{e.endpoints.callers, e.endpoints.operators, e.endpoints.internal} {
 		go ep.Watch(tasks)
 	}
+	go e.memory.Run(tasks)
 	go e.client.Run(tasks)
 	go e.health.run(tasks)
 	go e.relay.run(tasks)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -1,15 +1,16 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/api"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 )
@@ -110,9 +111,12 @@
 // readBody reads a body of at most limit bytes. It refuses the request if the body
 // is larger or cannot be read.
 func (r responder) readBody(w http.ResponseWriter, request *http.Request, limit int64) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
+	body, err := connmemory.ReadBody(w, request, limit, requestFactor)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, connmemory.ErrNoRoom):
+		w.Header().Set(api.HeaderOutcome, string(state.OutcomeUnknown))
+		r.refuse(w, http.StatusServiceUnavailable, api.Problem{Reason: reasonOverloaded, Detail: "no memory for the body"})
 	case errors.As(err, &tooLarge):
 		r.refuse(w, http.StatusRequestEntityTooLarge, api.Problem{
 			Reason: reasonTooLarge, Detail: "at most " + strconv.FormatInt(limit, 10) + " bytes",
@@ -125,19 +129,23 @@
 
 // readJSON decodes a JSON body. Unknown fields are an error.
 func (r responder) readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, request.Body, maxJSONBytes))
+	body, ok := r.readBody(w, request, maxJSONBytes)
+	if !ok {
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		r.refuse(w, http.StatusRequestEntityTooLarge, api.Problem{Reason: reasonTooLarge})
-	case err != nil:
+	if err := decoder.Decode(into); err != nil {
 		r.refuse(w, http.StatusBadRequest, api.Problem{Reason: reasonBadRequest, Detail: err.Error()})
+		return false
 	}
-	return err == nil
+	return true
 }
 
+// requestFactor is what a request takes for each byte of its body: the decoder's copy, what it decodes, and the
+// command to the control group.
+const requestFactor = 3
+
 // maxJSONBytes is the largest accepted JSON body. A worker's report of 500 tasks
 // takes about 100 KB.
 const maxJSONBytes = 1 << 20
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -20,6 +20,7 @@
 	ReadinessDelay   time.Duration `toml:"readiness_delay"` // between turning readiness off and refusing requests
 	StopGrace        time.Duration `toml:"stop_grace"`      // longest wait for requests in flight at a planned stop
 	MaxConnections   int           `toml:"max_connections"` // limit of callers' connections
+	MemoryMB         int64         `toml:"memory_mb"`       // memory limit of the process
 	CallersTLS       settings.TLS  `toml:"callers_tls"`
 	OperatorsTLS     settings.TLS  `toml:"operators_tls"`
 	InternalTLS      settings.TLS  `toml:"internal_tls"`
@@ -50,6 +51,7 @@
 	if s.MaxConnections < 1 {
 		faults = append(faults, strictconf.Fault{Key: "max_connections", Problem: "is below 1", Expected: "a number of connections"})
 	}
+	faults = append(faults, settings.CheckMemory(s.MemoryMB)...)
 	faults = append(faults, s.CallersTLS.Check("callers_tls", settings.TLSPlain, settings.TLSServer)...)
 	faults = append(faults, s.OperatorsTLS.Check("operators_tls", settings.TLSPlain, settings.TLSMutual)...)
 	return append(faults, s.InternalTLS.Check("internal_tls", settings.TLSPlain, settings.TLSMutual)...)
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -5,7 +5,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,11 +15,16 @@
 	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/core/exchange"
 	"github.com/godwitlink/godwitlink/internal/backendapi"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 )
 
 // maxKeyBytes is the size of the longest Idempotency-Key that is accepted.
 const maxKeyBytes = 256
 
+// requestFactor is what a request takes for each byte of its body until it is answered: the body, and a copy in
+// the call to a backend server.
+const requestFactor = 2
+
 // routedMethods are the methods of requests that are routed.
 var routedMethods = []string{
 	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
@@ -149,16 +153,19 @@
 	// The error is ignored: only httptest.ResponseRecorder does not support a
 	// deadline, and the size of the body is limited in any case.
 	_ = control.SetReadDeadline(time.Now().Add(allowed))
-	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
-	_ = control.SetReadDeadline(time.Time{})
+	body, err := connmemory.ReadBody(w, req, limit, requestFactor)
+	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, connmemory.ErrNoRoom):
+		return newRefusal(exchange.ReasonOverloaded, 0, "no memory for the body")
+	case errors.As(err, &tooLarge):
+		return newRefusal(exchange.ReasonTooLarge, 0, "body exceeds max_request_bytes")
 	case err != nil && isTimeout(err):
 		return newRefusal(exchange.ReasonDeadline, http.StatusRequestTimeout, "body was not complete by the deadline")
 	case err != nil:
 		return newRefusal(exchange.ReasonBadRequest, 0, "body is malformed or truncated")
-	case int64(len(body)) > limit:
-		return newRefusal(exchange.ReasonTooLarge, 0, "body exceeds max_request_bytes")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	d.body = body
 	return nil
 }
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -79,13 +79,13 @@
 	openConns atomic.Int64
 }
 
-// overloadedAnswer is sent to a caller above the connection limit. Its outcome is
-// unknown, because the request is not read and an earlier one with the same key may
-// have run.
-const overloadedAnswer = "HTTP/1.1 503 Service Unavailable\r\nGodwit-Outcome: unknown\r\n" +
+// OverloadedAnswer is sent to a caller above the connection limit, or without memory for
+// its head. Its outcome is unknown, because the request is not read and an earlier one
+// with the same key may have run.
+const OverloadedAnswer = "HTTP/1.1 503 Service Unavailable\r\nGodwit-Outcome: unknown\r\n" +
 	"Godwit-Reason: overloaded\r\nRetry-After: 2\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// overloadedAnswerTimeout limits the time to write overloadedAnswer.
+// overloadedAnswerTimeout limits the time to write OverloadedAnswer.
 const overloadedAnswerTimeout = 100 * time.Millisecond
 
 // Accept implements net.Listener.
@@ -107,7 +107,7 @@
 	l.gateway.opts.Metrics.Add(metricConnectionsRefused, string(exchange.ReasonOverloaded), 1)
 	// Errors are ignored: the caller then sees a closed connection without an answer.
 	_ = conn.SetDeadline(time.Now().Add(overloadedAnswerTimeout))
-	_, _ = conn.Write([]byte(overloadedAnswer))
+	_, _ = conn.Write([]byte(OverloadedAnswer))
 	_ = conn.Close()
 }
 
@@ -133,13 +133,21 @@
 	handlerCalled atomic.Bool // a handler has received the current request
 }
 
+// maxKeptHeadBytes is the largest buffer that an idle connection keeps for the next head.
+const maxKeptHeadBytes = 4 << 10
+
 // resetRequest resets the state between two requests. No Read is running then.
 func (c *callerConn) resetRequest() {
-	c.head = c.head[:0]
+	if c.head = c.head[:0]; cap(c.head) > maxKeptHeadBytes {
+		c.head = nil
+	}
 	c.framing.Store(int32(framingUnknown))
 	c.handlerCalled.Store(false)
 }
 
+// NetConn returns the connection that c wraps, like the method of *tls.Conn.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -69,16 +69,6 @@
 	closeLog func()
 }
 
-// heapPercent is the share of the memory limit above which the garbage collector runs more often,
-// in percent. The remainder is for stacks, sockets and files.
-const heapPercent = 50
-
-// connectionPercent is the share of the memory limit that connections may hold, in percent. It is half of the
-// heap: the rest is for the state of the process and for what is garbage.
-const connectionPercent = 25
-
-func connectionMemoryBytes(memoryMB int64) int64 { return memoryMB << 20 * connectionPercent / 100 }
-
 // heapGrowthPercent is how far the heap may grow between two garbage collections below the limit.
 // It is high because processor time is far scarcer here than memory.
 const heapGrowthPercent = 300
@@ -90,11 +80,11 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	memory, err := memorybudget.Divide(connectionMemoryBytes(memoryMB))
+	memory, err := memorybudget.Divide(connmemory.Bytes(memoryMB))
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	debug.SetMemoryLimit(memoryMB << 20 * heapPercent / 100)
+	debug.SetMemoryLimit(connmemory.HeapBytes(memoryMB))
 	debug.SetGCPercent(heapGrowthPercent)
 	async := eventlog.NewAsyncWriter(out)
 	logger, err := eventlog.New(async, level, name)
--- a/internal/platformproc/settings.go
+++ b/internal/platformproc/settings.go
@@ -59,7 +59,7 @@
 	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
 	faults = append(faults, settings.CheckNotEmpty("data_dir", s.DataDir)...)
 	faults = append(faults, checkSeeds(s.Seeds)...)
-	faults = append(faults, checkMemory(s.MemoryMB)...)
+	faults = append(faults, settings.CheckMemory(s.MemoryMB)...)
 	faults = append(faults, checkOpenFiles(s.OpenFiles)...)
 	if s.TolerateReplicas < 0 {
 		faults = append(faults, strictconf.Fault{Key: "tolerate_replicas", Problem: fmt.Sprintf("is %d", s.TolerateReplicas), Expected: "0 or more"})
@@ -81,7 +81,7 @@
 	faults = append(faults, settings.CheckAddress("listen_internal", s.ListenInternal)...)
 	faults = append(faults, settings.CheckAddress("listen_metrics", s.ListenMetrics)...)
 	faults = append(faults, checkSeeds(s.Seeds)...)
-	faults = append(faults, checkMemory(s.MemoryMB)...)
+	faults = append(faults, settings.CheckMemory(s.MemoryMB)...)
 	faults = append(faults, checkOpenFiles(s.OpenFiles)...)
 	if s.StopGrace <= 0 {
 		faults = append(faults, strictconf.Fault{Key: "stop_grace", Problem: fmt.Sprintf("is %v", s.StopGrace), Expected: "a duration above 0"})
@@ -89,16 +89,6 @@
 	return faults
 }
 
-// minMemoryMB is the minimum memory limit. A process under low load has a peak memory use of 48 MB.
-const minMemoryMB = 96
-
-func checkMemory(mb int64) strictconf.Faults {
-	if mb >= minMemoryMB {
-		return nil
-	}
-	return strictconf.Faults{{Key: "memory_mb", Problem: fmt.Sprintf("is %d", mb), Expected: fmt.Sprintf("at least %d", minMemoryMB)}}
-}
-
 // filesOutsideDataFolder is the number of descriptors that the platform sets aside for files outside the
 // data folder. Sockets and files of the data folder share the rest.
 const filesOutsideDataFolder = 200
--- a/test/hostileclients/entry_test.go
+++ b/test/hostileclients/entry_test.go
@@ -26,6 +26,7 @@
 readiness_delay = "0s"
 stop_grace = "1s"
 max_connections = %d
+memory_mb = %d
 [callers_tls]
 mode = "plain"
 certificate = ""
@@ -41,7 +42,7 @@
 certificate = ""
 key = ""
 authorities = ""
-`, address(portClients), address(portControl), address(portReady), address(portInternal), address(portMetrics), loopbackIP(4), openFiles))
+`, address(portClients), address(portControl), address(portReady), address(portInternal), address(portMetrics), loopbackIP(4), openFiles, memoryMB))
 	s.expectRefusal()
 	return s
 }
