scripts/test.sh: a failure to list the packages ends the script

The list was read in a process substitution, whose status is lost: the script would have tested one package and passed.

Checked: the script with go replaced by a program that prints its arguments, and by one that fails.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,7 +17,8 @@
 go=${GO:-go}
 alone=(./test/hostileclients)
 alone_names=$("$go" list "${alone[@]}")
-mapfile -t others < <("$go" list ./... | grep -vxF "$alone_names")
+all_names=$("$go" list ./...)
+mapfile -t others < <(grep -vxF "$alone_names" <<<"$all_names")
 status=0
 "$go" test -race -count=1 "${skip[@]}" "${others[@]}" || status=$?
 for package in "${alone[@]}"; do
