internal/workapi, internal/replica: only the leader refuses jobs that could not end in time

Cause: an entry process refused by the waits of its last poll. It does not know what another entry process has proposed without an answer, so a client that sent a job again could be told that it had not run although it had been accepted. A field of the poll's answer also stopped the polls of entry processes of an earlier version. Change: the refusal of the entry process and the field are removed. The leader's refusal is exact. Checked: unit tests of the replica and of the package; the tests of the removed parts are gone with them.

--- a/core/acceptance/acceptance.go
+++ b/core/acceptance/acceptance.go
@@ -24,8 +24,8 @@
 	// MaxLateness is the multiple of its objective within which the end of a job is of use. The platform
 	// specifies three times.
 	MaxLateness = 3
-	// MaxAge is how long a wait may be used after it was calculated. It covers three polls of the entry
-	// processes.
+	// MaxAge is how long a wait may be used after it was calculated. The dispatching task
+	// calculates it again every 250 ms; a task that is later than that says little about the backlog.
 	MaxAge = 1500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound when a refused job may be sent again. The work that waits now
 	// says little about a later time.
--- a/core/state/query.go
+++ b/core/state/query.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/godwitlink/godwitlink/core/acceptance"
 	"github.com/godwitlink/godwitlink/core/cell"
 	"github.com/godwitlink/godwitlink/core/workload"
 )
@@ -111,9 +110,6 @@
 	Version  uint64           // version in force; 0 if there is none
 	Config   *workload.Config `cbor:",omitempty"` // nil if it is not newer than QueuesQuery.Known
 	Replicas []string         `cbor:",omitempty"` // addresses of the control replicas, added by the replica
-	// Waits are those of queues of which jobs are refused because they could not end in time, added by the
-	// leader.
-	Waits []acceptance.QueueWait `cbor:",omitempty"`
 }
 
 // ExplainView lists the reasons why a job waits, one per line.
--- a/internal/replica/acceptance.go
+++ b/internal/replica/acceptance.go
@@ -69,15 +69,12 @@
 	}
 }
 
-// waitsForEntries returns the waits of the queues with the jobs that the dispatching task has not counted.
-func (t *task) waitsForEntries(now time.Time) []acceptance.QueueWait {
-	var all []acceptance.QueueWait
-	for _, wait := range t.currentWaits(now) {
-		if queue := findQueue(t.state.Workload().Config(), wait.Queue); queue != nil {
-			all = append(all, t.uncounted.AddTo(wait, queue))
-		}
+// currentWait returns the wait of a queue with the jobs that the dispatching task has not counted.
+func (t *task) currentWait(now time.Time, queue *workload.Queue) (wait acceptance.QueueWait, found bool) {
+	if wait, found = acceptance.Find(t.currentWaits(now), queue.Name); !found {
+		return wait, false
 	}
-	return all
+	return t.uncounted.AddTo(wait, queue), true
 }
 
 // refuseLateJob refuses a new job that could not end in time, before it is in the log. The result is that of
@@ -89,15 +86,15 @@
 		return false
 	}
 	submit := c.command.Workload.Submit
-	wait, found := acceptance.Find(t.currentWaits(now), submit.Spec.Queue)
-	if !found || t.state.Workload().Job(submit.ID) != nil || t.proposals.hasJob(submit.ID) {
+	queue := findQueue(t.state.Workload().Config(), submit.Spec.Queue)
+	if queue == nil || t.state.Workload().Job(submit.ID) != nil || t.proposals.hasJob(submit.ID) {
 		return false
 	}
-	queue := findQueue(t.state.Workload().Config(), submit.Spec.Queue)
-	if queue == nil {
+	wait, found := t.currentWait(now, queue)
+	if !found {
 		return false
 	}
-	retryAfter, refused := acceptance.Check(t.uncounted.AddTo(wait, queue), queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
+	retryAfter, refused := acceptance.Check(wait, queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
 	if !refused {
 		return false
 	}
--- a/internal/replica/acceptance_test.go
+++ b/internal/replica/acceptance_test.go
@@ -92,34 +92,24 @@
 	publish(0)
 	command := submitCommand("new")
 	command.Workload.Submit.Spec.Steps[0].Size.MilliCPU = 1000
+	current := func() acceptance.QueueWait {
+		wait, _ := leader.currentWait(now, findQueue(leader.state.Workload().Config(), "q"))
+		return wait
+	}
 	for index := range uint64(5) {
 		leader.countAccepted(now, 10+index, command)
 	}
-	if got := leader.waitsForEntries(now)[0]; got.OnTime != 6*time.Second || got.Overdue != 6*time.Second {
+	if got := current(); got.OnTime != 6*time.Second || got.Overdue != 6*time.Second {
 		t.Errorf("wait %+v after 5 accepted jobs of 1 s", got)
 	}
 	publish(13)
-	if got := leader.waitsForEntries(now)[0]; got.OnTime != 2*time.Second {
+	if got := current(); got.OnTime != 2*time.Second {
 		t.Errorf("wait %+v after 4 of them were counted", got)
 	}
 	leader.handle(now, waitsCall{queueWaits{term: 2, at: now}})
 	leader.countAccepted(now, 15, command)
 	publish(0)
-	if got := leader.waitsForEntries(now)[0]; got.OnTime != time.Second {
+	if got := current(); got.OnTime != time.Second {
 		t.Errorf("wait %+v after a time without waits", got)
 	}
 }
-
-// Guards against entry processes that do not learn of refusals, and against an answer with a field that
-// older ones do not know while nothing is refused.
-func TestWaitsAreAddedToTheQueues(t *testing.T) {
-	leader := newRefusingTask(time.Now())
-	query := state.Query{Queues: &state.QueuesQuery{}}
-	if waits := leader.answerQuery(query).Queues.Waits; len(waits) != 1 {
-		t.Errorf("waits %v, want that of the queue", waits)
-	}
-	leader.waits = queueWaits{}
-	if waits := leader.answerQuery(query).Queues.Waits; waits != nil {
-		t.Errorf("waits %v, want none", waits)
-	}
-}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -154,7 +154,6 @@
 	answer := t.state.Query(q)
 	if answer.Queues != nil {
 		answer.Queues.Replicas = t.replicaAddresses()
-		answer.Queues.Waits = t.waitsForEntries(time.Now())
 		t.addEntryDocument(*q.Queues, answer.Queues)
 		t.publishAdviceRequester(q.Queues.AdviceRequester)
 	}
--- a/internal/workapi/events.go
+++ b/internal/workapi/events.go
@@ -16,7 +16,6 @@
 	eventControlUnavailable = eventlog.Declare(4104, zapcore.WarnLevel, "control group does not answer, the queue configuration is kept")
 	eventControlAvailable   = eventlog.Declare(4105, zapcore.InfoLevel, "control group answers again")
 	eventBadKey             = eventlog.Declare(4106, zapcore.InfoLevel, "call rejected, it has no key of a team")
-	eventRefusedAtOnce      = eventlog.Declare(4107, zapcore.InfoLevel, "job refused at once, it could not end in time")
 	eventWorkerReported     = eventlog.Declare(4110, zapcore.InfoLevel, "worker registration answered")
 	eventConfigured         = eventlog.Declare(4111, zapcore.InfoLevel, "queue configuration answered")
 	eventConfigReadFailed   = eventlog.Declare(4112, zapcore.WarnLevel, "queue configuration could not be read")
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -54,13 +54,12 @@
 // JobService handles requests on jobs and queues. Run keeps the queue configuration up to date; the
 // other methods are safe for concurrent use.
 type JobService struct {
-	opts     JobServiceOptions
-	routes   atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
-	overload *overload
+	opts   JobServiceOptions
+	routes atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
 }
 
 func NewJobService(opts JobServiceOptions) *JobService {
-	return &JobService{opts: opts, overload: newOverload()}
+	return &JobService{opts: opts}
 }
 
 // Ready reports whether a queue configuration is known.
@@ -69,7 +68,6 @@
 // Run polls the queue configuration until ctx ends. A configuration with a lower version than the
 // current one is ignored.
 func (s *JobService) Run(ctx context.Context) {
-	go s.overload.run(ctx.Done())
 	unavailable := false
 	for ctx.Err() == nil {
 		err := s.poll(ctx)
@@ -109,7 +107,6 @@
 		return controlclient.ErrMalformed
 	}
 	s.opts.Control.SetMembers(view.Replicas)
-	s.overload.receive(receivedWaits{askedAt: askedAt, waits: view.Waits})
 	if view.Config == nil || view.Config.Version <= s.configVersion() {
 		s.routes.Store(s.routes.Load().confirmed(view.Version, askedAt))
 	} else {
@@ -183,10 +180,6 @@
 	}
 	started := time.Now()
 	spec.Queue = route.Queue.Name
-	if got := s.overload.submit(submission{now: started, route: route, id: id, spec: spec}); got.refused {
-		s.opts.Logger.Log(eventRefusedAtOnce, zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.String("team", string(route.Caller.Team)), zap.Int64("retry_after_ms", got.retryAfter.Milliseconds()))
-		return s.countOutcome("submit-at-once", OutcomeOverloaded), got.retryAfter
-	}
 	command := state.Command{Workload: &workload.Command{Submit: &workload.Submit{ID: id, Spec: spec, Team: route.Caller.Team}}}
 	outcome, result, err := s.propose(ctx, command, submitLimits)
 	elapsed := time.Since(started)
