--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -19,9 +19,11 @@
 alone_names=$("$go" list "${alone[@]}")
 all_names=$("$go" list ./...)
 mapfile -t others < <(grep -vxF "$alone_names" <<<"$all_names")
+# The randomised runs of core/dispatch take several minutes with the race detector beside other packages.
+timeout=30m
 status=0
-"$go" test -race -count=1 "${skip[@]}" "${others[@]}" || status=$?
+"$go" test -race -count=1 -timeout "$timeout" "${skip[@]}" "${others[@]}" || status=$?
 for package in "${alone[@]}"; do
-  "$go" test -race -count=1 "${skip[@]}" "$package" || status=$?
+  "$go" test -race -count=1 -timeout "$timeout" "${skip[@]}" "$package" || status=$?
 done
 exit "$status"
