core/acceptance, core/dispatch: a job is refused only if nothing could make it end in time

Cause: the wait of overdue jobs was divided by the share of the workers that the arrivals of the last 10 s left, a fifth at least. Change: the wait counts the work that is there.

--- a/core/acceptance/acceptance.go
+++ b/core/acceptance/acceptance.go
@@ -9,7 +9,8 @@
 //
 // The leader's dispatcher calculates two waits of each queue from the work that is accepted (core/dispatch).
 // A job that can still meet its objective comes before those that cannot, so it waits for a short time or,
-// once it is overdue, for what newer jobs leave of the workers. Work of queues with lower priority does not
+// once it is overdue, for all work of its priority. Work that may arrive later is not counted, so a job is
+// refused only if it could not end in time even if nothing else arrived. Work of queues with lower priority does not
 // count, so urgent queues are refused last. Check adds the job's own work, so small jobs are refused later
 // than large ones of the same queue. The waits follow the work: once it is done, jobs are accepted.
 package acceptance
@@ -45,8 +46,6 @@
 	OnTime time.Duration
 	// Overdue is the wait of a job that cannot meet its objective any more.
 	Overdue time.Duration
-	// Left is the share of the workers that is left for overdue jobs.
-	Left float64 `cbor:",omitempty"`
 	// Capacity is that of all workers of the queue's service.
 	Capacity workload.Resources
 	// Ratio is how much longer than declared the tasks of the queue take, if that is known and more than 1.
--- a/core/acceptance/uncounted.go
+++ b/core/acceptance/uncounted.go
@@ -47,9 +47,7 @@
 		}
 	}
 	w.OnTime += work
-	if w.Left > 0 {
-		w.Overdue += time.Duration(float64(work) / w.Left)
-	}
+	w.Overdue += work
 	return w
 }
 
--- a/core/dispatch/acceptance.go
+++ b/core/dispatch/acceptance.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/godwitlink/godwitlink/core/acceptance"
@@ -17,50 +16,13 @@
 	// slowLeaderThreshold is from when on the lateness of a leader without a backlog matters for jobs. It is
 	// a fraction of the shortest objectives.
 	slowLeaderThreshold = 250 * time.Millisecond
-	// arrivalPeriod is the time over which the arrival of work is averaged. It is as long as the usual
-	// objectives.
-	arrivalPeriod = 10 * time.Second
-	// minOverdueShare is the least share of the workers that is assumed to be left for overdue jobs.
-	minOverdueShare = 0.2
 )
 
-// arrivals is the work that was accepted lately, weighted by exp(-age/arrivalPeriod), as the time that all
-// workers need for it.
-type arrivals struct {
-	work time.Duration
-	at   time.Time
-}
-
-func (a *arrivals) add(now time.Time, work time.Duration) {
-	a.work = time.Duration(float64(a.work)*a.weight(now)) + work
-	a.at = now
-}
-
-// share returns the share of all workers that the arriving work needs.
-func (a *arrivals) share(now time.Time) float64 {
-	return float64(a.work) * a.weight(now) / float64(arrivalPeriod)
-}
-
-func (a *arrivals) weight(now time.Time) float64 {
-	return math.Exp(-float64(now.Sub(a.at)) / float64(arrivalPeriod))
-}
-
-// recordArrival counts the work of a job that was accepted.
-func (c *Core) recordArrival(j *job) {
-	work := time.Duration(0)
-	for i := range j.steps {
-		work += c.workersTime(j, i, j.Spec.Steps[i].Tasks)
-	}
-	class := classOf(j)
-	if c.arrivals[class] == nil {
-		c.arrivals[class] = &arrivals{at: c.now}
-	}
-	c.arrivals[class].add(c.now, work)
-}
-
 // QueueWaits returns the waits of the queues of which some jobs could not end in time any more (package
 // acceptance). passLength is how long the owner's last pass took. Each wait is how late this leader is, and
-// the time that all workers of the service need for the ready work that comes first. Work that follows steps
+// the time that all workers of the service need for the ready work that comes first. Work that may arrive later
+// is not counted: a burst ends within seconds, and a job that could end in time once it is over must not be
+// refused. Work that follows steps
 // in progress is not counted, nor are tasks that run, jobs that their team is not guaranteed, or steps that
 // the cap of their team blocks.
 func (c *Core) QueueWaits(now time.Time, passLength time.Duration) []acceptance.QueueWait {
@@ -74,7 +36,7 @@
 	var waits []acceptance.QueueWait
 	for i := range config.Queues {
 		queue := &config.Queues[i]
-		onTimeWait, allWork, arriving := late, time.Duration(0), 0.0
+		onTimeWait, allWork := late, time.Duration(0)
 		for class, w := range work {
 			switch {
 			case class.service != queue.Service || class.priority > queue.Priority:
@@ -86,14 +48,8 @@
 			}
 			allWork += w.all
 		}
-		for class, a := range c.arrivals {
-			if class.service == queue.Service && class.priority <= queue.Priority {
-				arriving += a.share(c.now)
-			}
-		}
-		left := max(1-arriving, minOverdueShare)
 		wait := acceptance.QueueWait{
-			Queue: queue.Name, OnTime: onTimeWait, Overdue: late + time.Duration(float64(allWork)/left), Left: left,
+			Queue: queue.Name, OnTime: onTimeWait, Overdue: late + allWork,
 			Capacity: c.state.ServiceCapacity(queue.Service), Ratio: ratios[queue.Name],
 		}
 		if wait.Relevant(queue) {
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -76,7 +76,6 @@
 	// nextFastAdviceAt is the same for fast calls.
 	nextFastAdviceAt time.Time
 	bounds           bounds
-	arrivals         map[queueClass]*arrivals
 	firstHolds       int // first holds to workers that are in flight
 	startDelays      startDelays
 	ticketRooms      ticketRooms
@@ -118,7 +117,7 @@
 		opts: opts, state: state, now: now, startedAt: now, planNeeded: true,
 		workers: map[workload.WorkerID]*worker{}, jobsByID: map[workload.JobID]*job{},
 		inDoubtStarts: inDoubtStarts{},
-		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, arrivals: map[queueClass]*arrivals{}, medianSpeed: 1, runTimes: newLearnedRunTimes(), namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{}, teamsInDoubt: map[workload.TeamName]workload.Resources{},
+		proposals:     map[uint64]*proposal{}, adviceCalls: map[uint64]*adviceCall{}, requesters: map[string]*adviceRequester{}, grantedShare: map[string]float64{}, medianSpeed: 1, runTimes: newLearnedRunTimes(), namingIndexes: map[string]*namingIndex{}, teamReservations: teamReservations{}, teamsInDoubt: map[workload.TeamName]workload.Resources{},
 	}
 	c.recoverRunTimes()
 	state.ForEachJob(func(j *workload.Job) { c.trackJob(j, j.AcceptedAt) })
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -97,9 +97,6 @@
 func (c *Core) jobSubmitted(id workload.JobID) {
 	if j := c.state.Job(id); j != nil && c.jobsByID[id] == nil {
 		c.trackJob(j, c.now)
-		if live := c.jobsByID[id]; live != nil {
-			c.recordArrival(live)
-		}
 	}
 }
 
