--- a/internal/replica/acceptance.go
+++ b/internal/replica/acceptance.go
@@ -27,8 +27,7 @@
 func (waitsCall) refuse(error) {}
 
 // PublishWaits replaces the waits of the queues while this replica leads in a term. counted is the index of
-// the last entry that they count. While too many calls
-// wait, the earlier waits stay until they are too old.
+// the last entry that they count. While too many calls wait, the earlier waits stay until they are too old.
 func (r *Replica) PublishWaits(term, counted uint64, waits []acceptance.QueueWait) {
 	select {
 	case r.calls <- waitsCall{queueWaits{term: term, at: time.Now(), waits: waits, counted: counted}}:
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -58,9 +58,7 @@
 	routes atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
 }
 
-func NewJobService(opts JobServiceOptions) *JobService {
-	return &JobService{opts: opts}
-}
+func NewJobService(opts JobServiceOptions) *JobService { return &JobService{opts: opts} }
 
 // Ready reports whether a queue configuration is known.
 func (s *JobService) Ready() bool { return s.routes.Load() != nil }
