internal/entry: memory_mb is optional

Cause: the setting was required, so godwit-entry did not start with the settings of an earlier version, and an earlier version rejects it in those of the new one. Change: without the setting the limit is 512 MB; the demonstration's settings leave it out.

--- a/cmd/godwit-entry/main.go
+++ b/cmd/godwit-entry/main.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(connmemory.HeapBytes(s.MemoryMB))
+	debug.SetMemoryLimit(connmemory.HeapBytes(s.MemoryLimitMB()))
 	process, err := entry.New(*s, logger)
 	if err != nil {
 		return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,7 +53,7 @@
 // after Run is called.
 func New(s Settings, logger *eventlog.Logger) (*Entry, error) {
 	set := metrics.New()
-	division, err := memorybudget.Divide(connmemory.Bytes(s.MemoryMB))
+	division, err := memorybudget.Divide(connmemory.Bytes(s.MemoryLimitMB()))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -20,10 +20,12 @@
 	ReadinessDelay   time.Duration `toml:"readiness_delay"` // between turning readiness off and refusing requests
 	StopGrace        time.Duration `toml:"stop_grace"`      // longest wait for requests in flight at a planned stop
 	MaxConnections   int           `toml:"max_connections"` // limit of callers' connections
-	MemoryMB         int64         `toml:"memory_mb"`       // memory limit of the process
-	CallersTLS       settings.TLS  `toml:"callers_tls"`
-	OperatorsTLS     settings.TLS  `toml:"operators_tls"`
-	InternalTLS      settings.TLS  `toml:"internal_tls"`
+	// MemoryMB is the memory limit of the process; 0 means defaultMemoryMB. Settings of earlier versions do not
+	// have it.
+	MemoryMB     int64        `toml:"memory_mb,optional"`
+	CallersTLS   settings.TLS `toml:"callers_tls"`
+	OperatorsTLS settings.TLS `toml:"operators_tls"`
+	InternalTLS  settings.TLS `toml:"internal_tls"`
 }
 
 // Check implements settings.Checker.
@@ -51,8 +53,19 @@
 	if s.MaxConnections < 1 {
 		faults = append(faults, strictconf.Fault{Key: "max_connections", Problem: "is below 1", Expected: "a number of connections"})
 	}
-	faults = append(faults, settings.CheckMemory(s.MemoryMB)...)
+	faults = append(faults, settings.CheckMemory(s.MemoryLimitMB())...)
 	faults = append(faults, s.CallersTLS.Check("callers_tls", settings.TLSPlain, settings.TLSServer)...)
 	faults = append(faults, s.OperatorsTLS.Check("operators_tls", settings.TLSPlain, settings.TLSMutual)...)
 	return append(faults, s.InternalTLS.Check("internal_tls", settings.TLSPlain, settings.TLSMutual)...)
 }
+
+// defaultMemoryMB is the memory limit of a process whose settings name none.
+const defaultMemoryMB = 512
+
+// MemoryLimitMB returns the memory limit of the process.
+func (s *Settings) MemoryLimitMB() int64 {
+	if s.MemoryMB == 0 {
+		return defaultMemoryMB
+	}
+	return s.MemoryMB
+}
--- a/test/e2e/cluster_test.go
+++ b/test/e2e/cluster_test.go
@@ -202,7 +202,6 @@
 readiness_delay = "500ms"
 stop_grace = "20s"
 max_connections = 1000
-memory_mb = 512
 %s%s%s`, i+1, region, domain, e.callerAddress, e.operatorAddress, e.platformAddress, loopbackAddress(kindEntry, i, 8003), e.metricsAddress, strings.Join(addresses, ", "),
 		c.tlsTable("callers_tls", "tls"), c.tlsTable("operators_tls", "mutual"), c.tlsTable("internal_tls", "mutual")))
 	c.entries = append(c.entries, e)
