core/workload: one definition of what the objective of a job counts

Cause: core/acceptance and core/dispatch each had the rounds of a wide step, the workers in the counted advice call and the limit of lateness, and core/acceptance its own dominant share beside that of workload.Resources. Change: StepSpec.Rounds, MaxLateness and ObjectiveAdviceWorkers in core/workload serve both, and the share is Resources.DominantShare. Behaviour is the same.

--- a/core/acceptance/acceptance.go
+++ b/core/acceptance/acceptance.go
@@ -3,7 +3,7 @@
 //
 // It is made for more work than the workers can do, and for a leader that is late, for example after all
 // control machines were unavailable and clients send what they have kept. Callers need jobs that end in
-// time: a job that ends later than MaxLateness times its objective is of no use, and the work spent on it is
+// time: a job that ends later than workload.MaxLateness times its objective is of no use, and the work spent on it is
 // missing elsewhere. Such a job is refused when it is submitted, so that the client can act on it at once. A
 // job that may still end in time is never refused.
 //
@@ -22,9 +22,6 @@
 )
 
 const (
-	// MaxLateness is the multiple of its objective within which the end of a job is of use. The platform
-	// specifies three times.
-	MaxLateness = 3
 	// MaxAge is how long a wait may be used after it was calculated. The dispatching task
 	// calculates it again every 250 ms; a task that is later than that says little about the backlog.
 	MaxAge = 1500 * time.Millisecond
@@ -32,10 +29,6 @@
 	// says little about a later time.
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
-	// adviceWorkers is the number of workers in the advice call that the platform adds to the work of each
-	// step, maxStepDivisor the part of all workers, 1/maxStepDivisor, that a step is assumed to get.
-	adviceWorkers  = 30
-	maxStepDivisor = 4
 )
 
 // QueueWait is how long the tasks of a new job of a queue wait. It is published only for queues of which some
@@ -65,7 +58,7 @@
 
 // Relevant reports whether the wait is so long that some jobs of the queue could not end in time.
 func (w QueueWait) Relevant(queue *workload.Queue) bool {
-	return queue.TargetLatency > 0 && w.OnTime > queue.TargetLatency && w.Overdue > MaxLateness*queue.TargetLatency
+	return queue.TargetLatency > 0 && w.OnTime > queue.TargetLatency && w.Overdue > workload.MaxLateness*queue.TargetLatency
 }
 
 // Check reports whether a job could not end in time, and if so when it may be sent again. teamCap is the
@@ -76,7 +69,7 @@
 		return 0, false
 	}
 	objective := time.Duration(queue.SlackFactor*float64(path)) + queue.TargetLatency
-	excess := w.Overdue + path - MaxLateness*objective
+	excess := w.Overdue + path - workload.MaxLateness*objective
 	if objective <= 0 || w.OnTime+path <= objective || excess <= 0 {
 		return 0, false
 	}
@@ -97,22 +90,11 @@
 			begin = max(begin, ends[dependency])
 		}
 		estimate := time.Duration(float64(step.Estimate) * max(w.Ratio, 1))
-		ends[i] = begin + time.Duration(rounds(w.Capacity, step, teamCap))*estimate
+		ends[i] = begin + time.Duration(step.Rounds(w.Capacity, teamCap))*estimate
 		if queue.Advice != nil {
-			ends[i] += queue.Advice.Base + adviceWorkers*queue.Advice.PerWorker
+			ends[i] += queue.Advice.Base + workload.ObjectiveAdviceWorkers*queue.Advice.PerWorker
 		}
 		longest = max(longest, ends[i])
 	}
 	return longest, true
 }
-
-// rounds returns in how many rounds the tasks of a step run, as the platform counts them.
-func rounds(capacity workload.Resources, step *workload.StepSpec, teamCap workload.Resources) int {
-	if step.Gang || step.Tasks <= 1 {
-		return 1
-	}
-	atOnce := workload.SlotsWithinCap(teamCap, workload.Resources{}, step.Size, step.Tasks)
-	part := workload.Resources{MilliCPU: capacity.MilliCPU / maxStepDivisor, MemoryMB: capacity.MemoryMB / maxStepDivisor, GPUs: capacity.GPUs / maxStepDivisor}
-	atOnce = max(workload.SlotsWithinCap(part, workload.Resources{}, step.Size, atOnce), 1)
-	return (step.Tasks + atOnce - 1) / atOnce
-}
--- a/core/acceptance/uncounted.go
+++ b/core/acceptance/uncounted.go
@@ -25,7 +25,7 @@
 	work := time.Duration(0)
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
-		work += time.Duration(float64(step.Tasks) * Share(step.Size, capacity) * float64(step.Estimate))
+		work += time.Duration(float64(step.Tasks) * step.Size.DominantShare(capacity) * float64(step.Estimate))
 	}
 	u.jobs = append(u.jobs, uncountedJob{index: index, service: queue.Service, priority: queue.Priority, work: work})
 }
@@ -50,14 +50,3 @@
 	w.Overdue += work
 	return w
 }
-
-// Share returns the largest share of a capacity that a size takes in any dimension, 0 without a capacity.
-func Share(size, capacity workload.Resources) float64 {
-	share := 0.0
-	for _, d := range [][2]int64{{size.MilliCPU, capacity.MilliCPU}, {size.MemoryMB, capacity.MemoryMB}, {size.GPUs, capacity.GPUs}} {
-		if d[1] > 0 {
-			share = max(share, float64(d[0])/float64(d[1]))
-		}
-	}
-	return share
-}
--- a/core/dispatch/acceptance.go
+++ b/core/dispatch/acceptance.go
@@ -94,6 +94,6 @@
 
 // workersTime returns how long all workers of the service of a step need for a number of its tasks.
 func (c *Core) workersTime(j *job, index, tasks int) time.Duration {
-	share := acceptance.Share(j.Spec.Steps[index].Size, c.state.ServiceCapacity(j.Queue.Service))
+	share := j.Spec.Steps[index].Size.DominantShare(c.state.ServiceCapacity(j.Queue.Service))
 	return time.Duration(float64(tasks) * share * float64(j.steps[index].expected))
 }
--- a/core/dispatch/overloadaccept_test.go
+++ b/core/dispatch/overloadaccept_test.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		accepted++
-		if job.doneTasks == tasksPerJob && job.endedAt-job.at <= acceptance.MaxLateness*objective {
+		if job.doneTasks == tasksPerJob && job.endedAt-job.at <= workload.MaxLateness*objective {
 			inTime++
 		}
 	}
--- a/core/dispatch/urgency.go
+++ b/core/dispatch/urgency.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/godwitlink/godwitlink/core/workload"
 )
 
 // timeliness classifies a job by whether it can still end in time.
@@ -9,27 +11,19 @@
 
 const (
 	onTime   timeliness = iota // the job can meet its objective
-	overdue                    // the job can still end within maxOverdueFactor times its objective
+	overdue                    // the job can still end within workload.MaxLateness times its objective
 	obsolete                   // the result is no longer of use
 )
 
-const (
-	// maxOverdueFactor is the multiple of its objective within which a job is still of use. The
-	// platform specifies three times.
-	maxOverdueFactor = 3
-	// fastWorkerFactor is the multiple of its remaining work that a job must have time for to be
-	// placed on slow workers. They take 1.3 times as long, and the estimate is rough.
-	fastWorkerFactor = 2
-	// estimatedAdviceWorkers is the number of workers in the advice call that the platform adds to
-	// the estimated work of each step.
-	estimatedAdviceWorkers = 30
-)
+// fastWorkerFactor is the multiple of its remaining work that a job must have time for to be placed on
+// slow workers. They take 1.3 times as long, and the estimate is rough.
+const fastWorkerFactor = 2
 
 // plannedWork returns how long a step takes once it may start, if its tasks run in a number of waves.
 func plannedWork(j *job, index, waves int) time.Duration {
 	work := time.Duration(waves) * j.steps[index].expected
 	if j.Queue.Advice != nil {
-		work += adviceTime(j.Queue.Advice, estimatedAdviceWorkers)
+		work += adviceTime(j.Queue.Advice, workload.ObjectiveAdviceWorkers)
 	}
 	return work
 }
@@ -54,7 +48,7 @@
 	switch {
 	case j.objective <= 0 || endsAfter <= j.objective:
 		return onTime
-	case endsAfter <= maxOverdueFactor*j.objective:
+	case endsAfter <= workload.MaxLateness*j.objective:
 		return overdue
 	}
 	return obsolete
