internal/connmemory: a refusal is counted before its answer is sent

A refusal was counted by the task of the budget, which may handle the message after the client has its answer. An operator that compares the answers of clients with the metric, and TestRequestsAboveTheLimits, found refusals missing. The metric is now set by the connection before it answers; the task keeps the lines of the log.

--- a/internal/connmemory/conn.go
+++ b/internal/connmemory/conn.go
@@ -120,8 +120,9 @@
 	}
 }
 
-// refused counts a refusal.
+// refused counts a refusal. The metric is set before the client gets its answer.
 func (c *conn) refused(reason string) {
+	c.budget.metrics.Add(metricRefusals, reason, 1)
 	c.budget.send(message{kind: kindRefused, conn: c, reason: reason, peer: c.peer})
 }
 
--- a/internal/connmemory/task.go
+++ b/internal/connmemory/task.go
@@ -128,7 +128,7 @@
 			o.close(id, reasonSocketNeeded)
 		}
 	case kindRefused:
-		o.refused(m.reason, m.peer)
+		o.logRefusal(m.reason, m.peer)
 	}
 }
 
@@ -154,9 +154,14 @@
 	c.closeSocket()
 }
 
-// refused counts a refusal for the metrics and the log.
+// refused counts a refusal that the task decided.
 func (o *owner) refused(reason, peer string) {
 	o.metrics.Add(metricRefusals, reason, 1)
+	o.logRefusal(reason, peer)
+}
+
+// logRefusal counts a refusal for the next lines of the log.
+func (o *owner) logRefusal(reason, peer string) {
 	group := refusal{reason, peer}
 	if _, known := o.refusals[group]; !known && len(o.refusals) >= maxRefusalGroups {
 		group = refusal{reason: "others"}
