internal/connmemory: a refused body is read until the client has its answer

A client that was still sending a body above the limit got a connection reset instead of the 413: net/http closes a connection with an unread body at once if the answer says "Connection: close", and does not recognise wrapped bodies. The answer is now sent first, and the rest of the body is then read and discarded, for 1 s and 4 MiB at most. The same holds for any answer to a body that no handler has read.

--- a/internal/connmemory/conn.go
+++ b/internal/connmemory/conn.go
@@ -165,10 +165,12 @@
 }
 
 const (
-	// refusalTimeout limits the time that a refused client may take to read its answer.
+	// refusalTimeout limits the time that a client whose head is refused may take to read its answer.
 	refusalTimeout = 200 * time.Millisecond
-	// maxDiscardedBytes is what is read of a refused request, as much as net/http reads.
-	maxDiscardedBytes = 256 << 10
+	// discardTimeout limits the time for which the body of an answered request is still read.
+	discardTimeout = time.Second
+	// maxDiscardedBytes is what is read of a refused request, as much as the largest body that a listener takes.
+	maxDiscardedBytes = 4 << 20
 )
 
 // Answers to a head that is not read to its end. The request has not run.
--- a/internal/connmemory/connmemory_test.go
+++ b/internal/connmemory/connmemory_test.go
@@ -160,6 +160,39 @@
 	}
 }
 
+// Guards against a client that gets a reset instead of the refusal of a body that it is still sending.
+func TestRefusedBodyIsReadUntilTheClientHasItsAnswer(t *testing.T) {
+	s := startServer(t, PeerClients, minBudget)
+	s.budget.SetLimits(Limits{BodyBytes: 1000})
+	const head, size = "POST / HTTP/1.1\r\nHost: h\r\n", 4 << 20
+	body := strings.Repeat("x", size)
+	for name, request := range map[string]string{
+		"stated length": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, size, body),
+		"chunked body":  fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, size, body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := s.dial(t, "")
+			if _, err := io.WriteString(conn, request); err != nil {
+				t.Fatal(err)
+			}
+			got, err := io.ReadAll(conn)
+			if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 413") {
+				t.Errorf("answered %.100q, %v, want 413", got, err)
+			}
+		})
+	}
+}
+
+// Guards against a client that never ends a refused body and keeps its connection for it.
+func TestRefusedBodyWithoutEndIsClosed(t *testing.T) {
+	s := startServer(t, PeerClients, minBudget)
+	conn := s.dial(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10000000\r\n\r\nx")
+	if got := answer(conn); !strings.HasPrefix(got, "HTTP/1.1 413") {
+		t.Errorf("answered %.100q, want 413", got)
+	}
+	s.awaitMetric(t, `connection_memory_bytes{reason="connections"} 0`)
+}
+
 // Guards against bodies that stop short of their end and shut out others: the first that finds no room is
 // refused with 503, and once the others have stalled, the oldest of them gives way.
 func TestStoppedBodiesGiveWay(t *testing.T) {
--- a/internal/connmemory/request.go
+++ b/internal/connmemory/request.go
@@ -40,29 +40,46 @@
 		switch {
 		case headBytes(r) > c.maxHeadBytes():
 			c.refused(reasonHeadTooLarge)
-			refuse(w, http.StatusRequestHeaderFieldsTooLarge)
+			refuse(w, r, http.StatusRequestHeaderFieldsTooLarge)
 			return
 		case kind == PeerClients && r.ContentLength > b.Limits().BodyBytes:
 			c.refused(reasonBodyTooLarge)
-			refuse(w, http.StatusRequestEntityTooLarge)
+			refuse(w, r, http.StatusRequestEntityTooLarge)
 			return
 		case kind == PeerProcesses && !c.admitMessage(r):
-			refuse(w, http.StatusServiceUnavailable)
+			refuse(w, r, http.StatusServiceUnavailable)
 			return
 		case r.ContentLength == 0 || r.Method != http.MethodPost || kind == PeerProcesses && r.ContentLength > 0 && r.ContentLength <= smallMessageBytes:
 			c.tell(kindBegin)
 		}
+		received := &trackedBody{ReadCloser: r.Body, ended: r.ContentLength == 0}
 		if kind == PeerProcesses && r.ContentLength != 0 {
-			r.Body = &messageBody{ReadCloser: r.Body, conn: c, paid: messageFactor * max(r.ContentLength, 0), stated: r.ContentLength >= 0}
+			r.Body = &messageBody{ReadCloser: received, conn: c, paid: messageFactor * max(r.ContentLength, 0), stated: r.ContentLength >= 0}
 		} else {
-			r.Body = &Body{ReadCloser: r.Body, conn: c, stated: r.ContentLength}
+			r.Body = &Body{ReadCloser: received, conn: c, stated: r.ContentLength}
 		}
 		next.ServeHTTP(w, r)
 		// The answer may still have to be written to a client that reads slowly.
 		c.tell(kindAwait)
+		if !received.ended {
+			discardBody(w, received)
+		}
 	})
 }
 
+// trackedBody records whether a body was read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // headBytes returns the size of a head on the wire.
 func headBytes(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("  \r\nHost: \r\n\r\n")
@@ -75,20 +92,30 @@
 }
 
 // refuse answers a request that has not run.
-func refuse(w http.ResponseWriter, status int) {
+func refuse(w http.ResponseWriter, r *http.Request, status int) {
 	closeAfterAnswer(w)
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryAfterSeconds)
 	}
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
+	if r.ContentLength != 0 {
+		discardBody(w, r.Body)
+	}
 }
 
-// closeAfterAnswer closes the connection after the answer, because the body of the request is not read. net/http
-// reads a part of it first, until the deadline, so that the client gets the answer.
-func closeAfterAnswer(w http.ResponseWriter) {
-	w.Header().Set("Connection", "close")
-	// An error means that the client has disconnected.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusalTimeout))
+// closeAfterAnswer closes the connection after the answer, because the body of the request is not read.
+func closeAfterAnswer(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
+
+// discardBody sends the answer and then reads what the client still sends of its body. A connection that is
+// closed while the client writes is reset, and the client may not see the answer.
+func discardBody(w http.ResponseWriter, body io.Reader) {
+	controller := http.NewResponseController(w)
+	// Errors mean that the client has disconnected.
+	_ = controller.EnableFullDuplex()
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, body, maxDiscardedBytes)
 }
 
 // admitMessage asks for the memory of a large message of another process before it is read.
