core/jobmemory, core/workload: the memory that jobs take is bounded

Clients that send legal jobs took control processes to several times their memory limit, and the platform ended one replica after the other: nothing bounded what is kept of accepted jobs, and an ended job was kept whole for 10 minutes.

Nothing changes in the log, so replicas of two versions agree. A queue or team may hold four times what is free; above that, small jobs are accepted at a rate that falls with the free memory, so that a crowd on the same queue does not shut out ordinary callers.

--- a/core/dispatch/smallcell_test.go
+++ b/core/dispatch/smallcell_test.go
@@ -137,13 +137,13 @@
 		c.checkInvariants()
 		c.runLeaders(c.runLeader)
 	}
-	if job := c.committed.Job(smallJob); job.State != workload.JobCompleted {
+	if job := c.committed.FindJob(smallJob); job.State != workload.JobCompleted {
 		c.addViolation("the job is %s: %+v", job.State, job.Steps)
 	}
 }
 
 func (c *cellRun) isSettled() bool {
-	if job := c.committed.Job(smallJob); job == nil || !job.State.Ended() || c.lateCalls > 0 || len(c.log) > 0 {
+	if job := c.committed.FindJob(smallJob); job == nil || !job.State.Ended() || c.lateCalls > 0 || len(c.log) > 0 {
 		return false
 	}
 	return !slices.ContainsFunc(c.workers, func(w *fakeWorker) bool { return w.up && (len(w.runs) > 0 || len(w.ends) > 0) })
--- a/core/dispatch/soak_test.go
+++ b/core/dispatch/soak_test.go
@@ -596,7 +596,7 @@
 // checkFinalState checks that all jobs have ended and that no run is active.
 func (s *sim) checkFinalState() {
 	for _, id := range s.jobs {
-		if job := s.committed.Job(id); !job.State.Ended() {
+		if job := s.committed.FindJob(id); !job.State.Ended() {
 			s.addViolation("job %s is %s at the end of the simulation: %+v", id, job.State, job.Steps)
 		}
 	}
--- a/core/dispatch/soakteams_test.go
+++ b/core/dispatch/soakteams_test.go
@@ -74,7 +74,7 @@
 		}
 		c.Submit = &submit
 	case c.Cancel != nil:
-		if job := s.committed.Job(c.Cancel.ID); job != nil {
+		if job := s.committed.FindJob(c.Cancel.ID); job != nil {
 			c.Cancel = &workload.Cancel{ID: job.ID, Team: job.Team}
 		}
 	}
@@ -114,7 +114,7 @@
 	running, unnoticed, places := int64(0), int64(0), ""
 	for _, w := range s.workers {
 		for task, r := range w.runs {
-			if w.up && s.committed.Job(task.Job).Team == job.Team {
+			if w.up && s.committed.FindJob(task.Job).Team == job.Team {
 				running += r.size.MilliCPU
 				if s.teams.unnoticed[r] {
 					unnoticed += r.size.MilliCPU
--- a/core/workload/audit.go
+++ b/core/workload/audit.go
@@ -40,6 +40,7 @@
 		}
 	}
 	violations = append(violations, s.auditBacklog(counted)...)
+	violations = append(violations, s.auditJobMemory()...)
 	if !maps.Equal(teamUse, s.teamUse) {
 		violations = append(violations, fmt.Sprintf("teams: %v in use, %v counted", teamUse, s.teamUse))
 	}
@@ -87,3 +88,21 @@
 	}
 	return nil
 }
+
+// auditJobMemory compares the memory of the jobs that was summed with that of the jobs in the state.
+func (s *State) auditJobMemory() []string {
+	counted := newJobMemory()
+	for _, job := range s.jobs {
+		counted.addJob(job, 1)
+	}
+	for _, ended := range s.ended {
+		counted.addEnded(ended, 1)
+	}
+	if counted.Total != s.jobMemory.Total || !maps.Equal(counted.ByQueue, s.jobMemory.ByQueue) || !maps.Equal(counted.ByTeam, s.jobMemory.ByTeam) {
+		return []string{fmt.Sprintf("memory of jobs %+v, counted %+v", s.jobMemory, counted)}
+	}
+	if len(s.jobs) != len(s.jobOrder) || len(s.ended) != len(s.endedOrder) {
+		return []string{fmt.Sprintf("%d jobs and %d ended ones, in order %d and %d", len(s.jobs), len(s.ended), len(s.jobOrder), len(s.endedOrder))}
+	}
+	return nil
+}
--- a/core/workload/explain.go
+++ b/core/workload/explain.go
@@ -70,7 +70,7 @@
 
 // Explain says where a job would go. It does not change the state.
 func (s *State) Explain(now time.Time, q ExplainQuery) Explanation {
-	job := s.jobs[q.Job]
+	job := s.FindJob(q.Job)
 	e := Explanation{Job: q.Job}
 	switch {
 	case q.Job != "" && job == nil:
--- a/core/workload/snapshot.go
+++ b/core/workload/snapshot.go
@@ -9,7 +9,7 @@
 // Snapshot is the complete state in encodable form.
 type Snapshot struct {
 	Config  *Config
-	Jobs    []Job // oldest first
+	Jobs    []Job // those that ended a while ago, without steps; then the others, oldest first
 	Workers []WorkerSnapshot
 	Clock   time.Duration `cbor:",omitempty"` // retention clock
 	// SteadyClock is the steady clock, which is zero in a snapshot of a version that had none.
@@ -35,6 +35,12 @@
 // are shared with the state.
 func (s *State) Snapshot() Snapshot {
 	out := Snapshot{Config: s.config, Clock: s.retentionClock, SteadyClock: s.steadyClock, TeamRates: s.rateSnapshot(), RunTimes: s.runTimeSnapshot()}
+	if s.HasJobs() {
+		out.Jobs = make([]Job, 0, len(s.endedOrder)+len(s.jobOrder))
+	}
+	for _, id := range s.endedOrder {
+		out.Jobs = append(out.Jobs, s.ended[id].job(id))
+	}
 	for _, id := range s.jobOrder {
 		job := *s.jobs[id]
 		job.Steps = slices.Clone(job.Steps)
@@ -69,9 +75,14 @@
 	s.restoreRunTimes(snapshot.RunTimes)
 	for i := range snapshot.Jobs {
 		job := snapshot.Jobs[i]
+		if job.State.Ended() && len(job.Steps) == 0 {
+			s.addEnded(job.ID, endedJob{queue: job.Queue.Name, team: job.Team, state: job.State, endedAt: job.EndedAt})
+			continue
+		}
 		if err := job.checkClosedRuns(); err != nil {
 			return nil, err
 		}
+		s.jobMemory.addJob(&job, 1)
 		s.jobs[job.ID] = &job
 		s.jobOrder = append(s.jobOrder, job.ID)
 		if job.isPending() {
--- a/core/workload/state.go
+++ b/core/workload/state.go
@@ -20,8 +20,12 @@
 type State struct {
 	config         *Config
 	queues         map[string]*Queue // queues of config, by name
-	jobs           map[JobID]*Job
-	jobOrder       []JobID        // accepted jobs, oldest first
+	jobs           map[JobID]*Job    // jobs whose steps are kept
+	jobOrder       []JobID           // these jobs in the order in which they were accepted
+	ended          map[JobID]endedJob
+	endedOrder     []JobID // of ended, by the time of the end
+	jobMemory      JobMemory
+	nextDetailDrop time.Duration  // retention clock when the steps of an ended job are next dropped; 0 if none has ended
 	pendingJobs    map[string]int // number of pending jobs, by queue
 	workers        map[WorkerID]*workerState
 	teams          map[TeamName]*Team         // teams of config, by name
@@ -39,7 +43,7 @@
 func New() *State {
 	return &State{
 		runTimes: map[string]*runtimes.Group{},
-		queues:   map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{},
+		queues:   map[string]*Queue{}, jobs: map[JobID]*Job{}, pendingJobs: map[string]int{}, ended: map[JobID]endedJob{}, jobMemory: newJobMemory(),
 		workers: map[WorkerID]*workerState{}, teams: map[TeamName]*Team{}, teamUse: map[TeamName]Resources{},
 		teamRates: map[TeamName]time.Time{}, backlogs: map[backlogKey]backlog{}, beyondUse: map[backlogKey]Resources{}, services: map[string]serviceUse{},
 	}
@@ -94,7 +98,7 @@
 }
 
 func (s *State) submit(now time.Time, c Submit) Result {
-	if job := s.jobs[c.ID]; job != nil {
+	if job := s.FindJob(c.ID); job != nil {
 		if job.Team != c.Team {
 			return Result{Refusal: RefusalOtherTeam}
 		}
@@ -122,6 +126,7 @@
 		return Result{Refusal: RefusalNoRoomBeyondShare, RetryAfter: retryAfter}
 	}
 	s.addWaitingTasks(job, 1)
+	s.jobMemory.addJob(job, 1)
 	s.jobs[c.ID] = job
 	s.jobOrder = append(s.jobOrder, c.ID)
 	s.pendingJobs[queue.Name]++
@@ -174,6 +179,7 @@
 	for i := range job.Steps {
 		job.Steps[i].ClosedRuns = nil
 	}
+	s.releasePayload(job)
 }
 
 func (s *State) register(w Worker, retentionClock time.Duration) Result {
@@ -311,6 +317,7 @@
 	default:
 		s.markBegun(job)
 	}
+	s.releasePayload(job)
 	if task.State == TaskDone {
 		return
 	}
@@ -490,22 +497,30 @@
 }
 
 // Expire advances the clocks and removes the jobs that ended at least JobRetention ago and have no
-// open run, and the closed runs that are too old.
+// open run, the steps of those that ended before endedDetailRetention, and the closed runs that are too old.
 func (s *State) Expire(retentionClock, steadyClock time.Duration) {
 	s.retentionClock = max(s.retentionClock, retentionClock)
 	s.steadyClock = steadyClock
+	s.nextDetailDrop = 0
 	kept := s.jobOrder[:0]
 	for _, id := range s.jobOrder {
 		job := s.jobs[id]
-		if job.State.Ended() && retentionClock-job.EndedAt >= JobRetention && !job.hasOpenRun() {
-			delete(s.jobs, id)
-			continue
+		if job.State.Ended() && !job.hasOpenRun() {
+			drop := job.EndedAt + endedDetailRetention
+			if retentionClock >= drop {
+				s.dropDetails(job)
+				continue
+			}
+			if s.nextDetailDrop == 0 || drop < s.nextDetailDrop {
+				s.nextDetailDrop = drop
+			}
 		}
 		s.expireClosedRuns(job)
 		kept = append(kept, id)
 	}
 	clear(s.jobOrder[len(kept):])
 	s.jobOrder = kept
+	s.expireEnded(retentionClock)
 }
 
 // hasOpenRun reports whether the job has an open run.
--- a/core/workload/team.go
+++ b/core/workload/team.go
@@ -47,9 +47,10 @@
 	return caller.Team == j.Team
 }
 
-// JobFor returns a job if the caller may read it, otherwise nil. The caller must not modify it.
+// JobFor returns a job if the caller may read it, otherwise nil. Of a job that ended a while ago it has no steps.
+// The caller must not modify it.
 func (s *State) JobFor(id JobID, caller Caller) *Job {
-	if job := s.jobs[id]; job != nil && s.mayAccess(job, caller) {
+	if job := s.FindJob(id); job != nil && s.mayAccess(job, caller) {
 		return job
 	}
 	return nil
--- a/core/workload/view.go
+++ b/core/workload/view.go
@@ -9,7 +9,7 @@
 // Config returns the configuration in force, or nil. The caller must not modify it.
 func (s *State) Config() *Config { return s.config }
 
-// Job returns a job, or nil. The caller must not modify it.
+// Job returns a job whose steps are kept, or nil. The caller must not modify it.
 func (s *State) Job(id JobID) *Job { return s.jobs[id] }
 
 // Task returns a task, or nil. The caller must not modify it.
@@ -26,12 +26,12 @@
 }
 
 // HasJobs reports whether the state has jobs, ended ones included.
-func (s *State) HasJobs() bool { return len(s.jobs) > 0 }
+func (s *State) HasJobs() bool { return len(s.jobs)+len(s.ended) > 0 }
 
 // SteadyClock returns the steady clock.
 func (s *State) SteadyClock() time.Duration { return s.steadyClock }
 
-// ForEachJob calls visit for each job in the state, oldest first.
+// ForEachJob calls visit for each job whose steps are kept, oldest first.
 func (s *State) ForEachJob(visit func(*Job)) {
 	for _, id := range s.jobOrder {
 		visit(s.jobs[id])
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -14,6 +14,7 @@
 	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/api"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
@@ -163,7 +164,7 @@
 			Disk: disk, SegmentBytes: segmentBytes, LimitBytes: limit,
 		},
 		ElectionTimeoutMin: electionTimeoutMin, ElectionTimeoutMax: electionTimeoutMax, HeartbeatInterval: heartbeatInterval,
-		MaxClockDriftPPM: maxClockDriftPPM, SnapshotEveryEntries: snapshotEveryEntries, Seed: uint64(time.Now().UnixNano()),
+		MaxClockDriftPPM: maxClockDriftPPM, SnapshotEveryEntries: snapshotEveryEntries, JobMemoryBytes: connmemory.JobBytes(s.MemoryMB), LogMemoryBytes: connmemory.LogBytes(s.MemoryMB), Seed: uint64(time.Now().UnixNano()),
 		AutoVoters: 2*s.TolerateReplicas + 1, WorkUpdates: updates, EntryDocument: platform.EntryDocument,
 	})
 }
--- a/internal/replica/acceptance.go
+++ b/internal/replica/acceptance.go
@@ -76,24 +76,25 @@
 	return t.uncounted.AddTo(wait, queue), true
 }
 
-// refuseLateJob refuses a new job that could not end in time, before it is in the log. The result is that of
-// a command that the state has refused, so that the caller treats it as final only if no earlier copy of the
-// command may have been accepted. A job that the state knows or that is in the log is not refused. All
-// entries of earlier terms are applied while this replica leads, and those of this term are pending.
-func (t *task) refuseLateJob(now time.Time, c proposeCall) bool {
+// refuseJob refuses a new job before it is in the log if the memory for jobs has no room for it, or if it could
+// not end in time. The result is that of a command that the state has refused, so that the caller treats it as
+// final only if no earlier copy of the command may have been accepted. A job that the state knows or that is in
+// the log is not refused. All entries of earlier terms are applied while this replica leads, and those of this
+// term are pending.
+func (t *task) refuseJob(now time.Time, c proposeCall) bool {
 	if c.command.Workload == nil || c.command.Workload.Submit == nil {
 		return false
 	}
 	submit := c.command.Workload.Submit
 	queue := findQueue(t.state.Workload().Config(), submit.Spec.Queue)
-	if queue == nil || t.state.Workload().Job(submit.ID) != nil || t.proposals.hasJob(submit.ID) {
+	if queue == nil || t.state.Workload().Knows(submit.ID) || t.proposals.hasJob(submit.ID) {
 		return false
 	}
-	wait, found := t.currentWait(now, queue)
-	if !found {
-		return false
+	retryAfter, refused := t.checkInTime(now, queue, submit)
+	if !refused {
+		// After the check of the time: an admitted job is counted.
+		retryAfter, refused = t.checkJobMemory(now, submit)
 	}
-	retryAfter, refused := acceptance.Check(wait, queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
 	if !refused {
 		return false
 	}
@@ -102,6 +103,15 @@
 	return true
 }
 
+// checkInTime reports whether a new job is refused because it could not end in time.
+func (t *task) checkInTime(now time.Time, queue *workload.Queue, submit *workload.Submit) (retryAfter time.Duration, refused bool) {
+	wait, found := t.currentWait(now, queue)
+	if !found {
+		return 0, false
+	}
+	return acceptance.Check(wait, queue, &submit.Spec, t.state.Workload().TeamCap(submit.Team))
+}
+
 func findQueue(config *workload.Config, name string) *workload.Queue {
 	if config == nil {
 		return nil
@@ -116,19 +126,22 @@
 
 // hasJob reports whether the submission of a job is in the log or waits for it.
 func (p *proposals) hasJob(id workload.JobID) bool {
-	for _, pending := range p.pending {
-		if submits(pending.command, id) {
-			return true
+	found := false
+	p.forEachJob(func(submit *workload.Submit) { found = found || submit.ID == id })
+	return found
+}
+
+// forEachJob calls visit for each submission of a job that is in the log or waits for it.
+func (p *proposals) forEachJob(visit func(*workload.Submit)) {
+	visitCommand := func(command *state.Command) {
+		if command.Workload != nil && command.Workload.Submit != nil {
+			visit(command.Workload.Submit)
 		}
 	}
-	for _, queued := range p.queued {
-		if submits(queued.command, id) {
-			return true
-		}
+	for _, pending := range p.pending {
+		visitCommand(&pending.command)
+	}
+	for i := range p.queued {
+		visitCommand(&p.queued[i].command)
 	}
-	return false
-}
-
-func submits(command state.Command, id workload.JobID) bool {
-	return command.Workload != nil && command.Workload.Submit != nil && command.Workload.Submit.ID == id
 }
--- a/internal/replica/acceptance_test.go
+++ b/internal/replica/acceptance_test.go
@@ -51,7 +51,7 @@
 			c.prepare(leader)
 		}
 		call := proposeCall{reply: newReply[proposeResult](), command: submitCommand(c.id)}
-		refused := leader.refuseLateJob(now.Add(c.after), call)
+		refused := leader.refuseJob(now.Add(c.after), call)
 		if refused != c.want {
 			t.Errorf("%s: refused %t, want %t", name, refused, c.want)
 		}
@@ -74,7 +74,7 @@
 		{Workload: &workload.Command{Cancel: &workload.Cancel{ID: "known"}}},
 		{Workload: &workload.Command{Decide: &workload.Decide{}}},
 	} {
-		if leader.refuseLateJob(now, proposeCall{reply: newReply[proposeResult](), command: command}) {
+		if leader.refuseJob(now, proposeCall{reply: newReply[proposeResult](), command: command}) {
 			t.Errorf("%+v is refused", command)
 		}
 	}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -51,7 +51,7 @@
 		c.refuse(context.Canceled)
 		return
 	}
-	if t.refuseLateJob(now, c) {
+	if t.refuseJob(now, c) {
 		return
 	}
 	if t.opts.DisableBatching {
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -192,6 +192,9 @@
 
 func snapshotPolicy(opts Options) replog.SnapshotPolicy {
 	bytes := int64(maxLogBytesBySnapshot)
+	if opts.LogMemoryBytes > 0 {
+		bytes = min(bytes, opts.LogMemoryBytes)
+	}
 	if limit := opts.Storage.LimitBytes; limit > 0 {
 		bytes = min(bytes, limit*snapshotLogPercent/100)
 	}
--- a/internal/replica/events.go
+++ b/internal/replica/events.go
@@ -38,6 +38,8 @@
 	eventJoinRequested           = eventlog.Declare(1405, zapcore.InfoLevel, "empty data folder, asks the leader whether it may join")
 	eventJoinPermitted           = eventlog.Declare(1406, zapcore.InfoLevel, "the replica may join, waits to be listed in the cell file")
 	eventPeerForgotten           = eventlog.Declare(1408, zapcore.InfoLevel, "control replica forgotten: it was replaced, or nobody has mentioned it for a while")
+	eventJobMemoryFull           = eventlog.Declare(1409, zapcore.WarnLevel, "new jobs are refused because the memory for jobs has no room for them")
+	eventJobMemoryHasRoom        = eventlog.Declare(1410, zapcore.InfoLevel, "no new job was refused for a while because of the memory for jobs")
 	eventIDInUse                 = eventlog.Declare(1407, zapcore.ErrorLevel, "empty data folder but the group has a member with this id")
 )
 
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -35,7 +35,13 @@
 	HeartbeatInterval    time.Duration
 	MaxClockDriftPPM     int64
 	SnapshotEveryEntries uint64
-	Seed                 uint64 // of the random election timeouts
+	// JobMemoryBytes is the memory that the jobs of the state may take. While this replica leads, it refuses
+	// new jobs above it. 0 means no limit.
+	JobMemoryBytes int64
+	// LogMemoryBytes is the size of the log, which is also held in memory, at which a snapshot is due. 0 means
+	// maxLogBytesBySnapshot.
+	LogMemoryBytes int64
+	Seed           uint64 // of the random election timeouts
 
 	// AutoVoters is the number of voters that a group without a list of its members maintains;
 	// replicas that announce themselves join it. With 0 the group follows the list in the cell
@@ -71,8 +77,7 @@
 	// snapshotLogPercent is the share of the log's limit at which a snapshot is due, in percent. The log
 	// keeps growing while the snapshot is written.
 	snapshotLogPercent = 25
-	// maxLogBytesBySnapshot is the size of the log at which a snapshot is due whatever its limit. The
-	// log is also held in memory.
+	// maxLogBytesBySnapshot is the size of the log at which a snapshot is due whatever its limits.
 	maxLogBytesBySnapshot = 64 << 20
 	// refuseLogPercent is the share of the log's limit at which new commands are refused, in percent.
 	refuseLogPercent = 75
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -58,7 +58,8 @@
 	workFeed  workFeed
 	waits     queueWaits
 	uncounted acceptance.Uncounted // jobs that waits do not count
-	leader    *leaderState         // nil if this replica does not lead
+	jobMemory jobMemory
+	leader    *leaderState // nil if this replica does not lead
 	stopping  *plannedStop
 
 	nextHousekeeping      time.Time
@@ -79,6 +80,7 @@
 		state:       state.New(), reportedLogViolations: map[replog.Invariant]int{},
 		snapshots: snapshotProgress{encoded: make(chan encodedSnapshot, 1), policy: snapshotPolicy(r.opts).Staggered(uint64(r.opts.ID)%snapshotPhases, snapshotPhases)},
 		disk:      diskQueue{logBytes: recovered.LogBytes},
+		jobMemory: newJobMemory(r.opts),
 	}
 	t.proposals.pending = map[uint64]pendingProposal{}
 	t.reads.pending = map[uint64]readCall{}
@@ -331,6 +333,7 @@
 		t.updatePeers()
 	}
 	t.reportMissingAddresses()
+	t.reportJobMemory(now)
 	t.opts.Metrics.SetGauge(metricTerm, float64(t.status.Term))
 	t.opts.Metrics.SetGauge(metricAppliedIndex, float64(t.applied))
 	leader := 0.0
