core/jsonsize, internal/connmemory: a request pays for what its body becomes

The memory of a request was counted by the bytes of its body.

core/jsonsize estimates the decoded size from the text without allocating; the values of fields that the decoder skips do not count.

--- a/internal/connmemory/connmemory_test.go
+++ b/internal/connmemory/connmemory_test.go
@@ -30,7 +30,7 @@
 // startServer serves a handler that answers each body with its length.
 func startServer(t *testing.T, kind Peer, bytes int64) *testServer {
 	return startServerWith(t, kind, bytes, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := ReadBody(w, r, 1<<20, ClientRequestFactor)
+		body, err := ReadBody(w, r, 1<<20, PerByte(ClientRequestFactor))
 		var tooLarge *http.MaxBytesError
 		switch {
 		case errors.Is(err, ErrNoRoom):
@@ -193,6 +193,29 @@
 	s.awaitMetric(t, `connection_memory_bytes{reason="connections"} 0`)
 }
 
+// Guards against a body inside the limit that takes more than the process has for requests once it is decoded.
+func TestBodyThatGrowsIsRefused(t *testing.T) {
+	s := startServerWith(t, PeerClients, minBudget, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := ReadBody(w, r, 1<<20, JSON(ClientRequestFactor, "list"))
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		}
+	}))
+	list := "[" + strings.Repeat("{},", 100_000) + "{}]"
+	for name, c := range map[string]struct{ body, status string }{
+		"list that is decoded": {`{"list":` + list + `}`, "413"},
+		"list that is skipped": {`{"other":` + list + `}`, "200"},
+	} {
+		request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(c.body), c.body)
+		if got := answer(s.dial(t, request)); !strings.HasPrefix(got, "HTTP/1.1 "+c.status) {
+			t.Errorf("%s: answered %.100q, want %s", name, got, c.status)
+		}
+	}
+	s.awaitMetric(t, `connection_memory_refusals_total{reason="decoded-too-large"} 1`)
+	s.awaitMetric(t, `connection_memory_bytes{reason="bodies"} 0`)
+}
+
 // Guards against bodies that stop short of their end and shut out others: the first that finds no room is
 // refused with 503, and once the others have stalled, the oldest of them gives way.
 func TestStoppedBodiesGiveWay(t *testing.T) {
@@ -306,7 +329,7 @@
 func TestWorkedOnRequestsKeepTheirConnections(t *testing.T) {
 	proceed := make(chan struct{})
 	s := startServerWith(t, PeerClients, minBudget, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, err := ReadBody(w, r, 1<<20, ClientRequestFactor); err != nil {
+		if _, err := ReadBody(w, r, 1<<20, PerByte(ClientRequestFactor)); err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -385,7 +408,7 @@
 		b.Fatal(err)
 	}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = ReadBody(w, r, 1<<20, ClientRequestFactor)
+		_, _ = ReadBody(w, r, 1<<20, PerByte(ClientRequestFactor))
 	})
 	server := &http.Server{Handler: handler}
 	listener := inner
--- a/internal/connmemory/events.go
+++ b/internal/connmemory/events.go
@@ -30,4 +30,6 @@
 	reasonSocketNeeded = "socket-needed"  // the connection made no progress and its descriptor was needed
 	reasonHeadTooLarge = "head-too-large" // above the limit of the configuration or of the process
 	reasonBodyTooLarge = "body-too-large"
+	// reasonDecodedTooLarge means that a body inside the limit becomes larger than the process has memory for.
+	reasonDecodedTooLarge = "decoded-too-large"
 )
--- a/internal/connmemory/request.go
+++ b/internal/connmemory/request.go
@@ -6,9 +6,27 @@
 	"net/http"
 	"time"
 
+	"github.com/godwitlink/godwitlink/core/jsonsize"
 	"github.com/godwitlink/godwitlink/core/memorybudget"
 )
 
+// Cost returns the memory that the work on a request takes beside its body.
+type Cost func(body []byte) int64
+
+// PerByte returns the cost of a request that takes the same for each byte of its body.
+func PerByte(factor int64) Cost {
+	return func(body []byte) int64 { return factor * int64(len(body)) }
+}
+
+// JSON returns the cost of a request whose body is decoded into a structure with the given fields. factor is what it
+// takes for each byte of text.
+func JSON(factor int64, fields ...string) Cost {
+	return func(body []byte) int64 {
+		size := jsonsize.Decoded(body, fields...)
+		return factor*size.Text + size.Values
+	}
+}
+
 const (
 	// ClientRequestFactor is what a request of a client takes for each byte of its body while it waits for the
 	// log: the decoded job, the encoded command, and the message that carries it.
@@ -156,10 +174,10 @@
 	stated int64 // length stated by the client; -1 if there is none
 }
 
-// ReadBody returns the body of a request of at most limit bytes, and pays for the work on it. factor is what the
-// work takes for each byte of the body. The error is ErrNoRoom if there is no memory, and *http.MaxBytesError
-// if the body is too large. What is held is given back when the request has been answered.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit, factor int64) ([]byte, error) {
+// ReadBody returns the body of a request of at most limit bytes, and pays for the work on it. The error is ErrNoRoom
+// if there is no memory, and *http.MaxBytesError if the body is too large, or the work on it takes more than
+// the process has for requests. What is held is given back when the request has been answered.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, cost Cost) ([]byte, error) {
 	b, ok := r.Body.(*Body)
 	if !ok {
 		return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
@@ -176,7 +194,13 @@
 		closeAfterAnswer(w)
 		return nil, err
 	}
-	if !b.conn.grow(memorybudget.UseRequests, factor*int64(len(body))) {
+	bytes := cost(body)
+	if bytes > b.conn.budget.division.Limit(memorybudget.UseRequests) {
+		b.conn.refused(reasonDecodedTooLarge)
+		b.conn.release(memorybudget.UseBodies, held)
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if !b.conn.grow(memorybudget.UseRequests, bytes) {
 		b.conn.release(memorybudget.UseBodies, held)
 		return nil, ErrNoRoom
 	}
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -110,8 +110,8 @@
 
 // readBody reads a body of at most limit bytes. It refuses the request if the body
 // is larger or cannot be read.
-func (r responder) readBody(w http.ResponseWriter, request *http.Request, limit int64) ([]byte, bool) {
-	body, err := connmemory.ReadBody(w, request, limit, requestFactor)
+func (r responder) readBody(w http.ResponseWriter, request *http.Request, limit int64, cost connmemory.Cost) ([]byte, bool) {
+	body, err := connmemory.ReadBody(w, request, limit, cost)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, connmemory.ErrNoRoom):
@@ -129,7 +129,7 @@
 
 // readJSON decodes a JSON body. Unknown fields are an error.
 func (r responder) readJSON(w http.ResponseWriter, request *http.Request, into any) bool {
-	body, ok := r.readBody(w, request, maxJSONBytes)
+	body, ok := r.readBody(w, request, maxJSONBytes, connmemory.JSON(requestFactor))
 	if !ok {
 		return false
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -9,6 +9,7 @@
 	"github.com/godwitlink/godwitlink/core/cellconfig"
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/api"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 )
 
 // operatorsAPI serves the requests of operators: they submit and read cell files and
@@ -31,7 +32,7 @@
 // parse reads a cell file. It refuses an invalid file before anything is sent to the
 // control group. The checks against the state are not made here.
 func (a operatorsAPI) parse(w http.ResponseWriter, request *http.Request) ([]byte, cellconfig.File, bool) {
-	body, ok := a.readBody(w, request, cellconfig.MaxFileBytes)
+	body, ok := a.readBody(w, request, cellconfig.MaxFileBytes, connmemory.PerByte(requestFactor))
 	if !ok {
 		return nil, cellconfig.File{}, false
 	}
--- a/internal/gateway/decode.go
+++ b/internal/gateway/decode.go
@@ -153,7 +153,7 @@
 	// The error is ignored: only httptest.ResponseRecorder does not support a
 	// deadline, and the size of the body is limited in any case.
 	_ = control.SetReadDeadline(time.Now().Add(allowed))
-	body, err := connmemory.ReadBody(w, req, limit, requestFactor)
+	body, err := connmemory.ReadBody(w, req, limit, connmemory.PerByte(requestFactor))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, connmemory.ErrNoRoom):
