--- a/test/hostileclients/jobs_test.go
+++ b/test/hostileclients/jobs_test.go
@@ -21,14 +21,14 @@
 	memoryCheckInterval = 50 * time.Millisecond
 )
 
-// sendJobs sends jobs from several clients, each one job after the other, until the time of a crowd is over or
-// the control process is above its limit.
-func (s *system) sendJobs(job func(number int64) string) {
+// crowd lets several clients send requests, each one after the other, until the time of a crowd is over or the control
+// process is above its limit. send reports whether a request was accepted.
+func (s *system) crowd(size int, send func(*http.Client) (accepted bool)) {
 	s.t.Helper()
-	var number, accepted, refused atomic.Int64
+	var accepted, refused atomic.Int64
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
-	for range jobCrowd {
+	for range size {
 		clients.Go(func() {
 			client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
@@ -38,19 +38,7 @@
 					return
 				default:
 				}
-				n := number.Add(1)
-				request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s%016x", s.clientsAddress(), queuePath, n), bytes.NewReader([]byte(job(n))))
-				if err != nil {
-					return
-				}
-				request.Host = queueHost
-				response, err := client.Do(request)
-				if err != nil {
-					continue // refused by closing the connection
-				}
-				_, _ = io.Copy(io.Discard, response.Body) // the status is enough
-				_ = response.Body.Close()
-				if response.StatusCode == http.StatusOK {
+				if send(client) {
 					accepted.Add(1)
 				} else {
 					refused.Add(1)
@@ -65,7 +53,28 @@
 	}
 	close(stop)
 	clients.Wait()
-	s.t.Logf("%d jobs accepted, %d refused", accepted.Load(), refused.Load())
+	s.t.Logf("%d requests accepted, %d refused", accepted.Load(), refused.Load())
+}
+
+// sendJobs lets a crowd send jobs.
+func (s *system) sendJobs(job func(number int64) string) {
+	s.t.Helper()
+	var number atomic.Int64
+	s.crowd(jobCrowd, func(client *http.Client) bool {
+		n := number.Add(1)
+		request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s%016x", s.clientsAddress(), queuePath, n), bytes.NewReader([]byte(job(n))))
+		if err != nil {
+			return false
+		}
+		request.Host = queueHost
+		response, err := client.Do(request)
+		if err != nil {
+			return false // refused by closing the connection
+		}
+		_, _ = io.Copy(io.Discard, response.Body) // the status is enough
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
 }
 
 const stepOfOneTask = `{"count":1,"cpu":100,"memMb":10,"estimateMs":100}`
