core/workload, internal/replica, internal/workapi: entry processes receive the changes of a configuration

What callers saw: a route of a configuration that had been acknowledged was refused with 404 more than 3 s later, on sites whose entry processes have links of 2 Mbit/s. Tasks stood still beside it.

Cause: each change sent the whole configuration to each entry process. One of 2,800 queues takes over 2 s of such a link, so a change that was acknowledged just after a poll had begun came with the transfer after the next one. The leader encoded the configuration for every entry process at every change.

Change: a replica records which queues consecutive configurations differ in, and answers a poll that names a known version with the difference. Readers of other versions receive the whole configuration as before. A replica of an earlier version refuses a query for changes; the entry process then asks for whole configurations.

--- a/core/state/query.go
+++ b/core/state/query.go
@@ -44,6 +44,9 @@
 	// Document also asks for the configuration as the operator sent it. Entry processes do not need
 	// it, and it doubles the size of the answer.
 	Document bool `cbor:",omitempty"`
+	// Changes allows an answer that holds only what has changed since the version Known. A replica of an
+	// earlier version of the program refuses queries that set it.
+	Changes bool `cbor:",omitempty"`
 	// AdviceRequester is the internal address of the querying process if it can call the adviser on
 	// behalf of the leader, otherwise empty.
 	AdviceRequester string `cbor:"Caller" json:"Caller"`
@@ -107,9 +110,11 @@
 
 // QueuesView is the queue configuration.
 type QueuesView struct {
-	Version  uint64           // version in force; 0 if there is none
-	Config   *workload.Config `cbor:",omitempty"` // nil if it is not newer than QueuesQuery.Known
-	Replicas []string         `cbor:",omitempty"` // addresses of the control replicas, added by the replica
+	Version uint64           // version in force; 0 if there is none
+	Config  *workload.Config `cbor:",omitempty"` // nil if it is not newer than QueuesQuery.Known, or Change is set
+	// Change is the change from the version QueuesQuery.Known, added by the replica if the query allows it.
+	Change   *workload.ConfigChange `cbor:",omitempty"`
+	Replicas []string               `cbor:",omitempty"` // addresses of the control replicas, added by the replica
 }
 
 // ExplainView lists the reasons why a job waits, one per line.
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -271,6 +271,16 @@
 	unresponsive  bool   // the replica did not answer while the call waited for it
 }
 
+// IsRefusedAsMalformed reports whether a replica could not decode a message. It may be of an earlier version.
+func IsRefusedAsMalformed(err error) bool {
+	var twirpErr twirp.Error
+	return errors.As(err, &twirpErr) && isMalformed(twirpErr)
+}
+
+func isMalformed(err twirp.Error) bool {
+	return err.Code() == twirp.InvalidArgument || err.Code() == twirp.Malformed
+}
+
 // leaderMeta is the twirp error metadata key with the leader's address.
 const leaderMeta = "leader"
 
@@ -287,13 +297,14 @@
 	if !ok {
 		return failure{reason: "transport", maybeAccepted: true, unresponsive: true}
 	}
+	if isMalformed(twirpErr) {
+		return failure{reason: "malformed", permanent: true}
+	}
 	switch twirpErr.Code() {
 	case twirp.FailedPrecondition:
 		return failure{reason: "not-leader", leader: twirpErr.Meta(leaderMeta)}
 	case twirp.ResourceExhausted:
 		return failure{reason: "overloaded"}
-	case twirp.InvalidArgument, twirp.Malformed:
-		return failure{reason: "malformed", permanent: true}
 	default:
 		return failure{reason: "transport", maybeAccepted: true, unresponsive: true}
 	}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -154,7 +154,7 @@
 	answer := t.state.Query(q)
 	if answer.Queues != nil {
 		answer.Queues.Replicas = t.replicaAddresses()
-		t.addEntryDocument(*q.Queues, answer.Queues)
+		t.prepareQueuesView(*q.Queues, answer.Queues)
 		t.publishAdviceRequester(q.Queues.AdviceRequester)
 	}
 	if t.leader == nil {
--- a/internal/replica/effects.go
+++ b/internal/replica/effects.go
@@ -320,7 +320,10 @@
 		t.opts.Metrics.Add(metricCommandRefusals, string(result.Refusal), 1)
 	}
 	t.updateAfterApply(now, entry.Index, command, result, events)
-	t.jobWaits.changed = t.jobWaits.changed || command.Workload != nil
+	if command.Workload != nil {
+		t.jobWaits.changed = true
+		t.recordQueueConfig()
+	}
 	t.publishApplied(command, pending.tag)
 	if known {
 		pending.complete(proposeResult{result: result, index: entry.Index}, nil)
--- a/internal/replica/task.go
+++ b/internal/replica/task.go
@@ -66,7 +66,7 @@
 	reportedViolations    int // violations of the cell state that were logged
 	reportedLogViolations map[replog.Invariant]int
 
-	entryDocument entryDocument
+	queueConfig queueConfig
 }
 
 func newTask(r *Replica, recovered storage.Recovered, client *http.Client) (*task, error) {
@@ -394,6 +394,7 @@
 	t.state, t.applied, t.snapshots.lastIndex = restored, snapshot.Index, snapshot.Index
 	t.reportedViolations = 0
 	t.membersIndex = snapshot.Index
+	t.recordQueueConfig()
 	for _, record := range decoded.Records {
 		t.activateCellFile(record, now)
 	}
--- a/internal/workapi/jobservice.go
+++ b/internal/workapi/jobservice.go
@@ -56,6 +56,9 @@
 type JobService struct {
 	opts   JobServiceOptions
 	routes atomic.Pointer[confirmedRoutes] // written by Run only; nil until the first configuration arrives
+	config workload.Config                 // that of routes; used by Run only
+	// changesRefused is set once a replica of an earlier version has refused a query for changes; used by Run only.
+	changesRefused bool
 }
 
 func NewJobService(opts JobServiceOptions) *JobService { return &JobService{opts: opts} }
@@ -95,9 +98,11 @@
 
 func (s *JobService) poll(ctx context.Context) error {
 	askedAt := time.Now()
-	query := state.Query{Queues: &state.QueuesQuery{Known: s.configVersion(), AdviceRequester: s.opts.SelfAddress}}
+	known := s.configVersion()
+	query := state.Query{Queues: &state.QueuesQuery{Known: known, Changes: known > 0 && !s.changesRefused, AdviceRequester: s.opts.SelfAddress}}
 	answer, err := s.opts.Control.ReadWithin(ctx, query, pollLimits)
 	if err != nil {
+		s.changesRefused = s.changesRefused || query.Queues.Changes && controlclient.IsRefusedAsMalformed(err)
 		return err
 	}
 	view := answer.Queues
@@ -105,17 +110,30 @@
 		return controlclient.ErrMalformed
 	}
 	s.opts.Control.SetMembers(view.Replicas)
-	if view.Config == nil || view.Config.Version <= s.configVersion() {
-		s.routes.Store(s.routes.Load().confirmed(view.Version, askedAt))
-	} else {
-		s.routes.Store(&confirmedRoutes{RoutingTable: NewRoutingTable(*view.Config), askedAt: askedAt})
-		s.opts.Metrics.SetGauge(metricQueuesVersion, float64(view.Config.Version))
-		// A replica of an older version passes on no document.
-		if s.opts.Document != nil && view.Config.Document != nil {
-			s.opts.Document(view.Config.Document)
+	config := view.Config
+	if view.Change != nil {
+		changed, ok := s.config.Apply(*view.Change)
+		if !ok {
+			return controlclient.ErrMalformed
 		}
-		s.opts.Logger.Log(eventQueuesChanged, zap.Uint64("version", view.Config.Version), zap.Int("queues", len(view.Config.Queues)))
+		config = &changed
+	}
+	if config == nil || config.Version <= known {
+		s.routes.Store(s.routes.Load().confirmed(view.Version, askedAt))
+		return nil
+	}
+	s.config = *config
+	s.routes.Store(&confirmedRoutes{RoutingTable: NewRoutingTable(*config), askedAt: askedAt})
+	s.opts.Metrics.SetGauge(metricQueuesVersion, float64(config.Version))
+	// A replica of an older version passes on no document.
+	if s.opts.Document != nil && config.Document != nil {
+		s.opts.Document(config.Document)
+	}
+	fields := []zap.Field{zap.Uint64("version", config.Version), zap.Int("queues", len(config.Queues))}
+	if view.Change != nil {
+		fields = append(fields, zap.Uint64("changed_from", known), zap.Int("queues_changed", len(view.Change.To.Queues)+len(view.Change.Removed)))
 	}
+	s.opts.Logger.Log(eventQueuesChanged, fields...)
 	return nil
 }
 
