internal/startup, internal/platformproc: a start that fails is repeated by the process

What callers saw: after a loss of power a control replica ended with code 1 at every start. With two replicas that had lost their disks the group had no leader any more, and every request was refused.

Cause of the class: each error of the start but a full disk ended the process. Its next start met the same error, 0.5 s later, with one line of log and nothing that an operator could ask.

Change: the steps of the start (listeners, data folder) are repeated within the process, after 0.1 to 1 s. The metrics listener opens first and answers GET /start with the step and the cause; start_blocked and event 4313 say the same. A cause that only a person can mend (data of another version, settings that contradict the data) is tried every 5 s and marked as such; a replica that receives what it cannot read stays stopped. A damaged log still leads to a new identity.

TestStartWaitsForDiskSpace called a function that is gone: TestFailingStepIsRepeated checks the same of every cause, and the number of log lines and the waits as well; TestCausesOfAFailingStart that a full disk is one of them. TestEndNamesItsCause used an error that no longer ends the process; it now uses one that does. The line that names the error of the former one is checked in TestStartWaitsForTheDataFolder.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -6,6 +6,8 @@
 package codec
 
 import (
+	"errors"
+
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 
@@ -24,6 +26,12 @@
 	ErrMalformed = merry.Sentinel("message is malformed")
 )
 
+// IsDecodeError reports whether a message cannot be decoded. Where it was stored with a valid checksum, another
+// version of the program has written it.
+func IsDecodeError(err error) bool {
+	return errors.Is(err, ErrVersion) || errors.Is(err, ErrMalformed) || errors.Is(err, ErrTooLarge)
+}
+
 // Size limits of the messages. A command holds a cell file or an answer of up to 1 MiB; a snapshot
 // holds up to 256 MiB of answers.
 const (
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -14,11 +14,13 @@
 	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/core/replog"
 	"github.com/godwitlink/godwitlink/internal/api"
+	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/controlclient"
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
 	"github.com/godwitlink/godwitlink/internal/replica"
+	"github.com/godwitlink/godwitlink/internal/startup"
 	"github.com/godwitlink/godwitlink/internal/storage"
 	"github.com/godwitlink/godwitlink/internal/workapi"
 	"github.com/godwitlink/godwitlink/platform"
@@ -52,6 +54,9 @@
 	defer b.close()
 	dir := dataDir{settings: s, logger: b.logger, metrics: b.metrics}
 	err = b.runControl(stop, kill, dir, s)
+	if startup.IsStopped(err) {
+		return nil
+	}
 	if err != nil {
 		b.logger.Log(eventEndedByError, zap.Error(err), zap.Strings("log_folder_bytes", dir.folderSizes()), zap.Int64("disk_mb", s.DiskMB))
 	}
@@ -59,27 +64,35 @@
 }
 
 func (b *baseProcess) runControl(stop, kill context.Context, dir dataDir, s *ControlSettings) error {
+	startCtx, endStart := context.WithCancel(stop)
+	defer endStart()
+	defer context.AfterFunc(kill, endStart)()
+	monitoring, err := b.serveMetrics(startCtx, s.ListenMetrics)
+	if err != nil {
+		return err
+	}
 	client := b.newHTTPClient(maxIdleConnsToLeader)
 	replicaClient := b.newHTTPClient(maxIdleConnsToReplica)
 	updates := make(chan replica.WorkUpdate)
 	var self identity
 	var r *replica.Replica
-	err := dir.awaitSpace(stop, func() (err error) {
+	err = b.start.Do(startCtx, "open the data folder", causeOfDataFolder, func() (err error) {
 		if self, err = dir.loadIdentity(); err == nil {
 			r, self, err = openReplica(b, dir, self, replicaClient, updates)
 		}
 		return err
 	})
-	if err != nil || r == nil {
+	if err != nil {
 		return err
 	}
 	control := controlclient.New(controlAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	platformClient := platform.NewClient(s.Adviser, b.sockets, b.logger)
 	proxies := b.newCallProxies(s, platformClient)
-	if err := b.serveControl(s, r, control, platformClient, proxies); err != nil {
+	if err := b.serveControl(startCtx, s, r, control, platformClient, proxies); err != nil {
 		r.Close()
 		return err
 	}
+	monitoring.Handle("GET "+api.WherePath, workapi.WhereHandler(r))
 	b.logger.Log(eventStarted, zap.Uint64("replica", self.ID), zap.Bool("joined", self.Joined), zap.Bool("bootstrap", s.Bootstrap))
 
 	runCtx, cancel := context.WithCancel(kill)
@@ -106,7 +119,7 @@
 	go func() { ended <- r.Run(runCtx) }()
 	select {
 	case err := <-ended:
-		return dir.replaceLostIdentity(stop, self, err)
+		return b.afterReplica(startCtx, dir, self, err)
 	case err := <-b.failures:
 		cancel()
 		return errors.Join(err, <-ended)
@@ -126,6 +139,42 @@
 	return errors.Join(err, stopErr)
 }
 
+// afterReplica handles the error with which the replica has ended. A replica whose log was lost gets a new identity;
+// the process ends and joins the group at its next start. A replica that has received what this version of the
+// program cannot read stays stopped until an operator ends the process: a further start would end in the same way.
+func (b *baseProcess) afterReplica(ctx context.Context, dir dataDir, self identity, runErr error) error {
+	switch {
+	case errors.Is(runErr, replica.ErrMustJoin):
+		err := b.start.Do(ctx, "store a new identity", causeOfDataFolder, func() error {
+			_, err := dir.replaceIdentity(self, runErr)
+			return err
+		})
+		return errors.Join(runErr, err)
+	case runErr != nil && causeOfDataFolder(runErr).NeedsOperator():
+		b.closeServers(monitoringServers)
+		b.start.AwaitOperator(ctx, "run the control replica", causeOfDataFolder(runErr), runErr)
+		return nil
+	}
+	return runErr
+}
+
+// monitoringServers is the number of listeners that serveMetrics opens. They come first.
+const monitoringServers = 1
+
+// causeOfDataFolder returns why the data folder cannot be used.
+func causeOfDataFolder(err error) startup.Cause {
+	var damage *storage.DamageError
+	switch {
+	case diskio.IsFull(err):
+		return startup.CauseDiskFull
+	case errors.Is(err, replica.ErrNotInitialVoter):
+		return startup.CauseSettings
+	case errors.As(err, &damage), errors.Is(err, replica.ErrUnknownCommand), codec.IsDecodeError(err):
+		return startup.CauseOtherVersion
+	}
+	return startup.CauseDataFolder
+}
+
 // controlAddresses returns the addresses at which this process looks for the leader: its own, then
 // those of the seeds.
 func controlAddresses(seeds []string, own string) []string {
@@ -169,7 +218,7 @@
 	})
 }
 
-func (b *baseProcess) serveControl(s *ControlSettings, r *replica.Replica, control *controlclient.Client, platformClient *platform.Client, proxies *callProxies) error {
+func (b *baseProcess) serveControl(ctx context.Context, s *ControlSettings, r *replica.Replica, control *controlclient.Client, platformClient *platform.Client, proxies *callProxies) error {
 	internal := http.NewServeMux()
 	internal.Handle("/", r.Handler())
 	proxies.handle(internal)
@@ -180,11 +229,9 @@
 	if err != nil {
 		return err
 	}
-	if err := b.serve(openfiles.UseProcesses, s.ListenInternal, internal); err != nil {
-		return err
-	}
-	if err := b.serve(openfiles.UseCallers, s.ListenControl, external); err != nil {
+	err = b.startServing(ctx, s.ListenInternal, func() error { return b.serve(openfiles.UseProcesses, s.ListenInternal, internal) })
+	if err != nil {
 		return err
 	}
-	return b.serveMetrics(s.ListenMetrics, route{"GET " + api.WherePath, workapi.WhereHandler(r)})
+	return b.startServing(ctx, s.ListenControl, func() error { return b.serve(openfiles.UseCallers, s.ListenControl, external) })
 }
--- a/internal/platformproc/datadir.go
+++ b/internal/platformproc/datadir.go
@@ -1,7 +1,6 @@
 package platformproc
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -9,7 +8,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
@@ -18,7 +16,6 @@
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
-	"github.com/godwitlink/godwitlink/internal/replica"
 )
 
 // Log events.
@@ -26,17 +23,10 @@
 	eventIdentityReplaced  = eventlog.Declare(4307, zapcore.ErrorLevel, "the log of the control replica is lost, it joins its group under a new id")
 	eventDamagedKept       = eventlog.Declare(4308, zapcore.ErrorLevel, "a damaged log folder of a former id is kept")
 	eventDamagedRemoved    = eventlog.Declare(4309, zapcore.WarnLevel, "a damaged log folder is no longer kept")
-	eventAwaitsSpace       = eventlog.Declare(4313, zapcore.ErrorLevel, "the data folder cannot be opened until the disk has room")
 	eventDamagedNotRemoved = eventlog.Declare(4310, zapcore.WarnLevel, "a damaged log folder cannot be removed")
 )
 
-// spaceRetryInterval is the time between two attempts to start on a full disk.
-const spaceRetryInterval = 500 * time.Millisecond
-
-var (
-	metricStartRetries   = metrics.Declare("storage_start_retries_total", metrics.KindCounter, "attempts to open the data folder that are repeated, by reason")
-	metricDamagedFolders = metrics.Declare("storage_damaged_folders", metrics.KindGauge, "damaged log folders of former ids that are kept on the disk")
-)
+var metricDamagedFolders = metrics.Declare("storage_damaged_folders", metrics.KindGauge, "damaged log folders of former ids that are kept on the disk")
 
 // dataDir is the data folder of a control replica. It contains node.toml and the log folders.
 type dataDir struct {
@@ -60,42 +50,6 @@
 	return next, nil
 }
 
-// replaceLostIdentity stores a new identity if the group has reported that the log of the current
-// one was lost. The process ends with the error and joins the group at its next start.
-func (d dataDir) replaceLostIdentity(stop context.Context, self identity, runErr error) error {
-	if !errors.Is(runErr, replica.ErrMustJoin) {
-		return runErr
-	}
-	err := d.awaitSpace(stop, func() error {
-		_, err := d.replaceIdentity(self, runErr)
-		return err
-	})
-	return errors.Join(runErr, err)
-}
-
-// awaitSpace repeats an operation while it fails because the disk is full. It returns nil without
-// success if stop ends: the process has nothing to undo.
-func (d dataDir) awaitSpace(stop context.Context, operation func() error) error {
-	err := operation()
-	if !diskio.IsFull(err) {
-		return err
-	}
-	d.logger.Log(eventAwaitsSpace, zap.Error(err))
-	timer := time.NewTimer(spaceRetryInterval)
-	defer timer.Stop()
-	for diskio.IsFull(err) {
-		d.metrics.Add(metricStartRetries, "disk-full", 1)
-		select {
-		case <-stop.Done():
-			return nil
-		case <-timer.C:
-		}
-		err = operation()
-		timer.Reset(spaceRetryInterval)
-	}
-	return err
-}
-
 // loadIdentity reads the identity of the replica. It creates one if the disk is empty, and replaces
 // an identity that cannot be read if a log exists.
 func (d dataDir) loadIdentity() (identity, error) {
--- a/internal/platformproc/entry.go
+++ b/internal/platformproc/entry.go
@@ -14,6 +14,7 @@
 	"github.com/godwitlink/godwitlink/internal/dispatcher"
 	"github.com/godwitlink/godwitlink/internal/draining"
 	"github.com/godwitlink/godwitlink/internal/pause"
+	"github.com/godwitlink/godwitlink/internal/startup"
 	"github.com/godwitlink/godwitlink/internal/workapi"
 	"github.com/godwitlink/godwitlink/platform"
 )
@@ -36,7 +37,7 @@
 		return err
 	}
 	defer b.close()
-	if err := b.runEntry(stop, kill, s); err != nil {
+	if err := b.runEntry(stop, kill, s); err != nil && !startup.IsStopped(err) {
 		b.logger.Log(eventEndedByError, zap.Error(err))
 		return err
 	}
@@ -48,7 +49,10 @@
 	control := controlclient.New(internalAddresses(s.Seeds, s.ListenInternal), "http", client, b.metrics)
 	jobs := workapi.NewJobService(workapi.JobServiceOptions{Control: control, Logger: b.logger, Metrics: b.metrics, SelfAddress: s.ListenInternal, Document: b.setLimits})
 	e := &entry{baseProcess: b, jobs: jobs}
-	if err := e.listen(s); err != nil {
+	startCtx, endStart := context.WithCancel(stop)
+	defer endStart()
+	defer context.AfterFunc(kill, endStart)()
+	if err := e.listen(startCtx, s); err != nil {
 		return err
 	}
 	b.logger.Log(eventStarted)
@@ -81,22 +85,26 @@
 	drain   draining.Flag
 }
 
-func (e *entry) listen(s *EntrySettings) error {
+func (e *entry) listen(ctx context.Context, s *EntrySettings) error {
+	if _, err := e.serveMetrics(ctx, s.ListenMetrics); err != nil {
+		return err
+	}
 	internal := http.NewServeMux()
 	prefix, relay := dispatcher.NewRelayHandler(platform.NewClient(s.Adviser, e.sockets, e.logger))
 	internal.Handle(prefix, relay)
-	if err := e.serve(openfiles.UseProcesses, s.ListenInternal, internal); err != nil {
+	err := e.startServing(ctx, s.ListenInternal, func() error { return e.serve(openfiles.UseProcesses, s.ListenInternal, internal) })
+	if err != nil {
 		return err
 	}
-	if err := e.serveMetrics(s.ListenMetrics); err != nil {
+	clients := platform.NewClientHandler(e.jobs, e.logger)
+	err = e.startServing(ctx, s.ListenClients, func() (err error) {
+		e.clients, err = e.serveDraining(openfiles.UseCallers, connmemory.PeerClients, s.ListenClients, clients, &e.drain)
 		return err
-	}
-	var err error
-	e.clients, err = e.serveDraining(openfiles.UseCallers, connmemory.PeerClients, s.ListenClients, platform.NewClientHandler(e.jobs, e.logger), &e.drain)
+	})
 	if err != nil {
 		return err
 	}
-	return e.serve(openfiles.UseProbes, s.ListenReady, http.HandlerFunc(e.ready))
+	return e.startServing(ctx, s.ListenReady, func() error { return e.serve(openfiles.UseProbes, s.ListenReady, http.HandlerFunc(e.ready)) })
 }
 
 func (e *entry) ready(w http.ResponseWriter, _ *http.Request) {
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -25,6 +25,7 @@
 	"github.com/godwitlink/godwitlink/internal/eventlog"
 	"github.com/godwitlink/godwitlink/internal/metrics"
 	"github.com/godwitlink/godwitlink/internal/sockets"
+	"github.com/godwitlink/godwitlink/internal/startup"
 )
 
 // Log events.
@@ -65,6 +66,7 @@
 	servers  []*draining.Server
 	failures chan error
 	tasks    sync.WaitGroup
+	start    *startup.Start
 	hangups  chan os.Signal // SIGHUP, which would end the process without a receiver
 	closeLog func()
 }
@@ -96,6 +98,7 @@
 	go func() { async.Run(ctx, logger); close(done) }()
 	set := metrics.New()
 	b := &baseProcess{logger: logger, metrics: set, sockets: sockets.New(division, logger, set), failures: make(chan error, 4), hangups: make(chan os.Signal, 1)}
+	b.start = startup.New(logger, set)
 	b.memory = connmemory.New(memory, logger, set)
 	b.sockets.OnShortage(func() {
 		// A client that waits for a descriptor gets that of one without progress.
@@ -117,14 +120,20 @@
 
 // close closes the listeners and writes the last log lines.
 func (b *baseProcess) close() {
-	for _, server := range b.servers {
-		server.Close()
-	}
+	b.closeServers(0)
 	signal.Stop(b.hangups)
 	b.logger.Log(eventStopped)
 	b.closeLog()
 }
 
+// closeServers closes the listeners except for the first ones.
+func (b *baseProcess) closeServers(kept int) {
+	for _, server := range b.servers[kept:] {
+		server.Close()
+	}
+	b.servers = b.servers[:kept]
+}
+
 // serve opens a listener and serves handler on it.
 func (b *baseProcess) serve(use openfiles.Use, address string, handler http.Handler) error {
 	peer := connmemory.PeerProcesses
@@ -169,20 +178,18 @@
 	return len(line), nil
 }
 
-// route is what a listener serves at a pattern of http.ServeMux.
-type route struct {
-	pattern string
-	handler http.Handler
-}
-
-// serveMetrics opens the listener for metrics and other questions of operators.
-func (b *baseProcess) serveMetrics(address string, more ...route) error {
+// serveMetrics opens the listener for metrics, the state of the start and other questions of operators. The
+// caller adds the handlers of the latter to the result.
+func (b *baseProcess) serveMetrics(ctx context.Context, address string) (*http.ServeMux, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", b.metrics)
-	for _, r := range more {
-		mux.Handle(r.pattern, r.handler)
-	}
-	return b.serve(openfiles.UseProbes, address, mux)
+	mux.Handle("GET "+startup.Path, b.start)
+	return mux, b.startServing(ctx, address, func() error { return b.serve(openfiles.UseProbes, address, mux) })
+}
+
+// startServing is the step of the start that opens a listener.
+func (b *baseProcess) startServing(ctx context.Context, address string, serve func() error) error {
+	return b.start.Do(ctx, "listen at "+address, func(error) startup.Cause { return startup.CauseAddress }, serve)
 }
 
 // newHTTPClient returns the client for calls between processes. When a call times out, its
