internal/connmemory: receive buffers are bounded and counted

The platform counts these bytes as memory of the process.

Cause: the kernel grows the receive buffer of a connection to megabytes, and the budget did not count it.

Change: listening sockets bound the buffers of their connections by the kind of peer, and the cost of a connection of callers and operators includes its buffer.

--- a/internal/connmemory/conn.go
+++ b/internal/connmemory/conn.go
@@ -12,8 +12,8 @@
 	"github.com/godwitlink/godwitlink/core/memorybudget"
 )
 
-// What a connection costs, measured on Linux with Go 1.26: 1,000 connections that have sent a part of a request
-// take 20 to 24 kB each, for two goroutines, buffers of 4 KiB each way, and the state of net/http.
+// What a connection costs beside its receive buffer, measured on Linux with Go 1.26: 1,000 connections that have sent
+// a part of a request take 20 to 24 kB each, for two goroutines, buffers of 4 KiB each way, and the state of net/http.
 const (
 	connectionBytes = 24 << 10
 	// freeHeadBytes and freeHeadLines are the size of a head that the cost of the connection covers.
@@ -99,7 +99,7 @@
 		}
 		c := &conn{Conn: accepted, budget: l.budget, id: memorybudget.ID(l.budget.nextID.Add(1)), peer: peerHost(accepted.RemoteAddr()), kind: l.kind, noRoom: l.noRoom}
 		c.inHead.Store(true)
-		if l.budget.ask(message{kind: kindOpen, conn: c, use: l.kind.use(memorybudget.UseConnections), bytes: connectionBytes}) {
+		if l.budget.ask(message{kind: kindOpen, conn: c, use: l.kind.use(memorybudget.UseConnections), bytes: l.kind.openBytes()}) {
 			return c, nil
 		}
 		// The refusal is counted. An error of closing has no consequence.
--- a/internal/connmemory/events.go
+++ b/internal/connmemory/events.go
@@ -13,8 +13,9 @@
 
 // Log events.
 var (
-	eventRefused = eventlog.Declare(4330, zapcore.WarnLevel, "requests or connections of a peer were refused or closed to bound the memory or the time that they take")
-	eventLimits  = eventlog.Declare(4331, zapcore.InfoLevel, "limits of clients' requests taken over")
+	eventRefused          = eventlog.Declare(4330, zapcore.WarnLevel, "requests or connections of a peer were refused or closed to bound the memory or the time that they take")
+	eventLimits           = eventlog.Declare(4331, zapcore.InfoLevel, "limits of clients' requests taken over")
+	eventUnreadNotBounded = eventlog.Declare(4333, zapcore.WarnLevel, "receive buffers of a listener cannot be bounded")
 )
 
 // Metrics. The label is the use for memory, and the reason for refusals.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,6 +130,7 @@
 	if err != nil {
 		return err
 	}
+	e.memory.BoundUnread(connmemory.PeerOperators, callers)
 	limit := func(l net.Listener) net.Listener {
 		limited := e.memory.LimitAnswering(connmemory.PeerOperators, addTLS(l), gateway.OverloadedAnswer)
 		return e.gateway.CallerListener(limited, e.settings.MaxConnections)
@@ -154,6 +155,7 @@
 		if err != nil {
 			return err
 		}
+		e.memory.BoundUnread(l.peer, socket)
 		server := newServer(l.handler)
 		// With mutual TLS only peers with a certificate of the cell send requests.
 		if l.mode == settings.TLSPlain {
--- a/internal/platformproc/serve.go
+++ b/internal/platformproc/serve.go
@@ -152,6 +152,7 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrListen, merry.WithCause(err), merry.AppendMessage(address))
 	}
+	b.memory.BoundUnread(peer, socket)
 	limit := func(l net.Listener) net.Listener { return b.memory.Limit(peer, b.sockets.Limit(use, l)) }
 	httpServer := &http.Server{
 		Handler: b.memory.Handler(peer, b.sockets.CloseWhenShort(use, handler)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: serverIdleTimeout,
