internal/replica, internal/connmemory: answers with a configuration count as memory

Cause: the leader encoded its answers to reads outside the budget of memory, and connections of other processes never gave way.

Change: an answer that holds the document of a configuration pays for its copies before it is encoded, and is refused as overloaded without room. A connection of another process that has such an answer gives way if it is not read. Polls of entry processes, which hold a small part of the document, are not affected.

--- a/core/memorybudget/ledger.go
+++ b/core/memorybudget/ledger.go
@@ -98,8 +98,10 @@
 }
 
 // isProtected reports whether a connection does not give way to clients: it is of another process and has no large
-// message on its way. One that has stops only if its sender does.
-func (c *connection) isProtected() bool { return c.process && c.held[UseMessages] == 0 }
+// message or answer on its way. One that has stops only if its peer does.
+func (c *connection) isProtected() bool {
+	return c.process && c.held[UseMessages] == 0 && c.held[UseAnswers] == 0
+}
 
 // add changes what a connection holds for a use.
 func (l *Ledger) add(c *connection, use Use, bytes int64) {
--- a/core/state/query.go
+++ b/core/state/query.go
@@ -92,6 +92,14 @@
 	Where   *WhereView       `cbor:",omitempty"`
 }
 
+// DocumentBytes returns the size of the document of a configuration in the answer.
+func (a Answer) DocumentBytes() int {
+	if a.Queues == nil || a.Queues.Config == nil {
+		return 0
+	}
+	return len(a.Queues.Config.Document)
+}
+
 // WhereView says where a multi-step job would go.
 type WhereView struct {
 	Explanation workload.Explanation
--- a/internal/connmemory/request.go
+++ b/internal/connmemory/request.go
@@ -1,6 +1,7 @@
 package connmemory
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -259,19 +260,19 @@
 	}
 }
 
-// HoldAnswer pays for an answer of the given size until the request ends. The request is worked on; AwaitReader
-// says that it is written.
-func HoldAnswer(r *http.Request, bytes int64) error {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.grow(memorybudget.UseAnswers, bytes) {
+// HoldAnswer pays for an answer of the given size until the request of a context ends. The request is worked on;
+// AwaitReader says that it is written.
+func HoldAnswer(ctx context.Context, bytes int64) error {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok && !c.grow(memorybudget.UseAnswers, bytes) {
 		return ErrNoRoom
 	}
 	return nil
 }
 
-// AwaitReader records that the answer to a request, of which only the given size is held any more, now waits
-// for its reader. The connection can be closed if the reader makes no progress and the memory is needed.
-func AwaitReader(r *http.Request, held, bytes int64) {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+// AwaitReader records that the answer to the request of a context, of which only the given size is held any more, now
+// waits for its reader. The connection can be closed if the reader makes no progress and the memory is needed.
+func AwaitReader(ctx context.Context, held, bytes int64) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
 		c.release(memorybudget.UseAnswers, held-bytes)
 		c.tell(kindAwait)
 	}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/godwitlink/godwitlink/core/state"
 	"github.com/godwitlink/godwitlink/internal/codec"
+	"github.com/godwitlink/godwitlink/internal/connmemory"
 	"github.com/godwitlink/godwitlink/internal/replication"
 	"github.com/godwitlink/godwitlink/internal/rpc/rpcpb"
 )
@@ -80,13 +81,27 @@
 	if err != nil {
 		return nil, s.refuse(err)
 	}
+	held := int64(0)
+	if query.Queues != nil && query.Queues.Document {
+		held = documentCopies * int64(got.answer.DocumentBytes())
+	}
+	if held > 0 && connmemory.HoldAnswer(ctx, held) != nil {
+		return nil, s.refuse(ErrOverloaded)
+	}
 	answer, err := codec.EncodeAnswer(got.answer)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
+	if held > 0 {
+		connmemory.AwaitReader(ctx, held, held)
+	}
 	return &rpcpb.ReadResponse{Answer: answer, Index: got.index}, nil
 }
 
+// documentCopies is how often an answer holds a document until it is written: encoded, in the message, and in what is
+// written, with the buffers of the encoders.
+const documentCopies = 4
+
 // Renew implements rpcpb.Control.
 func (s *service) Renew(ctx context.Context, request *rpcpb.RenewRequest) (*rpcpb.RenewResponse, error) {
 	if len(request.Renewals) > maxRenewals {
