test/platformsoak: control processes that start without a usable data folder

The soak blocks the data folder of a control process that it has killed, starts it, and gives the folder back up to 1.5 s later; a process that ends in between fails the run.

--- a/test/platformsoak/soak_test.go
+++ b/test/platformsoak/soak_test.go
@@ -430,14 +430,14 @@
 	}
 }
 
-// disturbProcess kills, stops or suspends a process, or corrupts the log of a process that it kills,
-// and returns the name of the fault.
+// disturbProcess kills, stops or suspends a process, or corrupts the log or blocks the start of a process
+// that it kills, and returns the name of the fault.
 func (in *faultInjector) disturbProcess(p *process) string {
 	if p == nil {
 		return ""
 	}
 	release := func() { in.disturbed[p] = false }
-	switch in.random.IntN(4) {
+	switch in.random.IntN(5) {
 	case 0:
 		name := "kill"
 		p.kill()
@@ -459,6 +459,15 @@
 			release()
 		})
 		return "planned stop"
+	case 3:
+		if in.system.hasDataFolder(p) {
+			p.kill()
+			unblock := in.system.blockDataFolder(p)
+			in.system.start(p, false)
+			in.endFaultWithin(1500*time.Millisecond, func() { unblock(); release() })
+			return "blocked start"
+		}
+		fallthrough
 	default:
 		in.pause(p)
 		return "pause"
--- a/test/platformsoak/system_test.go
+++ b/test/platformsoak/system_test.go
@@ -268,6 +268,40 @@
 	return false
 }
 
+func (s *system) dataFolder(p *process) string { return filepath.Join(s.dir, p.name) }
+
+// hasDataFolder reports whether a process has created its data folder.
+func (s *system) hasDataFolder(p *process) bool {
+	info, err := os.Stat(s.dataFolder(p))
+	return err == nil && info.IsDir()
+}
+
+// blockDataFolder puts a file in the place of the data folder of a process that is not running. unblock
+// puts the folder back, and fails the test if the process has ended because it could not use its folder.
+func (s *system) blockDataFolder(p *process) (unblock func()) {
+	folder := s.dataFolder(p)
+	aside := folder + ".aside"
+	if err := os.Rename(folder, aside); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.WriteFile(folder, nil, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return func() {
+		select {
+		case <-p.exited:
+			s.t.Errorf("%s has ended because its data folder cannot be used", p.name)
+		default:
+		}
+		if err := os.Remove(folder); err != nil {
+			s.t.Fatal(err)
+		}
+		if err := os.Rename(aside, folder); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
 // terminate starts a planned stop, and kills the process if it takes longer than the timeout.
 func (p *process) terminate(timeout time.Duration) {
 	p.signal(syscall.SIGTERM)
