internal/platformproc: tasks end with a replica that cannot read a command

A control process whose replica has ended at a command of another version stays up and waits for an operator. They end now before the wait, as they did with the process. TestReplicaThatCannotReadACommandStaysStopped checks the wait and the closed listener; that the tasks end is checked by reading only. A loop over the keys of a map in core/workload/configchange.go is simpler.

--- a/core/workload/configchange.go
+++ b/core/workload/configchange.go
@@ -1,7 +1,5 @@
 package workload
 
-import "maps"
-
 // QueueKey identifies a queue of a configuration: no two queues have the same host and path prefix.
 type QueueKey struct{ Host, PathPrefix string }
 
@@ -121,7 +119,7 @@
 	}
 	change = ConfigChange{From: version, To: *h.inForce}
 	change.To.Queues = nil
-	for key := range maps.Keys(differing) {
+	for key := range differing {
 		if queue, inForce := h.queues[key]; inForce {
 			change.To.Queues = append(change.To.Queues, queue)
 		} else {
--- a/internal/platformproc/control.go
+++ b/internal/platformproc/control.go
@@ -119,6 +119,8 @@
 	go func() { ended <- r.Run(runCtx) }()
 	select {
 	case err := <-ended:
+		// The tasks must not call workers any more while the process waits.
+		cancel()
 		return b.afterReplica(startCtx, dir, self, err)
 	case err := <-b.failures:
 		cancel()
--- a/internal/platformproc/start_test.go
+++ b/internal/platformproc/start_test.go
@@ -15,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
+	"github.com/godwitlink/godwitlink/core/openfiles"
 	"github.com/godwitlink/godwitlink/internal/codec"
 	"github.com/godwitlink/godwitlink/internal/diskio"
 	"github.com/godwitlink/godwitlink/internal/replica"
@@ -106,6 +107,39 @@
 	}
 }
 
+// Guards against a process that ends at every start at a command that it cannot read, and against one that still
+// takes requests after its replica has ended.
+func TestReplicaThatCannotReadACommandStaysStopped(t *testing.T) {
+	g := &testGroup{t: t, dir: t.TempDir()}
+	m := g.newMember()
+	b, err := newBaseProcess(m.log, "info", t.Name(), m.settings.MemoryMB, m.settings.OpenFiles)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	if _, err := b.serveMetrics(ctx, m.settings.ListenMetrics); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.serve(openfiles.UseProcesses, m.settings.ListenInternal, http.NotFoundHandler()); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- b.afterReplica(ctx, dataDir{}, identity{}, merry.Wrap(replica.ErrUnknownCommand, merry.AppendMessage("entry 7")))
+	}()
+	awaitBlocked(t, ended, m.settings.ListenMetrics, "other-version")
+	if conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", m.settings.ListenInternal); err == nil {
+		conn.Close()
+		t.Error("the listener for other processes is open")
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Errorf("error %v", err)
+	}
+}
+
 // Guards against an end of the process whose last log line does not name the cause.
 func TestEndNamesItsCause(t *testing.T) {
 	g := startTestGroup(t)
